--- /dev/null
+++ b/wisteriapass/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/wisteriapass_coord/src/lib.rs
@@ -0,0 +1,3 @@
+//! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
+
+pub mod store;
--- /dev/null
+++ b/wisteriapass_coord/tests/store_memory.rs
@@ -0,0 +1,34 @@
+//! The key-value service in memory: compare-and-swap, leases and watches.
+
+use std::time::Duration;
+
+use wisteriapass_coord::store::{MemoryStore, Revision, Store, Swap};
+
+#[test]
+fn a_swap_from_an_old_revision_is_a_conflict() {
+    let store = MemoryStore::new();
+    let first = store.swap("a", Revision::ABSENT, "1", None).unwrap();
+    assert_eq!(first, Swap::Done(Revision(1)));
+    let second = store.swap("a", Revision::ABSENT, "2", None).unwrap();
+    assert!(matches!(second, Swap::Conflict(Some(e)) if e.value == "1"));
+}
+
+#[test]
+fn a_lapsed_lease_takes_its_keys_with_it() {
+    let store = MemoryStore::new();
+    let lease = store.grant_lease(Duration::ZERO).unwrap();
+    store.swap("a", Revision::ABSENT, "1", Some(lease)).unwrap();
+    assert_eq!(store.get("a").unwrap(), None);
+    assert!(!store.keep_lease(lease).unwrap());
+}
+
+#[test]
+fn a_watch_returns_what_changed_past_a_revision() {
+    let store = MemoryStore::new();
+    store.swap("p/a", Revision::ABSENT, "1", None).unwrap();
+    store.swap("p/b", Revision::ABSENT, "2", None).unwrap();
+    let (revision, entries) = store.watch("p/", Revision(1), Duration::ZERO).unwrap();
+    assert_eq!(revision, Revision(2));
+    assert_eq!(entries.len(), 1);
+    assert_eq!(entries[0].key, "p/b");
+}
--- /dev/null
+++ b/wisteriapass_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
