--- a/wisteriapass_coord/src/store/memory.rs
+++ b/wisteriapass_coord/src/store/memory.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::{Condvar, Mutex};
 
-use crate::store::{Entry, LeaseId, Result, Revision, Store, Swap};
+use crate::store::{Entry, LeaseId, Result, Revision, Store, StoreError, Swap};
 
 /// One value with what carries it.
 #[derive(Clone, Debug)]
@@ -117,6 +117,11 @@
     ) -> Result<Swap> {
         let mut state = self.state.lock();
         state.drop_lapsed();
+        if lease.is_some_and(|l| !state.leases.contains_key(&l.0)) {
+            return Err(StoreError::Refused {
+                cause: "the lease has lapsed".into(),
+            });
+        }
         if !state.is_at(key, expected) {
             return Ok(Swap::Conflict(state.entry(key)));
         }
--- a/wisteriapass_coord/tests/store_memory.rs
+++ b/wisteriapass_coord/tests/store_memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wisteriapass_coord::store::{MemoryStore, Revision, Store, Swap};
+use wisteriapass_coord::store::{MemoryStore, Revision, Store, StoreError, Swap};
 
 #[test]
 fn a_swap_from_an_old_revision_is_a_conflict() {
@@ -16,8 +16,9 @@
 #[test]
 fn a_lapsed_lease_takes_its_keys_with_it() {
     let store = MemoryStore::new();
-    let lease = store.grant_lease(Duration::ZERO).unwrap();
+    let lease = store.grant_lease(Duration::from_millis(200)).unwrap();
     store.swap("a", Revision::ABSENT, "1", Some(lease)).unwrap();
+    std::thread::sleep(Duration::from_millis(250));
     assert_eq!(store.get("a").unwrap(), None);
     assert!(!store.keep_lease(lease).unwrap());
 }
@@ -32,3 +33,11 @@
     assert_eq!(entries.len(), 1);
     assert_eq!(entries[0].key, "p/b");
 }
+
+#[test]
+fn a_swap_under_a_lapsed_lease_is_refused() {
+    let store = MemoryStore::new();
+    let lease = store.grant_lease(Duration::ZERO).unwrap();
+    let refused = store.swap("a", Revision::ABSENT, "1", Some(lease));
+    assert!(matches!(refused, Err(StoreError::Refused { .. })));
+}
