--- /dev/null
+++ b/wisteriapass_coord/src/budget/payment.rs
@@ -0,0 +1,55 @@
+//! What a dispatch is paid with.
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::budget::{BudgetId, Origin, Tokens};
+
+/// An amount of one origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Incarnation that took it from the service.
+    pub origin: Origin,
+    /// Amount.
+    pub amount: Tokens,
+}
+
+/// Amounts by origin; rarely more than two.
+pub type Parts = SmallVec<[Part; 2]>;
+
+/// The worst case reserved for a dispatch, by origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Payment {
+    /// Budget that pays.
+    pub budget: BudgetId,
+    /// What was reserved, in the order in which it is charged.
+    pub parts: Parts,
+}
+
+impl Payment {
+    /// Returns the whole amount reserved.
+    pub fn total(&self) -> Tokens {
+        self.parts.iter().map(|p| p.amount).sum()
+    }
+
+    /// Returns what is charged to each origin for `actual`, capped at the whole amount.
+    ///
+    /// Router and side process both use this, so that their counts by origin agree.
+    pub fn charge(&self, actual: Tokens) -> Parts {
+        let mut left = actual;
+        let mut charged = Parts::new();
+        for part in &self.parts {
+            let amount = part.amount.min(left);
+            left -= amount;
+            if !amount.is_zero() {
+                charged.push(Part { amount, ..*part });
+            }
+        }
+        charged
+    }
+
+    /// Returns whether any of it was taken by `origin`.
+    pub fn is_from(&self, origin: Origin) -> bool {
+        self.parts.iter().any(|p| p.origin == origin)
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/src/budget/shards.rs
@@ -0,0 +1,50 @@
+//! Which record holds which budget.
+
+use std::hash::Hasher;
+
+use derive_more::Display;
+use twox_hash::XxHash64;
+
+use crate::budget::BudgetId;
+
+/// Seed of the hash; changing it moves every budget.
+const SEED: u64 = 0;
+
+/// Number of a record.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId(pub u32);
+
+impl ShardId {
+    /// Returns the record's key in the service.
+    pub fn key(self) -> String {
+        format!("budgets/{}", self.0)
+    }
+}
+
+/// How many records the budgets are spread over; the same everywhere and for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shards {
+    count: u32,
+}
+
+impl Shards {
+    /// Spreads budgets over `count` records, at least one.
+    pub fn new(count: u32) -> Self {
+        Self {
+            count: count.max(1),
+        }
+    }
+
+    /// Returns the record that holds a budget.
+    pub fn of(self, budget: &BudgetId) -> ShardId {
+        let mut hasher = XxHash64::with_seed(SEED);
+        hasher.write(budget.as_str().as_bytes());
+        let shard = hasher.finish() % u64::from(self.count);
+        ShardId(shard as u32)
+    }
+
+    /// Returns all records.
+    pub fn all(self) -> impl Iterator<Item = ShardId> {
+        (0..self.count).map(ShardId)
+    }
+}
