--- a/wisteriapass_coord/src/budget/ledger.rs
+++ b/wisteriapass_coord/src/budget/ledger.rs
@@ -100,9 +100,9 @@
 
     /// Reports and takes grants together, one swap for each record.
     ///
-    /// An operation whose answer was lost is finished first; its money is among the lots.
+    /// Operations whose answers were lost are finished first; their money is among the lots.
     pub fn exchange(&self, wants: Vec<Want>, reports: Vec<Report>) -> Exchange {
-        let mut batches = BTreeMap::<ShardId, Batch>::new();
+        let mut batches = self.pending();
         for want in wants {
             let shard = self.journal.shards().of(&want.budget);
             batches.entry(shard).or_default().wants.push(want);
@@ -129,15 +129,16 @@
         self.run_all(batches)
     }
 
-    /// Finishes operations whose answers were lost.
+    /// Finishes operations whose answers were lost; their money is among the lots.
     pub fn finish(&self) -> Exchange {
-        let mut batches = BTreeMap::new();
-        for shard in self.journal.shards().all() {
-            if self.journal.slot(shard).lock().pending.is_some() {
-                batches.insert(shard, Batch::default());
-            }
-        }
-        self.run_all(batches)
+        self.run_all(self.pending())
+    }
+
+    /// Returns an empty batch for each record with an operation whose answer was lost.
+    fn pending(&self) -> BTreeMap<ShardId, Batch> {
+        let shards = self.journal.shards().all();
+        let pending = shards.filter(|s| self.journal.slot(*s).lock().pending.is_some());
+        pending.map(|shard| (shard, Batch::default())).collect()
     }
 
     fn run_all(&self, batches: BTreeMap<ShardId, Batch>) -> Exchange {
--- a/wisteriapass_coord/src/budget/payment.rs
+++ b/wisteriapass_coord/src/budget/payment.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::budget::{BudgetId, Origin, Tokens};
+use crate::budget::{BudgetId, Lot, Origin, Tokens};
 
 /// An amount of one origin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +14,17 @@
     pub amount: Tokens,
 }
 
+impl Part {
+    /// Names the budget it belongs to.
+    pub(super) fn into_lot(self, budget: &BudgetId) -> Lot {
+        Lot {
+            budget: budget.clone(),
+            origin: self.origin,
+            amount: self.amount,
+        }
+    }
+}
+
 /// Amounts by origin; rarely more than two.
 pub type Parts = SmallVec<[Part; 2]>;
 
--- a/wisteriapass_coord/src/budget/purse.rs
+++ b/wisteriapass_coord/src/budget/purse.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::budget::{Meter, Origin, Part, Parts, Tokens};
+use crate::budget::{BudgetId, Lot, Meter, Origin, Part, Parts, Tokens};
 
 /// Spent and returned amounts that the service has not been told yet.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,6 +26,11 @@
         self.lots.iter().map(|l| l.amount).sum()
     }
 
+    /// Returns the money held and not reserved.
+    pub(super) fn lots(&self, budget: &BudgetId) -> Vec<Lot> {
+        self.lots.iter().map(|p| p.into_lot(budget)).collect()
+    }
+
     /// Puts money in.
     pub(super) fn put(&mut self, part: Part) {
         if part.amount.is_zero() {
--- a/wisteriapass_coord/src/budget/wallet.rs
+++ b/wisteriapass_coord/src/budget/wallet.rs
@@ -53,6 +53,12 @@
         self.purses.get(budget).map(Purse::held).unwrap_or_default()
     }
 
+    /// Returns the money held and not reserved, by origin.
+    pub fn lots(&self, budget: &BudgetId) -> Vec<Lot> {
+        let purse = self.purses.get(budget);
+        purse.map(|p| p.lots(budget)).unwrap_or_default()
+    }
+
     /// Returns the amount reserved by work under way.
     pub fn reserved(&self, budget: &BudgetId) -> Tokens {
         self.purses.get(budget).map_or(Tokens::ZERO, |p| p.reserved)
@@ -158,12 +164,7 @@
             return Vec::new();
         };
         let parts = purse.draw(amount);
-        let lot = |p: Part| Lot {
-            budget: budget.clone(),
-            origin: p.origin,
-            amount: p.amount,
-        };
-        parts.into_iter().map(lot).collect()
+        parts.into_iter().map(|p| p.into_lot(budget)).collect()
     }
 
     /// Asks another router for money; only one answer to the id is accepted.
--- /dev/null
+++ b/wisteriapass_coord/tests/budget_machine.rs
@@ -0,0 +1,550 @@
+//! Random interleavings of routers, transfers, fences, top-ups and lost answers: no budget is
+//! overspent and no token is created; named broken variants are seen to fail.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{Fate, FaultyStore};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::{
+    BudgetId, Exchange, Journal, Ledger, Lot, Origin, Part, Payment, Proof, Reservation, Shards,
+    Tokens, TopupId, Transfer, Wallet, Want,
+};
+use wisteriapass_coord::store::Store;
+
+const ROUTERS: usize = 3;
+const BUDGETS: usize = 2;
+
+/// Deliberate faults of a design, each of which must be found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Sound,
+    ReclaimWhenLeaseLapses,
+    RetireWithoutAllSideProcesses,
+    SettleTwice,
+    GiverIsNotDebited,
+    AnswerAcceptedTwice,
+    LostReportIsRepeated,
+    TopupWithoutId,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Topup {
+        budget: usize,
+        id: u8,
+        amount: u16,
+        fate: Fate,
+    },
+    Take {
+        router: usize,
+        budget: usize,
+        need: u16,
+        fates: Vec<Fate>,
+    },
+    Dispatch {
+        router: usize,
+        budget: usize,
+        amount: u16,
+    },
+    End {
+        run: usize,
+        actual: u16,
+    },
+    Flush {
+        router: usize,
+        fates: Vec<Fate>,
+    },
+    GiveBack {
+        router: usize,
+        budget: usize,
+        amount: u16,
+    },
+    Borrow {
+        taker: usize,
+        giver: usize,
+        budget: usize,
+        amount: u16,
+        repeats: u8,
+        is_lost: bool,
+    },
+    Suspect {
+        router: usize,
+        is_dead: bool,
+        has_proof: bool,
+    },
+    Replace {
+        router: usize,
+    },
+}
+
+fn fate(g: &mut Gen) -> Fate {
+    *g.choose(&[
+        Fate::Fine,
+        Fate::Fine,
+        Fate::AnswerLost,
+        Fate::CallLost,
+        Fate::Late,
+        Fate::Down,
+    ])
+    .unwrap()
+}
+
+fn fates(g: &mut Gen) -> Vec<Fate> {
+    // The answer is lost and the reread fails: the writer can't know for a while.
+    if u8::arbitrary(g) % 4 == 0 {
+        return vec![Fate::AnswerLost, Fate::Down];
+    }
+    (0..usize::arbitrary(g) % 4).map(|_| fate(g)).collect()
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let router = usize::arbitrary(g) % ROUTERS;
+        let budget = usize::arbitrary(g) % BUDGETS;
+        let amount = u16::arbitrary(g) % 4_000;
+        match u8::arbitrary(g) % 18 {
+            0 | 16 => Self::Topup {
+                budget,
+                id: u8::arbitrary(g) % 6,
+                amount,
+                fate: fate(g),
+            },
+            1..=3 => Self::Take {
+                router,
+                budget,
+                need: amount,
+                fates: fates(g),
+            },
+            4..=6 => Self::Dispatch {
+                router,
+                budget,
+                amount: amount / 4,
+            },
+            7..=9 => Self::End {
+                run: usize::arbitrary(g),
+                actual: amount / 2,
+            },
+            10 | 11 => Self::Flush {
+                router,
+                fates: fates(g),
+            },
+            12 | 13 => Self::GiveBack {
+                router,
+                budget,
+                amount,
+            },
+            14 => Self::Borrow {
+                taker: router,
+                giver: usize::arbitrary(g) % ROUTERS,
+                budget,
+                amount,
+                repeats: u8::arbitrary(g) % 3,
+                is_lost: bool::arbitrary(g),
+            },
+            15 => Self::Suspect {
+                router,
+                is_dead: bool::arbitrary(g),
+                has_proof: bool::arbitrary(g),
+            },
+            _ => Self::Replace { router },
+        }
+    }
+}
+
+struct Router {
+    wallet: Wallet,
+    journal: Journal,
+    is_dead: bool,
+}
+
+impl Router {
+    fn new(origin: u64) -> Self {
+        Self {
+            wallet: Wallet::new(Origin(origin)),
+            journal: Journal::new(Origin(origin), Shards::new(2)),
+            is_dead: false,
+        }
+    }
+}
+
+/// Work under way at the side processes.
+struct Run {
+    router: Origin,
+    reservation: Option<Reservation>,
+    payment: Payment,
+}
+
+struct World {
+    variant: Variant,
+    store: FaultyStore,
+    operator: Journal,
+    routers: Vec<Router>,
+    next_origin: u64,
+    runs: Vec<Run>,
+    /// What side processes know: spent by origin and budget, and origins they refuse.
+    spent: BTreeMap<(Origin, BudgetId), Tokens>,
+    fenced: BTreeSet<Origin>,
+    topups: BTreeMap<(BudgetId, u8), u16>,
+    next_topup: u64,
+}
+
+fn budget(i: usize) -> BudgetId {
+    BudgetId::new("acme", &format!("b{i}"))
+}
+
+impl World {
+    fn new(variant: Variant) -> Self {
+        let world = Self {
+            variant,
+            store: FaultyStore::new(),
+            operator: Journal::new(Origin(1_000_000), Shards::new(2)),
+            routers: (0..ROUTERS as u64).map(Router::new).collect(),
+            next_origin: ROUTERS as u64,
+            runs: Vec::new(),
+            spent: BTreeMap::new(),
+            fenced: BTreeSet::new(),
+            topups: BTreeMap::new(),
+            next_topup: 0,
+        };
+        for i in 0..BUDGETS {
+            let ledger = Ledger::new(&world.store, &world.operator);
+            ledger.ensure(&budget(i)).unwrap();
+        }
+        world
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Topup {
+                budget: b,
+                id,
+                amount,
+                fate,
+            } => self.topup(*b, *id, *amount, *fate),
+            Step::Take {
+                router,
+                budget: b,
+                need,
+                fates,
+            } => {
+                self.store.plan(fates.iter().copied());
+                let want = Want {
+                    budget: budget(*b),
+                    need: Tokens(u64::from(*need)),
+                    draw_per_second: Tokens(100),
+                };
+                self.exchange(*router, vec![want]);
+            }
+            Step::Dispatch {
+                router,
+                budget: b,
+                amount,
+            } => self.dispatch(*router, *b, *amount),
+            Step::End { run, actual } => self.end(*run, *actual),
+            Step::Flush { router, fates } => {
+                self.store.plan(fates.iter().copied());
+                self.exchange(*router, Vec::new());
+            }
+            Step::GiveBack {
+                router,
+                budget: b,
+                amount,
+            } => {
+                let amount = Tokens(u64::from(*amount));
+                self.routers[*router].wallet.give_back(&budget(*b), amount);
+            }
+            Step::Borrow {
+                taker,
+                giver,
+                budget: b,
+                amount,
+                repeats,
+                is_lost,
+            } => {
+                self.borrow(*taker, *giver, *b, *amount, *repeats, *is_lost);
+            }
+            Step::Suspect {
+                router,
+                is_dead,
+                has_proof,
+            } => {
+                self.routers[*router].is_dead |= *is_dead;
+                self.suspect(*router, *has_proof);
+            }
+            Step::Replace { router } => self.replace(*router),
+        }
+        self.store.plan([]);
+    }
+
+    fn topup(&mut self, b: usize, id: u8, amount: u16, fate: Fate) {
+        let amount = *self.topups.entry((budget(b), id)).or_insert(amount);
+        self.store.plan([fate]);
+        // An operator repeats the top-up until it is answered.
+        for _ in 0..3 {
+            self.next_topup += 1;
+            let id = match self.variant {
+                Variant::TopupWithoutId => format!("t{}", self.next_topup),
+                _ => format!("t{id}"),
+            };
+            let ledger = Ledger::new(&self.store, &self.operator);
+            let amount = Tokens(u64::from(amount));
+            if ledger.topup(&budget(b), &TopupId(id), amount).is_ok() {
+                return;
+            }
+        }
+    }
+
+    fn exchange(&mut self, router: usize, wants: Vec<Want>) {
+        let router = &mut self.routers[router];
+        if router.is_dead {
+            return;
+        }
+        let reports = router.wallet.drain_reports();
+        let ledger = Ledger::new(&self.store, &router.journal);
+        let exchange: Exchange = ledger.exchange(wants, reports.clone());
+        for lot in exchange.lots {
+            router.wallet.credit(lot);
+        }
+        match self.variant {
+            Variant::LostReportIsRepeated if exchange.failed.is_some() => {
+                router.wallet.put_back(reports);
+            }
+            _ => router.wallet.put_back(exchange.unsent),
+        }
+    }
+
+    fn dispatch(&mut self, router: usize, b: usize, amount: u16) {
+        let router = &mut self.routers[router];
+        if router.is_dead {
+            return;
+        }
+        let amount = Tokens(u64::from(amount));
+        let Ok(reservation) = router.wallet.reserve(&budget(b), amount, Millis(0)) else {
+            return;
+        };
+        let payment = reservation.payment().clone();
+        // A side process refuses what a fenced origin pays.
+        if let Some(origin) = self.fenced.iter().find(|o| payment.is_from(**o)) {
+            router.wallet.release(reservation);
+            router.wallet.fence(*origin);
+            return;
+        }
+        self.runs.push(Run {
+            router: router.wallet.origin(),
+            reservation: Some(reservation),
+            payment,
+        });
+    }
+
+    fn end(&mut self, run: usize, actual: u16) {
+        if self.runs.is_empty() {
+            return;
+        }
+        let index = run % self.runs.len();
+        let mut run = self.runs.swap_remove(index);
+        let actual = Tokens(u64::from(actual));
+        for part in run.payment.charge(actual) {
+            let key = (part.origin, run.payment.budget.clone());
+            *self.spent.entry(key).or_default() += part.amount;
+        }
+        let reservation = run.reservation.take().unwrap();
+        let owner = self
+            .routers
+            .iter_mut()
+            .find(|r| r.wallet.origin() == run.router);
+        let Some(owner) = owner.filter(|r| !r.is_dead) else {
+            return;
+        };
+        let settled = owner.wallet.settle(reservation, actual);
+        if self.variant == Variant::SettleTwice {
+            let origin = run.payment.parts.first().map(|p: &Part| p.origin);
+            owner.wallet.credit(Lot {
+                budget: run.payment.budget,
+                origin: origin.unwrap_or(Origin(0)),
+                amount: settled.refunded,
+            });
+        }
+    }
+
+    fn borrow(
+        &mut self,
+        taker: usize,
+        giver: usize,
+        b: usize,
+        amount: u16,
+        repeats: u8,
+        lost: bool,
+    ) {
+        let both_live = !self.routers[taker].is_dead && !self.routers[giver].is_dead;
+        if taker == giver || !both_live {
+            return;
+        }
+        let ask = self.routers[taker]
+            .wallet
+            .ask(&budget(b), Tokens(u64::from(amount)));
+        let mut answers: Vec<Transfer> = Vec::new();
+        for _ in 0..=repeats {
+            answers.push(self.routers[giver].wallet.lend(&ask));
+        }
+        if self.variant == Variant::GiverIsNotDebited {
+            for lot in answers[0].lots.clone() {
+                self.routers[giver].wallet.credit(lot);
+            }
+        }
+        if lost {
+            self.routers[taker].wallet.withdraw_ask(ask.id);
+        }
+        for answer in answers {
+            if self.variant == Variant::AnswerAcceptedTwice {
+                for lot in answer.lots {
+                    self.routers[taker].wallet.credit(lot);
+                }
+                continue;
+            }
+            self.routers[taker].wallet.accept(answer);
+        }
+    }
+
+    fn suspect(&mut self, router: usize, has_proof: bool) {
+        let origin = self.routers[router].wallet.origin();
+        let reclaims = self.variant == Variant::ReclaimWhenLeaseLapses;
+        if !reclaims {
+            self.fenced.insert(origin);
+        }
+        let is_running = self.runs.iter().any(|r| r.payment.is_from(origin));
+        let waits = is_running && self.variant != Variant::RetireWithoutAllSideProcesses;
+        if waits && !reclaims {
+            return;
+        }
+        let of_origin = self.spent.iter().filter(|((o, _), _)| *o == origin);
+        let spent = of_origin
+            .map(|((_, b), amount)| (b.clone(), *amount))
+            .collect();
+        let proof = if has_proof || reclaims {
+            Proof::Complete(spent)
+        } else {
+            Proof::Partial
+        };
+        let ledger = Ledger::new(&self.store, &self.operator);
+        ledger.retire(origin, &proof).unwrap();
+    }
+
+    /// A new process takes the router's place.
+    fn replace(&mut self, router: usize) {
+        self.next_origin += 1;
+        self.routers[router] = Router::new(self.next_origin);
+    }
+
+    /// Returns what is wrong, if anything is.
+    fn fault(&self) -> Option<String> {
+        for i in 0..BUDGETS {
+            let of_budget = self.spent.iter().filter(|((_, b), _)| *b == budget(i));
+            let spent: Tokens = of_budget.map(|(_, amount)| *amount).sum();
+            let prepaid = self.prepaid(&budget(i));
+            if spent > prepaid {
+                return Some(format!("overspend of {}: {spent} of {prepaid}", budget(i)));
+            }
+        }
+        for entry in self.store.list("budgets/").unwrap() {
+            let record: wisteriapass_coord::budget::Record =
+                serde_json::from_str(&entry.value).unwrap();
+            if !record.is_conserved() {
+                return Some(format!("{} is not conserved", entry.key));
+            }
+        }
+        self.created()
+    }
+
+    /// Sum of the top-ups that were made, each once.
+    fn prepaid(&self, budget: &BudgetId) -> Tokens {
+        let of_budget = self.topups.iter().filter(|((b, _), _)| b == budget);
+        of_budget
+            .map(|(_, amount)| Tokens(u64::from(*amount)))
+            .sum()
+    }
+
+    /// Money in wallets, under way and free never exceeds what is prepaid and not spent.
+    fn created(&self) -> Option<String> {
+        let ledger = Ledger::new(&self.store, &self.operator);
+        for totals in ledger.totals().unwrap() {
+            let live = || self.routers.iter().filter(|r| !r.is_dead);
+            let held: Tokens = live().map(|r| self.usable(r, &totals.budget)).sum();
+            let of_budget = self.spent.iter().filter(|((_, b), _)| *b == totals.budget);
+            let spent: Tokens = of_budget.map(|(_, amount)| *amount).sum();
+            let running = self
+                .runs
+                .iter()
+                .filter(|r| r.payment.budget == totals.budget);
+            let running: Tokens = running.map(|r| r.payment.total()).sum();
+            let sum = totals.free + held + running + spent;
+            if sum > totals.prepaid || totals.prepaid > self.prepaid(&totals.budget) {
+                return Some(format!(
+                    "{sum} of {} prepaid in {}",
+                    totals.prepaid, totals.budget
+                ));
+            }
+        }
+        None
+    }
+
+    /// Money that a router could still spend at a side process.
+    fn usable(&self, router: &Router, budget: &BudgetId) -> Tokens {
+        let mut copy = Wallet::new(Origin(u64::MAX));
+        for lot in router.wallet.lots(budget) {
+            copy.credit(lot);
+        }
+        for origin in &self.fenced {
+            copy.fence(*origin);
+        }
+        copy.held(budget)
+    }
+}
+
+/// Plays the steps; returns the first fault.
+fn play(variant: Variant, steps: &[Step]) -> Option<String> {
+    let mut world = World::new(variant);
+    for (i, step) in steps.iter().enumerate() {
+        world.apply(step);
+        if let Some(fault) = world.fault() {
+            return Some(format!("step {i}: {fault}"));
+        }
+    }
+    None
+}
+
+#[test]
+fn no_interleaving_overspends_or_creates_money() {
+    fn holds(steps: Vec<Step>) -> Result<(), String> {
+        play(Variant::Sound, &steps).map_or(Ok(()), Err)
+    }
+    let result = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(250, 0x0001))
+        .tests(300)
+        .max_tests(300)
+        .quicktest(holds as fn(Vec<Step>) -> Result<(), String>);
+    assert!(result.is_ok(), "{result:?}");
+}
+
+/// Returns whether some sequence of steps shows the variant's fault.
+fn is_found(variant: Variant) -> bool {
+    let mut g = Gen::from_size_and_seed(250, 0x0002);
+    (0..300).any(|_| play(variant, &Vec::<Step>::arbitrary(&mut g)).is_some())
+}
+
+#[test]
+fn broken_variants_are_found() {
+    let broken = [
+        Variant::ReclaimWhenLeaseLapses,
+        Variant::RetireWithoutAllSideProcesses,
+        Variant::SettleTwice,
+        Variant::GiverIsNotDebited,
+        Variant::AnswerAcceptedTwice,
+        Variant::LostReportIsRepeated,
+        Variant::TopupWithoutId,
+    ];
+    let missed: Vec<_> = broken.into_iter().filter(|v| !is_found(*v)).collect();
+    assert!(missed.is_empty(), "not found: {missed:?}");
+}
