Daemon: router and side process, thin

One binary, role by settings. Router: callers' HTTP (chat streamed or whole, plain services), checked requests, typed refusals, attempts with re-attachment on fresh connections. Side process: owns runs and their answers, streams them unbuffered. Control calls by jsonrpsee.

--- /dev/null
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -0,0 +1,81 @@
+//! Writing answers, streams without buffering.
+
+use std::io::{self, Write};
+
+use tiny_http::{Header, Request, Response};
+
+/// Answers a request with JSON and a status.
+pub fn respond_json(req: Request, status: u16, body: String, extra: &[(&str, String)]) {
+    let mut response = Response::from_string(body).with_status_code(status);
+    let json = ("content-type", "application/json".to_owned());
+    for (name, value) in extra.iter().chain([&json]) {
+        if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
+            response.add_header(header);
+        }
+    }
+    // A caller that went away needs no answer.
+    let _ = req.respond(response);
+}
+
+/// A chunked answer whose every piece is flushed at once.
+///
+/// tiny_http's own `Response` buffers a stream until its end, so the head and the chunks are
+/// written by hand.
+pub struct StreamWriter {
+    out: Box<dyn Write + Send>,
+    piece: Vec<u8>,
+}
+
+impl StreamWriter {
+    /// Sends the head of a streamed answer.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the caller went away.
+    pub fn new(req: Request, status: u16, headers: &[(&str, &str)]) -> io::Result<Self> {
+        let mut out = req.into_writer();
+        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("transfer-encoding: chunked\r\n\r\n");
+        out.write_all(head.as_bytes())?;
+        out.flush()?;
+        Ok(Self {
+            out,
+            piece: Vec::new(),
+        })
+    }
+
+    /// Sends one piece and flushes it.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the caller went away.
+    pub fn send(&mut self, data: &[u8]) -> io::Result<()> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        self.piece.clear();
+        write!(self.piece, "{:x}\r\n", data.len())?;
+        self.piece.extend_from_slice(data);
+        self.piece.extend_from_slice(b"\r\n");
+        self.out.write_all(&self.piece)?;
+        self.out.flush()
+    }
+
+    /// Ends the answer; without it the caller sees that it was cut.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the caller went away.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.out.write_all(b"0\r\n\r\n")?;
+        self.out.flush()
+    }
+}
+
+/// Returns the reason phrase of a status.
+fn reason(status: u16) -> &'static str {
+    tiny_http::StatusCode(status).default_reason_phrase()
+}
--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Router and side process of wisteriapass.
+
+#![warn(missing_docs)]
+
+pub mod api;
+mod control;
+pub mod http;
+pub mod kernel;
+mod logging;
+pub mod metrics;
+mod prelude;
+pub mod router;
+pub mod rpc;
+pub mod run_wire;
+pub mod side;
+mod start;
+mod stop;
+
+pub use start::run;
--- /dev/null
+++ b/wisteriapass_daemon/src/logging.rs
@@ -0,0 +1,55 @@
+//! Structured log lines: time, level, part, then `key=value` pairs in a short sentence.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use derive_more::{Display, Error};
+
+/// Result of starting the log.
+pub type Result<T, E = LogError> = std::result::Result<T, E>;
+
+/// Why the log could not be started.
+#[derive(Debug, Display, Error)]
+pub enum LogError {
+    /// The level is not one of the five.
+    #[display("log: unknown level {level:?}; use error, warn, info, debug or trace")]
+    #[error(ignore)]
+    Level {
+        /// Level as given.
+        level: String,
+    },
+    /// A log was started before.
+    #[display("log: already started; start it once a process")]
+    Started,
+}
+
+/// Starts logging to standard error at `level` and above, each line marked with `name`.
+///
+/// # Errors
+///
+/// [`LogError`] if the level is unknown or a log was started before.
+pub fn start(name: &str, level: &str) -> Result<()> {
+    let filter: log::LevelFilter = level.parse().map_err(|_| LogError::Level {
+        level: level.into(),
+    })?;
+    let name = name.to_owned();
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let at = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            let (secs, millis) = (at.as_secs(), at.subsec_millis());
+            let (level, part) = (record.level(), record.target());
+            out.finish(format_args!(
+                "time={secs}.{millis:03} level={level} process={name} part={part} {message}"
+            ));
+        })
+        .level(log::LevelFilter::Warn)
+        .level_for("router", filter)
+        .level_for("side", filter)
+        .level_for("money", filter)
+        .level_for("fleet", filter)
+        .level_for("start", filter)
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|_| LogError::Started)
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/main.rs
@@ -0,0 +1,35 @@
+//! `wisteriapassd`: one daemon, router or side process by its settings.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+/// Router or side process of wisteriapass.
+#[derive(Debug, Options)]
+struct Opts {
+    /// Print this help.
+    help: bool,
+    /// Print the version.
+    #[options(no_short)]
+    version: bool,
+    /// Settings file (TOML).
+    #[options(meta = "FILE")]
+    settings: Option<PathBuf>,
+}
+
+/// Exit code for a wrong command line.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let opts = Opts::parse_args_default_or_exit();
+    if opts.version {
+        println!("wisteriapassd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = opts.settings else {
+        eprintln!("wisteriapassd: no settings; give --settings FILE");
+        return ExitCode::from(USAGE);
+    };
+    wisteriapass_daemon::run(&path)
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/prelude.rs
@@ -0,0 +1,8 @@
+//! Common types of the daemon.
+
+pub use std::sync::Arc;
+pub use std::time::{Duration, Instant};
+
+pub use crate::api::{Reason, Refusal};
+pub use crate::kernel::{Kernel, Service};
+pub use crate::metrics::Metrics;
--- /dev/null
+++ b/wisteriapass_daemon/src/router.rs
@@ -0,0 +1,34 @@
+//! Router: takes requests from callers and has them run at targets.
+
+mod answer;
+mod asked;
+mod attempt;
+mod config;
+mod follower;
+mod front;
+mod money;
+mod openai;
+mod pipeline;
+mod placement;
+
+pub use config::InForce;
+pub use front::serve;
+pub use money::Money;
+pub use placement::Placement;
+
+use crate::kernel::Service;
+
+/// What a router knows of itself.
+#[derive(Clone, Debug)]
+pub struct RouterIdentity {
+    /// Name in the inventory.
+    pub name: String,
+    /// Incarnation of this process.
+    pub incarnation: String,
+    /// Failure domain it sits in.
+    pub failure_domain: String,
+}
+
+impl Service for RouterIdentity {
+    const NAME: &'static str = "router";
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/router/follower.rs
@@ -0,0 +1,136 @@
+//! Following a run at a side process over fresh connections.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use crate::http::{Frame, LineStream, StreamError};
+use crate::metrics::{Dropped, Retry};
+use crate::prelude::*;
+use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
+
+/// Longest silence on a connection, in milliseconds; a side process gives a sign of life each
+/// second, so this allows one to be late.
+const SILENCE_MS: u64 = 2_500;
+
+/// Fresh connections tried in a row without an event in between.
+const MOST_ATTACHMENTS: u32 = 3;
+
+/// Pause before another connection, in milliseconds.
+const PAUSE_MS: u64 = 50;
+
+/// Why a run cannot be followed any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// The dispatch was never sent.
+    NotSent,
+    /// It was sent, and the side process cannot be reached any more.
+    Sent,
+}
+
+/// A run being followed.
+pub struct Follower<'a> {
+    side: SocketAddr,
+    dispatch: &'a Dispatch,
+    metrics: &'a Metrics,
+    stream: LineStream,
+    received: u64,
+    attached: bool,
+    tries: u32,
+}
+
+impl<'a> Follower<'a> {
+    /// Sends a dispatch and follows its run.
+    pub fn new(side: SocketAddr, dispatch: &'a Dispatch, metrics: &'a Metrics) -> Self {
+        let stream = LineStream::lines(post(side, RUN_PATH, dispatch));
+        Self {
+            side,
+            dispatch,
+            metrics,
+            stream,
+            received: dispatch.from,
+            attached: false,
+            tries: 0,
+        }
+    }
+
+    /// Returns the next event that concerns the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost`] if the run cannot be followed any longer.
+    pub fn next(&mut self) -> Result<RunEvent, Lost> {
+        loop {
+            let deadline = Instant::now() + Duration::from_millis(SILENCE_MS);
+            let reason = match self.stream.next(deadline) {
+                Ok(Frame::Line(line)) => match self.take(&line) {
+                    Some(event) => return Ok(event),
+                    None => continue,
+                },
+                Ok(Frame::Head { .. } | Frame::Bytes(_)) => continue,
+                Ok(Frame::End) | Err(StreamError::Broken { .. }) => Retry::Broken,
+                Err(StreamError::Silent) => Retry::Silent,
+                Err(StreamError::NotSent { .. }) if self.tries == 0 && !self.attached => {
+                    return Err(Lost::NotSent);
+                }
+                Err(StreamError::NotSent { .. }) => Retry::NotSent,
+            };
+            self.attach_again(reason)?;
+        }
+    }
+
+    /// Takes one line; returns the event if it concerns the answer.
+    fn take(&mut self, line: &str) -> Option<RunEvent> {
+        let Ok(event) = serde_json::from_str::<RunEvent>(line) else {
+            self.metrics.dropped(Dropped::Malformed);
+            return None;
+        };
+        match &event {
+            RunEvent::Beat => return None,
+            RunEvent::Attached { run, .. } => {
+                // An answer that belongs to another request is never passed on.
+                if *run == self.dispatch.run {
+                    self.attached = true;
+                    self.tries = 0;
+                } else {
+                    self.metrics.dropped(Dropped::Crossed);
+                }
+                return None;
+            }
+            RunEvent::End { bill, .. } if bill.run != self.dispatch.run => {
+                self.metrics.dropped(Dropped::Crossed);
+                return None;
+            }
+            RunEvent::Refused { .. } => {}
+            _ if !self.attached => {
+                self.metrics.dropped(Dropped::Crossed);
+                return None;
+            }
+            _ => {}
+        }
+        self.received += 1;
+        Some(event)
+    }
+
+    fn attach_again(&mut self, reason: Retry) -> Result<(), Lost> {
+        self.metrics.retry(reason);
+        self.tries += 1;
+        if self.tries > MOST_ATTACHMENTS {
+            return Err(Lost::Sent);
+        }
+        std::thread::sleep(Duration::from_millis(PAUSE_MS));
+        let attach = Attach {
+            run: self.dispatch.run.clone(),
+            fingerprint: self.dispatch.fingerprint.clone(),
+            from: self.received,
+        };
+        self.stream = LineStream::lines(post(self.side, ATTACH_PATH, &attach));
+        Ok(())
+    }
+}
+
+fn post(side: SocketAddr, path: &str, body: &impl Serialize) -> minreq::Request {
+    minreq::post(format!("http://{side}{path}"))
+        .with_header("content-type", "application/json")
+        .with_body(serde_json::to_string(body).unwrap_or_default())
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/router/openai.rs
@@ -0,0 +1,83 @@
+//! The chat/completions shape that model clients speak.
+
+use serde::{Deserialize, Serialize};
+
+use crate::run_wire::{ChatMessage, Finish};
+
+/// Body of `POST /v1/chat/completions`; fields it does not know are ignored, as clients send many.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ChatBody {
+    /// Model name.
+    pub model: String,
+    /// Conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Largest number of output tokens.
+    #[serde(default, alias = "max_completion_tokens")]
+    pub max_tokens: Option<u32>,
+    /// Whether to stream the answer.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// One streamed chunk, or a whole answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct Answer<'a> {
+    /// Identity of the request.
+    pub id: &'a str,
+    /// What this is.
+    pub object: &'static str,
+    /// Model name.
+    pub model: &'a str,
+    /// The one choice, or none beside the usage.
+    pub choices: Vec<AnswerChoice<'a>>,
+    /// What was billed, at the end.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<AnswerUsage>,
+}
+
+/// The choice of an answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct AnswerChoice<'a> {
+    /// Always 0.
+    pub index: u32,
+    /// New text, in a chunk.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub delta: Option<AnswerText<'a>>,
+    /// All text, in a whole answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub message: Option<AnswerText<'a>>,
+    /// Why it ended, if it did.
+    pub finish_reason: Option<&'static str>,
+}
+
+/// Text of an answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct AnswerText<'a> {
+    /// Who speaks.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub role: Option<&'static str>,
+    /// What is said.
+    pub content: &'a str,
+}
+
+/// Tokens of an answer, and what was billed.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct AnswerUsage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+    /// Both together.
+    pub total_tokens: u64,
+    /// Tokens taken from the budget.
+    pub billed_tokens: u64,
+}
+
+/// Returns how the shape names the end of a run.
+pub fn finish_reason(finish: Finish) -> &'static str {
+    match finish {
+        Finish::Stop => "stop",
+        Finish::Length => "length",
+        Finish::Failed | Finish::Cancelled => "error",
+    }
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -0,0 +1,20 @@
+//! Control calls between processes, by JSON-RPC.
+
+mod caller;
+mod messages;
+mod server;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+pub use caller::{CallError, Caller};
+pub use messages::{Role, Status};
+pub use server::ControlServerHandle;
+
+/// Control calls of every daemon.
+#[rpc(server, client, namespace = "control")]
+pub trait Control {
+    /// Returns what the process says of itself.
+    #[method(name = "status")]
+    fn status(&self) -> RpcResult<Status>;
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/rpc/caller.rs
@@ -0,0 +1,105 @@
+//! Making control calls from threads.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use parking_lot::Mutex;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::kernel::Service;
+
+/// Longest time of one control call, in milliseconds.
+const CALL_MS: u64 = 1_000;
+
+/// Why a control call has no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum CallError {
+    /// The process refused the call.
+    #[display("control call refused ({cause}); correct the call")]
+    Refused {
+        /// What the process said.
+        cause: String,
+    },
+    /// No answer; the call may have taken effect.
+    #[display("no answer to a control call ({cause}); try again or see whether the process lives")]
+    Lost {
+        /// What the connection said.
+        cause: String,
+    },
+}
+
+/// Makes control calls, each within a time limit.
+///
+/// Connections are kept while they answer; one that did not is never used again.
+pub struct Caller {
+    runtime: Runtime,
+    clients: Mutex<HashMap<SocketAddr, HttpClient>>,
+}
+
+impl Service for Caller {
+    const NAME: &'static str = "caller";
+}
+
+impl Caller {
+    /// Creates a caller with a thread of its own for the connections.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the thread cannot be started.
+    pub fn new() -> std::io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("caller")
+            .enable_all()
+            .build()?;
+        Ok(Self {
+            runtime,
+            clients: Mutex::default(),
+        })
+    }
+
+    /// Makes one call to the process at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if there was no answer, or a refusal.
+    pub fn call<T, F, Fut>(&self, address: SocketAddr, call: F) -> Result<T, CallError>
+    where
+        F: FnOnce(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        let client = self.client(address)?;
+        match self.runtime.block_on(call(client)) {
+            Ok(answer) => Ok(answer),
+            Err(ClientError::Call(e)) => Err(CallError::Refused {
+                cause: e.to_string(),
+            }),
+            Err(e) => {
+                self.clients.lock().remove(&address);
+                Err(CallError::Lost {
+                    cause: e.to_string(),
+                })
+            }
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<HttpClient, CallError> {
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(Duration::from_millis(CALL_MS))
+            .build(format!("http://{address}"))
+            .map_err(|e| CallError::Refused {
+                cause: e.to_string(),
+            })?;
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side/executor.rs
@@ -0,0 +1,58 @@
+//! Starting runs on threads of their own.
+
+use crate::prelude::*;
+use crate::run_wire::{Finish, RunRequest};
+use crate::side::engine::EngineRun;
+use crate::side::{Run, SideIdentity, service};
+
+/// Stack of an executor thread, in bytes.
+const STACK: usize = 128 * 1024;
+
+/// Executes runs at the target.
+pub struct Executor {
+    side: Arc<SideIdentity>,
+    metrics: Arc<Metrics>,
+}
+
+impl Service for Executor {
+    const NAME: &'static str = "executor";
+}
+
+impl Executor {
+    /// Creates the executor.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            side: kernel.find()?,
+            metrics: kernel.find()?,
+        })
+    }
+
+    /// Starts a run.
+    pub fn start(&self, run: Arc<Run>) {
+        let (side, metrics) = (self.side.clone(), self.metrics.clone());
+        let work = {
+            let run = run.clone();
+            move || execute(&run, &side, &metrics)
+        };
+        let builder = std::thread::Builder::new()
+            .name("run".into())
+            .stack_size(STACK);
+        if builder.spawn(work).is_err() {
+            run.end(&self.side.name, Finish::Failed, 0, 0);
+        }
+    }
+}
+
+fn execute(run: &Arc<Run>, side: &SideIdentity, metrics: &Metrics) {
+    match &run.dispatch().request {
+        RunRequest::Chat(chat) => EngineRun::new(run, chat, side, metrics).execute(),
+        RunRequest::Call(call) => service::execute(run, call, side),
+    }
+    if let Some(bill) = run.bill() {
+        metrics.billed(bill.amount);
+    }
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -0,0 +1,156 @@
+//! Taking dispatches and attachments from routers.
+
+use serde::de::DeserializeOwned;
+use tiny_http::Request;
+
+use crate::http::{Listener, StreamWriter, read_body, respond_json};
+use crate::prelude::*;
+use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
+use crate::side::executor::Executor;
+use crate::side::runs::Begun;
+use crate::side::{Next, Run, Runs, SideIdentity};
+use crate::stop::Stop;
+
+/// Time after which a quiet stream gets a sign of life, in milliseconds.
+pub const BEAT_MS: u64 = 1_000;
+
+/// Largest dispatch, in bytes: a body of a request and what goes with it.
+const DISPATCH_BYTES: usize = 8 << 20;
+
+/// Longest time a router may take to send a dispatch, in seconds.
+const DISPATCH_S: u64 = 5;
+
+struct Front {
+    side: Arc<SideIdentity>,
+    runs: Arc<Runs>,
+    executor: Arc<Executor>,
+    metrics: Arc<Metrics>,
+    stop: Arc<Stop>,
+}
+
+/// Serves routers on a listener.
+///
+/// # Errors
+///
+/// [`crate::kernel::KernelError`] if a service it needs is missing.
+pub fn serve(listener: &Listener, kernel: &Kernel) -> crate::kernel::Result<()> {
+    let executor = kernel.register(Executor::new(kernel)?);
+    let front = Front {
+        side: kernel.find()?,
+        runs: kernel.find()?,
+        metrics: kernel.find()?,
+        stop: kernel.find()?,
+        executor,
+    };
+    crate::http::serve(listener, "side", move |req| front.handle(req));
+    Ok(())
+}
+
+impl Front {
+    fn handle(&self, mut req: Request) {
+        let _work = self.stop.work();
+        let deadline = Instant::now() + Duration::from_secs(DISPATCH_S);
+        let body = match read_body(&mut req, DISPATCH_BYTES, deadline) {
+            Ok(body) => body,
+            Err(e) => return refuse(req, &Refusal::not_run(Reason::BadRequest, e.to_string())),
+        };
+        let (found, from) = match req.url() {
+            RUN_PATH => self.dispatched(&body),
+            ATTACH_PATH => self.attached(&body),
+            _ => (Err(Refusal::not_run(Reason::BadRequest, "unknown path")), 0),
+        };
+        match found {
+            Ok(run) => self.stream(req, &run, from),
+            Err(refusal) => {
+                self.metrics.refusal(refusal.reason);
+                refuse(req, &refusal);
+            }
+        }
+    }
+
+    fn dispatched(&self, body: &[u8]) -> (Result<Arc<Run>, Refusal>, u64) {
+        let dispatch: Dispatch = match parse(body) {
+            Ok(dispatch) => dispatch,
+            Err(refusal) => return (Err(refusal), 0),
+        };
+        let from = dispatch.from;
+        (self.begin(dispatch), from)
+    }
+
+    fn begin(&self, dispatch: Dispatch) -> Result<Arc<Run>, Refusal> {
+        if self.stop.is_raised() {
+            return Err(Refusal::not_run(
+                Reason::Stopping,
+                "the side process is stopping",
+            ));
+        }
+        if !dispatch.incarnation.is_empty() && dispatch.incarnation != self.side.incarnation {
+            return Err(Refusal::not_run(
+                Reason::NoTarget,
+                "the side process was replaced",
+            ));
+        }
+        match self.runs.begin(dispatch)? {
+            Begun::Known(run) => Ok(run),
+            Begun::New(run) => {
+                self.executor.start(run.clone());
+                Ok(run)
+            }
+        }
+    }
+
+    fn attached(&self, body: &[u8]) -> (Result<Arc<Run>, Refusal>, u64) {
+        let attach: Attach = match parse(body) {
+            Ok(attach) => attach,
+            Err(refusal) => return (Err(refusal), 0),
+        };
+        (self.runs.find(&attach), attach.from)
+    }
+
+    fn stream(&self, req: Request, run: &Run, from: u64) {
+        run.follow();
+        self.metrics.stream(1);
+        // A router that went away attaches again, so there is nothing to do about the error.
+        let _ = self.write_events(req, run, usize::try_from(from).unwrap_or(usize::MAX));
+        self.metrics.stream(-1);
+        run.leave();
+    }
+
+    fn write_events(&self, req: Request, run: &Run, from: usize) -> std::io::Result<()> {
+        let mut out = StreamWriter::new(req, 200, &[("content-type", "application/x-ndjson")])?;
+        let attached = RunEvent::Attached {
+            run: run.dispatch().run.clone(),
+            incarnation: self.side.incarnation.clone(),
+        };
+        send(&mut out, &attached)?;
+        let mut place = from;
+        loop {
+            match run.next(place, Instant::now() + Duration::from_millis(BEAT_MS)) {
+                Next::Event(event) => {
+                    place += 1;
+                    send(&mut out, &event)?;
+                }
+                Next::Quiet => send(&mut out, &RunEvent::Beat)?,
+                Next::Over => return out.finish(),
+            }
+        }
+    }
+}
+
+fn send(out: &mut StreamWriter, event: &RunEvent) -> std::io::Result<()> {
+    let mut line = serde_json::to_vec(event)?;
+    line.push(b'\n');
+    out.send(&line)
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))
+}
+
+fn refuse(req: Request, refusal: &Refusal) {
+    let event = RunEvent::Refused {
+        refusal: refusal.clone(),
+    };
+    let body = serde_json::to_string(&event).unwrap_or_default() + "\n";
+    respond_json(req, 200, body, &[]);
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -0,0 +1,144 @@
+//! One run: its events so far, which any number of routers may follow.
+
+use parking_lot::{Condvar, Mutex};
+
+use crate::prelude::*;
+use crate::run_wire::{Dispatch, Finish, RunBill, RunEvent};
+
+/// What a follower gets next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The event at the asked place.
+    Event(RunEvent),
+    /// Nothing yet.
+    Quiet,
+    /// The run ended before the asked place.
+    Over,
+}
+
+#[derive(Default)]
+struct State {
+    events: Vec<RunEvent>,
+    ended_at: Option<Instant>,
+    cancelled: bool,
+    followers: usize,
+    left_at: Option<Instant>,
+}
+
+/// A run at the target.
+pub struct Run {
+    dispatch: Dispatch,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Run {
+    /// Creates a run that has not begun.
+    pub fn new(dispatch: Dispatch) -> Self {
+        Self {
+            dispatch,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Returns the order that began it.
+    pub fn dispatch(&self) -> &Dispatch {
+        &self.dispatch
+    }
+
+    /// Adds an event; ignored after the end.
+    pub fn push(&self, event: RunEvent) {
+        let mut state = self.state.lock();
+        if state.ended_at.is_some() {
+            return;
+        }
+        if matches!(event, RunEvent::End { .. } | RunEvent::Refused { .. }) {
+            state.ended_at = Some(Instant::now());
+        }
+        state.events.push(event);
+        self.changed.notify_all();
+    }
+
+    /// Waits for the event at `place` until `deadline`.
+    pub fn next(&self, place: usize, deadline: Instant) -> Next {
+        let mut state = self.state.lock();
+        loop {
+            if let Some(event) = state.events.get(place) {
+                return Next::Event(event.clone());
+            }
+            if state.ended_at.is_some() {
+                return Next::Over;
+            }
+            if self.changed.wait_until(&mut state, deadline).timed_out() {
+                return Next::Quiet;
+            }
+        }
+    }
+
+    /// Counts a follower in.
+    pub fn follow(&self) {
+        let mut state = self.state.lock();
+        state.followers += 1;
+        state.left_at = None;
+    }
+
+    /// Counts a follower out.
+    pub fn leave(&self) {
+        let mut state = self.state.lock();
+        state.followers = state.followers.saturating_sub(1);
+        if state.followers == 0 {
+            state.left_at = Some(Instant::now());
+        }
+    }
+
+    /// Returns since when nobody follows, if nobody does.
+    pub fn left_at(&self) -> Option<Instant> {
+        self.state.lock().left_at
+    }
+
+    /// Asks the executor to stop the run.
+    pub fn cancel(&self) {
+        self.state.lock().cancelled = true;
+    }
+
+    /// Returns whether the run shall stop.
+    pub fn is_cancelled(&self) -> bool {
+        self.state.lock().cancelled
+    }
+
+    /// Returns when it ended, if it did.
+    pub fn ended_at(&self) -> Option<Instant> {
+        self.state.lock().ended_at
+    }
+
+    /// Returns the bill, if the run ended with one.
+    pub fn bill(&self) -> Option<RunBill> {
+        match self.state.lock().events.last() {
+            Some(RunEvent::End { bill, .. }) => Some(bill.clone()),
+            _ => None,
+        }
+    }
+
+    /// Ends the run with its bill, capped at what was reserved.
+    pub fn end(&self, ran_at: &str, finish: Finish, prompt_tokens: u64, output_tokens: u64) {
+        let payment = self.dispatch.payment.clone();
+        let reserved: u64 = payment.parts.iter().map(|p| p.amount).sum();
+        let amount = match finish {
+            Finish::Failed => 0,
+            Finish::Stop | Finish::Length | Finish::Cancelled => {
+                reserved.min(prompt_tokens.saturating_add(output_tokens))
+            }
+        };
+        let bill = RunBill {
+            run: self.dispatch.run.clone(),
+            ran_at: ran_at.into(),
+            account: self.dispatch.account.clone(),
+            payment,
+            amount,
+            prompt_tokens,
+            output_tokens,
+        };
+        self.push(RunEvent::End { finish, bill });
+    }
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side/service.rs
@@ -0,0 +1,83 @@
+//! Running one call of a plain service.
+
+use crate::http::{Frame, LineStream, StreamError};
+use crate::prelude::*;
+use crate::run_wire::{Blob, CallRun, Finish, HeaderLine, RunEvent};
+use crate::side::{Run, SideIdentity};
+
+/// Longest wait for a service's next bytes, in seconds.
+const GAP_S: u64 = 15;
+
+/// Headers that belong to one connection and are not passed through (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns whether a header is passed through.
+pub fn is_end_to_end(name: &str) -> bool {
+    !HOP_BY_HOP.iter().any(|h| h.eq_ignore_ascii_case(name))
+}
+
+/// Executes a call and ends the run; it is sent at most once.
+pub fn execute(run: &Arc<Run>, call: &CallRun, side: &SideIdentity) {
+    let stream = LineStream::pieces(request(run, call, side));
+    let mut sent = false;
+    loop {
+        let deadline = Instant::now() + Duration::from_secs(GAP_S);
+        match stream.next(deadline) {
+            Ok(Frame::Head { status, headers }) => {
+                sent = true;
+                run.push(RunEvent::Head {
+                    status,
+                    headers: pass_through(headers),
+                });
+            }
+            Ok(Frame::Bytes(data)) => run.push(RunEvent::Bytes { data: Blob(data) }),
+            Ok(Frame::Line(_)) => {}
+            Ok(Frame::End) if sent => return end(run, side, Finish::Stop),
+            Ok(Frame::End) => return unknown(run, "the service gave no answer"),
+            Err(StreamError::NotSent { .. }) => return end(run, side, Finish::Failed),
+            Err(StreamError::Broken { cause }) => return unknown(run, &cause),
+            Err(StreamError::Silent) => return unknown(run, "the service went silent"),
+        }
+    }
+}
+
+fn end(run: &Run, side: &SideIdentity, finish: Finish) {
+    let ran_at = format!("{}/{}", side.name, side.incarnation);
+    run.end(&ran_at, finish, 0, 0);
+}
+
+/// Ends the run with an unknown outcome: the call was sent and may have taken effect.
+fn unknown(run: &Run, cause: &str) {
+    run.push(RunEvent::Refused {
+        refusal: Refusal::outcome_unknown(cause),
+    });
+}
+
+fn request(run: &Run, call: &CallRun, side: &SideIdentity) -> minreq::Request {
+    let method = minreq::Method::Custom(call.method.clone());
+    let mut req = minreq::Request::new(method, format!("http://{}{}", side.target, call.path))
+        .with_header("x-request-id", &run.dispatch().run)
+        .with_body(call.body.0.clone());
+    for h in call.headers.iter().filter(|h| is_end_to_end(&h.name)) {
+        req = req.with_header(&h.name, &h.value);
+    }
+    req
+}
+
+fn pass_through(headers: Vec<(String, String)>) -> Vec<HeaderLine> {
+    headers
+        .into_iter()
+        .filter(|(name, _)| is_end_to_end(name))
+        .map(|(name, value)| HeaderLine { name, value })
+        .collect()
+}
