Check configurations whole and compare them

Cause: a document was accepted as soon as it parsed, so dangling names, duplicate addresses and absurd numbers would have shown up as refusals at run time, and an operator saw one mistake a try.

Every mistake of both documents is now reported with document, line, key path and remedy. A value in place of a key digest is not repeated, as somebody may have pasted the key. `Document::changes_to` gives typed differences; the order of entries does not count.

Ruled out: spans inside the types (`toml::Spanned`), which would have leaked into every user of the structs and into the JSON. Lines come from a second, spanned parse instead. The parser still stops at the first unknown key of a document; the other document is reported beside it.

`ConfigError::Malformed` and the one-key `Invalid` became `Invalid { mistakes }`.

--- /dev/null
+++ b/wisteriapass_config/src/check.rs
@@ -0,0 +1,132 @@
+//! Checks of whole documents, which report every mistake and not just the first.
+
+mod inventory;
+mod parse;
+mod rules;
+mod settings;
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::ops::RangeInclusive;
+
+use crate::lines::Lines;
+use crate::{ConfigError, KeyPath, Mistake, Result};
+
+pub(crate) use inventory::check_inventory;
+pub(crate) use parse::parse;
+pub(crate) use rules::check_rules;
+pub(crate) use settings::check_settings;
+
+/// Longest name, in bytes; names become parts of keys and metric labels.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// Collects the mistakes of one document.
+pub(crate) struct Checker<'a> {
+    file: &'a str,
+    lines: Option<Lines<'a>>,
+    mistakes: Vec<Mistake>,
+}
+
+impl<'a> Checker<'a> {
+    /// Creates a checker for a document; `text` gives line numbers.
+    pub(crate) fn new(file: &'a str, text: Option<&'a str>) -> Self {
+        Self {
+            file,
+            lines: text.map(Lines::new),
+            mistakes: Vec::new(),
+        }
+    }
+
+    /// Notes a mistake about a key.
+    pub(crate) fn report(
+        &mut self,
+        key: &KeyPath,
+        cause: impl Into<String>,
+        remedy: impl Into<String>,
+    ) {
+        let line = self.lines.as_ref().and_then(|l| l.line_of(key));
+        let mistake = Mistake::new(self.file, key, cause, remedy).with_line(line);
+        self.mistakes.push(mistake);
+    }
+
+    /// Checks that a name can be part of keys of the key-value service and of metric labels.
+    pub(crate) fn name(&mut self, key: &KeyPath, name: &str) {
+        if name.is_empty() {
+            self.report(key, "is empty", "give a name");
+            return;
+        }
+        if name.len() <= MAX_NAME_BYTES && name.bytes().all(is_name_byte) {
+            return;
+        }
+        self.report(
+            key,
+            format!("{name:?} is not a name"),
+            format!("use at most {MAX_NAME_BYTES} of the characters a-z, A-Z, 0-9, '.', '_', '-'"),
+        );
+    }
+
+    /// Checks that a number lies within a range.
+    pub(crate) fn within<T: PartialOrd + Display>(
+        &mut self,
+        key: &KeyPath,
+        value: T,
+        range: RangeInclusive<T>,
+    ) {
+        if range.contains(&value) {
+            return;
+        }
+        self.report(
+            key,
+            format!("{value} is out of range"),
+            format!("use {} to {}", range.start(), range.end()),
+        );
+    }
+
+    /// Returns the mistakes, in the order of the text where lines are known.
+    pub(crate) fn into_mistakes(mut self) -> Vec<Mistake> {
+        self.mistakes.sort_by_key(|m| m.line);
+        self.mistakes
+    }
+}
+
+/// Returns whether a byte may stand in a name.
+fn is_name_byte(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-')
+}
+
+/// Returns `Ok` if there are no mistakes.
+pub(crate) fn accept(mistakes: Vec<Mistake>) -> Result<()> {
+    if mistakes.is_empty() {
+        return Ok(());
+    }
+    Err(ConfigError::Invalid { mistakes })
+}
+
+/// Values that must occur once, each with the key that first gave it.
+pub(crate) struct Once<T> {
+    what: &'static str,
+    remedy: &'static str,
+    first: HashMap<T, KeyPath>,
+}
+
+impl<T: Eq + Hash + Display> Once<T> {
+    /// Creates an empty set; `what` and `remedy` word the mistake.
+    pub(crate) fn new(what: &'static str, remedy: &'static str) -> Self {
+        Self {
+            what,
+            remedy,
+            first: HashMap::new(),
+        }
+    }
+
+    /// Adds a value and reports it if it is there already.
+    pub(crate) fn add(&mut self, checker: &mut Checker<'_>, key: KeyPath, value: T) {
+        let Some(first) = self.first.get(&value) else {
+            self.first.insert(value, key);
+            return;
+        };
+        let cause = format!("{} {value} is already given by {first}", self.what);
+        checker.report(&key, cause, self.remedy);
+    }
+}
--- /dev/null
+++ b/wisteriapass_config/src/check/parse.rs
@@ -0,0 +1,35 @@
+//! Parsing of TOML texts into documents, with mistakes that name line and remedy.
+
+use serde::de::DeserializeOwned;
+
+use crate::lines::line_at;
+use crate::{KeyPath, Mistake};
+
+/// Parses one TOML text.
+///
+/// The parser stops at the first key it does not know or whose type is wrong.
+pub(crate) fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Mistake> {
+    toml::from_str(text).map_err(|e| mistake_of(file, text, &e))
+}
+
+/// Turns the parser's error into a mistake.
+fn mistake_of(file: &str, text: &str, e: &toml::de::Error) -> Mistake {
+    let line = e.span().map(|span| line_at(text, span.start));
+    let cause = e.message().to_owned();
+    let remedy = remedy_for(&cause);
+    Mistake::new(file, &KeyPath::default(), cause, remedy).with_line(line)
+}
+
+/// Returns what to do about a parser's message.
+fn remedy_for(cause: &str) -> &'static str {
+    if cause.starts_with("unknown field") {
+        return "remove the key or correct its spelling";
+    }
+    if cause.starts_with("missing field") {
+        return "add the key";
+    }
+    if cause.contains("socket address") {
+        return "write an address as \"IP:port\"";
+    }
+    "correct the value on this line"
+}
--- a/wisteriapass_config/src/error.rs
+++ b/wisteriapass_config/src/error.rs
@@ -2,6 +2,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::Mistake;
+
 /// Result of reading or checking a configuration text.
 pub type Result<T, E = ConfigError> = std::result::Result<T, E>;
 
@@ -16,41 +18,26 @@
         /// What the system said.
         cause: String,
     },
-    /// The text is not TOML, or a key or type is wrong.
-    #[display("{file}: {cause}")]
-    Malformed {
-        /// File or document name.
-        file: String,
-        /// What the parser said, with line and key.
-        cause: String,
-    },
-    /// A value is not acceptable.
-    #[display("{file}: {key}: {cause}; {remedy}")]
+    /// One or more mistakes, each with its remedy, in the order of the text.
+    #[display("{}", lines(mistakes))]
     Invalid {
-        /// File or document name.
-        file: String,
-        /// Path of the key.
-        key: String,
-        /// What is wrong.
-        cause: String,
-        /// What to do about it.
-        remedy: String,
+        /// All mistakes found.
+        mistakes: Vec<Mistake>,
     },
 }
 
 impl ConfigError {
-    /// Creates an error about the value of one key.
-    pub fn invalid(
-        file: impl Into<String>,
-        key: impl Into<String>,
-        cause: impl Into<String>,
-        remedy: impl Into<String>,
-    ) -> Self {
-        Self::Invalid {
-            file: file.into(),
-            key: key.into(),
-            cause: cause.into(),
-            remedy: remedy.into(),
+    /// Returns the mistakes found, none if the text could not be read at all.
+    pub fn mistakes(&self) -> &[Mistake] {
+        match self {
+            Self::Unreadable { .. } => &[],
+            Self::Invalid { mistakes } => mistakes,
         }
     }
 }
+
+/// Joins mistakes, one a line.
+fn lines(mistakes: &[Mistake]) -> String {
+    let texts: Vec<String> = mistakes.iter().map(Mistake::to_string).collect();
+    texts.join("\n")
+}
--- a/wisteriapass_config/src/lib.rs
+++ b/wisteriapass_config/src/lib.rs
@@ -2,14 +2,24 @@
 
 #![warn(missing_docs)]
 
+mod change;
+mod check;
+mod compare;
 mod document;
 mod error;
 mod inventory;
+mod key_path;
+mod lines;
+mod mistake;
 mod rules;
 mod settings;
 
-pub use document::Document;
+pub use change::{Change, Subject};
+pub use check::MAX_NAME_BYTES;
+pub use document::{CURRENT_KEY, Document, Source};
 pub use error::{ConfigError, Result};
 pub use inventory::{FailureDomain, Inventory, ModelOffer, Router, Target, TargetKind};
+pub use key_path::KeyPath;
+pub use mistake::Mistake;
 pub use rules::{Account, Budget, Class, Priority, Rules};
 pub use settings::{Limits, Role, Settings};
--- a/wisteriapass_config/src/settings.rs
+++ b/wisteriapass_config/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::check::{Checker, accept, check_settings, parse};
 use crate::{ConfigError, Result};
 
 /// What a daemon is.
@@ -104,7 +105,7 @@
     ///
     /// # Errors
     ///
-    /// [`ConfigError`] names file, key and remedy.
+    /// [`ConfigError`] names file, line, key and remedy of every mistake.
     pub fn from_file(path: &Path) -> Result<Self> {
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
@@ -118,33 +119,14 @@
     ///
     /// # Errors
     ///
-    /// [`ConfigError`] names file, key and remedy.
+    /// [`ConfigError`] names file, line, key and remedy of every mistake.
     pub fn from_toml(file: &str, text: &str) -> Result<Self> {
-        let settings: Self = toml::from_str(text).map_err(|e| ConfigError::Malformed {
-            file: file.into(),
-            cause: e.to_string(),
+        let settings: Self = parse(file, text).map_err(|mistake| ConfigError::Invalid {
+            mistakes: vec![mistake],
         })?;
-        settings.check(file)?;
+        let mut checker = Checker::new(file, Some(text));
+        check_settings(&mut checker, &settings);
+        accept(checker.into_mistakes())?;
         Ok(settings)
     }
-
-    fn check(&self, file: &str) -> Result<()> {
-        if self.name.is_empty() {
-            return Err(ConfigError::invalid(
-                file,
-                "name",
-                "is missing",
-                "name the router or target as the inventory does",
-            ));
-        }
-        if self.role == Role::Side && self.target.is_none() {
-            return Err(ConfigError::invalid(
-                file,
-                "target",
-                "is missing for role \"side\"",
-                "give the address of the target beside this process",
-            ));
-        }
-        Ok(())
-    }
 }
--- /dev/null
+++ b/wisteriapass_config/tests/document.rs
@@ -0,0 +1,233 @@
+//! Documents survive JSON, and their differences are complete.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
+use wisteriapass_config::{
+    Account, Budget, Change, Class, Document, FailureDomain, Inventory, ModelOffer, Priority,
+    Router, Rules, Subject, Target, TargetKind,
+};
+
+/// Seed of the generated documents.
+const SEED: u64 = 7;
+
+/// Size of the generated documents.
+const SIZE: usize = 64;
+
+/// A valid document of a few entries.
+#[derive(Clone, Debug)]
+struct Valid(Document);
+
+impl Arbitrary for Valid {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let inventory = Inventory {
+            failure_domain: domains(),
+            router: pick(g, 3).map(router).collect(),
+            target: (0..4).map(|n| target(n, u32::arbitrary(g))).collect(),
+        };
+        let accounts: Vec<u16> = pick(g, 4).collect();
+        let rules = Rules {
+            budget: accounts.iter().map(|n| budget(*n)).collect(),
+            account: accounts
+                .iter()
+                .map(|n| account(*n, u32::arbitrary(g)))
+                .collect(),
+            class: pick(g, 3).map(|n| class(n, u64::arbitrary(g))).collect(),
+        };
+        Self(Document {
+            revision: u64::from(u32::arbitrary(g)),
+            op: format!("op-{}", u16::arbitrary(g)),
+            inventory,
+            rules,
+        })
+    }
+}
+
+fn pick(g: &mut Gen, most: u16) -> impl Iterator<Item = u16> + use<> {
+    let chosen: Vec<u16> = (0..most).filter(|_| bool::arbitrary(g)).collect();
+    chosen.into_iter()
+}
+
+fn domains() -> Vec<FailureDomain> {
+    let domain = |n| FailureDomain {
+        name: format!("d{n}"),
+        region: "r".into(),
+    };
+    (0..3).map(domain).collect()
+}
+
+fn router(n: u16) -> Router {
+    Router {
+        name: format!("router-{n}"),
+        vm: format!("entry-{n}"),
+        failure_domain: format!("d{}", n % 3),
+        listen: ([10, 0, 0, 1], 100 + n).into(),
+        control: ([10, 0, 0, 1], 200 + n).into(),
+    }
+}
+
+fn target(n: u16, seed: u32) -> Target {
+    let is_engine = n < 3;
+    let model = ModelOffer {
+        name: "m".into(),
+        version: format!("v{}", seed % 3),
+        adapters: vec!["x".into()],
+    };
+    Target {
+        name: format!("target-{n}"),
+        vm: format!("vm-{n}"),
+        failure_domain: format!("d{}", n % 3),
+        kind: if is_engine {
+            TargetKind::Engine
+        } else {
+            TargetKind::Service
+        },
+        address: ([127, 0, 0, 1], 8000).into(),
+        side: ([10, 0, 0, 2], 100 + n).into(),
+        side_control: ([10, 0, 0, 2], 200 + n).into(),
+        model: if is_engine { vec![model] } else { Vec::new() },
+        services: if is_engine {
+            Vec::new()
+        } else {
+            vec!["wiki".into()]
+        },
+        slots: 1 + seed % 64,
+        tokens_per_second: 1 + seed % 5_000,
+        checks_fencing: seed.is_multiple_of(2),
+        draining: seed.is_multiple_of(5),
+    }
+}
+
+fn account(n: u16, seed: u32) -> Account {
+    Account {
+        name: format!("account-{n}"),
+        key_digest: format!("{n:064x}"),
+        weight: 1 + seed % 1_000,
+        models: vec!["*".into()],
+        services: vec!["wiki".into()],
+    }
+}
+
+fn budget(n: u16) -> Budget {
+    Budget {
+        name: "all".into(),
+        account: format!("account-{n}"),
+        models: Vec::new(),
+    }
+}
+
+fn class(n: u16, seed: u64) -> Class {
+    Class {
+        name: format!("class-{n}"),
+        priority: Priority::Batch,
+        deadline_ms: 1 + seed % 1_000,
+        max_tokens: 7,
+    }
+}
+
+fn mirrored(change: Change) -> Change {
+    match change {
+        Change::Added { subject } => Change::Removed { subject },
+        Change::Removed { subject } => Change::Added { subject },
+        Change::Changed {
+            subject,
+            key,
+            from,
+            to,
+        } => Change::Changed {
+            subject,
+            key,
+            from: to,
+            to: from,
+        },
+    }
+}
+
+fn holds(property: impl Testable) {
+    let g = Gen::from_size_and_seed(SIZE, SEED);
+    QuickCheck::new().rng(g).quickcheck(property);
+}
+
+#[test]
+fn valid_documents_pass_the_check() {
+    fn property(Valid(document): Valid) -> bool {
+        document.check().is_ok()
+    }
+    holds(property as fn(Valid) -> bool);
+}
+
+#[test]
+fn a_document_survives_json() {
+    fn property(Valid(document): Valid) -> bool {
+        Document::from_json(&document.to_json()).as_ref() == Ok(&document)
+    }
+    holds(property as fn(Valid) -> bool);
+}
+
+#[test]
+fn a_document_survives_toml() {
+    fn property(Valid(document): Valid) -> bool {
+        let inventory = toml::to_string(&document.inventory).unwrap();
+        let rules = toml::to_string(&document.rules).unwrap();
+        let again = Document::from_toml(&inventory, &rules).unwrap();
+        again.inventory == document.inventory && again.rules == document.rules
+    }
+    holds(property as fn(Valid) -> bool);
+}
+
+#[test]
+fn a_document_does_not_differ_from_itself_in_another_order() {
+    fn property(Valid(document): Valid) -> bool {
+        let mut reversed = document.clone();
+        reversed.revision += 1;
+        reversed.inventory.target.reverse();
+        reversed.rules.account.reverse();
+        document.changes_to(&reversed).is_empty()
+    }
+    holds(property as fn(Valid) -> bool);
+}
+
+#[test]
+fn differences_are_mirrored_in_the_other_direction() {
+    fn property(Valid(a): Valid, Valid(b): Valid) -> bool {
+        let there = a.changes_to(&b);
+        let back: Vec<Change> = b.changes_to(&a).into_iter().map(mirrored).collect();
+        there == back
+    }
+    holds(property as fn(Valid, Valid) -> bool);
+}
+
+#[test]
+fn any_edit_of_a_target_is_a_difference() {
+    fn property(Valid(a): Valid, Valid(b): Valid) -> TestResult {
+        if a.inventory.target == b.inventory.target {
+            return TestResult::discard();
+        }
+        let changes = a.changes_to(&b);
+        let of_target = |c: &Change| matches!(c.subject(), Subject::Target { .. });
+        TestResult::from_bool(changes.iter().any(of_target))
+    }
+    holds(property as fn(Valid, Valid) -> TestResult);
+}
+
+#[test]
+fn a_difference_reads_as_one_line() {
+    let before = Document {
+        inventory: Inventory {
+            target: vec![target(0, 1)],
+            ..Inventory::default()
+        },
+        ..Document::default()
+    };
+    let mut after = before.clone();
+    after.inventory.target[0].draining = true;
+    after.rules.budget.push(budget(1));
+    let lines: Vec<String> = before
+        .changes_to(&after)
+        .iter()
+        .map(Change::to_string)
+        .collect();
+    let expected = [
+        "~ target target-0: draining: false -> true",
+        "+ budget account-1/all",
+    ];
+    assert_eq!(lines, expected);
+}
