Worked examples for both deployments and both roles

A test parses and checks all of them, counts them against the sizes of today and looks for a comment above each settings key.

--- /dev/null
+++ b/wisteriapass_config/tests/examples.rs
@@ -0,0 +1,108 @@
+//! The worked examples are accepted, and are as large as their comments say.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use wisteriapass_config::{Document, Settings, Source, TargetKind};
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../examples")
+        .join(name)
+}
+
+fn document(deployment: &str) -> Document {
+    let read = |file| fs::read_to_string(example(deployment).join(file)).unwrap();
+    let (inventory, rules) = (read("inventory.toml"), read("rules.toml"));
+    let source = |file, text| Source { file, text };
+    let accepted = Document::from_sources(
+        source("inventory.toml", &inventory),
+        source("rules.toml", &rules),
+    );
+    accepted.unwrap_or_else(|e| panic!("{deployment}:\n{e}"))
+}
+
+fn count(document: &Document, kind: TargetKind) -> usize {
+    let targets = document.inventory.target.iter();
+    targets.filter(|t| t.kind == kind).count()
+}
+
+#[test]
+fn pizarra_has_its_sizes_of_today() {
+    let document = document("pizarra");
+    assert_eq!(document.inventory.failure_domain.len(), 3);
+    assert_eq!(count(&document, TargetKind::Engine), 12);
+    assert_eq!(count(&document, TargetKind::Service), 3);
+    assert_eq!(document.rules.account.len(), 10);
+    for class in ["draft", "question", "suggestion", "page", "save"] {
+        assert!(document.rules.class_named(class).is_some(), "{class}");
+    }
+}
+
+#[test]
+fn the_association_has_its_sizes_of_today() {
+    let document = document("association");
+    assert_eq!(document.inventory.failure_domain.len(), 3);
+    assert_eq!(count(&document, TargetKind::Engine), 18);
+    assert_eq!(count(&document, TargetKind::Service), 3);
+    assert_eq!(document.rules.account.len(), 10);
+    for class in ["checklist", "crimp", "supplier", "certificate"] {
+        assert!(document.rules.class_named(class).is_some(), "{class}");
+    }
+}
+
+#[test]
+fn every_account_can_pay_for_every_model_it_may_use() {
+    for document in [document("pizarra"), document("association")] {
+        let offered = document.inventory.target.iter().flat_map(|t| &t.model);
+        let models: Vec<&str> = offered.map(|m| m.name.as_str()).collect();
+        for account in &document.rules.account {
+            let may = |m: &str| account.models.iter().any(|x| x == "*" || x == m);
+            for model in models.iter().filter(|m| may(m)) {
+                let budget = document.rules.budget_for(&account.name, Some(model));
+                assert!(budget.is_some(), "{} {model}", account.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_settings_name_processes_of_the_inventory() {
+    let inventory = document("pizarra").inventory;
+    let router = Settings::from_file(&example("router.toml")).unwrap();
+    let listed = inventory.router_named(&router.name).unwrap();
+    assert_eq!(
+        (listed.listen, listed.control),
+        (router.listen, router.control)
+    );
+    let side = Settings::from_file(&example("side.toml")).unwrap();
+    let listed = inventory.target_named(&side.name).unwrap();
+    assert_eq!(
+        (listed.side, listed.side_control),
+        (side.listen, side.control)
+    );
+    assert_eq!(Some(listed.address), side.target);
+}
+
+#[test]
+fn the_settings_examples_show_every_key_with_a_comment() {
+    for file in ["router.toml", "side.toml"] {
+        let settings = Settings::from_file(&example(file)).unwrap();
+        let text = fs::read_to_string(example(file)).unwrap();
+        let lines: Vec<&str> = text.lines().collect();
+        for key in keys(&settings) {
+            let prefix = format!("{key} = ");
+            let at = lines.iter().position(|l| l.starts_with(&prefix));
+            let at = at.unwrap_or_else(|| panic!("{file} lacks {key}"));
+            assert!(lines[at - 1].starts_with("# "), "{file}: {key}");
+        }
+    }
+}
+
+/// Returns the names of all keys that settings hold.
+fn keys(settings: &Settings) -> Vec<String> {
+    let table = toml::Table::try_from(settings).unwrap();
+    let limits = table["limits"].as_table().unwrap().keys().cloned();
+    let top = table.keys().filter(|k| *k != "limits").cloned();
+    limits.chain(top).collect()
+}
