--- /dev/null
+++ b/wisteriapass_policy/src/account_facts.rs
@@ -0,0 +1,10 @@
+//! What the rules say of a client account.
+
+/// What the rules say of a client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountFacts {
+    /// Name, unique.
+    pub name: String,
+    /// Weight of its fair share; zero counts as one.
+    pub weight: u32,
+}
--- /dev/null
+++ b/wisteriapass_policy/src/config.rs
@@ -0,0 +1,126 @@
+//! Thresholds of the policy, with their units and defaults.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Parts;
+
+/// Work of one prompt token, as a share of an output token's; engines read prompts in parallel.
+pub const PROMPT_TOKEN_WORK: f64 = 0.1;
+/// Output assumed at first, as a share of the most a request allows.
+pub const FIRST_LENGTH_SHARE: f64 = 0.5;
+/// Weight of one finished answer in the learned length and speed.
+pub const LEARNING_STEP: f64 = 0.05;
+/// Work of a plain service's call, in output tokens.
+pub const SERVICE_CALL_WORK: f64 = 20.0;
+
+/// Thresholds of the policy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PolicyConfig {
+    /// Seed of the random choices.
+    pub seed: u64,
+    /// Parts that are on.
+    pub parts: Parts,
+    /// Age at which a load report begins to lose its worth, in seconds.
+    pub report_fresh_s: f64,
+    /// Age at which a load report is worth nothing, in seconds.
+    pub report_stale_s: f64,
+    /// Requests that may wait at a target beyond its slots.
+    pub queue_at_target: f64,
+    /// The same for interactive ones, which the target takes first.
+    pub queue_at_target_interactive: f64,
+    /// Share of the wait estimate by which admission errs on the safe side.
+    pub admission_slack: f64,
+    /// Longest queue, in seconds of the router's share of the pool.
+    pub queue_limit_s: f64,
+    /// Head start of interactive over batch work, in seconds of an account's share.
+    pub interactive_lead_s: f64,
+    /// Head start of standard over batch work, in seconds of an account's share.
+    pub standard_lead_s: f64,
+    /// Head start gained for each second of waiting, in seconds.
+    pub ageing: f64,
+    /// Memory of the interactive rate on its way down, in seconds.
+    pub reserve_memory_s: f64,
+    /// Slots kept for interactive work, as a multiple of what it is expected to need.
+    pub reserve_margin: f64,
+    /// Most slots kept for interactive work, as a share of all.
+    pub reserve_max: f64,
+    /// Work is long if it takes this many times the pool's mean.
+    pub long_factor: f64,
+    /// Slots of the router's share that long work may take.
+    pub long_share: f64,
+    /// A target is slow if its speed is below this share of the pool's median.
+    pub slow_below: f64,
+    /// Time without any sign from a target with work after which it is silent, in seconds.
+    pub silent_after_s: f64,
+    /// Failures in a row after which a target is avoided.
+    pub failures_to_avoid: u32,
+    /// First time of avoiding a target, in seconds; doubles each time.
+    pub avoid_first_s: f64,
+    /// Longest time of avoiding a target, in seconds.
+    pub avoid_max_s: f64,
+    /// Good answers after which a target in re-entry may have twice the work.
+    pub reentry_step: u32,
+    /// Worth of a held prefix, in slots of load as a share of all slots.
+    pub affinity_bonus: f64,
+    /// Load above the pool's mean at which a held prefix is worth nothing, as a share of the slots.
+    pub affinity_bound: f64,
+    /// Age at which a cache hint is worth nothing, in seconds.
+    pub cache_hint_s: f64,
+    /// Load that a target in another failure domain seems to have, as a share of the slots.
+    pub other_domain_load: f64,
+    /// Load that a target in another region seems to have, as a share of the slots.
+    pub other_region_load: f64,
+    /// Second tries as a share of first tries.
+    pub try_share: f64,
+    /// Second tries that may be made at once.
+    pub try_burst: f64,
+    /// Time to first token after which a second copy is sent, as a multiple of the expected.
+    pub hedge_factor: f64,
+    /// Shortest time after which a second copy is sent, in seconds.
+    pub hedge_min_s: f64,
+    /// Share of an account's rate that is promised to callers told to come back.
+    pub promise_share: f64,
+    /// Shortest come-back time, in seconds.
+    pub come_back_min_s: f64,
+}
+
+impl Default for PolicyConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            parts: Parts::default(),
+            report_fresh_s: 1.0,
+            report_stale_s: 4.0,
+            queue_at_target: 2.0,
+            queue_at_target_interactive: 3.0,
+            admission_slack: 0.1,
+            queue_limit_s: 20.0,
+            interactive_lead_s: 4.0,
+            standard_lead_s: 1.0,
+            ageing: 0.2,
+            reserve_memory_s: 3.0,
+            reserve_margin: 1.2,
+            reserve_max: 0.6,
+            long_factor: 4.0,
+            long_share: 0.5,
+            slow_below: 0.5,
+            silent_after_s: 1.5,
+            failures_to_avoid: 3,
+            avoid_first_s: 2.0,
+            avoid_max_s: 30.0,
+            reentry_step: 2,
+            affinity_bonus: 0.25,
+            affinity_bound: 0.2,
+            cache_hint_s: 30.0,
+            other_domain_load: 0.02,
+            other_region_load: 0.5,
+            try_share: 0.1,
+            try_burst: 10.0,
+            hedge_factor: 3.0,
+            hedge_min_s: 0.4,
+            promise_share: 0.5,
+            come_back_min_s: 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_policy/src/job.rs
@@ -0,0 +1,47 @@
+//! One offered request from offer to end.
+
+use smallvec::SmallVec;
+
+use crate::keys::PoolKey;
+use crate::{RequestFacts, TargetKey, Time};
+
+/// One offered request from offer to end.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) facts: RequestFacts,
+    pub(crate) pool: PoolKey,
+    /// Expected work, in output tokens.
+    pub(crate) work: f64,
+    /// Expected work of the output alone, in tokens.
+    pub(crate) output: f64,
+    /// Latest start that keeps its deadlines.
+    pub(crate) start_by: Time,
+    pub(crate) offered_at: Time,
+    /// Whether it counts against the limit on long work.
+    pub(crate) long: bool,
+    pub(crate) hedged: bool,
+    /// Copies in flight; empty while it waits.
+    pub(crate) runs: SmallVec<[Run; 2]>,
+}
+
+/// One copy of a job at a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) target: TargetKey,
+    pub(crate) first_token_at: Option<Time>,
+    /// When its speed was last measured, and its tokens then.
+    pub(crate) sampled_at: Time,
+    pub(crate) sampled_tokens: u32,
+}
+
+impl Job {
+    /// Returns its copy at a target.
+    pub(crate) fn run_at(&mut self, target: TargetKey) -> Option<&mut Run> {
+        self.runs.iter_mut().find(|r| r.target == target)
+    }
+
+    /// Returns whether any copy gave a token.
+    pub(crate) fn answering(&self) -> bool {
+        self.runs.iter().any(|r| r.first_token_at.is_some())
+    }
+}
--- /dev/null
+++ b/wisteriapass_policy/src/lanes.rs
@@ -0,0 +1,243 @@
+//! The waiting requests of one pool, by account and class, in fair order.
+//!
+//! Answers a few accounts that send most of the load. Without it they take slots in proportion to
+//! what they send and the rest is starved (`loads --pattern hot --without fairness`). Each account
+//! has a virtual time: the work it was given, by its weight. The next request is the one whose
+//! account is furthest behind, with a head start for urgent classes and for age. The head start is
+//! bounded (some seconds of the account's share), so that priority orders work over seconds and
+//! fairness over a minute. An account that was idle starts at the present, so its unused share is
+//! lent and not saved up. Requests whose callers come back as told go first within their account.
+//! Without classes a question waits behind drafts (`loads --pattern saturation --without
+//! priority`).
+
+use std::collections::VecDeque;
+
+use slotmap::SecondaryMap;
+
+use crate::{AccountKey, PolicyConfig, Priority, Ticket, Time};
+
+/// Waiting requests of one pool.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    lanes: SecondaryMap<AccountKey, Lane>,
+    active: Vec<AccountKey>,
+    /// Virtual time of the last request given work.
+    present: f64,
+    /// Work that waits, in tokens.
+    pub(crate) work: f64,
+}
+
+/// One account's part of the queue.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    /// Work given so far by weight, in tokens.
+    virtual_time: f64,
+    queues: [VecDeque<Waiting>; 3],
+    work: [f64; 3],
+    weight: f64,
+    /// Until when the account's promised share is taken.
+    pub(crate) promised_until: Time,
+    /// When the account last offered work.
+    pub(crate) last_offer: Time,
+}
+
+/// One waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) ticket: Ticket,
+    pub(crate) account: AccountKey,
+    pub(crate) priority: Priority,
+    pub(crate) work: f64,
+    pub(crate) since: Time,
+    pub(crate) returned: bool,
+    /// Whether it counts against the limit on long work.
+    pub(crate) long: bool,
+}
+
+/// Classes of waiting requests that cannot be placed now.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Blocked {
+    pub(crate) classes: [bool; 3],
+    pub(crate) long: bool,
+}
+
+impl Lanes {
+    /// Returns an account's lane, created if new.
+    pub(crate) fn lane(&mut self, account: AccountKey, weight: f64) -> Option<&mut Lane> {
+        if !self.lanes.contains_key(account) {
+            self.lanes.insert(account, Lane::default());
+        }
+        let lane = self.lanes.get_mut(account)?;
+        lane.weight = weight;
+        Some(lane)
+    }
+
+    /// Forgets an account.
+    pub(crate) fn remove(&mut self, account: AccountKey) {
+        if let Some(lane) = self.lanes.remove(account) {
+            self.work -= lane.work.iter().sum::<f64>();
+        }
+        self.active.retain(|&a| a != account);
+    }
+
+    /// Adds a waiting request.
+    pub(crate) fn push(&mut self, waiting: Waiting, weight: f64) {
+        let present = self.present;
+        let Some(lane) = self.lane(waiting.account, weight) else {
+            return;
+        };
+        let was_empty = lane.is_empty();
+        if was_empty {
+            lane.virtual_time = lane.virtual_time.max(present);
+        }
+        let class = waiting.priority.index();
+        lane.work[class] += waiting.work;
+        if waiting.returned {
+            let place = lane.queues[class].iter().take_while(|w| w.returned).count();
+            lane.queues[class].insert(place, waiting);
+        } else {
+            lane.queues[class].push_back(waiting);
+        }
+        if was_empty {
+            self.active.push(waiting.account);
+        }
+        self.work += waiting.work;
+    }
+
+    /// Returns the next request in fair order that is not blocked, without taking it out.
+    pub(crate) fn peek(
+        &self,
+        now: Time,
+        drain: f64,
+        blocked: Blocked,
+        cfg: &PolicyConfig,
+    ) -> Option<Waiting> {
+        let share = (drain / self.active_weight()).max(1e-6);
+        let heads = self.active.iter().flat_map(|&a| self.lanes[a].heads());
+        let free = heads.filter(|(_, w)| !blocked.blocks(w));
+        let scored = free.map(|(vt, w)| (score(now, vt - self.present, share, w, cfg), w));
+        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
+    }
+
+    /// Returns whether any request waits.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.active.is_empty()
+    }
+
+    /// Takes a waiting request out; returns whether it was there.
+    pub(crate) fn take(&mut self, waiting: &Waiting) -> bool {
+        let Some(lane) = self.lanes.get_mut(waiting.account) else {
+            return false;
+        };
+        let class = waiting.priority.index();
+        let queue = &mut lane.queues[class];
+        let Some(place) = queue.iter().position(|w| w.ticket == waiting.ticket) else {
+            return false;
+        };
+        queue.remove(place);
+        lane.work[class] = if queue.is_empty() {
+            0.0
+        } else {
+            lane.work[class] - waiting.work
+        };
+        if lane.is_empty() {
+            self.active.retain(|&a| a != waiting.account);
+        }
+        self.work = if self.active.is_empty() {
+            0.0
+        } else {
+            self.work - waiting.work
+        };
+        true
+    }
+
+    /// Charges an account for work given (or, if negative, not needed in the end).
+    pub(crate) fn charge(&mut self, account: AccountKey, work: f64) {
+        let Some(lane) = self.lanes.get_mut(account) else {
+            return;
+        };
+        if work > 0.0 {
+            self.present = self.present.max(lane.virtual_time.min(self.present + work));
+        }
+        lane.virtual_time += work / lane.weight.max(1e-3);
+    }
+
+    /// Returns the waiting work of all accounts in a class and above, in tokens.
+    pub(crate) fn work_above(&self, priority: Priority) -> f64 {
+        let lanes = self.active.iter().map(|&a| &self.lanes[a]);
+        lanes.map(|l| l.work_above(priority)).sum()
+    }
+
+    /// Returns the weights of the accounts that wait, together.
+    pub(crate) fn active_weight(&self) -> f64 {
+        let weights = self.active.iter().map(|&a| self.lanes[a].weight);
+        weights.sum::<f64>().max(1e-3)
+    }
+
+    /// Returns the weights of the accounts that offered work since a time.
+    pub(crate) fn weight_since(&self, since: Time) -> f64 {
+        let lanes = self.lanes.values().filter(|l| l.last_offer >= since);
+        lanes.map(|l| l.weight).sum::<f64>().max(1e-3)
+    }
+
+    /// Returns the least valuable waiting request: lowest class, furthest ahead, newest.
+    pub(crate) fn least_valuable(&self) -> Option<Waiting> {
+        let lanes = || self.active.iter().map(|&a| &self.lanes[a]);
+        let class = Priority::ALL
+            .iter()
+            .rev()
+            .find(|p| lanes().any(|l| l.work[p.index()] > 0.0))?;
+        let holders = lanes().filter(|l| !l.queues[class.index()].is_empty());
+        let ahead = holders.max_by(|a, b| a.lead().total_cmp(&b.lead()))?;
+        ahead.queues[class.index()].back().copied()
+    }
+}
+
+impl Lane {
+    /// Returns the waiting work in a class and above, in tokens.
+    pub(crate) fn work_above(&self, priority: Priority) -> f64 {
+        self.work[..=priority.index()].iter().sum()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.queues.iter().all(VecDeque::is_empty)
+    }
+
+    /// Returns the first request of each class and, behind a long one, the first that is not long.
+    fn heads(&self) -> impl Iterator<Item = (f64, &Waiting)> {
+        let vt = self.virtual_time;
+        let first = self.queues.iter().filter_map(|q| q.front());
+        let long = |q: &&VecDeque<Waiting>| q.front().is_some_and(|w| w.long);
+        let behind = self.queues.iter().filter(long);
+        let short = behind.filter_map(|q| q.iter().find(|w| !w.long));
+        first.chain(short).map(move |w| (vt, w))
+    }
+
+    /// Returns how far ahead the account is with all its waiting work done.
+    fn lead(&self) -> f64 {
+        self.virtual_time + self.work.iter().sum::<f64>() / self.weight.max(1e-3)
+    }
+}
+
+impl Blocked {
+    fn blocks(&self, waiting: &Waiting) -> bool {
+        self.classes[waiting.priority.index()] || (self.long && waiting.long)
+    }
+}
+
+/// Returns a request's place in the order, in seconds of an account's share; the least goes first.
+fn score(now: Time, lead: f64, share: f64, waiting: &Waiting, cfg: &PolicyConfig) -> f64 {
+    let ahead = if cfg.parts.fairness {
+        lead / share
+    } else {
+        0.0
+    };
+    let head_start = match waiting.priority {
+        Priority::Interactive if cfg.parts.priority => cfg.interactive_lead_s,
+        Priority::Standard if cfg.parts.priority => cfg.standard_lead_s,
+        _ => 0.0,
+    };
+    // With fairness off this is arrival order within a class.
+    let ageing = if cfg.parts.fairness { cfg.ageing } else { 1.0 };
+    ahead - head_start - now.secs_since(waiting.since) * ageing
+}
--- /dev/null
+++ b/wisteriapass_policy/src/orders.rs
@@ -0,0 +1,147 @@
+//! When a target is ordered to load or unload a model.
+//!
+//! Answers demand that moves between models (mornings' drafts, a workshop's checklists). Without
+//! orders the targets of an idle model stand by while another model's callers are refused; without
+//! hysteresis two models take the same target from each other, and each load is minutes of lost
+//! work and of the weight store's rate. A model gets a target only after its demand was above
+//! `load_above` of its capacity for `hold_s`, from a model that was below `unload_below` and would
+//! stay below `load_above` without it; the gap between the two keeps an order from calling for its
+//! reverse. Loads keep `store_interval_s` apart, the weight store's rate. Only the holder of the
+//! lease on orders may send one, with its fencing token; a target that does not check tokens gets
+//! its orders through its side process, which does.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{NameKey, TargetKey, Time};
+
+/// Thresholds of orders.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrdersConfig {
+    /// Demand as a share of capacity above which a model needs another target.
+    pub load_above: f64,
+    /// Demand as a share of capacity below which a model can spare a target.
+    pub unload_below: f64,
+    /// Time for which the demand has to be above, in seconds.
+    pub hold_s: f64,
+    /// Time between two loads, in seconds; the weight store's rate limit.
+    pub store_interval_s: f64,
+}
+
+impl Default for OrdersConfig {
+    fn default() -> Self {
+        Self {
+            load_above: 0.9,
+            unload_below: 0.5,
+            hold_s: 30.0,
+            store_interval_s: 60.0,
+        }
+    }
+}
+
+/// Demand for one model and the targets that hold it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelDemand {
+    /// The model.
+    pub model: NameKey,
+    /// Offered work, refused work included, in tokens a second.
+    pub offered: f64,
+    /// Targets that hold it alone and what each can do, in tokens a second.
+    pub targets: Vec<(TargetKey, f64)>,
+}
+
+/// What a target is ordered to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model in place of another, once its runs ended.
+    Swap {
+        /// Model to unload.
+        unload: NameKey,
+        /// Model to load.
+        load: NameKey,
+    },
+}
+
+/// An order to a target; to be sent with the fencing token of the lease on orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Who is ordered.
+    pub target: TargetKey,
+    /// What.
+    pub kind: OrderKind,
+}
+
+/// Decides on orders; one process at a time asks it, the holder of the lease on orders.
+#[derive(Debug)]
+pub struct Orders {
+    cfg: OrdersConfig,
+    above_since: HashMap<NameKey, Time>,
+    next_load: Time,
+}
+
+impl Orders {
+    /// Creates a decider that has given no order.
+    pub fn new(cfg: OrdersConfig) -> Self {
+        Self {
+            cfg,
+            above_since: HashMap::new(),
+            next_load: Time::default(),
+        }
+    }
+
+    /// Returns the order that is due, if any.
+    pub fn decide(&mut self, now: Time, demands: &[ModelDemand]) -> Option<Order> {
+        self.watch(now, demands);
+        if now < self.next_load {
+            return None;
+        }
+        let short = demands.iter().filter(|d| self.is_short(now, d));
+        let needy = short.max_by(|a, b| a.use_share(None).total_cmp(&b.use_share(None)))?;
+        let spare = demands
+            .iter()
+            .filter(|d| d.model != needy.model && self.can_spare(d));
+        let giver = spare.min_by(|a, b| a.use_share(None).total_cmp(&b.use_share(None)))?;
+        let &(target, _) = giver.targets.last()?;
+        self.next_load = now.plus_secs(self.cfg.store_interval_s);
+        self.above_since.remove(&needy.model);
+        let kind = OrderKind::Swap {
+            unload: giver.model,
+            load: needy.model,
+        };
+        Some(Order { target, kind })
+    }
+
+    /// Notes since when each model's demand is above the threshold.
+    fn watch(&mut self, now: Time, demands: &[ModelDemand]) {
+        for d in demands {
+            if d.use_share(None) > self.cfg.load_above {
+                self.above_since.entry(d.model).or_insert(now);
+            } else {
+                self.above_since.remove(&d.model);
+            }
+        }
+    }
+
+    fn is_short(&self, now: Time, demand: &ModelDemand) -> bool {
+        let since = self.above_since.get(&demand.model);
+        since.is_some_and(|&s| now.secs_since(s) >= self.cfg.hold_s)
+    }
+
+    fn can_spare(&self, demand: &ModelDemand) -> bool {
+        let Some(&(_, last)) = demand.targets.last() else {
+            return false;
+        };
+        let low = demand.use_share(None) < self.cfg.unload_below;
+        low && demand.targets.len() > 1 && demand.use_share(Some(last)) < self.cfg.load_above
+    }
+}
+
+impl ModelDemand {
+    /// Returns the demand as a share of what the targets can do, perhaps without one of them.
+    fn use_share(&self, without: Option<f64>) -> f64 {
+        let all: f64 = self.targets.iter().map(|(_, rate)| rate).sum();
+        self.offered / (all - without.unwrap_or(0.0)).max(1e-3)
+    }
+}
--- /dev/null
+++ b/wisteriapass_policy/src/pool.rs
@@ -0,0 +1,146 @@
+//! The targets that can serve one kind of request, and the requests that wait for them.
+
+use slotmap::SlotMap;
+
+use crate::config::{FIRST_LENGTH_SHARE, LEARNING_STEP, PROMPT_TOKEN_WORK, SERVICE_CALL_WORK};
+use crate::lanes::Lanes;
+use crate::reserve::Reserve;
+use crate::target::Target;
+use crate::{PolicyConfig, Priority, RequestFacts, TargetKey, Time, Wants};
+
+/// Weight of one request in the pool's mean work.
+const MEAN_STEP: f64 = 0.02;
+/// Memory of the pool's measured output, in seconds.
+const DONE_MEMORY_S: f64 = 5.0;
+
+/// The targets that can serve one kind of request.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub(crate) wants: Wants,
+    pub(crate) members: Vec<TargetKey>,
+    pub(crate) lanes: Lanes,
+    pub(crate) reserve: Reserve,
+    /// Own long requests in flight.
+    pub(crate) own_long: u32,
+    length_share: [f64; 3],
+    mean_work: f64,
+    done: f64,
+    done_at: Time,
+}
+
+impl Pool {
+    /// Creates a pool without members.
+    pub(crate) fn new(wants: Wants) -> Self {
+        Self {
+            wants,
+            members: Vec::new(),
+            lanes: Lanes::default(),
+            reserve: Reserve::default(),
+            own_long: 0,
+            length_share: [FIRST_LENGTH_SHARE; 3],
+            mean_work: 0.0,
+            done: 0.0,
+            done_at: Time::default(),
+        }
+    }
+
+    /// Returns the expected output of a request, in tokens.
+    pub(crate) fn expected_output(&self, facts: &RequestFacts) -> f64 {
+        match self.wants {
+            Wants::Service { .. } => SERVICE_CALL_WORK,
+            Wants::Model { .. } => {
+                f64::from(facts.max_tokens) * self.length_share[facts.priority.index()]
+            }
+        }
+    }
+
+    /// Returns the expected work of a request's prompt, in output tokens.
+    pub(crate) fn prompt_work(&self, facts: &RequestFacts) -> f64 {
+        match self.wants {
+            Wants::Service { .. } => 0.0,
+            Wants::Model { .. } => f64::from(facts.prompt_tokens) * PROMPT_TOKEN_WORK,
+        }
+    }
+
+    /// Learns how much of its allowance an answer used.
+    pub(crate) fn learn_length(&mut self, priority: Priority, used: f64, allowed: f64) {
+        let share = &mut self.length_share[priority.index()];
+        let seen = (used / allowed.max(1.0)).clamp(0.01, 1.0);
+        *share += (seen - *share) * LEARNING_STEP;
+    }
+
+    /// Takes a request's work into the mean; returns whether it is long beside the others.
+    pub(crate) fn judge_length(&mut self, work: f64, cfg: &PolicyConfig) -> bool {
+        if self.mean_work == 0.0 {
+            self.mean_work = work;
+        }
+        let long = work > self.mean_work * cfg.long_factor;
+        // Long ones enter the mean capped, so that they do not make themselves the rule.
+        let capped = work.min(self.mean_work * cfg.long_factor);
+        self.mean_work += (capped - self.mean_work) * MEAN_STEP;
+        long
+    }
+
+    /// Counts finished work, in tokens.
+    pub(crate) fn finished(&mut self, now: Time, work: f64) {
+        self.done = self.done_rate(now) + work / DONE_MEMORY_S;
+        self.done_at = now;
+    }
+
+    /// Returns the work this router's runs finished lately, in tokens a second.
+    fn done_rate(&self, now: Time) -> f64 {
+        self.done * (-now.secs_since(self.done_at) / DONE_MEMORY_S).exp()
+    }
+
+    /// Returns what the pool can do, in tokens a second, and its slots.
+    pub(crate) fn capacity(
+        &self,
+        now: Time,
+        targets: &SlotMap<TargetKey, Target>,
+        cfg: &PolicyConfig,
+    ) -> Capacity {
+        let mut capacity = Capacity::default();
+        let (mut reentry_slots, mut reentry_rate) = (0.0, 0.0);
+        for target in self.members.iter().filter_map(|&k| targets.get(k)) {
+            capacity.own += target.load.own;
+            if target.works(now, cfg) {
+                capacity.slots += target.slots();
+                capacity.rate += target.slots() * target.real_slot_rate();
+            } else if target.open() && target.health.limit(now) > 0 {
+                reentry_slots += target.slots();
+                reentry_rate += target.slots() * target.slot_rate();
+            }
+        }
+        if capacity.slots == 0.0 {
+            capacity.last_resort = true;
+            capacity.slots = reentry_slots;
+            capacity.rate = reentry_rate;
+        }
+        capacity
+    }
+
+    /// Returns what this router gets of the pool, in tokens a second.
+    ///
+    /// It is the larger of its equal share and of what its runs finish, since unused shares of
+    /// other routers are there for the taking.
+    pub(crate) fn drain(&self, now: Time, capacity: Capacity, routers: f64) -> f64 {
+        let equal = capacity.rate / routers;
+        let mean_slot = capacity.rate / capacity.slots.max(1.0);
+        let running = f64::from(capacity.own) * mean_slot;
+        let proven = self.done_rate(now).max(running.min(capacity.rate * 0.9));
+        equal.max(proven).max(1.0)
+    }
+}
+
+/// What a pool can do now.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Capacity {
+    /// Slots of its working members.
+    pub(crate) slots: f64,
+    /// Tokens a second with all of them busy.
+    pub(crate) rate: f64,
+    /// This router's requests in flight.
+    pub(crate) own: u32,
+    /// Whether none of its members works well, so that those in re-entry stand for the pool.
+    pub(crate) last_resort: bool,
+}
--- /dev/null
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -0,0 +1,222 @@
+//! What the router tells of its runs.
+
+use smallvec::SmallVec;
+
+use super::Scheduler;
+use crate::job::Run;
+use crate::{Decision, FailureKind, Outcome, Priority, Refusal, TargetKey, Ticket, Time};
+
+/// Shortest span over which a run's speed is measured, in seconds.
+const SPEED_SPAN_S: f64 = 0.25;
+/// Weight of one measured span in a target's speed.
+const SPEED_STEP: f64 = 0.2;
+/// The same for a target in re-entry, of which there is little to measure.
+const REENTRY_SPEED_STEP: f64 = 0.6;
+
+impl Scheduler {
+    /// Takes in that a target began a run.
+    pub fn started(&mut self, now: Time, _ticket: Ticket, target: TargetKey) {
+        self.sign(now, target);
+    }
+
+    /// Takes in that the first token of a run came.
+    pub fn first_token(&mut self, now: Time, ticket: Ticket, target: TargetKey) {
+        self.sign(now, target);
+        let Some(run) = self.jobs.get_mut(ticket).and_then(|j| j.run_at(target)) else {
+            return;
+        };
+        run.first_token_at.get_or_insert(now);
+        run.sampled_at = now;
+        run.sampled_tokens = 1;
+    }
+
+    /// Takes in that a run gave this many tokens so far.
+    pub fn progress(&mut self, now: Time, ticket: Ticket, target: TargetKey, tokens: u32) {
+        self.sign(now, target);
+        let Some(run) = self.jobs.get_mut(ticket).and_then(|j| j.run_at(target)) else {
+            return;
+        };
+        let secs = now.secs_since(run.sampled_at);
+        if run.first_token_at.is_none() || secs < SPEED_SPAN_S {
+            return;
+        }
+        let rate = f64::from(tokens.saturating_sub(run.sampled_tokens)) / secs;
+        run.sampled_at = now;
+        run.sampled_tokens = tokens;
+        self.learn_speed(now, ticket, target, rate);
+    }
+
+    /// Takes in that a run gave its whole answer; the ticket is void, and other copies are to be
+    /// cancelled.
+    pub fn finished(&mut self, now: Time, ticket: Ticket, target: TargetKey, outcome: Outcome) {
+        self.sign(now, target);
+        self.measure_end(now, ticket, target, outcome);
+        let Some(job) = self.jobs.remove(ticket) else {
+            return;
+        };
+        let prompt = job.work - job.output;
+        let used = f64::from(outcome.output_tokens);
+        let pool = &mut self.pools[job.pool];
+        pool.finished(now, used + prompt);
+        pool.learn_length(job.facts.priority, used, f64::from(job.facts.max_tokens));
+        pool.lanes.charge(job.facts.account, used - job.output);
+        for run in &job.runs {
+            self.release(job.pool, *run, job.facts.priority, job.long);
+        }
+        if let Some(target) = self.targets.get_mut(target) {
+            target.health.succeed(&self.cfg);
+        }
+    }
+
+    /// Takes in that a run failed, and decides what becomes of the request.
+    ///
+    /// [`Decision::Wait`] means that another copy goes on or that it queues again;
+    /// [`Decision::Run`] that it is to be retried there. Nothing that may have run is retried
+    /// unless it is idempotent, and nothing of which the caller already has a part.
+    pub fn failed(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        target: TargetKey,
+        kind: FailureKind,
+    ) -> Decision {
+        if let Some(t) = self.targets.get_mut(target) {
+            match kind {
+                FailureKind::Silent => t.health.avoid(now, &self.cfg),
+                _ => t.health.fail(now, &self.cfg),
+            }
+        }
+        let had_answer = self.jobs.get(ticket).is_some_and(|j| j.answering());
+        self.cancel_run(ticket, target);
+        let Some(job) = self.jobs.get(ticket) else {
+            return no(now, Refusal::NotRetryable, self.cfg.come_back_min_s);
+        };
+        if !job.runs.is_empty() {
+            return Decision::Wait {
+                until: job.facts.deadline,
+            };
+        }
+        if had_answer || (kind.may_have_run() && !job.facts.idempotent) {
+            self.jobs.remove(ticket);
+            return no(now, Refusal::NotRetryable, self.cfg.come_back_min_s);
+        }
+        self.retry(now, ticket)
+    }
+
+    /// Takes in that one copy of a request was cancelled; the others go on.
+    pub fn cancel_run(&mut self, ticket: Ticket, target: TargetKey) {
+        let Some(job) = self.jobs.get_mut(ticket) else {
+            return;
+        };
+        let Some(place) = job.runs.iter().position(|r| r.target == target) else {
+            return;
+        };
+        let run = job.runs.remove(place);
+        let (pool, priority, long) = (job.pool, job.facts.priority, job.long);
+        self.release(pool, run, priority, long);
+    }
+
+    /// Takes in that a request is over without an answer: its caller left or its time is up.
+    pub fn cancel(&mut self, _now: Time, ticket: Ticket) {
+        let Some(job) = self.jobs.remove(ticket) else {
+            return;
+        };
+        self.ready.retain(|d| d.ticket != ticket);
+        for run in &job.runs {
+            self.release(job.pool, *run, job.facts.priority, job.long);
+        }
+    }
+
+    /// Queues a failed job again, first in its lane, if the budget of second tries allows.
+    fn retry(&mut self, now: Time, ticket: Ticket) -> Decision {
+        let start_by = self.jobs[ticket].start_by;
+        let in_budget = !self.cfg.parts.try_budget || self.tries.take();
+        let weight = self.weight(&self.jobs[ticket].facts);
+        if let (true, true, Some(weight)) = (in_budget, start_by >= now, weight) {
+            let Some(job) = self.jobs.get(ticket) else {
+                return no(now, Refusal::NotRetryable, self.cfg.come_back_min_s);
+            };
+            let pool = job.pool;
+            self.enqueue(ticket, weight, true);
+            self.dispatch(now, pool);
+            return self.decision_of(ticket);
+        }
+        self.jobs.remove(ticket);
+        let reason = if in_budget {
+            Refusal::WaitedTooLong
+        } else {
+            Refusal::RetryBudgetSpent
+        };
+        no(now, reason, self.cfg.come_back_min_s)
+    }
+
+    /// Notes a sign of life of a target.
+    fn sign(&mut self, now: Time, target: TargetKey) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.health.last_sign = target.health.last_sign.max(now);
+        }
+    }
+
+    /// Learns a target's speed from a run's end.
+    fn measure_end(&mut self, now: Time, ticket: Ticket, target: TargetKey, outcome: Outcome) {
+        let Some(run) = self.jobs.get_mut(ticket).and_then(|j| j.run_at(target)) else {
+            return;
+        };
+        let (sampled_at, sampled_tokens) = (run.sampled_at, run.sampled_tokens);
+        let secs = now.secs_since(sampled_at);
+        if run.first_token_at.is_some() && secs >= SPEED_SPAN_S {
+            let tokens = outcome.output_tokens.saturating_sub(sampled_tokens);
+            self.learn_speed(now, ticket, target, f64::from(tokens) / secs);
+        }
+    }
+
+    /// Takes a measured speed in, in tokens a second, and avoids the target if it is slow.
+    fn learn_speed(&mut self, now: Time, ticket: Ticket, key: TargetKey, rate: f64) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let step = if target.health.suspect() {
+            REENTRY_SPEED_STEP
+        } else {
+            SPEED_STEP
+        };
+        let speed = rate / target.slot_rate();
+        target.health.learn_speed(speed, step);
+        let learned = target.health.speed;
+        if !self.cfg.parts.health || learned >= self.median_speed(ticket) * self.cfg.slow_below {
+            return;
+        }
+        self.targets[key].health.avoid(now, &self.cfg);
+    }
+
+    /// Returns the median speed of the members of a job's pool.
+    fn median_speed(&self, ticket: Ticket) -> f64 {
+        let Some(pool) = self.jobs.get(ticket).map(|j| &self.pools[j.pool]) else {
+            return 0.0;
+        };
+        let members = pool.members.iter().filter_map(|&k| self.targets.get(k));
+        let mut speeds: SmallVec<[f64; 32]> = members.map(|t| t.health.speed).collect();
+        if speeds.is_empty() {
+            return 0.0;
+        }
+        let middle = speeds.len() / 2;
+        *speeds.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
+    /// Frees what one run held.
+    fn release(&mut self, pool: crate::keys::PoolKey, run: Run, priority: Priority, long: bool) {
+        if let Some(target) = self.targets.get_mut(run.target) {
+            target.load.own = target.load.own.saturating_sub(1);
+            let low = u32::from(priority != Priority::Interactive);
+            target.load.own_low = target.load.own_low.saturating_sub(low);
+        }
+        let pool = &mut self.pools[pool];
+        pool.own_long = pool.own_long.saturating_sub(u32::from(long));
+    }
+}
+
+/// Returns a refusal after a failed run.
+fn no(now: Time, reason: Refusal, after_s: f64) -> Decision {
+    let come_back = now.plus_secs(after_s);
+    Decision::Refuse { reason, come_back }
+}
--- /dev/null
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -0,0 +1,289 @@
+//! Offering a request, and giving work to what is next.
+
+use std::cmp::Reverse;
+
+use slotmap::Key;
+use smallvec::SmallVec;
+
+use super::Scheduler;
+use super::alarm::{Alarm, AlarmKind};
+use crate::admission::{self, Ask};
+use crate::choice::{self, Choosing};
+use crate::job::{Job, Run};
+use crate::keys::PoolKey;
+use crate::lanes::{Blocked, Waiting};
+use crate::pool::Capacity;
+use crate::{Decided, Decision, Priority, Refusal, RequestFacts, TargetKey, Ticket, Time};
+
+/// When to ask again for what no target holds, in seconds; loading a model takes longer than that.
+const NO_TARGET_RETRY_S: f64 = 10.0;
+/// Longest time a request without deadlines waits, in seconds.
+const LONGEST_WAIT_S: f64 = 120.0;
+
+impl Scheduler {
+    /// Decides about a new request.
+    ///
+    /// The ticket is void if the decision is [`Decision::Refuse`]. The call may also free decisions
+    /// about other tickets, which the next [`Scheduler::poll`] gives.
+    pub fn offer(&mut self, now: Time, facts: RequestFacts) -> (Ticket, Decision) {
+        let Some(weight) = self.weight(&facts) else {
+            return refused(Refusal::UnknownAccount, now.plus_secs(NO_TARGET_RETRY_S));
+        };
+        let pool_key = self.pool_for(facts.wants);
+        let Some(pool_key) = pool_key.filter(|&k| !self.pools[k].members.is_empty()) else {
+            return refused(Refusal::NoTarget, now.plus_secs(NO_TARGET_RETRY_S));
+        };
+        let capacity = self.capacity(now, pool_key);
+        if capacity.slots == 0.0 {
+            let back = self.reentry(pool_key);
+            return refused(Refusal::TargetsUnwell, back.max(now.plus_secs(1.0)));
+        }
+        let job = self.estimate(now, facts, pool_key, capacity);
+        if job.start_by < now {
+            let back = now.plus_secs(self.cfg.come_back_min_s);
+            return refused(Refusal::DeadlineTooShort, back);
+        }
+        if let Some(refusal) = self.admit(now, &job, weight, capacity) {
+            return refusal;
+        }
+        self.tries.earn();
+        let ticket = self.jobs.insert(job);
+        self.enqueue(ticket, weight, facts.attempt > 0);
+        self.dispatch(now, pool_key);
+        self.shed(now, pool_key, capacity);
+        (ticket, self.decision_of(ticket))
+    }
+
+    /// Returns the decision just made about a ticket, or that it waits.
+    pub(super) fn decision_of(&mut self, ticket: Ticket) -> Decision {
+        if let Some(place) = self.ready.iter().rposition(|d| d.ticket == ticket) {
+            return self.ready.remove(place).decision;
+        }
+        let until = self.jobs.get(ticket).map_or(Time::MAX, |j| j.start_by);
+        Decision::Wait { until }
+    }
+
+    /// Puts a job into its account's lane and sets its latest start.
+    pub(super) fn enqueue(&mut self, ticket: Ticket, weight: f64, first: bool) {
+        let job = &self.jobs[ticket];
+        let waiting = Waiting {
+            ticket,
+            account: job.facts.account,
+            priority: job.facts.priority,
+            work: job.work,
+            since: job.offered_at,
+            returned: first,
+            long: job.long,
+        };
+        let at = job.start_by;
+        self.pools[job.pool].lanes.push(waiting, weight);
+        self.alarms.push(Reverse(Alarm {
+            at,
+            kind: AlarmKind::Start,
+            ticket,
+        }));
+    }
+
+    /// Gives work to whatever is next in fair order, as long as there is room.
+    pub(super) fn dispatch(&mut self, now: Time, pool_key: PoolKey) {
+        let capacity = self.capacity(now, pool_key);
+        let drain = self.pools[pool_key].drain(now, capacity, self.routers);
+        let mut blocked = Blocked::default();
+        let mut own = capacity.own;
+        while let Some(next) = self.pools[pool_key]
+            .lanes
+            .peek(now, drain, blocked, &self.cfg)
+        {
+            if !self.jobs.contains_key(next.ticket) {
+                self.pools[pool_key].lanes.take(&next);
+                continue;
+            }
+            if next.long && self.long_is_full(pool_key, capacity) {
+                blocked.long = true;
+                continue;
+            }
+            let capacity = Capacity { own, ..capacity };
+            let Some(target) = self.choose(now, next.ticket, capacity, None) else {
+                block(&mut blocked, next.priority);
+                continue;
+            };
+            self.pools[pool_key].lanes.take(&next);
+            self.pools[pool_key].lanes.charge(next.account, next.work);
+            self.start(now, next.ticket, target);
+            own += 1;
+            let decision = Decision::Run { target };
+            self.ready.push(Decided {
+                ticket: next.ticket,
+                decision,
+            });
+        }
+    }
+
+    /// Returns the best target with room for a job, if any.
+    pub(super) fn choose(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        capacity: Capacity,
+        except: Option<TargetKey>,
+    ) -> Option<TargetKey> {
+        let job = &self.jobs[ticket];
+        let pool = &self.pools[job.pool];
+        let need = pool.reserve.need(now, &self.cfg) * self.routers;
+        let urgent = job.facts.priority == Priority::Interactive;
+        let choosing = Choosing {
+            now,
+            priority: job.facts.priority,
+            prefix: job.facts.prefix,
+            routers: self.routers,
+            reserve: (need / capacity.slots.max(1.0)).min(self.cfg.reserve_max),
+            over_share: f64::from(capacity.own) >= capacity.slots / self.routers,
+            may_probe: job.facts.idempotent && (!urgent || capacity.last_resort),
+            except,
+        };
+        choice::choose(
+            &pool.members,
+            &self.targets,
+            choosing,
+            &self.cfg,
+            &mut self.rng,
+        )
+    }
+
+    /// Notes a run of a job at a target.
+    pub(super) fn start(&mut self, now: Time, ticket: Ticket, key: TargetKey) {
+        let job = &mut self.jobs[ticket];
+        let target = &mut self.targets[key];
+        if target.load.own == 0 {
+            target.health.last_sign = now;
+        }
+        target.load.own += 1;
+        target.load.own_low += u32::from(job.facts.priority != Priority::Interactive);
+        self.pools[job.pool].own_long += u32::from(job.long);
+        job.runs.push(Run {
+            target: key,
+            first_token_at: None,
+            sampled_at: now,
+            sampled_tokens: 0,
+        });
+        if !job.facts.idempotent || job.hedged || job.facts.priority == Priority::Batch {
+            return;
+        }
+        let expected = (job.work - job.output).max(0.0) / target.real_slot_rate();
+        let late = (expected * self.cfg.hedge_factor).max(self.cfg.hedge_min_s);
+        let at = now.plus_secs(late);
+        self.alarms.push(Reverse(Alarm {
+            at,
+            kind: AlarmKind::FirstToken,
+            ticket,
+        }));
+    }
+
+    /// Returns what a pool can do now; if none of its members works, what they could do.
+    pub(super) fn capacity(&self, now: Time, pool: PoolKey) -> Capacity {
+        self.pools[pool].capacity(now, &self.targets, &self.cfg)
+    }
+
+    /// Returns the weight of the account that pays, if it is known.
+    pub(super) fn weight(&self, facts: &RequestFacts) -> Option<f64> {
+        let account = self.accounts.get(facts.account)?;
+        Some(f64::from(account.weight.max(1)))
+    }
+
+    /// Estimates a request's work and latest start.
+    fn estimate(&mut self, now: Time, facts: RequestFacts, key: PoolKey, c: Capacity) -> Job {
+        let pool = &mut self.pools[key];
+        let output = pool.expected_output(&facts);
+        let prompt = pool.prompt_work(&facts);
+        let work = output + prompt;
+        let slot_rate = (c.rate / c.slots.max(1.0)).max(1e-3);
+        let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
+        let done = facts.deadline.plus_secs(-work / slot_rate);
+        let long = pool.judge_length(work, &self.cfg);
+        if facts.priority == Priority::Interactive {
+            pool.reserve.offered(now, work / slot_rate, &self.cfg);
+        }
+        Job {
+            facts,
+            pool: key,
+            work,
+            output,
+            start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
+            offered_at: now,
+            long,
+            hedged: false,
+            runs: SmallVec::new(),
+        }
+    }
+
+    /// Refuses a job that cannot be done in time.
+    fn admit(
+        &mut self,
+        now: Time,
+        job: &Job,
+        weight: f64,
+        capacity: Capacity,
+    ) -> Option<(Ticket, Decision)> {
+        let pool = &mut self.pools[job.pool];
+        let drain = pool.drain(now, capacity, self.routers);
+        let ask = Ask {
+            facts: &job.facts,
+            weight,
+            work: job.work,
+            start_by: job.start_by,
+            drain,
+            free_now: f64::from(capacity.own) < capacity.slots / self.routers,
+        };
+        let reason = admission::refuse(now, ask, &mut pool.lanes, &self.cfg)?;
+        let back = admission::come_back(now, ask, &mut pool.lanes, &self.cfg);
+        Some(refused(reason, back))
+    }
+
+    /// Gives up the least valuable work while the queue is too long.
+    fn shed(&mut self, now: Time, pool_key: PoolKey, capacity: Capacity) {
+        if !self.cfg.parts.shedding {
+            return;
+        }
+        let drain = self.pools[pool_key].drain(now, capacity, self.routers);
+        while self.pools[pool_key].lanes.work > drain * self.cfg.queue_limit_s {
+            let Some(least) = self.pools[pool_key].lanes.least_valuable() else {
+                return;
+            };
+            self.give_up(now, least.ticket, Refusal::Shed);
+            self.pools[pool_key].lanes.take(&least);
+        }
+    }
+
+    /// Returns whether long work has all the slots it may have.
+    fn long_is_full(&self, pool: PoolKey, capacity: Capacity) -> bool {
+        if !self.cfg.parts.long_limit {
+            return false;
+        }
+        let share = capacity.slots / self.routers * self.cfg.long_share;
+        f64::from(self.pools[pool].own_long) >= share.max(1.0)
+    }
+
+    /// Returns when the first avoided member of a pool gets work again.
+    fn reentry(&self, pool: PoolKey) -> Time {
+        let members = self.pools[pool]
+            .members
+            .iter()
+            .filter_map(|&k| self.targets.get(k));
+        let open = members.filter(|t| t.open());
+        open.map(|t| t.health.avoided_until())
+            .min()
+            .unwrap_or_default()
+    }
+}
+
+/// Blocks a class and all below it: what finds no room for urgent work finds none for the rest.
+fn block(blocked: &mut Blocked, priority: Priority) {
+    for class in &mut blocked.classes[priority.index()..] {
+        *class = true;
+    }
+}
+
+/// Returns a refusal with a void ticket.
+fn refused(reason: Refusal, come_back: Time) -> (Ticket, Decision) {
+    (Ticket::null(), Decision::Refuse { reason, come_back })
+}
--- /dev/null
+++ b/wisteriapass_policy/src/target.rs
@@ -0,0 +1,132 @@
+//! One target as the scheduler sees it.
+
+use std::hash::Hasher;
+
+use smallvec::SmallVec;
+use twox_hash::XxHash64;
+
+use crate::affinity::CacheHints;
+use crate::health::Health;
+use crate::load_view::LoadView;
+use crate::names::Names;
+use crate::{Held, Nearness, PolicyConfig, TargetFacts, TargetRole, Time, Wants};
+
+/// One target as the scheduler sees it.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) facts: TargetFacts,
+    held: SmallVec<[Wants; 4]>,
+    pub(crate) name_hash: u64,
+    pub(crate) load: LoadView,
+    pub(crate) health: Health,
+    pub(crate) cache: CacheHints,
+}
+
+impl Target {
+    /// Creates a target of which only the facts are known.
+    pub(crate) fn new(facts: TargetFacts, held: SmallVec<[Wants; 4]>, cfg: &PolicyConfig) -> Self {
+        let mut hasher = XxHash64::with_seed(0);
+        hasher.write(facts.name.as_bytes());
+        Self {
+            name_hash: hasher.finish(),
+            load: LoadView::default(),
+            health: Health::new(cfg),
+            cache: CacheHints::default(),
+            held,
+            facts,
+        }
+    }
+
+    /// Replaces the facts.
+    pub(crate) fn set_facts(&mut self, facts: TargetFacts, held: SmallVec<[Wants; 4]>) {
+        self.facts = facts;
+        self.held = held;
+    }
+
+    /// Returns what a target holds, by name keys: each model bare and with each adapter.
+    pub(crate) fn intern_held(facts: &TargetFacts, names: &mut Names) -> SmallVec<[Wants; 4]> {
+        let mut held = SmallVec::new();
+        for h in &facts.holds {
+            match h {
+                Held::Service { name } => held.push(Wants::Service {
+                    service: names.intern(name),
+                }),
+                Held::Model {
+                    name,
+                    version,
+                    adapters,
+                } => {
+                    let model = names.intern(name);
+                    let version = Some(names.intern(version));
+                    held.push(Wants::Model {
+                        model,
+                        version,
+                        adapter: None,
+                    });
+                    for adapter in adapters {
+                        let adapter = Some(names.intern(adapter));
+                        held.push(Wants::Model {
+                            model,
+                            version,
+                            adapter,
+                        });
+                    }
+                }
+            }
+        }
+        held
+    }
+
+    /// Returns whether it holds what is wanted; no version means any.
+    pub(crate) fn holds(&self, wants: Wants) -> bool {
+        self.held.iter().any(|&h| match (h, wants) {
+            (
+                Wants::Model {
+                    model,
+                    version,
+                    adapter,
+                },
+                Wants::Model {
+                    model: m,
+                    version: v,
+                    adapter: a,
+                },
+            ) => model == m && adapter == a && (v.is_none() || v == version),
+            _ => h == wants,
+        })
+    }
+
+    /// Returns whether it may take new requests.
+    pub(crate) fn open(&self) -> bool {
+        !self.facts.leaving && self.facts.role == TargetRole::General && self.facts.slots > 0
+    }
+
+    /// Returns its slots.
+    pub(crate) fn slots(&self) -> f64 {
+        f64::from(self.facts.slots)
+    }
+
+    /// Returns what one slot does nominally, in tokens a second.
+    pub(crate) fn slot_rate(&self) -> f64 {
+        f64::from(self.facts.tokens_per_s.max(1)) / self.slots().max(1.0)
+    }
+
+    /// Returns what one slot does by experience, in tokens a second.
+    pub(crate) fn real_slot_rate(&self) -> f64 {
+        self.slot_rate() * self.health.speed.clamp(0.01, 1.5)
+    }
+
+    /// Returns whether it counts as part of its pools' capacity now.
+    pub(crate) fn works(&self, now: Time, cfg: &PolicyConfig) -> bool {
+        self.open() && (!cfg.parts.health || self.health.limit(now) > 1)
+    }
+
+    /// Returns the load that its distance is worth, as a share of its slots.
+    pub(crate) fn distance(&self, cfg: &PolicyConfig) -> f64 {
+        match self.facts.nearness {
+            Nearness::SameDomain => 0.0,
+            Nearness::SameRegion => cfg.other_domain_load,
+            Nearness::OtherRegion => cfg.other_region_load,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_policy/src/try_budget.rs
@@ -0,0 +1,39 @@
+//! Budget of second tries (retries and hedges), earned by first tries.
+//!
+//! Answers a failing or slow target under load. Without it every failure becomes one more request,
+//! the extra requests overload the targets that are left and fail in turn (`loads --pattern silent
+//! --without try_budget`). A share of first tries bounds the extra work to that share at any rate;
+//! the burst lets a single target's runs move at once when it fails.
+
+/// Second tries that may be made now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TryBudget {
+    share: f64,
+    burst: f64,
+    credit: f64,
+}
+
+impl TryBudget {
+    /// Creates a full budget: `share` of first tries, at most `burst` at once.
+    pub(crate) fn new(share: f64, burst: f64) -> Self {
+        Self {
+            share,
+            burst,
+            credit: burst,
+        }
+    }
+
+    /// Counts a first try.
+    pub(crate) fn earn(&mut self) {
+        self.credit = (self.credit + self.share).min(self.burst);
+    }
+
+    /// Takes one second try out; returns whether there was one.
+    pub(crate) fn take(&mut self) -> bool {
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+}
