--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -47,6 +47,8 @@
     Log(LogError),
     Metrics(MetricsError),
     Kernel(KernelError),
+    #[display("settings: target: is missing for role \"side\"; give the address of the target")]
+    NoTarget,
     #[display("cannot listen or handle signals ({_0}); check the addresses in the settings")]
     Io(std::io::Error),
 }
@@ -118,8 +120,7 @@
     incarnation: &str,
 ) -> Result<()> {
     let Some(target) = settings.target else {
-        let cause = "is missing for role \"side\"";
-        return Err(ConfigError::invalid("settings", "target", cause, "give it").into());
+        return Err(StartError::NoTarget);
     };
     kernel.register(Runs::new());
     kernel.register(SideIdentity {
