HttpStore: a connection closed without answer is an unknown outcome

Cause: minreq 3.0 answers Ok with status 503, reason "Server did not provide a status line" and no headers when the connection closes before a status line. HttpStore took this for the service's own 503, that is for a call surely without effect, so a write whose answer was lost looked as if it never happened. An answer without any header is now an unknown outcome; also a cut status line, which minreq reports with a made-up status.

Calls ask for "connection: close", since tiny_http ends a connection only for clients that do, and each call uses a fresh connection anyway.

--- a/wisteriapass_coord/src/store/http.rs
+++ b/wisteriapass_coord/src/store/http.rs
@@ -49,10 +49,17 @@
             cause: e.to_string(),
         })?;
         let answer = minreq::post(format!("http://{}/v1/{path}", self.address))
+            .with_header("connection", "close")
             .with_body(body)
             .with_timeout_ms(timeout)
             .send()
             .map_err(lost)?;
+        if answer.headers.is_empty() {
+            // minreq makes up a 503 when the connection closes before a status line.
+            return Err(StoreError::Unknown {
+                cause: answer.reason_phrase,
+            });
+        }
         match answer.status_code {
             200 => serde_json::from_slice(answer.as_bytes()).map_err(|e| StoreError::Unknown {
                 cause: e.to_string(),
