Stand-ins for platform, engine and plain service

The platform speaks the key-value service's wire over a MemoryStore, counts each call, and fails by switch: refusing, closing, silent, slow, losing answers of writes that took effect. The engine batches continuously, streams each token by itself, resumes and cancels, and keeps every execution it started as ground truth. The plain service keeps calls and effects.

Weighed: Response of tiny_http buffers chunked answers, so streams are written through Request::into_writer with a flush an event. tiny_http sets no TCP_NODELAY; the listener carries it and accepted connections inherit it. A connection can be closed without an answer only for clients that send "connection: close". The test for unbuffered streaming reads the first token of an engine whose second one never comes, and only then cancels the request: it holds by order of events, not by time.

--- /dev/null
+++ b/wisteriapass_bench/src/commands.rs
@@ -0,0 +1,52 @@
+//! Commands of the tool.
+
+mod standins;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use standins::{EngineOptions, PlatformOptions, ServiceOptions};
+
+/// Command line of the tool.
+#[derive(Debug, Options)]
+pub struct Cli {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a stand-in for the platform")]
+    Platform(PlatformOptions),
+    #[options(help = "run a stand-in for a model engine")]
+    Engine(EngineOptions),
+    #[options(help = "run a stand-in for a plain service")]
+    Service(ServiceOptions),
+}
+
+impl Cli {
+    /// Runs the command and returns the process's exit code.
+    pub fn run(self) -> ExitCode {
+        let done = match self.command {
+            Some(Command::Platform(options)) => options.run(),
+            Some(Command::Engine(options)) => options.run(),
+            Some(Command::Service(options)) => options.run(),
+            None => {
+                eprintln!("name a command\n\n{}", Cli::usage());
+                eprintln!("\n{}", Command::usage());
+                return ExitCode::from(2);
+            }
+        };
+        match done {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
+
+pub mod standin;
--- a/wisteriapass_bench/src/main.rs
+++ b/wisteriapass_bench/src/main.rs
@@ -1,3 +1,11 @@
-//! Placeholder.
+//! Stand-ins, load and experiments for wisteriapass.
 
-fn main() {}
+mod commands;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+fn main() -> ExitCode {
+    commands::Cli::parse_args_default_or_exit().run()
+}
--- /dev/null
+++ b/wisteriapass_bench/src/standin.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for the platform and the targets, in this process or as processes of their own.
+
+mod clock;
+pub mod engine;
+mod faults;
+mod http;
+pub mod platform;
+pub mod service;
+
+pub use clock::unix_ms;
+pub use engine::{Engine, EngineSettings, expected_answer};
+pub use faults::{Silence, TargetFaults};
+pub use platform::{Outage, Platform, PlatformFaults, PlatformSettings};
+pub use service::{Service, ServiceSettings};
--- /dev/null
+++ b/wisteriapass_bench/tests/engine.rs
@@ -0,0 +1,366 @@
+//! The engine's stand-in: streamed answers, resume, cancel, orders and faults.
+
+use std::io::{BufRead, BufReader, Lines};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use wisteriapass_bench::standin::{
+    Engine, EngineSettings, Platform, PlatformSettings, Silence, TargetFaults, expected_answer,
+};
+
+const MODEL: &str = "m";
+const NEVER: Duration = Duration::from_secs(3_600);
+
+fn fast() -> EngineSettings {
+    EngineSettings {
+        first_token: Duration::ZERO,
+        token: Duration::ZERO,
+        load_lag_ms: 0,
+        event_lag_ms: 0,
+        ..EngineSettings::default()
+    }
+}
+
+/// An engine whose second token never comes by itself.
+fn stalled() -> EngineSettings {
+    EngineSettings {
+        token: NEVER,
+        ..fast()
+    }
+}
+
+fn post(engine: &Engine, path: &str, id: &str, body: &Value) -> minreq::Request {
+    minreq::post(format!("http://{}{path}", engine.addr()))
+        .with_header("connection", "close")
+        .with_header("x-request-id", id)
+        .with_timeout(2)
+        .with_body(body.to_string())
+}
+
+fn call(engine: &Engine, path: &str, body: &Value) -> Value {
+    let answer = post(engine, path, "", body).send().unwrap();
+    serde_json::from_slice(answer.as_bytes()).unwrap()
+}
+
+fn get(engine: &Engine, path: &str) -> Value {
+    let req = minreq::get(format!("http://{}{path}", engine.addr()));
+    let answer = req.with_header("connection", "close").send().unwrap();
+    serde_json::from_slice(answer.as_bytes()).unwrap()
+}
+
+fn chat(prompt: &str, stream: bool) -> Value {
+    json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": 100,
+        "stream": stream,
+    })
+}
+
+/// Events of a streamed answer as they arrive.
+struct Events(Lines<BufReader<minreq::ResponseLazy>>);
+
+impl Events {
+    fn of(req: minreq::Request) -> Self {
+        Self(BufReader::new(req.send_lazy().unwrap()).lines())
+    }
+
+    fn next_data(&mut self) -> Option<String> {
+        loop {
+            let line = self.0.next()?.ok()?;
+            if let Some(data) = line.strip_prefix("data: ") {
+                return Some(data.to_owned());
+            }
+        }
+    }
+
+    fn next_json(&mut self) -> Option<Value> {
+        serde_json::from_str(&self.next_data()?).ok()
+    }
+}
+
+fn content(event: &Value) -> Option<String> {
+    Some(event["choices"][0]["delta"]["content"].as_str()?.to_owned())
+}
+
+/// Returns the tokens up to the event without one, and that event.
+fn tokens(events: &mut Events) -> (Vec<String>, Option<Value>) {
+    let mut tokens = Vec::new();
+    while let Some(event) = events.next_json() {
+        match content(&event) {
+            Some(token) => tokens.push(token),
+            None => return (tokens, Some(event)),
+        }
+    }
+    (tokens, None)
+}
+
+fn ran_ids(engine: &Engine) -> Vec<String> {
+    engine.ran().into_iter().map(|r| r.request_id).collect()
+}
+
+#[test]
+fn a_streamed_answer_is_the_expected_one_with_its_use() {
+    let engine = Engine::start(fast()).unwrap();
+    let req = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("hello tokens=7", true),
+    );
+    let mut events = Events::of(req);
+    let (tokens, last) = tokens(&mut events);
+    assert_eq!(tokens, expected_answer(MODEL, "hello tokens=7", 100));
+    let last = last.unwrap();
+    assert_eq!(last["choices"][0]["finish_reason"], "stop");
+    assert_eq!(last["id"], "r-1");
+    let usage = events.next_json().unwrap()["usage"].clone();
+    let expected = json!({"prompt_tokens": 4, "completion_tokens": 7, "total_tokens": 11});
+    assert_eq!(usage, expected);
+    assert_eq!(events.next_data().unwrap(), "[DONE]");
+    assert_eq!(events.next_data(), None);
+    assert_eq!(engine.ran()[0].tokens, 7);
+}
+
+#[test]
+fn a_limit_cuts_the_answer() {
+    let engine = Engine::start(fast()).unwrap();
+    let mut body = chat("tokens=7", false);
+    body["max_tokens"] = json!(3);
+    let answer = call(&engine, "/v1/chat/completions", &body);
+    let whole = expected_answer(MODEL, "tokens=7", 3).concat();
+    assert_eq!(answer["choices"][0]["message"]["content"], whole);
+    assert_eq!(answer["choices"][0]["finish_reason"], "length");
+    assert_eq!(answer["usage"]["completion_tokens"], 3);
+}
+
+#[test]
+fn the_first_token_leaves_before_the_second_exists() {
+    let engine = Engine::start(stalled()).unwrap();
+    let req = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("tokens=7", true),
+    );
+    let mut events = Events::of(req);
+    assert!(content(&events.next_json().unwrap()).is_some());
+    let cancelled = call(&engine, "/v1/cancel", &json!({"request_id": "r-1"}));
+    assert_eq!(cancelled, json!({"cancelled": true, "ran": true}));
+    let last = events.next_json().unwrap();
+    assert_eq!(last["choices"][0]["finish_reason"], "cancelled");
+    assert_eq!(events.next_json().unwrap()["usage"]["completion_tokens"], 1);
+}
+
+#[test]
+fn a_queued_request_is_withdrawn_without_having_run() {
+    let engine = Engine::start(EngineSettings {
+        slots: 1,
+        ..stalled()
+    })
+    .unwrap();
+    let first = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("a tokens=7", true),
+    );
+    let mut first = Events::of(first);
+    first.next_json().unwrap();
+    let second = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-2",
+        &chat("b tokens=7", true),
+    );
+    let _second = second.send_lazy().unwrap();
+    let load = get(&engine, "/load");
+    assert_eq!((&load["running"], &load["queued"]), (&json!(1), &json!(1)));
+    let cancelled = call(&engine, "/v1/cancel", &json!({"request_id": "r-2"}));
+    assert_eq!(cancelled, json!({"cancelled": true, "ran": false}));
+    assert_eq!(ran_ids(&engine), ["r-1"]);
+}
+
+#[test]
+fn urgent_requests_get_a_slot_first() {
+    let engine = Engine::start(EngineSettings {
+        slots: 1,
+        ..stalled()
+    })
+    .unwrap();
+    let holder = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-0",
+        &chat("a tokens=7", true),
+    );
+    let mut holder = Events::of(holder);
+    holder.next_json().unwrap();
+    let mut open = Vec::new();
+    for (id, priority) in [("r-1", "batch"), ("r-2", "interactive")] {
+        let req = post(&engine, "/v1/chat/completions", id, &chat(id, true));
+        open.push(req.with_header("x-priority", priority).send_lazy().unwrap());
+    }
+    call(&engine, "/v1/cancel", &json!({"request_id": "r-0"}));
+    while engine.ran().len() < 2 {
+        std::thread::yield_now();
+    }
+    assert_eq!(ran_ids(&engine)[1], "r-2");
+}
+
+#[test]
+fn an_answer_resumes_on_a_fresh_connection_after_it_went_silent() {
+    let engine = Engine::start(fast()).unwrap();
+    engine.set_faults(TargetFaults {
+        silent_after: Some(2),
+        ..TargetFaults::default()
+    });
+    let req = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("tokens=5", true),
+    );
+    let (first, end) = tokens(&mut Events::of(req));
+    assert_eq!((first.len(), end), (2, None));
+    engine.set_faults(TargetFaults::default());
+    let body = json!({"request_id": "r-1", "from": 2});
+    let (rest, end) = tokens(&mut Events::of(post(&engine, "/v1/resume", "", &body)));
+    assert!(end.is_some());
+    assert_eq!(
+        [first, rest].concat(),
+        expected_answer(MODEL, "tokens=5", 100)
+    );
+    assert_eq!(ran_ids(&engine), ["r-1"]);
+}
+
+#[test]
+fn a_crossed_answer_carries_a_foreign_id_once() {
+    let engine = Engine::start(fast()).unwrap();
+    engine.set_faults(TargetFaults {
+        crossed: 1,
+        ..TargetFaults::default()
+    });
+    let body = chat("mine", false);
+    let ask = || {
+        let answer = post(&engine, "/v1/chat/completions", "r-1", &body)
+            .send()
+            .unwrap();
+        serde_json::from_slice::<Value>(answer.as_bytes()).unwrap()
+    };
+    let mine = expected_answer(MODEL, "mine", 100).concat();
+    let crossed = ask();
+    assert_ne!(crossed["id"], "r-1");
+    assert_ne!(crossed["choices"][0]["message"]["content"], mine);
+    assert_eq!(ask()["choices"][0]["message"]["content"], mine);
+}
+
+#[test]
+fn errors_do_not_run_and_resets_do() {
+    let engine = Engine::start(fast()).unwrap();
+    engine.set_faults(TargetFaults {
+        errors: 1,
+        resets: 1,
+        ..TargetFaults::default()
+    });
+    let ask = |id| post(&engine, "/v1/chat/completions", id, &chat("x", true)).send();
+    assert_eq!(ask("r-1").unwrap().status_code, 500);
+    assert!(engine.ran().is_empty());
+    assert!(ask("r-2").unwrap().headers.is_empty(), "no answer came");
+    assert_eq!(ask("r-3").unwrap().status_code, 200);
+    assert_eq!(ran_ids(&engine), ["r-2", "r-3"]);
+}
+
+#[test]
+fn silence_comes_before_or_after_the_run() {
+    let engine = Engine::start(fast()).unwrap();
+    for (id, silence) in [("r-1", Silence::BeforeRun), ("r-2", Silence::AfterStart)] {
+        engine.set_faults(TargetFaults {
+            silence,
+            ..TargetFaults::default()
+        });
+        let ask = post(&engine, "/v1/chat/completions", id, &chat("x", true));
+        ask.send().unwrap_err();
+    }
+    assert_eq!(ran_ids(&engine), ["r-2"]);
+}
+
+#[test]
+fn a_late_answer_begins_after_its_run_ended() {
+    let engine = Engine::start(EngineSettings {
+        token: Duration::from_millis(5),
+        ..fast()
+    })
+    .unwrap();
+    engine.set_faults(TargetFaults {
+        late_ms: 1,
+        ..TargetFaults::default()
+    });
+    let req = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("tokens=9", true),
+    );
+    let mut events = Events::of(req);
+    events.next_json().unwrap();
+    assert!(engine.ran()[0].finished.is_some());
+}
+
+#[test]
+fn an_old_fencing_token_is_refused_only_where_it_is_checked() {
+    for checks_fencing in [true, false] {
+        let engine = Engine::start(EngineSettings {
+            checks_fencing,
+            ..fast()
+        })
+        .unwrap();
+        let role = |fencing| json!({"order": "role", "role": "decode", "fencing": fencing});
+        assert_eq!(call(&engine, "/orders", &role(5))["accepted"], true);
+        let old = call(&engine, "/orders", &role(4));
+        assert_eq!(old["accepted"], !checks_fencing);
+        assert_eq!(engine.orders().len(), 2);
+    }
+}
+
+#[test]
+fn an_ordered_model_is_served_once_its_weights_came() {
+    let platform = Platform::start(&PlatformSettings::default()).unwrap();
+    let engine = Engine::start(EngineSettings {
+        models: vec!["other".into()],
+        weights: Some(platform.addr()),
+        ..fast()
+    })
+    .unwrap();
+    let ask = || post(&engine, "/v1/chat/completions", "r-1", &chat("x", false)).send();
+    assert_eq!(ask().unwrap().status_code, 404);
+    let order = json!({"order": "load", "model": MODEL, "fencing": 1});
+    assert_eq!(call(&engine, "/orders", &order)["accepted"], true);
+    while ask().unwrap().status_code == 404 {
+        std::thread::yield_now();
+    }
+    assert_eq!(get(&engine, "/models"), json!([MODEL, "other"]));
+}
+
+#[test]
+fn cache_events_have_gaps() {
+    let engine = Engine::start(EngineSettings {
+        event_gap: 3,
+        ..fast()
+    })
+    .unwrap();
+    let prompt = "x".repeat(256 * 5);
+    call(&engine, "/v1/chat/completions", &chat(&prompt, false));
+    let seqs: Vec<Value> = get(&engine, "/events").as_array().unwrap().clone();
+    let seqs: Vec<u64> = seqs.iter().filter_map(|e| e["seq"].as_u64()).collect();
+    assert_eq!(seqs, [1, 2, 4, 5]);
+    assert_eq!(get(&engine, "/events?after=4").as_array().unwrap().len(), 1);
+}
+
+#[test]
+fn malformed_requests_are_refused_without_a_run() {
+    let engine = Engine::start(fast()).unwrap();
+    let ask = post(&engine, "/v1/chat/completions", "r-1", &json!({"model": 1}));
+    assert_eq!(ask.send().unwrap().status_code, 400);
+    assert!(engine.ran().is_empty());
+}
--- /dev/null
+++ b/wisteriapass_bench/tests/service.rs
@@ -0,0 +1,73 @@
+//! The plain service's stand-in: echo, effects and faults.
+
+use wisteriapass_bench::standin::service::body_digest;
+use wisteriapass_bench::standin::{Service, ServiceSettings, Silence, TargetFaults};
+
+fn put(service: &Service, id: &str, body: &str) -> Result<minreq::Response, minreq::Error> {
+    minreq::put(format!("http://{}/pages/7", service.addr()))
+        .with_header("connection", "close")
+        .with_header("x-request-id", id)
+        .with_timeout(2)
+        .with_body(body)
+        .send()
+}
+
+#[test]
+fn a_write_is_echoed_and_has_one_effect() {
+    let service = Service::start(&ServiceSettings::default()).unwrap();
+    let answer = put(&service, "r-1", "text").unwrap();
+    let answer: serde_json::Value = serde_json::from_slice(answer.as_bytes()).unwrap();
+    assert_eq!(answer["method"], "PUT");
+    assert_eq!(answer["path"], "/pages/7");
+    assert_eq!(answer["body_digest"], body_digest(b"text"));
+    assert_eq!(answer["request_id"], "r-1");
+    assert_eq!(service.effects("/pages/7"), 1);
+}
+
+#[test]
+fn a_read_has_no_effect() {
+    let service = Service::start(&ServiceSettings::default()).unwrap();
+    let url = format!("http://{}/pages/7", service.addr());
+    minreq::get(url)
+        .with_header("connection", "close")
+        .send()
+        .unwrap();
+    assert_eq!(service.effects("/pages/7"), 0);
+    assert_eq!(service.ran().len(), 1);
+}
+
+#[test]
+fn faults_do_what_they_say() {
+    let service = Service::start(&ServiceSettings::default()).unwrap();
+    service.set_faults(TargetFaults {
+        errors: 1,
+        resets: 1,
+        crossed: 1,
+        ..TargetFaults::default()
+    });
+    assert_eq!(put(&service, "r-1", "").unwrap().status_code, 500);
+    let reset = put(&service, "r-2", "").unwrap();
+    assert!(reset.headers.is_empty(), "no answer came");
+    let crossed = put(&service, "r-3", "").unwrap();
+    let id = ("x-request-id".to_owned(), "crossed".to_owned());
+    assert!(crossed.headers.contains(&id));
+    let ran: Vec<String> = service.ran().into_iter().map(|r| r.request_id).collect();
+    assert_eq!(ran, ["r-2", "r-3"]);
+}
+
+#[test]
+fn silence_comes_before_after_or_within_the_answer() {
+    let service = Service::start(&ServiceSettings::default()).unwrap();
+    let silent = |silence, silent_after| {
+        service.set_faults(TargetFaults {
+            silence,
+            silent_after,
+            ..TargetFaults::default()
+        });
+        put(&service, "r", "").unwrap_err();
+        service.effects("/pages/7")
+    };
+    assert_eq!(silent(Silence::BeforeRun, None), 0);
+    assert_eq!(silent(Silence::AfterStart, None), 1);
+    assert_eq!(silent(Silence::None, Some(1)), 2);
+}
