Router: requests take their turn at the policy's scheduler

The least-outstanding placement gave no waiting, no fair shares and no refusal ahead of time. The scheduler of wisteriapass_policy decides now; the router gives it a clock, a polling thread and the feedback of each run. Second copies are off, as a request follows one run at a time. 'Not run' is said only if no attempt may have run.

--- a/wisteriapass_daemon/src/api.rs
+++ b/wisteriapass_daemon/src/api.rs
@@ -39,6 +39,12 @@
     /// More work than the targets can do by the deadline.
     #[display("overloaded")]
     Overloaded,
+    /// The account has queued what its fair share can do.
+    #[display("over_fair_share")]
+    OverFairShare,
+    /// Given up for more urgent work.
+    #[display("shed")]
+    Shed,
     /// The deadline passed before a target could start.
     #[display("deadline")]
     Deadline,
@@ -115,7 +121,7 @@
             Self::BodyTimeout => 408,
             Self::KeyReused => 409,
             Self::BodyTooLarge => 413,
-            Self::Overloaded => 429,
+            Self::Overloaded | Self::OverFairShare | Self::Shed => 429,
             Self::TargetFailed | Self::OutcomeUnknown => 502,
             Self::BudgetUnreachable
             | Self::NoTarget
@@ -143,6 +149,8 @@
             Self::Stopping => "repeat at another router",
             Self::BudgetUnreachable
             | Self::Overloaded
+            | Self::OverFairShare
+            | Self::Shed
             | Self::Deadline
             | Self::NoTarget
             | Self::NotReady
@@ -164,7 +172,12 @@
             | Self::KeyReused
             | Self::OutcomeUnknown => 0,
             Self::BodyTimeout | Self::Stopping => 100,
-            Self::Overloaded | Self::Deadline | Self::TargetFailed | Self::NotReady => 1_000,
+            Self::Overloaded
+            | Self::OverFairShare
+            | Self::Shed
+            | Self::Deadline
+            | Self::TargetFailed
+            | Self::NotReady => 1_000,
             Self::BudgetUnreachable | Self::NoTarget | Self::ClaimUnavailable => 2_000,
             Self::BudgetExhausted => 30_000,
         }
--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -3,18 +3,21 @@
 mod answer;
 mod asked;
 mod attempt;
+mod carry;
 mod config;
 mod follower;
 mod front;
 mod money;
+mod offers;
 mod openai;
 mod pipeline;
-mod placement;
+mod scheduling;
+mod turn;
 
 pub use config::InForce;
 pub use front::serve;
 pub use money::Money;
-pub use placement::Placement;
+pub use scheduling::Scheduling;
 
 use crate::kernel::Service;
 
--- a/wisteriapass_daemon/src/router/asked.rs
+++ b/wisteriapass_daemon/src/router/asked.rs
@@ -6,8 +6,8 @@
 
 use crate::http::header;
 use crate::prelude::*;
+use crate::router::offers::{offers, service_of};
 use crate::router::openai::ChatBody;
-use crate::router::placement::{offers, service_of};
 use crate::run_wire::{Blob, CallRun, ChatMessage, ChatRun, HeaderLine, RunRequest};
 
 /// Path of chat completions.
--- a/wisteriapass_daemon/src/router/attempt.rs
+++ b/wisteriapass_daemon/src/router/attempt.rs
@@ -1,12 +1,18 @@
 //! One attempt of a request at one target.
 
-use crate::api::{Ran, Refusal};
-use crate::metrics::{Metrics, Retry};
+use std::net::SocketAddr;
+
+use crate::api::Ran;
+use crate::metrics::Retry;
+use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::follower::{Follower, Lost};
-use crate::router::placement::Place;
+use crate::router::turn::Turn;
 use crate::run_wire::{Dispatch, Finish, RunBill, RunEvent};
 
+/// Pieces of an answer between two words to the scheduler.
+const PROGRESS_STEP: u32 = 8;
+
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -24,17 +30,23 @@
 
 /// Sends a dispatch and passes its answer on.
 pub fn carry_out(
-    place: &Place,
+    side: SocketAddr,
     dispatch: &Dispatch,
     answer: &mut Answer,
+    turn: &mut Turn,
     metrics: &Metrics,
 ) -> Ended {
-    let mut follower = Follower::new(place.target.side, dispatch, metrics);
+    let mut follower = Follower::new(side, dispatch, metrics);
+    let mut pieces = 0;
     loop {
         let event = match follower.next() {
             Ok(event) => event,
             Err(lost) => return ended_by_loss(lost),
         };
+        if !matches!(event, RunEvent::Refused { .. }) {
+            pieces += 1;
+            tell(turn, pieces);
+        }
         let sent = match event {
             RunEvent::Head { status, headers } => answer.head(status, &headers),
             RunEvent::Text { text } => answer.text(&text),
@@ -49,6 +61,15 @@
     }
 }
 
+/// Tells the scheduler how far the run is, not for each token.
+fn tell(turn: &mut Turn, pieces: u32) {
+    if pieces == 1 {
+        turn.first_token();
+    } else if pieces.is_multiple_of(PROGRESS_STEP) {
+        turn.progress(pieces);
+    }
+}
+
 fn ended(finish: Finish, bill: RunBill, answer: &mut Answer) -> Ended {
     match finish {
         Finish::Stop | Finish::Length => {
@@ -71,7 +92,7 @@
     match lost {
         Lost::NotSent => {
             let message = "the side process cannot be reached";
-            let refusal = Refusal::not_run(crate::api::Reason::NoTarget, message);
+            let refusal = Refusal::not_run(Reason::NoTarget, message);
             Ended::NotRun(refusal, Retry::NotSent)
         }
         Lost::Sent => Ended::Unknown(Refusal::outcome_unknown("the side process was lost")),
--- /dev/null
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -0,0 +1,177 @@
+//! One request on its way: money, turn, attempts, settlement.
+
+use wisteriapass_policy::FailureKind;
+
+use crate::api::Ran;
+use crate::metrics::Retry;
+use crate::prelude::*;
+use crate::router::answer::Answer;
+use crate::router::asked::Asked;
+use crate::router::attempt::{Ended, carry_out};
+use crate::router::pipeline::Pipeline;
+use crate::router::turn::Turn;
+use crate::run_wire::Payment;
+
+/// Attempts of one request at most.
+const MOST_ATTEMPTS: u32 = 3;
+
+/// A request being carried through.
+pub struct Carry<'a> {
+    pipeline: &'a Pipeline,
+    asked: &'a Asked,
+    run: &'a str,
+    may_have_run: bool,
+}
+
+/// What follows an attempt.
+enum Step {
+    /// The request is done.
+    Done,
+    /// Another attempt may be made; this would be the answer otherwise.
+    Again(Refusal, FailureKind),
+}
+
+impl<'a> Carry<'a> {
+    /// Creates the way of a request that was not tried yet.
+    pub fn new(pipeline: &'a Pipeline, asked: &'a Asked, run: &'a str) -> Self {
+        Self {
+            pipeline,
+            asked,
+            run,
+            may_have_run: false,
+        }
+    }
+
+    /// Carries the request through.
+    ///
+    /// # Errors
+    ///
+    /// The [`Refusal`] that is its final answer.
+    pub fn through(mut self, answer: &mut Answer) -> Result<(), Refusal> {
+        let ended = self.attempts(answer);
+        ended.map_err(|refusal| self.truthful(refusal))
+    }
+
+    /// "Not run" is said only if no attempt may have run.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            return Refusal {
+                ran: Ran::OutcomeUnknown,
+                ..refusal
+            };
+        }
+        refusal
+    }
+
+    fn attempts(&mut self, answer: &mut Answer) -> Result<(), Refusal> {
+        let mut turn = self.pipeline.offer(self.asked)?;
+        let mut last = None;
+        for attempt in 1..=MOST_ATTEMPTS {
+            match self.attempt(attempt, &mut turn, answer) {
+                Ok(Step::Done) => return Ok(()),
+                Ok(Step::Again(refusal, kind)) => {
+                    turn.failed(kind);
+                    last = Some(refusal);
+                }
+                // What an earlier attempt said tells more than that there is no further one.
+                Err(refusal) => return Err(last.unwrap_or(refusal)),
+            }
+        }
+        Err(last.unwrap_or_else(|| Refusal::not_run(Reason::NoTarget, "no target answered")))
+    }
+
+    fn attempt(
+        &mut self,
+        attempt: u32,
+        turn: &mut Turn,
+        answer: &mut Answer,
+    ) -> Result<Step, Refusal> {
+        let payment = self.pipeline.reserve(self.asked)?;
+        let placed = match turn.wait(&self.pipeline.stop) {
+            Ok(placed) => placed,
+            Err(refusal) => {
+                self.pipeline.money.release(&payment);
+                return Err(refusal);
+            }
+        };
+        let document = self.pipeline.config.document();
+        let Some(target) = document.inventory.target_named(&placed.target) else {
+            self.pipeline.money.release(&payment);
+            let refusal = Refusal::not_run(Reason::NoTarget, "the target left");
+            return Ok(Step::Again(refusal, FailureKind::Unreachable));
+        };
+        let dispatch = self
+            .pipeline
+            .dispatch(self.asked, self.run, attempt, &payment);
+        let ended = carry_out(target.side, &dispatch, answer, turn, &self.pipeline.metrics);
+        self.settle(&payment, ended, turn, answer)
+    }
+
+    fn settle(
+        &mut self,
+        payment: &Payment,
+        ended: Ended,
+        turn: &mut Turn,
+        answer: &mut Answer,
+    ) -> Result<Step, Refusal> {
+        let money = &self.pipeline.money;
+        match ended {
+            Ended::Answered(bill) => {
+                turn.finished(u32::try_from(bill.output_tokens).unwrap_or(u32::MAX));
+                money.settle(payment, &bill);
+                Ok(Step::Done)
+            }
+            Ended::CallerGone => {
+                money.keep_aside(payment);
+                Ok(Step::Done)
+            }
+            Ended::NotRun(refusal, reason) => {
+                money.release(payment);
+                self.count(reason);
+                let kind = match reason {
+                    Retry::NotSent => FailureKind::Unreachable,
+                    _ => FailureKind::Declined,
+                };
+                Ok(Step::Again(refusal, kind))
+            }
+            Ended::Failed(bill) => {
+                self.may_have_run = true;
+                money.settle(payment, &bill);
+                let message = "the target failed before the answer was whole";
+                let refusal = Refusal::not_run(Reason::TargetFailed, message);
+                self.again(
+                    refusal,
+                    FailureKind::TargetError,
+                    Retry::TargetFailed,
+                    answer,
+                )
+            }
+            Ended::Unknown(refusal) => {
+                self.may_have_run = true;
+                money.keep_aside(payment);
+                self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
+            }
+        }
+    }
+
+    /// Allows another attempt of what may have run, if it is idempotent and the caller has no part.
+    fn again(
+        &self,
+        refusal: Refusal,
+        kind: FailureKind,
+        reason: Retry,
+        answer: &mut Answer,
+    ) -> Result<Step, Refusal> {
+        if !self.asked.idempotent || answer.has_begun() {
+            return Err(refusal);
+        }
+        answer.reset();
+        self.count(reason);
+        Ok(Step::Again(refusal, kind))
+    }
+
+    fn count(&self, reason: Retry) {
+        log::info!(target: "router", "Attempt failed. run={} reason={reason}", self.run);
+        self.pipeline.metrics.retry(reason);
+    }
+}
--- a/wisteriapass_daemon/src/router/config.rs
+++ b/wisteriapass_daemon/src/router/config.rs
@@ -1,6 +1,7 @@
 //! The configuration this process has in force.
 
-use parking_lot::RwLock;
+use flume::{Receiver, Sender};
+use parking_lot::{Mutex, RwLock};
 use wisteriapass_config::Document;
 
 use crate::prelude::*;
@@ -9,6 +10,7 @@
 #[derive(Default)]
 pub struct InForce {
     document: RwLock<Arc<Document>>,
+    followers: Mutex<Vec<Sender<Arc<Document>>>>,
 }
 
 impl Service for InForce {
@@ -39,6 +41,19 @@
         }
         log::info!(target: "fleet", "Configuration in force. revision={}", document.revision);
         *current = Arc::new(document);
+        // Told under the lock, so that followers see revisions in order.
+        self.followers
+            .lock()
+            .retain(|tx| tx.send(current.clone()).is_ok());
         true
     }
+
+    /// Returns a channel of the documents that come into force from now on, after the current one.
+    pub fn follow(&self) -> Receiver<Arc<Document>> {
+        let (tx, rx) = flume::unbounded();
+        let current = self.document.read();
+        let _ = tx.send(current.clone());
+        self.followers.lock().push(tx);
+        rx
+    }
 }
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -1,28 +1,27 @@
-//! From a checked request to its final answer: money, place, attempts, settlement.
+//! The parts that carry requests to their final answers.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use smallvec::SmallVec;
+use wisteriapass_policy::{Priority, RequestFacts, Time};
 
-use crate::metrics::Retry;
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
-use crate::router::attempt::{Ended, carry_out};
-use crate::router::placement::Place;
-use crate::router::{InForce, Money, Placement, RouterIdentity};
-use crate::run_wire::{Dispatch, Payment};
-
-/// Attempts of one request at most.
-const MOST_ATTEMPTS: u32 = 3;
+use crate::router::carry::Carry;
+use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
+use crate::router::turn::Turn;
+use crate::router::{InForce, Money, RouterIdentity, Scheduling};
+use crate::run_wire::{Dispatch, Payment, RunRequest};
+use crate::stop::Stop;
 
 /// Carries requests through.
 pub struct Pipeline {
+    pub(super) config: Arc<InForce>,
+    pub(super) money: Arc<Money>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) stop: Arc<Stop>,
     router: Arc<RouterIdentity>,
-    config: Arc<InForce>,
-    money: Arc<Money>,
-    placement: Arc<Placement>,
-    metrics: Arc<Metrics>,
+    scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
 }
 
@@ -38,11 +37,12 @@
     /// [`crate::kernel::KernelError`] if a service it needs is missing.
     pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
         Ok(Self {
-            router: kernel.find()?,
             config: kernel.find()?,
             money: kernel.find()?,
-            placement: kernel.find()?,
             metrics: kernel.find()?,
+            stop: kernel.find()?,
+            router: kernel.find()?,
+            scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
         })
     }
@@ -60,103 +60,36 @@
 
     /// Carries a request through to its final answer.
     pub fn carry(&self, asked: &Asked, run: &str, answer: &mut Answer) {
-        let result = self.attempts(asked, run, answer);
-        match result {
+        match Carry::new(self, asked, run).through(answer) {
             Ok(()) => self.metrics.answer(),
             Err(refusal) => {
+                log::info!(
+                    target: "router",
+                    "Refused. run={run} reason={} ran={}",
+                    refusal.reason,
+                    refusal.ran
+                );
                 self.metrics.refusal(refusal.reason);
                 answer.refuse(&refusal);
             }
         }
     }
 
-    fn attempts(&self, asked: &Asked, run: &str, answer: &mut Answer) -> Result<(), Refusal> {
-        let mut avoid: SmallVec<[String; 4]> = SmallVec::new();
-        let mut last = Refusal::not_run(Reason::NoTarget, "no target can be reached");
-        for attempt in 1..=MOST_ATTEMPTS {
-            if Instant::now() >= asked.deadline {
-                return Err(Refusal::not_run(Reason::Deadline, "the deadline passed"));
-            }
-            let document = self.config.document();
-            let place = self.placement.choose(&document, &asked.request, &avoid);
-            let Some(place) = place else {
-                return Err(last);
-            };
-            let payment = self.reserve(asked)?;
-            let dispatch = self.dispatch(asked, run, attempt, &payment);
-            let ended = carry_out(&place, &dispatch, answer, &self.metrics);
-            match self.settle(&payment, ended, asked, answer, &place)? {
-                None => return Ok(()),
-                Some(refusal) => last = refusal,
-            }
-            avoid.push(place.target.name.clone());
-        }
-        Err(last)
-    }
-
-    /// Settles an attempt: `None` if the request is done, else why another may be made.
-    fn settle(
-        &self,
-        payment: &Payment,
-        ended: Ended,
-        asked: &Asked,
-        answer: &mut Answer,
-        place: &Place,
-    ) -> Result<Option<Refusal>, Refusal> {
-        match ended {
-            Ended::Answered(bill) => {
-                self.money.settle(payment, &bill);
-                Ok(None)
-            }
-            Ended::CallerGone => {
-                self.money.keep_aside(payment);
-                Ok(None)
-            }
-            Ended::NotRun(refusal, reason) => {
-                self.money.release(payment);
-                self.retry(reason, place);
-                Ok(Some(refusal))
-            }
-            Ended::Failed(bill) => {
-                self.money.settle(payment, &bill);
-                self.failed(asked, answer, place)
-            }
-            Ended::Unknown(refusal) => {
-                self.money.keep_aside(payment);
-                if !asked.idempotent || answer.has_begun() {
-                    return Err(refusal);
-                }
-                answer.reset();
-                self.retry(Retry::Broken, place);
-                Ok(Some(refusal))
-            }
-        }
-    }
-
-    fn failed(
-        &self,
-        asked: &Asked,
-        answer: &mut Answer,
-        place: &Place,
-    ) -> Result<Option<Refusal>, Refusal> {
-        let refusal = Refusal {
-            reason: Reason::TargetFailed,
-            ..Refusal::outcome_unknown("the target failed before the answer was whole")
-        };
-        if !asked.idempotent || answer.has_begun() {
-            return Err(refusal);
-        }
-        answer.reset();
-        self.retry(Retry::TargetFailed, place);
-        Ok(Some(refusal))
-    }
-
-    fn retry(&self, reason: Retry, place: &Place) {
-        log::info!(target: "router", "Trying again. reason={reason} target={}", place.target.name);
-        self.metrics.retry(reason);
+    /// Asks the scheduler for a turn.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if account or target have gone from the configuration.
+    pub(super) fn offer(&self, asked: &Asked) -> Result<Turn, Refusal> {
+        Ok(self.scheduling.offer(self.facts(asked)?))
     }
 
-    fn reserve(&self, asked: &Asked) -> Result<Payment, Refusal> {
+    /// Reserves the worst case of a request.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if there is not enough.
+    pub(super) fn reserve(&self, asked: &Asked) -> Result<Payment, Refusal> {
         match &asked.budget {
             Some(budget) => self.money.reserve(budget, asked.worst),
             None => Ok(Payment {
@@ -166,8 +99,15 @@
         }
     }
 
-    fn dispatch(&self, asked: &Asked, run: &str, attempt: u32, payment: &Payment) -> Dispatch {
-        let left: Duration = asked.deadline.saturating_duration_since(Instant::now());
+    /// Makes the order to run a request.
+    pub(super) fn dispatch(
+        &self,
+        asked: &Asked,
+        run: &str,
+        attempt: u32,
+        payment: &Payment,
+    ) -> Dispatch {
+        let left = asked.deadline.saturating_duration_since(Instant::now());
         Dispatch {
             run: run.into(),
             fingerprint: asked.fingerprint.clone(),
@@ -183,4 +123,42 @@
             from: 0,
         }
     }
+
+    fn facts(&self, asked: &Asked) -> Result<RequestFacts, Refusal> {
+        let gone = |what: &str| Refusal::not_run(Reason::NoTarget, format!("{what} has gone"));
+        let account = self.scheduling.with(|s, _| s.account(&asked.account));
+        let (model, service) = match &asked.request {
+            RunRequest::Chat(chat) => (Some(chat.model.as_str()), None),
+            RunRequest::Call(call) => (None, service_of(&call.path)),
+        };
+        let wants = self.scheduling.wants(model, service);
+        let (prefix, prompt_tokens, max_tokens) = match &asked.request {
+            RunRequest::Chat(chat) => {
+                let prompt = asked.worst.saturating_sub(chat.max_tokens.into());
+                (prefix_hash(&chat.messages), prompt, chat.max_tokens)
+            }
+            RunRequest::Call(_) => (None, 0, 0),
+        };
+        Ok(RequestFacts {
+            account: account.ok_or_else(|| gone("the account"))?,
+            priority: priority(asked),
+            wants: wants.ok_or_else(|| gone("the target"))?,
+            prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+            max_tokens,
+            begin_by: self.scheduling.time(asked.deadline),
+            deadline: Time::MAX,
+            idempotent: asked.idempotent,
+            prefix,
+            prefix_tokens: if prefix.is_some() { prefix_tokens() } else { 0 },
+            attempt: 0,
+        })
+    }
+}
+
+fn priority(asked: &Asked) -> Priority {
+    match asked.priority {
+        wisteriapass_config::Priority::Interactive => Priority::Interactive,
+        wisteriapass_config::Priority::Standard => Priority::Standard,
+        wisteriapass_config::Priority::Batch => Priority::Batch,
+    }
 }
--- /dev/null
+++ b/wisteriapass_daemon/src/router/turn.rs
@@ -0,0 +1,185 @@
+//! One request's turn at the scheduler: where it runs, and what becomes of it there.
+
+use flume::RecvTimeoutError;
+use wisteriapass_policy::{
+    Decision, FailureKind, Outcome, Refusal as PolicyRefusal, TargetKey, Ticket, Time,
+};
+
+use crate::prelude::*;
+use crate::router::scheduling::{Decisions, Scheduling};
+use crate::stop::Stop;
+
+/// Time between two looks at the stop flag while waiting, in milliseconds.
+const LOOK_MS: u64 = 50;
+
+/// Where a request may run now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Name of the target.
+    pub target: String,
+}
+
+/// A request's turn; dropped before its end, it is cancelled.
+pub struct Turn {
+    scheduling: Arc<Scheduling>,
+    ticket: Ticket,
+    next: Option<Decision>,
+    decisions: Decisions,
+    running: Option<TargetKey>,
+    over: bool,
+}
+
+impl Turn {
+    pub(super) fn new(
+        scheduling: Arc<Scheduling>,
+        ticket: Ticket,
+        first: Decision,
+        decisions: Decisions,
+    ) -> Self {
+        Self {
+            scheduling,
+            ticket,
+            next: Some(first),
+            decisions,
+            running: None,
+            over: false,
+        }
+    }
+
+    /// Waits until the request may run.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] as soon as the scheduler gives it up, or the router stops.
+    pub fn wait(&mut self, stop: &Stop) -> Result<Placed, Refusal> {
+        loop {
+            match self.decision(stop)? {
+                Decision::Run { target } => return self.place(target),
+                Decision::Wait { .. } => {}
+                Decision::Refuse { reason, come_back } => {
+                    self.over = true;
+                    return Err(self.refusal(reason, come_back));
+                }
+                Decision::Hedge { target } => {
+                    self.scheduling
+                        .with(|s, _| s.cancel_run(self.ticket, target));
+                }
+            }
+        }
+    }
+
+    /// Tells that the first token came.
+    pub fn first_token(&mut self) {
+        if let Some(target) = self.running {
+            self.scheduling
+                .with(|s, now| s.first_token(now, self.ticket, target));
+        }
+    }
+
+    /// Tells how many tokens came so far.
+    pub fn progress(&mut self, tokens: u32) {
+        if let Some(target) = self.running {
+            self.scheduling
+                .with(|s, now| s.progress(now, self.ticket, target, tokens));
+        }
+    }
+
+    /// Tells that the answer is whole.
+    pub fn finished(&mut self, output_tokens: u32) {
+        let Some(target) = self.running.take() else {
+            return;
+        };
+        self.over = true;
+        let outcome = Outcome { output_tokens };
+        self.scheduling
+            .with(|s, now| s.finished(now, self.ticket, target, outcome));
+    }
+
+    /// Tells that the run failed; [`Turn::wait`] then tells what becomes of the request.
+    pub fn failed(&mut self, kind: FailureKind) {
+        let Some(target) = self.running.take() else {
+            return;
+        };
+        let next = self
+            .scheduling
+            .with(|s, now| s.failed(now, self.ticket, target, kind));
+        self.next = Some(next);
+    }
+
+    fn decision(&mut self, stop: &Stop) -> Result<Decision, Refusal> {
+        if let Some(decision) = self.next.take() {
+            return Ok(decision);
+        }
+        loop {
+            match self.decisions.recv_timeout(Duration::from_millis(LOOK_MS)) {
+                Ok(decision) => return Ok(decision),
+                Err(RecvTimeoutError::Timeout) if stop.is_raised() => {
+                    return Err(Refusal::not_run(
+                        Reason::Stopping,
+                        "this router is stopping",
+                    ));
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => {
+                    return Err(Refusal::not_run(
+                        Reason::Overloaded,
+                        "the request lost its turn",
+                    ));
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, key: TargetKey) -> Result<Placed, Refusal> {
+        self.running = Some(key);
+        let name = self.scheduling.with(|s, now| {
+            s.started(now, self.ticket, key);
+            s.target_name(key).map(str::to_owned)
+        });
+        match name {
+            Some(target) => Ok(Placed { target }),
+            None => Err(Refusal::not_run(Reason::NoTarget, "the target left")),
+        }
+    }
+
+    fn refusal(&self, reason: PolicyRefusal, come_back: Time) -> Refusal {
+        let ms = self.scheduling.millis_until(come_back).max(1);
+        Refusal::not_run(reason_of(reason), message_of(reason)).with_retry_after_ms(ms)
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.scheduling.forget(self.ticket);
+        if !self.over {
+            self.scheduling.with(|s, now| s.cancel(now, self.ticket));
+        }
+    }
+}
+
+fn reason_of(refusal: PolicyRefusal) -> Reason {
+    match refusal {
+        PolicyRefusal::UnknownAccount => Reason::Unauthorized,
+        PolicyRefusal::NoTarget | PolicyRefusal::TargetsUnwell => Reason::NoTarget,
+        PolicyRefusal::DeadlineTooShort | PolicyRefusal::WaitedTooLong => Reason::Deadline,
+        PolicyRefusal::PoolBusy => Reason::Overloaded,
+        PolicyRefusal::OverFairShare => Reason::OverFairShare,
+        PolicyRefusal::Shed => Reason::Shed,
+        PolicyRefusal::NotRetryable | PolicyRefusal::RetryBudgetSpent => Reason::TargetFailed,
+    }
+}
+
+fn message_of(refusal: PolicyRefusal) -> &'static str {
+    match refusal {
+        PolicyRefusal::UnknownAccount => "the account is not in the rules any more",
+        PolicyRefusal::NoTarget => "no target that takes new work holds it",
+        PolicyRefusal::TargetsUnwell => "every target that holds it is avoided for now",
+        PolicyRefusal::DeadlineTooShort => "even an idle target could not begin by the deadline",
+        PolicyRefusal::PoolBusy => "the targets cannot do it by the deadline",
+        PolicyRefusal::OverFairShare => "the account has queued what its fair share can do",
+        PolicyRefusal::Shed => "given up for more urgent work",
+        PolicyRefusal::WaitedTooLong => "its turn did not come by the deadline",
+        PolicyRefusal::NotRetryable => "the run failed and may not be repeated",
+        PolicyRefusal::RetryBudgetSpent => "the run failed and too many runs are being repeated",
+    }
+}
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -17,7 +17,7 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{self, InForce, Money, Placement, RouterIdentity};
+use crate::router::{self, InForce, Money, RouterIdentity, Scheduling};
 use crate::rpc::{self, Caller, ControlServer, ControlServerHandle};
 use crate::side::{self, Runs, SideIdentity};
 use crate::stop::Stop;
@@ -103,7 +103,15 @@
     incarnation: &str,
 ) -> Result<()> {
     kernel.register(Money::new(incarnation));
-    kernel.register(Placement::new());
+    let scheduling = kernel.register(Scheduling::new());
+    scheduling.start()?;
+    let documents = kernel.find::<InForce>()?.follow();
+    let failure_domain = settings.failure_domain.clone();
+    spawn("targets", move || {
+        for document in documents {
+            scheduling.set_document(&document, &failure_domain, &[]);
+        }
+    })?;
     kernel.register(RouterIdentity {
         name: settings.name.clone(),
         incarnation: incarnation.into(),
@@ -113,6 +121,12 @@
     Ok(())
 }
 
+/// Starts a named thread.
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    std::thread::Builder::new().name(name.into()).spawn(work)?;
+    Ok(())
+}
+
 fn start_side(
     settings: &Settings,
     kernel: &Kernel,
