Membership: incarnations, leaving marks and their relay, subsets

Routers have to stop giving work to a target that leaves within 3 s, whoever says so first, also when that word is lost on the way to some of them, and a process that wakes from a pause must not pass for its replacement.

A member is known by name and incarnation; only newer incarnations replace. A leaving mark belongs to one incarnation, the first word wins and nothing undoes it. Marks are relayed in a digest of at most 12 (under a kilobyte), those told least first. The VM list lags: it marks the incarnation known when it first says leaving and only holds back one heard of later, which may be the replacement under the same name.

Ruled out: marks by name alone (a lagging peer would shut the replacement out), and choosing subsets from the routers' side only: of 1,900 targets some were heard by no router. Side processes choose three routers as well.

--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -1,3 +1,5 @@
 //! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
 
+pub mod membership;
+pub mod revision;
 pub mod store;
--- /dev/null
+++ b/wisteriapass_coord/src/membership.rs
@@ -0,0 +1,27 @@
+//! Who lives, where, with which incarnation and revision; pure, time is an argument.
+
+mod announcement;
+mod digest;
+mod heard;
+mod incarnation;
+mod mark;
+mod member;
+mod planned;
+mod subset;
+mod table;
+mod timeouts;
+mod transition;
+mod vm;
+
+pub use announcement::{Announcement, MemberRole};
+pub use digest::{Digest, MAX_DIGEST_MARKS};
+pub use heard::Heard;
+pub use incarnation::{Incarnation, IncarnationError};
+pub use mark::{LeavingCause, LeavingMark};
+pub use member::{Member, MemberId, MemberState};
+pub use planned::Planned;
+pub use subset::{Subset, heartbeat_period};
+pub use table::Membership;
+pub use timeouts::Timeouts;
+pub use transition::Transition;
+pub use vm::{ListedVm, VmState};
--- /dev/null
+++ b/wisteriapass_coord/src/membership/incarnation.rs
@@ -0,0 +1,85 @@
+//! Identity of one process start.
+
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use derive_more::{Display, Error};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+/// One start of a process: later starts compare greater, the random part tells equal times apart.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(into = "String", try_from = "String")]
+#[display("{started_ms:x}-{nonce:x}")]
+pub struct Incarnation {
+    started_ms: u64,
+    nonce: u32,
+}
+
+/// Why a text is not an incarnation.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("\"{text}\" is not an incarnation; write two hexadecimal numbers as in 18f0a-3c")]
+pub struct IncarnationError {
+    /// The text.
+    text: String,
+}
+
+impl Incarnation {
+    /// Creates the incarnation of a process that started at `started_ms` (Unix milliseconds).
+    pub fn new(started_ms: u64, nonce: u32) -> Self {
+        Self { started_ms, nonce }
+    }
+
+    /// Creates an incarnation for this process, now.
+    pub fn fresh() -> Self {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let started_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        Self::new(started_ms, rand::rng().random())
+    }
+
+    /// Returns an incarnation that is greater than `known`, for a process that has not served yet.
+    ///
+    /// A clock that runs behind its predecessor's would otherwise shut a new process out.
+    pub fn past(self, known: Self) -> Self {
+        if self > known {
+            return self;
+        }
+        Self::new(known.started_ms + 1, self.nonce)
+    }
+
+    /// Returns when the process started, in Unix milliseconds.
+    pub fn started_ms(self) -> u64 {
+        self.started_ms
+    }
+}
+
+impl From<Incarnation> for String {
+    fn from(incarnation: Incarnation) -> Self {
+        incarnation.to_string()
+    }
+}
+
+impl TryFrom<String> for Incarnation {
+    type Error = IncarnationError;
+
+    fn try_from(text: String) -> Result<Self, IncarnationError> {
+        text.parse()
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = IncarnationError;
+
+    fn from_str(text: &str) -> Result<Self, IncarnationError> {
+        let parsed = text.split_once('-').and_then(|(started, nonce)| {
+            let started_ms = u64::from_str_radix(started, 16).ok()?;
+            let nonce = u32::from_str_radix(nonce, 16).ok()?;
+            Some(Self::new(started_ms, nonce))
+        });
+        parsed.ok_or_else(|| IncarnationError { text: text.into() })
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/src/revision.rs
@@ -0,0 +1,5 @@
+//! The configuration in force: one document whose revision only grows.
+
+mod number;
+
+pub use number::ConfigRevision;
