Orders to targets under fencing tokens, and the weight store's rate

A holder that paused past its lease must not have an old order carried out, on targets that check fencing tokens and on those that do not.

The order and its token are one record of the service, written by compare-and-swap from the token that the holder has seen. The side process reads it after the order arrived and carries out what the record says; a permit ends after 2 s, so that a pause between proof and order means another read. Without the service an order is refused, as nothing proves it is the latest.

Ruled out: trusting the highest token in memory. A gate that restarted, or one that the newer order did not reach yet, would let the old one through. Reading each time costs one call an order, and orders are few.

The weight store's limit is a time in one record at which it is free again.

--- /dev/null
+++ b/wisteriapass_coord/src/order.rs
@@ -0,0 +1,13 @@
+//! Orders to targets under fencing tokens, and the fleet's share of the weight store.
+
+mod bucket;
+mod error;
+mod gate;
+mod issue;
+mod record;
+
+pub use bucket::{BUCKET_KEY, Start, WeightBucket};
+pub use error::{OrderError, Result};
+pub use gate::{Gate, PROOF_TERM, Permit, Refusal};
+pub use issue::{Issued, issue, order_key, read_order};
+pub use record::{FencingToken, Order, OrderRecord};
