--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -1,6 +1,10 @@
 //! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
 
+pub mod budget;
 pub mod membership;
 pub mod order;
 pub mod revision;
 pub mod store;
+mod time;
+
+pub use time::Millis;
