Links: loopback forwarders with faults between any two processes

A silent cut holds bytes back until it heals, as TCP would send them again; a discarding link would have corrupted streams after a short partition.

All processes of a test share 127.0.0.1, and a target's one address in the inventory serves every router, so a link alone cannot cut one pair. Weighed: a configuration per process (the revision is fleet-wide, so no), a loopback address per process (outgoing connections would all have to bind to it). Taken: the link looks up who holds the other end in /proc/net/tcp and /proc/<pid>/fd, only where a rule names a caller.

--- /dev/null
+++ b/wisteriapass_bench/src/link/callers.rs
@@ -0,0 +1,84 @@
+//! Finds out which process made a connection on this machine.
+//!
+//! All processes of a test share one address, so the kernel's tables tell them apart: the
+//! connection's socket in `/proc/net/tcp`, and who holds that socket in `/proc/<pid>/fd`.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use super::CALLERS;
+
+/// Column of `/proc/net/tcp` with the local address.
+const LOCAL: usize = 1;
+
+/// Column of `/proc/net/tcp` with the remote address.
+const REMOTE: usize = 2;
+
+/// Column of `/proc/net/tcp` with the socket's inode.
+const INODE: usize = 9;
+
+/// Names of processes by their ids, shared by all links of a test.
+#[derive(Clone, Default)]
+pub struct Callers {
+    names: Arc<Mutex<BTreeMap<u32, String>>>,
+}
+
+impl Callers {
+    /// Names a process.
+    pub fn insert(&self, pid: u32, name: &str) {
+        self.names.lock().insert(pid, name.to_owned());
+    }
+
+    /// Forgets a process that has ended.
+    pub fn remove(&self, pid: u32) {
+        self.names.lock().remove(&pid);
+    }
+
+    /// Returns the name of the process that connected from `peer` to `link`; [`CALLERS`] if it
+    /// has none.
+    pub fn name_of(&self, peer: SocketAddr, link: SocketAddr) -> String {
+        let Some(inode) = inode_of(peer, link) else {
+            return CALLERS.into();
+        };
+        let socket = format!("socket:[{inode}]");
+        let names = self.names.lock().clone();
+        names
+            .into_iter()
+            .find(|(pid, _)| holds(*pid, &socket))
+            .map_or_else(|| CALLERS.into(), |(_, name)| name)
+    }
+}
+
+/// Returns the inode of the socket at `local` that is connected to `remote`.
+fn inode_of(local: SocketAddr, remote: SocketAddr) -> Option<String> {
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let (local, remote) = (table_form(local)?, table_form(remote)?);
+    table.lines().find_map(|line| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let is_it = columns.get(LOCAL)? == &local && columns.get(REMOTE)? == &remote;
+        is_it.then(|| columns.get(INODE).map(|inode| (*inode).to_owned()))?
+    })
+}
+
+/// Returns an address the way the kernel's table writes it.
+fn table_form(addr: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(addr) = addr else {
+        return None;
+    };
+    let ip = u32::from_le_bytes(addr.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", addr.port()))
+}
+
+/// Returns whether a process holds a socket.
+fn holds(pid: u32, socket: &str) -> bool {
+    let Ok(files) = fs::read_dir(format!("/proc/{pid}/fd")) else {
+        return false;
+    };
+    files
+        .filter_map(|file| fs::read_link(file.ok()?.path()).ok())
+        .any(|target| target.as_os_str() == socket)
+}
--- /dev/null
+++ b/wisteriapass_bench/src/link/faults.rs
@@ -0,0 +1,72 @@
+//! Fault switches of a link.
+
+/// Way that bytes take over a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From who connected to who accepted.
+    ToServer,
+    /// From who accepted to who connected.
+    ToClient,
+}
+
+/// Whether a link is cut.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Cut {
+    /// It is not.
+    #[default]
+    None,
+    /// No byte passes; what waits passes after the link has healed, as TCP would send it again.
+    Silent,
+    /// Open connections are closed, and new ones are closed at once.
+    Closed,
+}
+
+/// Faults of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkFaults {
+    /// Whether it is cut both ways.
+    pub cut: Cut,
+    /// Direction in which no byte passes, while the other works.
+    pub drops: Option<Direction>,
+    /// Time by which each piece comes later, in milliseconds.
+    pub delay_ms: u64,
+}
+
+impl LinkFaults {
+    /// Creates a cut without a sign of it at either end.
+    pub fn silent() -> Self {
+        Self {
+            cut: Cut::Silent,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a cut that closes connections.
+    pub fn closed() -> Self {
+        Self {
+            cut: Cut::Closed,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a cut of one direction.
+    pub fn one_way(drops: Direction) -> Self {
+        Self {
+            drops: Some(drops),
+            ..Self::default()
+        }
+    }
+
+    /// Creates a delay, in milliseconds.
+    pub fn delayed(delay_ms: u64) -> Self {
+        Self {
+            delay_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether bytes pass in this direction.
+    pub(super) fn passes(&self, to: Direction) -> bool {
+        self.cut == Cut::None && self.drops != Some(to)
+    }
+}
