Daemon: pass the caller's other chat fields on, frame answers by method and version

Fields such as the temperature were dropped silently; several answers a request (n, best_of) would have cost a multiple of the reservation and are refused. Answers to HEAD, 204 and 304 carried a chunked body, and HTTP/1.0 callers were sent chunks. limits.requests was not applied.

--- a/wisteriapass_daemon/src/http/stream_writer.rs
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 
-use tiny_http::{Header, Request, Response};
+use tiny_http::{HTTPVersion, Header, Method, Request, Response};
 
 /// Answers a request with JSON and a status.
 pub fn respond_json(req: Request, status: u16, body: String, extra: &[(&str, String)]) {
@@ -23,9 +23,34 @@
 /// written by hand.
 pub struct StreamWriter {
     out: Box<dyn Write + Send>,
+    framing: Framing,
     piece: Vec<u8>,
 }
 
+/// How the end of the body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// In chunks, the last one empty.
+    Chunked,
+    /// By the end of the connection, for callers that speak HTTP/1.0.
+    Closed,
+    /// There is no body.
+    None,
+}
+
+impl Framing {
+    fn of(req: &Request, status: u16) -> Self {
+        let bodiless = matches!(status, 100..=199 | 204 | 304);
+        if bodiless || *req.method() == Method::Head {
+            return Self::None;
+        }
+        if *req.http_version() < HTTPVersion(1, 1) {
+            return Self::Closed;
+        }
+        Self::Chunked
+    }
+}
+
 impl StreamWriter {
     /// Sends the head of a streamed answer.
     ///
@@ -33,16 +58,22 @@
     ///
     /// The system's error if the caller went away.
     pub fn new(req: Request, status: u16, headers: &[(&str, &str)]) -> io::Result<Self> {
+        let framing = Framing::of(&req, status);
         let mut out = req.into_writer();
         let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        head.push_str("transfer-encoding: chunked\r\n\r\n");
+        head.push_str(match framing {
+            Framing::Chunked => "transfer-encoding: chunked\r\n\r\n",
+            Framing::Closed => "connection: close\r\n\r\n",
+            Framing::None => "\r\n",
+        });
         out.write_all(head.as_bytes())?;
         out.flush()?;
         Ok(Self {
             out,
+            framing,
             piece: Vec::new(),
         })
     }
@@ -53,9 +84,13 @@
     ///
     /// The system's error if the caller went away.
     pub fn send(&mut self, data: &[u8]) -> io::Result<()> {
-        if data.is_empty() {
+        if data.is_empty() || self.framing == Framing::None {
             return Ok(());
         }
+        if self.framing == Framing::Closed {
+            self.out.write_all(data)?;
+            return self.out.flush();
+        }
         self.piece.clear();
         write!(self.piece, "{:x}\r\n", data.len())?;
         self.piece.extend_from_slice(data);
@@ -70,7 +105,9 @@
     ///
     /// The system's error if the caller went away.
     pub fn finish(mut self) -> io::Result<()> {
-        self.out.write_all(b"0\r\n\r\n")?;
+        if self.framing == Framing::Chunked {
+            self.out.write_all(b"0\r\n\r\n")?;
+        }
         self.out.flush()
     }
 }
--- a/wisteriapass_daemon/src/router/asked.rs
+++ b/wisteriapass_daemon/src/router/asked.rs
@@ -165,7 +165,14 @@
     limits: &Limits,
 ) -> Result<Asked, Refusal> {
     let text = std::str::from_utf8(body).map_err(|_| bad("the body is not UTF-8"))?;
-    let chat: ChatBody = serde_json::from_str(text).map_err(|e| bad(e.to_string()))?;
+    let mut chat: ChatBody = serde_json::from_str(text).map_err(|e| bad(e.to_string()))?;
+    // Several answers would cost a multiple of what is reserved.
+    if chat.n.is_some_and(|n| n != 1) || chat.other.0.contains_key("best_of") {
+        return Err(bad(
+            "only one answer a request can be had; leave out n and best_of",
+        ));
+    }
+    chat.other.0.remove("stream_options");
     let class = marks.class(document)?;
     let max_tokens = chat.max_tokens.unwrap_or(class.max_tokens);
     if max_tokens == 0 || max_tokens > limits.max_tokens {
@@ -182,6 +189,7 @@
         messages: chat.messages,
         max_tokens,
         priority: engine_priority(class.priority),
+        other: chat.other,
     };
     let budget = document.rules.budget_for(&account.name, Some(&model));
     let budget = budget.ok_or_else(|| {
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -68,6 +68,10 @@
                 "this router is stopping",
             ));
         }
+        if self.stop.working() > self.limits.requests {
+            let message = "this router works on as many requests as its settings allow";
+            return Err(Refusal::not_run(Reason::Overloaded, message));
+        }
         let document = self.config.document();
         if document.revision == 0 {
             return Err(Refusal::not_run(
--- a/wisteriapass_daemon/src/router/openai.rs
+++ b/wisteriapass_daemon/src/router/openai.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::run_wire::{ChatMessage, Finish};
+use crate::run_wire::{ChatMessage, Finish, OtherFields};
 
-/// Body of `POST /v1/chat/completions`; fields it does not know are ignored, as clients send many.
+/// Body of `POST /v1/chat/completions`; fields it does not know go to the engine as they are.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ChatBody {
     /// Model name.
@@ -17,6 +17,12 @@
     /// Whether to stream the answer.
     #[serde(default)]
     pub stream: bool,
+    /// Number of answers; only one can be had.
+    #[serde(default)]
+    pub n: Option<u32>,
+    /// Other fields.
+    #[serde(flatten)]
+    pub other: OtherFields,
 }
 
 /// One streamed chunk, or a whole answer.
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -57,8 +57,16 @@
     pub max_tokens: u32,
     /// Priority towards the engine, lower is more urgent.
     pub priority: u8,
+    /// Fields for the engine alone, as the caller sent them.
+    #[serde(default)]
+    pub other: OtherFields,
 }
 
+/// Fields of a chat that only the engine understands, such as the temperature.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct OtherFields(pub serde_json::Map<String, serde_json::Value>);
+
 /// One message of a conversation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChatMessage {
--- a/wisteriapass_daemon/src/side/engine.rs
+++ b/wisteriapass_daemon/src/side/engine.rs
@@ -105,6 +105,7 @@
             messages: &self.chat.messages,
             max_tokens: self.chat.max_tokens,
             stream: true,
+            other: &self.chat.other,
         };
         self.request("/v1/chat/completions", &body)
     }
--- a/wisteriapass_daemon/src/side/engine_wire.rs
+++ b/wisteriapass_daemon/src/side/engine_wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::run_wire::ChatMessage;
+use crate::run_wire::{ChatMessage, OtherFields};
 
 /// Body of `POST /v1/chat/completions`.
 #[derive(Clone, Debug, Serialize)]
@@ -15,6 +15,9 @@
     pub max_tokens: u32,
     /// Whether to stream; always true here.
     pub stream: bool,
+    /// Fields as the caller sent them.
+    #[serde(flatten)]
+    pub other: &'a OtherFields,
 }
 
 /// Body of `POST /v1/resume`.
