--- /dev/null
+++ b/wisteriapass_bench/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for platform and targets, load and experiments.
+
+#![warn(missing_docs)]
+
+pub mod loads;
--- /dev/null
+++ b/wisteriapass_bench/src/loads.rs
@@ -0,0 +1,80 @@
+//! Load patterns played in virtual time against a model of a target pool, by policy.
+//!
+//! The model stands at the policy crate's interface: engines with slots, a rate in tokens and a
+//! prefix cache, load reports that lag, and ten routers that decide each on its own.
+
+mod arrivals;
+mod balancer;
+mod bound;
+mod chart;
+mod cost;
+mod engine;
+mod opts;
+mod pattern;
+mod play;
+mod summary;
+mod tally;
+
+use std::process::ExitCode;
+
+use wisteriapass_policy::{Parts, PolicyConfig};
+
+pub use balancer::Policy;
+pub use opts::LoadsOpts;
+pub use pattern::Pattern;
+pub use summary::Summary;
+
+use play::Play;
+
+/// Length of the arrivals of one play, in seconds.
+pub const PLAY_SECS: f64 = 60.0;
+
+/// Plays one pattern by one policy.
+pub fn play(pattern: Pattern, policy: Policy, seed: u64, cfg: &PolicyConfig) -> Summary {
+    Play::new(pattern, policy, seed, cfg).run()
+}
+
+/// Runs the subcommand.
+pub fn run(opts: &LoadsOpts) -> ExitCode {
+    if opts.cost {
+        cost::print();
+        return ExitCode::SUCCESS;
+    }
+    let Some(cfg) = config(opts) else {
+        eprintln!(
+            "--without: no such part; the parts are {}",
+            Parts::NAMES.join(", ")
+        );
+        return ExitCode::FAILURE;
+    };
+    let patterns = opts.pattern.map_or(Pattern::ALL.to_vec(), |p| vec![p]);
+    let policies = opts.policy.map_or(Policy::ALL.to_vec(), |p| vec![p]);
+    for pattern in patterns {
+        let medians: Vec<Summary> = policies
+            .iter()
+            .map(|&policy| median(pattern, policy, opts, &cfg))
+            .collect();
+        if opts.json {
+            medians.iter().for_each(|s| println!("{}", s.to_json()));
+        } else {
+            print!("{}", chart::text(&medians));
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+/// Plays a pattern with each seed and takes the median of each figure.
+fn median(pattern: Pattern, policy: Policy, opts: &LoadsOpts, cfg: &PolicyConfig) -> Summary {
+    let seeds = opts.seed..opts.seed + u64::from(opts.seeds.max(1));
+    let summaries: Vec<Summary> = seeds.map(|seed| play(pattern, policy, seed, cfg)).collect();
+    Summary::median(&summaries)
+}
+
+/// Returns the policy's thresholds with the named parts off, or nothing if one is not known.
+fn config(opts: &LoadsOpts) -> Option<PolicyConfig> {
+    let mut cfg = PolicyConfig::default();
+    for name in opts.without.iter().flat_map(|w| w.split(',')) {
+        cfg.parts = cfg.parts.without(name)?;
+    }
+    Some(cfg)
+}
--- /dev/null
+++ b/wisteriapass_bench/src/loads/tally.rs
@@ -0,0 +1,83 @@
+//! What callers of a play got.
+
+use hdrhistogram::Histogram;
+use wisteriapass_policy::{Priority, Refusal};
+
+use super::arrivals::{ACCOUNTS, Request};
+
+/// Counts of a play.
+#[derive(Clone, Debug)]
+pub(super) struct Tally {
+    /// Tokens of answers completed in time, by account.
+    pub(super) good: [f64; ACCOUNTS],
+    /// Tokens of answers completed in time, by class.
+    pub(super) good_by_class: [f64; 3],
+    /// Tokens asked for, by account; requests that come back count once.
+    pub(super) asked: [f64; ACCOUNTS],
+    /// Times to first token by class, in milliseconds.
+    pub(super) first_token: [Histogram<u64>; 3],
+    /// Refusals by reason, in the order of [`Refusal::ALL`].
+    pub(super) refused: [u64; Refusal::ALL.len()],
+    /// Requests cut off at their deadline.
+    pub(super) cut: u64,
+    /// Requests answered in time.
+    pub(super) answered: u64,
+    /// Tokens generated for nobody.
+    pub(super) wasted: f64,
+    /// Callers that came back as told within the play.
+    pub(super) returned: u64,
+    /// Those of them that were answered in time.
+    pub(super) returned_well: u64,
+}
+
+impl Tally {
+    /// Creates an empty tally.
+    pub(super) fn new() -> Self {
+        let empty = || {
+            let mut histogram = Histogram::new_with_bounds(1, 1_000_000, 3)
+                .unwrap_or_else(|e| unreachable!("fixed bounds are valid: {e}"));
+            histogram.auto(true);
+            histogram
+        };
+        Self {
+            good: [0.0; ACCOUNTS],
+            good_by_class: [0.0; 3],
+            asked: [0.0; ACCOUNTS],
+            first_token: [empty(), empty(), empty()],
+            refused: [0; Refusal::ALL.len()],
+            cut: 0,
+            answered: 0,
+            wasted: 0.0,
+            returned: 0,
+            returned_well: 0,
+        }
+    }
+
+    /// Counts an answer in time.
+    pub(super) fn answered(&mut self, request: &Request) {
+        let tokens = f64::from(request.output);
+        self.good[request.account] += tokens;
+        self.good_by_class[class(request.priority)] += tokens;
+        self.answered += 1;
+    }
+
+    /// Counts a first token.
+    pub(super) fn first_token(&mut self, request: &Request, secs: f64) {
+        let ms = (secs * 1e3) as u64;
+        self.first_token[class(request.priority)].saturating_record(ms.max(1));
+    }
+
+    /// Counts a refusal.
+    pub(super) fn refused(&mut self, reason: Refusal) {
+        let place = Refusal::ALL.iter().position(|&r| r == reason);
+        self.refused[place.unwrap_or(0)] += 1;
+    }
+}
+
+/// Returns a class's place.
+pub(super) fn class(priority: Priority) -> usize {
+    Priority::ALL
+        .iter()
+        .position(|&p| p == priority)
+        .unwrap_or(0)
+}
