--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use wisteriapass_bench::loads::{self, LoadsOpts};
 
 use standins::{EngineOptions, PlatformOptions, ServiceOptions};
 
@@ -26,6 +27,8 @@
     Engine(EngineOptions),
     #[options(help = "run a stand-in for a plain service")]
     Service(ServiceOptions),
+    #[options(help = "play load patterns against a model of a target pool")]
+    Loads(LoadsOpts),
 }
 
 impl Cli {
@@ -35,6 +38,7 @@
             Some(Command::Platform(options)) => options.run(),
             Some(Command::Engine(options)) => options.run(),
             Some(Command::Service(options)) => options.run(),
+            Some(Command::Loads(opts)) => return loads::run(&opts),
             None => {
                 eprintln!("name a command\n\n{}", Cli::usage());
                 eprintln!("\n{}", Command::usage());
