--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -77,7 +77,7 @@
 /// What a router decides with.
 enum Decides {
     Ours(Box<Ours>),
-    Baseline(Baseline),
+    Baseline(Box<Baseline>),
 }
 
 /// Our scheduler and the play's names for its keys.
@@ -303,7 +303,7 @@
         }
         self.at(now.plus_secs(PROGRESS_EVERY_S), Event::Progress { run: id });
         self.tell_of(now, run, |ours, ticket, key| {
-            ours.scheduler.first_token(now, ticket, key)
+            ours.scheduler.first_token(now, ticket, key);
         });
     }
 
@@ -372,7 +372,7 @@
             }
             self.stop(now, id, true);
             self.tell_of(now, run, |ours, ticket, key| {
-                ours.scheduler.cancel_run(ticket, key)
+                ours.scheduler.cancel_run(ticket, key);
             });
         }
     }
@@ -513,7 +513,7 @@
     fn new(policy: Policy, seed: u64, router: usize, cfg: &PolicyConfig) -> Self {
         let decides = match policy {
             Policy::Ours => Decides::Ours(Box::new(Ours::new(cfg, seed, router))),
-            _ => Decides::Baseline(Baseline::new(policy, seed)),
+            _ => Decides::Baseline(Box::new(Baseline::new(policy, seed))),
         };
         Self {
             decides,
