Operators' tool: check, diff, apply, show, top-up, drain, digest, export

Cause: operators had no way to put a configuration into force or money into a budget.

`apply` names the revision the files were edited from; an edit that comes second is refused with what changed meanwhile.

`drain` and `undrain` are edits on top of whatever is current and are made anew when another edit wins. A lost answer is recognised by the operation id; where no answer ever comes, the tool says so (exit 4) and names the id to repeat with.

`Shards::default` gives the number of budget records that daemons and tool share.

--- /dev/null
+++ b/wisteriapass/src/commands.rs
@@ -0,0 +1,34 @@
+//! The commands.
+
+mod apply;
+mod digest;
+mod drain;
+mod export;
+mod files;
+mod show;
+mod topup;
+
+use crate::args::{Args, Command};
+use crate::{Context, Exit, Result};
+
+/// Runs the command of a command line.
+///
+/// # Errors
+///
+/// [`crate::ToolError`] with its remedy; [`Exit::of`] gives the exit code.
+pub fn run(cx: &mut Context<'_>, args: &Args) -> Result<Exit> {
+    let Some(command) = &args.command else {
+        return Ok(Exit::Usage);
+    };
+    match command {
+        Command::Check(opts) => files::check(cx, opts),
+        Command::Diff(opts) => files::diff(cx, opts),
+        Command::Apply(opts) => apply::apply(cx, opts),
+        Command::Show(opts) => show::show(cx, opts),
+        Command::Topup(opts) => topup::topup(cx, opts),
+        Command::Drain(opts) => drain::drain(cx, opts, true),
+        Command::Undrain(opts) => drain::drain(cx, opts, false),
+        Command::Digest(_) => digest::digest(cx),
+        Command::Export(opts) => export::export(cx, opts),
+    }
+}
--- /dev/null
+++ b/wisteriapass/src/commands/apply.rs
@@ -0,0 +1,35 @@
+//! `apply`: puts an inventory and rules into force.
+
+use serde::Serialize;
+use wisteriapass_config::Change;
+
+use crate::args::Apply;
+use crate::commands::files;
+use crate::edit::{self, Applied};
+use crate::{Context, Exit, Result};
+
+/// Result of an edit.
+#[derive(Serialize)]
+pub(super) struct Edited<'a> {
+    revision: u64,
+    changes: &'a [Change],
+}
+
+/// Puts an inventory and rules into force.
+pub(super) fn apply(cx: &mut Context<'_>, opts: &Apply) -> Result<Exit> {
+    let document = files::read(&opts.inventory, &opts.rules)?;
+    let applied = edit::apply(cx.store()?, &document, opts.from, opts.op.as_deref())?;
+    print(cx, &applied)?;
+    Ok(Exit::Done)
+}
+
+/// Prints what an edit did.
+pub(super) fn print(cx: &mut Context<'_>, applied: &Applied) -> Result<()> {
+    let edited = Edited {
+        revision: applied.revision,
+        changes: &applied.changes,
+    };
+    let lines = files::lines(&applied.changes);
+    let text = format!("revision {}:\n{lines}", applied.revision);
+    cx.out.print(&text, &edited)
+}
--- /dev/null
+++ b/wisteriapass/src/commands/drain.rs
@@ -0,0 +1,43 @@
+//! `drain` and `undrain`: whether a target, or all targets of a VM, get new work.
+
+use error_stack::Report;
+use wisteriapass_config::Document;
+
+use crate::args::Named;
+use crate::commands::apply;
+use crate::{Context, Exit, Result, ToolError, edit};
+
+/// What to do when nothing has the name that was given.
+const REMEDY: &str = "see `show targets`; a router drains by its own graceful stop";
+
+/// Sets whether the named targets are draining.
+pub(super) fn drain(cx: &mut Context<'_>, opts: &Named, draining: bool) -> Result<Exit> {
+    let change = |document: &mut Document| set_draining(document, &opts.name, draining);
+    let applied = edit::amend(cx.store()?, opts.op.as_deref(), change)?;
+    apply::print(cx, &applied)?;
+    Ok(Exit::Done)
+}
+
+/// Edits the inventory and returns whether anything changed.
+fn set_draining(document: &mut Document, name: &str, draining: bool) -> Result<bool> {
+    if document.revision == 0 {
+        return Err(Report::new(ToolError::Nothing));
+    }
+    let targets = document.inventory.target.iter_mut();
+    let mut named = targets
+        .filter(|t| t.name == name || t.vm == name)
+        .peekable();
+    if named.peek().is_none() {
+        return Err(Report::new(ToolError::NoSuch {
+            what: "target or VM",
+            name: name.into(),
+            remedy: REMEDY,
+        }));
+    }
+    let mut has_changed = false;
+    for target in named {
+        has_changed |= target.draining != draining;
+        target.draining = draining;
+    }
+    Ok(has_changed)
+}
--- /dev/null
+++ b/wisteriapass/src/commands/files.rs
@@ -0,0 +1,102 @@
+//! `check` and `diff`: what files say, without changing anything.
+
+use std::fs;
+
+use serde::Serialize;
+use wisteriapass_config::{Change, Document, Source};
+
+use crate::args::Files;
+use crate::{Context, Exit, Result, ToolError, edit};
+
+/// Result of `check`.
+#[derive(Serialize)]
+struct Checked {
+    accepted: bool,
+    failure_domains: usize,
+    routers: usize,
+    targets: usize,
+    accounts: usize,
+    budgets: usize,
+    classes: usize,
+}
+
+/// Result of `diff`.
+#[derive(Serialize)]
+struct Differences {
+    from: u64,
+    changes: Vec<Change>,
+}
+
+/// Checks an inventory and rules.
+pub(super) fn check(cx: &mut Context<'_>, opts: &Files) -> Result<Exit> {
+    let document = read(&opts.inventory, &opts.rules)?;
+    let checked = Checked::of(&document);
+    let text = format!(
+        "accepted: {} failure domains, {} routers, {} targets, {} accounts, {} budgets, {} classes",
+        checked.failure_domains,
+        checked.routers,
+        checked.targets,
+        checked.accounts,
+        checked.budgets,
+        checked.classes,
+    );
+    cx.out.print(&text, &checked)?;
+    Ok(Exit::Done)
+}
+
+/// Compares an inventory and rules with the configuration in the service.
+pub(super) fn diff(cx: &mut Context<'_>, opts: &Files) -> Result<Exit> {
+    let document = read(&opts.inventory, &opts.rules)?;
+    let current = edit::current(cx.store()?)?;
+    let differences = Differences {
+        from: current.revision,
+        changes: current.changes_to(&document),
+    };
+    let from = differences.from;
+    let lines = lines(&differences.changes);
+    let text = format!("against revision {from} (apply with --from {from}):\n{lines}");
+    cx.out.print(&text, &differences)?;
+    Ok(Exit::Done)
+}
+
+/// Reads and checks two files.
+pub(super) fn read(inventory: &str, rules: &str) -> Result<Document> {
+    let inventory_text = read_text(inventory)?;
+    let rules_text = read_text(rules)?;
+    let inventory = Source {
+        file: inventory,
+        text: &inventory_text,
+    };
+    let rules = Source {
+        file: rules,
+        text: &rules_text,
+    };
+    Ok(Document::from_sources(inventory, rules).map_err(ToolError::from)?)
+}
+
+/// Returns changes, one a line.
+pub(super) fn lines(changes: &[Change]) -> String {
+    if changes.is_empty() {
+        return "  nothing changes".into();
+    }
+    let lines: Vec<String> = changes.iter().map(|c| format!("  {c}")).collect();
+    lines.join("\n")
+}
+
+fn read_text(file: &str) -> Result<String> {
+    Ok(fs::read_to_string(file).map_err(|e| ToolError::file(file, &e))?)
+}
+
+impl Checked {
+    fn of(document: &Document) -> Self {
+        Self {
+            accepted: true,
+            failure_domains: document.inventory.failure_domain.len(),
+            routers: document.inventory.router.len(),
+            targets: document.inventory.target.len(),
+            accounts: document.rules.account.len(),
+            budgets: document.rules.budget.len(),
+            classes: document.rules.class.len(),
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass/src/commands/show/budgets.rs
@@ -0,0 +1,51 @@
+//! `show budgets`: where prepaid money is.
+
+use std::collections::BTreeMap;
+
+use wisteriapass_coord::budget::{BudgetEntry, BudgetId, Totals};
+
+use crate::{Context, Exit, Result, Table, edit, money};
+
+/// Shows all budgets of the rules in force, and others that still hold money.
+pub(super) fn show(cx: &mut Context<'_>) -> Result<Exit> {
+    let store = cx.store()?;
+    let document = edit::current(store)?;
+    let mut budgets = BTreeMap::new();
+    for budget in &document.rules.budget {
+        let id = BudgetId::new(&budget.account, &budget.name);
+        let empty = Totals::new(&id, &BudgetEntry::default());
+        budgets.insert(id, empty);
+    }
+    for totals in money::totals(store)? {
+        budgets.insert(totals.budget.clone(), totals);
+    }
+    let rows: Vec<Totals> = budgets.into_values().collect();
+    let mut table = Table::new([
+        "BUDGET",
+        "PREPAID",
+        "FREE",
+        "HELD",
+        "SPENT",
+        "STRANDED",
+        "RECOVERED",
+        "HOLDERS",
+    ]);
+    for row in &rows {
+        table.row(cells(row));
+    }
+    cx.out.print(&table, &rows)?;
+    Ok(Exit::Done)
+}
+
+fn cells(row: &Totals) -> [String; 8] {
+    [
+        row.budget.to_string(),
+        row.prepaid.to_string(),
+        row.free.to_string(),
+        row.outstanding.to_string(),
+        row.spent.to_string(),
+        row.stranded.to_string(),
+        row.recovered.to_string(),
+        row.holders.to_string(),
+    ]
+}
--- /dev/null
+++ b/wisteriapass/src/commands/show/grants.rs
@@ -0,0 +1,21 @@
+//! `show grants`: what each router took of each budget.
+
+use crate::{Context, Exit, Result, Table, money};
+
+/// Shows the grants that are not settled in full.
+pub(super) fn show(cx: &mut Context<'_>) -> Result<Exit> {
+    let grants = money::grants(cx.store()?)?;
+    let mut table = Table::new(["BUDGET", "ORIGIN", "GRANTED", "RETURNED", "SPENT", "HELD"]);
+    for grant in &grants {
+        table.row([
+            grant.budget.clone(),
+            grant.origin.to_string(),
+            grant.granted.to_string(),
+            grant.returned.to_string(),
+            grant.spent.to_string(),
+            grant.outstanding.to_string(),
+        ]);
+    }
+    cx.out.print(&table, &grants)?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/wisteriapass/src/commands/topup.rs
@@ -0,0 +1,65 @@
+//! `topup`: adds prepaid tokens to a budget.
+
+use error_stack::Report;
+use serde::Serialize;
+use wisteriapass_config::Document;
+use wisteriapass_coord::budget::{BudgetId, Topup};
+
+use crate::args::TopUp;
+use crate::{Context, Exit, Result, ToolError, edit, money};
+
+/// Result of `topup`.
+#[derive(Serialize)]
+struct ToppedUp<'a> {
+    budget: &'a str,
+    id: &'a str,
+    amount: u64,
+    applied_now: bool,
+}
+
+/// Adds prepaid tokens to a budget of the rules in force.
+pub(super) fn topup(cx: &mut Context<'_>, opts: &TopUp) -> Result<Exit> {
+    check(opts)?;
+    let store = cx.store()?;
+    let budget = find(&edit::current(store)?, &opts.budget)?;
+    let done = money::topup(store, &budget, &opts.id, opts.amount)?;
+    let result = ToppedUp {
+        budget: &opts.budget,
+        id: &opts.id,
+        amount: opts.amount,
+        applied_now: done == Topup::Applied,
+    };
+    let text = match done {
+        Topup::Applied => format!("{}: {} tokens added", opts.budget, opts.amount),
+        Topup::Repeated => format!("{}: id {} was applied before", opts.budget, opts.id),
+    };
+    cx.out.print(&text, &result)?;
+    Ok(Exit::Done)
+}
+
+fn check(opts: &TopUp) -> Result<()> {
+    let cause = match (opts.amount, opts.id.is_empty()) {
+        (0, _) => "the amount must be at least 1",
+        (_, true) => "the id must not be empty",
+        _ => return Ok(()),
+    };
+    Err(Report::new(ToolError::Usage {
+        cause: cause.into(),
+    }))
+}
+
+/// Returns the budget of this name, which must be in the rules: money elsewhere pays for nothing.
+fn find(document: &Document, name: &str) -> Result<BudgetId> {
+    let named = name.split_once('/').and_then(|(account, budget)| {
+        let mut budgets = document.rules.budget.iter();
+        budgets.find(|b| b.account == account && b.name == budget)
+    });
+    let Some(budget) = named else {
+        return Err(Report::new(ToolError::NoSuch {
+            what: "budget",
+            name: name.into(),
+            remedy: "give ACCOUNT/BUDGET as in the rules in force",
+        }));
+    };
+    Ok(BudgetId::new(&budget.account, &budget.name))
+}
--- /dev/null
+++ b/wisteriapass/src/lib.rs
@@ -0,0 +1,83 @@
+//! Operators' tool of wisteriapass: the commands behind the command line.
+//!
+//! The commands talk to the platform's key-value service and to the `control` calls of daemons,
+//! and to nothing else. Tests give them a service in memory.
+
+#![warn(missing_docs)]
+
+pub mod args;
+pub mod commands;
+mod context;
+pub mod edit;
+mod error;
+mod exit;
+pub mod money;
+mod op;
+mod output;
+pub mod past;
+mod table;
+
+use std::io::{Write, stderr, stdin, stdout};
+
+use gumdrop::{Options, ParsingStyle};
+use wisteriapass_coord::store::HttpStore;
+
+use crate::args::Args;
+
+pub use context::Context;
+pub use error::{Result, ToolError};
+pub use exit::Exit;
+pub use output::Output;
+pub use table::Table;
+
+/// Environment variable that gives the address of the key-value service.
+const STORE_VARIABLE: &str = "WISTERIAPASS_STORE";
+
+/// Runs the tool on the process's own input and output.
+pub fn run_command_line(args: &[String]) -> Exit {
+    let parsed = match Args::parse_args(args, ParsingStyle::AllOptions) {
+        Ok(parsed) => parsed,
+        Err(e) => return usage(&e.to_string()),
+    };
+    if parsed.help_requested() || parsed.command.is_none() {
+        return help(&parsed);
+    }
+    let variable = std::env::var(STORE_VARIABLE).ok();
+    let address = parsed.store.clone().or(variable).unwrap_or_default();
+    let store = HttpStore::new(address.clone());
+    let mut out = stdout().lock();
+    let mut cx = Context::new(&store, Output::new(&mut out, parsed.json), stdin());
+    if address.is_empty() {
+        cx = cx.without_store();
+    }
+    run(&mut cx, &parsed)
+}
+
+/// Runs one command and reports its failure on the context's output.
+pub fn run(cx: &mut Context<'_>, args: &Args) -> Exit {
+    match commands::run(cx, args) {
+        Ok(exit) => exit,
+        Err(report) => {
+            cx.out.error(&report);
+            Exit::of(report.current_context())
+        }
+    }
+}
+
+/// Says what is wrong with the command line.
+fn usage(cause: &str) -> Exit {
+    // Nothing is left to do if even standard error is closed.
+    let _ = writeln!(stderr(), "wisteriapass: {cause}; see wisteriapass --help");
+    Exit::Usage
+}
+
+/// Prints the help that was asked for; a missing command is a mistake.
+fn help(args: &Args) -> Exit {
+    let text = args::help(args);
+    if args.help_requested() {
+        let _ = writeln!(stdout(), "{text}");
+        return Exit::Done;
+    }
+    let _ = writeln!(stderr(), "{text}");
+    Exit::Usage
+}
--- a/wisteriapass/src/main.rs
+++ b/wisteriapass/src/main.rs
@@ -1,3 +1,8 @@
-//! Placeholder.
+//! The operators' tool: reads the command line and leaves with a documented exit code.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    wisteriapass::run_command_line(&args).into()
+}
--- /dev/null
+++ b/wisteriapass/tests/commands.rs
@@ -0,0 +1,212 @@
+//! Commands print what they found and leave with the documented exit code.
+
+mod support;
+
+use std::fs;
+
+use gumdrop::{Options, ParsingStyle};
+use support::{Fault, FaultyStore, dir, json, pizarra, run, seed};
+use wisteriapass::args::Args;
+use wisteriapass::{Context, Exit, Output, edit, money};
+use wisteriapass_coord::budget::{BudgetId, Journal, Ledger, Origin, Shards, Tokens, Want};
+use wisteriapass_coord::store::MemoryStore;
+
+#[test]
+fn check_counts_what_it_accepted() {
+    let store = MemoryStore::new();
+    let files = [pizarra("inventory.toml"), pizarra("rules.toml")];
+    let (exit, text) = run(&store, &["check", &files[0], &files[1]], "");
+    assert_eq!(exit, Exit::Done);
+    assert!(text.contains("15 targets, 10 accounts"), "{text}");
+}
+
+#[test]
+fn a_missing_file_is_a_usage_mistake() {
+    let store = MemoryStore::new();
+    let (exit, _) = json(&store, &["check", "no-such-file", "no-such-file"]);
+    assert_eq!(exit, Exit::Usage);
+}
+
+#[test]
+fn diff_shows_changes_and_the_revision_to_name() {
+    let store = MemoryStore::new();
+    seed(&store);
+    json(&store, &["drain", "lm-b3"]);
+    let files = [pizarra("inventory.toml"), pizarra("rules.toml")];
+    let (exit, text) = run(&store, &["diff", &files[0], &files[1]], "");
+    assert_eq!(exit, Exit::Done);
+    assert!(text.contains("--from 2"), "{text}");
+    assert!(
+        text.contains("~ target lm-b3: draining: true -> false"),
+        "{text}"
+    );
+}
+
+#[test]
+fn an_export_can_be_edited_and_applied() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let dir = dir("export");
+    let (exit, said) = json(&store, &["export", dir.to_str().unwrap()]);
+    assert_eq!((exit, said["revision"].as_u64()), (Exit::Done, Some(1)));
+    let path = |file| dir.join(file).display().to_string();
+    let files = [path("inventory.toml"), path("rules.toml")];
+    let (_, said) = json(&store, &["diff", &files[0], &files[1]]);
+    assert_eq!(said["changes"].as_array().unwrap().len(), 0);
+    let text = fs::read_to_string(&files[0]).unwrap();
+    fs::write(&files[0], text.replacen("slots = 16", "slots = 17", 1)).unwrap();
+    let (_, said) = json(&store, &["apply", &files[0], &files[1], "--from", "1"]);
+    assert_eq!(said["changes"].as_array().unwrap().len(), 1);
+}
+
+#[test]
+fn an_export_does_not_write_over_files() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let dir = dir("export_twice");
+    fs::write(dir.join("inventory.toml"), "mine").unwrap();
+    let (exit, _) = json(&store, &["export", dir.to_str().unwrap()]);
+    assert_eq!(exit, Exit::Usage);
+    assert_eq!(
+        fs::read_to_string(dir.join("inventory.toml")).unwrap(),
+        "mine"
+    );
+}
+
+#[test]
+fn a_digest_is_that_of_the_key_without_its_line_end() {
+    let store = MemoryStore::new();
+    let (exit, text) = run(&store, &["digest"], "test\n");
+    let expected = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n";
+    assert_eq!((exit, text.as_str()), (Exit::Done, expected));
+    assert_eq!(run(&store, &["digest"], "\n").0, Exit::Usage);
+}
+
+#[test]
+fn the_example_keys_are_those_of_the_examples() {
+    let store = MemoryStore::new();
+    for account in support::document().rules.account {
+        let key = format!("example-key-{}", account.name);
+        let (_, text) = run(&store, &["digest"], &key);
+        assert_eq!(text.trim(), account.key_digest);
+    }
+}
+
+const TOPUP: [&str; 5] = ["topup", "lican-estudio/all", "5000", "--id", "invoice-1"];
+
+fn prepaid(store: &dyn wisteriapass_coord::store::Store) -> u64 {
+    let totals = money::totals(store).unwrap();
+    totals.iter().map(|t| t.prepaid.0).sum()
+}
+
+#[test]
+fn a_topup_with_the_same_id_is_applied_once() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let (exit, said) = json(&store, &TOPUP);
+    assert_eq!((exit, &said["applied_now"]), (Exit::Done, &true.into()));
+    let (exit, said) = json(&store, &TOPUP);
+    assert_eq!((exit, &said["applied_now"]), (Exit::Done, &false.into()));
+    assert_eq!(prepaid(&store), 5_000);
+}
+
+#[test]
+fn a_topup_whose_answer_was_lost_is_applied_once() {
+    let store = FaultyStore::new();
+    seed(&store);
+    store.fail("budgets/", &[Fault::LostAnswer, Fault::LostCall]);
+    assert_eq!(json(&store, &TOPUP).0, Exit::Done);
+    assert_eq!(prepaid(&store), 5_000);
+}
+
+#[test]
+fn a_topup_without_any_answer_is_unknown_and_can_be_repeated() {
+    let store = FaultyStore::new();
+    seed(&store);
+    store.fail("budgets/", &[Fault::LostCall; 4]);
+    let (exit, said) = json(&store, &TOPUP);
+    assert_eq!(exit, Exit::Unknown);
+    assert!(said["error"].as_str().unwrap().contains("invoice-1"));
+    assert_eq!(json(&store, &TOPUP).0, Exit::Done);
+    assert_eq!(prepaid(&store), 5_000);
+}
+
+#[test]
+fn an_id_with_another_amount_is_refused() {
+    let store = MemoryStore::new();
+    seed(&store);
+    json(&store, &TOPUP);
+    let mut other = TOPUP;
+    other[2] = "6000";
+    assert_eq!(json(&store, &other).0, Exit::Refused);
+    assert_eq!(prepaid(&store), 5_000);
+}
+
+#[test]
+fn a_budget_that_is_not_in_the_rules_gets_no_money() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let (exit, _) = json(&store, &["topup", "lican-estudio/al", "1", "--id", "x"]);
+    assert_eq!(exit, Exit::Refused);
+    let (exit, _) = json(&store, &["topup", "lican-estudio/all", "0", "--id", "x"]);
+    assert_eq!(exit, Exit::Usage);
+}
+
+#[test]
+fn budgets_and_grants_show_where_money_is() {
+    let store = MemoryStore::new();
+    seed(&store);
+    json(&store, &TOPUP);
+    let journal = Journal::new(Origin(7), Shards::default());
+    let budget = BudgetId::new("lican-estudio", "all");
+    let want = Want {
+        budget,
+        need: Tokens(100),
+        draw_per_second: Tokens(100),
+    };
+    let granted = Ledger::new(&store, &journal).take(vec![want]);
+    let held = granted.grants[0].amount.0;
+    assert!(held > 0);
+    let (_, rows) = json(&store, &["show", "budgets"]);
+    let rows = rows.as_array().unwrap();
+    assert_eq!(rows.len(), 13);
+    let row = rows.iter().find(|r| r["budget"] == "lican-estudio/all");
+    assert_eq!(row.unwrap()["outstanding"], held);
+    let (_, grants) = json(&store, &["show", "grants"]);
+    assert_eq!(grants[0]["outstanding"], held);
+}
+
+#[test]
+fn targets_show_who_is_draining() {
+    let store = MemoryStore::new();
+    seed(&store);
+    json(&store, &["drain", "lm-a4"]);
+    let (_, text) = run(&store, &["show", "targets"], "");
+    let line = text.lines().find(|l| l.starts_with("lm-a4")).unwrap();
+    assert!(line.ends_with("draining"), "{line}");
+    assert_eq!(edit::current(&store).unwrap().revision, 2);
+    assert_eq!(json(&store, &["show", "weather"]).0, Exit::Usage);
+}
+
+#[test]
+fn a_service_that_is_down_is_unreachable() {
+    let store = FaultyStore::new();
+    store.fail("", &[Fault::Down]);
+    assert_eq!(json(&store, &["show", "targets"]).0, Exit::Unreachable);
+    assert_eq!(json(&store, &["export", "."]).0, Exit::Unreachable);
+}
+
+#[test]
+fn a_command_without_an_address_of_the_service_is_a_usage_mistake() {
+    let store = MemoryStore::new();
+    let args = Args::parse_args(&["show", "targets"], ParsingStyle::AllOptions).unwrap();
+    let mut out = Vec::new();
+    let mut cx = Context::new(&store, Output::new(&mut out, true), "".as_bytes()).without_store();
+    assert_eq!(wisteriapass::run(&mut cx, &args), Exit::Usage);
+    drop(cx);
+    assert!(
+        String::from_utf8(out)
+            .unwrap()
+            .contains("WISTERIAPASS_STORE")
+    );
+}
--- /dev/null
+++ b/wisteriapass/tests/edits.rs
@@ -0,0 +1,182 @@
+//! Edits take effect once, racing ones are refused with what changed meanwhile.
+
+mod support;
+
+use std::thread;
+
+use support::{Fault, FaultyStore, document, json, pizarra, seed};
+use wisteriapass::{Exit, ToolError, edit};
+use wisteriapass_config::{CURRENT_KEY, Change, Subject};
+use wisteriapass_coord::store::{MemoryStore, Store};
+
+#[test]
+fn the_first_apply_starts_from_revision_0() {
+    let store = MemoryStore::new();
+    let files = [pizarra("inventory.toml"), pizarra("rules.toml")];
+    let (exit, said) = json(&store, &["apply", &files[0], &files[1], "--from", "0"]);
+    assert_eq!(exit, Exit::Done);
+    assert_eq!(said["revision"], 1);
+    assert_eq!(edit::current(&store).unwrap().rules.account.len(), 10);
+}
+
+#[test]
+fn a_file_with_a_mistake_changes_nothing() {
+    let store = MemoryStore::new();
+    let file = pizarra("inventory.toml");
+    let (exit, said) = json(&store, &["apply", &file, &file, "--from", "0"]);
+    assert_eq!(exit, Exit::Refused);
+    assert!(said["error"].as_str().unwrap().contains("unknown field"));
+    assert_eq!(store.get(CURRENT_KEY).unwrap(), None);
+}
+
+#[test]
+fn the_second_of_two_racing_edits_hears_what_changed() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let mut first = document();
+    first.inventory.target[0].draining = true;
+    let mut second = document();
+    second.rules.class[0].max_tokens += 1;
+    assert_eq!(edit::apply(&store, &first, 1, None).unwrap().revision, 2);
+    let refused = edit::apply(&store, &second, 1, None).unwrap_err();
+    let ToolError::Conflict(conflict) = refused.current_context() else {
+        panic!("{refused:?}");
+    };
+    assert_eq!((conflict.from, conflict.current), (1, 2));
+    let changed = Change::Changed {
+        subject: Subject::Target {
+            name: "lm-a1".into(),
+        },
+        key: "draining".into(),
+        from: "false".into(),
+        to: "true".into(),
+    };
+    assert_eq!(conflict.meanwhile, Some(vec![changed]));
+    assert_eq!(edit::current(&store).unwrap().revision, 2);
+}
+
+#[test]
+fn an_edit_from_the_future_is_refused() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let refused = edit::apply(&store, &document(), 7, None).unwrap_err();
+    assert!(refused.to_string().contains("does not exist"));
+}
+
+#[test]
+fn a_lost_answer_of_a_write_that_took_effect_is_recognised() {
+    let store = FaultyStore::new();
+    seed(&store);
+    store.fail(CURRENT_KEY, &[Fault::LostAnswer]);
+    let mut document = document();
+    document.inventory.target[0].draining = true;
+    let applied = edit::apply(&store, &document, 1, None).unwrap();
+    assert_eq!(applied.revision, 2);
+    assert_eq!(edit::current(&store).unwrap().revision, 2);
+}
+
+#[test]
+fn a_lost_write_is_repeated() {
+    let store = FaultyStore::new();
+    store.fail(CURRENT_KEY, &[Fault::LostCall, Fault::LostCall]);
+    seed(&store);
+    assert_eq!(edit::current(&store).unwrap().revision, 1);
+}
+
+#[test]
+fn an_edit_repeated_with_its_id_takes_effect_once() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let mut mine = document();
+    mine.inventory.target[0].draining = true;
+    edit::apply(&store, &mine, 1, Some("mine")).unwrap();
+    let mut theirs = mine.clone();
+    theirs.inventory.target[1].draining = true;
+    edit::apply(&store, &theirs, 2, None).unwrap();
+    let again = edit::apply(&store, &mine, 1, Some("mine")).unwrap();
+    assert_eq!(again.revision, 2);
+    assert_eq!(again.changes, []);
+    let current = edit::current(&store).unwrap();
+    assert_eq!(current.revision, 3);
+    assert!(current.inventory.target[1].draining);
+}
+
+#[test]
+fn writes_that_all_get_lost_end_as_unknown_with_the_id() {
+    let store = FaultyStore::new();
+    seed(&store);
+    store.fail(CURRENT_KEY, &[Fault::LostCall; 16]);
+    let (exit, said) = json(&store, &["drain", "lm-a1", "--op", "mine"]);
+    assert_eq!(exit, Exit::Unknown);
+    assert!(said["error"].as_str().unwrap().contains("--op mine"));
+}
+
+#[test]
+fn a_service_that_is_down_is_unreachable_and_not_unknown() {
+    let store = FaultyStore::new();
+    seed(&store);
+    store.fail(CURRENT_KEY, &[Fault::Down]);
+    let (exit, _) = json(&store, &["drain", "lm-a1"]);
+    assert_eq!(exit, Exit::Unreachable);
+}
+
+#[test]
+fn racing_drains_all_take_effect() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let names = ["lm-a1", "lm-a2", "lm-b1", "lm-b2", "lm-c1", "lm-c2"];
+    thread::scope(|scope| {
+        for name in names {
+            let store = &store;
+            scope.spawn(move || assert_eq!(json(store, &["drain", name]).0, Exit::Done));
+        }
+    });
+    let current = edit::current(&store).unwrap();
+    assert_eq!(current.revision, 1 + names.len() as u64);
+    for name in names {
+        assert!(current.inventory.target_named(name).unwrap().draining);
+    }
+}
+
+#[test]
+fn draining_a_vm_drains_its_targets_and_undrain_takes_it_back() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let (_, said) = json(&store, &["drain", "gpu-a1"]);
+    assert_eq!(said["changes"].as_array().unwrap().len(), 1);
+    let (exit, said) = json(&store, &["drain", "gpu-a1"]);
+    assert_eq!((exit, said["revision"].as_u64()), (Exit::Done, Some(2)));
+    json(&store, &["undrain", "lm-a1"]);
+    let current = edit::current(&store).unwrap();
+    assert!(current.inventory.target.iter().all(|t| !t.draining));
+}
+
+#[test]
+fn an_empty_inventory_is_refused() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let mut document = document();
+    document.inventory.target.clear();
+    let refused = edit::apply(&store, &document, 1, None).unwrap_err();
+    assert_eq!(Exit::of(refused.current_context()), Exit::Refused);
+    assert_eq!(edit::current(&store).unwrap().revision, 1);
+}
+
+#[test]
+fn a_conflict_with_a_revision_that_is_no_longer_kept_says_so() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let kept = wisteriapass::past::KEPT;
+    for n in 1..=kept + 2 {
+        let mut document = document();
+        document.rules.class[0].max_tokens = 100 + n as u32;
+        edit::apply(&store, &document, n, None).unwrap();
+    }
+    let refused = |from| edit::apply(&store, &document(), from, None).unwrap_err();
+    let meanwhile = |from| match refused(from).current_context() {
+        ToolError::Conflict(conflict) => conflict.meanwhile.clone(),
+        other => panic!("{other}"),
+    };
+    assert_eq!(meanwhile(1), None);
+    assert_eq!(meanwhile(kept + 2).unwrap().len(), 1);
+}
--- /dev/null
+++ b/wisteriapass/tests/support/mod.rs
@@ -0,0 +1,163 @@
+//! A service that loses answers, and commands run against it.
+
+#![allow(dead_code)]
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use gumdrop::{Options, ParsingStyle};
+use parking_lot::Mutex;
+use serde_json::Value;
+use wisteriapass::args::Args;
+use wisteriapass::{Context, Exit, Output};
+use wisteriapass_config::Document;
+use wisteriapass_coord::store::{
+    Entry, LeaseId, MemoryStore, Result, Revision, Store, StoreError, Swap,
+};
+
+/// What happens to the next writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The write takes effect and its answer is lost.
+    LostAnswer,
+    /// The write is lost on its way.
+    LostCall,
+    /// The service refuses connections.
+    Down,
+}
+
+/// A service in memory whose next calls fail.
+#[derive(Default)]
+pub struct FaultyStore {
+    pub inner: MemoryStore,
+    faults: Mutex<Vec<(String, Fault)>>,
+}
+
+impl FaultyStore {
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Lets the next writes to a key fail, one for each fault.
+    pub fn fail(&self, key: &str, faults: &[Fault]) {
+        let faults = faults.iter().map(|f| (key.to_owned(), *f));
+        self.faults.lock().extend(faults);
+    }
+
+    fn next_fault(&self, key: &str) -> Option<Fault> {
+        let mut faults = self.faults.lock();
+        let at = faults.iter().position(|(k, _)| key.starts_with(k))?;
+        Some(faults.remove(at).1)
+    }
+
+    fn is_down(&self) -> bool {
+        self.faults.lock().iter().any(|(_, f)| *f == Fault::Down)
+    }
+}
+
+fn lost<T>() -> Result<T> {
+    Err(StoreError::Unknown {
+        cause: "lost".into(),
+    })
+}
+
+fn down<T>() -> Result<T> {
+    Err(StoreError::Unreachable {
+        cause: "down".into(),
+    })
+}
+
+impl Store for FaultyStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>> {
+        if self.is_down() {
+            return down();
+        }
+        self.inner.get(key)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        if self.is_down() {
+            return down();
+        }
+        self.inner.list(prefix)
+    }
+
+    fn swap(&self, key: &str, at: Revision, value: &str, lease: Option<LeaseId>) -> Result<Swap> {
+        if self.is_down() {
+            return down();
+        }
+        match self.next_fault(key) {
+            None => self.inner.swap(key, at, value, lease),
+            Some(Fault::LostAnswer) => {
+                self.inner.swap(key, at, value, lease)?;
+                lost()
+            }
+            Some(Fault::LostCall | Fault::Down) => lost(),
+        }
+    }
+
+    fn delete(&self, key: &str, expected: Revision) -> Result<Swap> {
+        self.inner.delete(key, expected)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<(Revision, Vec<Entry>)> {
+        self.inner.watch(prefix, after, wait)
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> Result<LeaseId> {
+        self.inner.grant_lease(ttl)
+    }
+
+    fn keep_lease(&self, lease: LeaseId) -> Result<bool> {
+        self.inner.keep_lease(lease)
+    }
+}
+
+/// Returns the path of a file of the Pizarra example.
+pub fn pizarra(file: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/pizarra");
+    path.join(file).display().to_string()
+}
+
+/// Returns the Pizarra example.
+pub fn document() -> Document {
+    let read = |file| std::fs::read_to_string(pizarra(file)).unwrap();
+    Document::from_toml(&read("inventory.toml"), &read("rules.toml")).unwrap()
+}
+
+/// Returns a directory of this test's own.
+pub fn dir(test: &str) -> PathBuf {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    dir
+}
+
+/// Runs a command line with JSON output.
+pub fn json(store: &dyn Store, args: &[&str]) -> (Exit, Value) {
+    let (exit, text) = run(store, &[&["--json"], args].concat(), "");
+    (exit, serde_json::from_str(&text).unwrap())
+}
+
+/// Runs a command line and returns its exit code and output.
+pub fn run(store: &dyn Store, args: &[&str], input: &str) -> (Exit, String) {
+    let args = Args::parse_args(args, ParsingStyle::AllOptions).unwrap();
+    let mut out = Vec::new();
+    let output = Output::new(&mut out, args.json);
+    let mut cx = Context::new(store, output, input.as_bytes());
+    let exit = wisteriapass::run(&mut cx, &args);
+    drop(cx);
+    (exit, String::from_utf8(out).unwrap())
+}
+
+/// Applies the Pizarra example as revision 1.
+pub fn seed(store: &dyn Store) {
+    let files = [pizarra("inventory.toml"), pizarra("rules.toml")];
+    let (exit, _) = json(store, &["apply", &files[0], &files[1], "--from", "0"]);
+    assert_eq!(exit, Exit::Done);
+}
--- a/wisteriapass_config/src/mistake.rs
+++ b/wisteriapass_config/src/mistake.rs
@@ -2,10 +2,12 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
 use crate::KeyPath;
 
 /// What is wrong with one key, and what to do about it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Mistake {
     /// File or document name.
     pub file: String,
--- a/wisteriapass_coord/src/budget/shards.rs
+++ b/wisteriapass_coord/src/budget/shards.rs
@@ -21,12 +21,25 @@
     }
 }
 
+/// Records of a fleet, which daemons and tool must agree on.
+///
+/// A record takes one write at a time, so there are several; all are read to show the budgets, so
+/// there are not many.
+const FLEET_COUNT: u32 = 16;
+
 /// How many records the budgets are spread over; the same everywhere and for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shards {
     count: u32,
 }
 
+impl Default for Shards {
+    /// Spreads budgets as every process of a fleet does.
+    fn default() -> Self {
+        Self::new(FLEET_COUNT)
+    }
+}
+
 impl Shards {
     /// Spreads budgets over `count` records, at least one.
     pub fn new(count: u32) -> Self {
