Tool: show revision, refusals, retries and live targets

Cause: operators could not see whether an accepted edit is in force everywhere, nor why requests are refused.

Daemons answer two more control calls with their counters by reason, read from the same registry as /metrics, in a JSON-RPC namespace of their own. The tool asks all daemons of the inventory side by side; a silent one is named and ends the command with 3, so that a script can wait until a revision is in force everywhere.

--- a/wisteriapass/src/args.rs
+++ b/wisteriapass/src/args.rs
@@ -36,7 +36,7 @@
     #[options(help = "put an inventory and rules into force")]
     Apply(Apply),
     /// Show the state of the fleet.
-    #[options(help = "show targets, budgets, grants, refusals or revision")]
+    #[options(help = "show targets, budgets, grants, refusals, retries or revision")]
     Show(Show),
     /// Add prepaid money.
     #[options(help = "add prepaid tokens to a budget, once for each id")]
@@ -104,9 +104,16 @@
     #[options(
         free,
         required,
-        help = "targets, budgets, grants, refusals or revision"
+        help = "targets, budgets, grants, refusals, retries or revision"
     )]
     pub what: String,
+    /// Inventory to ask the daemons of while the key-value service is down.
+    #[options(
+        no_short,
+        help = "ask the daemons of this inventory file, not of the one in the service",
+        meta = "FILE"
+    )]
+    pub inventory: Option<String>,
 }
 
 /// A top-up.
--- a/wisteriapass/src/commands/files.rs
+++ b/wisteriapass/src/commands/files.rs
@@ -3,7 +3,7 @@
 use std::fs;
 
 use serde::Serialize;
-use wisteriapass_config::{Change, Document, Source};
+use wisteriapass_config::{Change, Document, Inventory, Source};
 
 use crate::args::Files;
 use crate::{Context, Exit, Result, ToolError, edit};
@@ -74,6 +74,12 @@
     Ok(Document::from_sources(inventory, rules).map_err(ToolError::from)?)
 }
 
+/// Reads and checks an inventory file alone.
+pub(super) fn read_inventory(file: &str) -> Result<Inventory> {
+    let text = read_text(file)?;
+    Ok(Inventory::from_toml(file, &text).map_err(ToolError::from)?)
+}
+
 /// Returns changes, one a line.
 pub(super) fn lines(changes: &[Change]) -> String {
     if changes.is_empty() {
--- a/wisteriapass/src/commands/show.rs
+++ b/wisteriapass/src/commands/show.rs
@@ -1,16 +1,22 @@
 //! `show`: the state of the fleet.
 
 mod budgets;
+mod counts;
 mod grants;
+mod revision;
 mod targets;
 
 use std::str::FromStr;
 
+use wisteriapass_config::Inventory;
+
 use crate::args::Show;
-use crate::{Context, Exit, Result, ToolError};
+use crate::commands::files;
+use crate::control::Counter;
+use crate::{Context, Exit, Result, ToolError, edit};
 
 /// Kinds of state, as the command line names them.
-const KINDS: &str = "targets, budgets, grants";
+const KINDS: &str = "targets, budgets, grants, refusals, retries, revision";
 
 /// Kind of state to show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +24,9 @@
     Targets,
     Budgets,
     Grants,
+    Refusals,
+    Retries,
+    Revision,
 }
 
 impl FromStr for What {
@@ -28,6 +37,9 @@
             "targets" => Ok(Self::Targets),
             "budgets" => Ok(Self::Budgets),
             "grants" => Ok(Self::Grants),
+            "refusals" => Ok(Self::Refusals),
+            "retries" => Ok(Self::Retries),
+            "revision" => Ok(Self::Revision),
             _ => Err(ToolError::Usage {
                 cause: format!("{text:?} cannot be shown, use one of {KINDS}"),
             }),
@@ -38,8 +50,32 @@
 /// Shows one kind of state.
 pub(super) fn show(cx: &mut Context<'_>, opts: &Show) -> Result<Exit> {
     match opts.what.parse()? {
-        What::Targets => targets::show(cx),
+        What::Targets => targets::show(cx, &inventory(cx, opts)?),
         What::Budgets => budgets::show(cx),
         What::Grants => grants::show(cx),
+        What::Refusals => counts::show(cx, &inventory(cx, opts)?, Counter::Refusals),
+        What::Retries => counts::show(cx, &inventory(cx, opts)?, Counter::Retries),
+        What::Revision => revision::show(cx, &inventory(cx, opts)?),
+    }
+}
+
+/// An inventory and the revision it has in the key-value service.
+struct Known {
+    inventory: Inventory,
+    revision: Option<u64>,
+}
+
+/// Returns the inventory in the service, or from a file while the service is down.
+fn inventory(cx: &Context<'_>, opts: &Show) -> Result<Known> {
+    if let Some(file) = &opts.inventory {
+        return Ok(Known {
+            inventory: files::read_inventory(file)?,
+            revision: None,
+        });
     }
+    let current = edit::current(cx.store()?)?;
+    Ok(Known {
+        inventory: current.inventory,
+        revision: Some(current.revision),
+    })
 }
--- /dev/null
+++ b/wisteriapass/src/commands/show/revision.rs
@@ -0,0 +1,110 @@
+//! `show revision`: which revision is in force where.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use wisteriapass_daemon::rpc::{CallError, Role, Status};
+
+use crate::commands::show::Known;
+use crate::fleet::Process;
+use crate::{Context, Exit, Result, Table, fleet};
+
+/// How a daemon stands to the revision that is expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    InForce,
+    Behind,
+    NoAnswer,
+}
+
+/// One daemon.
+#[derive(Serialize)]
+struct Row {
+    name: String,
+    role: Role,
+    control: SocketAddr,
+    revision: Option<u64>,
+    incarnation: Option<String>,
+    stopping: bool,
+    state: State,
+}
+
+/// All daemons against one revision.
+#[derive(Serialize)]
+struct Spread {
+    expected: u64,
+    in_force: usize,
+    processes: Vec<Row>,
+}
+
+/// Shows the revision of every daemon; succeeds if the expected one is in force everywhere.
+pub(super) fn show(cx: &mut Context<'_>, known: &Known) -> Result<Exit> {
+    let processes = fleet::processes(&known.inventory);
+    let control = cx.control;
+    let answers = fleet::ask_all(&processes, |p| control.status(p.control));
+    // Without the service, the highest revision that any daemon has is the one to reach.
+    let highest = answers.iter().flatten().map(|s| s.revision).max();
+    let expected = known.revision.or(highest).unwrap_or(0);
+    let pairs = processes.iter().zip(&answers);
+    let rows: Vec<Row> = pairs.map(|(p, a)| Row::new(p, a, expected)).collect();
+    let in_force = rows.iter().filter(|r| r.state == State::InForce).count();
+    let spread = Spread {
+        expected,
+        in_force,
+        processes: rows,
+    };
+    cx.out.print(&text(&spread), &spread)?;
+    if in_force == spread.processes.len() {
+        return Ok(Exit::Done);
+    }
+    Ok(Exit::Unreachable)
+}
+
+impl Row {
+    fn new(process: &Process, answer: &Result<Status, CallError>, expected: u64) -> Self {
+        let status = answer.as_ref().ok();
+        let state = match status {
+            // Another process may have taken over the address.
+            Some(s) if s.name != process.name => State::NoAnswer,
+            Some(s) if s.revision >= expected => State::InForce,
+            Some(_) => State::Behind,
+            None => State::NoAnswer,
+        };
+        Self {
+            name: process.name.clone(),
+            role: process.role,
+            control: process.control,
+            revision: status.map(|s| s.revision),
+            incarnation: status.map(|s| s.incarnation.to_string()),
+            stopping: status.is_some_and(|s| s.stopping),
+            state,
+        }
+    }
+
+    fn cells(&self) -> [String; 5] {
+        let state = match (self.state, self.stopping) {
+            (State::NoAnswer, _) => "no answer",
+            (State::Behind, false) => "behind",
+            (State::Behind, true) => "behind, stopping",
+            (State::InForce, false) => "in force",
+            (State::InForce, true) => "in force, stopping",
+        };
+        [
+            self.name.clone(),
+            self.role.to_string(),
+            self.control.to_string(),
+            self.revision.map_or("-".into(), |r| r.to_string()),
+            state.into(),
+        ]
+    }
+}
+
+fn text(spread: &Spread) -> String {
+    let mut table = Table::new(["PROCESS", "ROLE", "CONTROL", "REVISION", "STATE"]);
+    for row in &spread.processes {
+        table.row(row.cells());
+    }
+    let (expected, in_force, all) = (spread.expected, spread.in_force, spread.processes.len());
+    format!("{table}revision {expected} is in force at {in_force} of {all}")
+}
--- a/wisteriapass/src/commands/show/targets.rs
+++ b/wisteriapass/src/commands/show/targets.rs
@@ -1,11 +1,24 @@
-//! `show targets`: what the inventory in force lists.
+//! `show targets`: what the inventory lists and what the side processes say.
 
 use std::net::SocketAddr;
 
 use serde::Serialize;
 use wisteriapass_config::{Target, TargetKind};
+use wisteriapass_daemon::rpc::{CallError, Status};
 
-use crate::{Context, Exit, Result, Table, edit};
+use crate::commands::show::Known;
+use crate::fleet::{self, Process};
+use crate::{Context, Exit, Result, Table};
+
+/// What can be said of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    InService,
+    Draining,
+    Stopping,
+    NoAnswer,
+}
 
 /// One target.
 #[derive(Serialize)]
@@ -17,11 +30,20 @@
     side: SocketAddr,
     offers: Vec<String>,
     slots: u32,
+    working: Option<u64>,
     draining: bool,
+    state: State,
 }
 
 impl Row {
-    fn of(target: &Target) -> Self {
+    fn new(target: &Target, answer: &Result<Status, CallError>) -> Self {
+        let status = answer.as_ref().ok().filter(|s| s.name == target.name);
+        let state = match status {
+            None => State::NoAnswer,
+            Some(s) if s.stopping => State::Stopping,
+            Some(_) if target.draining => State::Draining,
+            Some(_) => State::InService,
+        };
         let models = target.model.iter().map(|m| m.name.clone());
         Self {
             name: target.name.clone(),
@@ -31,19 +53,23 @@
             side: target.side,
             offers: models.chain(target.services.iter().cloned()).collect(),
             slots: target.slots,
+            working: status.map(|s| s.working),
             draining: target.draining,
+            state,
         }
     }
 
-    fn cells(&self) -> [String; 8] {
+    fn cells(&self) -> [String; 9] {
         let kind = match self.kind {
             TargetKind::Engine => "engine",
             TargetKind::Service => "service",
         };
-        let state = if self.draining {
-            "draining"
-        } else {
-            "in service"
+        let state = match (self.state, self.draining) {
+            (State::InService, _) => "in service",
+            (State::Draining, _) => "draining",
+            (State::Stopping, _) => "stopping",
+            (State::NoAnswer, false) => "no answer",
+            (State::NoAnswer, true) => "draining, no answer",
         };
         [
             self.name.clone(),
@@ -53,21 +79,29 @@
             self.side.to_string(),
             self.offers.join(","),
             self.slots.to_string(),
+            self.working.map_or("-".into(), |w| w.to_string()),
             state.into(),
         ]
     }
 }
 
-/// Shows the targets of the inventory in force.
-pub(super) fn show(cx: &mut Context<'_>) -> Result<Exit> {
-    let document = edit::current(cx.store()?)?;
-    let rows: Vec<Row> = document.inventory.target.iter().map(Row::of).collect();
+/// Shows the targets of an inventory; succeeds if all their side processes answer.
+pub(super) fn show(cx: &mut Context<'_>, known: &Known) -> Result<Exit> {
+    let targets = &known.inventory.target;
+    let sides: Vec<Process> = fleet::sides(&known.inventory).collect();
+    let control = cx.control;
+    let answers = fleet::ask_all(&sides, |p| control.status(p.control));
+    let pairs = targets.iter().zip(&answers);
+    let rows: Vec<Row> = pairs.map(|(t, a)| Row::new(t, a)).collect();
     let mut table = Table::new([
-        "TARGET", "KIND", "VM", "DOMAIN", "SIDE", "OFFERS", "SLOTS", "STATE",
+        "TARGET", "KIND", "VM", "DOMAIN", "SIDE", "OFFERS", "SLOTS", "WORKING", "STATE",
     ]);
     for row in &rows {
         table.row(row.cells());
     }
     cx.out.print(&table, &rows)?;
+    if rows.iter().any(|r| r.state == State::NoAnswer) {
+        return Ok(Exit::Unreachable);
+    }
     Ok(Exit::Done)
 }
--- a/wisteriapass/src/context.rs
+++ b/wisteriapass/src/context.rs
@@ -1,15 +1,18 @@
-//! What a command works with: the key-value service, input and output.
+//! What a command works with: the key-value service, daemons, input and output.
 
 use std::io::Read;
 
 use error_stack::Report;
 use wisteriapass_coord::store::Store;
 
+use crate::control::Control;
 use crate::{Output, Result, ToolError};
 
 /// What a command works with.
 pub struct Context<'a> {
     store: Option<&'a dyn Store>,
+    /// How daemons are asked.
+    pub control: &'a dyn Control,
     /// Where results go.
     pub out: Output<'a>,
     /// Where `digest` reads the key from.
@@ -17,10 +20,16 @@
 }
 
 impl<'a> Context<'a> {
-    /// Creates a context around a key-value service.
-    pub fn new(store: &'a dyn Store, out: Output<'a>, input: impl Read + 'a) -> Self {
+    /// Creates a context around a key-value service and a way to ask daemons.
+    pub fn new(
+        store: &'a dyn Store,
+        control: &'a dyn Control,
+        out: Output<'a>,
+        input: impl Read + 'a,
+    ) -> Self {
         Self {
             store: Some(store),
+            control,
             out,
             input: Box::new(input),
         }
--- a/wisteriapass/src/lib.rs
+++ b/wisteriapass/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod args;
 pub mod commands;
 mod context;
+pub mod control;
 pub mod edit;
 mod error;
 mod exit;
+pub mod fleet;
 pub mod money;
 mod op;
 mod output;
@@ -23,6 +25,7 @@
 use wisteriapass_coord::store::HttpStore;
 
 use crate::args::Args;
+use crate::control::HttpControl;
 
 pub use context::Context;
 pub use error::{Result, ToolError};
@@ -45,8 +48,13 @@
     let variable = std::env::var(STORE_VARIABLE).ok();
     let address = parsed.store.clone().or(variable).unwrap_or_default();
     let store = HttpStore::new(address.clone());
+    let control = match HttpControl::new() {
+        Ok(control) => control,
+        Err(e) => return usage(&format!("cannot start a thread ({e})")),
+    };
     let mut out = stdout().lock();
-    let mut cx = Context::new(&store, Output::new(&mut out, parsed.json), stdin());
+    let output = Output::new(&mut out, parsed.json);
+    let mut cx = Context::new(&store, &control, output, stdin());
     if address.is_empty() {
         cx = cx.without_store();
     }
--- a/wisteriapass/tests/commands.rs
+++ b/wisteriapass/tests/commands.rs
@@ -5,7 +5,7 @@
 use std::fs;
 
 use gumdrop::{Options, ParsingStyle};
-use support::{Fault, FaultyStore, dir, json, pizarra, run, seed};
+use support::{FakeFleet, Fault, FaultyStore, dir, json, json_with, pizarra, run, run_with, seed};
 use wisteriapass::args::Args;
 use wisteriapass::{Context, Exit, Output, edit, money};
 use wisteriapass_coord::budget::{BudgetId, Journal, Ledger, Origin, Shards, Tokens, Want};
@@ -201,7 +201,9 @@
     let store = MemoryStore::new();
     let args = Args::parse_args(&["show", "targets"], ParsingStyle::AllOptions).unwrap();
     let mut out = Vec::new();
-    let mut cx = Context::new(&store, Output::new(&mut out, true), "".as_bytes()).without_store();
+    let fleet = FakeFleet::at(1);
+    let mut cx = Context::new(&store, &fleet, Output::new(&mut out, true), "".as_bytes());
+    cx = cx.without_store();
     assert_eq!(wisteriapass::run(&mut cx, &args), Exit::Usage);
     drop(cx);
     assert!(
@@ -210,3 +212,45 @@
             .contains("WISTERIAPASS_STORE")
     );
 }
+
+#[test]
+fn revision_says_where_it_is_not_in_force() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let everywhere = FakeFleet::at(1);
+    assert_eq!(
+        json_with(&store, &everywhere, &["show", "revision"]).0,
+        Exit::Done
+    );
+    let fleet = everywhere.with("lm-a1", 0).without("router-b1");
+    let (exit, said) = json_with(&store, &fleet, &["show", "revision"]);
+    assert_eq!((exit, &said["in_force"]), (Exit::Unreachable, &16.into()));
+    let rows = said["processes"].as_array().unwrap();
+    let state = |name| &rows.iter().find(|r| r["name"] == name).unwrap()["state"];
+    assert_eq!(state("lm-a1"), "behind");
+    assert_eq!(state("router-b1"), "no_answer");
+}
+
+#[test]
+fn revision_can_be_read_while_the_service_is_down() {
+    let store = FaultyStore::new();
+    store.fail("", &[Fault::Down]);
+    let fleet = FakeFleet::at(6).with("lm-c3", 7);
+    let file = pizarra("inventory.toml");
+    let args = ["show", "revision", "--inventory", &file];
+    let (exit, said) = json_with(&store, &fleet, &args);
+    assert_eq!((exit, &said["expected"]), (Exit::Unreachable, &7.into()));
+    assert_eq!(said["in_force"], 1);
+}
+
+#[test]
+fn refusals_are_summed_over_the_daemons_that_answer() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let fleet = FakeFleet::at(1).without("lm-a1");
+    let (exit, said) = json_with(&store, &fleet, &["show", "refusals"]);
+    assert_eq!(exit, Exit::Unreachable);
+    assert_eq!(said["reasons"][0]["count"], 2 * 17);
+    let (_, text) = run_with(&store, &fleet, &["show", "retries"], "");
+    assert!(text.ends_with("no answer from lm-a1\n"), "{text}");
+}
--- a/wisteriapass/tests/support/mod.rs
+++ b/wisteriapass/tests/support/mod.rs
@@ -1,7 +1,9 @@
-//! A service that loses answers, and commands run against it.
+//! A service that loses answers, daemons that may be silent, and commands run against them.
 
 #![allow(dead_code)]
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -9,11 +11,14 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use wisteriapass::args::Args;
+use wisteriapass::control::{Control, Counter};
+use wisteriapass::fleet::{self, Process};
 use wisteriapass::{Context, Exit, Output};
 use wisteriapass_config::Document;
 use wisteriapass_coord::store::{
     Entry, LeaseId, MemoryStore, Result, Revision, Store, StoreError, Swap,
 };
+use wisteriapass_daemon::rpc::{CallError, ReasonCount, Status};
 
 /// What happens to the next writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,6 +123,67 @@
     }
 }
 
+/// Daemons of the Pizarra example; each has a revision or is silent.
+pub struct FakeFleet {
+    processes: Vec<Process>,
+    revisions: HashMap<String, u64>,
+}
+
+impl FakeFleet {
+    /// Lets all daemons have a revision.
+    pub fn at(revision: u64) -> Self {
+        let processes = fleet::processes(&document().inventory);
+        let names = processes.iter().map(|p| (p.name.clone(), revision));
+        let revisions = names.collect();
+        Self {
+            processes,
+            revisions,
+        }
+    }
+
+    /// Gives one daemon another revision.
+    pub fn with(mut self, name: &str, revision: u64) -> Self {
+        self.revisions.insert(name.into(), revision);
+        self
+    }
+
+    /// Silences one daemon.
+    pub fn without(mut self, name: &str) -> Self {
+        self.revisions.remove(name);
+        self
+    }
+
+    fn find(&self, address: SocketAddr) -> Result<(&Process, u64), CallError> {
+        let process = self.processes.iter().find(|p| p.control == address);
+        let found = process.and_then(|p| Some((p, *self.revisions.get(&p.name)?)));
+        found.ok_or_else(|| CallError::Lost {
+            cause: "silent".into(),
+        })
+    }
+}
+
+impl Control for FakeFleet {
+    fn status(&self, address: SocketAddr) -> Result<Status, CallError> {
+        let (process, revision) = self.find(address)?;
+        Ok(Status {
+            name: process.name.clone(),
+            role: process.role,
+            incarnation: "1".into(),
+            revision,
+            stopping: false,
+            working: 3,
+        })
+    }
+
+    fn counter(&self, address: SocketAddr, _: Counter) -> Result<Vec<ReasonCount>, CallError> {
+        self.find(address)?;
+        Ok(vec![ReasonCount {
+            reason: "overloaded".into(),
+            count: 2,
+        }])
+    }
+}
+
 /// Returns the path of a file of the Pizarra example.
 pub fn pizarra(file: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/pizarra");
@@ -140,16 +206,31 @@
 
 /// Runs a command line with JSON output.
 pub fn json(store: &dyn Store, args: &[&str]) -> (Exit, Value) {
-    let (exit, text) = run(store, &[&["--json"], args].concat(), "");
+    json_with(store, &FakeFleet::at(1), args)
+}
+
+/// Runs a command line with JSON output against some daemons.
+pub fn json_with(store: &dyn Store, fleet: &FakeFleet, args: &[&str]) -> (Exit, Value) {
+    let (exit, text) = run_with(store, fleet, &[&["--json"], args].concat(), "");
     (exit, serde_json::from_str(&text).unwrap())
 }
 
 /// Runs a command line and returns its exit code and output.
 pub fn run(store: &dyn Store, args: &[&str], input: &str) -> (Exit, String) {
+    run_with(store, &FakeFleet::at(1), args, input)
+}
+
+/// Runs a command line against some daemons and returns its exit code and output.
+pub fn run_with(
+    store: &dyn Store,
+    fleet: &FakeFleet,
+    args: &[&str],
+    input: &str,
+) -> (Exit, String) {
     let args = Args::parse_args(args, ParsingStyle::AllOptions).unwrap();
     let mut out = Vec::new();
     let output = Output::new(&mut out, args.json);
-    let mut cx = Context::new(store, output, input.as_bytes());
+    let mut cx = Context::new(store, fleet, output, input.as_bytes());
     let exit = wisteriapass::run(&mut cx, &args);
     drop(cx);
     (exit, String::from_utf8(out).unwrap())
--- a/wisteriapass_config/src/inventory.rs
+++ b/wisteriapass_config/src/inventory.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::check::{Checker, accept, check_inventory, parse};
+use crate::{ConfigError, Result};
+
 /// The operators' inventory, drawn from their asset register.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -115,6 +118,21 @@
 }
 
 impl Inventory {
+    /// Reads an inventory from TOML and checks it; `file` is for messages.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] names file, line, key and remedy of every mistake.
+    pub fn from_toml(file: &str, text: &str) -> Result<Self> {
+        let inventory: Self = parse(file, text).map_err(|mistake| ConfigError::Invalid {
+            mistakes: vec![mistake],
+        })?;
+        let mut checker = Checker::new(file, Some(text));
+        check_inventory(&mut checker, &inventory);
+        accept(checker.into_mistakes())?;
+        Ok(inventory)
+    }
+
     /// Returns the target of this name.
     pub fn target_named(&self, name: &str) -> Option<&Target> {
         self.target.iter().find(|t| t.name == name)
--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod api;
 mod control;
+mod counters;
 pub mod http;
 pub mod kernel;
 mod logging;
--- a/wisteriapass_daemon/src/metrics.rs
+++ b/wisteriapass_daemon/src/metrics.rs
@@ -4,10 +4,24 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::proto::Metric;
 use prometheus::{Registry, TextEncoder};
 
 use crate::api::Reason;
 use crate::kernel::Service;
+use crate::rpc::ReasonCount;
+
+/// Counter of refusals, by reason.
+pub(crate) const REFUSALS: &str = "wisteriapass_refusals";
+
+/// Counter of retries, by reason.
+pub(crate) const RETRIES: &str = "wisteriapass_retries";
+
+/// What the exporter adds to the name of a counter.
+const TOTAL: &str = "_total";
+
+/// Label that carries the reason.
+const REASON: &str = "reason";
 
 /// Result of starting the metrics.
 pub type Result<T, E = MetricsError> = std::result::Result<T, E>;
@@ -96,8 +110,8 @@
             registry,
             requests: meter.u64_counter("wisteriapass_requests").build(),
             answers: meter.u64_counter("wisteriapass_answers").build(),
-            refusals: meter.u64_counter("wisteriapass_refusals").build(),
-            retries: meter.u64_counter("wisteriapass_retries").build(),
+            refusals: meter.u64_counter(REFUSALS).build(),
+            retries: meter.u64_counter(RETRIES).build(),
             dropped: meter.u64_counter("wisteriapass_dropped").build(),
             tokens: meter.u64_counter("wisteriapass_billed_tokens").build(),
             streams: meter.i64_up_down_counter("wisteriapass_streams").build(),
@@ -118,19 +132,19 @@
     /// Counts a refusal.
     pub fn refusal(&self, reason: Reason) {
         self.refusals
-            .add(1, &[KeyValue::new("reason", reason.to_string())]);
+            .add(1, &[KeyValue::new(REASON, reason.to_string())]);
     }
 
     /// Counts a retry.
     pub fn retry(&self, reason: Retry) {
         self.retries
-            .add(1, &[KeyValue::new("reason", reason.to_string())]);
+            .add(1, &[KeyValue::new(REASON, reason.to_string())]);
     }
 
     /// Counts something that was dropped.
     pub fn dropped(&self, reason: Dropped) {
         self.dropped
-            .add(1, &[KeyValue::new("reason", reason.to_string())]);
+            .add(1, &[KeyValue::new(REASON, reason.to_string())]);
     }
 
     /// Counts billed tokens.
@@ -143,6 +157,15 @@
         self.streams.add(change, &[]);
     }
 
+    /// Returns the values of a counter by reason; reasons that never occurred are left out.
+    pub(crate) fn by_reason(&self, counter: &str) -> Vec<ReasonCount> {
+        let name = format!("{counter}{TOTAL}");
+        let families = self.registry.gather();
+        let family = families.iter().find(|f| f.name() == name);
+        let metrics = family.map(|f| f.get_metric()).unwrap_or_default();
+        metrics.iter().filter_map(reason_count).collect()
+    }
+
     /// Returns all counters in the Prometheus text format.
     pub fn text(&self) -> String {
         TextEncoder::new()
@@ -155,3 +178,13 @@
         let _ = self.provider.shutdown();
     }
 }
+
+/// Reads one value of a counter with a reason.
+fn reason_count(metric: &Metric) -> Option<ReasonCount> {
+    let label = metric.get_label().iter().find(|l| l.name() == REASON)?;
+    Some(ReasonCount {
+        reason: label.value().to_owned(),
+        // Counters hold whole numbers, which the exporter turns into floats.
+        count: metric.get_counter().value() as u64,
+    })
+}
--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -1,6 +1,7 @@
 //! Control calls between processes, by JSON-RPC.
 
 mod caller;
+mod counters;
 mod messages;
 mod server;
 
@@ -8,6 +9,7 @@
 use jsonrpsee::proc_macros::rpc;
 
 pub use caller::{CallError, Caller};
+pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Role, Status};
 pub use server::ControlServerHandle;
 
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -12,13 +12,14 @@
 use wisteriapass_coord::store::{HttpStore, Revision, Store};
 
 use crate::control::ControlService;
+use crate::counters::CountersService;
 use crate::http::Listener;
 use crate::kernel::KernelError;
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
 use crate::router::{self, InForce, Money, RouterIdentity, Scheduling};
-use crate::rpc::{self, Caller, ControlServer, ControlServerHandle};
+use crate::rpc::{self, Caller, ControlServer, ControlServerHandle, CountersServer};
 use crate::side::{self, Runs, SideIdentity};
 use crate::stop::Stop;
 
@@ -160,6 +161,9 @@
     module
         .merge(service.into_rpc())
         .map_err(std::io::Error::other)?;
+    module
+        .merge(CountersService::new(kernel)?.into_rpc())
+        .map_err(std::io::Error::other)?;
     Ok(ControlServerHandle::start(settings.control, module)?)
 }
 
