Daemon: withdrawals, cancelled and abandoned runs, reservations settled later

A run whose caller had left went on to its end and its reservation was dropped; a run whose side process was lost had no further word. A router now stops runs that nobody can ask for again and waits for their bill, withdraws what it cannot follow, and asks for the bill of what it lost sight of until it is known. A withdrawal proves 'not run' only from the incarnation that was sent the dispatch.

--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -13,11 +13,13 @@
 mod pipeline;
 mod scheduling;
 mod turn;
+mod unsettled;
 
 pub use config::InForce;
 pub use front::serve;
 pub use money::Money;
 pub use scheduling::Scheduling;
+pub use unsettled::Unsettled;
 
 use crate::kernel::Service;
 
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -1,5 +1,7 @@
 //! One request on its way: money, turn, attempts, settlement.
 
+use std::net::SocketAddr;
+
 use wisteriapass_policy::FailureKind;
 
 use crate::api::Ran;
@@ -7,10 +9,11 @@
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
-use crate::router::attempt::{Ended, carry_out};
+use crate::router::attempt::{Attempt, Ended};
 use crate::router::pipeline::Pipeline;
 use crate::router::turn::Turn;
-use crate::run_wire::Payment;
+use crate::router::unsettled::OpenReservation;
+use crate::run_wire::{Dispatch, Payment, RunBill};
 
 /// Attempts of one request at most.
 const MOST_ATTEMPTS: u32 = 3;
@@ -31,6 +34,27 @@
     Again(Refusal, FailureKind),
 }
 
+/// A dispatch that was sent.
+struct Sent<'a> {
+    dispatch: &'a Dispatch,
+    control: SocketAddr,
+}
+
+impl Sent<'_> {
+    fn payment(&self) -> &Payment {
+        &self.dispatch.payment
+    }
+
+    fn open(&self) -> OpenReservation {
+        OpenReservation {
+            payment: self.dispatch.payment.clone(),
+            control: self.control,
+            run: self.dispatch.run.clone(),
+            attempt: self.dispatch.attempt,
+        }
+    }
+}
+
 impl<'a> Carry<'a> {
     /// Creates the way of a request that was not tried yet.
     pub fn new(pipeline: &'a Pipeline, asked: &'a Asked, run: &'a str) -> Self {
@@ -103,26 +127,32 @@
         let dispatch = self
             .pipeline
             .dispatch(self.asked, self.run, attempt, &payment);
-        let ended = carry_out(target.side, &dispatch, answer, turn, &self.pipeline.metrics);
-        self.settle(&payment, ended, turn, answer)
+        let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
+        let ended = Attempt::new(target, &dispatch, metrics, caller).carry_out(answer, turn);
+        let sent = Sent {
+            dispatch: &dispatch,
+            control: target.side_control,
+        };
+        self.settle(&sent, ended, turn, answer)
     }
 
     fn settle(
         &mut self,
-        payment: &Payment,
+        sent: &Sent<'_>,
         ended: Ended,
         turn: &mut Turn,
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
         let money = &self.pipeline.money;
+        let payment = sent.payment();
         match ended {
             Ended::Answered(bill) => {
                 turn.finished(u32::try_from(bill.output_tokens).unwrap_or(u32::MAX));
                 money.settle(payment, &bill);
                 Ok(Step::Done)
             }
-            Ended::CallerGone => {
-                money.keep_aside(payment);
+            Ended::CallerGone(bill) => {
+                money.settle(payment, &bill);
                 Ok(Step::Done)
             }
             Ended::NotRun(refusal, reason) => {
@@ -146,14 +176,22 @@
                     answer,
                 )
             }
-            Ended::Unknown(refusal) => {
+            Ended::Unknown(refusal, bill) => {
                 self.may_have_run = true;
-                money.keep_aside(payment);
+                self.settle_unknown(sent, bill);
                 self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
             }
         }
     }
 
+    /// Settles a run whose answer is lost, at once or when its side process can be asked.
+    fn settle_unknown(&self, sent: &Sent<'_>, bill: Option<RunBill>) {
+        match bill {
+            Some(bill) => self.pipeline.money.settle(sent.payment(), &bill),
+            None => self.pipeline.unsettled.keep(sent.open()),
+        }
+    }
+
     /// Allows another attempt of what may have run, if it is idempotent and the caller has no part.
     fn again(
         &self,
--- a/wisteriapass_daemon/src/router/money.rs
+++ b/wisteriapass_daemon/src/router/money.rs
@@ -41,7 +41,4 @@
 
     /// Gives back a reservation whose request did not run and will not.
     pub fn release(&self, _payment: &Payment) {}
-
-    /// Keeps a reservation aside whose run may yet be billed.
-    pub fn keep_aside(&self, _payment: &Payment) {}
 }
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -10,7 +10,8 @@
 use crate::router::carry::Carry;
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
-use crate::router::{InForce, Money, RouterIdentity, Scheduling};
+use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::rpc::Caller;
 use crate::run_wire::{Dispatch, Payment, RunRequest};
 use crate::stop::Stop;
 
@@ -20,6 +21,8 @@
     pub(super) money: Arc<Money>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) stop: Arc<Stop>,
+    pub(super) caller: Arc<Caller>,
+    pub(super) unsettled: Arc<Unsettled>,
     router: Arc<RouterIdentity>,
     scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
@@ -41,6 +44,8 @@
             money: kernel.find()?,
             metrics: kernel.find()?,
             stop: kernel.find()?,
+            caller: kernel.find()?,
+            unsettled: kernel.find()?,
             router: kernel.find()?,
             scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
@@ -117,6 +122,7 @@
             account: asked.account.clone(),
             payment: payment.clone(),
             idempotent: asked.idempotent,
+            keyed: asked.key.is_some(),
             start_within_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             revision: self.config.revision(),
             request: asked.request.clone(),
--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod messages;
 mod server;
+mod side;
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
@@ -12,6 +13,7 @@
 pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Role, Status};
 pub use server::ControlServerHandle;
+pub use side::{SideControlClient, SideControlServer, Withdrawal, Withdrawn};
 
 /// Control calls of every daemon.
 #[rpc(server, client, namespace = "control")]
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -135,6 +135,8 @@
     pub payment: Payment,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether its caller gave a key, and so may ask for it again.
+    pub keyed: bool,
     /// Time left to start it, in milliseconds; a late dispatch is refused.
     pub start_within_ms: u64,
     /// Revision of the configuration the router has in force.
--- a/wisteriapass_daemon/src/side.rs
+++ b/wisteriapass_daemon/src/side.rs
@@ -1,5 +1,6 @@
 //! Side process: runs requests at the target beside it and keeps their answers for attachment.
 
+mod control;
 mod engine;
 mod engine_wire;
 mod executor;
@@ -12,6 +13,7 @@
 
 use crate::kernel::Service;
 
+pub use control::SideControlService;
 pub use front::serve;
 pub use run::{Next, Run};
 pub use runs::Runs;
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -112,6 +112,17 @@
         self.state.lock().ended_at
     }
 
+    /// Returns whether it ended without its answer at a target that failed.
+    pub fn failed(&self) -> bool {
+        matches!(
+            self.state.lock().events.last(),
+            Some(RunEvent::End {
+                finish: Finish::Failed | Finish::Cancelled,
+                ..
+            })
+        )
+    }
+
     /// Returns the bill, if the run ended with one.
     pub fn bill(&self) -> Option<RunBill> {
         match self.state.lock().events.last() {
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -5,12 +5,20 @@
 use parking_lot::Mutex;
 
 use crate::prelude::*;
+use crate::rpc::Withdrawn;
 use crate::run_wire::{Attach, Dispatch};
 use crate::side::Run;
 
 /// Time a run's answer is kept after its end, in seconds.
 const KEEP_S: u64 = 300;
 
+/// Time a withdrawal is remembered, in seconds; dispatches are refused long before as late.
+const KEEP_WITHDRAWN_S: u64 = 3_600;
+
+/// Time after which a run that nobody follows and nobody can ask for again is stopped, in
+/// seconds; a router that lost its connection is back sooner.
+const ORPHAN_S: u64 = 10;
+
 /// What to do with a dispatch.
 pub enum Begun {
     /// Execute it.
@@ -19,10 +27,23 @@
     Known(Arc<Run>),
 }
 
+/// A withdrawal that holds until its end.
+#[derive(Clone, Copy, Debug)]
+struct Withdrawing {
+    attempt: u32,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct Table {
+    runs: HashMap<String, Arc<Run>>,
+    withdrawn: HashMap<String, Withdrawing>,
+}
+
 /// The runs of one side process.
 #[derive(Default)]
 pub struct Runs {
-    runs: Mutex<HashMap<String, Arc<Run>>>,
+    table: Mutex<Table>,
 }
 
 impl Service for Runs {
@@ -37,17 +58,31 @@
 
     /// Begins a run, or finds the one that is there.
     ///
+    /// A run that failed without an answer begins anew.
+    ///
     /// # Errors
     ///
-    /// A [`Refusal`] if the identity belongs to another request.
+    /// A [`Refusal`] if the attempt was withdrawn or the identity belongs to another request.
     pub fn begin(&self, dispatch: Dispatch) -> Result<Begun, Refusal> {
-        let mut runs = self.runs.lock();
-        if let Some(run) = runs.get(&dispatch.run) {
+        let mut table = self.table.lock();
+        if let Some(run) = table.runs.get(&dispatch.run) {
             check_fingerprint(run, &dispatch.fingerprint)?;
-            return Ok(Begun::Known(run.clone()));
+            if !run.failed() || !dispatch.idempotent {
+                return Ok(Begun::Known(run.clone()));
+            }
+        }
+        if table
+            .withdrawn
+            .get(&dispatch.run)
+            .is_some_and(|w| dispatch.attempt <= w.attempt)
+        {
+            return Err(Refusal::not_run(
+                Reason::Deadline,
+                "the attempt was withdrawn",
+            ));
         }
         let run = Arc::new(Run::new(dispatch));
-        runs.insert(run.dispatch().run.clone(), run.clone());
+        table.runs.insert(run.dispatch().run.clone(), run.clone());
         Ok(Begun::New(run))
     }
 
@@ -57,24 +92,64 @@
     ///
     /// A [`Refusal`] if no such run is known or the identity belongs to another request.
     pub fn find(&self, attach: &Attach) -> Result<Arc<Run>, Refusal> {
-        let run = self.runs.lock().get(&attach.run).cloned();
+        let run = self.table.lock().runs.get(&attach.run).cloned();
         let run = run.ok_or_else(|| Refusal::outcome_unknown("no such run here"))?;
         check_fingerprint(&run, &attach.fingerprint)?;
         Ok(run)
     }
 
-    /// Forgets runs that ended long ago.
-    pub fn expire(&self, now: Instant) {
+    /// Makes sure that attempts up to this one never begin, unless one has.
+    pub fn withdraw(&self, run: &str, attempt: u32, now: Instant) -> Withdrawn {
+        let mut table = self.table.lock();
+        if let Some(known) = table.runs.get(run) {
+            return match (known.bill(), known.ended_at()) {
+                (Some(bill), _) => Withdrawn::Ended { bill },
+                (None, Some(_)) => Withdrawn::Unknown,
+                (None, None) => Withdrawn::Running,
+            };
+        }
+        let until = now + Duration::from_secs(KEEP_WITHDRAWN_S);
+        let entry = table
+            .withdrawn
+            .entry(run.into())
+            .or_insert(Withdrawing { attempt, until });
+        entry.attempt = entry.attempt.max(attempt);
+        entry.until = until;
+        Withdrawn::NeverRuns
+    }
+
+    /// Asks a run to stop; returns whether it was running.
+    pub fn cancel(&self, run: &str) -> bool {
+        let run = self.table.lock().runs.get(run).cloned();
+        let running = run.filter(|r| r.ended_at().is_none());
+        if let Some(run) = &running {
+            run.cancel();
+        }
+        running.is_some()
+    }
+
+    /// Forgets what ended long ago, and stops what nobody can ask for again.
+    pub fn sweep(&self, now: Instant) {
         let keep = Duration::from_secs(KEEP_S);
-        self.runs
-            .lock()
+        let orphaned = Duration::from_secs(ORPHAN_S);
+        let mut table = self.table.lock();
+        table
+            .runs
             .retain(|_, run| run.ended_at().is_none_or(|at| at + keep > now));
+        table.withdrawn.retain(|_, w| w.until > now);
+        for run in table.runs.values().filter(|r| r.ended_at().is_none()) {
+            let left = run.left_at().is_some_and(|at| at + orphaned < now);
+            if left && !run.dispatch().keyed {
+                run.cancel();
+            }
+        }
     }
 
     /// Returns the number of runs that go on.
     pub fn running(&self) -> usize {
-        self.runs
+        self.table
             .lock()
+            .runs
             .values()
             .filter(|r| r.ended_at().is_none())
             .count()
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -18,9 +18,11 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{self, InForce, Money, RouterIdentity, Scheduling};
-use crate::rpc::{self, Caller, ControlServer, ControlServerHandle, CountersServer};
-use crate::side::{self, Runs, SideIdentity};
+use crate::router::{self, InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::rpc::{
+    self, Caller, ControlServer, ControlServerHandle, CountersServer, SideControlServer,
+};
+use crate::side::{self, Runs, SideControlService, SideIdentity};
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -38,6 +40,9 @@
 /// Pause after a failed call to the key-value service, in milliseconds.
 const STORE_PAUSE_MS: u64 = 250;
 
+/// Time between two sweeps of a side process's runs, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -106,6 +111,8 @@
     kernel.register(Money::new(incarnation));
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
+    let unsettled = kernel.register(Unsettled::new(kernel)?);
+    spawn("unsettled", move || unsettled.ask_forever())?;
     let documents = kernel.find::<InForce>()?.follow();
     let failure_domain = settings.failure_domain.clone();
     spawn("targets", move || {
@@ -137,7 +144,13 @@
     let Some(target) = settings.target else {
         return Err(StartError::NoTarget);
     };
-    kernel.register(Runs::new());
+    let runs = kernel.register(Runs::new());
+    spawn("sweep", move || {
+        loop {
+            sleep(Duration::from_millis(SWEEP_MS));
+            runs.sweep(Instant::now());
+        }
+    })?;
     kernel.register(SideIdentity {
         name: settings.name.clone(),
         incarnation: incarnation.into(),
@@ -161,6 +174,11 @@
     module
         .merge(service.into_rpc())
         .map_err(std::io::Error::other)?;
+    if role == rpc::Role::Side {
+        let service = SideControlService::new(kernel)?;
+        let merged = module.merge(service.into_rpc());
+        merged.map_err(std::io::Error::other)?;
+    }
     module
         .merge(CountersService::new(kernel)?.into_rpc())
         .map_err(std::io::Error::other)?;
