Stand-ins: answers whose connection closes in their middle

minreq reads a cut chunked body as a clean end, so whoever reads an answer has to know its end from its content; the new switch shows who does not.

Digests in hexadecimal stood in two places and now stand in one.

--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,4 +1,7 @@
 //! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
+mod digest;
 pub mod link;
 pub mod standin;
+
+pub use digest::sha256_hex;
--- a/wisteriapass_bench/src/standin/engine.rs
+++ b/wisteriapass_bench/src/standin/engine.rs
@@ -30,6 +30,7 @@
 use cache::PrefixCache;
 use execution::Execution;
 use orders::Orders;
+use stream::{CUT_AFTER, Fault};
 use wire::{Cancel, Cancelled, ChatRequest, Resume};
 
 /// Priority of a request whose `x-priority` header is missing or unknown.
@@ -196,7 +197,14 @@
             run.wait_past(0);
             return call.close();
         }
-        stream::send(call, shown, from, faults.silent_after);
+        stream::send(call, shown, from, self.stream_fault(faults.silent_after));
+    }
+
+    fn stream_fault(&self, silent_after: Option<usize>) -> Fault {
+        if self.switches.take_cut() {
+            return Fault::Cut(CUT_AFTER);
+        }
+        silent_after.map_or(Fault::None, Fault::Silent)
     }
 
     fn answer_whole(&self, call: Call, run: &Arc<Execution>) {
--- a/wisteriapass_bench/src/standin/engine/answer.rs
+++ b/wisteriapass_bench/src/standin/engine/answer.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::digest::hex;
+
 /// Fewest tokens of an answer whose prompt names no number.
 const FEWEST_TOKENS: u32 = 8;
 
@@ -72,10 +74,6 @@
     hasher.finalize().into()
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
-}
-
 fn derived_length(digest: &[u8; 32]) -> u32 {
     let [.., a, b] = *digest;
     FEWEST_TOKENS + u32::from(u16::from_be_bytes([a, b])) % LENGTHS
--- a/wisteriapass_bench/src/standin/faults.rs
+++ b/wisteriapass_bench/src/standin/faults.rs
@@ -32,8 +32,10 @@
     pub crossed: u32,
     /// Number of coming calls refused with status 500, without a run.
     pub errors: u32,
-    /// Number of coming calls whose connection closes after their run began.
+    /// Number of coming calls whose connection closes after their run began, without an answer.
     pub resets: u32,
+    /// Number of coming answers whose connection closes in their middle.
+    pub cuts: u32,
 }
 
 impl Default for TargetFaults {
@@ -46,6 +48,7 @@
             crossed: 0,
             errors: 0,
             resets: 0,
+            cuts: 0,
         }
     }
 }
@@ -77,6 +80,11 @@
         take(&mut self.faults.lock().errors)
     }
 
+    /// Uses up one cut answer, if one is due.
+    pub fn take_cut(&self) -> bool {
+        take(&mut self.faults.lock().cuts)
+    }
+
     /// Uses up one closed connection, if one is due.
     pub fn take_reset(&self) -> bool {
         take(&mut self.faults.lock().resets)
--- a/wisteriapass_bench/src/standin/service.rs
+++ b/wisteriapass_bench/src/standin/service.rs
@@ -8,8 +8,8 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
+use crate::sha256_hex;
 use crate::standin::faults::{Silence, Switches, TargetFaults};
 use crate::standin::http::{Call, Handler, HttpServer};
 use crate::standin::unix_ms;
@@ -174,7 +174,10 @@
             answer.body_digest = CROSSED.into();
         }
         if faults.silent_after.is_some() {
-            return send_half(call, &answer);
+            return send_half(call, &answer, Ending::Silent);
+        }
+        if self.switches.take_cut() {
+            return send_half(call, &answer, Ending::Cut);
         }
         let request_id = answer.request_id.clone();
         call.answer_as(Some(&request_id), 200, &answer);
@@ -185,7 +188,7 @@
             request_id: call.header("x-request-id").unwrap_or_default().to_owned(),
             method: call.method(),
             path: call.url().to_owned(),
-            body_digest: body_digest(call.body()),
+            body_digest: sha256_hex(call.body()),
             started: unix_ms(),
         };
         let mut done = self.done.lock();
@@ -205,23 +208,28 @@
     }
 }
 
-/// Sends half of an answer and goes silent.
-fn send_half(call: Call, answer: &ServiceAnswer) {
+/// How half an answer ends.
+#[derive(Clone, Copy)]
+enum Ending {
+    /// Nothing more comes.
+    Silent,
+    /// The connection closes.
+    Cut,
+}
+
+/// Sends half of an answer.
+fn send_half(call: Call, answer: &ServiceAnswer, ending: Ending) {
     let text = serde_json::to_vec(answer).unwrap_or_default();
     let Ok(mut stream) = call.stream("application/json", &answer.request_id) else {
         return;
     };
-    if stream.send(&text[..text.len() / 2]).is_ok() {
-        stream.hold();
+    if stream.send(&text[..text.len() / 2]).is_err() {
+        return;
+    }
+    match ending {
+        Ending::Silent => stream.hold(),
+        Ending::Cut => drop(stream),
     }
-}
-
-/// Returns the SHA-256 of a body, in hexadecimal.
-pub fn body_digest(body: &[u8]) -> String {
-    Sha256::digest(body)
-        .iter()
-        .map(|b| format!("{b:02x}"))
-        .collect()
 }
 
 fn is_write(method: &str) -> bool {
--- a/wisteriapass_bench/tests/engine.rs
+++ b/wisteriapass_bench/tests/engine.rs
@@ -234,6 +234,26 @@
     assert_eq!(ran_ids(&engine), ["r-1"]);
 }
 
+#[test]
+fn a_cut_answer_closes_after_a_token_and_resumes() {
+    let engine = Engine::start(fast()).unwrap();
+    engine.set_faults(TargetFaults {
+        cuts: 1,
+        ..TargetFaults::default()
+    });
+    let req = post(
+        &engine,
+        "/v1/chat/completions",
+        "r-1",
+        &chat("tokens=5", true),
+    );
+    let (first, end) = tokens(&mut Events::of(req));
+    assert_eq!((first.len(), end), (1, None));
+    let body = json!({"request_id": "r-1", "from": 1});
+    let (rest, _) = tokens(&mut Events::of(post(&engine, "/v1/resume", "", &body)));
+    assert_eq!(rest.len(), 4);
+}
+
 #[test]
 fn a_crossed_answer_carries_a_foreign_id_once() {
     let engine = Engine::start(fast()).unwrap();
--- a/wisteriapass_bench/tests/service.rs
+++ b/wisteriapass_bench/tests/service.rs
@@ -1,6 +1,5 @@
 //! The plain service's stand-in: echo, effects and faults.
 
-use wisteriapass_bench::standin::service::body_digest;
 use wisteriapass_bench::standin::{Service, ServiceSettings, Silence, TargetFaults};
 
 fn put(service: &Service, id: &str, body: &str) -> Result<minreq::Response, minreq::Error> {
@@ -19,7 +18,10 @@
     let answer: serde_json::Value = serde_json::from_slice(answer.as_bytes()).unwrap();
     assert_eq!(answer["method"], "PUT");
     assert_eq!(answer["path"], "/pages/7");
-    assert_eq!(answer["body_digest"], body_digest(b"text"));
+    assert_eq!(
+        answer["body_digest"],
+        wisteriapass_bench::sha256_hex(b"text")
+    );
     assert_eq!(answer["request_id"], "r-1");
     assert_eq!(service.effects("/pages/7"), 1);
 }
@@ -55,6 +57,19 @@
     assert_eq!(ran, ["r-2", "r-3"]);
 }
 
+#[test]
+fn a_cut_answer_ends_in_its_middle() {
+    let service = Service::start(&ServiceSettings::default()).unwrap();
+    let whole = put(&service, "r-1", "text").unwrap().as_bytes().len();
+    service.set_faults(TargetFaults {
+        cuts: 1,
+        ..TargetFaults::default()
+    });
+    let cut = put(&service, "r-1", "text").unwrap();
+    assert!(cut.as_bytes().len() < whole);
+    assert_eq!(service.effects("/pages/7"), 2);
+}
+
 #[test]
 fn silence_comes_before_after_or_within_the_answer() {
     let service = Service::start(&ServiceSettings::default()).unwrap();
