Harness: a fleet of daemons as child processes

Platform and targets run in the harness's process, routers and side processes as children that run this tool's hidden command `daemon` (so that tests need no other package built) or the daemon's own binary. Children are killed and reaped when dropped, also paused ones.

Signals other than KILL go through the shell's own kill: the lock file has neither rustix nor nix, and unsafe code is forbidden. A daemon behind links takes fresh ports at each start, since an outgoing connection may have taken the old port while it was down.

--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -1,11 +1,13 @@
 //! Commands of the tool.
 
+mod daemon;
 mod standins;
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
+use daemon::DaemonOptions;
 use standins::{EngineOptions, PlatformOptions, ServiceOptions};
 
 /// Command line of the tool.
@@ -20,6 +22,8 @@
 /// The commands.
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "run a router or side process, as this tool's own child")]
+    Daemon(DaemonOptions),
     #[options(help = "run a stand-in for the platform")]
     Platform(PlatformOptions),
     #[options(help = "run a stand-in for a model engine")]
@@ -32,6 +36,7 @@
     /// Runs the command and returns the process's exit code.
     pub fn run(self) -> ExitCode {
         let done = match self.command {
+            Some(Command::Daemon(options)) => return options.run(),
             Some(Command::Platform(options)) => options.run(),
             Some(Command::Engine(options)) => options.run(),
             Some(Command::Service(options)) => options.run(),
--- /dev/null
+++ b/wisteriapass_bench/src/commands/daemon.rs
@@ -0,0 +1,22 @@
+//! Command that runs a daemon in this process, for the harness.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+/// Options of `daemon`.
+#[derive(Debug, Options)]
+pub struct DaemonOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "settings file (TOML)", required)]
+    settings: PathBuf,
+}
+
+impl DaemonOptions {
+    /// Runs the daemon until it is told to stop.
+    pub fn run(&self) -> ExitCode {
+        wisteriapass_daemon::run(&self.settings)
+    }
+}
--- /dev/null
+++ b/wisteriapass_bench/src/fleet.rs
@@ -0,0 +1,309 @@
+//! Harness: a platform and targets in this process, routers and side processes as child processes.
+
+mod daemon;
+mod error;
+mod plan;
+mod program;
+mod scratch;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::{Mutex, MutexGuard};
+use wisteriapass_config::{CURRENT_KEY, Document, Role, Router, Settings, Target, TargetKind};
+use wisteriapass_coord::store::{Revision, Store, Swap};
+
+use crate::link::Network;
+use crate::standin::platform::VmState;
+use crate::standin::{Engine, EngineSettings, Platform, Service};
+
+pub use daemon::{Daemon, Signal};
+pub use error::{FleetError, Result};
+pub use plan::{AccountPlan, BUDGET, FleetPlan, SERVICE, key_digest};
+pub use program::Program;
+
+use daemon::{Front, free_addr};
+use scratch::Scratch;
+
+/// Name of the platform in the network.
+pub const PLATFORM: &str = "platform";
+
+/// Longest time for all daemons to become ready, in seconds.
+const READY_S: u64 = 20;
+
+/// A running fleet; it ends its child processes when dropped.
+pub struct Fleet {
+    // Dropped in this order: daemons before what they talk to.
+    daemons: BTreeMap<String, Mutex<Daemon>>,
+    engines: BTreeMap<String, Engine>,
+    services: BTreeMap<String, Service>,
+    network: Arc<Network>,
+    platform: Platform,
+    document: Mutex<Document>,
+    plan: FleetPlan,
+    scratch: Scratch,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if something does not start.
+    pub fn start(plan: FleetPlan) -> Result<Self> {
+        let fleet = Self::start_unready(plan)?;
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// Starts a fleet without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if something does not start.
+    pub fn start_unready(plan: FleetPlan) -> Result<Self> {
+        let platform = Platform::start(&plan.platform)?;
+        let network = Arc::new(Network::new());
+        let store = network.add(PLATFORM, platform.addr())?;
+        let mut fleet = Self {
+            daemons: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            network,
+            platform,
+            document: Mutex::new(plan.document()),
+            scratch: Scratch::new()?,
+            plan,
+        };
+        fleet.start_targets()?;
+        fleet.place_daemons(store)?;
+        let document = fleet.document();
+        fleet.apply(document)?;
+        for daemon in fleet.daemons.values() {
+            daemon.lock().start()?;
+        }
+        Ok(fleet)
+    }
+
+    /// Waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if one is not in time, with the end of its log.
+    pub fn wait_ready(&self) -> Result<()> {
+        let deadline = Instant::now() + Duration::from_secs(READY_S);
+        for daemon in self.daemons.values() {
+            daemon.lock().wait_ready(deadline)?;
+        }
+        Ok(())
+    }
+
+    /// Returns what the fleet was started from.
+    pub fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
+    /// Returns the stand-in for the platform.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Returns the links between the processes: [`PLATFORM`], the daemons by their names, the
+    /// targets by the name of their side process with `/target`, and [`crate::link::CALLERS`].
+    pub fn network(&self) -> &Network {
+        &self.network
+    }
+
+    /// Returns the stand-ins for engines, by name.
+    pub fn engines(&self) -> &BTreeMap<String, Engine> {
+        &self.engines
+    }
+
+    /// Returns the stand-ins for plain services, by name.
+    pub fn services(&self) -> &BTreeMap<String, Service> {
+        &self.services
+    }
+
+    /// Returns the names of the routers.
+    pub fn router_names(&self) -> Vec<String> {
+        let document = self.document.lock();
+        let routers = document.inventory.router.iter();
+        routers.map(|r| r.name.clone()).collect()
+    }
+
+    /// Returns the names of the side processes, which are those of their targets.
+    pub fn side_names(&self) -> Vec<String> {
+        let document = self.document.lock();
+        let targets = document.inventory.target.iter();
+        targets.map(|t| t.name.clone()).collect()
+    }
+
+    /// Returns where callers reach the routers.
+    pub fn router_addrs(&self) -> Vec<SocketAddr> {
+        let document = self.document.lock();
+        let routers = document.inventory.router.iter();
+        routers.map(|r| r.listen).collect()
+    }
+
+    /// Returns the daemon of this name; hold it only for as long as needed.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::NoSuchDaemon`].
+    pub fn daemon(&self, name: &str) -> Result<MutexGuard<'_, Daemon>> {
+        let daemon = self.daemons.get(name);
+        daemon
+            .map(Mutex::lock)
+            .ok_or_else(|| FleetError::NoSuchDaemon { name: name.into() })
+    }
+
+    /// Returns the configuration that was applied last.
+    pub fn document(&self) -> Document {
+        self.document.lock().clone()
+    }
+
+    /// Puts a configuration in force, under the next revision.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Store`] if the service did not take it.
+    pub fn apply(&self, mut document: Document) -> Result<u64> {
+        let mut current = self.document.lock();
+        document.revision = current.revision + 1;
+        document.op = format!("bench-{}", document.revision);
+        let store = self.platform.store();
+        let at = store
+            .get(CURRENT_KEY)?
+            .map_or(Revision::ABSENT, |e| e.revision);
+        match store.swap(CURRENT_KEY, at, &document.to_json(), None)? {
+            Swap::Done(_) => {
+                *current = document;
+                Ok(current.revision)
+            }
+            Swap::Conflict(_) => Err(FleetError::Conflict),
+        }
+    }
+
+    /// Starts the targets and writes their addresses into the inventory.
+    fn start_targets(&mut self) -> Result<()> {
+        let mut document = self.document.lock();
+        for target in &mut document.inventory.target {
+            let addr = match target.kind {
+                TargetKind::Engine => {
+                    let engine = Engine::start(EngineSettings {
+                        models: target.model.iter().map(|m| m.name.clone()).collect(),
+                        checks_fencing: target.checks_fencing,
+                        weights: Some(self.platform.addr()),
+                        ..self.plan.engine.clone()
+                    })?;
+                    let addr = engine.addr();
+                    self.engines.insert(target.name.clone(), engine);
+                    addr
+                }
+                TargetKind::Service => {
+                    let service = Service::start(&self.plan.service)?;
+                    let addr = service.addr();
+                    self.services.insert(target.name.clone(), service);
+                    addr
+                }
+            };
+            target.address = match self.plan.linked {
+                true => self.network.add(&format!("{}/target", target.name), addr)?,
+                false => addr,
+            };
+            self.platform.set_vm(&target.vm, VmState::Live);
+        }
+        Ok(())
+    }
+
+    /// Gives each daemon its settings and writes its addresses into the inventory.
+    fn place_daemons(&mut self, store: SocketAddr) -> Result<()> {
+        let mut document = self.document();
+        let mut placed = Vec::new();
+        for router in &mut document.inventory.router {
+            let settings = router_settings(router)?;
+            router.listen = self.reachable(&router.name, settings.listen)?;
+            router.control = self.reachable(&router.name, settings.control)?;
+            self.platform.set_vm(&router.vm, VmState::Live);
+            placed.push((settings, self.front(router.listen, router.control)));
+        }
+        for target in &mut document.inventory.target {
+            let settings = side_settings(target)?;
+            target.side = self.reachable(&target.name, settings.listen)?;
+            target.side_control = self.reachable(&target.name, settings.control)?;
+            placed.push((settings, self.front(target.side, target.side_control)));
+        }
+        let store = match self.plan.linked {
+            true => store,
+            false => self.platform.addr(),
+        };
+        let peers: Vec<SocketAddr> = document
+            .inventory
+            .router
+            .iter()
+            .map(|r| r.control)
+            .collect();
+        for (settings, front) in placed {
+            let settings = Settings {
+                store,
+                vm_list: Some(store),
+                peers: peers.clone(),
+                log: self.plan.log.clone(),
+                limits: self.plan.limits.clone(),
+                ..settings
+            };
+            let name = settings.name.clone();
+            let program = self.plan.program.clone();
+            let network = Arc::clone(&self.network);
+            let daemon = Daemon::new(settings, program, self.scratch.path(), network);
+            let daemon = daemon.with_front(front);
+            self.daemons.insert(name, Mutex::new(daemon));
+        }
+        *self.document.lock() = document;
+        Ok(())
+    }
+
+    /// Returns the links in front of a daemon, if there are any.
+    fn front(&self, listen: SocketAddr, control: SocketAddr) -> Option<Front> {
+        self.plan.linked.then_some(Front { listen, control })
+    }
+
+    /// Returns the address under which others reach a daemon: that of a link, if there are any.
+    fn reachable(&self, owner: &str, addr: SocketAddr) -> Result<SocketAddr> {
+        if !self.plan.linked {
+            return Ok(addr);
+        }
+        Ok(self.network.add(owner, addr)?)
+    }
+}
+
+/// Returns the settings of a router, with what all daemons share still to be filled in.
+fn router_settings(router: &Router) -> Result<Settings> {
+    Ok(Settings {
+        role: Role::Router,
+        name: router.name.clone(),
+        vm: router.vm.clone(),
+        failure_domain: router.failure_domain.clone(),
+        listen: free_addr()?,
+        control: free_addr()?,
+        admin: free_addr()?,
+        ..Settings::default()
+    })
+}
+
+/// Returns the settings of a side process, with what all daemons share still to be filled in.
+fn side_settings(target: &Target) -> Result<Settings> {
+    Ok(Settings {
+        role: Role::Side,
+        name: target.name.clone(),
+        vm: target.vm.clone(),
+        failure_domain: target.failure_domain.clone(),
+        listen: free_addr()?,
+        control: free_addr()?,
+        admin: free_addr()?,
+        target: Some(target.address),
+        ..Settings::default()
+    })
+}
--- a/wisteriapass_bench/src/link.rs
+++ b/wisteriapass_bench/src/link.rs
@@ -29,7 +29,7 @@
 /// What the threads of a link share.
 struct Shared {
     addr: SocketAddr,
-    server: SocketAddr,
+    server: Mutex<SocketAddr>,
     callers: Callers,
     rules: Mutex<Rules>,
     changed: Condvar,
@@ -64,7 +64,7 @@
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             addr,
-            server,
+            server: Mutex::new(server),
             callers,
             rules: Mutex::default(),
             changed: Condvar::new(),
@@ -85,6 +85,11 @@
         self.addr
     }
 
+    /// Forwards new connections to another server, such as one that was restarted.
+    pub fn set_server(&self, server: SocketAddr) {
+        *self.shared.server.lock() = server;
+    }
+
     /// Sets the faults of all connections whose caller has none of its own.
     pub fn set_faults(&self, faults: LinkFaults) {
         self.shared.change(|rules| rules.faults = faults);
@@ -170,7 +175,7 @@
         };
         let connection = Arc::new(connection);
         self.rules.lock().connections.push(Arc::clone(&connection));
-        if self.may_connect(&connection) && connection.connect(self.server).is_ok() {
+        if self.may_connect(&connection) && connection.connect(*self.server.lock()).is_ok() {
             let back = {
                 let shared = Arc::clone(self);
                 let connection = Arc::clone(&connection);
--- a/wisteriapass_bench/src/link/network.rs
+++ b/wisteriapass_bench/src/link/network.rs
@@ -45,6 +45,14 @@
         Ok(addr)
     }
 
+    /// Gives the link with this address another server, such as one that was restarted.
+    pub fn set_server(&self, link: SocketAddr, server: SocketAddr) {
+        let links = self.links.lock();
+        let all = links.values().flatten();
+        all.filter(|l| l.addr() == link)
+            .for_each(|l| l.set_server(server));
+    }
+
     /// Sets the faults of the connections that `from` makes to `to`.
     pub fn set_faults(&self, from: &str, to: &str, faults: LinkFaults) {
         self.each_link_of(to, |link| link.set_faults_for(from, faults));
--- /dev/null
+++ b/wisteriapass_bench/tests/fleet.rs
@@ -0,0 +1,80 @@
+//! The harness: daemons as child processes, their signals and their restart.
+
+use std::time::{Duration, Instant};
+
+use wisteriapass_bench::fleet::{Fleet, FleetError, FleetPlan, Program, Signal};
+
+fn plan() -> FleetPlan {
+    FleetPlan {
+        routers: 1,
+        engines: 1,
+        services: 0,
+        ..FleetPlan::new(Program::Tool(
+            env!("CARGO_BIN_EXE_wisteriapass_bench").into(),
+        ))
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+#[test]
+fn a_fleet_becomes_ready_and_its_daemons_end_with_it() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let pids: Vec<u32> = ["router-1", "engine-1"]
+        .iter()
+        .map(|name| fleet.daemon(name).unwrap().pid().unwrap())
+        .collect();
+    drop(fleet);
+    for pid in pids {
+        assert!(!std::path::Path::new(&format!("/proc/{pid}")).exists());
+    }
+}
+
+#[test]
+fn a_terminated_daemon_ends_well_and_starts_again() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let mut router = fleet.daemon("router-1").unwrap();
+    let pid = router.pid();
+    router.signal(Signal::Terminate).unwrap();
+    assert!(router.wait_exit(soon()).unwrap().success());
+    assert!(matches!(
+        router.signal(Signal::Terminate),
+        Err(FleetError::NotRunning { .. })
+    ));
+    router.start().unwrap();
+    router.wait_ready(soon()).unwrap();
+    assert_ne!(router.pid(), pid);
+}
+
+#[test]
+fn a_paused_daemon_is_silent_until_it_resumes() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let mut router = fleet.daemon("router-1").unwrap();
+    router.signal(Signal::Pause).unwrap();
+    assert!(router.is_running());
+    assert_eq!(router.admin("/livez"), None);
+    router.signal(Signal::Resume).unwrap();
+    router.wait_ready(soon()).unwrap();
+}
+
+#[test]
+fn a_daemon_that_refuses_its_settings_is_reported_with_its_log() {
+    let refused = Fleet::start(FleetPlan {
+        log: "loud".into(),
+        ..plan()
+    });
+    let e = refused.err().unwrap();
+    assert!(matches!(e, FleetError::Ended { .. }));
+    assert!(e.to_string().contains("loud"), "{e}");
+}
+
+#[test]
+fn a_missing_program_names_the_remedy() {
+    let missing = FleetError::NoProgram {
+        path: "wisteriapassd".into(),
+    };
+    let text = missing.to_string();
+    assert!(text.contains("cargo build -p wisteriapass_daemon"));
+}
