--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,5 +1,9 @@
 //! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
+mod digest;
+pub mod fleet;
 pub mod link;
 pub mod loads;
 pub mod standin;
+
+pub use digest::sha256_hex;
