--- a/wisteriapass_config/tests/examples.rs
+++ b/wisteriapass_config/tests/examples.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use wisteriapass_config::{Document, Settings, Source, TargetKind};
+use wisteriapass_config::{Document, Inventory, Settings, Source, TargetKind};
 
 fn example(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -68,14 +68,20 @@
 
 #[test]
 fn the_settings_name_processes_of_the_inventory() {
-    let inventory = document("pizarra").inventory;
-    let router = Settings::from_file(&example("router.toml")).unwrap();
+    settings_fit(&document("pizarra").inventory, "");
+    settings_fit(&document("local").inventory, "local/");
+}
+
+/// Checks that a router's and a side process's settings say what the inventory says.
+fn settings_fit(inventory: &Inventory, dir: &str) {
+    let file = |name: &str| example(&format!("{dir}{name}"));
+    let router = Settings::from_file(&file("router.toml")).unwrap();
     let listed = inventory.router_named(&router.name).unwrap();
     assert_eq!(
         (listed.listen, listed.control),
         (router.listen, router.control)
     );
-    let side = Settings::from_file(&example("side.toml")).unwrap();
+    let side = Settings::from_file(&file("side.toml")).unwrap();
     let listed = inventory.target_named(&side.name).unwrap();
     assert_eq!(
         (listed.side, listed.side_control),
