Path tests: the whole path through separate processes, with its first failures

Chat whole and streamed, plain service, ten kinds of bad input, a repeated key, silent and closed connections, a cut and a crossed answer at the engine, a side process that is gone.

--- /dev/null
+++ b/wisteriapass_bench/tests/path.rs
@@ -0,0 +1,251 @@
+//! The whole path through separate processes: caller, router, side process, target and back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use wisteriapass_bench::fleet::{Fleet, FleetPlan, Program};
+use wisteriapass_bench::link::LinkFaults;
+use wisteriapass_bench::standin::{TargetFaults, expected_answer};
+
+const MODEL: &str = "wisteria-8b";
+const KEY: &str = "Bearer key-of-acme";
+
+fn plan() -> FleetPlan {
+    FleetPlan {
+        routers: 1,
+        engines: 1,
+        ..FleetPlan::new(Program::Tool(
+            env!("CARGO_BIN_EXE_wisteriapass_bench").into(),
+        ))
+    }
+}
+
+fn chat_body(prompt: &str, max_tokens: u64) -> Value {
+    json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+    })
+}
+
+fn post(router: SocketAddr, path: &str, body: impl Into<Vec<u8>>) -> minreq::Request {
+    minreq::post(format!("http://{router}{path}"))
+        .with_header("authorization", KEY)
+        .with_body(body)
+        .with_timeout(60)
+}
+
+fn chat(router: SocketAddr, body: &Value) -> minreq::Request {
+    post(router, "/v1/chat/completions", body.to_string())
+}
+
+fn answer(req: minreq::Request) -> (u16, Value) {
+    let answer = req.send().unwrap();
+    (
+        answer.status_code,
+        serde_json::from_slice(answer.as_bytes()).unwrap(),
+    )
+}
+
+fn content(answer: &Value) -> &str {
+    answer["choices"][0]["message"]["content"].as_str().unwrap()
+}
+
+fn whole(prompt: &str, max_tokens: u32) -> String {
+    expected_answer(MODEL, prompt, max_tokens).concat()
+}
+
+/// Returns the text of a streamed answer, and whether it ended with `[DONE]`.
+fn streamed(text: &str) -> (String, bool) {
+    let events = text.lines().filter_map(|l| l.strip_prefix("data: "));
+    let chunks: Vec<Value> = events
+        .clone()
+        .filter_map(|e| serde_json::from_str(e).ok())
+        .collect();
+    let pieces = chunks
+        .iter()
+        .filter_map(|c| c["choices"][0]["delta"]["content"].as_str());
+    (pieces.collect(), events.last() == Some("[DONE]"))
+}
+
+#[test]
+fn a_chat_is_answered_whole_and_streamed() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let (status, got) = answer(chat(router, &chat_body("a page tokens=7", 50)));
+    assert_eq!(status, 200, "{got}");
+    assert_eq!(content(&got), whole("a page tokens=7", 50));
+    assert_eq!(got["usage"]["completion_tokens"], 7);
+
+    let mut body = chat_body("a space tokens=9", 50);
+    body["stream"] = true.into();
+    let got = chat(router, &body).send().unwrap();
+    let (text, done) = streamed(got.as_str().unwrap());
+    assert_eq!(text, whole("a space tokens=9", 50));
+    assert!(done);
+}
+
+#[test]
+fn a_service_call_passes_through_with_method_path_and_body() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let req = minreq::put(format!("http://{router}/services/records/lots/7?a=b"))
+        .with_header("authorization", KEY)
+        .with_header("idempotency-key", "lot-7")
+        .with_header("x-wisteriapass-non-idempotent", "true")
+        .with_body("seal")
+        .with_timeout(30);
+    let got = req.send().unwrap();
+    assert_eq!(got.status_code, 200, "{:?}", got.as_str());
+    let ran = fleet.services().values().next().unwrap().ran();
+    assert_eq!(ran.len(), 1);
+    assert_eq!(ran[0].method, "PUT");
+    assert_eq!(ran[0].path, "/records/lots/7?a=b");
+}
+
+#[test]
+fn bad_input_gets_a_typed_refusal_and_runs_nothing() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let chat_path = "/v1/chat/completions";
+    let huge = vec![b'x'; (1 << 20) + 1];
+    let cases: [(&str, minreq::Request); 10] = [
+        ("bad_request", post(router, chat_path, "{")),
+        ("bad_request", post(router, chat_path, [0xff, 0xfe])),
+        ("bad_request", chat(router, &chat_body("p", 0))),
+        ("bad_request", chat(router, &chat_body("p", u64::MAX))),
+        ("bad_request", post(router, "/nowhere", "{}")),
+        ("body_too_large", post(router, chat_path, huge)),
+        (
+            "unauthorized",
+            minreq::post(format!("http://{router}{chat_path}"))
+                .with_header("authorization", "Bearer no")
+                .with_body(chat_body("p", 5).to_string()),
+        ),
+        (
+            "unknown_model",
+            post(
+                router,
+                chat_path,
+                chat_body("p", 5).to_string().replace(MODEL, "other"),
+            ),
+        ),
+        (
+            "key_required",
+            chat(router, &chat_body("p", 5)).with_header("x-wisteriapass-non-idempotent", "true"),
+        ),
+        (
+            "bad_request",
+            chat(router, &chat_body("p", 5)).with_header("x-wisteriapass-deadline-ms", "-5"),
+        ),
+    ];
+    for (reason, req) in cases {
+        let (status, got) = answer(req);
+        assert!(status >= 400, "{got}");
+        assert_eq!(got["error"]["reason"], reason, "{got}");
+        assert_eq!(got["error"]["ran"], "not_run", "{got}");
+        assert!(
+            !got["error"]["remedy"].as_str().unwrap().is_empty(),
+            "{got}"
+        );
+    }
+    for engine in fleet.engines().values() {
+        assert_eq!(engine.ran(), Vec::new());
+    }
+}
+
+#[test]
+fn a_repeated_key_gets_the_same_answer_from_one_run() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let ask = || chat(router, &chat_body("once tokens=5", 50)).with_header("idempotency-key", "k1");
+    let (_, first) = answer(ask());
+    let (_, second) = answer(ask());
+    assert_eq!(content(&first), content(&second));
+    let runs: usize = fleet.engines().values().map(|e| e.ran().len()).sum();
+    assert_eq!(runs, 1);
+    let other = chat(router, &chat_body("another", 50)).with_header("idempotency-key", "k1");
+    let (_, reused) = answer(other);
+    assert_eq!(reused["error"]["reason"], "key_reused", "{reused}");
+}
+
+#[test]
+fn a_connection_that_goes_silent_is_replaced_and_the_answer_stays_whole() {
+    let mut plan = plan();
+    plan.engine.token = Duration::from_millis(40);
+    let fleet = Fleet::start(plan).unwrap();
+    let router = fleet.router_addrs()[0];
+    std::thread::scope(|s| {
+        let asked = s.spawn(|| answer(chat(router, &chat_body("silent tokens=60", 100))));
+        std::thread::sleep(Duration::from_millis(800));
+        fleet.network().silence_open("engine-1");
+        let (status, got) = asked.join().unwrap();
+        assert_eq!(status, 200, "{got}");
+        assert_eq!(content(&got), whole("silent tokens=60", 100));
+    });
+    assert_eq!(fleet.engines()["engine-1"].ran().len(), 1);
+}
+
+#[test]
+fn an_engine_whose_stream_goes_silent_is_resumed() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let engine = &fleet.engines()["engine-1"];
+    engine.set_faults(TargetFaults {
+        cuts: 1,
+        ..TargetFaults::default()
+    });
+    let (status, got) = answer(chat(router, &chat_body("cut tokens=20", 100)));
+    assert_eq!(status, 200, "{got}");
+    assert_eq!(content(&got), whole("cut tokens=20", 100));
+    assert_eq!(engine.ran().len(), 1);
+}
+
+#[test]
+fn a_crossed_answer_is_never_passed_on() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let engine = &fleet.engines()["engine-1"];
+    engine.set_faults(TargetFaults {
+        crossed: 1,
+        ..TargetFaults::default()
+    });
+    let (status, got) = answer(chat(router, &chat_body("mine tokens=6", 100)));
+    assert_eq!(status, 200, "{got}");
+    assert_eq!(content(&got), whole("mine tokens=6", 100));
+}
+
+#[test]
+fn an_unreachable_side_process_is_a_truthful_not_run() {
+    // Without links, so that the connection is refused rather than accepted and closed.
+    let fleet = Fleet::start(FleetPlan {
+        linked: false,
+        ..plan()
+    })
+    .unwrap();
+    let router = fleet.router_addrs()[0];
+    fleet.daemon("engine-1").unwrap().kill();
+    let (status, got) = answer(chat(router, &chat_body("p", 5)));
+    assert_eq!(status, 503, "{got}");
+    assert_eq!(got["error"]["ran"], "not_run", "{got}");
+    assert!(got["error"]["retry_after_ms"].as_u64().unwrap() > 0);
+    assert_eq!(fleet.engines()["engine-1"].ran(), Vec::new());
+}
+
+#[test]
+fn a_lost_link_in_mid_answer_is_an_unknown_outcome() {
+    let mut plan = plan();
+    plan.engine.token = Duration::from_millis(40);
+    let fleet = Fleet::start(plan).unwrap();
+    let router = fleet.router_addrs()[0];
+    std::thread::scope(|s| {
+        let asked = s.spawn(|| answer(chat(router, &chat_body("lost tokens=60", 100))));
+        std::thread::sleep(Duration::from_millis(800));
+        fleet
+            .network()
+            .set_faults("router-1", "engine-1", LinkFaults::closed());
+        let (_, got) = asked.join().unwrap();
+        assert_eq!(got["error"]["ran"], "outcome_unknown", "{got}");
+    });
+}
