--- a/wisteriapass_bench/tests/path.rs
+++ b/wisteriapass_bench/tests/path.rs
@@ -58,7 +58,7 @@
 
 /// Returns the text of a streamed answer, and whether it ended with `[DONE]`.
 fn streamed(text: &str) -> (String, bool) {
-    let events = text.lines().filter_map(|l| l.strip_prefix("data: "));
+    let mut events = text.lines().filter_map(|l| l.strip_prefix("data: "));
     let chunks: Vec<Value> = events
         .clone()
         .filter_map(|e| serde_json::from_str(e).ok())
@@ -66,7 +66,7 @@
     let pieces = chunks
         .iter()
         .filter_map(|c| c["choices"][0]["delta"]["content"].as_str());
-    (pieces.collect(), events.last() == Some("[DONE]"))
+    (pieces.collect(), events.next_back() == Some("[DONE]"))
 }
 
 #[test]
