Router: money from the escrowed budgets

The router's money was not limited. It now draws on the wallet of wisteriapass_coord::budget: a keeper thread takes grants, reports and gives back in one swap a round; a short request waits for one round, then borrows from other routers, and is refused as soon as neither has enough. A refused need is not asked for again for 500 ms, or each refused request would cost a write.

Path tests: a budget of 200 runs out at 130 to 200 billed tokens and serves again after a top-up; with the service down, a router without money borrows.

--- a/wisteriapass_bench/tests/path.rs
+++ b/wisteriapass_bench/tests/path.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use wisteriapass_bench::fleet::{Fleet, FleetPlan, Program};
+use wisteriapass_bench::fleet::{BUDGET, Fleet, FleetPlan, Program};
 use wisteriapass_bench::link::LinkFaults;
-use wisteriapass_bench::standin::{TargetFaults, expected_answer};
+use wisteriapass_bench::standin::{Outage, PlatformFaults, TargetFaults, expected_answer};
+use wisteriapass_coord::budget::{BudgetId, Journal, Ledger, Origin, Shards, Tokens, TopupId};
 
 const MODEL: &str = "wisteria-8b";
 const KEY: &str = "Bearer key-of-acme";
@@ -56,6 +57,22 @@
     expected_answer(MODEL, prompt, max_tokens).concat()
 }
 
+/// Starts a fleet whose account has prepaid plenty.
+fn start(plan: FleetPlan) -> Fleet {
+    let fleet = Fleet::start(plan).unwrap();
+    top_up(&fleet, "opening", 1_000_000);
+    fleet
+}
+
+fn top_up(fleet: &Fleet, id: &str, amount: u64) {
+    let journal = Journal::new(Origin(0), Shards::default());
+    let ledger = Ledger::new(fleet.platform().store(), &journal);
+    let budget = BudgetId::new("acme", BUDGET);
+    ledger
+        .topup(&budget, &TopupId(id.into()), Tokens(amount))
+        .unwrap();
+}
+
 /// Returns the text of a streamed answer, and whether it ended with `[DONE]`.
 fn streamed(text: &str) -> (String, bool) {
     let mut events = text.lines().filter_map(|l| l.strip_prefix("data: "));
@@ -71,7 +88,7 @@
 
 #[test]
 fn a_chat_is_answered_whole_and_streamed() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let (status, got) = answer(chat(router, &chat_body("a page tokens=7", 50)));
     assert_eq!(status, 200, "{got}");
@@ -88,7 +105,7 @@
 
 #[test]
 fn a_service_call_passes_through_with_method_path_and_body() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let req = minreq::put(format!("http://{router}/services/records/lots/7?a=b"))
         .with_header("authorization", KEY)
@@ -106,7 +123,7 @@
 
 #[test]
 fn bad_input_gets_a_typed_refusal_and_runs_nothing() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let chat_path = "/v1/chat/completions";
     let huge = vec![b'x'; (1 << 20) + 1];
@@ -157,7 +174,7 @@
 
 #[test]
 fn a_repeated_key_gets_the_same_answer_from_one_run() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let ask = || chat(router, &chat_body("once tokens=5", 50)).with_header("idempotency-key", "k1");
     let (_, first) = answer(ask());
@@ -174,7 +191,7 @@
 fn a_connection_that_goes_silent_is_replaced_and_the_answer_stays_whole() {
     let mut plan = plan();
     plan.engine.token = Duration::from_millis(40);
-    let fleet = Fleet::start(plan).unwrap();
+    let fleet = start(plan);
     let router = fleet.router_addrs()[0];
     std::thread::scope(|s| {
         let asked = s.spawn(|| answer(chat(router, &chat_body("silent tokens=60", 100))));
@@ -189,7 +206,7 @@
 
 #[test]
 fn an_engine_whose_stream_goes_silent_is_resumed() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let engine = &fleet.engines()["engine-1"];
     engine.set_faults(TargetFaults {
@@ -204,7 +221,7 @@
 
 #[test]
 fn a_crossed_answer_is_never_passed_on() {
-    let fleet = Fleet::start(plan()).unwrap();
+    let fleet = start(plan());
     let router = fleet.router_addrs()[0];
     let engine = &fleet.engines()["engine-1"];
     engine.set_faults(TargetFaults {
@@ -219,11 +236,10 @@
 #[test]
 fn an_unreachable_side_process_is_a_truthful_not_run() {
     // Without links, so that the connection is refused rather than accepted and closed.
-    let fleet = Fleet::start(FleetPlan {
+    let fleet = start(FleetPlan {
         linked: false,
         ..plan()
-    })
-    .unwrap();
+    });
     let router = fleet.router_addrs()[0];
     fleet.daemon("engine-1").unwrap().kill();
     let (status, got) = answer(chat(router, &chat_body("p", 5)));
@@ -237,7 +253,7 @@
 fn a_lost_link_in_mid_answer_is_an_unknown_outcome() {
     let mut plan = plan();
     plan.engine.token = Duration::from_millis(40);
-    let fleet = Fleet::start(plan).unwrap();
+    let fleet = start(plan);
     let router = fleet.router_addrs()[0];
     std::thread::scope(|s| {
         let asked = s.spawn(|| answer(chat(router, &chat_body("lost tokens=60", 100))));
@@ -249,3 +265,47 @@
         assert_eq!(got["error"]["ran"], "outcome_unknown", "{got}");
     });
 }
+
+#[test]
+fn a_budget_runs_out_and_is_topped_up() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let router = fleet.router_addrs()[0];
+    let ask = || answer(chat(router, &chat_body("page tokens=40", 40)));
+    let (status, got) = ask();
+    assert_eq!(status, 402, "{got}");
+    assert_eq!(got["error"]["reason"], "budget_exhausted");
+    assert_eq!(got["error"]["ran"], "not_run");
+
+    top_up(&fleet, "first", 200);
+    std::thread::sleep(Duration::from_millis(600));
+    let mut spent = 0;
+    loop {
+        let (status, got) = ask();
+        if status == 402 {
+            break;
+        }
+        assert_eq!(status, 200, "{got}");
+        spent += got["usage"]["billed_tokens"].as_u64().unwrap();
+    }
+    assert!((130..=200).contains(&spent), "{spent}");
+    top_up(&fleet, "second", 200);
+    std::thread::sleep(Duration::from_millis(600));
+    assert_eq!(ask().0, 200);
+}
+
+#[test]
+fn a_router_that_runs_dry_borrows_while_the_service_is_down() {
+    let fleet = start(FleetPlan {
+        routers: 2,
+        ..plan()
+    });
+    let routers = fleet.router_addrs();
+    let ask = |router| answer(chat(router, &chat_body("page tokens=40", 40)));
+    assert_eq!(ask(routers[0]).0, 200);
+    fleet.platform().set_faults(PlatformFaults {
+        outage: Outage::Closing,
+        ..PlatformFaults::default()
+    });
+    let (status, got) = ask(routers[1]);
+    assert_eq!(status, 200, "{got}");
+}
--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod carry;
 mod config;
+mod control;
 mod follower;
 mod front;
 mod money;
@@ -16,8 +17,9 @@
 mod unsettled;
 
 pub use config::InForce;
+pub use control::RouterControlService;
 pub use front::serve;
-pub use money::Money;
+pub use money::{Money, Peers};
 pub use scheduling::Scheduling;
 pub use unsettled::Unsettled;
 
--- a/wisteriapass_daemon/src/router/asked.rs
+++ b/wisteriapass_daemon/src/router/asked.rs
@@ -3,6 +3,7 @@
 use sha2::{Digest, Sha256};
 use tiny_http::Request;
 use wisteriapass_config::{Account, Document, Limits, Priority};
+use wisteriapass_coord::budget::{BudgetId, Tokens};
 
 use crate::http::header;
 use crate::prelude::*;
@@ -41,10 +42,10 @@
     pub priority: Priority,
     /// By when its answer must have begun.
     pub deadline: Instant,
-    /// Budget that pays, as `account/name`; none for what costs nothing.
-    pub budget: Option<String>,
-    /// Most it can cost, in tokens.
-    pub worst: u64,
+    /// Budget that pays; none for what costs nothing.
+    pub budget: Option<BudgetId>,
+    /// Most it can cost.
+    pub worst: Tokens,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// Digest of its content.
@@ -182,7 +183,7 @@
         )));
     }
     allow(&account.models, &chat.model, "model")?;
-    let worst = prompt_bound(&chat.messages).saturating_add(max_tokens.into());
+    let worst = Tokens(prompt_bound(&chat.messages).saturating_add(max_tokens.into()));
     let model = chat.model.clone();
     let run = ChatRun {
         model: chat.model,
@@ -204,7 +205,7 @@
         idempotent: marks.idempotent,
         priority: class.priority,
         deadline: class.deadline(),
-        budget: Some(format!("{}/{}", account.name, budget.name)),
+        budget: Some(BudgetId::new(&account.name, &budget.name)),
         worst,
         stream: chat.stream,
         fingerprint: hex(&Sha256::digest(body)),
@@ -241,7 +242,7 @@
         priority: class.priority,
         deadline: class.deadline(),
         budget: None,
-        worst: 0,
+        worst: Tokens::ZERO,
         stream: true,
         fingerprint: hex(&digest.finalize()),
         request: RunRequest::Call(run),
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use wisteriapass_coord::budget::Reservation;
 use wisteriapass_policy::FailureKind;
 
 use crate::api::Ran;
@@ -13,7 +14,7 @@
 use crate::router::pipeline::Pipeline;
 use crate::router::turn::Turn;
 use crate::router::unsettled::OpenReservation;
-use crate::run_wire::{Dispatch, Payment, RunBill};
+use crate::run_wire::RunBill;
 
 /// Attempts of one request at most.
 const MOST_ATTEMPTS: u32 = 3;
@@ -35,24 +36,10 @@
 }
 
 /// A dispatch that was sent.
-struct Sent<'a> {
-    dispatch: &'a Dispatch,
+struct Sent {
+    reservation: Option<Reservation>,
     control: SocketAddr,
-}
-
-impl Sent<'_> {
-    fn payment(&self) -> &Payment {
-        &self.dispatch.payment
-    }
-
-    fn open(&self) -> OpenReservation {
-        OpenReservation {
-            payment: self.dispatch.payment.clone(),
-            control: self.control,
-            run: self.dispatch.run.clone(),
-            attempt: self.dispatch.attempt,
-        }
-    }
+    attempt: u32,
 }
 
 impl<'a> Carry<'a> {
@@ -110,53 +97,52 @@
         turn: &mut Turn,
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
-        let payment = self.pipeline.reserve(self.asked)?;
+        let reservation = self.pipeline.reserve(self.asked)?;
         let placed = match turn.wait(&self.pipeline.stop) {
             Ok(placed) => placed,
             Err(refusal) => {
-                self.pipeline.money.release(&payment);
+                self.release(reservation);
                 return Err(refusal);
             }
         };
         let document = self.pipeline.config.document();
         let Some(target) = document.inventory.target_named(&placed.target) else {
-            self.pipeline.money.release(&payment);
+            self.release(reservation);
             let refusal = Refusal::not_run(Reason::NoTarget, "the target left");
             return Ok(Step::Again(refusal, FailureKind::Unreachable));
         };
         let dispatch = self
             .pipeline
-            .dispatch(self.asked, self.run, attempt, &payment);
+            .dispatch(self.asked, self.run, attempt, reservation.as_ref());
         let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
         let ended = Attempt::new(target, &dispatch, metrics, caller).carry_out(answer, turn);
         let sent = Sent {
-            dispatch: &dispatch,
+            reservation,
             control: target.side_control,
+            attempt,
         };
-        self.settle(&sent, ended, turn, answer)
+        self.settle(sent, ended, turn, answer)
     }
 
     fn settle(
         &mut self,
-        sent: &Sent<'_>,
+        sent: Sent,
         ended: Ended,
         turn: &mut Turn,
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
-        let money = &self.pipeline.money;
-        let payment = sent.payment();
         match ended {
             Ended::Answered(bill) => {
                 turn.finished(u32::try_from(bill.output_tokens).unwrap_or(u32::MAX));
-                money.settle(payment, &bill);
+                self.settle_bill(sent.reservation, &bill);
                 Ok(Step::Done)
             }
             Ended::CallerGone(bill) => {
-                money.settle(payment, &bill);
+                self.settle_bill(sent.reservation, &bill);
                 Ok(Step::Done)
             }
             Ended::NotRun(refusal, reason) => {
-                money.release(payment);
+                self.release(sent.reservation);
                 self.count(reason);
                 let kind = match reason {
                     Retry::NotSent => FailureKind::Unreachable,
@@ -166,7 +152,7 @@
             }
             Ended::Failed(bill) => {
                 self.may_have_run = true;
-                money.settle(payment, &bill);
+                self.settle_bill(sent.reservation, &bill);
                 let message = "the target failed before the answer was whole";
                 let refusal = Refusal::not_run(Reason::TargetFailed, message);
                 self.again(
@@ -184,11 +170,31 @@
         }
     }
 
+    fn settle_bill(&self, reservation: Option<Reservation>, bill: &RunBill) {
+        if let Some(reservation) = reservation {
+            self.pipeline.money.settle(reservation, bill);
+        }
+    }
+
+    fn release(&self, reservation: Option<Reservation>) {
+        if let Some(reservation) = reservation {
+            self.pipeline.money.release(reservation);
+        }
+    }
+
     /// Settles a run whose answer is lost, at once or when its side process can be asked.
-    fn settle_unknown(&self, sent: &Sent<'_>, bill: Option<RunBill>) {
+    fn settle_unknown(&self, sent: Sent, bill: Option<RunBill>) {
+        let Some(reservation) = sent.reservation else {
+            return;
+        };
         match bill {
-            Some(bill) => self.pipeline.money.settle(sent.payment(), &bill),
-            None => self.pipeline.unsettled.keep(sent.open()),
+            Some(bill) => self.pipeline.money.settle(reservation, &bill),
+            None => self.pipeline.unsettled.keep(OpenReservation {
+                reservation,
+                control: sent.control,
+                run: self.run.into(),
+                attempt: sent.attempt,
+            }),
         }
     }
 
--- /dev/null
+++ b/wisteriapass_daemon/src/router/control.rs
@@ -0,0 +1,32 @@
+//! Answering the control calls of a router.
+
+use jsonrpsee::core::RpcResult;
+use wisteriapass_coord::budget::{Ask, Transfer};
+
+use crate::prelude::*;
+use crate::router::Money;
+use crate::rpc::RouterControlServer;
+
+/// Answers a router's control calls from its services.
+pub struct RouterControlService {
+    money: Arc<Money>,
+}
+
+impl RouterControlService {
+    /// Creates the answers.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            money: kernel.find()?,
+        })
+    }
+}
+
+impl RouterControlServer for RouterControlService {
+    fn lend(&self, ask: Ask) -> RpcResult<Transfer> {
+        Ok(self.money.lend(&ask))
+    }
+}
--- a/wisteriapass_daemon/src/router/money.rs
+++ b/wisteriapass_daemon/src/router/money.rs
@@ -1,11 +1,66 @@
 //! Money of this router: reserved before a dispatch, settled with the bill.
+//!
+//! Requests draw on the wallet. A keeper thread exchanges money with the records of the service;
+//! a request that finds the wallet short waits for the keeper's next round, then asks other
+//! routers, and is refused as soon as neither has enough.
+
+mod borrow;
+mod keeper;
+mod shortage;
+
+use std::collections::BTreeMap;
+
+use flume::{Receiver, Sender};
+use parking_lot::{Condvar, Mutex};
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::{
+    Ask, BudgetId, GrantSize, Journal, Origin, Reservation, Shards, Tokens, Transfer, Wallet,
+};
+use wisteriapass_coord::store::Store;
 
 use crate::prelude::*;
-use crate::run_wire::{Payment, PaymentPart, RunBill};
+use crate::run_wire::RunBill;
+
+pub use borrow::Peers;
+use shortage::Shortage;
+
+/// Longest wait for money, in milliseconds; a caller is told sooner where the answer is known.
+const MONEY_WAIT_MS: u64 = 3_000;
+
+/// What the last exchange said of a budget.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    free: Tokens,
+    prepaid: Tokens,
+    refused_until: Instant,
+}
+
+/// What the wallet's lock guards.
+struct Held {
+    wallet: Wallet,
+    /// Largest single need of requests that wait for money.
+    needs: BTreeMap<BudgetId, Tokens>,
+    known: BTreeMap<BudgetId, Known>,
+    /// Rounds that the keeper began.
+    begun: u64,
+    /// Rounds that the keeper ended.
+    ended: u64,
+    /// Whether the last round reached the service.
+    reached: bool,
+}
 
 /// Money held by this router.
 pub struct Money {
-    origin: String,
+    started: Instant,
+    origin: Origin,
+    held: Mutex<Held>,
+    round: Condvar,
+    journal: Journal,
+    size: GrantSize,
+    store: Box<dyn Store>,
+    peers: Peers,
+    wake: Sender<()>,
+    woken: Receiver<()>,
 }
 
 impl Service for Money {
@@ -13,32 +68,130 @@
 }
 
 impl Money {
-    /// Creates the money of an incarnation.
-    pub fn new(origin: impl Into<String>) -> Self {
+    /// Creates the money of an incarnation, which holds none.
+    pub fn new(origin: Origin, store: Box<dyn Store>, peers: Peers) -> Self {
+        let (wake, woken) = flume::bounded(1);
+        let held = Held {
+            wallet: Wallet::new(origin),
+            needs: BTreeMap::new(),
+            known: BTreeMap::new(),
+            begun: 0,
+            ended: 0,
+            reached: false,
+        };
         Self {
-            origin: origin.into(),
+            started: Instant::now(),
+            origin,
+            held: Mutex::new(held),
+            round: Condvar::new(),
+            journal: Journal::new(origin, Shards::default()),
+            size: GrantSize::new(),
+            store,
+            peers,
+            wake,
+            woken,
         }
     }
 
-    /// Reserves the worst case of a request.
+    /// Returns the incarnation that takes money from the service.
+    pub fn origin(&self) -> Origin {
+        self.origin
+    }
+
+    /// Reserves the worst case of a request; waits for money until `deadline` at the latest.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] if there is not enough.
-    pub fn reserve(&self, budget: &str, amount: u64) -> Result<Payment, Refusal> {
-        let part = PaymentPart {
-            origin: self.origin.clone(),
-            amount,
-        };
-        Ok(Payment {
-            budget: budget.into(),
-            parts: vec![part],
-        })
+    /// A [`Refusal`] as soon as it is known that there is not enough.
+    pub fn reserve(
+        &self,
+        budget: &BudgetId,
+        amount: Tokens,
+        deadline: Instant,
+    ) -> Result<Reservation, Refusal> {
+        let deadline = deadline.min(Instant::now() + Duration::from_millis(MONEY_WAIT_MS));
+        loop {
+            if let Some(reservation) = self.try_reserve(budget, amount) {
+                return Ok(reservation);
+            }
+            let shortage = self.wait_for_round(budget, amount, deadline);
+            // Others may have been quicker to take what the round brought.
+            if shortage.is_passing(amount) && Instant::now() < deadline {
+                continue;
+            }
+            self.borrow(budget, amount, deadline);
+            let reservation = self.try_reserve(budget, amount);
+            return reservation.ok_or_else(|| shortage.refusal(budget, amount));
+        }
     }
 
-    /// Settles a reservation with the bill of the run.
-    pub fn settle(&self, _payment: &Payment, _bill: &RunBill) {}
+    /// Settles a reservation with the bill of its run.
+    pub fn settle(&self, reservation: Reservation, bill: &RunBill) {
+        let settled = self
+            .held
+            .lock()
+            .wallet
+            .settle(reservation, Tokens(bill.amount));
+        if !settled.excess.is_zero() {
+            log::error!(target: "money", "A bill exceeds its reservation. run={}", bill.run);
+        }
+    }
 
     /// Gives back a reservation whose request did not run and will not.
-    pub fn release(&self, _payment: &Payment) {}
+    pub fn release(&self, reservation: Reservation) {
+        self.held.lock().wallet.release(reservation);
+    }
+
+    /// Answers another router that ran dry.
+    pub fn lend(&self, ask: &Ask) -> Transfer {
+        self.held.lock().wallet.lend(ask)
+    }
+
+    fn try_reserve(&self, budget: &BudgetId, amount: Tokens) -> Option<Reservation> {
+        let now = self.now();
+        self.held.lock().wallet.reserve(budget, amount, now).ok()
+    }
+
+    /// Time of the wallet's meters.
+    fn now(&self) -> Millis {
+        let since = self.started.elapsed().as_millis();
+        Millis(u64::try_from(since).unwrap_or(u64::MAX))
+    }
+
+    /// Has the keeper ask for money, and waits until it did.
+    fn wait_for_round(&self, budget: &BudgetId, amount: Tokens, deadline: Instant) -> Shortage {
+        let mut held = self.held.lock();
+        if let Some(known) = held.known.get(budget)
+            && known.refused_until > Instant::now()
+            && known.free < amount
+        {
+            return held.shortage(budget);
+        }
+        let need = held.needs.entry(budget.clone()).or_default();
+        *need = amount.max(*need);
+        // A round under way may have looked at the needs already.
+        let wanted = held.begun + 1;
+        let _ = self.wake.try_send(());
+        while held.ended < wanted {
+            if self.round.wait_until(&mut held, deadline).timed_out() {
+                return Shortage::Unreachable;
+            }
+        }
+        held.shortage(budget)
+    }
+}
+
+impl Held {
+    fn shortage(&self, budget: &BudgetId) -> Shortage {
+        let known = self.known.get(budget);
+        match known {
+            _ if !self.reached => Shortage::Unreachable,
+            Some(k) if k.prepaid.is_zero() => Shortage::NeverPrepaid,
+            Some(k) => Shortage::Exhausted {
+                free: k.free,
+                busy: !self.wallet.reserved(budget).is_zero(),
+            },
+            None => Shortage::Unreachable,
+        }
+    }
 }
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use wisteriapass_coord::budget::Reservation;
 use wisteriapass_policy::{Priority, RequestFacts, Time};
 
 use crate::prelude::*;
@@ -12,7 +13,7 @@
 use crate::router::turn::Turn;
 use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
 use crate::rpc::Caller;
-use crate::run_wire::{Dispatch, Payment, RunRequest};
+use crate::run_wire::{Dispatch, RunRequest};
 use crate::stop::Stop;
 
 /// Carries requests through.
@@ -89,19 +90,18 @@
         Ok(self.scheduling.offer(self.facts(asked)?))
     }
 
-    /// Reserves the worst case of a request.
+    /// Reserves the worst case of a request; nothing for one that costs nothing.
     ///
     /// # Errors
     ///
     /// A [`Refusal`] if there is not enough.
-    pub(super) fn reserve(&self, asked: &Asked) -> Result<Payment, Refusal> {
-        match &asked.budget {
-            Some(budget) => self.money.reserve(budget, asked.worst),
-            None => Ok(Payment {
-                budget: String::new(),
-                parts: Vec::new(),
-            }),
-        }
+    pub(super) fn reserve(&self, asked: &Asked) -> Result<Option<Reservation>, Refusal> {
+        let Some(budget) = &asked.budget else {
+            return Ok(None);
+        };
+        self.money
+            .reserve(budget, asked.worst, asked.deadline)
+            .map(Some)
     }
 
     /// Makes the order to run a request.
@@ -110,7 +110,7 @@
         asked: &Asked,
         run: &str,
         attempt: u32,
-        payment: &Payment,
+        reservation: Option<&Reservation>,
     ) -> Dispatch {
         let left = asked.deadline.saturating_duration_since(Instant::now());
         Dispatch {
@@ -120,7 +120,7 @@
             incarnation: String::new(),
             router: self.router.incarnation.clone(),
             account: asked.account.clone(),
-            payment: payment.clone(),
+            payment: reservation.map(|r| r.payment().clone()),
             idempotent: asked.idempotent,
             keyed: asked.key.is_some(),
             start_within_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
@@ -140,7 +140,7 @@
         let wants = self.scheduling.wants(model, service);
         let (prefix, prompt_tokens, max_tokens) = match &asked.request {
             RunRequest::Chat(chat) => {
-                let prompt = asked.worst.saturating_sub(chat.max_tokens.into());
+                let prompt = asked.worst.0.saturating_sub(chat.max_tokens.into());
                 (prefix_hash(&chat.messages), prompt, chat.max_tokens)
             }
             RunRequest::Call(_) => (None, 0, 0),
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -3,20 +3,20 @@
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
+use wisteriapass_coord::budget::{Reservation, Tokens};
 
 use crate::prelude::*;
 use crate::router::Money;
 use crate::rpc::{Caller, SideControlClient, Withdrawal, Withdrawn};
-use crate::run_wire::Payment;
 
 /// Time between two rounds of asking, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
 /// A reservation that waits for word of its run.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct OpenReservation {
     /// Money reserved.
-    pub payment: Payment,
+    pub reservation: Reservation,
     /// Where the side process takes control calls.
     pub control: SocketAddr,
     /// Identity of the run.
@@ -55,12 +55,12 @@
         self.open.lock().push(reservation);
     }
 
-    /// Returns the tokens that wait for word of their runs.
-    pub fn tokens(&self) -> u64 {
-        let open = self.open.lock();
-        open.iter()
-            .flat_map(|r| &r.payment.parts)
-            .map(|p| p.amount)
+    /// Returns the amount that waits for word of its runs.
+    pub fn amount(&self) -> Tokens {
+        self.open
+            .lock()
+            .iter()
+            .map(|r| r.reservation.amount())
             .sum()
     }
 
@@ -76,14 +76,14 @@
     pub fn ask_all(&self) {
         let open = std::mem::take(&mut *self.open.lock());
         for reservation in open {
-            if !self.ask(&reservation) {
-                self.open.lock().push(reservation);
+            if let Some(still_open) = self.ask(reservation) {
+                self.open.lock().push(still_open);
             }
         }
     }
 
-    /// Asks about one run; returns whether the reservation is settled.
-    fn ask(&self, open: &OpenReservation) -> bool {
+    /// Asks about one run; returns the reservation if it stays open.
+    fn ask(&self, open: OpenReservation) -> Option<OpenReservation> {
         let (run, attempt) = (open.run.clone(), open.attempt);
         let answer: Result<Withdrawal, _> =
             self.caller.call(
@@ -91,11 +91,11 @@
                 |c| async move { c.withdraw(run, attempt).await },
             );
         match answer.map(|w| w.withdrawn) {
-            Ok(Withdrawn::Ended { bill }) => self.money.settle(&open.payment, &bill),
+            Ok(Withdrawn::Ended { bill }) => self.money.settle(open.reservation, &bill),
             // A later incarnation says this too: then no bill was made, and none will be.
-            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => self.money.release(&open.payment),
-            Ok(Withdrawn::Running) | Err(_) => return false,
+            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => self.money.release(open.reservation),
+            Ok(Withdrawn::Running) | Err(_) => return Some(open),
         }
-        true
+        None
     }
 }
--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod counters;
 mod messages;
+mod router;
 mod server;
 mod side;
 
@@ -12,6 +13,7 @@
 pub use caller::{CallError, Caller};
 pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Role, Status};
+pub use router::{RouterControlClient, RouterControlServer};
 pub use server::ControlServerHandle;
 pub use side::{SideControlClient, SideControlServer, Withdrawal, Withdrawn};
 
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -7,6 +7,7 @@
 use base64::prelude::BASE64_STANDARD;
 use derive_more::{Deref, From};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use wisteriapass_coord::budget::Payment;
 
 use crate::api::Refusal;
 
@@ -98,24 +99,6 @@
     pub value: String,
 }
 
-/// Money that pays for a dispatch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Payment {
-    /// Budget, as `account/name`.
-    pub budget: String,
-    /// Where the money was granted, with the amount from each.
-    pub parts: Vec<PaymentPart>,
-}
-
-/// Part of a payment from one origin.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PaymentPart {
-    /// Incarnation that took the money from the service.
-    pub origin: String,
-    /// Amount reserved, in tokens.
-    pub amount: u64,
-}
-
 /// Order to run a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -131,8 +114,8 @@
     pub router: String,
     /// Client account that asks.
     pub account: String,
-    /// Money that pays for it.
-    pub payment: Payment,
+    /// Money that pays for it; none if it costs nothing.
+    pub payment: Option<Payment>,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// Whether its caller gave a key, and so may ask for it again.
@@ -168,7 +151,7 @@
     /// Client account.
     pub account: String,
     /// Money that paid, as reserved.
-    pub payment: Payment,
+    pub payment: Option<Payment>,
     /// Amount, in tokens; never more than was reserved.
     pub amount: u64,
     /// Prompt tokens as the target counted them.
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -134,7 +134,7 @@
     /// Ends the run with its bill, capped at what was reserved.
     pub fn end(&self, ran_at: &str, finish: Finish, prompt_tokens: u64, output_tokens: u64) {
         let payment = self.dispatch.payment.clone();
-        let reserved: u64 = payment.parts.iter().map(|p| p.amount).sum();
+        let reserved = payment.as_ref().map_or(0, |p| p.total().0);
         let amount = match finish {
             Finish::Failed => 0,
             Finish::Stop | Finish::Length | Finish::Cancelled => {
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -8,7 +8,9 @@
 use derive_more::{Display, Error, From};
 use jsonrpsee::RpcModule;
 use tiny_http::{Request, Response};
+use twox_hash::XxHash64;
 use wisteriapass_config::{ConfigError, Document, Role, Settings};
+use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::store::{HttpStore, Revision, Store};
 
 use crate::control::ControlService;
@@ -18,9 +20,12 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{self, InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::router::{
+    self, InForce, Money, Peers, RouterControlService, RouterIdentity, Scheduling, Unsettled,
+};
 use crate::rpc::{
-    self, Caller, ControlServer, ControlServerHandle, CountersServer, SideControlServer,
+    self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
+    SideControlServer,
 };
 use crate::side::{self, Runs, SideControlService, SideIdentity};
 use crate::stop::Stop;
@@ -99,6 +104,9 @@
     );
     wait_for_stop(&stop);
     finish_work(&stop, Duration::from_millis(settings.limits.stop_ms));
+    if settings.role == Role::Router {
+        kernel.find::<Money>()?.leave();
+    }
     Ok(())
 }
 
@@ -108,7 +116,12 @@
     listener: &Listener,
     incarnation: &str,
 ) -> Result<()> {
-    kernel.register(Money::new(incarnation));
+    let store = HttpStore::new(settings.store.to_string());
+    let peers = Peers::new(&settings.name, kernel.find()?, kernel.find()?);
+    let origin = Origin(XxHash64::oneshot(0, incarnation.as_bytes()));
+    let money = kernel.register(Money::new(origin, Box::new(store), peers));
+    let stop = kernel.find::<Stop>()?;
+    spawn("money", move || money.keep(&stop))?;
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
     let unsettled = kernel.register(Unsettled::new(kernel)?);
@@ -174,6 +187,11 @@
     module
         .merge(service.into_rpc())
         .map_err(std::io::Error::other)?;
+    if role == rpc::Role::Router {
+        let service = RouterControlService::new(kernel)?;
+        let merged = module.merge(service.into_rpc());
+        merged.map_err(std::io::Error::other)?;
+    }
     if role == rpc::Role::Side {
         let service = SideControlService::new(kernel)?;
         let merged = module.merge(service.into_rpc());
