--- /dev/null
+++ b/wisteriapass_bench/src/commands.rs
@@ -0,0 +1,61 @@
+//! Commands of the tool.
+
+mod daemon;
+mod standins;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use wisteriapass_bench::loads::{self, LoadsOpts};
+
+use daemon::DaemonOptions;
+use standins::{EngineOptions, PlatformOptions, ServiceOptions};
+
+/// Command line of the tool.
+#[derive(Debug, Options)]
+pub struct Cli {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a router or side process, as this tool's own child")]
+    Daemon(DaemonOptions),
+    #[options(help = "run a stand-in for the platform")]
+    Platform(PlatformOptions),
+    #[options(help = "run a stand-in for a model engine")]
+    Engine(EngineOptions),
+    #[options(help = "run a stand-in for a plain service")]
+    Service(ServiceOptions),
+    #[options(help = "play load patterns against a model of a target pool")]
+    Loads(LoadsOpts),
+}
+
+impl Cli {
+    /// Runs the command and returns the process's exit code.
+    pub fn run(self) -> ExitCode {
+        let done = match self.command {
+            Some(Command::Daemon(options)) => return options.run(),
+            Some(Command::Platform(options)) => options.run(),
+            Some(Command::Engine(options)) => options.run(),
+            Some(Command::Service(options)) => options.run(),
+            Some(Command::Loads(opts)) => return loads::run(&opts),
+            None => {
+                eprintln!("name a command\n\n{}", Cli::usage());
+                eprintln!("\n{}", Command::usage());
+                return ExitCode::from(2);
+            }
+        };
+        match done {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -1,6 +1,9 @@
 //! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
 
 pub mod budget;
+pub mod membership;
+pub mod order;
+pub mod revision;
 pub mod store;
 mod time;
 
--- /dev/null
+++ b/wisteriapass_daemon/src/router.rs
@@ -0,0 +1,41 @@
+//! Router: takes requests from callers and has them run at targets.
+
+mod answer;
+mod asked;
+mod attempt;
+mod carry;
+mod config;
+mod control;
+mod follower;
+mod front;
+mod money;
+mod offers;
+mod openai;
+mod pipeline;
+mod scheduling;
+mod turn;
+mod unsettled;
+
+pub use config::InForce;
+pub use control::RouterControlService;
+pub use front::serve;
+pub use money::{Money, Peers};
+pub use scheduling::Scheduling;
+pub use unsettled::Unsettled;
+
+use crate::kernel::Service;
+
+/// What a router knows of itself.
+#[derive(Clone, Debug)]
+pub struct RouterIdentity {
+    /// Name in the inventory.
+    pub name: String,
+    /// Incarnation of this process.
+    pub incarnation: String,
+    /// Failure domain it sits in.
+    pub failure_domain: String,
+}
+
+impl Service for RouterIdentity {
+    const NAME: &'static str = "router";
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -0,0 +1,170 @@
+//! The parts that carry requests to their final answers.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use wisteriapass_coord::budget::Reservation;
+use wisteriapass_policy::{Priority, RequestFacts, Time};
+
+use crate::prelude::*;
+use crate::router::answer::Answer;
+use crate::router::asked::Asked;
+use crate::router::carry::Carry;
+use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
+use crate::router::turn::Turn;
+use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::rpc::Caller;
+use crate::run_wire::{Dispatch, RunRequest};
+use crate::stop::Stop;
+
+/// Carries requests through.
+pub struct Pipeline {
+    pub(super) config: Arc<InForce>,
+    pub(super) money: Arc<Money>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) stop: Arc<Stop>,
+    pub(super) caller: Arc<Caller>,
+    pub(super) unsettled: Arc<Unsettled>,
+    router: Arc<RouterIdentity>,
+    scheduling: Arc<Scheduling>,
+    next_run: AtomicU64,
+}
+
+impl Service for Pipeline {
+    const NAME: &'static str = "pipeline";
+}
+
+impl Pipeline {
+    /// Creates the pipeline.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            config: kernel.find()?,
+            money: kernel.find()?,
+            metrics: kernel.find()?,
+            stop: kernel.find()?,
+            caller: kernel.find()?,
+            unsettled: kernel.find()?,
+            router: kernel.find()?,
+            scheduling: kernel.find()?,
+            next_run: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the identity of a request: from its key, or made here.
+    pub fn run_id(&self, asked: &Asked) -> String {
+        match &asked.key {
+            Some(key) => format!("k/{}/{key}", asked.account),
+            None => {
+                let n = self.next_run.fetch_add(1, Ordering::Relaxed);
+                format!("r/{}/{n}", self.router.incarnation)
+            }
+        }
+    }
+
+    /// Carries a request through to its final answer.
+    pub fn carry(&self, asked: &Asked, run: &str, answer: &mut Answer) {
+        match Carry::new(self, asked, run).through(answer) {
+            Ok(()) => self.metrics.answer(),
+            Err(refusal) => {
+                log::info!(
+                    target: "router",
+                    "Refused. run={run} reason={} ran={}",
+                    refusal.reason,
+                    refusal.ran
+                );
+                self.metrics.refusal(refusal.reason);
+                answer.refuse(&refusal);
+            }
+        }
+    }
+
+    /// Asks the scheduler for a turn.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if account or target have gone from the configuration.
+    pub(super) fn offer(&self, asked: &Asked) -> Result<Turn, Refusal> {
+        Ok(self.scheduling.offer(self.facts(asked)?))
+    }
+
+    /// Reserves the worst case of a request; nothing for one that costs nothing.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if there is not enough.
+    pub(super) fn reserve(&self, asked: &Asked) -> Result<Option<Reservation>, Refusal> {
+        let Some(budget) = &asked.budget else {
+            return Ok(None);
+        };
+        self.money
+            .reserve(budget, asked.worst, asked.deadline)
+            .map(Some)
+    }
+
+    /// Makes the order to run a request.
+    pub(super) fn dispatch(
+        &self,
+        asked: &Asked,
+        run: &str,
+        attempt: u32,
+        reservation: Option<&Reservation>,
+    ) -> Dispatch {
+        let left = asked.deadline.saturating_duration_since(Instant::now());
+        Dispatch {
+            run: run.into(),
+            fingerprint: asked.fingerprint.clone(),
+            attempt,
+            incarnation: String::new(),
+            router: self.router.incarnation.clone(),
+            account: asked.account.clone(),
+            payment: reservation.map(|r| r.payment().clone()),
+            idempotent: asked.idempotent,
+            keyed: asked.key.is_some(),
+            start_within_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            revision: self.config.revision(),
+            request: asked.request.clone(),
+            from: 0,
+        }
+    }
+
+    fn facts(&self, asked: &Asked) -> Result<RequestFacts, Refusal> {
+        let gone = |what: &str| Refusal::not_run(Reason::NoTarget, format!("{what} has gone"));
+        let account = self.scheduling.with(|s, _| s.account(&asked.account));
+        let (model, service) = match &asked.request {
+            RunRequest::Chat(chat) => (Some(chat.model.as_str()), None),
+            RunRequest::Call(call) => (None, service_of(&call.path)),
+        };
+        let wants = self.scheduling.wants(model, service);
+        let (prefix, prompt_tokens, max_tokens) = match &asked.request {
+            RunRequest::Chat(chat) => {
+                let prompt = asked.worst.0.saturating_sub(chat.max_tokens.into());
+                (prefix_hash(&chat.messages), prompt, chat.max_tokens)
+            }
+            RunRequest::Call(_) => (None, 0, 0),
+        };
+        Ok(RequestFacts {
+            account: account.ok_or_else(|| gone("the account"))?,
+            priority: priority(asked),
+            wants: wants.ok_or_else(|| gone("the target"))?,
+            prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+            max_tokens,
+            begin_by: self.scheduling.time(asked.deadline),
+            deadline: Time::MAX,
+            idempotent: asked.idempotent,
+            prefix,
+            prefix_tokens: if prefix.is_some() { prefix_tokens() } else { 0 },
+            attempt: 0,
+        })
+    }
+}
+
+fn priority(asked: &Asked) -> Priority {
+    match asked.priority {
+        wisteriapass_config::Priority::Interactive => Priority::Interactive,
+        wisteriapass_config::Priority::Standard => Priority::Standard,
+        wisteriapass_config::Priority::Batch => Priority::Batch,
+    }
+}
