coord: once-only runs: homes, directory, claims, table of runs, bills

The side process owns the run; two homes in two failure domains index it; a claim in the service lets a non-idempotent request run at most once. Only the incarnation that was claimed for can say that it did not run: a new incarnation's answer was ruled out, as was forgetting that a run ran when its answer is dropped, because a repeat then runs it again.

--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod membership;
+pub mod once;
 pub mod order;
 pub mod revision;
 pub mod store;
--- /dev/null
+++ b/wisteriapass_coord/src/once.rs
@@ -0,0 +1,39 @@
+//! Once-only runs: identities, homes, the directory, claims, the table of runs, and bills.
+//!
+//! A run is owned by the side process beside its target. The [`Directory`] in the memory of two
+//! side processes lets a repeat find it; a [`Claim`] in the service lets a request that may not be
+//! repeated run at most once.
+
+mod attempt;
+mod bill;
+mod bill_book;
+mod bill_ledger;
+mod claim;
+mod claims;
+mod directory;
+mod error;
+mod homes;
+mod order;
+mod place;
+mod retention;
+mod run_id;
+mod run_table;
+mod usage;
+mod verdict;
+
+pub use attempt::Attempt;
+pub use bill::Bill;
+pub use bill_book::BillBook;
+pub use bill_ledger::BillLedger;
+pub use claim::{Claim, ClaimOp};
+pub use claims::{Claimed, Claims};
+pub use directory::{Directory, Held, HomeAnswer};
+pub use error::{OnceError, Result};
+pub use homes::{Home, Homes, homes};
+pub use order::{OrderRefused, RunOrder};
+pub use place::Place;
+pub use retention::Retention;
+pub use run_id::RunId;
+pub use run_table::{Begun, RunTable, Withdrawn};
+pub use usage::{FenceAck, Usage};
+pub use verdict::{Found, HeldClaim, HolderSays};
--- /dev/null
+++ b/wisteriapass_coord/src/once/attempt.rs
@@ -0,0 +1,22 @@
+//! Numbers of attempts.
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+
+/// Number of an attempt at a run, from one; a withdrawn attempt never begins, nor does an earlier.
+#[derive(
+    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Attempt(pub u32);
+
+impl Attempt {
+    /// The first attempt.
+    pub const FIRST: Self = Self(1);
+
+    /// Returns the attempt after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/src/once/homes.rs
@@ -0,0 +1,49 @@
+//! Which side processes index a run.
+
+use std::hash::Hasher;
+
+use smallvec::SmallVec;
+use twox_hash::XxHash64;
+
+use crate::once::RunId;
+
+/// Seed of the scores; the same everywhere.
+const SEED: u64 = 0;
+
+/// A side process that may index runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Home<'a> {
+    /// Name of the side process.
+    pub side: &'a str,
+    /// Failure domain it sits in.
+    pub failure_domain: &'a str,
+}
+
+/// Names of a run's homes, first home first: two, or one where there is only one side process.
+pub type Homes<'a> = SmallVec<[&'a str; 2]>;
+
+/// Chooses a run's homes by rendezvous hashing, in two failure domains if there are two.
+///
+/// A member that comes or goes moves only the runs it wins or held.
+pub fn homes<'a>(run: &RunId, members: &[Home<'a>]) -> Homes<'a> {
+    let mut ranked: Vec<(u64, Home<'a>)> = members.iter().map(|m| (score(run, m), *m)).collect();
+    ranked.sort_unstable_by(|a, b| (b.0, b.1.side).cmp(&(a.0, a.1.side)));
+    let mut homes = Homes::new();
+    let Some((_, first)) = ranked.first() else {
+        return homes;
+    };
+    homes.push(first.side);
+    let rest = || ranked.iter().skip(1).map(|(_, home)| home);
+    let elsewhere = rest().find(|h| h.failure_domain != first.failure_domain);
+    let second = elsewhere.or_else(|| rest().next());
+    homes.extend(second.map(|h| h.side));
+    homes
+}
+
+fn score(run: &RunId, home: &Home<'_>) -> u64 {
+    let mut hasher = XxHash64::with_seed(SEED);
+    hasher.write(home.side.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(run.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/wisteriapass_coord/tests/once_directory.rs
@@ -0,0 +1,236 @@
+//! Homes, directory and bills: two firm bills for one request never arise, whatever is cut off.
+
+mod common;
+
+use common::FaultyStore;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::{BudgetId, Origin, Part, Payment, Tokens};
+use wisteriapass_coord::once::{
+    Attempt, Begun, Bill, BillBook, BillLedger, Directory, Found, Held, Home, HomeAnswer,
+    OrderRefused, Place, RunId, RunOrder, RunTable, homes,
+};
+
+const FOREVER: Millis = Millis(u64::MAX);
+const MEMBERS: [Home<'static>; 5] = [
+    Home {
+        side: "e1",
+        failure_domain: "a",
+    },
+    Home {
+        side: "e2",
+        failure_domain: "a",
+    },
+    Home {
+        side: "e3",
+        failure_domain: "b",
+    },
+    Home {
+        side: "e4",
+        failure_domain: "b",
+    },
+    Home {
+        side: "e5",
+        failure_domain: "c",
+    },
+];
+
+fn run_named(n: u32) -> RunId {
+    RunId::keyed("acme", &n.to_string())
+}
+
+#[test]
+fn homes_are_two_and_in_two_failure_domains() {
+    let domain = |side: &str| {
+        MEMBERS
+            .iter()
+            .find(|m| m.side == side)
+            .unwrap()
+            .failure_domain
+    };
+    for n in 0..500 {
+        let homes = homes(&run_named(n), &MEMBERS);
+        assert_eq!(homes.len(), 2);
+        assert_ne!(domain(homes[0]), domain(homes[1]));
+    }
+}
+
+#[test]
+fn a_member_that_leaves_moves_only_its_own_runs() {
+    let rest: Vec<Home> = MEMBERS.into_iter().filter(|m| m.side != "e3").collect();
+    for n in 0..500 {
+        let before = homes(&run_named(n), &MEMBERS);
+        let after = homes(&run_named(n), &rest);
+        if !before.contains(&"e3") {
+            assert_eq!(before, after);
+        }
+    }
+}
+
+/// One claim by a router that can reach some homes only.
+#[derive(Clone, Copy, Debug)]
+struct Try {
+    reaches_first: bool,
+    reaches_second: bool,
+    restarts: Option<bool>,
+}
+
+impl Arbitrary for Try {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            reaches_first: u8::arbitrary(g) % 4 != 0,
+            reaches_second: u8::arbitrary(g) % 4 != 0,
+            restarts: (u8::arbitrary(g) % 8 == 0).then(|| bool::arbitrary(g)),
+        }
+    }
+}
+
+fn home(knows_all: bool) -> Directory {
+    let mut directory = Directory::new();
+    if knows_all {
+        directory.published_all("owner");
+    }
+    directory
+}
+
+/// Plays claims of different routers for one request; returns the firm runs they begin.
+fn firm_runs(tries: &[Try], trusts_any_answer: bool) -> usize {
+    let run = run_named(1);
+    let mut directories = [home(true), home(true)];
+    let mut firm = 0;
+    for (n, attempt) in tries.iter().enumerate() {
+        if let Some(first) = attempt.restarts {
+            directories[usize::from(!first)] = home(false);
+        }
+        let own = Place::new("owner", format!("i{n}"));
+        let mut answers: Vec<Option<HomeAnswer>> = Vec::new();
+        for (reaches, directory) in [attempt.reaches_first, attempt.reaches_second]
+            .into_iter()
+            .zip(&mut directories)
+        {
+            let answer =
+                reaches.then(|| directory.claim(&run, &own, FOREVER, Millis(0), ["owner"]));
+            answers.push(answer);
+        }
+        let is_firm = match Found::judge(&answers, &own) {
+            Found::Nobody => true,
+            Found::Unsure => trusts_any_answer,
+            Found::At(_) => false,
+        };
+        firm += usize::from(is_firm);
+    }
+    firm
+}
+
+#[test]
+fn at_most_one_run_is_firm() {
+    fn holds(tries: Vec<Try>) -> bool {
+        firm_runs(&tries, false) <= 1
+    }
+    let result = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 0x0021))
+        .tests(5_000)
+        .max_tests(5_000)
+        .quicktest(holds as fn(Vec<Try>) -> bool);
+    assert!(result.is_ok(), "{result:?}");
+}
+
+#[test]
+fn trusting_one_home_alone_is_found_to_be_wrong() {
+    let mut g = Gen::from_size_and_seed(12, 0x0022);
+    let is_found = (0..5_000).any(|_| firm_runs(&Vec::<Try>::arbitrary(&mut g), true) > 1);
+    assert!(is_found);
+}
+
+#[test]
+fn an_owner_that_publishes_again_overrides_a_claim() {
+    let mut directory = Directory::new();
+    let (run, owner) = (run_named(1), Place::new("e1", "i1"));
+    let claimed = directory.claim(&run, &Place::new("e2", "i1"), FOREVER, Millis(0), ["e1"]);
+    assert_eq!(claimed, HomeAnswer::Fresh { is_complete: false });
+    let held = Held {
+        place: owner,
+        until: Millis(100),
+    };
+    directory.publish(run.clone(), held.clone());
+    let place = Place::new("e3", "i1");
+    let again = directory.claim(&run, &place, FOREVER, Millis(50), ["e1"]);
+    assert_eq!(again, HomeAnswer::Held(held));
+    directory.expire(Millis(100));
+    assert!(directory.is_empty());
+}
+
+fn bill(n: u32, is_provisional: bool) -> Bill {
+    Bill {
+        run: run_named(n),
+        place: Place::new("e1", "i1"),
+        account: "acme".into(),
+        payment: payment(100),
+        amount: Tokens(70),
+        is_provisional,
+    }
+}
+
+fn payment(amount: u64) -> Payment {
+    let part = Part {
+        origin: Origin(7),
+        amount: Tokens(amount),
+    };
+    Payment {
+        budget: BudgetId::new("acme", "main"),
+        parts: [part].into_iter().collect(),
+    }
+}
+
+#[test]
+fn a_bill_flushed_twice_is_one_bill() {
+    let store = FaultyStore::new();
+    let first = BillLedger::new(&store, Origin(1));
+    first.flush(1, &[bill(1, false), bill(2, false)]).unwrap();
+    first.flush(1, &[bill(1, false), bill(2, false)]).unwrap();
+    let second = BillLedger::new(&store, Origin(2));
+    second.flush(1, &[bill(2, false)]).unwrap();
+    assert_eq!(first.read().unwrap().len(), 2);
+}
+
+#[test]
+fn a_provisional_bill_is_not_handed_over_before_it_counts() {
+    let mut book = BillBook::new();
+    book.enter(bill(1, true), Millis(0));
+    book.enter(bill(2, false), Millis(10));
+    assert!(book.to_hand_over(Millis(5), 9).is_empty());
+    assert_eq!(book.to_hand_over(Millis(10), 9), vec![bill(2, false)]);
+    book.confirm(&run_named(1));
+    assert_eq!(book.to_hand_over(Millis(10), 9).len(), 2);
+    assert_eq!(book.void(&run_named(1)), None);
+    book.acknowledge([&run_named(1), &run_named(2)]);
+    assert!(book.is_empty());
+}
+
+#[test]
+fn a_fenced_origin_pays_for_nothing_more_and_its_spending_becomes_final() {
+    let mut table = RunTable::new("i1");
+    let order = |n| RunOrder {
+        run: run_named(n),
+        fingerprint: "same".into(),
+        attempt: Attempt::FIRST,
+        incarnation: None,
+        start_by: Millis(100),
+        payment: Some(payment(100)),
+        is_idempotent: true,
+    };
+    assert_eq!(table.begin(&order(1), Millis(0), || 1), Ok(Begun::New(1)));
+    assert_eq!(table.begin(&order(2), Millis(0), || 2), Ok(Begun::New(2)));
+    table.end(&run_named(1), Tokens(60), 10, Millis(1));
+    table.end(&run_named(1), Tokens(60), 10, Millis(1));
+    let ack = table.fence(Origin(7));
+    assert_eq!(ack.running, 1);
+    let refused = table.begin(&order(3), Millis(2), || 3);
+    assert_eq!(refused, Err(OrderRefused::Fenced { origin: Origin(7) }));
+    // A repeat of what runs already is no new spending.
+    assert_eq!(table.begin(&order(2), Millis(2), || 4), Ok(Begun::Known(2)));
+    table.end(&run_named(2), Tokens(900), 10, Millis(3));
+    let ack = table.fence(Origin(7));
+    assert_eq!(ack.running, 0);
+    assert_eq!(ack.spent[&BudgetId::new("acme", "main")], Tokens(160));
+}
