--- /dev/null
+++ b/wisteriapass_coord/examples/embed_budget.rs
@@ -0,0 +1,79 @@
+//! Embeds escrowed budgets in a program with a store of its own behind the [`Store`] trait.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::{
+    BudgetId, Journal, Ledger, Origin, Shards, Tokens, TopupId, Wallet, Want,
+};
+use wisteriapass_coord::store::{Entry, LeaseId, Result, Revision, Store, Swap};
+
+/// The reader's own store: budgets need only `get` and `swap`.
+#[derive(Default)]
+struct OwnStore {
+    entries: Mutex<BTreeMap<String, Entry>>,
+}
+
+impl Store for OwnStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>> {
+        Ok(self.entries.lock().unwrap().get(key).cloned())
+    }
+
+    fn swap(&self, key: &str, at: Revision, value: &str, _: Option<LeaseId>) -> Result<Swap> {
+        let mut entries = self.entries.lock().unwrap();
+        let current = entries.get(key).cloned();
+        if current.as_ref().map_or(Revision::ABSENT, |e| e.revision) != at {
+            return Ok(Swap::Conflict(current));
+        }
+        let revision = Revision(at.0 + 1);
+        let (value, name) = (value.to_owned(), key.to_owned());
+        let entry = Entry {
+            key: name,
+            value,
+            revision,
+        };
+        entries.insert(key.into(), entry);
+        Ok(Swap::Done(revision))
+    }
+
+    fn list(&self, _: &str) -> Result<Vec<Entry>> {
+        unimplemented!("budgets need get and swap only")
+    }
+    fn delete(&self, _: &str, _: Revision) -> Result<Swap> {
+        unimplemented!("budgets need get and swap only")
+    }
+    fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<(Revision, Vec<Entry>)> {
+        unimplemented!("budgets need get and swap only")
+    }
+    fn grant_lease(&self, _: Duration) -> Result<LeaseId> {
+        unimplemented!("budgets need get and swap only")
+    }
+    fn keep_lease(&self, _: LeaseId) -> Result<bool> {
+        unimplemented!("budgets need get and swap only")
+    }
+}
+
+fn main() -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let (store, budget) = (OwnStore::default(), BudgetId::new("acme", "main"));
+    let journal = Journal::new(Origin(1), Shards::default());
+    let ledger = Ledger::new(&store, &journal);
+    ledger.topup(&budget, &TopupId("invoice-1".into()), Tokens(50_000))?;
+
+    let mut wallet = Wallet::new(Origin(1));
+    let (need, draw_per_second) = (Tokens(700), wallet.draw(&budget, Millis(0)));
+    let want = Want {
+        budget: budget.clone(),
+        need,
+        draw_per_second,
+    };
+    for lot in ledger.take(vec![want]).lots {
+        wallet.credit(lot);
+    }
+    let reservation = wallet.reserve(&budget, need, Millis(0))?;
+    println!("{:?}", wallet.settle(reservation, Tokens(420)));
+    ledger.flush(wallet.drain_reports());
+    println!("{:?}", ledger.totals()?);
+    Ok(())
+}
