Harness: a loopback address for each process, ports in turn

Cause: a port found free by binding to port 0 was taken by another test's connection before the daemon bound it (seen once in 11 starts). Ruled out: a leftover daemon. Each test process now uses its own 127.x address and gives its ports out in turn.

--- a/wisteriapass_bench/src/fleet/daemon.rs
+++ b/wisteriapass_bench/src/fleet/daemon.rs
@@ -1,10 +1,12 @@
 //! One router or side process as a child process.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -250,7 +252,40 @@
     }
 }
 
+/// First port given out.
+const FIRST_PORT: u32 = 10_000;
+
+/// Number of ports given out before the first is used again.
+const PORTS: u32 = 50_000;
+
+/// Number of values of an address's last three bytes.
+const HOSTS: u32 = 250;
+
 /// Returns a loopback address with a free port.
+///
+/// A port that the system chooses may be taken by another connection before the daemon binds it.
+/// So each process of the tool has a loopback address of its own, and hands its ports out in turn.
 pub(super) fn free_addr() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let addr = SocketAddr::new(own_host().into(), port as u16);
+        match TcpListener::bind(addr) {
+            Ok(_) => return Ok(addr),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
+/// Returns the loopback address of this process, other than 127.0.0.1.
+fn own_host() -> Ipv4Addr {
+    let pid = std::process::id();
+    let part = |n: u32| (1 + n % HOSTS) as u8;
+    Ipv4Addr::new(
+        127,
+        part(pid / HOSTS / HOSTS + 1),
+        part(pid / HOSTS),
+        part(pid),
+    )
 }
