Measure after a warm-up and read prompts at an engine's speed

At a tenth of an output token's work a 2,000-token prompt took 3.2 s in the model, far slower than engines that read prompts in parallel; 0.02 gives 0.64 s. The play now fills the pool before it measures, since the first answers' delay counted as lost goodput.

--- a/wisteriapass_bench/src/loads.rs
+++ b/wisteriapass_bench/src/loads.rs
@@ -26,8 +26,12 @@
 
 use play::Play;
 
-/// Length of the arrivals of one play, in seconds.
+/// Time before anything is measured, in which the pool fills, in seconds.
+pub const WARM_UP_SECS: f64 = 10.0;
+/// Length of what is measured, in seconds.
 pub const PLAY_SECS: f64 = 60.0;
+/// End of the play, in seconds.
+pub const END_SECS: f64 = WARM_UP_SECS + PLAY_SECS;
 
 /// Plays one pattern by one policy.
 pub fn play(pattern: Pattern, policy: Policy, seed: u64, cfg: &PolicyConfig) -> Summary {
--- a/wisteriapass_bench/src/loads/arrivals.rs
+++ b/wisteriapass_bench/src/loads/arrivals.rs
@@ -5,11 +5,11 @@
 use rand_chacha::ChaCha8Rng;
 use wisteriapass_policy::{Priority, Time};
 
-use super::PLAY_SECS;
+use super::END_SECS;
 use super::pattern::{Pattern, ROUTERS, TARGETS, TOKENS_PER_S};
 
 /// Work of a prompt token in the engine, as a share of an output token's.
-pub(super) const PROMPT_WORK: f64 = 0.1;
+pub(super) const PROMPT_WORK: f64 = 0.02;
 /// Client accounts; the first three are large.
 pub(super) const ACCOUNTS: usize = 10;
 /// Shared prefixes of each kind of work.
@@ -143,7 +143,7 @@
     let mut secs = 0.0;
     loop {
         secs += -(1.0 - rng.random::<f64>()).ln() / peak;
-        if secs >= PLAY_SECS {
+        if secs >= END_SECS {
             return requests;
         }
         if rng.random::<f64>() * pattern.peak() < pattern.load(secs) {
--- a/wisteriapass_bench/src/loads/bound.rs
+++ b/wisteriapass_bench/src/loads/bound.rs
@@ -3,10 +3,10 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use super::PLAY_SECS;
 use super::arrivals::Request;
 use super::engine::slot_rate;
 use super::pattern::{Pattern, SLOTS, TARGETS};
+use super::{END_SECS, WARM_UP_SECS};
 
 /// Step of the computation, in seconds.
 const STEP_S: f64 = 0.01;
@@ -30,7 +30,7 @@
     order.sort_by_key(|&r| requests[r].at);
     let mut arriving = order.into_iter().peekable();
     let mut done = 0.0;
-    for step in 0..(PLAY_SECS / STEP_S) as u64 {
+    for step in 0..(END_SECS / STEP_S) as u64 {
         let secs = step as f64 * STEP_S;
         let now = (secs * 1e6) as u64;
         while let Some(place) = arriving.next_if(|&r| requests[r].at.0 <= now) {
@@ -48,7 +48,9 @@
             }
             let work = can.min(left[first.place]);
             let request = &requests[first.place];
-            done += work * f64::from(request.output) / request.least_work();
+            if secs >= WARM_UP_SECS {
+                done += work * f64::from(request.output) / request.least_work();
+            }
             left[first.place] -= work;
             can -= work;
         }
--- a/wisteriapass_bench/src/loads/pattern.rs
+++ b/wisteriapass_bench/src/loads/pattern.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error};
 
-use super::PLAY_SECS;
+use super::{PLAY_SECS, WARM_UP_SECS};
 
 /// Targets of the pool.
 pub(super) const TARGETS: usize = 12;
@@ -72,21 +72,21 @@
     /// Returns the offered work at a time as a share of the whole pool's capacity.
     pub(super) fn load(self, secs: f64) -> f64 {
         match self {
-            Self::Burst if (20.0..25.0).contains(&secs) => 3.0,
+            Self::Burst if (30.0..35.0).contains(&secs) => 3.0,
             Self::Burst => 0.3,
             Self::Hot => 1.3,
             Self::Slow | Self::Silent => 0.85,
             Self::LongShort => 1.0,
             Self::Saturation => 1.5,
             Self::Lagging => 0.95,
-            Self::All if (20.0..25.0).contains(&secs) => 5.0,
+            Self::All if (30.0..35.0).contains(&secs) => 5.0,
             Self::All => 1.3,
         }
     }
 
     /// Returns the most that [`Pattern::load`] reaches.
     pub(super) fn peak(self) -> f64 {
-        self.load(0.0).max(self.load(22.0))
+        self.load(0.0).max(self.load(32.0))
     }
 
     /// Returns whether two accounts and one prefix take most of the load.
@@ -101,7 +101,7 @@
 
     /// Returns a target's speed at a time, as a share of the nominal one.
     pub(super) fn faults(self, target: usize) -> Fault {
-        let from = PLAY_SECS / 6.0;
+        let from = WARM_UP_SECS + PLAY_SECS / 6.0;
         match (self, target) {
             (Self::Slow | Self::All, 0) => Fault { from, speed: 0.1 },
             (Self::Silent, 0) | (Self::All, 1) => Fault { from, speed: 0.0 },
--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -18,7 +18,7 @@
 use super::engine::{Engine, EngineRun, RunId};
 use super::pattern::{ROUTERS, TARGETS};
 use super::tally::Tally;
-use super::{PLAY_SECS, Pattern, Policy, Summary, bound};
+use super::{END_SECS, Pattern, Policy, Summary, WARM_UP_SECS, bound};
 use event::{Event, Timed};
 
 /// One way between a router and a target, in seconds.
@@ -77,7 +77,7 @@
 /// What a router decides with.
 enum Decides {
     Ours(Box<Ours>),
-    Baseline(Baseline),
+    Baseline(Box<Baseline>),
 }
 
 /// Our scheduler and the play's names for its keys.
@@ -120,7 +120,7 @@
 
     /// Plays to the end and sums up.
     pub(super) fn run(mut self) -> Summary {
-        let end = Time::default().plus_secs(PLAY_SECS);
+        let end = Time::default().plus_secs(END_SECS);
         while let Some(Reverse(timed)) = self.events.pop() {
             if timed.at > end {
                 break;
@@ -135,7 +135,9 @@
     fn begin(&mut self) {
         for place in 0..self.requests.len() {
             let request = self.requests[place];
-            self.tally.asked[request.account] += f64::from(request.output);
+            if counts(request.at) {
+                self.tally.asked[request.account] += f64::from(request.output);
+            }
             self.at(request.at, Event::Arrive { request: place });
         }
         for target in 0..TARGETS {
@@ -223,7 +225,9 @@
                 self.send(now, place, target);
             }
             Decision::Refuse { reason, come_back } => {
-                self.tally.refused(reason);
+                if counts(now) {
+                    self.tally.refused(reason);
+                }
                 self.callers[place].over = true;
                 self.come_back(place, come_back);
             }
@@ -233,7 +237,7 @@
     /// Has a refused caller come back once as told, by any router.
     fn come_back(&mut self, place: usize, at: Time) {
         let request = self.requests[place];
-        let end = Time::default().plus_secs(PLAY_SECS);
+        let end = Time::default().plus_secs(END_SECS);
         let allowed = request.deadline.secs_since(request.at);
         // Only those count whose answer, right or late, falls within the play.
         if request.attempt > 0 || at.plus_secs(allowed) > end {
@@ -303,7 +307,7 @@
         }
         self.at(now.plus_secs(PROGRESS_EVERY_S), Event::Progress { run: id });
         self.tell_of(now, run, |ours, ticket, key| {
-            ours.scheduler.first_token(now, ticket, key)
+            ours.scheduler.first_token(now, ticket, key);
         });
     }
 
@@ -331,7 +335,9 @@
         self.stop(now, id, false);
         let request = self.requests[run.request];
         self.callers[run.request].over = true;
-        self.tally.answered(&request);
+        if counts(now) {
+            self.tally.answered(&request);
+        }
         if request.attempt > 0 {
             self.tally.returned_well += 1;
         }
@@ -350,7 +356,9 @@
             return;
         }
         self.callers[place].over = true;
-        self.tally.cut += 1;
+        if counts(now) {
+            self.tally.cut += 1;
+        }
         for id in self.callers[place].runs.clone() {
             self.stop(now, id, true);
         }
@@ -372,7 +380,7 @@
             }
             self.stop(now, id, true);
             self.tell_of(now, run, |ours, ticket, key| {
-                ours.scheduler.cancel_run(ticket, key)
+                ours.scheduler.cancel_run(ticket, key);
             });
         }
     }
@@ -386,7 +394,7 @@
         self.runs[id].over = true;
         let engine = &mut self.engines[run.target];
         engine.remove(id);
-        if let Some(first) = run.first_token.filter(|_| wasted) {
+        if let Some(first) = run.first_token.filter(|_| wasted && counts(now)) {
             self.tally.wasted += engine.tokens_between(first, now) + 1.0;
         }
         let router = self.requests[run.request].router;
@@ -493,6 +501,11 @@
     }
 }
 
+/// Returns whether a time is in the part of the play that is measured.
+fn counts(at: Time) -> bool {
+    at >= Time::default().plus_secs(WARM_UP_SECS)
+}
+
 impl Engine {
     /// Returns the load that one router is told of.
     fn report(&self, now: Time, router: usize) -> LoadReport {
@@ -513,7 +526,7 @@
     fn new(policy: Policy, seed: u64, router: usize, cfg: &PolicyConfig) -> Self {
         let decides = match policy {
             Policy::Ours => Decides::Ours(Box::new(Ours::new(cfg, seed, router))),
-            _ => Decides::Baseline(Baseline::new(policy, seed)),
+            _ => Decides::Baseline(Box::new(Baseline::new(policy, seed))),
         };
         Self {
             decides,
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -4,8 +4,6 @@
 
 use crate::Parts;
 
-/// Work of one prompt token, as a share of an output token's; engines read prompts in parallel.
-pub const PROMPT_TOKEN_WORK: f64 = 0.1;
 /// Output assumed at first, as a share of the most a request allows.
 pub const FIRST_LENGTH_SHARE: f64 = 0.5;
 /// Weight of one finished answer in the learned length and speed.
@@ -21,6 +19,8 @@
     pub seed: u64,
     /// Parts that are on.
     pub parts: Parts,
+    /// Work of a prompt token as a share of an output token's; engines read prompts in parallel.
+    pub prompt_token_work: f64,
     /// Age at which a load report begins to lose its worth, in seconds.
     pub report_fresh_s: f64,
     /// Age at which a load report is worth nothing, in seconds.
@@ -90,6 +90,7 @@
         Self {
             seed: 1,
             parts: Parts::default(),
+            prompt_token_work: 0.02,
             report_fresh_s: 1.0,
             report_stale_s: 4.0,
             queue_at_target: 2.0,
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -2,7 +2,7 @@
 
 use slotmap::SlotMap;
 
-use crate::config::{FIRST_LENGTH_SHARE, LEARNING_STEP, PROMPT_TOKEN_WORK, SERVICE_CALL_WORK};
+use crate::config::{FIRST_LENGTH_SHARE, LEARNING_STEP, SERVICE_CALL_WORK};
 use crate::lanes::Lanes;
 use crate::reserve::Reserve;
 use crate::target::Target;
@@ -55,10 +55,10 @@
     }
 
     /// Returns the expected work of a request's prompt, in output tokens.
-    pub(crate) fn prompt_work(&self, facts: &RequestFacts) -> f64 {
+    pub(crate) fn prompt_work(&self, facts: &RequestFacts, cfg: &PolicyConfig) -> f64 {
         match self.wants {
             Wants::Service { .. } => 0.0,
-            Wants::Model { .. } => f64::from(facts.prompt_tokens) * PROMPT_TOKEN_WORK,
+            Wants::Model { .. } => f64::from(facts.prompt_tokens) * cfg.prompt_token_work,
         }
     }
 
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -194,7 +194,7 @@
     fn estimate(&mut self, now: Time, facts: RequestFacts, key: PoolKey, c: Capacity) -> Job {
         let pool = &mut self.pools[key];
         let output = pool.expected_output(&facts);
-        let prompt = pool.prompt_work(&facts);
+        let prompt = pool.prompt_work(&facts, &self.cfg);
         let work = output + prompt;
         let slot_rate = (c.rate / c.slots.max(1.0)).max(1e-3);
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
