Keep slots for interactive work by the burst, not by the mean

Kept slots stood idle in steady load: a reserve of 1.2 times the need left 17% of the pool unused at saturation.

--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -39,10 +39,12 @@
     pub standard_lead_s: f64,
     /// Head start gained for each second of waiting, in seconds.
     pub ageing: f64,
-    /// Memory of the interactive rate on its way down, in seconds.
+    /// Memory of the usual rate of arrivals, in seconds.
     pub reserve_memory_s: f64,
-    /// Slots kept for interactive work, as a multiple of what it is expected to need.
-    pub reserve_margin: f64,
+    /// Slots kept for interactive work in steady load, as a share of what it needs.
+    pub reserve_steady: f64,
+    /// Slots kept for interactive work in a burst, as a multiple of what it needs.
+    pub reserve_burst: f64,
     /// Most slots kept for interactive work, as a share of all.
     pub reserve_max: f64,
     /// Work is long if it takes this many times the pool's mean.
@@ -100,9 +102,10 @@
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
             ageing: 0.2,
-            reserve_memory_s: 3.0,
-            reserve_margin: 1.2,
-            reserve_max: 0.6,
+            reserve_memory_s: 10.0,
+            reserve_steady: 0.5,
+            reserve_burst: 1.3,
+            reserve_max: 0.9,
             long_factor: 4.0,
             long_share: 0.5,
             slow_below: 0.5,
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -128,8 +128,8 @@
         except: Option<TargetKey>,
     ) -> Option<TargetKey> {
         let job = &self.jobs[ticket];
-        let pool = &self.pools[job.pool];
-        let need = pool.reserve.need(now, &self.cfg) * self.routers;
+        let pool = &mut self.pools[job.pool];
+        let need = pool.reserve.slots(now, &self.cfg) * self.routers;
         let urgent = job.facts.priority == Priority::Interactive;
         let choosing = Choosing {
             now,
@@ -200,9 +200,9 @@
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
         let done = facts.deadline.plus_secs(-work / slot_rate);
         let long = pool.judge_length(work, &self.cfg);
-        if facts.priority == Priority::Interactive {
-            pool.reserve.offered(now, work / slot_rate, &self.cfg);
-        }
+        let urgent = facts.priority == Priority::Interactive;
+        let slot_secs = if urgent { work / slot_rate } else { 0.0 };
+        pool.reserve.offered(now, slot_secs, &self.cfg);
         Job {
             facts,
             pool: key,
