Start only what most answers' length lets end in time

The latest start came from the mean output, so a third of the started drafts near it were cut off at their deadline. It now comes from a learned 90% quantile by class.

--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -6,7 +6,9 @@
 
 /// Output assumed at first, as a share of the most a request allows.
 pub const FIRST_LENGTH_SHARE: f64 = 0.5;
-/// Weight of one finished answer in the learned length and speed.
+/// Output that nearly all answers stay below at first, as a share of the most allowed.
+pub const FIRST_TAIL_SHARE: f64 = 0.9;
+/// Weight of one finished answer in the learned length.
 pub const LEARNING_STEP: f64 = 0.05;
 /// Work of a plain service's call, in output tokens.
 pub const SERVICE_CALL_WORK: f64 = 20.0;
@@ -21,6 +23,8 @@
     pub parts: Parts,
     /// Work of a prompt token as a share of an output token's; engines read prompts in parallel.
     pub prompt_token_work: f64,
+    /// Share of the answers whose length the latest start allows for.
+    pub length_quantile: f64,
     /// Age at which a load report begins to lose its worth, in seconds.
     pub report_fresh_s: f64,
     /// Age at which a load report is worth nothing, in seconds.
@@ -93,6 +97,7 @@
             seed: 1,
             parts: Parts::default(),
             prompt_token_work: 0.02,
+            length_quantile: 0.9,
             report_fresh_s: 1.0,
             report_stale_s: 4.0,
             queue_at_target: 2.0,
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -2,7 +2,7 @@
 
 use slotmap::SlotMap;
 
-use crate::config::{FIRST_LENGTH_SHARE, LEARNING_STEP, SERVICE_CALL_WORK};
+use crate::config::{FIRST_LENGTH_SHARE, FIRST_TAIL_SHARE, LEARNING_STEP, SERVICE_CALL_WORK};
 use crate::lanes::Lanes;
 use crate::reserve::Reserve;
 use crate::target::Target;
@@ -23,6 +23,7 @@
     /// Own long requests in flight.
     pub(crate) own_long: u32,
     length_share: [f64; 3],
+    tail_share: [f64; 3],
     mean_work: f64,
     done: f64,
     done_at: Time,
@@ -38,6 +39,7 @@
             reserve: Reserve::default(),
             own_long: 0,
             length_share: [FIRST_LENGTH_SHARE; 3],
+            tail_share: [FIRST_TAIL_SHARE; 3],
             mean_work: 0.0,
             done: 0.0,
             done_at: Time::default(),
@@ -54,6 +56,16 @@
         }
     }
 
+    /// Returns the output that a request stays below nearly always, in tokens.
+    pub(crate) fn longest_output(&self, facts: &RequestFacts) -> f64 {
+        match self.wants {
+            Wants::Service { .. } => SERVICE_CALL_WORK,
+            Wants::Model { .. } => {
+                f64::from(facts.max_tokens) * self.tail_share[facts.priority.index()]
+            }
+        }
+    }
+
     /// Returns the expected work of a request's prompt, in output tokens.
     pub(crate) fn prompt_work(&self, facts: &RequestFacts, cfg: &PolicyConfig) -> f64 {
         match self.wants {
@@ -63,10 +75,20 @@
     }
 
     /// Learns how much of its allowance an answer used.
-    pub(crate) fn learn_length(&mut self, priority: Priority, used: f64, allowed: f64) {
+    pub(crate) fn learn_length(
+        &mut self,
+        priority: Priority,
+        used: f64,
+        allowed: f64,
+        cfg: &PolicyConfig,
+    ) {
         let share = &mut self.length_share[priority.index()];
         let seen = (used / allowed.max(1.0)).clamp(0.01, 1.0);
         *share += (seen - *share) * LEARNING_STEP;
+        // Steps of these sizes balance where the wanted share of answers is below.
+        let tail = &mut self.tail_share[priority.index()];
+        let below = if seen <= *tail { 1.0 } else { 0.0 };
+        *tail = (*tail + (cfg.length_quantile - below) * LEARNING_STEP).clamp(0.01, 1.0);
     }
 
     /// Takes a request's work into the mean; returns whether it is long beside the others.
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -58,7 +58,12 @@
         let used = f64::from(outcome.output_tokens);
         let pool = &mut self.pools[job.pool];
         pool.finished(now, used + prompt);
-        pool.learn_length(job.facts.priority, used, f64::from(job.facts.max_tokens));
+        pool.learn_length(
+            job.facts.priority,
+            used,
+            f64::from(job.facts.max_tokens),
+            &self.cfg,
+        );
         pool.lanes.charge(job.facts.account, used - job.output);
         for run in &job.runs {
             self.release(job.pool, *run, job.facts.priority, job.long);
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -198,7 +198,8 @@
         let work = output + prompt;
         let slot_rate = (c.rate / c.slots.max(1.0)).max(1e-3);
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
-        let done = facts.deadline.plus_secs(-work / slot_rate);
+        let longest = prompt + pool.longest_output(&facts);
+        let done = facts.deadline.plus_secs(-longest / slot_rate);
         let long = pool.judge_length(work, &self.cfg);
         let urgent = facts.priority == Priority::Interactive;
         let slot_secs = if urgent { work / slot_rate } else { 0.0 };
