Let admission learn from waits in vain

What was admitted waited in vain too often, since the estimate knows nothing of urgent work still to come. A factor by class now follows the share of vain waits.

--- a/wisteriapass_bench/src/loads/engine.rs
+++ b/wisteriapass_bench/src/loads/engine.rs
@@ -76,7 +76,7 @@
 
     /// Begins a run: reads its prompt, but for what is cached, and then generates.
     pub(super) fn begin(&mut self, now: Time, request: &Request) -> Begun {
-        let hit = request.prefix.is_some_and(|p| self.cached.contains(&p));
+        let hit = request.prefix.is_some_and(|p| self.holds(p));
         let known = if hit { request.prefix_tokens } else { 0 };
         let prompt = f64::from(request.prompt - known) * PROMPT_WORK;
         let first_token = self.after(now, prompt + 1.0);
@@ -84,6 +84,16 @@
         Begun { first_token, end }
     }
 
+    /// Returns whether it holds a prefix.
+    pub(super) fn holds(&self, prefix: u64) -> bool {
+        self.cached.contains(&prefix)
+    }
+
+    /// Returns whether it works at its nominal speed.
+    pub(super) fn is_well(&self, now: Time) -> bool {
+        now < Time::default().plus_secs(self.fault.from)
+    }
+
     /// Holds a prefix; returns the one that had to go.
     pub(super) fn cache(&mut self, prefix: u64) -> Option<u64> {
         self.cached.retain(|&p| p != prefix);
--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -16,7 +16,7 @@
 use super::arrivals::{self, Request};
 use super::balancer::{self, Baseline, MODEL};
 use super::engine::{Engine, EngineRun, RunId};
-use super::pattern::{ROUTERS, TARGETS};
+use super::pattern::{ROUTERS, SLOTS, TARGETS};
 use super::tally::Tally;
 use super::{END_SECS, Pattern, Policy, Summary, WARM_UP_SECS, bound};
 use event::{Event, Timed};
@@ -283,6 +283,10 @@
         while let Some(next) = self.engines[target].next() {
             let run = self.runs[next.id];
             let request = self.requests[run.request];
+            if let Some(prefix) = request.prefix.filter(|_| counts(now)) {
+                self.tally.held[0] += f64::from(self.engines[target].holds(prefix) as u8);
+                self.tally.held[1] += 1.0;
+            }
             let begun = self.engines[target].begin(now, &request);
             self.at(begun.first_token, Event::FirstToken { run: next.id });
             self.at(begun.end, Event::End { run: next.id });
@@ -407,6 +411,10 @@
     /// Publishes a target's load to each router, late or not at all.
     fn report(&mut self, now: Time, target: usize) {
         self.at(now.plus_secs(REPORT_EVERY_S), Event::Report { target });
+        if counts(now) && self.engines[target].is_well(now) {
+            self.tally.busy[0] += self.engines[target].running.len() as f64;
+            self.tally.busy[1] += f64::from(SLOTS);
+        }
         if self.policy != Policy::Ours {
             return;
         }
--- a/wisteriapass_bench/src/loads/summary.rs
+++ b/wisteriapass_bench/src/loads/summary.rs
@@ -34,6 +34,10 @@
     pub came_back: f64,
     /// Tokens generated for nobody.
     pub wasted_tokens: f64,
+    /// Share of the slots of well targets that was busy.
+    pub busy: f64,
+    /// Share of the prompts with a shared prefix whose target held it.
+    pub prefix_held: f64,
     /// Requests answered in time.
     pub answered: f64,
     /// Requests cut off at their deadline.
@@ -81,6 +85,8 @@
             },
             came_back: tally.returned as f64,
             wasted_tokens: tally.wasted,
+            busy: tally.busy[0] / tally.busy[1].max(1.0),
+            prefix_held: tally.held[0] / tally.held[1].max(1.0),
             answered: tally.answered as f64,
             cut_off: tally.cut as f64,
             goodput_by_class: tally.good_by_class.map(per_s),
@@ -112,6 +118,8 @@
             come_back_right: mid(&|s| s.come_back_right),
             came_back: mid(&|s| s.came_back),
             wasted_tokens: mid(&|s| s.wasted_tokens),
+            busy: mid(&|s| s.busy),
+            prefix_held: mid(&|s| s.prefix_held),
             answered: mid(&|s| s.answered),
             cut_off: mid(&|s| s.cut_off),
             goodput_by_class: mid3(&|s| s.goodput_by_class),
--- a/wisteriapass_bench/src/loads/tally.rs
+++ b/wisteriapass_bench/src/loads/tally.rs
@@ -24,6 +24,10 @@
     pub(super) answered: u64,
     /// Tokens generated for nobody.
     pub(super) wasted: f64,
+    /// Slots seen busy, and seen at all, over targets that work as they should.
+    pub(super) busy: [f64; 2],
+    /// Prompts with a shared prefix whose target held it, and all such prompts.
+    pub(super) held: [f64; 2],
     /// Callers that came back as told within the play.
     pub(super) returned: u64,
     /// Those of them that were answered in time.
@@ -48,6 +52,8 @@
             cut: 0,
             answered: 0,
             wasted: 0.0,
+            busy: [0.0; 2],
+            held: [0.0; 2],
             returned: 0,
             returned_well: 0,
         }
--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -28,6 +28,8 @@
     pub(crate) start_by: Time,
     /// What the router gets of the pool, in tokens a second.
     pub(crate) drain: f64,
+    /// Factor on the estimated wait, learned from earlier ones.
+    pub(crate) caution: f64,
     /// Whether a slot is free for it now.
     pub(crate) free_now: bool,
 }
@@ -53,7 +55,7 @@
     let wait_all = all_ahead / ask.drain;
     let wait_own = own_ahead / share;
     // The request itself needs a slot of its own, which comes free a share of its work later.
-    let wait = (wait_all.min(wait_own) + ask.work / ask.drain) * (1.0 + cfg.admission_slack);
+    let wait = (wait_all.min(wait_own) + ask.work / ask.drain) * ask.caution;
     if now.plus_secs(wait) <= ask.start_by {
         return None;
     }
--- /dev/null
+++ b/wisteriapass_policy/src/caution.rs
@@ -0,0 +1,37 @@
+//! What admission learned of its own wait estimates.
+//!
+//! Answers saturation, where an estimate from what is queued knows nothing of the urgent work that
+//! is still to come. Without it a quarter of what is admitted waits in vain. The factor is moved so
+//! that [`VAIN_SHARE`] of the admitted waits in vain: each vain wait raises it by that much more
+//! than each good one lowers it.
+
+/// Share of admitted requests that may wait in vain.
+const VAIN_SHARE: f64 = 0.03;
+/// Change of the factor for one vain wait.
+const STEP: f64 = 0.2;
+/// Largest factor; beyond it nothing would be let in.
+const MOST: f64 = 10.0;
+
+/// Factor on the wait estimates of one class.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caution {
+    pub(crate) factor: f64,
+}
+
+impl Default for Caution {
+    fn default() -> Self {
+        Self { factor: 1.0 }
+    }
+}
+
+impl Caution {
+    /// Takes in that an admitted request got its turn, or waited in vain.
+    pub(crate) fn learn(&mut self, in_vain: bool) {
+        let change = if in_vain {
+            STEP
+        } else {
+            -STEP * VAIN_SHARE / (1.0 - VAIN_SHARE)
+        };
+        self.factor = (self.factor + change).clamp(1.0, MOST);
+    }
+}
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -33,8 +33,6 @@
     pub queue_at_target: f64,
     /// The same for interactive ones, which the target takes first.
     pub queue_at_target_interactive: f64,
-    /// Share of the wait estimate by which admission errs on the safe side.
-    pub admission_slack: f64,
     /// Longest queue, in seconds of the router's share of the pool.
     pub queue_limit_s: f64,
     /// Head start of interactive over batch work, in seconds of an account's share.
@@ -102,7 +100,6 @@
             report_stale_s: 4.0,
             queue_at_target: 2.0,
             queue_at_target_interactive: 3.0,
-            admission_slack: 0.1,
             queue_limit_s: 20.0,
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod account_facts;
 mod admission;
 mod affinity;
+mod caution;
 mod choice;
 mod config;
 mod decision;
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -2,6 +2,7 @@
 
 use slotmap::SlotMap;
 
+use crate::caution::Caution;
 use crate::config::{FIRST_LENGTH_SHARE, FIRST_TAIL_SHARE, LEARNING_STEP, SERVICE_CALL_WORK};
 use crate::lanes::Lanes;
 use crate::reserve::Reserve;
@@ -24,6 +25,8 @@
     pub(crate) own_long: u32,
     length_share: [f64; 3],
     tail_share: [f64; 3],
+    /// What admission learned of its own estimates.
+    pub(crate) caution: [Caution; 3],
     mean_work: f64,
     done: f64,
     done_at: Time,
@@ -40,6 +43,7 @@
             own_long: 0,
             length_share: [FIRST_LENGTH_SHARE; 3],
             tail_share: [FIRST_TAIL_SHARE; 3],
+            caution: [Caution::default(); 3],
             mean_work: 0.0,
             done: 0.0,
             done_at: Time::default(),
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -107,8 +107,10 @@
                 block(&mut blocked, next.priority);
                 continue;
             };
-            self.pools[pool_key].lanes.take(&next);
-            self.pools[pool_key].lanes.charge(next.account, next.work);
+            let pool = &mut self.pools[pool_key];
+            pool.lanes.take(&next);
+            pool.lanes.charge(next.account, next.work);
+            pool.caution[next.priority.index()].learn(false);
             self.start(now, next.ticket, target);
             own += 1;
             let decision = Decision::Run { target };
@@ -233,6 +235,7 @@
             work: job.work,
             start_by: job.start_by,
             drain,
+            caution: pool.caution[job.facts.priority.index()].factor,
             free_now: f64::from(capacity.own) < capacity.slots / self.routers,
         };
         let reason = admission::refuse(now, ask, &mut pool.lanes, &self.cfg)?;
--- a/wisteriapass_policy/src/scheduler/poll.rs
+++ b/wisteriapass_policy/src/scheduler/poll.rs
@@ -58,6 +58,7 @@
             work: job.work,
             start_by: job.start_by,
             drain: pool.drain(now, capacity, self.routers),
+            caution: 1.0,
             free_now: false,
         };
         let come_back = admission::come_back(now, ask, &mut pool.lanes, &self.cfg);
@@ -83,7 +84,8 @@
     fn expire(&mut self, now: Time, ticket: Ticket) {
         let pool = self.jobs[ticket].pool;
         self.dispatch(now, pool);
-        if self.jobs.get(ticket).is_some_and(|j| j.runs.is_empty()) {
+        if let Some(job) = self.jobs.get(ticket).filter(|j| j.runs.is_empty()) {
+            self.pools[job.pool].caution[job.facts.priority.index()].learn(true);
             self.give_up(now, ticket, Refusal::WaitedTooLong);
         }
     }
