--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -4,11 +4,11 @@
 
 use crate::Parts;
 
-/// Work of one prompt token, as a share of an output token's; engines read prompts in parallel.
-pub const PROMPT_TOKEN_WORK: f64 = 0.1;
 /// Output assumed at first, as a share of the most a request allows.
 pub const FIRST_LENGTH_SHARE: f64 = 0.5;
-/// Weight of one finished answer in the learned length and speed.
+/// Output that nearly all answers stay below at first, as a share of the most allowed.
+pub const FIRST_TAIL_SHARE: f64 = 0.9;
+/// Weight of one finished answer in the learned length.
 pub const LEARNING_STEP: f64 = 0.05;
 /// Work of a plain service's call, in output tokens.
 pub const SERVICE_CALL_WORK: f64 = 20.0;
@@ -21,6 +21,10 @@
     pub seed: u64,
     /// Parts that are on.
     pub parts: Parts,
+    /// Work of a prompt token as a share of an output token's; engines read prompts in parallel.
+    pub prompt_token_work: f64,
+    /// Share of the answers whose length the latest start allows for.
+    pub length_quantile: f64,
     /// Age at which a load report begins to lose its worth, in seconds.
     pub report_fresh_s: f64,
     /// Age at which a load report is worth nothing, in seconds.
@@ -29,8 +33,6 @@
     pub queue_at_target: f64,
     /// The same for interactive ones, which the target takes first.
     pub queue_at_target_interactive: f64,
-    /// Share of the wait estimate by which admission errs on the safe side.
-    pub admission_slack: f64,
     /// Longest queue, in seconds of the router's share of the pool.
     pub queue_limit_s: f64,
     /// Head start of interactive over batch work, in seconds of an account's share.
@@ -39,10 +41,12 @@
     pub standard_lead_s: f64,
     /// Head start gained for each second of waiting, in seconds.
     pub ageing: f64,
-    /// Memory of the interactive rate on its way down, in seconds.
+    /// Memory of the usual rate of arrivals, in seconds.
     pub reserve_memory_s: f64,
-    /// Slots kept for interactive work, as a multiple of what it is expected to need.
-    pub reserve_margin: f64,
+    /// Slots kept for interactive work in steady load, as a share of what it needs.
+    pub reserve_steady: f64,
+    /// Slots kept for interactive work in a burst, as a multiple of what it needs.
+    pub reserve_burst: f64,
     /// Most slots kept for interactive work, as a share of all.
     pub reserve_max: f64,
     /// Work is long if it takes this many times the pool's mean.
@@ -90,18 +94,20 @@
         Self {
             seed: 1,
             parts: Parts::default(),
+            prompt_token_work: 0.02,
+            length_quantile: 0.9,
             report_fresh_s: 1.0,
             report_stale_s: 4.0,
             queue_at_target: 2.0,
             queue_at_target_interactive: 3.0,
-            admission_slack: 0.1,
             queue_limit_s: 20.0,
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
             ageing: 0.2,
-            reserve_memory_s: 3.0,
-            reserve_margin: 1.2,
-            reserve_max: 0.6,
+            reserve_memory_s: 10.0,
+            reserve_steady: 0.5,
+            reserve_burst: 1.3,
+            reserve_max: 0.9,
             long_factor: 4.0,
             long_share: 0.5,
             slow_below: 0.5,
