Man pages and completions

A test holds commands, options and kinds of state against them; man pages pass groff -man -ww, the bash completion was tried by hand. zsh and fish are not on this machine, so theirs were not run.

--- /dev/null
+++ b/extra/completions/wisteriapass.fish
@@ -0,0 +1,25 @@
+# Completions of wisteriapass for fish.
+
+set -l commands check diff apply show topup drain undrain digest export
+set -l none "not __fish_seen_subcommand_from $commands"
+
+complete -c wisteriapass -f
+complete -c wisteriapass -s h -l help -d "print help"
+complete -c wisteriapass -n $none -l store -x -d "address of the key-value service"
+complete -c wisteriapass -n $none -l json -d "print one line of JSON"
+complete -c wisteriapass -n $none -a check -d "check an inventory and rules"
+complete -c wisteriapass -n $none -a diff -d "show what applying would change"
+complete -c wisteriapass -n $none -a apply -d "put an inventory and rules into force"
+complete -c wisteriapass -n $none -a show -d "show the state of the fleet"
+complete -c wisteriapass -n $none -a topup -d "add prepaid tokens to a budget"
+complete -c wisteriapass -n $none -a drain -d "give a target or VM no new work"
+complete -c wisteriapass -n $none -a undrain -d "give a target or VM work again"
+complete -c wisteriapass -n $none -a digest -d "print the digest of a key"
+complete -c wisteriapass -n $none -a export -d "write the configuration to files"
+complete -c wisteriapass -n "__fish_seen_subcommand_from check diff apply export" -F
+complete -c wisteriapass -n "__fish_seen_subcommand_from apply" -l from -x -d "revision edited from"
+complete -c wisteriapass -n "__fish_seen_subcommand_from apply drain undrain" -l op -x -d "operation id"
+complete -c wisteriapass -n "__fish_seen_subcommand_from topup" -l id -x -d "id of the top-up"
+complete -c wisteriapass -n "__fish_seen_subcommand_from show" -l inventory -r -F -d "inventory file"
+complete -c wisteriapass -n "__fish_seen_subcommand_from show" \
+    -a "targets budgets grants refusals retries revision"
--- a/wisteriapass/src/commands/digest.rs
+++ b/wisteriapass/src/commands/digest.rs
@@ -17,14 +17,14 @@
     key_digest: String,
 }
 
-/// Prints the SHA-256 of the key on standard input, without the line end after it.
+/// Prints the SHA-256 of the key on standard input, without space around it.
 pub(super) fn digest(cx: &mut Context<'_>) -> Result<Exit> {
     let mut key = Vec::new();
     let mut input = (&mut cx.input).take(MAX_KEY_BYTES + 1);
     input
         .read_to_end(&mut key)
         .map_err(|e| ToolError::file("standard input", &e))?;
-    let key = key.trim_ascii_end();
+    let key = key.trim_ascii();
     if key.is_empty() || key.len() as u64 > MAX_KEY_BYTES {
         return Err(Report::new(ToolError::Usage {
             cause: format!("give a key of 1 to {MAX_KEY_BYTES} bytes on standard input"),
--- /dev/null
+++ b/wisteriapass/tests/extra.rs
@@ -0,0 +1,79 @@
+//! Man page and completions name every command, option and kind of state.
+
+use std::fs;
+use std::path::Path;
+
+use gumdrop::Options;
+use wisteriapass::args::{Args, Command};
+
+const FILES: [&str; 4] = [
+    "extra/man/wisteriapass.1",
+    "extra/completions/wisteriapass.bash",
+    "extra/completions/_wisteriapass",
+    "extra/completions/wisteriapass.fish",
+];
+
+fn read(file: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    fs::read_to_string(root.join(file)).unwrap()
+}
+
+/// Returns the first words of a list of commands.
+fn commands() -> Vec<&'static str> {
+    let list = Command::usage().lines();
+    list.filter_map(|l| l.split_whitespace().next()).collect()
+}
+
+/// Returns the long options in a usage text.
+fn options(usage: &str) -> Vec<String> {
+    let words = usage.split_whitespace();
+    let long = words.filter_map(|w| w.strip_prefix("--"));
+    long.map(str::to_owned).collect()
+}
+
+/// Returns a text without the escapes of man pages.
+fn plain(text: &str) -> String {
+    text.replace("\\-", "-")
+}
+
+#[test]
+fn every_command_is_in_man_page_and_completions() {
+    let commands = commands();
+    assert_eq!(commands.len(), 9);
+    for file in FILES {
+        let text = read(file);
+        for command in &commands {
+            assert!(text.contains(command), "{file}: {command}");
+        }
+    }
+}
+
+#[test]
+fn every_option_is_in_man_page_and_completions() {
+    let usages = commands().into_iter().filter_map(Command::command_usage);
+    let mut all = options(Args::usage());
+    all.extend(usages.flat_map(options));
+    assert!(all.iter().any(|o| o == "inventory"), "{all:?}");
+    for file in FILES {
+        let text = plain(&read(file));
+        for option in &all {
+            let (long, fish) = (format!("--{option}"), format!("-l {option}"));
+            assert!(
+                text.contains(&long) || text.contains(&fish),
+                "{file}: {option}"
+            );
+        }
+    }
+}
+
+#[test]
+fn every_kind_of_state_is_in_man_page_and_completions() {
+    for file in FILES {
+        let text = read(file);
+        for what in [
+            "targets", "budgets", "grants", "refusals", "retries", "revision",
+        ] {
+            assert!(text.contains(what), "{file}: {what}");
+        }
+    }
+}
