--- a/wisteriapass/src/commands/apply.rs
+++ b/wisteriapass/src/commands/apply.rs
@@ -1,7 +1,7 @@
 //! `apply`: puts an inventory and rules into force.
 
 use serde::Serialize;
-use wisteriapass_config::Change;
+use wisteriapass_config::{Change, Note};
 
 use crate::args::Apply;
 use crate::commands::files;
@@ -13,6 +13,7 @@
 pub(super) struct Edited<'a> {
     revision: u64,
     changes: &'a [Change],
+    notes: &'a [Note],
 }
 
 /// Puts an inventory and rules into force.
@@ -28,8 +29,10 @@
     let edited = Edited {
         revision: applied.revision,
         changes: &applied.changes,
+        notes: &applied.notes,
     };
     let lines = files::lines(&applied.changes);
-    let text = format!("revision {}:\n{lines}", applied.revision);
+    let notes = files::note_lines(&applied.notes);
+    let text = format!("revision {}:\n{lines}{notes}", applied.revision);
     cx.out.print(&text, &edited)
 }
--- a/wisteriapass/src/commands/files.rs
+++ b/wisteriapass/src/commands/files.rs
@@ -3,7 +3,7 @@
 use std::fs;
 
 use serde::Serialize;
-use wisteriapass_config::{Change, Document, Inventory, Source};
+use wisteriapass_config::{Change, Document, Inventory, Note, Source};
 
 use crate::args::Files;
 use crate::{Context, Exit, Result, ToolError, edit};
@@ -18,6 +18,7 @@
     accounts: usize,
     budgets: usize,
     classes: usize,
+    notes: Vec<Note>,
 }
 
 /// Result of `diff`.
@@ -25,6 +26,7 @@
 struct Differences {
     from: u64,
     changes: Vec<Change>,
+    notes: Vec<Note>,
 }
 
 /// Checks an inventory and rules.
@@ -32,13 +34,14 @@
     let document = read(&opts.inventory, &opts.rules)?;
     let checked = Checked::of(&document);
     let text = format!(
-        "accepted: {} failure domains, {} routers, {} targets, {} accounts, {} budgets, {} classes",
+        "accepted: {} failure domains, {} routers, {} targets, {} accounts, {} budgets, {} classes{}",
         checked.failure_domains,
         checked.routers,
         checked.targets,
         checked.accounts,
         checked.budgets,
         checked.classes,
+        note_lines(&checked.notes),
     );
     cx.out.print(&text, &checked)?;
     Ok(Exit::Done)
@@ -51,10 +54,12 @@
     let differences = Differences {
         from: current.revision,
         changes: current.changes_to(&document),
+        notes: document.notes(),
     };
     let from = differences.from;
     let lines = lines(&differences.changes);
-    let text = format!("against revision {from} (apply with --from {from}):\n{lines}");
+    let notes = note_lines(&differences.notes);
+    let text = format!("against revision {from} (apply with --from {from}):\n{lines}{notes}");
     cx.out.print(&text, &differences)?;
     Ok(Exit::Done)
 }
@@ -89,6 +94,11 @@
     lines.join("\n")
 }
 
+/// Returns notes, each on a line of its own after what stands before.
+pub(super) fn note_lines(notes: &[Note]) -> String {
+    notes.iter().map(|n| format!("\nnote: {n}")).collect()
+}
+
 fn read_text(file: &str) -> Result<String> {
     Ok(fs::read_to_string(file).map_err(|e| ToolError::file(file, &e))?)
 }
@@ -103,6 +113,7 @@
             accounts: document.rules.account.len(),
             budgets: document.rules.budget.len(),
             classes: document.rules.class.len(),
+            notes: document.notes(),
         }
     }
 }
--- a/wisteriapass/src/edit.rs
+++ b/wisteriapass/src/edit.rs
@@ -3,7 +3,7 @@
 mod conflict;
 
 use error_stack::Report;
-use wisteriapass_config::{Change, Document};
+use wisteriapass_config::{Change, Document, Note};
 use wisteriapass_coord::revision::{ConfigRevision, Edit, EditOutcome, Held, read_current};
 use wisteriapass_coord::store::Store;
 
@@ -27,6 +27,8 @@
     pub revision: u64,
     /// What it changed; empty if there was nothing to change or it had been applied before.
     pub changes: Vec<Change>,
+    /// What in the new configuration is allowed and probably not meant.
+    pub notes: Vec<Note>,
 }
 
 /// Returns the configuration in the service, an empty one of revision 0 if there is none.
@@ -63,6 +65,7 @@
         EditOutcome::Accepted(revision) => Ok(Applied {
             revision: revision.0,
             changes: changes_of(&before, document, from),
+            notes: document.notes(),
         }),
         EditOutcome::Refused { current } => {
             let current = parse(current.as_ref())?;
@@ -97,6 +100,7 @@
             return Ok(Applied {
                 revision: before.revision,
                 changes: Vec::new(),
+                notes: before.notes(),
             });
         }
         let applied = apply(store, &after, before.revision, Some(&op));
--- a/wisteriapass_config/src/compare.rs
+++ b/wisteriapass_config/src/compare.rs
@@ -1,6 +1,6 @@
 //! Comparison of two configurations, entry by entry; the order of entries has no meaning.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -35,8 +35,12 @@
     old: &Map<String, Value>,
     new: &Map<String, Value>,
 ) {
-    for (key, from) in old {
-        let to = new.get(key).unwrap_or(&Value::Null);
+    let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    for key in keys {
+        // The only keys that are left out are those of empty lists.
+        let empty = Value::Array(Vec::new());
+        let from = old.get(key).unwrap_or(&empty);
+        let to = new.get(key).unwrap_or(&empty);
         if from != to {
             changes.push(Change::Changed {
                 subject: subject.clone(),
--- a/wisteriapass_config/src/document.rs
+++ b/wisteriapass_config/src/document.rs
@@ -4,7 +4,8 @@
 
 use crate::check::{Checker, accept, check_inventory, check_rules, parse};
 use crate::compare::compare;
-use crate::{Change, ConfigError, Inventory, KeyPath, Mistake, Result, Rules};
+use crate::notice::notes_on;
+use crate::{Change, ConfigError, Inventory, KeyPath, Mistake, Note, Result, Rules};
 
 /// Name of the inventory in messages that have no file name.
 const INVENTORY: &str = "inventory";
@@ -110,6 +111,11 @@
         accept(self.mistakes(Checker::new(INVENTORY, None), Checker::new(RULES, None)))
     }
 
+    /// Returns what is allowed and probably not meant, for operators to look at.
+    pub fn notes(&self) -> Vec<Note> {
+        notes_on(self)
+    }
+
     /// Returns the differences that lead from this document to another one.
     ///
     /// Revision, operation id and the order of entries do not count.
--- a/wisteriapass_config/src/inventory.rs
+++ b/wisteriapass_config/src/inventory.rs
@@ -62,10 +62,10 @@
     /// Model name that callers use.
     pub name: String,
     /// Version of the weights.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub version: String,
     /// Adapters held with it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub adapters: Vec<String>,
 }
 
@@ -88,10 +88,10 @@
     /// Where the side process takes control calls.
     pub side_control: SocketAddr,
     /// Models held, for engines.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub model: Vec<ModelOffer>,
     /// Services offered (first path segment under `/services/`), for plain services.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<String>,
     /// Requests it works on at once.
     #[serde(default = "default_slots")]
--- a/wisteriapass_config/src/lib.rs
+++ b/wisteriapass_config/src/lib.rs
@@ -11,6 +11,8 @@
 mod key_path;
 mod lines;
 mod mistake;
+mod note;
+mod notice;
 mod rules;
 mod settings;
 
@@ -21,5 +23,6 @@
 pub use inventory::{FailureDomain, Inventory, ModelOffer, Router, Target, TargetKind};
 pub use key_path::KeyPath;
 pub use mistake::Mistake;
+pub use note::Note;
 pub use rules::{Account, Budget, Class, Priority, Rules};
 pub use settings::{Limits, Role, Settings};
--- a/wisteriapass_config/src/rules.rs
+++ b/wisteriapass_config/src/rules.rs
@@ -41,10 +41,10 @@
     #[serde(default = "default_weight")]
     pub weight: u32,
     /// Models it may use; `"*"` for all.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<String>,
     /// Plain services it may reach; `"*"` for all.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<String>,
 }
 
@@ -57,7 +57,7 @@
     /// Account that prepaid it.
     pub account: String,
     /// Models it pays for; empty for all of them and for plain services.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<String>,
 }
 
--- a/wisteriapass_config/tests/document.rs
+++ b/wisteriapass_config/tests/document.rs
@@ -231,3 +231,16 @@
     ];
     assert_eq!(lines, expected);
 }
+
+#[test]
+fn a_list_that_was_empty_is_a_difference_in_both_directions() {
+    let mut empty = Document::default();
+    empty.rules.account.push(account(1, 0));
+    empty.rules.account[0].services.clear();
+    let mut full = empty.clone();
+    full.rules.account[0].services.push("wiki".into());
+    let line = |a: &Document, b: &Document| a.changes_to(b)[0].to_string();
+    let subject = "~ account account-1: services:";
+    assert_eq!(line(&empty, &full), format!("{subject} [] -> [\"wiki\"]"));
+    assert_eq!(line(&full, &empty), format!("{subject} [\"wiki\"] -> []"));
+}
