Tool: a repeated drain says what it did and not what it would do

Cause: drain repeated with its operation id after somebody took the target back found its own earlier edit (rightly changing nothing) and still listed the change as made. Changes are now listed only if this run made the revision.

--- a/wisteriapass/src/edit.rs
+++ b/wisteriapass/src/edit.rs
@@ -64,7 +64,7 @@
     match submit(store, document, from, &op)? {
         EditOutcome::Accepted(revision) => Ok(Applied {
             revision: revision.0,
-            changes: changes_of(&before, document, from),
+            changes: changes_of(&before, document, revision),
             notes: document.notes(),
         }),
         EditOutcome::Refused { current } => {
@@ -118,8 +118,8 @@
 }
 
 /// Returns the changes of an edit, none if it had been applied before this run.
-fn changes_of(before: &Document, after: &Document, from: u64) -> Vec<Change> {
-    if before.revision != from {
+fn changes_of(before: &Document, after: &Document, made: ConfigRevision) -> Vec<Change> {
+    if ConfigRevision(before.revision).next() != made {
         return Vec::new();
     }
     before.changes_to(after)
--- a/wisteriapass/tests/edits.rs
+++ b/wisteriapass/tests/edits.rs
@@ -180,3 +180,16 @@
     assert_eq!(meanwhile(1), None);
     assert_eq!(meanwhile(kept + 2).unwrap().len(), 1);
 }
+
+#[test]
+fn a_repeated_drain_does_not_undo_what_came_after_it() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let drain = ["drain", "lm-a1", "--op", "mine"];
+    json(&store, &drain);
+    json(&store, &["undrain", "lm-a1"]);
+    let (exit, said) = json(&store, &drain);
+    assert_eq!((exit, said["revision"].as_u64()), (Exit::Done, Some(2)));
+    assert_eq!(said["changes"], serde_json::json!([]));
+    assert_eq!(edit::current(&store).unwrap().revision, 3);
+}
