Load: callers of the real path with a typed history

Each try of a call leaves sent, first piece and end, with the whole answer checked against what the stand-in gives to this very request. A stream counts as whole only with its last event, since the transport does not show a cut.

--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -3,6 +3,7 @@
 mod digest;
 pub mod fleet;
 pub mod link;
+pub mod load;
 pub mod loads;
 pub mod standin;
 
--- /dev/null
+++ b/wisteriapass_bench/tests/path.rs
@@ -0,0 +1,74 @@
+//! The whole path as separate processes: caller, router, side process, target.
+
+use std::sync::Arc;
+
+use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
+use wisteriapass_bench::load::{Call, Caller, History, Outcome, Tally};
+use wisteriapass_daemon::api::{Ran, Reason};
+
+fn fleet() -> Fleet {
+    let program = Program::Tool(env!("CARGO_BIN_EXE_wisteriapass_bench").into());
+    Fleet::start(FleetPlan::new(program)).unwrap()
+}
+
+/// A caller with the calls of one account.
+struct Desk {
+    caller: Caller,
+    account: AccountPlan,
+}
+
+impl Desk {
+    fn new(fleet: &Fleet) -> Self {
+        Self {
+            caller: Caller::new(Arc::new(History::new())),
+            account: fleet.plan().accounts[0].clone(),
+        }
+    }
+
+    fn chat(&self, prompt: &str) -> Call {
+        let id = self.caller.history().new_call();
+        Call::chat(id, &self.account, "wisteria-8b", prompt)
+    }
+
+    fn put(&self, path: &str, body: &str) -> Call {
+        let id = self.caller.history().new_call();
+        Call::service(id, &self.account, "PUT", path, body)
+    }
+}
+
+fn is_whole(outcome: &Outcome) -> bool {
+    outcome.answered().is_some_and(|a| a.is_expected)
+}
+
+#[test]
+fn answers_come_streamed_whole_and_passed_through() {
+    let fleet = fleet();
+    let desk = Desk::new(&fleet);
+    for router in fleet.router_addrs() {
+        let streamed = desk.caller.send(router, &desk.chat("one tokens=20"));
+        assert!(is_whole(&streamed), "{streamed:?}");
+        let whole = desk.chat("two tokens=20").with_whole_answer();
+        let whole = desk.caller.send(router, &whole);
+        assert!(is_whole(&whole), "{whole:?}");
+        let page = desk.caller.send(router, &desk.put("/records/7", "text"));
+        assert!(is_whole(&page), "{page:?}");
+    }
+    let tally = Tally::of(&desk.caller.history().records());
+    assert_eq!((tally.sent, tally.answered), (6, 6));
+    assert_eq!(tally.first_piece.count, 2);
+    let ran: usize = fleet.engines().values().map(|e| e.ran().len()).sum();
+    assert_eq!(ran, 4);
+}
+
+#[test]
+fn a_stranger_is_refused_and_nothing_runs() {
+    let fleet = fleet();
+    let mut desk = Desk::new(&fleet);
+    desk.account.key = "wrong".into();
+    let router = fleet.router_addrs()[0];
+    let outcome = desk.caller.send(router, &desk.chat("x"));
+    let refusal = &outcome.refused().unwrap().refusal;
+    assert_eq!(refusal.reason, Reason::Unauthorized);
+    assert_eq!(refusal.ran, Ran::NotRun);
+    assert!(fleet.engines().values().all(|e| e.ran().is_empty()));
+}
