--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -1,15 +1,19 @@
 //! Control calls between processes, by JSON-RPC.
 
 mod caller;
+mod counters;
 mod messages;
 mod server;
+mod side;
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
 pub use caller::{CallError, Caller};
+pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Role, Status};
 pub use server::ControlServerHandle;
+pub use side::{SideControlClient, SideControlServer, Withdrawal, Withdrawn};
 
 /// Control calls of every daemon.
 #[rpc(server, client, namespace = "control")]
