--- a/wisteriapass_bench/src/fleet/plan.rs
+++ b/wisteriapass_bench/src/fleet/plan.rs
@@ -32,17 +32,26 @@
     pub key: String,
     /// Weight of its fair share.
     pub weight: u32,
+    /// Tokens topped up before the daemons start, under the id [`super::FIRST_TOPUP`].
+    pub prepaid: u64,
 }
 
 impl AccountPlan {
-    /// Creates an account with a key made from its name.
+    /// Creates an account with a key made from its name and no money.
     pub fn new(name: &str) -> Self {
         Self {
             name: name.into(),
             key: format!("key-of-{name}"),
             weight: 1,
+            prepaid: 0,
         }
     }
+
+    /// Sets the tokens topped up before the daemons start.
+    pub fn with_prepaid(mut self, tokens: u64) -> Self {
+        self.prepaid = tokens;
+        self
+    }
 }
 
 /// What a fleet is to consist of.
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,4 +1,3 @@
-//! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
 mod digest;
 pub mod fleet;
