--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,8 +1,8 @@
-//! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
 mod digest;
 pub mod fleet;
 pub mod link;
+pub mod load;
 pub mod loads;
 pub mod standin;
 
