--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,3 +1,4 @@
+//! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
 mod digest;
 pub mod fleet;
