--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -107,8 +107,10 @@
                 block(&mut blocked, next.priority);
                 continue;
             };
-            self.pools[pool_key].lanes.take(&next);
-            self.pools[pool_key].lanes.charge(next.account, next.work);
+            let pool = &mut self.pools[pool_key];
+            pool.lanes.take(&next);
+            pool.lanes.charge(next.account, next.work);
+            pool.caution[next.priority.index()].learn(false);
             self.start(now, next.ticket, target);
             own += 1;
             let decision = Decision::Run { target };
@@ -128,8 +130,8 @@
         except: Option<TargetKey>,
     ) -> Option<TargetKey> {
         let job = &self.jobs[ticket];
-        let pool = &self.pools[job.pool];
-        let need = pool.reserve.need(now, &self.cfg) * self.routers;
+        let pool = &mut self.pools[job.pool];
+        let need = pool.reserve.slots(now, &self.cfg) * self.routers;
         let urgent = job.facts.priority == Priority::Interactive;
         let choosing = Choosing {
             now,
@@ -194,15 +196,16 @@
     fn estimate(&mut self, now: Time, facts: RequestFacts, key: PoolKey, c: Capacity) -> Job {
         let pool = &mut self.pools[key];
         let output = pool.expected_output(&facts);
-        let prompt = pool.prompt_work(&facts);
+        let prompt = pool.prompt_work(&facts, &self.cfg);
         let work = output + prompt;
         let slot_rate = (c.rate / c.slots.max(1.0)).max(1e-3);
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
-        let done = facts.deadline.plus_secs(-work / slot_rate);
+        let longest = prompt + pool.longest_output(&facts);
+        let done = facts.deadline.plus_secs(-longest / slot_rate);
         let long = pool.judge_length(work, &self.cfg);
-        if facts.priority == Priority::Interactive {
-            pool.reserve.offered(now, work / slot_rate, &self.cfg);
-        }
+        let urgent = facts.priority == Priority::Interactive;
+        let slot_secs = if urgent { work / slot_rate } else { 0.0 };
+        pool.reserve.offered(now, slot_secs, &self.cfg);
         Job {
             facts,
             pool: key,
@@ -232,6 +235,7 @@
             work: job.work,
             start_by: job.start_by,
             drain,
+            caution: pool.caution[job.facts.priority.index()].factor,
             free_now: f64::from(capacity.own) < capacity.slots / self.routers,
         };
         let reason = admission::refuse(now, ask, &mut pool.lanes, &self.cfg)?;
