coord: fence dead routers' money: registration, list of refused origins, proof

Whether a side process's memory reaches back to an origin's first grant is told by the service's revisions of the two registrations. Comparing their start times was ruled out, because no clock may decide what is free again.

--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -1,6 +1,7 @@
 //! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
 
 pub mod budget;
+pub mod fence;
 pub mod membership;
 pub mod once;
 pub mod order;
--- /dev/null
+++ b/wisteriapass_coord/tests/fence.rs
@@ -0,0 +1,117 @@
+//! Fencing: what is proved, what waits and what is stranded.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{Fate, FaultyStore};
+use wisteriapass_coord::budget::{BudgetId, Origin, Proof, Tokens};
+use wisteriapass_coord::fence::{FenceList, Registered, Registry, SideAck, Verdict, prove};
+use wisteriapass_coord::once::FenceAck;
+use wisteriapass_coord::store::Revision;
+
+fn sides(since: [u64; 2]) -> BTreeMap<String, Registered> {
+    let registered = |(n, revision): (usize, u64)| {
+        let registered = Registered {
+            incarnation: format!("i{n}"),
+            since: Revision(revision),
+        };
+        (format!("e{n}"), registered)
+    };
+    since.into_iter().enumerate().map(registered).collect()
+}
+
+fn acks(running: usize) -> BTreeMap<String, SideAck> {
+    let spent = BTreeMap::from([(BudgetId::new("acme", "main"), Tokens(30))]);
+    let ack = |n: usize| SideAck {
+        incarnation: format!("i{n}"),
+        ack: FenceAck {
+            spent: spent.clone(),
+            running,
+        },
+    };
+    (0..2).map(|n| (format!("e{n}"), ack(n))).collect()
+}
+
+#[test]
+fn spending_is_proved_when_all_refuse_and_all_remember() {
+    let spent = BTreeMap::from([(BudgetId::new("acme", "main"), Tokens(60))]);
+    let verdict = prove(Revision(10), &sides([1, 2]), &["e0", "e1"], &acks(0));
+    assert_eq!(verdict, Verdict::Retire(Proof::Complete(spent)));
+}
+
+#[test]
+fn a_side_process_that_is_silent_busy_or_replaced_is_waited_for() {
+    let wait = |side: &str| Verdict::Wait { side: side.into() };
+    let both = ["e0", "e1"];
+    let mut missing = acks(0);
+    missing.remove("e1");
+    assert_eq!(
+        prove(Revision(10), &sides([1, 2]), &both, &missing),
+        wait("e1")
+    );
+    assert_eq!(
+        prove(Revision(10), &sides([1, 2]), &both, &acks(1)),
+        wait("e0")
+    );
+    let mut replaced = sides([1, 2]);
+    replaced.get_mut("e0").unwrap().incarnation = "later".into();
+    assert_eq!(prove(Revision(10), &replaced, &both, &acks(0)), wait("e0"));
+}
+
+#[test]
+fn lost_memory_and_a_side_process_that_left_make_the_proof_partial() {
+    let partial = Verdict::Retire(Proof::Partial);
+    let both = ["e0", "e1"];
+    assert_eq!(
+        prove(Revision(10), &sides([1, 11]), &both, &acks(0)),
+        partial
+    );
+    assert_eq!(
+        prove(Revision(10), &sides([1, 2]), &["e0"], &acks(0)),
+        partial
+    );
+}
+
+#[test]
+fn a_lapsed_lease_raises_a_suspicion_and_a_removed_origin_none() {
+    let store = FaultyStore::new();
+    let registry = Registry::new(&store);
+    for n in 1..=3 {
+        registry.add_origin(Origin(n), &format!("r{n}")).unwrap();
+    }
+    store.plan([Fate::AnswerLost]);
+    registry
+        .mark_live(Origin(1), Duration::from_secs(60))
+        .unwrap();
+    registry.mark_live(Origin(2), Duration::ZERO).unwrap_err();
+    registry.remove_origin(Origin(3)).unwrap();
+    let suspects = registry.suspects().unwrap();
+    assert_eq!(suspects.keys().copied().collect::<Vec<_>>(), [Origin(2)]);
+    assert_eq!(suspects[&Origin(2)].incarnation, "r2");
+}
+
+#[test]
+fn a_registration_is_newer_than_those_before_it_and_a_repeat_keeps_it() {
+    let store = FaultyStore::new();
+    let registry = Registry::new(&store);
+    registry.add_side("e1", "i1").unwrap();
+    registry.add_origin(Origin(1), "r1").unwrap();
+    registry.add_side("e2", "i1").unwrap();
+    registry.add_side("e1", "i1").unwrap();
+    let since = registry.suspects().unwrap()[&Origin(1)].since;
+    let sides = registry.sides().unwrap();
+    assert!(sides["e1"].since < since && since < sides["e2"].since);
+}
+
+#[test]
+fn a_fenced_origin_stays_on_the_list() {
+    let store = FaultyStore::new();
+    store.plan([Fate::CallLost, Fate::AnswerLost]);
+    FenceList::add(&store, Origin(7)).unwrap();
+    FenceList::add(&store, Origin(8)).unwrap();
+    let list = FenceList::read(&store).unwrap();
+    assert!(list.contains(Origin(7)) && list.contains(Origin(8)));
+    assert_eq!(list.origins().count(), 2);
+}
