Side process: index of keyed runs for which it is a home

A repeat at another router found the run only if it chose the same target. Two side processes in different failure domains now index each keyed run; a fresh home asks all owners and says until then that it may miss runs.

--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -15,7 +15,9 @@
 pub use messages::{Role, Status};
 pub use router::{RouterControlClient, RouterControlServer};
 pub use server::ControlServerHandle;
-pub use side::{SideControlClient, SideControlServer, Withdrawal, Withdrawn};
+pub use side::{
+    HomeClaim, Owned, OwnedRun, SideControlClient, SideControlServer, Withdrawal, Withdrawn,
+};
 
 /// Control calls of every daemon.
 #[rpc(server, client, namespace = "control")]
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -3,6 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
+use wisteriapass_coord::once::{HomeAnswer, Place, RunId};
 
 use crate::run_wire::RunBill;
 
@@ -32,6 +33,35 @@
     pub withdrawn: Withdrawn,
 }
 
+/// A run that a side process owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedRun {
+    /// Identity of the run.
+    pub run: RunId,
+    /// Time for which it is surely kept, in milliseconds from now.
+    pub kept_ms: u64,
+}
+
+/// What a side process owns that is to be found through one home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owned {
+    /// The side process.
+    pub place: Place,
+    /// Its runs.
+    pub runs: Vec<OwnedRun>,
+}
+
+/// Claim of a run for a place, at one of the run's homes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeClaim {
+    /// Identity of the run.
+    pub run: RunId,
+    /// Where it is about to be sent.
+    pub place: Place,
+    /// A place known to have gone, whose entry is replaced.
+    pub gone: Option<Place>,
+}
+
 /// Control calls of a side process.
 #[rpc(server, client, namespace = "side")]
 pub trait SideControl {
@@ -39,6 +69,14 @@
     #[method(name = "withdraw")]
     fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal>;
 
+    /// Claims a run at this home, or tells where it is.
+    #[method(name = "claim")]
+    fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
+
+    /// Returns the keyed runs here that have the side process of this name for a home.
+    #[method(name = "owned")]
+    fn owned(&self, home: String) -> RpcResult<Owned>;
+
     /// Asks a run to stop; its bill counts what was generated. Returns whether it was running.
     #[method(name = "cancel")]
     fn cancel(&self, run: String) -> RpcResult<bool>;
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -1,15 +1,20 @@
 //! Answering the control calls of a side process.
 
 use jsonrpsee::core::RpcResult;
+use wisteriapass_coord::once::HomeAnswer;
 
 use crate::prelude::*;
-use crate::rpc::{SideControlServer, Withdrawal};
-use crate::side::{Runs, SideIdentity};
+use crate::router::InForce;
+use crate::rpc::{HomeClaim, Owned, OwnedRun, SideControlServer, Withdrawal};
+use crate::side::index::{kept, own_place};
+use crate::side::{Index, Runs, SideIdentity, homes_in};
 
 /// Answers a side process's control calls from its services.
 pub struct SideControlService {
     side: Arc<SideIdentity>,
     runs: Arc<Runs>,
+    index: Arc<Index>,
+    config: Arc<InForce>,
 }
 
 impl SideControlService {
@@ -22,6 +27,8 @@
         Ok(Self {
             side: kernel.find()?,
             runs: kernel.find()?,
+            index: kernel.find()?,
+            config: kernel.find()?,
         })
     }
 }
@@ -35,6 +42,26 @@
         })
     }
 
+    fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer> {
+        Ok(self.index.claim(&claim))
+    }
+
+    fn owned(&self, home: String) -> RpcResult<Owned> {
+        let document = self.config.document();
+        let kept_ms = kept().0;
+        let runs = self
+            .runs
+            .keyed()
+            .into_iter()
+            .filter(|run| homes_in(&document, run).contains(&home))
+            .map(|run| OwnedRun { run, kept_ms })
+            .collect();
+        Ok(Owned {
+            place: own_place(&self.side),
+            runs,
+        })
+    }
+
     fn cancel(&self, run: String) -> RpcResult<bool> {
         Ok(self.runs.cancel(&run))
     }
--- /dev/null
+++ b/wisteriapass_daemon/src/side/index.rs
@@ -0,0 +1,162 @@
+//! The index of runs that have this side process for a home.
+//!
+//! The index is made of what owners say and what routers claim. A process that starts anew asks
+//! every side process for the runs it should know; until all have answered, it says so with each
+//! answer, and routers then treat a bill as provisional.
+
+use parking_lot::Mutex;
+use wisteriapass_config::{Document, Target};
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::once::{Directory, Held, Home, HomeAnswer, Place, RunId, homes};
+
+use crate::prelude::*;
+use crate::router::InForce;
+use crate::rpc::{Caller, HomeClaim, Owned, SideControlClient};
+use crate::side::{SideIdentity, clock};
+
+/// Time an entry is kept, in milliseconds: longer than any run and the keeping of its answer.
+const KEEP_MS: u64 = 3_600_000;
+
+/// Time between two rounds of asking those that have not answered, in milliseconds.
+const ASK_MS: u64 = 1_000;
+
+struct State {
+    directory: Directory,
+    asked: Vec<String>,
+    targets: Vec<String>,
+}
+
+/// Index of runs at one home.
+pub struct Index {
+    side: Arc<SideIdentity>,
+    config: Arc<InForce>,
+    caller: Arc<Caller>,
+    state: Mutex<State>,
+}
+
+impl Service for Index {
+    const NAME: &'static str = "index";
+}
+
+impl Index {
+    /// Creates an index that may miss runs.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        let directory = Directory::new();
+        let state = State {
+            directory,
+            asked: Vec::new(),
+            targets: Vec::new(),
+        };
+        Ok(Self {
+            side: kernel.find()?,
+            config: kernel.find()?,
+            caller: kernel.find()?,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Claims a run for a place, or tells where it is.
+    pub fn claim(&self, claim: &HomeClaim) -> HomeAnswer {
+        let now = clock();
+        let until = now.plus(KEEP_MS);
+        let document = self.config.document();
+        let members = document.inventory.target.iter().map(|t| t.name.as_str());
+        let directory = &mut self.state.lock().directory;
+        if let Some(gone) = &claim.gone {
+            let held = Held {
+                place: claim.place.clone(),
+                until,
+            };
+            directory.move_from(&claim.run, gone, held);
+        }
+        directory.claim(&claim.run, &claim.place, until, now, members)
+    }
+
+    /// Asks the side processes for their runs, again and again until all have answered, and anew
+    /// when the inventory moves homes.
+    pub fn fill_forever(&self) {
+        loop {
+            let document = self.config.document();
+            self.start_anew_if_moved(&document);
+            for target in &document.inventory.target {
+                self.ask(target);
+            }
+            self.state.lock().directory.expire(clock());
+            std::thread::sleep(Duration::from_millis(ASK_MS));
+        }
+    }
+
+    fn start_anew_if_moved(&self, document: &Document) {
+        let targets: Vec<String> = document
+            .inventory
+            .target
+            .iter()
+            .map(|t| t.name.clone())
+            .collect();
+        let mut state = self.state.lock();
+        if state.targets != targets {
+            state.targets = targets;
+            state.asked.clear();
+        }
+    }
+
+    fn ask(&self, target: &Target) {
+        if self.state.lock().asked.contains(&target.name) {
+            return;
+        }
+        let home = self.side.name.clone();
+        let owned = self
+            .caller
+            .call(target.side_control, |c| async move { c.owned(home).await });
+        match owned {
+            Ok(owned) => self.publish(&target.name, owned),
+            Err(e) => {
+                log::debug!(target: "side", "No list of runs. of={} cause={e:?}", target.name);
+            }
+        }
+    }
+
+    fn publish(&self, side: &str, owned: Owned) {
+        let now = clock();
+        let mut state = self.state.lock();
+        for run in owned.runs {
+            let held = Held {
+                place: owned.place.clone(),
+                until: now.plus(run.kept_ms),
+            };
+            state.directory.publish(run.run, held);
+        }
+        state.directory.published_all(side);
+        state.asked.push(side.into());
+    }
+}
+
+/// Returns the names of a run's homes among the side processes of a configuration.
+pub fn homes_in(document: &Document, run: &RunId) -> Vec<String> {
+    let targets = &document.inventory.target;
+    let members: Vec<Home<'_>> = targets
+        .iter()
+        .map(|t| Home {
+            side: &t.name,
+            failure_domain: &t.failure_domain,
+        })
+        .collect();
+    homes(run, &members)
+        .iter()
+        .map(|name| (*name).to_owned())
+        .collect()
+}
+
+/// Returns the place of this side process.
+pub fn own_place(side: &SideIdentity) -> Place {
+    Place::new(&side.name, &side.incarnation)
+}
+
+/// Returns how long an entry is kept.
+pub fn kept() -> Millis {
+    Millis(KEEP_MS)
+}
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use parking_lot::Mutex;
+use wisteriapass_coord::once::RunId;
 
 use crate::prelude::*;
 use crate::rpc::Withdrawn;
@@ -145,6 +146,15 @@
         }
     }
 
+    /// Returns the runs that their callers may ask for again.
+    pub fn keyed(&self) -> Vec<RunId> {
+        let table = self.table.lock();
+        let keyed = table.runs.values().filter(|r| r.dispatch().keyed);
+        keyed
+            .map(|r| RunId::from_text(r.dispatch().run.clone()))
+            .collect()
+    }
+
     /// Returns the number of runs that go on.
     pub fn running(&self) -> usize {
         self.table
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -27,7 +27,7 @@
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
 };
-use crate::side::{self, Runs, SideControlService, SideIdentity};
+use crate::side::{self, Index, Runs, SideControlService, SideIdentity};
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -169,6 +169,8 @@
         incarnation: incarnation.into(),
         target,
     });
+    let index = kernel.register(Index::new(kernel)?);
+    spawn("index", move || index.fill_forever())?;
     side::serve(listener, kernel)?;
     Ok(())
 }
