Daemon: dead routers' money is fenced and taken back, bills reach the service

A router registers its origin before it takes money and keeps a lease; a lapsed lease only makes one router ask all side processes to refuse the origin. What they prove unspent is free again, the rest is stranded. A router that was fenced while paused voids its money and goes on under a new origin.

A payment has an identity of its own now: a repeat at another router found the run, and both routers settled with its one bill, because bills could not be told apart. The router whose payment it is settles; others release.

Bills wait at the side process until a router has written them, its own or any other.

--- a/wisteriapass_coord/src/budget.rs
+++ b/wisteriapass_coord/src/budget.rs
@@ -33,7 +33,7 @@
 pub use ledger::Ledger;
 pub use lot::Lot;
 pub use meter::Meter;
-pub use payment::{Part, Parts, Payment};
+pub use payment::{Part, Parts, Payment, PaymentId};
 pub use record::{Proof, Record, Retired, Topup};
 pub use reservation::{Reservation, Settled};
 pub use shards::{ShardId, Shards};
--- a/wisteriapass_coord/src/budget/exchange.rs
+++ b/wisteriapass_coord/src/budget/exchange.rs
@@ -1,6 +1,7 @@
 //! Outcome of an exchange with the budget records.
 
 use crate::budget::{Grant, LedgerError, Lot, Report, Tokens};
+use crate::store::StoreError;
 
 /// What an exchange with the records brought.
 #[derive(Debug, Default)]
@@ -16,3 +17,15 @@
     /// Why part of it failed.
     pub failed: Option<LedgerError>,
 }
+
+impl Exchange {
+    /// Creates the outcome of an exchange that was not tried.
+    pub fn without_effect(unsent: Vec<Report>) -> Self {
+        let cause = "this incarnation is not registered yet".into();
+        Self {
+            unsent,
+            failed: Some(StoreError::Unreachable { cause }.into()),
+            ..Self::default()
+        }
+    }
+}
--- a/wisteriapass_coord/src/budget/ledger.rs
+++ b/wisteriapass_coord/src/budget/ledger.rs
@@ -88,6 +88,22 @@
         Ok(totals)
     }
 
+    /// Returns whether any record lists an origin, with money or without.
+    ///
+    /// # Errors
+    ///
+    /// [`LedgerError`] if the service gave no answer or a record can't be read.
+    pub fn holds(&self, origin: Origin) -> Result<bool> {
+        for shard in self.journal.shards().all() {
+            let seen = self.read(shard)?;
+            let mut budgets = seen.record.budgets();
+            if budgets.any(|(_, b)| b.origins.contains_key(&origin)) {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
     /// Takes grants, one swap for each record.
     pub fn take(&self, wants: Vec<Want>) -> Exchange {
         self.exchange(wants, Vec::new())
--- a/wisteriapass_coord/src/budget/payment.rs
+++ b/wisteriapass_coord/src/budget/payment.rs
@@ -1,5 +1,6 @@
 //! What a dispatch is paid with.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -28,9 +29,23 @@
 /// Amounts by origin; rarely more than two.
 pub type Parts = SmallVec<[Part; 2]>;
 
+/// Identity of a payment, by which its bill is told from that of a repeat.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{holder}:{number}")]
+pub struct PaymentId {
+    /// Incarnation of the router that reserved it.
+    pub holder: Origin,
+    /// Running number there.
+    pub number: u64,
+}
+
 /// The worst case reserved for a dispatch, by origin.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Payment {
+    /// Its identity.
+    pub id: PaymentId,
     /// Budget that pays.
     pub budget: BudgetId,
     /// What was reserved, in the order in which it is charged.
--- a/wisteriapass_coord/src/budget/wallet.rs
+++ b/wisteriapass_coord/src/budget/wallet.rs
@@ -5,8 +5,8 @@
 use crate::Millis;
 use crate::budget::purse::Purse;
 use crate::budget::{
-    Ask, BudgetId, Lot, Origin, Part, Payment, Report, Reservation, Settled, Shortfall, Tokens,
-    Transfer, TransferId,
+    Ask, BudgetId, Lot, Origin, Part, Payment, PaymentId, Report, Reservation, Settled, Shortfall,
+    Tokens, Transfer, TransferId,
 };
 
 /// Transfers that a giver remembers, to answer a repeated ask with the same money.
@@ -20,6 +20,7 @@
     origin: Origin,
     purses: BTreeMap<BudgetId, Purse>,
     fenced: BTreeSet<Origin>,
+    next_payment: u64,
     next_ask: u64,
     asked: BTreeSet<TransferId>,
     lent: VecDeque<Transfer>,
@@ -32,6 +33,7 @@
             origin,
             purses: BTreeMap::new(),
             fenced: BTreeSet::new(),
+            next_payment: 0,
             next_ask: 0,
             asked: BTreeSet::new(),
             lent: VecDeque::new(),
@@ -93,7 +95,13 @@
         }
         purse.meter.add(amount, now);
         purse.reserved += amount;
+        self.next_payment += 1;
+        let id = PaymentId {
+            holder: self.origin,
+            number: self.next_payment,
+        };
         Ok(Reservation::new(Payment {
+            id,
             budget: budget.clone(),
             parts: purse.draw(amount),
         }))
--- a/wisteriapass_coord/tests/once_directory.rs
+++ b/wisteriapass_coord/tests/once_directory.rs
@@ -5,7 +5,7 @@
 use common::FaultyStore;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use wisteriapass_coord::Millis;
-use wisteriapass_coord::budget::{BudgetId, Origin, Part, Payment, Tokens};
+use wisteriapass_coord::budget::{BudgetId, Origin, Part, Payment, PaymentId, Tokens};
 use wisteriapass_coord::once::{
     Attempt, Begun, Bill, BillBook, BillLedger, Directory, Found, Held, Home, HomeAnswer,
     OrderRefused, Place, RunId, RunOrder, RunTable, homes,
@@ -177,6 +177,10 @@
         amount: Tokens(amount),
     };
     Payment {
+        id: PaymentId {
+            holder: Origin(7),
+            number: 1,
+        },
         budget: BudgetId::new("acme", "main"),
         parts: [part].into_iter().collect(),
     }
--- a/wisteriapass_daemon/src/api.rs
+++ b/wisteriapass_daemon/src/api.rs
@@ -36,6 +36,9 @@
     /// Money may be left, but the service that holds it cannot be reached.
     #[display("budget_unreachable")]
     BudgetUnreachable,
+    /// The money that was to pay was fenced; the router takes other money.
+    #[display("money_fenced")]
+    MoneyFenced,
     /// More work than the targets can do by the deadline.
     #[display("overloaded")]
     Overloaded,
@@ -124,6 +127,7 @@
             Self::Overloaded | Self::OverFairShare | Self::Shed => 429,
             Self::TargetFailed | Self::OutcomeUnknown => 502,
             Self::BudgetUnreachable
+            | Self::MoneyFenced
             | Self::NoTarget
             | Self::Stopping
             | Self::NotReady
@@ -148,6 +152,7 @@
             Self::OutcomeUnknown => "look at the target before repeating under a new key",
             Self::Stopping => "repeat at another router",
             Self::BudgetUnreachable
+            | Self::MoneyFenced
             | Self::Overloaded
             | Self::OverFairShare
             | Self::Shed
@@ -171,7 +176,7 @@
             | Self::KeyRequired
             | Self::KeyReused
             | Self::OutcomeUnknown => 0,
-            Self::BodyTimeout | Self::Stopping => 100,
+            Self::BodyTimeout | Self::Stopping | Self::MoneyFenced => 100,
             Self::Overloaded
             | Self::OverFairShare
             | Self::Shed
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -143,6 +143,9 @@
             }
             Ended::NotRun(refusal, reason) => {
                 self.release(sent.reservation);
+                if refusal.reason == Reason::MoneyFenced {
+                    let _ = self.pipeline.money.learn_fences();
+                }
                 self.count(reason);
                 let kind = match reason {
                     Retry::NotSent => FailureKind::Unreachable,
--- a/wisteriapass_daemon/src/router/money.rs
+++ b/wisteriapass_daemon/src/router/money.rs
@@ -4,23 +4,29 @@
 //! a request that finds the wallet short waits for the keeper's next round, then asks other
 //! routers, and is refused as soon as neither has enough.
 
+mod bills;
 mod borrow;
 mod keeper;
+mod lease;
+mod reaper;
 mod shortage;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
 
 use flume::{Receiver, Sender};
 use parking_lot::{Condvar, Mutex};
 use wisteriapass_coord::Millis;
 use wisteriapass_coord::budget::{
-    Ask, BudgetId, GrantSize, Journal, Origin, Reservation, Shards, Tokens, Transfer, Wallet,
+    Ask, BudgetId, GrantSize, Journal, Ledger, Origin, Reservation, Shards, Tokens, Transfer,
+    Wallet,
 };
 use wisteriapass_coord::store::Store;
 
 use crate::prelude::*;
 use crate::run_wire::RunBill;
 
+use bills::{Bills, to_bill};
 pub use borrow::Peers;
 use shortage::Shortage;
 
@@ -52,10 +58,13 @@
 /// Money held by this router.
 pub struct Money {
     started: Instant,
-    origin: Origin,
     held: Mutex<Held>,
     round: Condvar,
-    journal: Journal,
+    journal: Mutex<Arc<Journal>>,
+    /// Whether the origin in use is registered, without which it takes no money.
+    registered: AtomicBool,
+    bills: Bills,
+    bill_writer: Origin,
     size: GrantSize,
     store: Box<dyn Store>,
     peers: Peers,
@@ -81,10 +90,12 @@
         };
         Self {
             started: Instant::now(),
-            origin,
             held: Mutex::new(held),
             round: Condvar::new(),
-            journal: Journal::new(origin, Shards::default()),
+            journal: Mutex::new(Arc::new(Journal::new(origin, Shards::default()))),
+            registered: AtomicBool::new(false),
+            bills: Bills::default(),
+            bill_writer: origin,
             size: GrantSize::new(),
             store,
             peers,
@@ -95,7 +106,17 @@
 
     /// Returns the incarnation that takes money from the service.
     pub fn origin(&self) -> Origin {
-        self.origin
+        self.journal.lock().writer()
+    }
+
+    /// Returns the memory of the origin in use.
+    fn journal(&self) -> Arc<Journal> {
+        self.journal.lock().clone()
+    }
+
+    /// Returns the budget records.
+    fn ledger<'a>(&'a self, journal: &'a Journal) -> Ledger<'a> {
+        Ledger::new(self.store.as_ref(), journal)
     }
 
     /// Reserves the worst case of a request; waits for money until `deadline` at the latest.
@@ -126,7 +147,16 @@
     }
 
     /// Settles a reservation with the bill of its run.
+    ///
+    /// A run that an earlier dispatch paid costs this one nothing.
     pub fn settle(&self, reservation: Reservation, bill: &RunBill) {
+        if let Some(bill) = to_bill(bill) {
+            self.bills.enter(bill);
+        }
+        let paid = bill.payment.as_ref().map(|p| p.id);
+        if paid != Some(reservation.payment().id) {
+            return self.release(reservation);
+        }
         let settled = self
             .held
             .lock()
--- a/wisteriapass_daemon/src/router/money/borrow.rs
+++ b/wisteriapass_daemon/src/router/money/borrow.rs
@@ -5,6 +5,7 @@
 
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
+use wisteriapass_config::Document;
 use wisteriapass_coord::budget::{BudgetId, Tokens};
 
 use crate::prelude::*;
@@ -44,6 +45,16 @@
         }
     }
 
+    /// Returns the configuration in force.
+    pub(super) fn document(&self) -> Arc<Document> {
+        self.config.document()
+    }
+
+    /// Returns what makes control calls.
+    pub(super) fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
     /// Returns a few routers in random order, so that no router is asked by all others first.
     fn to_ask(&self, budget: &BudgetId) -> Vec<SocketAddr> {
         let document = self.config.document();
--- a/wisteriapass_daemon/src/router/money/keeper.rs
+++ b/wisteriapass_daemon/src/router/money/keeper.rs
@@ -1,6 +1,8 @@
 //! The keeper: takes grants, reports what was spent, and gives idle money back.
 
-use wisteriapass_coord::budget::{BudgetId, Exchange, Ledger, Tokens, Want};
+use std::sync::atomic::Ordering;
+
+use wisteriapass_coord::budget::{BudgetId, Exchange, LedgerError, RecordError, Tokens, Want};
 
 use crate::prelude::*;
 use crate::router::Money;
@@ -20,12 +22,17 @@
 /// request costs a write.
 const REFUSED_MS: u64 = 500;
 
+/// Longest wait for the registration at the start, in milliseconds; without the service it never
+/// comes, and callers are to be told so.
+const REGISTRATION_MS: u64 = 1_000;
+
 /// Time between two looks at whether the process stops, in milliseconds.
 const LOOK_MS: u64 = 100;
 
 impl Money {
     /// Exchanges money with the service until the process stops.
     pub fn keep(&self, stop: &Stop) {
+        self.wait_for_registration();
         let mut report_at = Instant::now();
         while !stop.is_raised() {
             let asked = self
@@ -41,11 +48,21 @@
             }
             self.exchange(due);
             if due {
+                self.take_over_bills();
+                self.flush_bills();
                 report_at = Instant::now() + Duration::from_millis(REPORT_MS);
             }
         }
     }
 
+    /// Waits until this incarnation is registered, so that first callers are not refused for it.
+    fn wait_for_registration(&self) {
+        let deadline = Instant::now() + Duration::from_millis(REGISTRATION_MS);
+        while !self.registered.load(Ordering::Acquire) && Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(SHARE_MS));
+        }
+    }
+
     /// Gives everything back that is not reserved, for good.
     pub fn leave(&self) {
         let reports = {
@@ -57,9 +74,14 @@
             }
             held.wallet.drain_reports()
         };
-        let exchange = Ledger::new(self.store.as_ref(), &self.journal).leave(reports);
+        self.flush_bills();
+        let journal = self.journal();
+        let exchange = self.ledger(&journal).leave(reports);
         match exchange.failed {
-            None => log::info!(target: "money", "Everything returned."),
+            None => {
+                self.unregister();
+                log::info!(target: "money", "Everything returned.");
+            }
             Some(e) => log::warn!(target: "money", "Cannot return money. cause={e:?}"),
         }
     }
@@ -81,8 +103,13 @@
             };
             (wants, reports)
         };
-        let ledger = Ledger::new(self.store.as_ref(), &self.journal);
-        let exchange = ledger.exchange(wants, reports);
+        let journal = self.journal();
+        // Money taken without a registration could not be taken back from a dead router.
+        let exchange = if self.registered.load(Ordering::Acquire) {
+            self.ledger(&journal).exchange(wants, reports)
+        } else {
+            Exchange::without_effect(reports)
+        };
         self.book(exchange);
     }
 
@@ -160,6 +187,12 @@
             );
         }
         held.reached = exchange.failed.is_none();
+        let fenced = |e: &LedgerError| matches!(e, LedgerError::Record(RecordError::Fenced { .. }));
+        if exchange.failed.as_ref().is_some_and(fenced) {
+            drop(held);
+            let _ = self.learn_fences();
+            held = self.held.lock();
+        }
         if let Some(e) = exchange.failed {
             log::warn!(target: "money", "Cannot exchange money with the service. cause={e:?}");
         }
--- /dev/null
+++ b/wisteriapass_daemon/src/router/money/lease.rs
@@ -0,0 +1,116 @@
+//! Registration of this router's money: a lease that says it lives, and what was fenced meanwhile.
+//!
+//! The lease decides nothing about a spend: side processes refuse fenced money, whatever this
+//! router believes.
+
+use std::sync::atomic::Ordering;
+
+use wisteriapass_coord::budget::{Journal, Origin, Shards};
+use wisteriapass_coord::fence::{FenceList, Registry};
+use wisteriapass_coord::store::{LeaseId, Result};
+
+use crate::prelude::*;
+use crate::router::Money;
+use crate::stop::Stop;
+
+/// Term of the lease, in milliseconds: a router that is silent for so long is suspected.
+const LEASE_MS: u64 = 15_000;
+
+/// Time between two renewals, in milliseconds; two may fail before the lease lapses.
+const RENEW_MS: u64 = 5_000;
+
+/// Time until a failed renewal is tried again, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// Time between two looks at whether the process stops, in milliseconds.
+const LOOK_MS: u64 = 100;
+
+impl Money {
+    /// Keeps this router registered until the process stops, and fences dead ones if it falls to
+    /// this router.
+    pub fn stay_registered(&self, stop: &Stop) {
+        let mut lease = None;
+        let mut due = Instant::now();
+        while !stop.is_raised() {
+            if Instant::now() < due {
+                std::thread::sleep(Duration::from_millis(LOOK_MS));
+                continue;
+            }
+            let renewed = self.renew(&mut lease).and_then(|()| self.reap(lease));
+            let pause = match renewed {
+                Ok(()) => RENEW_MS,
+                Err(e) => {
+                    log::warn!(target: "money", "Cannot renew the lease. cause={e}");
+                    RETRY_MS
+                }
+            };
+            due = Instant::now() + Duration::from_millis(pause);
+        }
+    }
+
+    fn renew(&self, lease: &mut Option<LeaseId>) -> Result<()> {
+        if let Some(id) = *lease
+            && !self.store.keep_lease(id)?
+        {
+            log::warn!(target: "money", "The lease lapsed.");
+            *lease = None;
+        }
+        // Before anything is marked live again: a fenced origin must not look live.
+        self.learn_fences()?;
+        if lease.is_none() {
+            let registry = Registry::new(self.store.as_ref());
+            let origin = self.origin();
+            registry.add_origin(origin, &origin.to_string())?;
+            self.registered.store(true, Ordering::Release);
+            *lease = Some(registry.mark_live(origin, Duration::from_millis(LEASE_MS))?);
+        }
+        if !self.is_live_as(*lease) {
+            *lease = None;
+        }
+        Ok(())
+    }
+
+    /// Voids money that was fenced; if its own was, goes on under a new origin.
+    ///
+    /// # Errors
+    ///
+    /// [`wisteriapass_coord::store::StoreError`] if the service gave no answer.
+    pub fn learn_fences(&self) -> Result<()> {
+        let list = FenceList::read(self.store.as_ref())?;
+        let own = self.origin();
+        let mut held = self.held.lock();
+        for origin in list.origins() {
+            let voided = held.wallet.fence(origin);
+            if !voided.is_zero() {
+                log::warn!(target: "money", "Money was fenced. origin={origin} tokens={voided}");
+            }
+        }
+        if list.contains(own) {
+            let origin = Origin(rand::random());
+            log::warn!(target: "money", "This router was fenced. origin={own} next={origin}");
+            self.registered.store(false, Ordering::Release);
+            *self.journal.lock() = Arc::new(Journal::new(origin, Shards::default()));
+        }
+        Ok(())
+    }
+
+    /// Returns whether the lease belongs to the origin in use, which a fence may have changed.
+    fn is_live_as(&self, lease: Option<LeaseId>) -> bool {
+        lease.is_some() && self.registered.load(Ordering::Acquire)
+    }
+
+    /// Takes the registration back of an origin that holds nothing any more.
+    pub(super) fn unregister(&self) {
+        let origin = self.origin();
+        let journal = self.journal();
+        let ledger = self.ledger(&journal);
+        let cleared = match ledger.holds(origin) {
+            Ok(true) => return,
+            Ok(false) => Registry::new(self.store.as_ref()).remove_origin(origin),
+            Err(_) => return,
+        };
+        if let Err(e) = cleared {
+            log::info!(target: "money", "Cannot unregister; another router will. cause={e}");
+        }
+    }
+}
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -3,7 +3,9 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
-use wisteriapass_coord::once::{HomeAnswer, Place, RunId};
+use wisteriapass_coord::budget::Origin;
+use wisteriapass_coord::fence::SideAck;
+use wisteriapass_coord::once::{Bill, HomeAnswer, Place, RunId};
 
 use crate::run_wire::RunBill;
 
@@ -77,6 +79,18 @@
     #[method(name = "owned")]
     fn owned(&self, home: String) -> RpcResult<Owned>;
 
+    /// Refuses work paid with an origin from now on, and says what was spent of it.
+    #[method(name = "fence")]
+    fn fence(&self, origin: Origin) -> RpcResult<SideAck>;
+
+    /// Returns bills that their own routers have not acknowledged in time.
+    #[method(name = "open_bills")]
+    fn open_bills(&self) -> RpcResult<Vec<Bill>>;
+
+    /// Acknowledges bills that are in the service.
+    #[method(name = "acknowledge")]
+    fn acknowledge(&self, runs: Vec<RunId>) -> RpcResult<()>;
+
     /// Asks a run to stop; its bill counts what was generated. Returns whether it was running.
     #[method(name = "cancel")]
     fn cancel(&self, run: String) -> RpcResult<bool>;
--- a/wisteriapass_daemon/src/side.rs
+++ b/wisteriapass_daemon/src/side.rs
@@ -6,6 +6,7 @@
 mod executor;
 mod front;
 mod index;
+mod money;
 mod run;
 mod runs;
 mod service;
@@ -20,6 +21,7 @@
 pub use control::SideControlService;
 pub use front::serve;
 pub use index::{Index, homes_in};
+pub use money::SideMoney;
 pub use run::{Next, Run};
 pub use runs::Runs;
 
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -1,13 +1,15 @@
 //! Answering the control calls of a side process.
 
 use jsonrpsee::core::RpcResult;
-use wisteriapass_coord::once::HomeAnswer;
+use wisteriapass_coord::budget::Origin;
+use wisteriapass_coord::fence::SideAck;
+use wisteriapass_coord::once::{Bill, HomeAnswer, RunId};
 
 use crate::prelude::*;
 use crate::router::InForce;
 use crate::rpc::{HomeClaim, Owned, OwnedRun, SideControlServer, Withdrawal};
 use crate::side::index::{kept, own_place};
-use crate::side::{Index, Runs, SideIdentity, homes_in};
+use crate::side::{Index, Runs, SideIdentity, SideMoney, homes_in};
 
 /// Answers a side process's control calls from its services.
 pub struct SideControlService {
@@ -15,6 +17,7 @@
     runs: Arc<Runs>,
     index: Arc<Index>,
     config: Arc<InForce>,
+    money: Arc<SideMoney>,
 }
 
 impl SideControlService {
@@ -29,6 +32,7 @@
             runs: kernel.find()?,
             index: kernel.find()?,
             config: kernel.find()?,
+            money: kernel.find()?,
         })
     }
 }
@@ -62,6 +66,19 @@
         })
     }
 
+    fn fence(&self, origin: Origin) -> RpcResult<SideAck> {
+        Ok(self.money.fence(origin))
+    }
+
+    fn open_bills(&self) -> RpcResult<Vec<Bill>> {
+        Ok(self.money.open_bills())
+    }
+
+    fn acknowledge(&self, runs: Vec<RunId>) -> RpcResult<()> {
+        self.money.acknowledge(&runs);
+        Ok(())
+    }
+
     fn cancel(&self, run: String) -> RpcResult<bool> {
         Ok(self.runs.cancel(&run))
     }
--- a/wisteriapass_daemon/src/side/executor.rs
+++ b/wisteriapass_daemon/src/side/executor.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 use crate::run_wire::{Finish, RunRequest};
 use crate::side::engine::EngineRun;
-use crate::side::{Run, SideIdentity, service};
+use crate::side::{Run, SideIdentity, SideMoney, service};
 
 /// Stack of an executor thread, in bytes.
 const STACK: usize = 128 * 1024;
@@ -12,6 +12,7 @@
 pub struct Executor {
     side: Arc<SideIdentity>,
     metrics: Arc<Metrics>,
+    money: Arc<SideMoney>,
 }
 
 impl Service for Executor {
@@ -28,21 +29,27 @@
         Ok(Self {
             side: kernel.find()?,
             metrics: kernel.find()?,
+            money: kernel.find()?,
         })
     }
 
     /// Starts a run.
     pub fn start(&self, run: Arc<Run>) {
         let (side, metrics) = (self.side.clone(), self.metrics.clone());
+        let money = self.money.clone();
         let work = {
             let run = run.clone();
-            move || execute(&run, &side, &metrics)
+            move || {
+                execute(&run, &side, &metrics);
+                money.ended(&run.dispatch().run, run.bill());
+            }
         };
         let builder = std::thread::Builder::new()
             .name("run".into())
             .stack_size(STACK);
         if builder.spawn(work).is_err() {
             run.end(&self.side.name, Finish::Failed, 0, 0);
+            self.money.ended(&run.dispatch().run, None);
         }
     }
 }
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -8,7 +8,7 @@
 use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
 use crate::side::executor::Executor;
 use crate::side::runs::Begun;
-use crate::side::{Next, Run, Runs, SideIdentity};
+use crate::side::{Next, Run, Runs, SideIdentity, SideMoney};
 use crate::stop::Stop;
 
 /// Time after which a quiet stream gets a sign of life, in milliseconds.
@@ -23,6 +23,7 @@
 struct Front {
     side: Arc<SideIdentity>,
     runs: Arc<Runs>,
+    money: Arc<SideMoney>,
     executor: Arc<Executor>,
     metrics: Arc<Metrics>,
     stop: Arc<Stop>,
@@ -38,6 +39,7 @@
     let front = Front {
         side: kernel.find()?,
         runs: kernel.find()?,
+        money: kernel.find()?,
         metrics: kernel.find()?,
         stop: kernel.find()?,
         executor,
@@ -90,7 +92,7 @@
                 "the side process was replaced",
             ));
         }
-        match self.runs.begin(dispatch)? {
+        match self.runs.begin(dispatch, |d| self.money.admit(d))? {
             Begun::Known(run) => Ok(run),
             Begun::New(run) => {
                 self.executor.start(run.clone());
--- /dev/null
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -0,0 +1,135 @@
+//! Money of the runs here: refused when fenced, counted when spent, billed until acknowledged.
+
+use std::collections::HashMap;
+
+use parking_lot::Mutex;
+use wisteriapass_coord::budget::{Origin, Payment, Tokens};
+use wisteriapass_coord::fence::{FenceList, Registry, SideAck};
+use wisteriapass_coord::once::{Bill, BillBook, FenceAck, Place, RunId, Usage};
+use wisteriapass_coord::store::Store;
+
+use crate::prelude::*;
+use crate::run_wire::{Dispatch, RunBill};
+use crate::side::{SideIdentity, clock};
+
+/// Time for which a bill is left to the router whose run it is, in milliseconds; reporting takes
+/// it a few seconds.
+const HAND_OVER_MS: u64 = 15_000;
+
+/// Bills handed to a router at once.
+const MOST_BILLS: usize = 500;
+
+/// Pause after a failed call to the key-value service, in milliseconds.
+const PAUSE_MS: u64 = 100;
+
+#[derive(Default)]
+struct State {
+    usage: Usage,
+    running: HashMap<String, Payment>,
+    book: BillBook,
+}
+
+/// Money of the runs of one side process.
+pub struct SideMoney {
+    side: Arc<SideIdentity>,
+    state: Mutex<State>,
+}
+
+impl Service for SideMoney {
+    const NAME: &'static str = "side-money";
+}
+
+impl SideMoney {
+    /// Creates the money of a side process that has run nothing.
+    pub fn new(side: Arc<SideIdentity>) -> Self {
+        Self {
+            side,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Registers this incarnation and reads which origins are fenced; waits until the service
+    /// answers, because without the list a fenced router's money might be spent again.
+    pub fn register(&self, store: &dyn Store) {
+        loop {
+            let registered = Registry::new(store)
+                .add_side(&self.side.name, &self.side.incarnation)
+                .and_then(|()| FenceList::read(store));
+            match registered {
+                Ok(list) => {
+                    let usage = &mut self.state.lock().usage;
+                    list.origins().for_each(|origin| usage.fence(origin));
+                    return;
+                }
+                Err(e) => {
+                    log::warn!(target: "money", "Cannot register; nothing is served. cause={e}");
+                    std::thread::sleep(Duration::from_millis(PAUSE_MS));
+                }
+            }
+        }
+    }
+
+    /// Lets a run begin that is paid with money that is not fenced.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if any of it is fenced.
+    pub fn admit(&self, dispatch: &Dispatch) -> Result<(), Refusal> {
+        let Some(payment) = &dispatch.payment else {
+            return Ok(());
+        };
+        let mut state = self.state.lock();
+        if let Some(origin) = state.usage.fenced(payment) {
+            let message = format!("money of origin {origin} was fenced");
+            return Err(Refusal::not_run(Reason::MoneyFenced, message));
+        }
+        state.running.insert(dispatch.run.clone(), payment.clone());
+        Ok(())
+    }
+
+    /// Counts what an ended run cost, and keeps its bill until it is in the service.
+    pub fn ended(&self, run: &str, bill: Option<RunBill>) {
+        let mut state = self.state.lock();
+        let Some(payment) = state.running.remove(run) else {
+            return;
+        };
+        let Some(bill) = bill.filter(|b| b.amount > 0) else {
+            return;
+        };
+        state.usage.charge(&payment, Tokens(bill.amount));
+        let bill = Bill {
+            run: RunId::from_text(run),
+            place: Place::new(&self.side.name, &self.side.incarnation),
+            account: bill.account,
+            payment,
+            amount: Tokens(bill.amount),
+            is_provisional: false,
+        };
+        state.book.enter(bill, clock().plus(HAND_OVER_MS));
+    }
+
+    /// Refuses work paid with an origin from now on, and says what was spent of it.
+    pub fn fence(&self, origin: Origin) -> SideAck {
+        let mut state = self.state.lock();
+        state.usage.fence(origin);
+        let running = state.running.values().filter(|p| p.is_from(origin));
+        let ack = FenceAck {
+            running: running.count(),
+            spent: state.usage.of(origin),
+        };
+        SideAck {
+            incarnation: self.side.incarnation.clone(),
+            ack,
+        }
+    }
+
+    /// Returns bills that their own routers have not acknowledged in time.
+    pub fn open_bills(&self) -> Vec<Bill> {
+        self.state.lock().book.to_hand_over(clock(), MOST_BILLS)
+    }
+
+    /// Forgets bills that are in the service.
+    pub fn acknowledge(&self, runs: &[RunId]) {
+        self.state.lock().book.acknowledge(runs);
+    }
+}
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -59,12 +59,16 @@
 
     /// Begins a run, or finds the one that is there.
     ///
-    /// A run that failed without an answer begins anew.
+    /// A run that failed without an answer begins anew. A new run begins only if `admit` lets it.
     ///
     /// # Errors
     ///
     /// A [`Refusal`] if the attempt was withdrawn or the identity belongs to another request.
-    pub fn begin(&self, dispatch: Dispatch) -> Result<Begun, Refusal> {
+    pub fn begin(
+        &self,
+        dispatch: Dispatch,
+        admit: impl FnOnce(&Dispatch) -> Result<(), Refusal>,
+    ) -> Result<Begun, Refusal> {
         let mut table = self.table.lock();
         if let Some(run) = table.runs.get(&dispatch.run) {
             check_fingerprint(run, &dispatch.fingerprint)?;
@@ -82,6 +86,7 @@
                 "the attempt was withdrawn",
             ));
         }
+        admit(&dispatch)?;
         let run = Arc::new(Run::new(dispatch));
         table.runs.insert(run.dispatch().run.clone(), run.clone());
         Ok(Begun::New(run))
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -27,7 +27,7 @@
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
 };
-use crate::side::{self, Index, Runs, SideControlService, SideIdentity};
+use crate::side::{self, Index, Runs, SideControlService, SideIdentity, SideMoney};
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -121,7 +121,12 @@
     let origin = Origin(XxHash64::oneshot(0, incarnation.as_bytes()));
     let money = kernel.register(Money::new(origin, Box::new(store), peers));
     let stop = kernel.find::<Stop>()?;
-    spawn("money", move || money.keep(&stop))?;
+    let registered = money.clone();
+    spawn("money", {
+        let stop = stop.clone();
+        move || money.keep(&stop)
+    })?;
+    spawn("lease", move || registered.stay_registered(&stop))?;
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
     let unsettled = kernel.register(Unsettled::new(kernel)?);
@@ -164,11 +169,13 @@
             runs.sweep(Instant::now());
         }
     })?;
-    kernel.register(SideIdentity {
+    let side = kernel.register(SideIdentity {
         name: settings.name.clone(),
         incarnation: incarnation.into(),
         target,
     });
+    let money = kernel.register(SideMoney::new(side));
+    money.register(&HttpStore::new(settings.store.to_string()));
     let index = kernel.register(Index::new(kernel)?);
     spawn("index", move || index.fill_forever())?;
     side::serve(listener, kernel)?;
