--- a/wisteriapass_daemon/src/router/money/lease.rs
+++ b/wisteriapass_daemon/src/router/money/lease.rs
@@ -25,14 +25,23 @@
 /// Time between two looks at whether the process stops, in milliseconds.
 const LOOK_MS: u64 = 100;
 
+/// A lease and the origin that it marks as live.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lease {
+    origin: Origin,
+    pub(super) id: LeaseId,
+}
+
 impl Money {
     /// Keeps this router registered until the process stops, and fences dead ones if it falls to
     /// this router.
     pub fn stay_registered(&self, stop: &Stop) {
-        let mut lease = None;
+        let mut lease: Option<Lease> = None;
         let mut due = Instant::now();
         while !stop.is_raised() {
-            if Instant::now() < due {
+            // A fence may have given this router another origin at any time.
+            let is_stale = lease.is_some_and(|l| l.origin != self.origin());
+            if Instant::now() < due && !is_stale {
                 std::thread::sleep(Duration::from_millis(LOOK_MS));
                 continue;
             }
@@ -48,25 +57,25 @@
         }
     }
 
-    fn renew(&self, lease: &mut Option<LeaseId>) -> Result<()> {
-        if let Some(id) = *lease
-            && !self.store.keep_lease(id)?
+    fn renew(&self, lease: &mut Option<Lease>) -> Result<()> {
+        if let Some(held) = *lease
+            && !self.store.keep_lease(held.id)?
         {
             log::warn!(target: "money", "The lease lapsed.");
             *lease = None;
         }
         // Before anything is marked live again: a fenced origin must not look live.
         self.learn_fences()?;
-        if lease.is_none() {
-            let registry = Registry::new(self.store.as_ref());
-            let origin = self.origin();
-            registry.add_origin(origin, &origin.to_string())?;
-            self.registered.store(true, Ordering::Release);
-            *lease = Some(registry.mark_live(origin, Duration::from_millis(LEASE_MS))?);
-        }
-        if !self.is_live_as(*lease) {
-            *lease = None;
+        let origin = self.origin();
+        if lease.is_some_and(|l| l.origin == origin) {
+            return Ok(());
         }
+        let registry = Registry::new(self.store.as_ref());
+        // Live before it is listed, because whoever is listed and not live is suspected.
+        let id = registry.mark_live(origin, Duration::from_millis(LEASE_MS))?;
+        registry.add_origin(origin, &origin.to_string())?;
+        *lease = Some(Lease { origin, id });
+        self.registered.store(true, Ordering::Release);
         Ok(())
     }
 
@@ -94,11 +103,6 @@
         Ok(())
     }
 
-    /// Returns whether the lease belongs to the origin in use, which a fence may have changed.
-    fn is_live_as(&self, lease: Option<LeaseId>) -> bool {
-        lease.is_some() && self.registered.load(Ordering::Acquire)
-    }
-
     /// Takes the registration back of an origin that holds nothing any more.
     pub(super) fn unregister(&self) {
         let origin = self.origin();
--- a/wisteriapass_daemon/src/router/money/reaper.rs
+++ b/wisteriapass_daemon/src/router/money/reaper.rs
@@ -6,20 +6,21 @@
 
 use wisteriapass_coord::budget::{LedgerError, Origin};
 use wisteriapass_coord::fence::{FenceList, Registered, Registry, SideAck, Verdict, prove};
-use wisteriapass_coord::store::{LeaseId, Result};
+use wisteriapass_coord::store::Result;
 
 use crate::router::Money;
+use crate::router::money::lease::Lease;
 use crate::rpc::SideControlClient;
 
 impl Money {
     /// Looks for dead routers, if it falls to this one.
-    pub(super) fn reap(&self, lease: Option<LeaseId>) -> Result<()> {
+    pub(super) fn reap(&self, lease: Option<Lease>) -> Result<()> {
         let registry = Registry::new(self.store.as_ref());
         let own = self.origin();
         let Some(lease) = lease else {
             return Ok(());
         };
-        if !registry.is_reaper(own, lease)? {
+        if !registry.is_reaper(own, lease.id)? {
             return Ok(());
         }
         let mut suspects = registry.suspects()?;
