--- /dev/null
+++ b/wisteriapass_bench/tests/once.rs
@@ -0,0 +1,213 @@
+//! Keyed requests that are repeated at another router, and those that may not run twice.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
+use wisteriapass_bench::standin::{Outage, PlatformFaults, Silence, TargetFaults, expected_answer};
+
+const MODEL: &str = "wisteria-8b";
+
+fn plan() -> FleetPlan {
+    let program = Program::Tool(env!("CARGO_BIN_EXE_wisteriapass_bench").into());
+    FleetPlan {
+        accounts: vec![AccountPlan::new("acme").with_prepaid(1_000_000)],
+        ..FleetPlan::new(program)
+    }
+}
+
+fn slow_plan() -> FleetPlan {
+    let mut plan = plan();
+    plan.engine.token = Duration::from_millis(40);
+    plan
+}
+
+fn chat(router: SocketAddr, prompt: &str, key: &str) -> minreq::Request {
+    let body = json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": 100,
+    });
+    minreq::post(format!("http://{router}/v1/chat/completions"))
+        .with_header("authorization", "Bearer key-of-acme")
+        .with_header("idempotency-key", key)
+        .with_body(body.to_string())
+        .with_timeout(60)
+}
+
+fn save(router: SocketAddr, path: &str, key: &str) -> minreq::Request {
+    minreq::put(format!("http://{router}/services/records/{path}"))
+        .with_header("authorization", "Bearer key-of-acme")
+        .with_header("idempotency-key", key)
+        .with_header("x-wisteriapass-non-idempotent", "true")
+        .with_body("seal")
+        .with_timeout(60)
+}
+
+fn answer(req: minreq::Request) -> (u16, Value) {
+    let answer = req.send().unwrap();
+    let body = serde_json::from_slice(answer.as_bytes()).unwrap();
+    (answer.status_code, body)
+}
+
+fn content(answer: &Value) -> &str {
+    answer["choices"][0]["message"]["content"].as_str().unwrap()
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.engines().values().map(|e| e.ran().len()).sum()
+}
+
+fn calls(fleet: &Fleet) -> usize {
+    fleet.services().values().map(|s| s.ran().len()).sum()
+}
+
+/// Returns whether there was an answer; minreq makes one up for a closed connection.
+fn is_answered(answer: Result<minreq::Response, minreq::Error>) -> bool {
+    answer.is_ok_and(|a| !a.headers.is_empty())
+}
+
+/// Asks the first router, kills it in mid answer, and asks the second.
+fn repeat_after_kill(fleet: &Fleet, prompt: &str) -> (u16, Value) {
+    let routers = fleet.router_addrs();
+    std::thread::scope(|s| {
+        let first = s.spawn(|| chat(routers[0], prompt, "k1").send());
+        std::thread::sleep(Duration::from_millis(600));
+        fleet.daemon("router-1").unwrap().kill();
+        assert!(!is_answered(first.join().unwrap()));
+        answer(chat(routers[1], prompt, "k1"))
+    })
+}
+
+#[test]
+fn a_repeat_at_another_router_follows_the_run_that_goes_on() {
+    let fleet = Fleet::start(slow_plan()).unwrap();
+    let (status, got) = repeat_after_kill(&fleet, "page tokens=50");
+    assert_eq!(status, 200, "{got}");
+    let whole = expected_answer(MODEL, "page tokens=50", 100).concat();
+    assert_eq!(content(&got), whole);
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[test]
+fn a_repeat_of_what_runs_is_not_refused_for_money() {
+    let mut plan = slow_plan();
+    // Enough for one reservation.
+    plan.accounts = vec![AccountPlan::new("acme").with_prepaid(200)];
+    let fleet = Fleet::start(plan).unwrap();
+    let (status, got) = repeat_after_kill(&fleet, "page tokens=50");
+    assert_eq!(status, 200, "{got}");
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[test]
+fn concurrent_repeats_at_two_routers_share_one_run() {
+    let fleet = Fleet::start(slow_plan()).unwrap();
+    let routers = fleet.router_addrs();
+    let answers: Vec<(u16, Value)> = std::thread::scope(|s| {
+        let ask = |router| s.spawn(move || answer(chat(router, "both tokens=30", "k2")));
+        let asked: Vec<_> = routers.iter().map(|r| ask(*r)).collect();
+        asked.into_iter().map(|a| a.join().unwrap()).collect()
+    });
+    for (status, got) in &answers {
+        assert_eq!(*status, 200, "{got}");
+        assert_eq!(content(got), content(&answers[0].1));
+    }
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[test]
+fn a_save_repeated_at_another_router_takes_effect_once() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let routers = fleet.router_addrs();
+    let (status, first) = answer(save(routers[0], "lots/7", "s1"));
+    assert_eq!(status, 200, "{first}");
+    let (status, second) = answer(save(routers[1], "lots/7", "s1"));
+    assert_eq!(status, 200, "{second}");
+    assert_eq!(first, second);
+    assert_eq!(calls(&fleet), 1);
+}
+
+#[test]
+fn a_save_without_a_claim_is_a_truthful_not_run() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let routers = fleet.router_addrs();
+    fleet.platform().set_faults(PlatformFaults {
+        outage: Outage::Refusing,
+        ..PlatformFaults::default()
+    });
+    let (status, got) = answer(save(routers[0], "lots/8", "s2"));
+    assert_eq!(status, 503, "{got}");
+    assert_eq!(got["error"]["reason"], "claim_unavailable", "{got}");
+    assert_eq!(got["error"]["ran"], "not_run", "{got}");
+    assert_eq!(calls(&fleet), 0);
+}
+
+#[test]
+fn a_save_whose_service_went_silent_is_unknown_and_stays_so() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let routers = fleet.router_addrs();
+    let service = fleet.services().values().next().unwrap();
+    service.set_faults(TargetFaults {
+        silence: Silence::AfterStart,
+        ..TargetFaults::default()
+    });
+    let (_, first) = answer(save(routers[0], "lots/9", "s3"));
+    assert_eq!(first["error"]["ran"], "outcome_unknown", "{first}");
+    service.set_faults(TargetFaults::default());
+    let (_, second) = answer(save(routers[1], "lots/9", "s3"));
+    assert_eq!(second["error"]["ran"], "outcome_unknown", "{second}");
+    assert_eq!(calls(&fleet), 1);
+}
+
+#[test]
+fn a_save_whose_side_process_died_is_unknown_and_never_repeated() {
+    let mut plan = plan();
+    plan.service.call_ms = 2_000;
+    let fleet = Fleet::start(plan).unwrap();
+    let routers = fleet.router_addrs();
+    let (first, second) = std::thread::scope(|s| {
+        let first = s.spawn(|| answer(save(routers[0], "lots/5", "s4")));
+        std::thread::sleep(Duration::from_millis(700));
+        let mut side = fleet.daemon("service-1").unwrap();
+        side.kill();
+        side.start().unwrap();
+        drop(side);
+        fleet.wait_ready().unwrap();
+        let first = first.join().unwrap();
+        (first, answer(save(routers[1], "lots/5", "s4")))
+    });
+    assert_eq!(first.1["error"]["ran"], "outcome_unknown", "{}", first.1);
+    assert_eq!(second.1["error"]["ran"], "outcome_unknown", "{}", second.1);
+    assert_eq!(calls(&fleet), 1);
+}
+
+#[test]
+fn a_save_whose_connection_closes_without_an_answer_is_unknown() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let routers = fleet.router_addrs();
+    let service = fleet.services().values().next().unwrap();
+    service.set_faults(TargetFaults {
+        resets: 1,
+        ..TargetFaults::default()
+    });
+    let (_, got) = answer(save(routers[0], "lots/6", "s5"));
+    assert_eq!(got["error"]["ran"], "outcome_unknown", "{got}");
+    assert_eq!(calls(&fleet), 1);
+}
+
+#[test]
+fn a_save_whose_link_to_the_target_closes_is_unknown() {
+    let mut plan = plan();
+    plan.service.call_ms = 1_500;
+    let fleet = Fleet::start(plan).unwrap();
+    let routers = fleet.router_addrs();
+    let (_, got) = std::thread::scope(|s| {
+        let asked = s.spawn(|| answer(save(routers[0], "lots/4", "s6")));
+        std::thread::sleep(Duration::from_millis(500));
+        fleet.network().close_open("service-1/target");
+        asked.join().unwrap()
+    });
+    assert_eq!(got["error"]["ran"], "outcome_unknown", "{got}");
+}
--- a/wisteriapass_coord/src/once/directory.rs
+++ b/wisteriapass_coord/src/once/directory.rs
@@ -55,8 +55,7 @@
         now: Millis,
         members: impl IntoIterator<Item = &'a str>,
     ) -> HomeAnswer {
-        let held = self.entries.get(run).filter(|h| h.until > now);
-        if let Some(held) = held {
+        if let Some(held) = self.find(run, now) {
             return HomeAnswer::Held(held.clone());
         }
         let held = Held {
@@ -69,6 +68,11 @@
         }
     }
 
+    /// Returns where a run is, if this home knows.
+    pub fn find(&self, run: &RunId, now: Millis) -> Option<&Held> {
+        self.entries.get(run).filter(|h| h.until > now)
+    }
+
     /// Enters a run as its owner says; the owner knows better than any claim.
     pub fn publish(&mut self, run: RunId, held: Held) {
         self.entries.insert(run, held);
--- a/wisteriapass_daemon/src/http/line_stream.rs
+++ b/wisteriapass_daemon/src/http/line_stream.rs
@@ -125,6 +125,12 @@
             return;
         }
     };
+    if answer.headers.is_empty() {
+        // minreq makes up a 503 when the connection closes before a status line.
+        let cause = answer.reason_phrase.clone();
+        let _ = tx.send(Err(StreamError::Broken { cause }));
+        return;
+    }
     let status = answer.status_code;
     let headers = answer
         .headers
--- a/wisteriapass_daemon/src/router/attempt.rs
+++ b/wisteriapass_daemon/src/router/attempt.rs
@@ -25,15 +25,31 @@
     CallerGone(RunBill),
     /// It did not run and will not; another target may.
     NotRun(Refusal, Retry),
-    /// It ran and failed before its first token; it costs this.
+    /// This incarnation of the side process does not have it.
+    NoSuchRun,
+    /// It ran and failed before its answer was whole; it costs this.
     Failed(RunBill),
     /// It may have run, or ran in part; it costs this, if that is known.
     Unknown(Refusal, Option<RunBill>),
 }
 
+/// Which run is attempted or followed.
+#[derive(Clone, Copy, Debug)]
+pub enum Order<'a> {
+    /// Run it.
+    Run(&'a Dispatch),
+    /// Follow it where it is.
+    Follow {
+        /// Identity of the run.
+        run: &'a str,
+        /// Digest of the request's content.
+        fingerprint: &'a str,
+    },
+}
+
 /// An attempt at one target.
 pub struct Attempt<'a> {
-    dispatch: &'a Dispatch,
+    order: Order<'a>,
     side: SocketAddr,
     control: SocketAddr,
     metrics: &'a Metrics,
@@ -45,42 +61,39 @@
     /// Creates an attempt that was not sent yet.
     pub fn new(
         target: &Target,
-        dispatch: &'a Dispatch,
+        order: Order<'a>,
         metrics: &'a Metrics,
         caller: &'a Caller,
     ) -> Self {
-        let (side, control) = (target.side, target.side_control);
         Self {
-            dispatch,
-            side,
-            control,
+            order,
+            side: target.side,
+            control: target.side_control,
             metrics,
             caller,
             caller_gone: false,
         }
     }
 
-    /// Sends the dispatch and passes its answer on.
-    pub fn carry_out(mut self, answer: &mut Answer, turn: &mut Turn) -> Ended {
-        let mut follower = Follower::new(self.side, self.dispatch, self.metrics);
-        let mut pieces = 0;
+    /// Sends the order and passes the answer on, telling the turn about it, if there is one.
+    pub fn carry_out(mut self, answer: &mut Answer, turn: Option<&mut Turn>) -> Ended {
+        let mut follower = self.follower();
+        let mut progress = Progress::new(turn);
         loop {
             let event = match follower.next() {
                 Ok(event) => event,
                 Err(lost) => return self.lost(lost),
             };
-            if !matches!(event, RunEvent::Refused { .. }) {
-                pieces += 1;
-                tell(turn, pieces);
-            }
             let sent = match event {
                 RunEvent::Head { status, headers } => answer.head(status, &headers),
                 RunEvent::Text { text } => answer.text(&text),
                 RunEvent::Bytes { data } => answer.bytes(&data),
                 RunEvent::End { finish, bill } => return self.ended(finish, bill, answer),
                 RunEvent::Refused { refusal } => return refused(refusal),
+                RunEvent::NoSuchRun => return Ended::NoSuchRun,
                 RunEvent::Attached { .. } | RunEvent::Beat => Ok(()),
             };
+            progress.step();
             if sent.is_err() && !self.caller_gone {
                 self.caller_gone = true;
                 self.give_up();
@@ -88,17 +101,29 @@
         }
     }
 
+    fn follower(&self) -> Follower<'a> {
+        match self.order {
+            Order::Run(dispatch) => Follower::new(self.side, dispatch, self.metrics),
+            Order::Follow { run, fingerprint } => {
+                Follower::with_attachment(self.side, run, fingerprint, self.metrics)
+            }
+        }
+    }
+
     /// Stops a run whose caller went away and cannot ask for it again; its end is waited for.
     fn give_up(&self) {
-        if self.dispatch.keyed {
+        let Order::Run(dispatch) = self.order else {
+            return;
+        };
+        if dispatch.keyed {
             return;
         }
-        let run = self.dispatch.run.clone();
+        let run = dispatch.run.clone();
         let cancelled = self
             .caller
             .call(self.control, |c| async move { c.cancel(run).await });
         if let Err(e) = cancelled {
-            log::info!(target: "router", "Cannot cancel. run={} cause={e:?}", self.dispatch.run);
+            log::info!(target: "router", "Cannot cancel. run={} cause={e:?}", dispatch.run);
         }
     }
 
@@ -128,14 +153,17 @@
 
     /// Asks what became of a run that cannot be followed, and that it does not begin late.
     fn withdraw(&self) -> Ended {
-        let (run, attempt) = (self.dispatch.run.clone(), self.dispatch.attempt);
+        let unknown = Refusal::outcome_unknown("the side process was lost");
+        let Order::Run(dispatch) = self.order else {
+            return Ended::Unknown(unknown, None);
+        };
+        let (run, attempt) = (dispatch.run.clone(), dispatch.attempt);
         let answer = self.caller.call(
             self.control,
             |c| async move { c.withdraw(run, attempt).await },
         );
-        let unknown = Refusal::outcome_unknown("the side process was lost");
         // Another incarnation cannot know what the one that was sent the dispatch did.
-        let proves = |w: &Withdrawal| w.incarnation == self.dispatch.incarnation;
+        let proves = |w: &Withdrawal| w.incarnation == dispatch.incarnation;
         match answer {
             Ok(w) if w.withdrawn == Withdrawn::NeverRuns && proves(&w) => {
                 let refusal = Refusal::not_run(Reason::NoTarget, "the dispatch was withdrawn");
@@ -150,12 +178,27 @@
     }
 }
 
-/// Tells the scheduler how far the run is, not for each token.
-fn tell(turn: &mut Turn, pieces: u32) {
-    if pieces == 1 {
-        turn.first_token();
-    } else if pieces.is_multiple_of(PROGRESS_STEP) {
-        turn.progress(pieces);
+/// Word to the scheduler of how far a run is, not for each token.
+struct Progress<'a> {
+    turn: Option<&'a mut Turn>,
+    pieces: u32,
+}
+
+impl<'a> Progress<'a> {
+    fn new(turn: Option<&'a mut Turn>) -> Self {
+        Self { turn, pieces: 0 }
+    }
+
+    fn step(&mut self) {
+        self.pieces += 1;
+        let Some(turn) = &mut self.turn else {
+            return;
+        };
+        if self.pieces == 1 {
+            turn.first_token();
+        } else if self.pieces.is_multiple_of(PROGRESS_STEP) {
+            turn.progress(self.pieces);
+        }
     }
 }
 
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -1,8 +1,10 @@
-//! One request on its way: money, turn, attempts, settlement.
+//! One request on its way: found where it runs already, or money, turn, attempts, settlement.
 
 use std::net::SocketAddr;
 
+use wisteriapass_config::{Document, Target};
 use wisteriapass_coord::budget::Reservation;
+use wisteriapass_coord::once::{Place, RunId};
 use wisteriapass_policy::FailureKind;
 
 use crate::api::Ran;
@@ -10,11 +12,12 @@
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
-use crate::router::attempt::{Attempt, Ended};
+use crate::router::attempt::{Attempt, Ended, Order};
+use crate::router::locate::{Located, Lookup};
 use crate::router::pipeline::Pipeline;
 use crate::router::turn::Turn;
-use crate::router::unsettled::OpenReservation;
-use crate::run_wire::RunBill;
+use crate::router::unsettled::{Awaits, OpenReservation};
+use crate::run_wire::{Dispatch, RunBill};
 
 /// Attempts of one request at most.
 const MOST_ATTEMPTS: u32 = 3;
@@ -23,8 +26,11 @@
 pub struct Carry<'a> {
     pipeline: &'a Pipeline,
     asked: &'a Asked,
-    run: &'a str,
+    run: RunId,
+    /// Whether an attempt, here or at another router, may have run.
     may_have_run: bool,
+    /// A place where it was or may have been, and which has gone.
+    gone: Option<Place>,
 }
 
 /// What follows an attempt.
@@ -35,21 +41,23 @@
     Again(Refusal, FailureKind),
 }
 
-/// A dispatch that was sent.
+/// A dispatch that was sent, with the money reserved for it.
 struct Sent {
     reservation: Option<Reservation>,
+    dispatch: Dispatch,
     control: SocketAddr,
-    attempt: u32,
+    located: Located,
 }
 
 impl<'a> Carry<'a> {
     /// Creates the way of a request that was not tried yet.
-    pub fn new(pipeline: &'a Pipeline, asked: &'a Asked, run: &'a str) -> Self {
+    pub fn new(pipeline: &'a Pipeline, asked: &'a Asked, run: &str) -> Self {
         Self {
             pipeline,
             asked,
-            run,
+            run: RunId::from_text(run),
             may_have_run: false,
+            gone: None,
         }
     }
 
@@ -59,13 +67,13 @@
     ///
     /// The [`Refusal`] that is its final answer.
     pub fn through(mut self, answer: &mut Answer) -> Result<(), Refusal> {
-        let ended = self.attempts(answer);
+        let ended = self.known_or_new(answer);
         ended.map_err(|refusal| self.truthful(refusal))
     }
 
     /// "Not run" is said only if no attempt may have run.
     fn truthful(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
+        if self.may_have_run && refusal.reason != Reason::KeyReused {
             return Refusal {
                 ran: Ran::OutcomeUnknown,
                 ..refusal
@@ -74,6 +82,84 @@
         refusal
     }
 
+    fn known_or_new(&mut self, answer: &mut Answer) -> Result<(), Refusal> {
+        // Before anything can refuse it: a repeat of what runs elsewhere must not hear "not run".
+        if self.asked.key.is_some() && self.follow_known(answer)? {
+            return Ok(());
+        }
+        self.attempts(answer)
+    }
+
+    /// Follows the request where it runs already; returns whether its answer was given.
+    fn follow_known(&mut self, answer: &mut Answer) -> Result<bool, Refusal> {
+        let document = self.pipeline.config.document();
+        match self.pipeline.locator.lookup(&document, &self.run) {
+            Lookup::Nobody => Ok(false),
+            Lookup::Unsure => {
+                self.may_have_run = true;
+                Ok(false)
+            }
+            Lookup::At(place) => self.follow_at(&document, place, answer),
+        }
+    }
+
+    fn follow_at(
+        &mut self,
+        document: &Document,
+        place: Place,
+        answer: &mut Answer,
+    ) -> Result<bool, Refusal> {
+        let Some(target) = document.inventory.target_named(&place.side) else {
+            self.lose(place);
+            return Ok(false);
+        };
+        let order = Order::Follow {
+            run: self.run.as_str(),
+            fingerprint: &self.asked.fingerprint,
+        };
+        let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
+        match Attempt::new(target, order, metrics, caller).carry_out(answer, None) {
+            Ended::Answered(_) | Ended::CallerGone(_) => Ok(true),
+            Ended::NoSuchRun => {
+                // It was claimed for there, and has not arrived; or that incarnation has gone.
+                if !self.pipeline.incarnations.is_current(target, &place) {
+                    self.lose(place);
+                }
+                Ok(false)
+            }
+            Ended::NotRun(refusal, _) if refusal.reason == Reason::KeyReused => Err(refusal),
+            Ended::NotRun(..) => {
+                self.lose(place);
+                Ok(false)
+            }
+            Ended::Failed(_) => {
+                let message = "the target failed before the answer was whole";
+                self.after_loss(Refusal::not_run(Reason::TargetFailed, message), answer)
+            }
+            Ended::Unknown(refusal, _) => {
+                self.lose(place);
+                self.after_loss(refusal, answer)
+            }
+        }
+    }
+
+    /// Notes a place where the request may have run, and which has gone.
+    fn lose(&mut self, place: Place) {
+        self.may_have_run = true;
+        self.pipeline.incarnations.forget(&place);
+        self.gone = Some(place);
+    }
+
+    /// Allows an attempt after a run whose answer is lost, if it is idempotent.
+    fn after_loss(&mut self, refusal: Refusal, answer: &mut Answer) -> Result<bool, Refusal> {
+        self.may_have_run = true;
+        if !self.asked.idempotent || answer.has_begun() {
+            return Err(refusal);
+        }
+        answer.reset();
+        Ok(false)
+    }
+
     fn attempts(&mut self, answer: &mut Answer) -> Result<(), Refusal> {
         let mut turn = self.pipeline.offer(self.asked)?;
         let mut last = None;
@@ -98,32 +184,72 @@
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
         let reservation = self.pipeline.reserve(self.asked)?;
-        let placed = match turn.wait(&self.pipeline.stop) {
-            Ok(placed) => placed,
+        let located = self.locate(attempt, turn);
+        let (document, located) = match located {
+            Ok(found) => found,
             Err(refusal) => {
                 self.release(reservation);
                 return Err(refusal);
             }
         };
-        let document = self.pipeline.config.document();
-        let Some(target) = document.inventory.target_named(&placed.target) else {
+        let Some(located) = located else {
             self.release(reservation);
-            let refusal = Refusal::not_run(Reason::NoTarget, "the target left");
+            let refusal = Refusal::not_run(Reason::NoTarget, "the side process does not answer");
             return Ok(Step::Again(refusal, FailureKind::Unreachable));
         };
-        let dispatch = self
-            .pipeline
-            .dispatch(self.asked, self.run, attempt, reservation.as_ref());
-        let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
-        let ended = Attempt::new(target, &dispatch, metrics, caller).carry_out(answer, turn);
-        let sent = Sent {
-            reservation,
-            control: target.side_control,
-            attempt,
+        let Some(target) = document.inventory.target_named(&located.place.side) else {
+            self.release(reservation);
+            self.lose(located.place);
+            let refusal = Refusal::not_run(Reason::NoTarget, "the target left");
+            return Ok(Step::Again(refusal, FailureKind::Declined));
         };
+        let sent = self.sent(target, located, reservation);
+        let ended = self.send(target, &sent, turn, answer);
         self.settle(sent, ended, turn, answer)
     }
 
+    /// Waits for a turn, and finds or claims the place for it; no place if it does not answer.
+    fn locate(
+        &self,
+        attempt: u32,
+        turn: &mut Turn,
+    ) -> Result<(Arc<Document>, Option<Located>), Refusal> {
+        let placed = turn.wait(&self.pipeline.stop)?;
+        let document = self.pipeline.config.document();
+        let target = document.inventory.target_named(&placed.target);
+        let Some(place) = target.and_then(|t| self.pipeline.incarnations.place(t)) else {
+            return Ok((document, None));
+        };
+        let locator = &self.pipeline.locator;
+        if self.asked.key.is_none() {
+            return Ok((document, Some(Located::new(place, attempt))));
+        }
+        let located = locator.find(&document, &self.run, &place, self.gone.as_ref());
+        if self.asked.idempotent {
+            return Ok((document, Some(located)));
+        }
+        let located = locator.claim_once(&document, &self.run, &located.place)?;
+        Ok((document, Some(located)))
+    }
+
+    fn sent(&self, target: &Target, located: Located, reservation: Option<Reservation>) -> Sent {
+        let dispatch =
+            self.pipeline
+                .dispatch(self.asked, &self.run, &located, reservation.as_ref());
+        Sent {
+            reservation,
+            dispatch,
+            control: target.side_control,
+            located,
+        }
+    }
+
+    fn send(&self, target: &Target, sent: &Sent, turn: &mut Turn, answer: &mut Answer) -> Ended {
+        let order = Order::Run(&sent.dispatch);
+        let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
+        Attempt::new(target, order, metrics, caller).carry_out(answer, Some(turn))
+    }
+
     fn settle(
         &mut self,
         sent: Sent,
@@ -134,25 +260,30 @@
         match ended {
             Ended::Answered(bill) => {
                 turn.finished(u32::try_from(bill.output_tokens).unwrap_or(u32::MAX));
-                self.settle_bill(sent.reservation, &bill);
+                self.settle_bill(sent, &bill);
                 Ok(Step::Done)
             }
             Ended::CallerGone(bill) => {
-                self.settle_bill(sent.reservation, &bill);
+                // It may be asked for again after this run has been forgotten.
+                let mut sent = sent;
+                sent.located.is_provisional |= self.asked.key.is_some();
+                self.settle_bill(sent, &bill);
                 Ok(Step::Done)
             }
+            Ended::NotRun(refusal, _) if refusal.reason == Reason::KeyReused => {
+                self.release(sent.reservation);
+                Err(refusal)
+            }
             Ended::NotRun(refusal, reason) => {
+                self.pipeline.incarnations.forget(&sent.located.place);
+                self.gone = Some(sent.located.place);
                 self.release(sent.reservation);
                 self.count(reason);
-                let kind = match reason {
-                    Retry::NotSent => FailureKind::Unreachable,
-                    _ => FailureKind::Declined,
-                };
-                Ok(Step::Again(refusal, kind))
+                Ok(Step::Again(refusal, kind_of(reason)))
             }
             Ended::Failed(bill) => {
                 self.may_have_run = true;
-                self.settle_bill(sent.reservation, &bill);
+                self.settle_bill(sent, &bill);
                 let message = "the target failed before the answer was whole";
                 let refusal = Refusal::not_run(Reason::TargetFailed, message);
                 self.again(
@@ -162,18 +293,40 @@
                     answer,
                 )
             }
+            Ended::NoSuchRun => {
+                let refusal = Refusal::outcome_unknown("the side process was replaced");
+                self.settle_unknown(sent, None);
+                self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
+            }
             Ended::Unknown(refusal, bill) => {
-                self.may_have_run = true;
                 self.settle_unknown(sent, bill);
                 self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
             }
         }
     }
 
-    fn settle_bill(&self, reservation: Option<Reservation>, bill: &RunBill) {
-        if let Some(reservation) = reservation {
-            self.pipeline.money.settle(reservation, bill);
+    fn settle_bill(&self, sent: Sent, bill: &RunBill) {
+        let Some(reservation) = sent.reservation else {
+            return;
+        };
+        // A run that another order began is paid by that order's money.
+        if bill.dispatch != sent.dispatch.id {
+            return self.pipeline.money.release(reservation);
         }
+        if !sent.located.is_provisional {
+            return self.pipeline.money.settle(reservation, bill);
+        }
+        self.pipeline.unsettled.keep(OpenReservation {
+            reservation,
+            dispatch: sent.dispatch.id,
+            control: sent.control,
+            run: self.run.clone(),
+            awaits: Awaits::Confirmation {
+                bill: Box::new(bill.clone()),
+                place: sent.located.place,
+                gone: self.gone.clone(),
+            },
+        });
     }
 
     fn release(&self, reservation: Option<Reservation>) {
@@ -183,19 +336,23 @@
     }
 
     /// Settles a run whose answer is lost, at once or when its side process can be asked.
-    fn settle_unknown(&self, sent: Sent, bill: Option<RunBill>) {
+    fn settle_unknown(&mut self, sent: Sent, bill: Option<RunBill>) {
+        self.lose(sent.located.place.clone());
+        if let Some(bill) = bill {
+            return self.settle_bill(sent, &bill);
+        }
         let Some(reservation) = sent.reservation else {
             return;
         };
-        match bill {
-            Some(bill) => self.pipeline.money.settle(reservation, &bill),
-            None => self.pipeline.unsettled.keep(OpenReservation {
-                reservation,
-                control: sent.control,
-                run: self.run.into(),
-                attempt: sent.attempt,
-            }),
-        }
+        self.pipeline.unsettled.keep(OpenReservation {
+            reservation,
+            dispatch: sent.dispatch.id,
+            control: sent.control,
+            run: self.run.clone(),
+            awaits: Awaits::Bill {
+                attempt: sent.located.attempt,
+            },
+        });
     }
 
     /// Allows another attempt of what may have run, if it is idempotent and the caller has no part.
@@ -219,3 +376,13 @@
         self.pipeline.metrics.retry(reason);
     }
 }
+
+/// Returns what the scheduler is told of an attempt that did not run.
+fn kind_of(reason: Retry) -> FailureKind {
+    match reason {
+        Retry::NotSent => FailureKind::Unreachable,
+        Retry::Refused | Retry::Silent | Retry::Broken | Retry::TargetFailed => {
+            FailureKind::Declined
+        }
+    }
+}
--- a/wisteriapass_daemon/src/router/follower.rs
+++ b/wisteriapass_daemon/src/router/follower.rs
@@ -31,7 +31,8 @@
 /// A run being followed.
 pub struct Follower<'a> {
     side: SocketAddr,
-    dispatch: &'a Dispatch,
+    run: &'a str,
+    fingerprint: &'a str,
     metrics: &'a Metrics,
     stream: LineStream,
     received: u64,
@@ -45,10 +46,35 @@
         let stream = LineStream::lines(post(side, RUN_PATH, dispatch));
         Self {
             side,
-            dispatch,
+            run: &dispatch.run,
+            fingerprint: &dispatch.fingerprint,
             metrics,
             stream,
-            received: dispatch.from,
+            received: 0,
+            attached: false,
+            tries: 0,
+        }
+    }
+
+    /// Follows a run that is there already, from its beginning.
+    pub fn with_attachment(
+        side: SocketAddr,
+        run: &'a str,
+        fingerprint: &'a str,
+        metrics: &'a Metrics,
+    ) -> Self {
+        let attach = Attach {
+            run: run.into(),
+            fingerprint: fingerprint.into(),
+            from: 0,
+        };
+        Self {
+            side,
+            run,
+            fingerprint,
+            metrics,
+            stream: LineStream::lines(post(side, ATTACH_PATH, &attach)),
+            received: 0,
             attached: false,
             tries: 0,
         }
@@ -89,7 +115,7 @@
             RunEvent::Beat => return None,
             RunEvent::Attached { run, .. } => {
                 // An answer that belongs to another request is never passed on.
-                if *run == self.dispatch.run {
+                if run == self.run {
                     self.attached = true;
                     self.tries = 0;
                 } else {
@@ -97,11 +123,11 @@
                 }
                 return None;
             }
-            RunEvent::End { bill, .. } if bill.run != self.dispatch.run => {
+            RunEvent::End { bill, .. } if bill.run != self.run => {
                 self.metrics.dropped(Dropped::Crossed);
                 return None;
             }
-            RunEvent::Refused { .. } => {}
+            RunEvent::Refused { .. } | RunEvent::NoSuchRun => {}
             _ if !self.attached => {
                 self.metrics.dropped(Dropped::Crossed);
                 return None;
@@ -120,8 +146,8 @@
         }
         std::thread::sleep(Duration::from_millis(PAUSE_MS));
         let attach = Attach {
-            run: self.dispatch.run.clone(),
-            fingerprint: self.dispatch.fingerprint.clone(),
+            run: self.run.into(),
+            fingerprint: self.fingerprint.into(),
             from: self.received,
         };
         self.stream = LineStream::lines(post(self.side, ATTACH_PATH, &attach));
--- /dev/null
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -0,0 +1,306 @@
+//! Where a keyed request runs already, and the claims that keep it from running twice.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use wisteriapass_config::Document;
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::once::{
+    Attempt, Claim, ClaimOp, Claimed, Claims, Found, HeldClaim, HolderSays, HomeAnswer, Place,
+    RunId,
+};
+use wisteriapass_coord::store::{Revision, Store};
+
+use crate::prelude::*;
+use crate::router::RouterIdentity;
+use crate::rpc::{Caller, HomeClaim, Looked, SideControlClient, Withdrawn};
+use crate::side::homes_in;
+
+/// Time after which no repeat of a request comes any more, in milliseconds.
+const CLAIM_MS: u64 = 24 * 3_600_000;
+
+/// Times that a claim is taken over, or a gone place replaced, for one request.
+const MOST_STEPS: u32 = 3;
+
+/// Where a request is to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Located {
+    /// Side process and incarnation.
+    pub place: Place,
+    /// Attempt under which it is sent.
+    pub attempt: Attempt,
+    /// Whether another run of it may exist, so that its bill needs a claim.
+    pub is_provisional: bool,
+}
+
+impl Located {
+    /// Creates the location of a request that nobody else can run.
+    pub fn new(place: Place, attempt: u32) -> Self {
+        Self {
+            place,
+            attempt: Attempt(attempt),
+            is_provisional: false,
+        }
+    }
+}
+
+/// What the homes say of a request before it is tried.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lookup {
+    /// Nobody runs it or ran it lately.
+    Nobody,
+    /// It is there, or was claimed for there.
+    At(Place),
+    /// No home could tell.
+    Unsure,
+}
+
+/// Finds keyed requests and claims them.
+pub struct Locator {
+    router: Arc<RouterIdentity>,
+    caller: Arc<Caller>,
+    store: Box<dyn Store>,
+    next_op: AtomicU64,
+}
+
+impl Service for Locator {
+    const NAME: &'static str = "locator";
+}
+
+impl Locator {
+    /// Creates a locator that claims in `store`.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel, store: Box<dyn Store>) -> crate::kernel::Result<Self> {
+        let (router, caller) = (kernel.find()?, kernel.find()?);
+        Ok(Self {
+            router,
+            caller,
+            store,
+            next_op: AtomicU64::new(0),
+        })
+    }
+
+    /// Asks the homes where a request is; one that knows all runs is enough.
+    pub fn lookup(&self, document: &Document, run: &RunId) -> Lookup {
+        for home in homes_in(document, run) {
+            let Some(looked) = self.lookup_at(document, &home, run) else {
+                continue;
+            };
+            if let Some(held) = looked.held {
+                return Lookup::At(held.place);
+            }
+            if looked.is_complete {
+                return Lookup::Nobody;
+            }
+        }
+        Lookup::Unsure
+    }
+
+    fn lookup_at(&self, document: &Document, home: &str, run: &RunId) -> Option<Looked> {
+        let control = document.inventory.target_named(home)?.side_control;
+        let run = run.clone();
+        let answer = self
+            .caller
+            .call(control, |c| async move { c.lookup(run).await });
+        answer.ok()
+    }
+
+    /// Finds an idempotent request by its homes, or claims it for `place`.
+    pub fn find(
+        &self,
+        document: &Document,
+        run: &RunId,
+        place: &Place,
+        gone: Option<&Place>,
+    ) -> Located {
+        let mut answers = Vec::new();
+        // One home after the other: claims of two routers for two places cannot cross.
+        for home in homes_in(document, run) {
+            let answer = self.claim_at(document, &home, run, place, gone);
+            let is_elsewhere =
+                matches!(&answer, Some(HomeAnswer::Held(held)) if held.place != *place);
+            answers.push(answer);
+            if is_elsewhere {
+                break;
+            }
+        }
+        let (found, is_provisional) = match Found::judge(&answers, place) {
+            // Whoever claimed it there may send it elsewhere, if this order begins it.
+            Found::At(found) => (found, true),
+            // The run at the place that has gone may have been billed.
+            Found::Nobody => (place.clone(), gone.is_some()),
+            Found::Unsure => (place.clone(), true),
+        };
+        Located {
+            place: found,
+            attempt: Attempt::FIRST,
+            is_provisional,
+        }
+    }
+
+    /// Claims a request that may not be repeated, for `place`; or finds where it ran.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: "not run" if the claim cannot be made, or an unknown outcome.
+    pub fn claim_once(
+        &self,
+        document: &Document,
+        run: &RunId,
+        place: &Place,
+    ) -> Result<Located, Refusal> {
+        let claims = Claims::new(self.store.as_ref());
+        let mut attempt = Attempt::FIRST;
+        let mut held_at = Revision::ABSENT;
+        for _ in 0..MOST_STEPS {
+            let claim = self.new_claim(place, attempt);
+            let claimed = claims.take_over(run, &claim, held_at);
+            let claimed =
+                claimed.map_err(|e| Refusal::not_run(Reason::ClaimUnavailable, e.to_string()))?;
+            let Claimed::Held {
+                claim: held,
+                revision,
+            } = claimed
+            else {
+                return Ok(Located {
+                    place: place.clone(),
+                    attempt,
+                    is_provisional: false,
+                });
+            };
+            match self.ask_holder(document, run, &held) {
+                HeldClaim::Follow(place) => {
+                    return Ok(Located {
+                        place,
+                        attempt: held.attempt,
+                        is_provisional: false,
+                    });
+                }
+                HeldClaim::TakeOver(next) => {
+                    attempt = next;
+                    held_at = revision;
+                }
+                HeldClaim::Unknown => {
+                    let message = "it was sent before, and what became of it is not known";
+                    return Err(Refusal::outcome_unknown(message));
+                }
+            }
+        }
+        Err(Refusal::not_run(
+            Reason::ClaimUnavailable,
+            "others claim it at the same time",
+        ))
+    }
+
+    /// Makes a provisional bill count, unless another run of the request is or was there.
+    ///
+    /// Runs that were claimed firmly have no claim in the service, so their places are asked
+    /// first. Returns none while that cannot be told.
+    pub fn confirm(
+        &self,
+        document: &Document,
+        run: &RunId,
+        place: &Place,
+        gone: Option<&Place>,
+    ) -> Option<bool> {
+        if let Some(gone) = gone
+            && self.is_billed_at(document, run, gone)?
+        {
+            return Some(false);
+        }
+        match self.lookup(document, run) {
+            Lookup::Unsure => return None,
+            Lookup::At(other) if other != *place => {
+                if self.is_billed_at(document, run, &other)? {
+                    return Some(false);
+                }
+            }
+            Lookup::At(_) | Lookup::Nobody => {}
+        }
+        let claim = self.new_claim(place, Attempt::FIRST);
+        match Claims::new(self.store.as_ref()).claim(run, &claim) {
+            Ok(Claimed::Mine) => Some(true),
+            Ok(Claimed::Held { claim, .. }) => Some(claim.place == *place),
+            Err(_) => None,
+        }
+    }
+
+    /// Returns whether a run is or was at a place; none if its side process does not answer.
+    ///
+    /// A later incarnation knows nothing of it, and neither did anybody settle its bill as firm:
+    /// a router settles a run whose caller left by the claim alone.
+    fn is_billed_at(&self, document: &Document, run: &RunId, place: &Place) -> Option<bool> {
+        let Some(target) = document.inventory.target_named(&place.side) else {
+            return Some(false);
+        };
+        let (id, attempt) = (run.to_string(), Attempt::FIRST.0);
+        let answer = self.caller.call(target.side_control, |c| async move {
+            c.withdraw(id, attempt).await
+        });
+        match answer.ok()?.withdrawn {
+            Withdrawn::NeverRuns => Some(false),
+            Withdrawn::Running | Withdrawn::Unknown => Some(true),
+            Withdrawn::Ended { bill } => Some(bill.amount > 0),
+        }
+    }
+
+    fn new_claim(&self, place: &Place, attempt: Attempt) -> Claim {
+        let n = self.next_op.fetch_add(1, Ordering::Relaxed);
+        Claim {
+            place: place.clone(),
+            attempt,
+            op: ClaimOp(format!("{}/{n}", self.router.incarnation)),
+            until: now().plus(CLAIM_MS),
+        }
+    }
+
+    fn claim_at(
+        &self,
+        document: &Document,
+        home: &str,
+        run: &RunId,
+        place: &Place,
+        gone: Option<&Place>,
+    ) -> Option<HomeAnswer> {
+        let control = document.inventory.target_named(home)?.side_control;
+        let claim = HomeClaim {
+            run: run.clone(),
+            place: place.clone(),
+            gone: gone.cloned(),
+        };
+        let answer = self
+            .caller
+            .call(control, |c| async move { c.claim(claim).await });
+        answer.ok()
+    }
+
+    /// Has the holder of a claim withdraw its attempt, or say what became of it.
+    fn ask_holder(&self, document: &Document, run: &RunId, held: &Claim) -> HeldClaim {
+        let Some(target) = document.inventory.target_named(&held.place.side) else {
+            return HeldClaim::Unknown;
+        };
+        let (id, attempt) = (run.to_string(), held.attempt.0);
+        let answer = self.caller.call(target.side_control, |c| async move {
+            c.withdraw(id, attempt).await
+        });
+        let Ok(answer) = answer else {
+            return HeldClaim::judge(held, None);
+        };
+        let says = match answer.withdrawn {
+            Withdrawn::NeverRuns => HolderSays::NeverRuns,
+            Withdrawn::Running | Withdrawn::Ended { .. } => HolderSays::Present,
+            Withdrawn::Unknown => HolderSays::Forgotten,
+        };
+        HeldClaim::judge(held, Some((&answer.incarnation, says)))
+    }
+}
+
+fn now() -> Millis {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -3,15 +3,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use wisteriapass_coord::budget::Reservation;
+use wisteriapass_coord::once::RunId;
 use wisteriapass_policy::{Priority, RequestFacts, Time};
 
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
 use crate::router::carry::Carry;
+use crate::router::locate::Located;
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
-use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::router::{InForce, Incarnations, Locator, Money, RouterIdentity, Scheduling, Unsettled};
 use crate::rpc::Caller;
 use crate::run_wire::{Dispatch, RunRequest};
 use crate::stop::Stop;
@@ -24,9 +26,12 @@
     pub(super) stop: Arc<Stop>,
     pub(super) caller: Arc<Caller>,
     pub(super) unsettled: Arc<Unsettled>,
+    pub(super) locator: Arc<Locator>,
+    pub(super) incarnations: Arc<Incarnations>,
     router: Arc<RouterIdentity>,
     scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
+    next_dispatch: AtomicU64,
 }
 
 impl Service for Pipeline {
@@ -47,9 +52,12 @@
             stop: kernel.find()?,
             caller: kernel.find()?,
             unsettled: kernel.find()?,
+            locator: kernel.find()?,
+            incarnations: kernel.find()?,
             router: kernel.find()?,
             scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
+            next_dispatch: AtomicU64::new(0),
         })
     }
 
@@ -108,16 +116,18 @@
     pub(super) fn dispatch(
         &self,
         asked: &Asked,
-        run: &str,
-        attempt: u32,
+        run: &RunId,
+        located: &Located,
         reservation: Option<&Reservation>,
     ) -> Dispatch {
         let left = asked.deadline.saturating_duration_since(Instant::now());
+        let n = self.next_dispatch.fetch_add(1, Ordering::Relaxed);
         Dispatch {
-            run: run.into(),
+            id: format!("{}/{n}", self.router.incarnation),
+            run: run.to_string(),
             fingerprint: asked.fingerprint.clone(),
-            attempt,
-            incarnation: String::new(),
+            attempt: located.attempt.0,
+            incarnation: located.place.incarnation.clone(),
             router: self.router.incarnation.clone(),
             account: asked.account.clone(),
             payment: reservation.map(|r| r.payment().clone()),
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -1,34 +1,71 @@
-//! Reservations whose runs cannot be followed: settled when the side process can be asked again.
+//! Reservations that cannot be settled yet: their runs' ends are not known, or their bills need a
+//! claim.
 
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
 use wisteriapass_coord::budget::{Reservation, Tokens};
+use wisteriapass_coord::once::{Attempt, Place, RunId};
 
 use crate::prelude::*;
-use crate::router::Money;
-use crate::rpc::{Caller, SideControlClient, Withdrawal, Withdrawn};
+use crate::router::locate::Locator;
+use crate::router::{InForce, Money};
+use crate::rpc::{Caller, SideControlClient, Withdrawn};
+use crate::run_wire::RunBill;
 
 /// Time between two rounds of asking, in milliseconds.
-const ASK_MS: u64 = 1_000;
+const ASK_MS: u64 = 500;
 
-/// A reservation that waits for word of its run.
+/// What a reservation waits for.
+#[derive(Clone, Debug)]
+pub enum Awaits {
+    /// Word of its run.
+    Bill {
+        /// Attempt that was sent.
+        attempt: Attempt,
+    },
+    /// The claim that makes its bill the only one.
+    Confirmation {
+        /// The bill.
+        bill: Box<RunBill>,
+        /// Where it ran.
+        place: Place,
+        /// A place that had gone, where it may have run before.
+        gone: Option<Place>,
+    },
+}
+
+/// A reservation that waits.
 #[derive(Debug)]
 pub struct OpenReservation {
     /// Money reserved.
     pub reservation: Reservation,
+    /// Identity of the order it was reserved for.
+    pub dispatch: String,
     /// Where the side process takes control calls.
     pub control: SocketAddr,
     /// Identity of the run.
-    pub run: String,
-    /// Attempt at it.
-    pub attempt: u32,
+    pub run: RunId,
+    /// What it waits for.
+    pub awaits: Awaits,
 }
 
-/// All reservations that wait for word of their runs.
+/// How a reservation is to be settled.
+enum Verdict {
+    /// With this bill.
+    Bill(RunBill),
+    /// The request cost nothing.
+    Free,
+    /// Not yet.
+    Wait,
+}
+
+/// All reservations that wait.
 pub struct Unsettled {
     money: Arc<Money>,
     caller: Arc<Caller>,
+    locator: Arc<Locator>,
+    config: Arc<InForce>,
     open: Mutex<Vec<OpenReservation>>,
 }
 
@@ -46,16 +83,18 @@
         Ok(Self {
             money: kernel.find()?,
             caller: kernel.find()?,
+            locator: kernel.find()?,
+            config: kernel.find()?,
             open: Mutex::default(),
         })
     }
 
-    /// Keeps a reservation until its run's end is known.
+    /// Keeps a reservation until it can be settled.
     pub fn keep(&self, reservation: OpenReservation) {
         self.open.lock().push(reservation);
     }
 
-    /// Returns the amount that waits for word of its runs.
+    /// Returns the amount that waits.
     pub fn amount(&self) -> Tokens {
         self.open
             .lock()
@@ -64,7 +103,7 @@
             .sum()
     }
 
-    /// Asks the side processes again and again.
+    /// Asks again and again.
     pub fn ask_forever(&self) {
         loop {
             std::thread::sleep(Duration::from_millis(ASK_MS));
@@ -72,30 +111,48 @@
         }
     }
 
-    /// Asks each side process once.
+    /// Asks once about each reservation.
     pub fn ask_all(&self) {
         let open = std::mem::take(&mut *self.open.lock());
         for reservation in open {
-            if let Some(still_open) = self.ask(reservation) {
-                self.open.lock().push(still_open);
+            match self.judge(&reservation) {
+                Verdict::Bill(bill) => self.money.settle(reservation.reservation, &bill),
+                Verdict::Free => self.money.release(reservation.reservation),
+                Verdict::Wait => self.open.lock().push(reservation),
             }
         }
     }
 
-    /// Asks about one run; returns the reservation if it stays open.
-    fn ask(&self, open: OpenReservation) -> Option<OpenReservation> {
-        let (run, attempt) = (open.run.clone(), open.attempt);
-        let answer: Result<Withdrawal, _> =
-            self.caller.call(
-                open.control,
-                |c| async move { c.withdraw(run, attempt).await },
-            );
+    fn judge(&self, open: &OpenReservation) -> Verdict {
+        match &open.awaits {
+            Awaits::Bill { attempt } => self.ask(open, *attempt),
+            Awaits::Confirmation { bill, place, gone } => {
+                let document = self.config.document();
+                match self
+                    .locator
+                    .confirm(&document, &open.run, place, gone.as_ref())
+                {
+                    Some(true) => Verdict::Bill(bill.as_ref().clone()),
+                    Some(false) => Verdict::Free,
+                    None => Verdict::Wait,
+                }
+            }
+        }
+    }
+
+    fn ask(&self, open: &OpenReservation, attempt: Attempt) -> Verdict {
+        let (run, attempt) = (open.run.to_string(), attempt.0);
+        let answer = self.caller.call(
+            open.control,
+            |c| async move { c.withdraw(run, attempt).await },
+        );
         match answer.map(|w| w.withdrawn) {
-            Ok(Withdrawn::Ended { bill }) => self.money.settle(open.reservation, &bill),
+            Ok(Withdrawn::Ended { bill }) if bill.dispatch == open.dispatch => Verdict::Bill(bill),
             // A later incarnation says this too: then no bill was made, and none will be.
-            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => self.money.release(open.reservation),
-            Ok(Withdrawn::Running) | Err(_) => return Some(open),
+            Ok(Withdrawn::Ended { .. } | Withdrawn::NeverRuns | Withdrawn::Unknown) => {
+                Verdict::Free
+            }
+            Ok(Withdrawn::Running) | Err(_) => Verdict::Wait,
         }
-        None
     }
 }
--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -16,7 +16,7 @@
 pub use router::{RouterControlClient, RouterControlServer};
 pub use server::ControlServerHandle;
 pub use side::{
-    HomeClaim, Owned, OwnedRun, SideControlClient, SideControlServer, Withdrawal, Withdrawn,
+    HomeClaim, Looked, Owned, OwnedRun, SideControlClient, SideControlServer, Withdrawal, Withdrawn,
 };
 
 /// Control calls of every daemon.
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -3,7 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
-use wisteriapass_coord::once::{HomeAnswer, Place, RunId};
+use wisteriapass_coord::once::{Held, HomeAnswer, Place, RunId};
 
 use crate::run_wire::RunBill;
 
@@ -62,6 +62,15 @@
     pub gone: Option<Place>,
 }
 
+/// What a home knows of a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Looked {
+    /// Where it is, if the home knows.
+    pub held: Option<Held>,
+    /// Whether the home knows all runs.
+    pub is_complete: bool,
+}
+
 /// Control calls of a side process.
 #[rpc(server, client, namespace = "side")]
 pub trait SideControl {
@@ -73,6 +82,10 @@
     #[method(name = "claim")]
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
 
+    /// Tells where a run is, as far as this home knows.
+    #[method(name = "lookup")]
+    fn lookup(&self, run: RunId) -> RpcResult<Looked>;
+
     /// Returns the keyed runs here that have the side process of this name for a home.
     #[method(name = "owned")]
     fn owned(&self, home: String) -> RpcResult<Owned>;
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -102,6 +102,8 @@
 /// Order to run a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dispatch {
+    /// Identity of this order; the bill names the one that began the run.
+    pub id: String,
     /// Identity of the request.
     pub run: String,
     /// Digest of the request's content.
@@ -146,6 +148,8 @@
 pub struct RunBill {
     /// Identity of the request; the bill's own identity too.
     pub run: String,
+    /// Identity of the order that began it, whose payment pays.
+    pub dispatch: String,
     /// Side process and incarnation that ran it.
     pub ran_at: String,
     /// Client account.
@@ -211,7 +215,9 @@
         /// What it cost.
         bill: RunBill,
     },
-    /// The side process refuses the dispatch or knows no such run.
+    /// This incarnation of the side process has no such run.
+    NoSuchRun,
+    /// The side process refuses the dispatch, or the run ended without a known outcome.
     Refused {
         /// Why, and whether it ran.
         refusal: Refusal,
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -1,11 +1,11 @@
 //! Answering the control calls of a side process.
 
 use jsonrpsee::core::RpcResult;
-use wisteriapass_coord::once::HomeAnswer;
+use wisteriapass_coord::once::{HomeAnswer, RunId};
 
 use crate::prelude::*;
 use crate::router::InForce;
-use crate::rpc::{HomeClaim, Owned, OwnedRun, SideControlServer, Withdrawal};
+use crate::rpc::{HomeClaim, Looked, Owned, OwnedRun, SideControlServer, Withdrawal};
 use crate::side::index::{kept, own_place};
 use crate::side::{Index, Runs, SideIdentity, homes_in};
 
@@ -46,6 +46,10 @@
         Ok(self.index.claim(&claim))
     }
 
+    fn lookup(&self, run: RunId) -> RpcResult<Looked> {
+        Ok(self.index.lookup(&run))
+    }
+
     fn owned(&self, home: String) -> RpcResult<Owned> {
         let document = self.config.document();
         let kept_ms = kept().0;
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -20,6 +20,9 @@
 /// Longest time a router may take to send a dispatch, in seconds.
 const DISPATCH_S: u64 = 5;
 
+/// A run to be followed, if there is one.
+type Looked = Result<Option<Arc<Run>>, Refusal>;
+
 struct Front {
     side: Arc<SideIdentity>,
     runs: Arc<Runs>,
@@ -60,7 +63,8 @@
             _ => (Err(Refusal::not_run(Reason::BadRequest, "unknown path")), 0),
         };
         match found {
-            Ok(run) => self.stream(req, &run, from),
+            Ok(Some(run)) => self.stream(req, &run, from),
+            Ok(None) => answer_once(req, &RunEvent::NoSuchRun),
             Err(refusal) => {
                 self.metrics.refusal(refusal.reason);
                 refuse(req, &refusal);
@@ -68,13 +72,13 @@
         }
     }
 
-    fn dispatched(&self, body: &[u8]) -> (Result<Arc<Run>, Refusal>, u64) {
+    fn dispatched(&self, body: &[u8]) -> (Looked, u64) {
         let dispatch: Dispatch = match parse(body) {
             Ok(dispatch) => dispatch,
             Err(refusal) => return (Err(refusal), 0),
         };
         let from = dispatch.from;
-        (self.begin(dispatch), from)
+        (self.begin(dispatch).map(Some), from)
     }
 
     fn begin(&self, dispatch: Dispatch) -> Result<Arc<Run>, Refusal> {
@@ -99,7 +103,7 @@
         }
     }
 
-    fn attached(&self, body: &[u8]) -> (Result<Arc<Run>, Refusal>, u64) {
+    fn attached(&self, body: &[u8]) -> (Looked, u64) {
         let attach: Attach = match parse(body) {
             Ok(attach) => attach,
             Err(refusal) => return (Err(refusal), 0),
@@ -148,9 +152,12 @@
 }
 
 fn refuse(req: Request, refusal: &Refusal) {
-    let event = RunEvent::Refused {
-        refusal: refusal.clone(),
-    };
-    let body = serde_json::to_string(&event).unwrap_or_default() + "\n";
+    let refusal = refusal.clone();
+    answer_once(req, &RunEvent::Refused { refusal });
+}
+
+/// Answers with a single event.
+fn answer_once(req: Request, event: &RunEvent) {
+    let body = serde_json::to_string(event).unwrap_or_default() + "\n";
     respond_json(req, 200, body, &[]);
 }
--- a/wisteriapass_daemon/src/side/index.rs
+++ b/wisteriapass_daemon/src/side/index.rs
@@ -11,7 +11,7 @@
 
 use crate::prelude::*;
 use crate::router::InForce;
-use crate::rpc::{Caller, HomeClaim, Owned, SideControlClient};
+use crate::rpc::{Caller, HomeClaim, Looked, Owned, SideControlClient};
 use crate::side::{SideIdentity, clock};
 
 /// Time an entry is kept, in milliseconds: longer than any run and the keeping of its answer.
@@ -20,6 +20,13 @@
 /// Time between two rounds of asking those that have not answered, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
+/// The same while this process is not ready.
+const FIRST_ASK_MS: u64 = 50;
+
+/// Longest time for which an incomplete index keeps this process from being ready, in
+/// milliseconds; a side process that is gone for long must not keep others out.
+const READY_MS: u64 = 2_000;
+
 struct State {
     directory: Directory,
     asked: Vec<String>,
@@ -28,6 +35,7 @@
 
 /// Index of runs at one home.
 pub struct Index {
+    ready_at: Instant,
     side: Arc<SideIdentity>,
     config: Arc<InForce>,
     caller: Arc<Caller>,
@@ -52,6 +60,7 @@
             targets: Vec::new(),
         };
         Ok(Self {
+            ready_at: Instant::now() + Duration::from_millis(READY_MS),
             side: kernel.find()?,
             config: kernel.find()?,
             caller: kernel.find()?,
@@ -59,6 +68,17 @@
         })
     }
 
+    /// Returns whether the index knows all runs, or was waited for long enough.
+    pub fn is_ready(&self) -> bool {
+        self.is_complete() || Instant::now() >= self.ready_at
+    }
+
+    fn is_complete(&self) -> bool {
+        let document = self.config.document();
+        let members = document.inventory.target.iter().map(|t| t.name.as_str());
+        document.revision > 0 && self.state.lock().directory.is_complete(members)
+    }
+
     /// Claims a run for a place, or tells where it is.
     pub fn claim(&self, claim: &HomeClaim) -> HomeAnswer {
         let now = clock();
@@ -76,6 +96,17 @@
         directory.claim(&claim.run, &claim.place, until, now, members)
     }
 
+    /// Tells where a run is, as far as this home knows.
+    pub fn lookup(&self, run: &RunId) -> Looked {
+        let document = self.config.document();
+        let members = document.inventory.target.iter().map(|t| t.name.as_str());
+        let directory = &self.state.lock().directory;
+        Looked {
+            held: directory.find(run, clock()).cloned(),
+            is_complete: directory.is_complete(members),
+        }
+    }
+
     /// Asks the side processes for their runs, again and again until all have answered, and anew
     /// when the inventory moves homes.
     pub fn fill_forever(&self) {
@@ -86,7 +117,12 @@
                 self.ask(target);
             }
             self.state.lock().directory.expire(clock());
-            std::thread::sleep(Duration::from_millis(ASK_MS));
+            let pause = if self.is_ready() {
+                ASK_MS
+            } else {
+                FIRST_ASK_MS
+            };
+            std::thread::sleep(Duration::from_millis(pause));
         }
     }
 
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -143,6 +143,7 @@
         };
         let bill = RunBill {
             run: self.dispatch.run.clone(),
+            dispatch: self.dispatch.id.clone(),
             ran_at: ran_at.into(),
             account: self.dispatch.account.clone(),
             payment,
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -87,15 +87,16 @@
         Ok(Begun::New(run))
     }
 
-    /// Finds a run to follow.
+    /// Finds a run to follow, if there is one.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] if no such run is known or the identity belongs to another request.
-    pub fn find(&self, attach: &Attach) -> Result<Arc<Run>, Refusal> {
+    /// A [`Refusal`] if the identity belongs to another request.
+    pub fn find(&self, attach: &Attach) -> Result<Option<Arc<Run>>, Refusal> {
         let run = self.table.lock().runs.get(&attach.run).cloned();
-        let run = run.ok_or_else(|| Refusal::outcome_unknown("no such run here"))?;
-        check_fingerprint(&run, &attach.fingerprint)?;
+        if let Some(run) = &run {
+            check_fingerprint(run, &attach.fingerprint)?;
+        }
         Ok(run)
     }
 
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -21,7 +21,8 @@
 use crate::metrics::MetricsError;
 use crate::prelude::*;
 use crate::router::{
-    self, InForce, Money, Peers, RouterControlService, RouterIdentity, Scheduling, Unsettled,
+    self, InForce, Incarnations, Locator, Money, Peers, RouterControlService, RouterIdentity,
+    Scheduling, Unsettled,
 };
 use crate::rpc::{
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
@@ -85,7 +86,6 @@
     let config = kernel.register(InForce::new());
     follow_config(&settings, config);
     let admin = Listener::bind(settings.admin)?;
-    serve_admin(&admin, &kernel)?;
     let listener = Listener::bind(settings.listen)?;
     kernel.register(Caller::new()?);
     let incarnation = new_incarnation(&settings.name);
@@ -93,6 +93,7 @@
         Role::Router => start_router(&settings, &kernel, &listener, &incarnation)?,
         Role::Side => start_side(&settings, &kernel, &listener, &incarnation)?,
     }
+    serve_admin(&admin, &kernel)?;
     let control = start_control(&settings, &kernel, &incarnation)?;
     log::info!(
         target: "start",
@@ -124,6 +125,14 @@
     spawn("money", move || money.keep(&stop))?;
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
+    kernel.register(RouterIdentity {
+        name: settings.name.clone(),
+        incarnation: incarnation.into(),
+        failure_domain: settings.failure_domain.clone(),
+    });
+    kernel.register(Incarnations::new(kernel)?);
+    let claims = HttpStore::new(settings.store.to_string());
+    kernel.register(Locator::new(kernel, Box::new(claims))?);
     let unsettled = kernel.register(Unsettled::new(kernel)?);
     spawn("unsettled", move || unsettled.ask_forever())?;
     let documents = kernel.find::<InForce>()?.follow();
@@ -133,11 +142,6 @@
             scheduling.set_document(&document, &failure_domain, &[]);
         }
     })?;
-    kernel.register(RouterIdentity {
-        name: settings.name.clone(),
-        incarnation: incarnation.into(),
-        failure_domain: settings.failure_domain.clone(),
-    });
     router::serve(listener, kernel, settings.limits.clone())?;
     Ok(())
 }
@@ -252,14 +256,17 @@
     let metrics = kernel.find::<Metrics>()?;
     let config = kernel.find::<InForce>()?;
     let stop = kernel.find::<Stop>()?;
+    // Only side processes have an index.
+    let index = kernel.find::<Index>().ok();
     crate::http::serve(listener, "admin", move |req| {
-        answer_admin(req, &metrics, &config, &stop);
+        let indexed = index.as_ref().is_none_or(|i| i.is_ready());
+        let ready = indexed && config.revision() > 0 && !stop.is_raised();
+        answer_admin(req, &metrics, ready);
     });
     Ok(())
 }
 
-fn answer_admin(req: Request, metrics: &Metrics, config: &InForce, stop: &Stop) {
-    let ready = config.revision() > 0 && !stop.is_raised();
+fn answer_admin(req: Request, metrics: &Metrics, ready: bool) {
     let response = match req.url() {
         "/metrics" => Response::from_string(metrics.text()),
         "/livez" => Response::from_string("live\n"),
