--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -278,6 +278,9 @@
                 self.pipeline.incarnations.forget(&sent.located.place);
                 self.gone = Some(sent.located.place);
                 self.release(sent.reservation);
+                if refusal.reason == Reason::MoneyFenced {
+                    let _ = self.pipeline.money.learn_fences();
+                }
                 self.count(reason);
                 Ok(Step::Again(refusal, kind_of(reason)))
             }
@@ -309,16 +312,12 @@
         let Some(reservation) = sent.reservation else {
             return;
         };
-        // A run that another order began is paid by that order's money.
-        if bill.dispatch != sent.dispatch.id {
-            return self.pipeline.money.release(reservation);
-        }
-        if !sent.located.is_provisional {
+        let needs_claim = sent.located.is_provisional && bill.is_paid_by(reservation.payment());
+        if !needs_claim {
             return self.pipeline.money.settle(reservation, bill);
         }
         self.pipeline.unsettled.keep(OpenReservation {
             reservation,
-            dispatch: sent.dispatch.id,
             control: sent.control,
             run: self.run.clone(),
             awaits: Awaits::Confirmation {
@@ -346,7 +345,6 @@
         };
         self.pipeline.unsettled.keep(OpenReservation {
             reservation,
-            dispatch: sent.dispatch.id,
             control: sent.control,
             run: self.run.clone(),
             awaits: Awaits::Bill {
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -31,7 +31,6 @@
     router: Arc<RouterIdentity>,
     scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
-    next_dispatch: AtomicU64,
 }
 
 impl Service for Pipeline {
@@ -57,7 +56,6 @@
             router: kernel.find()?,
             scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
-            next_dispatch: AtomicU64::new(0),
         })
     }
 
@@ -121,9 +119,7 @@
         reservation: Option<&Reservation>,
     ) -> Dispatch {
         let left = asked.deadline.saturating_duration_since(Instant::now());
-        let n = self.next_dispatch.fetch_add(1, Ordering::Relaxed);
         Dispatch {
-            id: format!("{}/{n}", self.router.incarnation),
             run: run.to_string(),
             fingerprint: asked.fingerprint.clone(),
             attempt: located.attempt.0,
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -40,8 +40,6 @@
 pub struct OpenReservation {
     /// Money reserved.
     pub reservation: Reservation,
-    /// Identity of the order it was reserved for.
-    pub dispatch: String,
     /// Where the side process takes control calls.
     pub control: SocketAddr,
     /// Identity of the run.
@@ -147,11 +145,9 @@
             |c| async move { c.withdraw(run, attempt).await },
         );
         match answer.map(|w| w.withdrawn) {
-            Ok(Withdrawn::Ended { bill }) if bill.dispatch == open.dispatch => Verdict::Bill(bill),
+            Ok(Withdrawn::Ended { bill }) => Verdict::Bill(bill),
             // A later incarnation says this too: then no bill was made, and none will be.
-            Ok(Withdrawn::Ended { .. } | Withdrawn::NeverRuns | Withdrawn::Unknown) => {
-                Verdict::Free
-            }
+            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => Verdict::Free,
             Ok(Withdrawn::Running) | Err(_) => Verdict::Wait,
         }
     }
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -102,8 +102,6 @@
 /// Order to run a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dispatch {
-    /// Identity of this order; the bill names the one that began the run.
-    pub id: String,
     /// Identity of the request.
     pub run: String,
     /// Digest of the request's content.
@@ -143,19 +141,24 @@
     pub from: u64,
 }
 
+impl RunBill {
+    /// Returns whether a reservation pays this bill: only that of the order that began the run.
+    pub fn is_paid_by(&self, reserved: &Payment) -> bool {
+        self.payment.as_ref().is_some_and(|p| p.id == reserved.id)
+    }
+}
+
 /// What a run cost, made once by the side process that ran it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunBill {
     /// Identity of the request; the bill's own identity too.
     pub run: String,
-    /// Identity of the order that began it, whose payment pays.
-    pub dispatch: String,
     /// Side process and incarnation that ran it.
     pub ran_at: String,
     /// Client account.
     pub account: String,
-    /// Money that paid, as reserved.
-    pub payment: Option<Payment>,
+    /// Money that pays: what the order that began the run reserved.
+    pub payment: Option<Box<Payment>>,
     /// Amount, in tokens; never more than was reserved.
     pub amount: u64,
     /// Prompt tokens as the target counted them.
