--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -1,6 +1,7 @@
 //! Commands of the tool.
 
 mod daemon;
+mod experiments;
 mod standins;
 
 use std::process::ExitCode;
@@ -9,6 +10,7 @@
 use wisteriapass_bench::loads::{self, LoadsOpts};
 
 use daemon::DaemonOptions;
+use experiments::{DriveOptions, OverheadOptions};
 use standins::{EngineOptions, PlatformOptions, ServiceOptions};
 
 /// Command line of the tool.
@@ -31,6 +33,10 @@
     Engine(EngineOptions),
     #[options(help = "run a stand-in for a plain service")]
     Service(ServiceOptions),
+    #[options(help = "measure what router and side process add to a stream")]
+    Overhead(OverheadOptions),
+    #[options(help = "play load patterns over the real path")]
+    Drive(DriveOptions),
     #[options(help = "play load patterns against a model of a target pool")]
     Loads(LoadsOpts),
 }
@@ -43,6 +49,8 @@
             Some(Command::Platform(options)) => options.run(),
             Some(Command::Engine(options)) => options.run(),
             Some(Command::Service(options)) => options.run(),
+            Some(Command::Overhead(options)) => return options.run(),
+            Some(Command::Drive(options)) => return options.run(),
             Some(Command::Loads(opts)) => return loads::run(&opts),
             None => {
                 eprintln!("name a command\n\n{}", Cli::usage());
--- /dev/null
+++ b/wisteriapass_bench/src/experiment.rs
@@ -0,0 +1,4 @@
+//! Experiments on the real path, with daemons as child processes.
+
+pub mod drive;
+pub mod overhead;
--- /dev/null
+++ b/wisteriapass_bench/src/experiment/overhead/report.rs
@@ -0,0 +1,117 @@
+//! The figures of an overhead run.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::load::Tally;
+
+/// Memory that open streams take, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct MemoryPerStream {
+    /// Growth of the routers for each stream.
+    pub router_bytes: u64,
+    /// Growth of the side processes for each stream.
+    pub side_bytes: u64,
+    /// A router without streams, after a warm-up.
+    pub idle_router_bytes: u64,
+    /// A side process without streams, after a warm-up.
+    pub idle_side_bytes: u64,
+}
+
+/// The figures of an overhead run.
+#[derive(Clone, Debug, Serialize)]
+pub struct OverheadReport {
+    /// Streams open at once.
+    pub streams: usize,
+    /// Callers straight at the engines.
+    pub straight: Tally,
+    /// Callers at the routers.
+    pub routed: Tally,
+    /// What the daemons add to the median time to the first piece, in microseconds.
+    pub added_p50_us: i64,
+    /// What the daemons add to the 99th percentile of it, in microseconds.
+    pub added_p99_us: i64,
+    /// What the daemons add to the median time to the end of an answer, in microseconds.
+    pub added_whole_p50_us: i64,
+    /// Memory that open streams take.
+    pub memory: MemoryPerStream,
+}
+
+impl OverheadReport {
+    /// Compares both ways.
+    pub(super) fn new(
+        streams: usize,
+        straight: Tally,
+        routed: Tally,
+        memory: MemoryPerStream,
+    ) -> Self {
+        Self {
+            streams,
+            added_p50_us: added(routed.first_piece.p50_us, straight.first_piece.p50_us),
+            added_p99_us: added(routed.first_piece.p99_us, straight.first_piece.p99_us),
+            added_whole_p50_us: added(routed.whole.p50_us, straight.whole.p50_us),
+            straight,
+            routed,
+            memory,
+        }
+    }
+
+    /// Returns whether every stream was answered whole, so that the figures mean something.
+    pub fn is_complete(&self) -> bool {
+        let complete = |t: &Tally| t.answered == t.sent && t.unexpected == 0;
+        complete(&self.straight) && complete(&self.routed)
+    }
+}
+
+fn added(routed: u64, straight: u64) -> i64 {
+    let signed = |us| i64::try_from(us).unwrap_or(i64::MAX);
+    signed(routed).saturating_sub(signed(straight))
+}
+
+impl fmt::Display for OverheadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "streams open at once: {}", self.streams)?;
+        writeln!(
+            f,
+            "first piece, ms       p50      p99      max  answered / sent"
+        )?;
+        for (name, tally) in [("straight", &self.straight), ("routed", &self.routed)] {
+            let first = &tally.first_piece;
+            writeln!(
+                f,
+                "{name:<16} {:>8.2} {:>8.2} {:>8.2}  {} / {}",
+                ms(first.p50_us),
+                ms(first.p99_us),
+                ms(first.max_us),
+                tally.answered,
+                tally.sent
+            )?;
+        }
+        writeln!(
+            f,
+            "{:<16} {:>8.2} {:>8.2}",
+            "added",
+            self.added_p50_us as f64 / 1e3,
+            self.added_p99_us as f64 / 1e3
+        )?;
+        writeln!(
+            f,
+            "whole answer, ms, p50: straight {:.2}, routed {:.2}",
+            ms(self.straight.whole.p50_us),
+            ms(self.routed.whole.p50_us)
+        )?;
+        write!(
+            f,
+            "memory, KiB: per open stream router {} and side process {}; idle {} and {}",
+            self.memory.router_bytes >> 10,
+            self.memory.side_bytes >> 10,
+            self.memory.idle_router_bytes >> 10,
+            self.memory.idle_side_bytes >> 10
+        )
+    }
+}
+
+fn ms(us: u64) -> f64 {
+    us as f64 / 1e3
+}
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
-
 mod digest;
+pub mod experiment;
 pub mod fleet;
 pub mod link;
 pub mod load;
