Quickstart: a tour of the product on one machine

Two routers, two engines and a plain service with their side processes; answers streamed and whole, a write that must not happen twice, a repeated request, a budget that runs out and is topped up, a router stopped while it streams, and where the money is. It fails if anything is not as promised.

--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -10,7 +10,7 @@
 use wisteriapass_bench::loads::{self, LoadsOpts};
 
 use daemon::DaemonOptions;
-use experiments::{DriveOptions, OverheadOptions};
+use experiments::{DriveOptions, OverheadOptions, QuickstartOptions};
 use standins::{EngineOptions, PlatformOptions, ServiceOptions};
 
 /// Command line of the tool.
@@ -33,6 +33,8 @@
     Engine(EngineOptions),
     #[options(help = "run a stand-in for a plain service")]
     Service(ServiceOptions),
+    #[options(help = "show on this machine what the product does")]
+    Quickstart(QuickstartOptions),
     #[options(help = "measure what router and side process add to a stream")]
     Overhead(OverheadOptions),
     #[options(help = "play load patterns over the real path")]
@@ -49,6 +51,7 @@
             Some(Command::Platform(options)) => options.run(),
             Some(Command::Engine(options)) => options.run(),
             Some(Command::Service(options)) => options.run(),
+            Some(Command::Quickstart(options)) => return options.run(),
             Some(Command::Overhead(options)) => return options.run(),
             Some(Command::Drive(options)) => return options.run(),
             Some(Command::Loads(opts)) => return loads::run(&opts),
--- a/wisteriapass_bench/src/commands/experiments.rs
+++ b/wisteriapass_bench/src/commands/experiments.rs
@@ -7,8 +7,31 @@
 use serde::Serialize;
 use wisteriapass_bench::experiment::drive::{DrivePlan, Pattern};
 use wisteriapass_bench::experiment::overhead::OverheadPlan;
+use wisteriapass_bench::experiment::quickstart;
 use wisteriapass_bench::fleet::{Program, Result};
 
+/// Options of `quickstart`.
+#[derive(Debug, Options)]
+pub struct QuickstartOptions {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+impl QuickstartOptions {
+    /// Runs the tour; fails if something is not as promised.
+    pub fn run(&self) -> ExitCode {
+        let program = Program::this_tool().map_err(quickstart::QuickstartError::from);
+        let done = program.and_then(|p| quickstart::run(p, &mut std::io::stdout()));
+        match done {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
 /// Options of `overhead`.
 #[derive(Debug, Options)]
 pub struct OverheadOptions {
--- a/wisteriapass_bench/src/experiment.rs
+++ b/wisteriapass_bench/src/experiment.rs
@@ -2,3 +2,4 @@
 
 pub mod drive;
 pub mod overhead;
+pub mod quickstart;
--- /dev/null
+++ b/wisteriapass_bench/src/experiment/quickstart/desk.rs
@@ -0,0 +1,68 @@
+//! The caller of the tour, with the accounts of its fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{QuickstartError, Result};
+use crate::fleet::{AccountPlan, Fleet};
+use crate::load::{Answered, Call, Caller, History, Outcome};
+
+/// A caller and the fleet it talks to.
+pub(super) struct Desk<'a> {
+    pub fleet: &'a Fleet,
+    caller: Caller,
+}
+
+impl<'a> Desk<'a> {
+    pub fn new(fleet: &'a Fleet) -> Self {
+        Self {
+            fleet,
+            caller: Caller::new(Arc::new(History::new())),
+        }
+    }
+
+    /// Returns a new chat of an account.
+    pub fn chat(&self, account: &str, prompt: &str) -> Call {
+        let id = self.caller.history().new_call();
+        let model = &self.fleet.plan().models[0];
+        Call::chat(id, self.account(account), model, prompt)
+    }
+
+    /// Returns a new call of the plain service.
+    pub fn service(&self, account: &str, method: &str, path: &str, body: &str) -> Call {
+        let id = self.caller.history().new_call();
+        Call::service(id, self.account(account), method, path, body)
+    }
+
+    /// Sends a call to the router of this number, from 0.
+    pub fn send(&self, router: usize, call: &Call) -> Outcome {
+        self.caller.send(self.router(router), call)
+    }
+
+    /// Sends a call and expects the whole right answer.
+    pub fn ask(&self, router: usize, call: &Call) -> Result<Answered> {
+        match self.send(router, call) {
+            Outcome::Answered(answered) if answered.is_expected => Ok(answered),
+            other => Err(QuickstartError::Broken {
+                what: format!("instead of the right answer came {other:?}"),
+            }),
+        }
+    }
+
+    /// Returns how often the engines started anything so far.
+    pub fn engine_runs(&self) -> usize {
+        let engines = self.fleet.engines().values();
+        engines.map(|e| e.ran().len()).sum()
+    }
+
+    fn router(&self, number: usize) -> SocketAddr {
+        let routers = self.fleet.router_addrs();
+        routers[number % routers.len()]
+    }
+
+    fn account(&self, name: &str) -> &AccountPlan {
+        let accounts = &self.fleet.plan().accounts;
+        let found = accounts.iter().find(|a| a.name == name);
+        found.expect("the tour names accounts of its own plan")
+    }
+}
