--- a/wisteriapass_bench/src/experiment/overhead.rs
+++ b/wisteriapass_bench/src/experiment/overhead.rs
@@ -70,6 +70,7 @@
     ///
     /// [`crate::fleet::FleetError`] if the fleet does not start.
     pub fn run(&self) -> Result<OverheadReport> {
+        let busy = load_average();
         let fleet = self.start()?;
         let engines: Vec<SocketAddr> = fleet.engines().values().map(|e| e.addr()).collect();
         let routers = fleet.router_addrs();
@@ -91,6 +92,7 @@
             Tally::of(&straight.records()),
             Tally::of(&routed.records()),
             memory,
+            busy,
         ))
     }
 
@@ -140,3 +142,10 @@
         });
     }
 }
+
+/// Returns the mean number of processes that wanted a processor in the last minute, if the system
+/// says; figures taken on a busy machine say more of it than of the daemons.
+fn load_average() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    text.split_whitespace().next()?.parse().ok()
+}
--- a/wisteriapass_bench/src/experiment/overhead/report.rs
+++ b/wisteriapass_bench/src/experiment/overhead/report.rs
@@ -36,6 +36,8 @@
     pub added_whole_p50_us: i64,
     /// Memory that open streams take.
     pub memory: MemoryPerStream,
+    /// The machine's load average before the run.
+    pub load_average: Option<f64>,
 }
 
 impl OverheadReport {
@@ -45,6 +47,7 @@
         straight: Tally,
         routed: Tally,
         memory: MemoryPerStream,
+        load_average: Option<f64>,
     ) -> Self {
         Self {
             streams,
@@ -54,6 +57,7 @@
             straight,
             routed,
             memory,
+            load_average,
         }
     }
 
@@ -71,7 +75,12 @@
 
 impl fmt::Display for OverheadReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "streams open at once: {}", self.streams)?;
+        let load = self.load_average.unwrap_or_default();
+        writeln!(
+            f,
+            "streams open at once: {}; the machine's load before: {load:.1}",
+            self.streams
+        )?;
         writeln!(
             f,
             "first piece, ms       p50      p99      max  answered / sent"
