Prefer, near the head of the queue, work whose prefix the free target holds

A request may now wait at its home, and the one to run at a free target is the first within 4 s of the queue's head whose home it is.

--- a/wisteriapass_bench/src/loads.rs
+++ b/wisteriapass_bench/src/loads.rs
@@ -44,12 +44,12 @@
         cost::print();
         return ExitCode::SUCCESS;
     }
-    let Some(cfg) = config(opts) else {
-        eprintln!(
-            "--without: no such part; the parts are {}",
-            Parts::NAMES.join(", ")
-        );
-        return ExitCode::FAILURE;
+    let cfg = match config(opts) {
+        Ok(cfg) => cfg,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::FAILURE;
+        }
     };
     let patterns = opts.pattern.map_or(Pattern::ALL.to_vec(), |p| vec![p]);
     let policies = opts.policy.map_or(Policy::ALL.to_vec(), |p| vec![p]);
@@ -74,11 +74,18 @@
     Summary::median(&summaries)
 }
 
-/// Returns the policy's thresholds with the named parts off, or nothing if one is not known.
-fn config(opts: &LoadsOpts) -> Option<PolicyConfig> {
-    let mut cfg = PolicyConfig::default();
+/// Returns the policy's thresholds as the options have them, or what is wrong with those.
+fn config(opts: &LoadsOpts) -> Result<PolicyConfig, String> {
+    let set = opts.set.as_deref().unwrap_or("").replace(',', "\n");
+    let mut cfg: PolicyConfig = toml::from_str(&set).map_err(|e| format!("--set: {e}"))?;
     for name in opts.without.iter().flat_map(|w| w.split(',')) {
-        cfg.parts = cfg.parts.without(name)?;
+        let parts = cfg.parts.without(name);
+        cfg.parts = parts.ok_or_else(|| {
+            format!(
+                "--without: no part {name:?}; use one of {}",
+                Parts::NAMES.join(", ")
+            )
+        })?;
     }
-    Some(cfg)
+    Ok(cfg)
 }
--- a/wisteriapass_bench/src/loads/opts.rs
+++ b/wisteriapass_bench/src/loads/opts.rs
@@ -34,6 +34,12 @@
     /// Parts of our policy to switch off.
     #[options(meta = "PARTS", help = "parts of our policy to switch off, by commas")]
     pub without: Option<String>,
+    /// Thresholds of our policy that differ from their defaults.
+    #[options(
+        meta = "KEY=VALUE,...",
+        help = "thresholds of our policy to change, by commas"
+    )]
+    pub set: Option<String>,
     /// Whether to print JSON.
     #[options(help = "print one JSON line a policy")]
     pub json: bool,
--- a/wisteriapass_policy/src/affinity.rs
+++ b/wisteriapass_policy/src/affinity.rs
@@ -1,8 +1,8 @@
 //! Where a shared prompt prefix is likely to be cached.
 //!
 //! Answers long shared templates and a hot prefix. Without it every target reads every template
-//! again (`loads --pattern hot --without affinity`); without its bound by load one target gets
-//! all of a hot prefix's work. Hints come late and with gaps, so they only add to a rule that needs
+//! again (`loads --pattern hot --without affinity`); without a bound by load, which `room` sets, one
+//! target gets all of a hot prefix's work. Hints come late and with gaps, so they only add to a rule that needs
 //! none: every router ranks the targets for a prefix by the same hash and so picks the same ones.
 
 use std::hash::Hasher;
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -31,6 +31,8 @@
     pub report_stale_s: f64,
     /// Requests that may wait at a target beyond its slots.
     pub queue_at_target: f64,
+    /// The same for those whose prefix the target is the home of.
+    pub queue_at_home: f64,
     /// The same for interactive ones, which the target takes first.
     pub queue_at_target_interactive: f64,
     /// Longest queue, in seconds of the router's share of the pool.
@@ -43,8 +45,6 @@
     pub ageing: f64,
     /// Memory of the usual rate of arrivals, in seconds.
     pub reserve_memory_s: f64,
-    /// Slots kept for interactive work in steady load, as a share of what it needs.
-    pub reserve_steady: f64,
     /// Slots kept for interactive work in a burst, as a multiple of what it needs.
     pub reserve_burst: f64,
     /// Most slots kept for interactive work, as a share of all.
@@ -67,8 +67,8 @@
     pub reentry_step: u32,
     /// Worth of a held prefix, in slots of load as a share of all slots.
     pub affinity_bonus: f64,
-    /// Load above the pool's mean at which a held prefix is worth nothing, as a share of the slots.
-    pub affinity_bound: f64,
+    /// Time by which a request may be overtaken by one whose prefix the free target holds, in seconds.
+    pub affinity_wait_s: f64,
     /// Age at which a cache hint is worth nothing, in seconds.
     pub cache_hint_s: f64,
     /// Load that a target in another failure domain seems to have, as a share of the slots.
@@ -99,13 +99,13 @@
             report_fresh_s: 1.0,
             report_stale_s: 4.0,
             queue_at_target: 2.0,
+            queue_at_home: 4.0,
             queue_at_target_interactive: 3.0,
             queue_limit_s: 20.0,
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
             ageing: 0.2,
             reserve_memory_s: 10.0,
-            reserve_steady: 0.5,
             reserve_burst: 1.3,
             reserve_max: 0.9,
             long_factor: 4.0,
@@ -116,8 +116,8 @@
             avoid_first_s: 2.0,
             avoid_max_s: 30.0,
             reentry_step: 2,
-            affinity_bonus: 0.25,
-            affinity_bound: 0.2,
+            affinity_bonus: 0.6,
+            affinity_wait_s: 4.0,
             cache_hint_s: 30.0,
             other_domain_load: 0.02,
             other_region_load: 0.5,
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -14,7 +14,10 @@
 
 use slotmap::SecondaryMap;
 
-use crate::{AccountKey, PolicyConfig, Priority, Ticket, Time};
+use crate::{AccountKey, PolicyConfig, Priority, TargetKey, Ticket, Time};
+
+/// Requests of each account and class that are looked at for one with a given home.
+const LOOK_AHEAD: usize = 8;
 
 /// Waiting requests of one pool.
 #[derive(Debug, Default)]
@@ -52,6 +55,8 @@
     pub(crate) returned: bool,
     /// Whether it counts against the limit on long work.
     pub(crate) long: bool,
+    /// Target that is likely to hold its prefix.
+    pub(crate) home: Option<TargetKey>,
 }
 
 /// Classes of waiting requests that cannot be placed now.
@@ -119,6 +124,33 @@
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
     }
 
+    /// Returns the first request in fair order whose home is a target, if it is near the first.
+    pub(crate) fn peek_home(
+        &self,
+        now: Time,
+        drain: f64,
+        first: &Waiting,
+        home: TargetKey,
+        cfg: &PolicyConfig,
+    ) -> Option<Waiting> {
+        let share = (drain / self.active_weight()).max(1e-6);
+        let score = |account: AccountKey, w: &Waiting| {
+            let ahead = self.lanes[account].virtual_time - self.present;
+            score(now, ahead, share, w, cfg)
+        };
+        let limit = score(first.account, first) + cfg.affinity_wait_s;
+        let near = self
+            .active
+            .iter()
+            .flat_map(|&a| self.lanes[a].front().map(move |w| (a, w)));
+        let at_home =
+            near.filter(|(_, w)| w.home == Some(home) && w.priority <= first.priority && !w.long);
+        let scored = at_home
+            .map(|(a, w)| (score(a, w), w))
+            .filter(|(s, _)| *s <= limit);
+        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
+    }
+
     /// Returns whether any request waits.
     pub(crate) fn is_waiting(&self) -> bool {
         !self.active.is_empty()
@@ -213,6 +245,11 @@
         first.chain(short).map(move |w| (vt, w))
     }
 
+    /// Returns the first few requests of each class.
+    fn front(&self) -> impl Iterator<Item = &Waiting> {
+        self.queues.iter().flat_map(|q| q.iter().take(LOOK_AHEAD))
+    }
+
     /// Returns how far ahead the account is with all its waiting work done.
     fn lead(&self) -> f64 {
         self.virtual_time + self.work.iter().sum::<f64>() / self.weight.max(1e-3)
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -31,6 +31,7 @@
 mod refusal;
 mod request_facts;
 mod reserve;
+mod room;
 mod scheduler;
 mod target;
 mod target_facts;
--- a/wisteriapass_policy/src/reserve.rs
+++ b/wisteriapass_policy/src/reserve.rs
@@ -5,9 +5,9 @@
 //! its priority (`loads --pattern burst --without reserve`). The need is the interactive rate times
 //! its length (Little's law).
 //!
-//! In steady load a part of the need is kept: interactive work takes what comes free next anyway,
-//! and whatever is kept beyond its ups and downs stands idle. In a burst the whole need and more is
-//! kept, because a slot given to a draft is gone for seconds. One router sees few requests a
+//! In steady load nothing is kept: interactive work takes what comes free next anyway, and what is
+//! kept beyond its ups and downs stands idle. In a burst the whole need and more is kept, because a
+//! slot given to a draft is gone for seconds. One router sees few requests a
 //! second, so a burst is told from chance by all classes' arrivals: more than twice the remembered
 //! rate and some arrivals on top. It ends when the arrivals are near the remembered rate again.
 
@@ -50,7 +50,7 @@
             let rise = self.short / self.long.max(1e-3);
             return self.need * rise.max(1.0) * cfg.reserve_burst;
         }
-        self.need * cfg.reserve_steady
+        0.0
     }
 
     /// Decides whether this is a burst.
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -66,6 +66,10 @@
     /// Puts a job into its account's lane and sets its latest start.
     pub(super) fn enqueue(&mut self, ticket: Ticket, weight: f64, first: bool) {
         let job = &self.jobs[ticket];
+        let pool = &self.pools[job.pool];
+        let prefix = job.facts.prefix.filter(|_| self.cfg.parts.affinity);
+        let home = prefix
+            .and_then(|p| choice::home(&pool.members, &self.targets, job.offered_at, p, &self.cfg));
         let waiting = Waiting {
             ticket,
             account: job.facts.account,
@@ -74,6 +78,7 @@
             since: job.offered_at,
             returned: first,
             long: job.long,
+            home,
         };
         let at = job.start_by;
         self.pools[job.pool].lanes.push(waiting, weight);
@@ -107,6 +112,7 @@
                 block(&mut blocked, next.priority);
                 continue;
             };
+            let next = self.prefer_home(now, next, target, capacity, drain);
             let pool = &mut self.pools[pool_key];
             pool.lanes.take(&next);
             pool.lanes.charge(next.account, next.work);
@@ -121,6 +127,29 @@
         }
     }
 
+    /// Returns the request to run at a target: the next, or one near it whose home it is.
+    fn prefer_home(
+        &mut self,
+        now: Time,
+        next: Waiting,
+        target: TargetKey,
+        capacity: Capacity,
+        drain: f64,
+    ) -> Waiting {
+        if !self.cfg.parts.affinity || next.home == Some(target) {
+            return next;
+        }
+        let lanes = &self.pools[self.jobs[next.ticket].pool].lanes;
+        let Some(other) = lanes.peek_home(now, drain, &next, target, &self.cfg) else {
+            return next;
+        };
+        let known = self.jobs.contains_key(other.ticket);
+        if known && self.choose(now, other.ticket, capacity, None) == Some(target) {
+            return other;
+        }
+        next
+    }
+
     /// Returns the best target with room for a job, if any.
     pub(super) fn choose(
         &mut self,
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -121,6 +121,14 @@
         self.open() && (!cfg.parts.health || self.health.limit(now) > 1)
     }
 
+    /// Returns how many times longer its work takes than it should.
+    pub(crate) fn slowness(&self, cfg: &PolicyConfig) -> f64 {
+        if !cfg.parts.health {
+            return 1.0;
+        }
+        1.0 / self.health.speed.clamp(0.05, 1.0)
+    }
+
     /// Returns the load that its distance is worth, as a share of its slots.
     pub(crate) fn distance(&self, cfg: &PolicyConfig) -> f64 {
         match self.facts.nearness {
