Serve callers that come back as told, and let accounts keep 30 s of their share

Callers that came back were judged like new ones and refused again. They now go first within their account's promise. Small accounts lost share because a few requests at each of ten routers come in clusters and an idle moment's share was lent at once; some of it is now kept.

--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -41,6 +41,7 @@
     lanes: &mut Lanes,
     cfg: &PolicyConfig,
 ) -> Option<Refusal> {
+    let share = share(now, ask.facts.account, ask.weight, ask.drain, lanes);
     if !cfg.parts.admission {
         return None;
     }
@@ -48,12 +49,16 @@
     if ask.free_now && all_ahead <= 0.0 {
         return None;
     }
-    let share = share(now, ask.facts.account, ask.weight, ask.drain, lanes);
-    let own_ahead = lanes
-        .lane(ask.facts.account, ask.weight)?
-        .work_above(ask.facts.priority);
+    let lead = lanes.ahead(ask.facts.account);
+    let lane = lanes.lane(ask.facts.account, ask.weight)?;
+    if ask.facts.attempt > 0 {
+        // It was told to come now; only others that were told so are before it.
+        let wait = now.plus_secs((lane.returned_work() + ask.work) / share);
+        return (wait > ask.start_by).then_some(Refusal::OverFairShare);
+    }
+    let own_ahead = lane.work_above(ask.facts.priority) + lead;
     let wait_all = all_ahead / ask.drain;
-    let wait_own = own_ahead / share;
+    let wait_own = own_ahead.max(0.0) / share;
     // The request itself needs a slot of its own, which comes free a share of its work later.
     let wait = (wait_all.min(wait_own) + ask.work / ask.drain) * ask.caution;
     if now.plus_secs(wait) <= ask.start_by {
@@ -86,5 +91,9 @@
         lane.last_offer = now;
     }
     let active = lanes.weight_since(now.plus_secs(-ACTIVE_S));
-    (drain * weight / active).max(1e-3)
+    let share = (drain * weight / active).max(1e-3);
+    if let Some(lane) = lanes.lane(account, weight) {
+        lane.share = share;
+    }
+    share
 }
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -41,6 +41,10 @@
     pub interactive_lead_s: f64,
     /// Head start of standard over batch work, in seconds of an account's share.
     pub standard_lead_s: f64,
+    /// Head start of requests whose callers came back as told, in seconds of an account's share.
+    pub returned_lead_s: f64,
+    /// Unused share that an account keeps, in seconds.
+    pub saved_share_s: f64,
     /// Head start gained for each second of waiting, in seconds.
     pub ageing: f64,
     /// Memory of the usual rate of arrivals, in seconds.
@@ -104,6 +108,8 @@
             queue_limit_s: 20.0,
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
+            returned_lead_s: 8.0,
+            saved_share_s: 30.0,
             ageing: 0.2,
             reserve_memory_s: 10.0,
             reserve_burst: 1.3,
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -5,8 +5,9 @@
 //! has a virtual time: the work it was given, by its weight. The next request is the one whose
 //! account is furthest behind, with a head start for urgent classes and for age. The head start is
 //! bounded (some seconds of the account's share), so that priority orders work over seconds and
-//! fairness over a minute. An account that was idle starts at the present, so its unused share is
-//! lent and not saved up. Requests whose callers come back as told go first within their account.
+//! fairness over a minute. An account that was idle keeps some seconds of its unused share: the
+//! few requests that a small account has at one router come in clusters, and without that it would
+//! get less than its share of every minute. The rest is lent. Requests whose callers come back as told go first within their account.
 //! Without classes a question waits behind drafts (`loads --pattern saturation --without
 //! priority`).
 
@@ -37,6 +38,9 @@
     virtual_time: f64,
     queues: [VecDeque<Waiting>; 3],
     work: [f64; 3],
+    returned_work: f64,
+    /// The account's fair share when last computed, in tokens a second.
+    pub(crate) share: f64,
     weight: f64,
     /// Until when the account's promised share is taken.
     pub(crate) promised_until: Time,
@@ -85,18 +89,23 @@
         self.active.retain(|&a| a != account);
     }
 
-    /// Adds a waiting request.
-    pub(crate) fn push(&mut self, waiting: Waiting, weight: f64) {
+    /// Adds a waiting request; an idle account has saved at most this many seconds of its share.
+    pub(crate) fn push(&mut self, waiting: Waiting, weight: f64, saved_s: f64) {
         let present = self.present;
         let Some(lane) = self.lane(waiting.account, weight) else {
             return;
         };
         let was_empty = lane.is_empty();
         if was_empty {
-            lane.virtual_time = lane.virtual_time.max(present);
+            lane.virtual_time = lane
+                .virtual_time
+                .max(present - saved_s * lane.share / weight);
         }
         let class = waiting.priority.index();
         lane.work[class] += waiting.work;
+        if waiting.returned {
+            lane.returned_work += waiting.work;
+        }
         if waiting.returned {
             let place = lane.queues[class].iter().take_while(|w| w.returned).count();
             lane.queues[class].insert(place, waiting);
@@ -172,6 +181,9 @@
         } else {
             lane.work[class] - waiting.work
         };
+        if waiting.returned {
+            lane.returned_work = (lane.returned_work - waiting.work).max(0.0);
+        }
         if lane.is_empty() {
             self.active.retain(|&a| a != waiting.account);
         }
@@ -194,6 +206,12 @@
         lane.virtual_time += work / lane.weight.max(1e-3);
     }
 
+    /// Returns the work that an account is ahead of the others, in tokens; negative if behind.
+    pub(crate) fn ahead(&self, account: AccountKey) -> f64 {
+        let lane = self.lanes.get(account);
+        lane.map_or(0.0, |l| (l.virtual_time - self.present) * l.weight)
+    }
+
     /// Returns the waiting work of all accounts in a class and above, in tokens.
     pub(crate) fn work_above(&self, priority: Priority) -> f64 {
         let lanes = self.active.iter().map(|&a| &self.lanes[a]);
@@ -226,6 +244,11 @@
 }
 
 impl Lane {
+    /// Returns the waiting work of callers that came back as told, in tokens.
+    pub(crate) fn returned_work(&self) -> f64 {
+        self.returned_work
+    }
+
     /// Returns the waiting work in a class and above, in tokens.
     pub(crate) fn work_above(&self, priority: Priority) -> f64 {
         self.work[..=priority.index()].iter().sum()
@@ -270,6 +293,7 @@
         0.0
     };
     let head_start = match waiting.priority {
+        _ if waiting.returned => cfg.returned_lead_s,
         Priority::Interactive if cfg.parts.priority => cfg.interactive_lead_s,
         Priority::Standard if cfg.parts.priority => cfg.standard_lead_s,
         _ => 0.0,
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -81,7 +81,8 @@
             home,
         };
         let at = job.start_by;
-        self.pools[job.pool].lanes.push(waiting, weight);
+        let saved_s = self.cfg.saved_share_s;
+        self.pools[job.pool].lanes.push(waiting, weight, saved_s);
         self.alarms.push(Reverse(Alarm {
             at,
             kind: AlarmKind::Start,
