Measure shares by what arrived, and after a minute of warm-up

Shares of accounts with some fifty requests were off by up to a tenth, since what arrived in the last seconds counted as not answered; and a queue of work due in a minute was still growing. Goodput still counts what is completed while it is measured.

--- a/wisteriapass_bench/src/loads.rs
+++ b/wisteriapass_bench/src/loads.rs
@@ -27,11 +27,13 @@
 use play::Play;
 
 /// Time before anything is measured, in which the pool fills, in seconds.
-pub const WARM_UP_SECS: f64 = 10.0;
-/// Length of what is measured, in seconds.
+pub const WARM_UP_SECS: f64 = 60.0;
+/// Time whose arrivals are measured, in seconds.
 pub const PLAY_SECS: f64 = 60.0;
+/// Time for which the load goes on so that what is measured can end, in seconds.
+pub const COOL_DOWN_SECS: f64 = 60.0;
 /// End of the play, in seconds.
-pub const END_SECS: f64 = WARM_UP_SECS + PLAY_SECS;
+pub const END_SECS: f64 = WARM_UP_SECS + PLAY_SECS + COOL_DOWN_SECS;
 
 /// Plays one pattern by one policy.
 pub fn play(pattern: Pattern, policy: Policy, seed: u64, cfg: &PolicyConfig) -> Summary {
--- a/wisteriapass_bench/src/loads/bound.rs
+++ b/wisteriapass_bench/src/loads/bound.rs
@@ -6,7 +6,7 @@
 use super::arrivals::Request;
 use super::engine::slot_rate;
 use super::pattern::{Pattern, SLOTS, TARGETS};
-use super::{END_SECS, WARM_UP_SECS};
+use super::{END_SECS, PLAY_SECS, WARM_UP_SECS};
 
 /// Step of the computation, in seconds.
 const STEP_S: f64 = 0.01;
@@ -18,7 +18,7 @@
     place: usize,
 }
 
-/// Returns the most output tokens that can be generated within deadlines.
+/// Returns the most output tokens that can be generated within deadlines in what is measured.
 ///
 /// The pool is taken as one server of all working slots' rate that knows each length, holds every
 /// prefix, can switch between requests at no cost, and is credited for parts of answers. Working on
@@ -30,6 +30,8 @@
     order.sort_by_key(|&r| requests[r].at);
     let mut arriving = order.into_iter().peekable();
     let mut done = 0.0;
+    let begin = (WARM_UP_SECS * 1e6) as u64;
+    let counted = begin..begin + (PLAY_SECS * 1e6) as u64;
     for step in 0..(END_SECS / STEP_S) as u64 {
         let secs = step as f64 * STEP_S;
         let now = (secs * 1e6) as u64;
@@ -48,7 +50,7 @@
             }
             let work = can.min(left[first.place]);
             let request = &requests[first.place];
-            if secs >= WARM_UP_SECS {
+            if counted.contains(&now) {
                 done += work * f64::from(request.output) / request.least_work();
             }
             left[first.place] -= work;
--- a/wisteriapass_bench/src/loads/pattern.rs
+++ b/wisteriapass_bench/src/loads/pattern.rs
@@ -13,6 +13,11 @@
 /// Routers that decide each on its own.
 pub(super) const ROUTERS: usize = 10;
 
+/// Second at which a burst begins.
+const BURST_AT: f64 = WARM_UP_SECS + 20.0;
+/// Length of a burst, in seconds.
+const BURST_SECS: f64 = 5.0;
+
 /// A pattern of load.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Pattern {
@@ -71,22 +76,23 @@
 
     /// Returns the offered work at a time as a share of the whole pool's capacity.
     pub(super) fn load(self, secs: f64) -> f64 {
+        let in_burst = (BURST_AT..BURST_AT + BURST_SECS).contains(&secs);
         match self {
-            Self::Burst if (30.0..35.0).contains(&secs) => 3.0,
+            Self::Burst if in_burst => 3.0,
             Self::Burst => 0.3,
             Self::Hot => 1.3,
             Self::Slow | Self::Silent => 0.85,
             Self::LongShort => 1.0,
             Self::Saturation => 1.5,
             Self::Lagging => 0.95,
-            Self::All if (30.0..35.0).contains(&secs) => 5.0,
+            Self::All if in_burst => 5.0,
             Self::All => 1.3,
         }
     }
 
     /// Returns the most that [`Pattern::load`] reaches.
     pub(super) fn peak(self) -> f64 {
-        self.load(0.0).max(self.load(32.0))
+        self.load(0.0).max(self.load(BURST_AT))
     }
 
     /// Returns whether two accounts and one prefix take most of the load.
--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -18,7 +18,7 @@
 use super::engine::{Engine, EngineRun, RunId};
 use super::pattern::{ROUTERS, SLOTS, TARGETS};
 use super::tally::Tally;
-use super::{END_SECS, Pattern, Policy, Summary, WARM_UP_SECS, bound};
+use super::{END_SECS, PLAY_SECS, Pattern, Policy, Summary, WARM_UP_SECS, bound};
 use event::{Event, Timed};
 
 /// One way between a router and a target, in seconds.
@@ -225,7 +225,7 @@
                 self.send(now, place, target);
             }
             Decision::Refuse { reason, come_back } => {
-                if counts(now) {
+                if counts(self.requests[place].at) {
                     self.tally.refused(reason);
                 }
                 self.callers[place].over = true;
@@ -283,7 +283,7 @@
         while let Some(next) = self.engines[target].next() {
             let run = self.runs[next.id];
             let request = self.requests[run.request];
-            if let Some(prefix) = request.prefix.filter(|_| counts(now)) {
+            if let Some(prefix) = request.prefix.filter(|_| counts(request.at)) {
                 self.tally.held[0] += f64::from(self.engines[target].holds(prefix) as u8);
                 self.tally.held[1] += 1.0;
             }
@@ -339,9 +339,12 @@
         self.stop(now, id, false);
         let request = self.requests[run.request];
         self.callers[run.request].over = true;
-        if counts(now) {
+        if counts(request.at) {
             self.tally.answered(&request);
         }
+        if counts(now) {
+            self.tally.done(&request);
+        }
         if request.attempt > 0 {
             self.tally.returned_well += 1;
         }
@@ -360,7 +363,7 @@
             return;
         }
         self.callers[place].over = true;
-        if counts(now) {
+        if counts(self.requests[place].at) {
             self.tally.cut += 1;
         }
         for id in self.callers[place].runs.clone() {
@@ -396,9 +399,10 @@
             return;
         }
         self.runs[id].over = true;
+        let counted = counts(self.requests[run.request].at);
         let engine = &mut self.engines[run.target];
         engine.remove(id);
-        if let Some(first) = run.first_token.filter(|_| wasted && counts(now)) {
+        if let Some(first) = run.first_token.filter(|_| wasted && counted) {
             self.tally.wasted += engine.tokens_between(first, now) + 1.0;
         }
         let router = self.requests[run.request].router;
@@ -509,9 +513,10 @@
     }
 }
 
-/// Returns whether a time is in the part of the play that is measured.
+/// Returns whether what arrives at a time is measured.
 fn counts(at: Time) -> bool {
-    at >= Time::default().plus_secs(WARM_UP_SECS)
+    let begin = Time::default().plus_secs(WARM_UP_SECS);
+    at >= begin && at < begin.plus_secs(PLAY_SECS)
 }
 
 impl Engine {
--- a/wisteriapass_bench/src/loads/summary.rs
+++ b/wisteriapass_bench/src/loads/summary.rs
@@ -74,7 +74,7 @@
             pattern: pattern.to_string(),
             seed,
             policy: policy.to_string(),
-            goodput: per_s(tally.good.iter().sum()),
+            goodput: per_s(tally.done.iter().sum()),
             bound: per_s(bound),
             worst_share: worst_share(tally, bound),
             p95_first_token_ms: percentile(0.95)[0],
@@ -89,7 +89,7 @@
             prefix_held: tally.held[0] / tally.held[1].max(1.0),
             answered: tally.answered as f64,
             cut_off: tally.cut as f64,
-            goodput_by_class: tally.good_by_class.map(per_s),
+            goodput_by_class: tally.done.map(per_s),
             p50_by_class_ms: percentile(0.5),
             p95_by_class_ms: percentile(0.95),
             p99_by_class_ms: percentile(0.99),
@@ -144,7 +144,9 @@
 
 /// Returns the least part that any account got of its fair share of the bound.
 fn worst_share(tally: &Tally, bound: f64) -> f64 {
-    let fair = fair_shares(&tally.asked, bound);
+    // More than the bound may be answered to what arrived, if the queue grew meanwhile.
+    let whole = bound.max(tally.good.iter().sum());
+    let fair = fair_shares(&tally.asked, whole);
     let shares = (0..ACCOUNTS)
         .filter(|&a| fair[a] > 0.0)
         .map(|a| tally.good[a] / fair[a]);
--- a/wisteriapass_bench/src/loads/tally.rs
+++ b/wisteriapass_bench/src/loads/tally.rs
@@ -8,10 +8,10 @@
 /// Counts of a play.
 #[derive(Clone, Debug)]
 pub(super) struct Tally {
-    /// Tokens of answers completed in time, by account.
+    /// Tokens of answers in time to what arrived while it was measured, by account.
     pub(super) good: [f64; ACCOUNTS],
-    /// Tokens of answers completed in time, by class.
-    pub(super) good_by_class: [f64; 3],
+    /// Tokens of answers in time that were completed while it was measured, by class.
+    pub(super) done: [f64; 3],
     /// Tokens asked for, by account; requests that come back count once.
     pub(super) asked: [f64; ACCOUNTS],
     /// Times to first token by class, in milliseconds.
@@ -45,7 +45,7 @@
         };
         Self {
             good: [0.0; ACCOUNTS],
-            good_by_class: [0.0; 3],
+            done: [0.0; 3],
             asked: [0.0; ACCOUNTS],
             first_token: [empty(), empty(), empty()],
             refused: [0; Refusal::ALL.len()],
@@ -59,14 +59,17 @@
         }
     }
 
-    /// Counts an answer in time.
+    /// Counts an answer in time to a request that is measured.
     pub(super) fn answered(&mut self, request: &Request) {
-        let tokens = f64::from(request.output);
-        self.good[request.account] += tokens;
-        self.good_by_class[class(request.priority)] += tokens;
+        self.good[request.account] += f64::from(request.output);
         self.answered += 1;
     }
 
+    /// Counts the tokens of an answer in time.
+    pub(super) fn done(&mut self, request: &Request) {
+        self.done[class(request.priority)] += f64::from(request.output);
+    }
+
     /// Counts a first token.
     pub(super) fn first_token(&mut self, request: &Request, secs: f64) {
         let ms = (secs * 1e3) as u64;
