--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -98,7 +98,7 @@
         };
         if !job.runs.is_empty() {
             return Decision::Wait {
-                until: job.facts.deadline,
+                until: job.facts.deadline.max(now),
             };
         }
         if had_answer || (kind.may_have_run() && !job.facts.idempotent) {
--- /dev/null
+++ b/wisteriapass_policy/tests/invariants.rs
@@ -0,0 +1,366 @@
+//! Invariants of decisions under random histories.
+
+use std::collections::HashMap;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use smallvec::smallvec;
+use wisteriapass_policy::{
+    AccountFacts, Decision, FailureKind, Held, LoadReport, Nearness, Outcome, PolicyConfig,
+    Priority, RequestFacts, Scheduler, TargetFacts, TargetKey, TargetRole, Ticket, Time, Wants,
+};
+
+/// Targets of a history; every third holds only the second model.
+const TARGETS: usize = 6;
+/// Slots of each target.
+const SLOTS: u32 = 3;
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        account: u8,
+        class: u8,
+        model: u8,
+        tokens: u16,
+        deadline_ms: u16,
+        idempotent: bool,
+    },
+    Finish {
+        which: u8,
+    },
+    Fail {
+        which: u8,
+        kind: u8,
+    },
+    Cancel {
+        which: u8,
+    },
+    Report {
+        target: u8,
+        running: u8,
+        age_ms: u16,
+    },
+    Leave {
+        target: u8,
+    },
+    Pass {
+        ms: u16,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 12 {
+            0..=4 => Self::Offer {
+                account: u8::arbitrary(g),
+                class: u8::arbitrary(g),
+                model: u8::arbitrary(g),
+                tokens: u16::arbitrary(g) % 500,
+                deadline_ms: u16::arbitrary(g),
+                idempotent: bool::arbitrary(g),
+            },
+            5 | 6 => Self::Finish {
+                which: u8::arbitrary(g),
+            },
+            7 => Self::Fail {
+                which: u8::arbitrary(g),
+                kind: u8::arbitrary(g),
+            },
+            8 => Self::Cancel {
+                which: u8::arbitrary(g),
+            },
+            9 => Self::Report {
+                target: u8::arbitrary(g),
+                running: u8::arbitrary(g),
+                age_ms: u16::arbitrary(g),
+            },
+            10 if u8::arbitrary(g) % 8 == 0 => Self::Leave {
+                target: u8::arbitrary(g),
+            },
+            _ => Self::Pass {
+                ms: u16::arbitrary(g) % 2_000,
+            },
+        }
+    }
+}
+
+/// A scheduler with what a router would know of its tickets.
+struct Router {
+    scheduler: Scheduler,
+    now: Time,
+    targets: Vec<TargetFacts>,
+    open: HashMap<Ticket, Request>,
+    order: Vec<Ticket>,
+}
+
+/// What a router knows of one request.
+#[derive(Clone, Debug)]
+struct Request {
+    facts: RequestFacts,
+    model: usize,
+    at: Vec<TargetKey>,
+    /// Whether a run of it may have happened.
+    may_have_run: bool,
+}
+
+impl Router {
+    fn new() -> Self {
+        let mut scheduler = Scheduler::new(PolicyConfig::default());
+        let targets: Vec<TargetFacts> = (0..TARGETS).map(target).collect();
+        let account = |a: u32| AccountFacts {
+            name: format!("account-{a}"),
+            weight: a + 1,
+        };
+        scheduler.set_targets(Time::default(), &targets);
+        scheduler.set_accounts(&(0..4).map(account).collect::<Vec<_>>());
+        scheduler.set_routers(2);
+        let now = Time::from_secs(1);
+        Self {
+            scheduler,
+            now,
+            targets,
+            open: HashMap::new(),
+            order: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Offer {
+                account,
+                class,
+                model,
+                tokens,
+                deadline_ms,
+                idempotent,
+            } => {
+                let model = usize::from(model % 2);
+                let name = self.scheduler.name(&format!("model-{model}"));
+                let wants = Wants::Model {
+                    model: name.unwrap(),
+                    version: None,
+                    adapter: None,
+                };
+                let account = self.scheduler.account(&format!("account-{}", account % 4));
+                let facts = RequestFacts {
+                    account: account.unwrap(),
+                    priority: Priority::ALL[usize::from(class % 3)],
+                    wants,
+                    prompt_tokens: u32::from(tokens),
+                    max_tokens: u32::from(tokens) + 1,
+                    begin_by: Time::MAX,
+                    deadline: self.now.plus_secs(f64::from(deadline_ms) / 1e3),
+                    idempotent,
+                    prefix: Some(u64::from(tokens % 4)),
+                    prefix_tokens: 0,
+                    attempt: 0,
+                };
+                let (ticket, decision) = self.scheduler.offer(self.now, facts);
+                let request = Request {
+                    facts,
+                    model,
+                    at: Vec::new(),
+                    may_have_run: false,
+                };
+                if !matches!(decision, Decision::Refuse { .. }) {
+                    self.open.insert(ticket, request);
+                    self.order.push(ticket);
+                }
+                self.check(ticket, decision);
+            }
+            Step::Finish { which } => {
+                if let Some((ticket, target)) = self.running(which) {
+                    let outcome = Outcome { output_tokens: 5 };
+                    self.scheduler.first_token(self.now, ticket, target);
+                    self.scheduler.finished(self.now, ticket, target, outcome);
+                    self.open.remove(&ticket);
+                }
+            }
+            Step::Fail { which, kind } => self.fail(which, kind),
+            Step::Cancel { which } => {
+                if let Some(ticket) = self.pick(which) {
+                    self.scheduler.cancel(self.now, ticket);
+                    self.open.remove(&ticket);
+                }
+            }
+            Step::Report {
+                target,
+                running,
+                age_ms,
+            } => {
+                let name = &self.targets[usize::from(target) % TARGETS].name;
+                let key = self.scheduler.target(name);
+                let report = LoadReport {
+                    taken_at: self.now.plus_secs(-f64::from(age_ms) / 1e3),
+                    running: u32::from(running) % (2 * SLOTS),
+                    queued: 0,
+                    interactive: 0,
+                    of_receiver: 0,
+                };
+                if let Some(key) = key {
+                    self.scheduler.load_report(self.now, key, report);
+                }
+            }
+            Step::Leave { target } => {
+                self.targets[usize::from(target) % TARGETS].leaving = true;
+                self.scheduler.set_targets(self.now, &self.targets);
+            }
+            Step::Pass { ms } => self.now = self.now.plus_secs(f64::from(ms) / 1e3),
+        }
+        self.poll();
+    }
+
+    fn fail(&mut self, which: u8, kind: u8) {
+        let Some((ticket, target)) = self.running(which) else {
+            return;
+        };
+        let kind = [
+            FailureKind::Unreachable,
+            FailureKind::Declined,
+            FailureKind::ConnectionLost,
+            FailureKind::TargetError,
+        ][usize::from(kind % 4)];
+        let request = self.open.get_mut(&ticket).unwrap();
+        request.at.retain(|&t| t != target);
+        request.may_have_run |= kind.may_have_run();
+        let decision = self.scheduler.failed(self.now, ticket, target, kind);
+        let lost = request.may_have_run && !request.facts.idempotent;
+        assert!(
+            !lost || matches!(decision, Decision::Refuse { .. }),
+            "retried: {decision:?}"
+        );
+        self.check(ticket, decision);
+    }
+
+    fn poll(&mut self) {
+        for decided in self.scheduler.poll(self.now) {
+            self.check(decided.ticket, decided.decision);
+        }
+        for request in self.open.values() {
+            let late = request.at.is_empty() && request.facts.deadline < self.now;
+            assert!(!late, "waits beyond its deadline: {request:?}");
+        }
+    }
+
+    /// Checks a decision and takes it in.
+    fn check(&mut self, ticket: Ticket, decision: Decision) {
+        match decision {
+            Decision::Wait { until } => assert!(until >= self.now),
+            Decision::Refuse { come_back, .. } => {
+                assert!(come_back > self.now, "come back before now");
+                self.open.remove(&ticket);
+            }
+            Decision::Run { target } | Decision::Hedge { target } => {
+                let name = self
+                    .scheduler
+                    .target_name(target)
+                    .expect("the target is known");
+                let facts = self.targets.iter().find(|t| t.name == name).unwrap();
+                assert!(!facts.leaving, "sent to a leaving target");
+                assert!(
+                    self.scheduler.in_flight(target) <= SLOTS,
+                    "more than its slots"
+                );
+                let request = self.open.get_mut(&ticket).expect("the ticket is open");
+                assert!(
+                    holds(facts, request.model),
+                    "sent where its model is not held"
+                );
+                assert!(!request.at.contains(&target), "sent twice to one target");
+                let hedge = matches!(decision, Decision::Hedge { .. });
+                assert!(
+                    !hedge || request.facts.idempotent,
+                    "hedged a non-idempotent request"
+                );
+                request.at.push(target);
+            }
+        }
+    }
+
+    fn pick(&self, which: u8) -> Option<Ticket> {
+        let open: Vec<_> = self
+            .order
+            .iter()
+            .filter(|t| self.open.contains_key(t))
+            .collect();
+        (!open.is_empty()).then(|| *open[usize::from(which) % open.len()])
+    }
+
+    fn running(&self, which: u8) -> Option<(Ticket, TargetKey)> {
+        let ticket = self.pick(which)?;
+        Some((ticket, *self.open[&ticket].at.first()?))
+    }
+}
+
+fn target(n: usize) -> TargetFacts {
+    let model = |m: usize| Held::Model {
+        name: format!("model-{m}"),
+        version: "1".into(),
+        adapters: Vec::new(),
+    };
+    TargetFacts {
+        name: format!("engine-{n}"),
+        nearness: Nearness::SameDomain,
+        role: TargetRole::General,
+        holds: if n.is_multiple_of(3) {
+            smallvec![model(1)]
+        } else {
+            smallvec![model(0), model(1)]
+        },
+        slots: SLOTS,
+        tokens_per_s: 300,
+        leaving: false,
+    }
+}
+
+fn holds(facts: &TargetFacts, model: usize) -> bool {
+    let name = format!("model-{model}");
+    facts
+        .holds
+        .iter()
+        .any(|h| matches!(h, Held::Model { name: n, .. } if *n == name))
+}
+
+/// Checks a property with the same random histories in each run.
+fn check_histories(property: fn(Vec<Step>)) {
+    let generator = Gen::from_size_and_seed(200, 11);
+    QuickCheck::new()
+        .rng(generator)
+        .tests(300)
+        .quickcheck(property);
+}
+
+#[test]
+fn decisions_keep_their_promises() {
+    check_histories(|steps| {
+        let mut router = Router::new();
+        for step in &steps {
+            router.step(step);
+        }
+        // Every ticket that still waits gets its final decision by its deadline.
+        router.now = router.now.plus_secs(200.0);
+        router.poll();
+    });
+}
+
+#[test]
+fn work_in_flight_is_counted_exactly() {
+    check_histories(|steps| {
+        let mut router = Router::new();
+        for step in &steps {
+            router.step(step);
+        }
+        for facts in &router.targets {
+            let Some(key) = router.scheduler.target(&facts.name) else {
+                continue;
+            };
+            let at = router.open.values().filter(|r| r.at.contains(&key)).count();
+            assert_eq!(
+                router.scheduler.in_flight(key) as usize,
+                at,
+                "{}",
+                facts.name
+            );
+        }
+    });
+}
--- /dev/null
+++ b/wisteriapass_policy/tests/patterns.rs
@@ -0,0 +1,119 @@
+//! What callers get under each load pattern, in virtual time and with fixed seeds.
+
+use wisteriapass_bench::loads::{Pattern, Policy, Summary, play};
+use wisteriapass_policy::PolicyConfig;
+
+/// Seed of these tests; the experiments in the docs use others.
+const SEED: u64 = 7;
+
+fn ours(pattern: Pattern) -> Summary {
+    play(pattern, Policy::Ours, SEED, &PolicyConfig::default())
+}
+
+/// Plays a pattern without one part.
+fn without(pattern: Pattern, part: &str) -> Summary {
+    let mut cfg = PolicyConfig::default();
+    cfg.parts = cfg.parts.without(part).expect("the part exists");
+    play(pattern, Policy::Ours, SEED, &cfg)
+}
+
+/// Checks that no baseline serves more in time.
+fn beats_baselines(ours: &Summary, pattern: Pattern) {
+    for policy in [
+        Policy::FcfsRoundRobin,
+        Policy::LeastOutstanding,
+        Policy::TwoChoices,
+    ] {
+        let theirs = play(pattern, policy, SEED, &PolicyConfig::default());
+        assert!(
+            ours.goodput >= theirs.goodput,
+            "{policy}: {} beats {}",
+            theirs.goodput,
+            ours.goodput
+        );
+    }
+}
+
+#[test]
+fn burst_leaves_interactive_work_quick() {
+    let s = ours(Pattern::Burst);
+    assert!(s.p95_first_token_ms < 460.0, "{s:?}");
+    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
+    beats_baselines(&s, Pattern::Burst);
+}
+
+#[test]
+fn hot_accounts_and_prefix_take_nothing_from_others() {
+    let s = ours(Pattern::Hot);
+    assert!(s.worst_share > 0.85, "{s:?}");
+    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
+    assert!(s.prefix_held > 0.7, "{s:?}");
+    beats_baselines(&s, Pattern::Hot);
+}
+
+#[test]
+fn slow_target_costs_no_more_than_itself() {
+    let s = ours(Pattern::Slow);
+    assert!(s.goodput > 0.95 * s.bound, "{s:?}");
+    beats_baselines(&s, Pattern::Slow);
+}
+
+#[test]
+fn silent_target_costs_no_more_than_itself() {
+    let s = ours(Pattern::Silent);
+    assert!(s.goodput > 0.95 * s.bound, "{s:?}");
+    assert!(s.cut_off < 40.0, "{s:?}");
+    beats_baselines(&s, Pattern::Silent);
+}
+
+#[test]
+fn long_work_does_not_hold_up_short() {
+    let s = ours(Pattern::LongShort);
+    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
+    assert!(s.p95_by_class_ms[0] < 1_200.0, "{s:?}");
+    beats_baselines(&s, Pattern::LongShort);
+}
+
+#[test]
+fn saturation_loses_little_and_starves_nobody() {
+    let s = ours(Pattern::Saturation);
+    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
+    assert!(s.worst_share > 0.8, "{s:?}");
+    assert!(s.come_back_right > 0.75, "{s:?}");
+    beats_baselines(&s, Pattern::Saturation);
+}
+
+#[test]
+fn lagging_reports_draw_no_herd() {
+    let s = ours(Pattern::Lagging);
+    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
+    beats_baselines(&s, Pattern::Lagging);
+}
+
+#[test]
+fn all_at_once_is_survived() {
+    let s = ours(Pattern::All);
+    assert!(s.goodput > 0.9 * s.bound, "{s:?}");
+    assert!(s.worst_share > 0.6, "{s:?}");
+    beats_baselines(&s, Pattern::All);
+}
+
+#[test]
+fn same_seed_gives_same_play() {
+    let (a, b) = (ours(Pattern::Silent), ours(Pattern::Silent));
+    assert_eq!(a.to_json(), b.to_json());
+}
+
+#[test]
+fn without_reserve_a_burst_delays_interactive_work() {
+    let with = ours(Pattern::Burst).p95_first_token_ms;
+    let off = without(Pattern::Burst, "reserve").p95_first_token_ms;
+    assert!(off > 1.5 * with, "{off} and {with}");
+}
+
+#[test]
+fn without_fairness_hot_accounts_starve_others() {
+    let with = ours(Pattern::Hot).worst_share;
+    let off = without(Pattern::Hot, "fairness").worst_share;
+    assert!(off < with - 0.05, "{off} and {with}");
+}
