--- /dev/null
+++ b/wisteriapass_policy/tests/decisions.rs
@@ -0,0 +1,265 @@
+//! Single decisions: retries, health, admission and orders.
+
+use smallvec::smallvec;
+use wisteriapass_policy::{
+    AccountFacts, Decision, FailureKind, Held, ModelDemand, Nearness, Order, OrderKind, Orders,
+    OrdersConfig, Outcome, Parts, PolicyConfig, Priority, Refusal, RequestFacts, Scheduler,
+    TargetFacts, TargetKey, TargetRole, Time, Wants,
+};
+
+/// Creates a scheduler with targets that hold one model, and one account.
+fn scheduler(cfg: PolicyConfig, targets: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(cfg);
+    let targets: Vec<TargetFacts> = (0..targets).map(|n| target(n, "model")).collect();
+    scheduler.set_targets(Time::default(), &targets);
+    scheduler.set_accounts(&[AccountFacts {
+        name: "account".into(),
+        weight: 1,
+    }]);
+    scheduler
+}
+
+fn target(n: usize, model: &str) -> TargetFacts {
+    TargetFacts {
+        name: format!("engine-{n}"),
+        nearness: Nearness::SameDomain,
+        role: TargetRole::General,
+        holds: smallvec![Held::Model {
+            name: model.into(),
+            version: "1".into(),
+            adapters: vec!["adapter".into()],
+        }],
+        slots: 4,
+        tokens_per_s: 400,
+        leaving: false,
+    }
+}
+
+fn request(scheduler: &Scheduler, idempotent: bool) -> RequestFacts {
+    let model = scheduler.name("model").expect("a target holds it");
+    RequestFacts {
+        account: scheduler.account("account").expect("it is set"),
+        priority: Priority::Standard,
+        wants: Wants::Model {
+            model,
+            version: None,
+            adapter: None,
+        },
+        prompt_tokens: 10,
+        max_tokens: 100,
+        begin_by: Time::MAX,
+        deadline: Time::from_secs(60),
+        idempotent,
+        prefix: None,
+        prefix_tokens: 0,
+        attempt: 0,
+    }
+}
+
+fn run_target(decision: Decision) -> TargetKey {
+    match decision {
+        Decision::Run { target } => target,
+        other => panic!("not run: {other:?}"),
+    }
+}
+
+fn reason(decision: Decision) -> Refusal {
+    match decision {
+        Decision::Refuse { reason, .. } => reason,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn non_idempotent_work_that_may_have_run_is_not_retried() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 2);
+    let facts = request(&s, false);
+    let (ticket, decision) = s.offer(now, facts);
+    let target = run_target(decision);
+    let after = s.failed(now, ticket, target, FailureKind::ConnectionLost);
+    assert_eq!(reason(after), Refusal::NotRetryable);
+}
+
+#[test]
+fn work_that_did_not_run_is_retried_even_if_not_idempotent() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 2);
+    let facts = request(&s, false);
+    let (ticket, decision) = s.offer(now, facts);
+    let target = run_target(decision);
+    run_target(s.failed(now, ticket, target, FailureKind::Unreachable));
+}
+
+#[test]
+fn retries_end_with_their_budget() {
+    let now = Time::from_secs(1);
+    let cfg = PolicyConfig {
+        try_burst: 2.0,
+        failures_to_avoid: 1_000,
+        ..PolicyConfig::default()
+    };
+    let mut s = scheduler(cfg, 4);
+    let facts = request(&s, true);
+    let (ticket, mut decision) = s.offer(now, facts);
+    for _ in 0..2 {
+        let target = run_target(decision);
+        decision = s.failed(now, ticket, target, FailureKind::TargetError);
+    }
+    let target = run_target(decision);
+    let last = s.failed(now, ticket, target, FailureKind::TargetError);
+    assert_eq!(reason(last), Refusal::RetryBudgetSpent);
+}
+
+#[test]
+fn silent_target_is_avoided_and_its_work_moves() {
+    let mut now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 2);
+    let facts = request(&s, true);
+    let (ticket, decision) = s.offer(now, facts);
+    let silent = run_target(decision);
+    now = now.plus_secs(10.0);
+    let decided = s.poll(now);
+    assert!(s.is_avoided(now, silent));
+    let moved = decided.iter().find(|d| d.ticket == ticket);
+    assert!(
+        matches!(moved.map(|d| d.decision), Some(Decision::Hedge { target }) if target != silent)
+    );
+}
+
+#[test]
+fn failing_target_comes_back_in_small_steps() {
+    let mut now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 1);
+    let facts = request(&s, true);
+    let (ticket, decision) = s.offer(now, facts);
+    let target = run_target(decision);
+    s.failed(now, ticket, target, FailureKind::Silent);
+    assert!(s.is_avoided(now, target));
+    s.cancel(now, ticket);
+    now = now.plus_secs(5.0);
+    let first = s.offer(now, facts);
+    run_target(first.1);
+    let second = s.offer(now, facts);
+    assert!(
+        matches!(second.1, Decision::Wait { .. }),
+        "one at a time in re-entry: {second:?}"
+    );
+    for _ in 0..10 {
+        now = now.plus_secs(1.0);
+        let (ticket, decision) = s.offer(now, facts);
+        let Decision::Run { target } = decision else {
+            s.cancel(now, ticket);
+            s.finished(now, first.0, target, Outcome { output_tokens: 50 });
+            continue;
+        };
+        s.finished(now, ticket, target, Outcome { output_tokens: 50 });
+    }
+    assert!(!s.is_avoided(now, target));
+}
+
+#[test]
+fn adapter_that_no_target_holds_is_refused() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 1);
+    let mut facts = request(&s, true);
+    let (model, adapter) = (s.name("model").expect("held"), s.name("1").expect("held"));
+    facts.wants = Wants::Model {
+        model,
+        version: None,
+        adapter: Some(adapter),
+    };
+    assert_eq!(reason(s.offer(now, facts).1), Refusal::NoTarget);
+}
+
+#[test]
+fn full_queue_is_refused_at_once_with_a_later_time_for_each() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 1);
+    let mut facts = request(&s, true);
+    facts.deadline = Time::from_secs(6);
+    let mut times = Vec::new();
+    for _ in 0..60 {
+        if let Decision::Refuse { come_back, .. } = s.offer(now, facts).1 {
+            times.push(come_back);
+        }
+    }
+    assert!(times.len() > 10, "{times:?}");
+    assert!(times.windows(2).all(|w| w[0] < w[1]), "{times:?}");
+}
+
+#[test]
+fn refusals_have_stable_names() {
+    let names: Vec<String> = Refusal::ALL.iter().map(Refusal::to_string).collect();
+    let expected = [
+        "unknown_account",
+        "no_target",
+        "targets_unwell",
+        "deadline_too_short",
+        "pool_busy",
+        "over_fair_share",
+        "shed",
+        "waited_too_long",
+        "not_retryable",
+        "retry_budget_spent",
+    ];
+    assert_eq!(names, expected);
+}
+
+#[test]
+fn each_part_can_be_switched_off() {
+    for name in Parts::NAMES {
+        assert_ne!(
+            Parts::default().without(name),
+            Some(Parts::default()),
+            "{name}"
+        );
+    }
+    assert_eq!(Parts::default().without("nothing"), None);
+}
+
+/// Two models with their demand, as shares of what their targets can do.
+fn demands(s: &Scheduler, first: f64, second: f64) -> [ModelDemand; 2] {
+    let key = |n: usize| s.target(&format!("engine-{n}")).expect("it is set");
+    let model = |name: &str| s.name(name).expect("it is held");
+    let demand = |name: &str, from: usize, share: f64| ModelDemand {
+        model: model(name),
+        offered: share * 800.0,
+        targets: vec![(key(from), 400.0), (key(from + 1), 400.0)],
+    };
+    [demand("model", 0, first), demand("other", 2, second)]
+}
+
+#[test]
+fn orders_wait_for_lasting_demand_and_for_the_weight_store() {
+    let mut s = Scheduler::new(PolicyConfig::default());
+    let all = [
+        target(0, "model"),
+        target(1, "model"),
+        target(2, "other"),
+        target(3, "other"),
+    ];
+    s.set_targets(Time::default(), &all);
+    let mut orders = Orders::new(OrdersConfig::default());
+    let at = Time::from_secs;
+    assert_eq!(orders.decide(at(10), &demands(&s, 1.5, 0.1)), None);
+    assert_eq!(orders.decide(at(20), &demands(&s, 0.5, 0.1)), None);
+    assert_eq!(orders.decide(at(30), &demands(&s, 1.5, 0.1)), None);
+    let due = orders.decide(at(61), &demands(&s, 1.5, 0.1));
+    let kind = OrderKind::Swap {
+        unload: s.name("other").expect("held"),
+        load: s.name("model").expect("held"),
+    };
+    let target = s.target("engine-3").expect("it is set");
+    assert_eq!(due, Some(Order { target, kind }));
+    assert_eq!(
+        orders.decide(at(100), &demands(&s, 1.5, 0.1)),
+        None,
+        "store's rate"
+    );
+    assert_eq!(
+        orders.decide(at(160), &demands(&s, 1.5, 0.6)),
+        None,
+        "nothing to spare"
+    );
+}
