--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -53,10 +53,6 @@
     pub reserve_burst: f64,
     /// Most slots kept for interactive work, as a share of all.
     pub reserve_max: f64,
-    /// Work is long if it takes this many times the pool's mean.
-    pub long_factor: f64,
-    /// Slots of the router's share that long work may take.
-    pub long_share: f64,
     /// A target is slow if its speed is below this share of the pool's median.
     pub slow_below: f64,
     /// Time without any sign from a target with work after which it is silent, in seconds.
@@ -114,8 +110,6 @@
             reserve_memory_s: 10.0,
             reserve_burst: 1.3,
             reserve_max: 0.9,
-            long_factor: 4.0,
-            long_share: 0.5,
             slow_below: 0.5,
             silent_after_s: 1.5,
             failures_to_avoid: 3,
--- a/wisteriapass_policy/src/job.rs
+++ b/wisteriapass_policy/src/job.rs
@@ -17,8 +17,6 @@
     /// Latest start that keeps its deadlines.
     pub(crate) start_by: Time,
     pub(crate) offered_at: Time,
-    /// Whether it counts against the limit on long work.
-    pub(crate) long: bool,
     pub(crate) hedged: bool,
     /// Copies in flight; empty while it waits.
     pub(crate) runs: SmallVec<[Run; 2]>,
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -57,18 +57,12 @@
     pub(crate) work: f64,
     pub(crate) since: Time,
     pub(crate) returned: bool,
-    /// Whether it counts against the limit on long work.
-    pub(crate) long: bool,
     /// Target that is likely to hold its prefix.
     pub(crate) home: Option<TargetKey>,
 }
 
 /// Classes of waiting requests that cannot be placed now.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Blocked {
-    pub(crate) classes: [bool; 3],
-    pub(crate) long: bool,
-}
+pub(crate) type Blocked = [bool; 3];
 
 impl Lanes {
     /// Returns an account's lane, created if new.
@@ -128,7 +122,7 @@
     ) -> Option<Waiting> {
         let share = (drain / self.active_weight()).max(1e-6);
         let heads = self.active.iter().flat_map(|&a| self.lanes[a].heads());
-        let free = heads.filter(|(_, w)| !blocked.blocks(w));
+        let free = heads.filter(|(_, w)| !blocked[w.priority.index()]);
         let scored = free.map(|(vt, w)| (score(now, vt - self.present, share, w, cfg), w));
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
     }
@@ -152,8 +146,7 @@
             .active
             .iter()
             .flat_map(|&a| self.lanes[a].front().map(move |w| (a, w)));
-        let at_home =
-            near.filter(|(_, w)| w.home == Some(home) && w.priority <= first.priority && !w.long);
+        let at_home = near.filter(|(_, w)| w.home == Some(home) && w.priority <= first.priority);
         let scored = at_home
             .map(|(a, w)| (score(a, w), w))
             .filter(|(s, _)| *s <= limit);
@@ -258,14 +251,13 @@
         self.queues.iter().all(VecDeque::is_empty)
     }
 
-    /// Returns the first request of each class and, behind a long one, the first that is not long.
+    /// Returns the first request of each class.
     fn heads(&self) -> impl Iterator<Item = (f64, &Waiting)> {
         let vt = self.virtual_time;
-        let first = self.queues.iter().filter_map(|q| q.front());
-        let long = |q: &&VecDeque<Waiting>| q.front().is_some_and(|w| w.long);
-        let behind = self.queues.iter().filter(long);
-        let short = behind.filter_map(|q| q.iter().find(|w| !w.long));
-        first.chain(short).map(move |w| (vt, w))
+        self.queues
+            .iter()
+            .filter_map(|q| q.front())
+            .map(move |w| (vt, w))
     }
 
     /// Returns the first few requests of each class.
@@ -279,12 +271,6 @@
     }
 }
 
-impl Blocked {
-    fn blocks(&self, waiting: &Waiting) -> bool {
-        self.classes[waiting.priority.index()] || (self.long && waiting.long)
-    }
-}
-
 /// Returns a request's place in the order, in seconds of an account's share; the least goes first.
 fn score(now: Time, lead: f64, share: f64, waiting: &Waiting, cfg: &PolicyConfig) -> f64 {
     let ahead = if cfg.parts.fairness {
--- a/wisteriapass_policy/src/parts.rs
+++ b/wisteriapass_policy/src/parts.rs
@@ -14,8 +14,6 @@
     pub priority: bool,
     /// Slots kept for interactive work.
     pub reserve: bool,
-    /// A limit on how many slots long work takes.
-    pub long_limit: bool,
     /// Giving up the least valuable when the queue is too long.
     pub shedding: bool,
     /// Avoiding slow, silent and failing targets.
@@ -39,7 +37,6 @@
             fairness: true,
             priority: true,
             reserve: true,
-            long_limit: true,
             shedding: true,
             health: true,
             affinity: true,
@@ -53,12 +50,11 @@
 
 impl Parts {
     /// Names that [`Parts::without`] knows.
-    pub const NAMES: [&'static str; 12] = [
+    pub const NAMES: [&'static str; 11] = [
         "admission",
         "fairness",
         "priority",
         "reserve",
-        "long_limit",
         "shedding",
         "health",
         "affinity",
@@ -75,7 +71,6 @@
             "fairness" => &mut self.fairness,
             "priority" => &mut self.priority,
             "reserve" => &mut self.reserve,
-            "long_limit" => &mut self.long_limit,
             "shedding" => &mut self.shedding,
             "health" => &mut self.health,
             "affinity" => &mut self.affinity,
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -9,8 +9,6 @@
 use crate::target::Target;
 use crate::{PolicyConfig, Priority, RequestFacts, TargetKey, Time, Wants};
 
-/// Weight of one request in the pool's mean work.
-const MEAN_STEP: f64 = 0.02;
 /// Memory of the pool's measured output, in seconds.
 const DONE_MEMORY_S: f64 = 5.0;
 
@@ -21,13 +19,10 @@
     pub(crate) members: Vec<TargetKey>,
     pub(crate) lanes: Lanes,
     pub(crate) reserve: Reserve,
-    /// Own long requests in flight.
-    pub(crate) own_long: u32,
     length_share: [f64; 3],
     tail_share: [f64; 3],
     /// What admission learned of its own estimates.
     pub(crate) caution: [Caution; 3],
-    mean_work: f64,
     done: f64,
     done_at: Time,
 }
@@ -40,11 +35,9 @@
             members: Vec::new(),
             lanes: Lanes::default(),
             reserve: Reserve::default(),
-            own_long: 0,
             length_share: [FIRST_LENGTH_SHARE; 3],
             tail_share: [FIRST_TAIL_SHARE; 3],
             caution: [Caution::default(); 3],
-            mean_work: 0.0,
             done: 0.0,
             done_at: Time::default(),
         }
@@ -95,18 +88,6 @@
         *tail = (*tail + (cfg.length_quantile - below) * LEARNING_STEP).clamp(0.01, 1.0);
     }
 
-    /// Takes a request's work into the mean; returns whether it is long beside the others.
-    pub(crate) fn judge_length(&mut self, work: f64, cfg: &PolicyConfig) -> bool {
-        if self.mean_work == 0.0 {
-            self.mean_work = work;
-        }
-        let long = work > self.mean_work * cfg.long_factor;
-        // Long ones enter the mean capped, so that they do not make themselves the rule.
-        let capped = work.min(self.mean_work * cfg.long_factor);
-        self.mean_work += (capped - self.mean_work) * MEAN_STEP;
-        long
-    }
-
     /// Counts finished work, in tokens.
     pub(crate) fn finished(&mut self, now: Time, work: f64) {
         self.done = self.done_rate(now) + work / DONE_MEMORY_S;
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -66,7 +66,7 @@
         );
         pool.lanes.charge(job.facts.account, used - job.output);
         for run in &job.runs {
-            self.release(job.pool, *run, job.facts.priority, job.long);
+            self.release(*run, job.facts.priority);
         }
         if let Some(target) = self.targets.get_mut(target) {
             target.health.succeed(&self.cfg);
@@ -117,8 +117,8 @@
             return;
         };
         let run = job.runs.remove(place);
-        let (pool, priority, long) = (job.pool, job.facts.priority, job.long);
-        self.release(pool, run, priority, long);
+        let priority = job.facts.priority;
+        self.release(run, priority);
     }
 
     /// Takes in that a request is over without an answer: its caller left or its time is up.
@@ -128,7 +128,7 @@
         };
         self.ready.retain(|d| d.ticket != ticket);
         for run in &job.runs {
-            self.release(job.pool, *run, job.facts.priority, job.long);
+            self.release(*run, job.facts.priority);
         }
     }
 
@@ -209,14 +209,12 @@
     }
 
     /// Frees what one run held.
-    fn release(&mut self, pool: crate::keys::PoolKey, run: Run, priority: Priority, long: bool) {
+    fn release(&mut self, run: Run, priority: Priority) {
         if let Some(target) = self.targets.get_mut(run.target) {
             target.load.own = target.load.own.saturating_sub(1);
             let low = u32::from(priority != Priority::Interactive);
             target.load.own_low = target.load.own_low.saturating_sub(low);
         }
-        let pool = &mut self.pools[pool];
-        pool.own_long = pool.own_long.saturating_sub(u32::from(long));
     }
 }
 
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -77,7 +77,6 @@
             work: job.work,
             since: job.offered_at,
             returned: first,
-            long: job.long,
             home,
         };
         let at = job.start_by;
@@ -104,10 +103,6 @@
                 self.pools[pool_key].lanes.take(&next);
                 continue;
             }
-            if next.long && self.long_is_full(pool_key, capacity) {
-                blocked.long = true;
-                continue;
-            }
             let capacity = Capacity { own, ..capacity };
             let Some(target) = self.choose(now, next.ticket, capacity, None) else {
                 block(&mut blocked, next.priority);
@@ -191,7 +186,6 @@
         }
         target.load.own += 1;
         target.load.own_low += u32::from(job.facts.priority != Priority::Interactive);
-        self.pools[job.pool].own_long += u32::from(job.long);
         job.runs.push(Run {
             target: key,
             first_token_at: None,
@@ -232,7 +226,6 @@
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
         let longest = prompt + pool.longest_output(&facts);
         let done = facts.deadline.plus_secs(-longest / slot_rate);
-        let long = pool.judge_length(work, &self.cfg);
         let urgent = facts.priority == Priority::Interactive;
         let slot_secs = if urgent { work / slot_rate } else { 0.0 };
         pool.reserve.offered(now, slot_secs, &self.cfg);
@@ -243,7 +236,6 @@
             output,
             start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
             offered_at: now,
-            long,
             hedged: false,
             runs: SmallVec::new(),
         }
@@ -288,15 +280,6 @@
         }
     }
 
-    /// Returns whether long work has all the slots it may have.
-    fn long_is_full(&self, pool: PoolKey, capacity: Capacity) -> bool {
-        if !self.cfg.parts.long_limit {
-            return false;
-        }
-        let share = capacity.slots / self.routers * self.cfg.long_share;
-        f64::from(self.pools[pool].own_long) >= share.max(1.0)
-    }
-
     /// Returns when the first avoided member of a pool gets work again.
     fn reentry(&self, pool: PoolKey) -> Time {
         let members = self.pools[pool]
@@ -312,7 +295,7 @@
 
 /// Blocks a class and all below it: what finds no room for urgent work finds none for the rest.
 fn block(blocked: &mut Blocked, priority: Priority) {
-    for class in &mut blocked.classes[priority.index()..] {
+    for class in &mut blocked[priority.index()..] {
         *class = true;
     }
 }
