Take given-up and cancelled requests out of their queue

They stayed in their lane until its head and counted as work ahead, so that later requests were refused for work nobody waited for any more; a test with cancelled requests failed first.

--- a/wisteriapass_policy/src/job.rs
+++ b/wisteriapass_policy/src/job.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 
 use crate::keys::PoolKey;
+use crate::lanes::Waiting;
 use crate::{RequestFacts, TargetKey, Time};
 
 /// One offered request from offer to end.
@@ -17,6 +18,8 @@
     /// Latest start that keeps its deadlines.
     pub(crate) start_by: Time,
     pub(crate) offered_at: Time,
+    /// Its place in the queue while it waits.
+    pub(crate) waiting: Option<Waiting>,
     pub(crate) hedged: bool,
     /// Copies in flight; empty while it waits.
     pub(crate) runs: SmallVec<[Run; 2]>,
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -126,6 +126,9 @@
         let Some(job) = self.jobs.remove(ticket) else {
             return;
         };
+        if let Some(waiting) = job.waiting {
+            self.pools[job.pool].lanes.take(&waiting);
+        }
         self.ready.retain(|d| d.ticket != ticket);
         for run in &job.runs {
             self.release(*run, job.facts.priority);
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -82,6 +82,7 @@
         let at = job.start_by;
         let saved_s = self.cfg.saved_share_s;
         self.pools[job.pool].lanes.push(waiting, weight, saved_s);
+        self.jobs[ticket].waiting = Some(waiting);
         self.alarms.push(Reverse(Alarm {
             at,
             kind: AlarmKind::Start,
@@ -99,10 +100,6 @@
             .lanes
             .peek(now, drain, blocked, &self.cfg)
         {
-            if !self.jobs.contains_key(next.ticket) {
-                self.pools[pool_key].lanes.take(&next);
-                continue;
-            }
             let capacity = Capacity { own, ..capacity };
             let Some(target) = self.choose(now, next.ticket, capacity, None) else {
                 block(&mut blocked, next.priority);
@@ -113,6 +110,7 @@
             pool.lanes.take(&next);
             pool.lanes.charge(next.account, next.work);
             pool.caution[next.priority.index()].learn(false);
+            self.jobs[next.ticket].waiting = None;
             self.start(now, next.ticket, target);
             own += 1;
             let decision = Decision::Run { target };
@@ -139,8 +137,7 @@
         let Some(other) = lanes.peek_home(now, drain, &next, target, &self.cfg) else {
             return next;
         };
-        let known = self.jobs.contains_key(other.ticket);
-        if known && self.choose(now, other.ticket, capacity, None) == Some(target) {
+        if self.choose(now, other.ticket, capacity, None) == Some(target) {
             return other;
         }
         next
@@ -236,6 +233,7 @@
             output,
             start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
             offered_at: now,
+            waiting: None,
             hedged: false,
             runs: SmallVec::new(),
         }
@@ -276,7 +274,6 @@
                 return;
             };
             self.give_up(now, least.ticket, Refusal::Shed);
-            self.pools[pool_key].lanes.take(&least);
         }
     }
 
--- a/wisteriapass_policy/src/scheduler/poll.rs
+++ b/wisteriapass_policy/src/scheduler/poll.rs
@@ -52,6 +52,9 @@
         let capacity = self.capacity(now, job.pool);
         let weight = self.weight(&job.facts).unwrap_or(1.0);
         let pool = &mut self.pools[job.pool];
+        if let Some(waiting) = job.waiting {
+            pool.lanes.take(&waiting);
+        }
         let ask = Ask {
             facts: &job.facts,
             weight,
--- a/wisteriapass_policy/tests/decisions.rs
+++ b/wisteriapass_policy/tests/decisions.rs
@@ -263,3 +263,27 @@
         "nothing to spare"
     );
 }
+
+#[test]
+fn cancelled_requests_no_longer_count_as_work_ahead() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 1);
+    let mut facts = request(&s, true);
+    facts.deadline = Time::from_secs(20);
+    let mut waiting = Vec::new();
+    let refused = loop {
+        match s.offer(now, facts) {
+            (ticket, Decision::Wait { .. }) => waiting.push(ticket),
+            (_, Decision::Refuse { reason, .. }) => break reason,
+            _ => {}
+        }
+    };
+    assert_ne!(refused, Refusal::NoTarget);
+    assert!(waiting.len() > 2, "{waiting:?}");
+    for &ticket in &waiting[1..] {
+        s.cancel(now, ticket);
+    }
+    assert_eq!(s.waiting(), 1);
+    let again = s.offer(now, facts).1;
+    assert!(matches!(again, Decision::Wait { .. }), "{again:?}");
+}
