--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -49,7 +49,7 @@
     if ask.free_now && all_ahead <= 0.0 {
         return None;
     }
-    let lead = lanes.ahead(ask.facts.account);
+    let lead = lanes.ahead(ask.facts.account).max(0.0);
     let lane = lanes.lane(ask.facts.account, ask.weight)?;
     if ask.facts.attempt > 0 {
         // It was told to come now; only others that were told so are before it.
