--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -31,6 +31,8 @@
     pub report_stale_s: f64,
     /// Requests that may wait at a target beyond its slots.
     pub queue_at_target: f64,
+    /// The same for those whose prefix the target is the home of.
+    pub queue_at_home: f64,
     /// The same for interactive ones, which the target takes first.
     pub queue_at_target_interactive: f64,
     /// Longest queue, in seconds of the router's share of the pool.
@@ -39,20 +41,18 @@
     pub interactive_lead_s: f64,
     /// Head start of standard over batch work, in seconds of an account's share.
     pub standard_lead_s: f64,
+    /// Head start of requests whose callers came back as told, in seconds of an account's share.
+    pub returned_lead_s: f64,
+    /// Unused share that an account keeps, in seconds.
+    pub saved_share_s: f64,
     /// Head start gained for each second of waiting, in seconds.
     pub ageing: f64,
     /// Memory of the usual rate of arrivals, in seconds.
     pub reserve_memory_s: f64,
-    /// Slots kept for interactive work in steady load, as a share of what it needs.
-    pub reserve_steady: f64,
     /// Slots kept for interactive work in a burst, as a multiple of what it needs.
     pub reserve_burst: f64,
     /// Most slots kept for interactive work, as a share of all.
     pub reserve_max: f64,
-    /// Work is long if it takes this many times the pool's mean.
-    pub long_factor: f64,
-    /// Slots of the router's share that long work may take.
-    pub long_share: f64,
     /// A target is slow if its speed is below this share of the pool's median.
     pub slow_below: f64,
     /// Time without any sign from a target with work after which it is silent, in seconds.
@@ -67,8 +67,8 @@
     pub reentry_step: u32,
     /// Worth of a held prefix, in slots of load as a share of all slots.
     pub affinity_bonus: f64,
-    /// Load above the pool's mean at which a held prefix is worth nothing, as a share of the slots.
-    pub affinity_bound: f64,
+    /// Time by which a request may be overtaken by one whose prefix the free target holds, in seconds.
+    pub affinity_wait_s: f64,
     /// Age at which a cache hint is worth nothing, in seconds.
     pub cache_hint_s: f64,
     /// Load that a target in another failure domain seems to have, as a share of the slots.
@@ -99,25 +99,25 @@
             report_fresh_s: 1.0,
             report_stale_s: 4.0,
             queue_at_target: 2.0,
+            queue_at_home: 4.0,
             queue_at_target_interactive: 3.0,
             queue_limit_s: 20.0,
             interactive_lead_s: 4.0,
             standard_lead_s: 1.0,
+            returned_lead_s: 8.0,
+            saved_share_s: 30.0,
             ageing: 0.2,
             reserve_memory_s: 10.0,
-            reserve_steady: 0.5,
             reserve_burst: 1.3,
             reserve_max: 0.9,
-            long_factor: 4.0,
-            long_share: 0.5,
             slow_below: 0.5,
             silent_after_s: 1.5,
             failures_to_avoid: 3,
             avoid_first_s: 2.0,
             avoid_max_s: 30.0,
             reentry_step: 2,
-            affinity_bonus: 0.25,
-            affinity_bound: 0.2,
+            affinity_bonus: 0.6,
+            affinity_wait_s: 4.0,
             cache_hint_s: 30.0,
             other_domain_load: 0.02,
             other_region_load: 0.5,
