Mistakes of the parser name their key too

Cause: a wrong type or a missing key was reported with its line and without its key. The key is the narrowest one around the place that the parser names. A test damages the base text at 2,000 seeded places: each text is accepted or refused with remedies and lines within it.

--- a/wisteriapass_config/src/check/parse.rs
+++ b/wisteriapass_config/src/check/parse.rs
@@ -2,8 +2,8 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::lines::line_at;
-use crate::{KeyPath, Mistake};
+use crate::Mistake;
+use crate::lines::{Lines, line_at};
 
 /// Parses one TOML text.
 ///
@@ -14,10 +14,18 @@
 
 /// Turns the parser's error into a mistake.
 fn mistake_of(file: &str, text: &str, e: &toml::de::Error) -> Mistake {
-    let line = e.span().map(|span| line_at(text, span.start));
+    let start = e.span().map(|span| span.start);
     let cause = e.message().to_owned();
     let remedy = remedy_for(&cause);
-    Mistake::new(file, &KeyPath::default(), cause, remedy).with_line(line)
+    Mistake {
+        file: file.to_owned(),
+        line: start.map(|offset| line_at(text, offset)),
+        key: start
+            .and_then(|o| Lines::new(text).key_at(o))
+            .unwrap_or_default(),
+        cause,
+        remedy: remedy.to_owned(),
+    }
 }
 
 /// Returns what to do about a parser's message.
--- a/wisteriapass_config/src/lines.rs
+++ b/wisteriapass_config/src/lines.rs
@@ -1,5 +1,7 @@
 //! Line numbers of keys in a TOML text.
 
+use std::ops::Range;
+
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
@@ -34,6 +36,54 @@
         }
         Some(line_at(self.text, value.span().start))
     }
+
+    /// Returns the path of the narrowest key or value around a byte offset.
+    pub(crate) fn key_at(&self, offset: usize) -> Option<String> {
+        let mut narrowest = Narrowest {
+            offset,
+            found: None,
+        };
+        narrowest.visit_table("", self.root.as_ref()?.get_ref());
+        narrowest.found.map(|(_, path)| path)
+    }
+}
+
+/// The narrowest key or value found around an offset.
+struct Narrowest {
+    offset: usize,
+    found: Option<(usize, String)>,
+}
+
+impl Narrowest {
+    fn offer(&mut self, path: &str, span: Range<usize>) {
+        let width = span.len();
+        // Of equal ones, the inner comes later: an array may have the span of its first entry.
+        let is_narrower = self.found.as_ref().is_none_or(|(w, _)| width <= *w);
+        if span.contains(&self.offset) && is_narrower {
+            self.found = Some((width, path.to_owned()));
+        }
+    }
+
+    fn visit(&mut self, path: &str, value: &Spanned<DeValue<'_>>) {
+        self.offer(path, value.span());
+        match value.get_ref() {
+            DeValue::Table(table) => self.visit_table(&format!("{path}."), table),
+            DeValue::Array(array) => {
+                for (n, item) in array.iter().enumerate() {
+                    self.visit(&format!("{path}[{n}]"), item);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn visit_table(&mut self, prefix: &str, table: &DeTable<'_>) {
+        for (key, value) in table.iter() {
+            let path = format!("{prefix}{}", key.get_ref());
+            self.offer(&path, key.span());
+            self.visit(&path, value);
+        }
+    }
 }
 
 /// Goes one step into a value.
--- a/wisteriapass_config/tests/mistakes.rs
+++ b/wisteriapass_config/tests/mistakes.rs
@@ -1,5 +1,6 @@
 //! Every mistake in a document is reported with document, key, line and remedy.
 
+use quickcheck::{Gen, QuickCheck};
 use wisteriapass_config::{ConfigError, Document, Mistake, Settings};
 
 const INVENTORY: &str = r#"
@@ -77,6 +78,47 @@
     assert!(mistake.cause.contains("regoin"), "{mistake}");
 }
 
+#[test]
+fn a_wrong_type_names_key_and_line() {
+    let mistake = in_inventory("kind = \"engine\"", "kind = \"engine\"\nslots = \"many\"");
+    assert_eq!(place(&mistake), ("inventory", "target[0].slots", Some(18)));
+    let mistake = in_inventory("10.0.0.2:80", "10.0.0.2");
+    assert_eq!(place(&mistake), ("inventory", "target[0].side", Some(19)));
+    assert_eq!(mistake.remedy, "write an address as \"IP:port\"");
+}
+
+#[test]
+fn a_missing_key_names_its_table() {
+    let mistake = in_rules("account = \"firm\"", "");
+    assert_eq!(place(&mistake), ("rules", "budget[0]", Some(7)));
+    assert!(mistake.cause.contains("account"), "{mistake}");
+}
+
+#[test]
+fn a_mistake_in_nested_tables_names_the_whole_path() {
+    let offers = "[[target.model]]\nname = \"m\"\n[[target.model]]\nname = 7";
+    let mistake = in_inventory("model = [{ name = \"m\" }]", offers);
+    assert_eq!(mistake.key, "target[0].model[1].name");
+}
+
+#[test]
+fn damaged_texts_are_refused_or_accepted_but_never_break_the_check() {
+    fn property(at: usize, put: u8) -> bool {
+        let mut text = INVENTORY.as_bytes().to_vec();
+        let at = at % text.len();
+        text[at] = put % 128;
+        let text = String::from_utf8(text).unwrap();
+        let lines = text.lines().count();
+        let checked = Document::from_toml(&text, RULES);
+        let refused = checked.err().map(|e| e.mistakes().to_vec());
+        let is_told = |m: &Mistake| !m.remedy.is_empty() && m.line.is_none_or(|l| l <= lines + 1);
+        refused.is_none_or(|mistakes| !mistakes.is_empty() && mistakes.iter().all(is_told))
+    }
+    let seeded = Gen::from_size_and_seed(1_000, 11);
+    let mut check = QuickCheck::new().rng(seeded).tests(2_000);
+    check.quickcheck(property as fn(usize, u8) -> bool);
+}
+
 #[test]
 fn a_failure_domain_that_does_not_exist_is_named() {
     let mistake = in_inventory(
