Tool: a result that cannot be printed ends as unknown; export checks both files first

Cause: an edit that took effect with its output closed left with 3, which says that nothing changed.

--- a/wisteriapass/src/commands/export.rs
+++ b/wisteriapass/src/commands/export.rs
@@ -10,6 +10,12 @@
 use crate::args::Export;
 use crate::{Context, Exit, Result, ToolError, edit};
 
+/// File for the inventory.
+const INVENTORY: &str = "inventory.toml";
+
+/// File for the rules.
+const RULES: &str = "rules.toml";
+
 /// Result of `export`.
 #[derive(Serialize)]
 struct Exported {
@@ -24,8 +30,9 @@
     if revision == 0 {
         return Err(Report::new(ToolError::Nothing));
     }
-    let inventory = write(&opts.dir, "inventory.toml", revision, &document.inventory)?;
-    let rules = write(&opts.dir, "rules.toml", revision, &document.rules)?;
+    check_free(&opts.dir)?;
+    let inventory = write(&opts.dir, INVENTORY, revision, &document.inventory)?;
+    let rules = write(&opts.dir, RULES, revision, &document.rules)?;
     let text = format!("revision {revision}: {inventory}, {rules}; apply with --from {revision}");
     let exported = Exported {
         revision,
@@ -35,7 +42,21 @@
     Ok(Exit::Done)
 }
 
-/// Writes one document to a file that must not exist, so that no edit in progress is lost.
+/// Refuses a directory with files in the way, so that no edit in progress is lost.
+fn check_free(dir: &str) -> Result<()> {
+    for file in [INVENTORY, RULES] {
+        let path = Path::new(dir).join(file);
+        if path.exists() {
+            return Err(Report::new(ToolError::File {
+                file: path.display().to_string(),
+                cause: "exists already".into(),
+            }));
+        }
+    }
+    Ok(())
+}
+
+/// Writes one document to a new file.
 fn write(dir: &str, file: &str, revision: u64, document: &impl Serialize) -> Result<String> {
     let path = Path::new(dir).join(file);
     let name = path.display().to_string();
--- a/wisteriapass/src/exit.rs
+++ b/wisteriapass/src/exit.rs
@@ -19,7 +19,7 @@
     Usage = 2,
     /// The key-value service or a daemon could not be reached; nothing changed.
     Unreachable = 3,
-    /// A write got no answer and may have taken effect; repeat it with the same id.
+    /// A write got no answer, or its result could not be printed; repeat it with the same id.
     Unknown = 4,
 }
 
@@ -39,8 +39,8 @@
             ToolError::Revision(_) => Self::Refused,
             ToolError::Ledger(LedgerError::Store(e)) => Self::of_write(e),
             ToolError::Ledger(_) => Self::Refused,
-            ToolError::Unknown { .. } => Self::Unknown,
-            ToolError::Output { .. } => Self::Unreachable,
+            // What was to be printed may have been the success of a write.
+            ToolError::Unknown { .. } | ToolError::Output { .. } => Self::Unknown,
         }
     }
 
--- a/wisteriapass/tests/commands.rs
+++ b/wisteriapass/tests/commands.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::fs;
+use std::io::{self, Write};
 
 use gumdrop::{Options, ParsingStyle};
 use support::{FakeFleet, Fault, FaultyStore, dir, json, json_with, pizarra, run, run_with, seed};
@@ -64,13 +65,11 @@
     let store = MemoryStore::new();
     seed(&store);
     let dir = dir("export_twice");
-    fs::write(dir.join("inventory.toml"), "mine").unwrap();
+    fs::write(dir.join("rules.toml"), "mine").unwrap();
     let (exit, _) = json(&store, &["export", dir.to_str().unwrap()]);
     assert_eq!(exit, Exit::Usage);
-    assert_eq!(
-        fs::read_to_string(dir.join("inventory.toml")).unwrap(),
-        "mine"
-    );
+    assert_eq!(fs::read_to_string(dir.join("rules.toml")).unwrap(), "mine");
+    assert!(!dir.join("inventory.toml").exists());
 }
 
 #[test]
@@ -254,3 +253,28 @@
     let (_, text) = run_with(&store, &fleet, &["show", "retries"], "");
     assert!(text.ends_with("no answer from lm-a1\n"), "{text}");
 }
+
+/// An output that is closed.
+struct Closed;
+
+impl Write for Closed {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn an_edit_whose_result_cannot_be_printed_is_not_called_without_effect() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let args = Args::parse_args(&["drain", "lm-a1"], ParsingStyle::AllOptions).unwrap();
+    let fleet = FakeFleet::at(1);
+    let mut out = Closed;
+    let mut cx = Context::new(&store, &fleet, Output::new(&mut out, false), io::empty());
+    assert_eq!(wisteriapass::run(&mut cx, &args), Exit::Unknown);
+    assert_eq!(edit::current(&store).unwrap().revision, 2);
+}
