--- a/wisteriapass/src/commands/show/grants.rs
+++ b/wisteriapass/src/commands/show/grants.rs
@@ -9,7 +9,7 @@
     for grant in &grants {
         table.row([
             grant.budget.clone(),
-            grant.origin.to_string(),
+            grant.origin.clone(),
             grant.granted.to_string(),
             grant.returned.to_string(),
             grant.spent.to_string(),
--- a/wisteriapass/src/money.rs
+++ b/wisteriapass/src/money.rs
@@ -21,8 +21,8 @@
 pub struct Granted {
     /// Budget the money is of.
     pub budget: String,
-    /// Incarnation of the router that took it.
-    pub origin: Origin,
+    /// Incarnation of the router that took it, in hexadecimal.
+    pub origin: String,
     /// Amount granted, in tokens.
     pub granted: Tokens,
     /// Amount returned unspent, in tokens.
@@ -89,7 +89,7 @@
         for (id, entry) in record.budgets() {
             grants.extend(entry.origins.iter().map(|(origin, held)| Granted {
                 budget: id.to_string(),
-                origin: *origin,
+                origin: origin.to_string(),
                 granted: held.granted,
                 returned: held.returned,
                 spent: held.spent,
@@ -97,7 +97,7 @@
             }));
         }
     }
-    grants.sort_by(|a, b| (&a.budget, a.origin).cmp(&(&b.budget, b.origin)));
+    grants.sort_by(|a, b| (&a.budget, &a.origin).cmp(&(&b.budget, &b.origin)));
     Ok(grants)
 }
 
--- a/wisteriapass/tests/extra.rs
+++ b/wisteriapass/tests/extra.rs
@@ -1,10 +1,11 @@
-//! Man page and completions name every command, option and kind of state.
+//! Man page and completions name every command, option and kind of state; the guide every reason.
 
 use std::fs;
 use std::path::Path;
 
 use gumdrop::Options;
 use wisteriapass::args::{Args, Command};
+use wisteriapass_daemon::api::Reason;
 
 const FILES: [&str; 4] = [
     "extra/man/wisteriapass.1",
@@ -77,3 +78,16 @@
         }
     }
 }
+
+#[test]
+fn every_refusal_reason_is_in_the_operators_guide() {
+    // The error lists all names, which keeps this test in step with the type.
+    let error = serde_json::from_str::<Reason>("\"?\"").unwrap_err();
+    let text = error.to_string();
+    let reasons: Vec<&str> = text.split('`').skip(3).step_by(2).collect();
+    assert!(reasons.len() > 15, "{text}");
+    let guide = read("docs/OPERATORS.md");
+    for reason in reasons {
+        assert!(guide.contains(&format!("| `{reason}` |")), "{reason}");
+    }
+}
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,4 +1,3 @@
-
 mod digest;
 pub mod fleet;
 pub mod link;
