--- a/wisteriapass_bench/src/loads.rs
+++ b/wisteriapass_bench/src/loads.rs
@@ -27,11 +27,13 @@
 use play::Play;
 
 /// Time before anything is measured, in which the pool fills, in seconds.
-pub const WARM_UP_SECS: f64 = 10.0;
-/// Length of what is measured, in seconds.
+pub const WARM_UP_SECS: f64 = 60.0;
+/// Time whose arrivals are measured, in seconds.
 pub const PLAY_SECS: f64 = 60.0;
+/// Time for which the load goes on so that what is measured can end, in seconds.
+pub const COOL_DOWN_SECS: f64 = 60.0;
 /// End of the play, in seconds.
-pub const END_SECS: f64 = WARM_UP_SECS + PLAY_SECS;
+pub const END_SECS: f64 = WARM_UP_SECS + PLAY_SECS + COOL_DOWN_SECS;
 
 /// Plays one pattern by one policy.
 pub fn play(pattern: Pattern, policy: Policy, seed: u64, cfg: &PolicyConfig) -> Summary {
@@ -44,12 +46,12 @@
         cost::print();
         return ExitCode::SUCCESS;
     }
-    let Some(cfg) = config(opts) else {
-        eprintln!(
-            "--without: no such part; the parts are {}",
-            Parts::NAMES.join(", ")
-        );
-        return ExitCode::FAILURE;
+    let cfg = match config(opts) {
+        Ok(cfg) => cfg,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::FAILURE;
+        }
     };
     let patterns = opts.pattern.map_or(Pattern::ALL.to_vec(), |p| vec![p]);
     let policies = opts.policy.map_or(Policy::ALL.to_vec(), |p| vec![p]);
@@ -74,11 +76,18 @@
     Summary::median(&summaries)
 }
 
-/// Returns the policy's thresholds with the named parts off, or nothing if one is not known.
-fn config(opts: &LoadsOpts) -> Option<PolicyConfig> {
-    let mut cfg = PolicyConfig::default();
+/// Returns the policy's thresholds as the options have them, or what is wrong with those.
+fn config(opts: &LoadsOpts) -> Result<PolicyConfig, String> {
+    let set = opts.set.as_deref().unwrap_or("").replace(',', "\n");
+    let mut cfg: PolicyConfig = toml::from_str(&set).map_err(|e| format!("--set: {e}"))?;
     for name in opts.without.iter().flat_map(|w| w.split(',')) {
-        cfg.parts = cfg.parts.without(name)?;
+        let parts = cfg.parts.without(name);
+        cfg.parts = parts.ok_or_else(|| {
+            format!(
+                "--without: no part {name:?}; use one of {}",
+                Parts::NAMES.join(", ")
+            )
+        })?;
     }
-    Some(cfg)
+    Ok(cfg)
 }
--- a/wisteriapass_daemon/src/router/money.rs
+++ b/wisteriapass_daemon/src/router/money.rs
@@ -153,8 +153,7 @@
         if let Some(bill) = to_bill(bill) {
             self.bills.enter(bill);
         }
-        let paid = bill.payment.as_ref().map(|p| p.id);
-        if paid != Some(reservation.payment().id) {
+        if !bill.is_paid_by(reservation.payment()) {
             return self.release(reservation);
         }
         let settled = self
--- a/wisteriapass_daemon/src/router/money/bills.rs
+++ b/wisteriapass_daemon/src/router/money/bills.rs
@@ -118,13 +118,13 @@
 
 /// Returns the bill of a run as the service keeps it; none if it cost nothing.
 pub(super) fn to_bill(bill: &RunBill) -> Option<Bill> {
-    let payment = bill.payment.clone().filter(|_| bill.amount > 0)?;
+    let payment = bill.payment.as_deref().filter(|_| bill.amount > 0)?;
     let (side, incarnation) = bill.ran_at.split_once('/')?;
     Some(Bill {
         run: RunId::from_text(&bill.run),
         place: Place::new(side, incarnation),
         account: bill.account.clone(),
-        payment,
+        payment: payment.clone(),
         amount: Tokens(bill.amount),
         is_provisional: false,
     })
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -3,15 +3,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use wisteriapass_coord::budget::Reservation;
+use wisteriapass_coord::once::RunId;
 use wisteriapass_policy::{Priority, RequestFacts, Time};
 
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
 use crate::router::carry::Carry;
+use crate::router::locate::Located;
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
-use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::router::{InForce, Incarnations, Locator, Money, RouterIdentity, Scheduling, Unsettled};
 use crate::rpc::Caller;
 use crate::run_wire::{Dispatch, RunRequest};
 use crate::stop::Stop;
@@ -24,6 +26,8 @@
     pub(super) stop: Arc<Stop>,
     pub(super) caller: Arc<Caller>,
     pub(super) unsettled: Arc<Unsettled>,
+    pub(super) locator: Arc<Locator>,
+    pub(super) incarnations: Arc<Incarnations>,
     router: Arc<RouterIdentity>,
     scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
@@ -47,6 +51,8 @@
             stop: kernel.find()?,
             caller: kernel.find()?,
             unsettled: kernel.find()?,
+            locator: kernel.find()?,
+            incarnations: kernel.find()?,
             router: kernel.find()?,
             scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
@@ -108,16 +114,16 @@
     pub(super) fn dispatch(
         &self,
         asked: &Asked,
-        run: &str,
-        attempt: u32,
+        run: &RunId,
+        located: &Located,
         reservation: Option<&Reservation>,
     ) -> Dispatch {
         let left = asked.deadline.saturating_duration_since(Instant::now());
         Dispatch {
-            run: run.into(),
+            run: run.to_string(),
             fingerprint: asked.fingerprint.clone(),
-            attempt,
-            incarnation: String::new(),
+            attempt: located.attempt.0,
+            incarnation: located.place.incarnation.clone(),
             router: self.router.incarnation.clone(),
             account: asked.account.clone(),
             payment: reservation.map(|r| r.payment().clone()),
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -141,6 +141,13 @@
     pub from: u64,
 }
 
+impl RunBill {
+    /// Returns whether a reservation pays this bill: only that of the order that began the run.
+    pub fn is_paid_by(&self, reserved: &Payment) -> bool {
+        self.payment.as_ref().is_some_and(|p| p.id == reserved.id)
+    }
+}
+
 /// What a run cost, made once by the side process that ran it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunBill {
@@ -150,8 +157,8 @@
     pub ran_at: String,
     /// Client account.
     pub account: String,
-    /// Money that paid, as reserved.
-    pub payment: Option<Payment>,
+    /// Money that pays: what the order that began the run reserved.
+    pub payment: Option<Box<Payment>>,
     /// Amount, in tokens; never more than was reserved.
     pub amount: u64,
     /// Prompt tokens as the target counted them.
@@ -211,7 +218,9 @@
         /// What it cost.
         bill: RunBill,
     },
-    /// The side process refuses the dispatch or knows no such run.
+    /// This incarnation of the side process has no such run.
+    NoSuchRun,
+    /// The side process refuses the dispatch, or the run ended without a known outcome.
     Refused {
         /// Why, and whether it ran.
         refusal: Refusal,
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 use crate::router::InForce;
-use crate::rpc::{HomeClaim, Owned, OwnedRun, SideControlServer, Withdrawal};
+use crate::rpc::{HomeClaim, Looked, Owned, OwnedRun, SideControlServer, Withdrawal};
 use crate::side::index::{kept, own_place};
 use crate::side::{Index, Runs, SideIdentity, SideMoney, homes_in};
 
@@ -50,6 +50,10 @@
         Ok(self.index.claim(&claim))
     }
 
+    fn lookup(&self, run: RunId) -> RpcResult<Looked> {
+        Ok(self.index.lookup(&run))
+    }
+
     fn owned(&self, home: String) -> RpcResult<Owned> {
         let document = self.config.document();
         let kept_ms = kept().0;
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -133,7 +133,7 @@
 
     /// Ends the run with its bill, capped at what was reserved.
     pub fn end(&self, ran_at: &str, finish: Finish, prompt_tokens: u64, output_tokens: u64) {
-        let payment = self.dispatch.payment.clone();
+        let payment = self.dispatch.payment.clone().map(Box::new);
         let reserved = payment.as_ref().map_or(0, |p| p.total().0);
         let amount = match finish {
             Finish::Failed => 0,
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -5,8 +5,9 @@
 //! has a virtual time: the work it was given, by its weight. The next request is the one whose
 //! account is furthest behind, with a head start for urgent classes and for age. The head start is
 //! bounded (some seconds of the account's share), so that priority orders work over seconds and
-//! fairness over a minute. An account that was idle starts at the present, so its unused share is
-//! lent and not saved up. Requests whose callers come back as told go first within their account.
+//! fairness over a minute. An account that was idle keeps some seconds of its unused share: the
+//! few requests that a small account has at one router come in clusters, and without that it would
+//! get less than its share of every minute. The rest is lent. Requests whose callers come back as told go first within their account.
 //! Without classes a question waits behind drafts (`loads --pattern saturation --without
 //! priority`).
 
@@ -14,7 +15,10 @@
 
 use slotmap::SecondaryMap;
 
-use crate::{AccountKey, PolicyConfig, Priority, Ticket, Time};
+use crate::{AccountKey, PolicyConfig, Priority, TargetKey, Ticket, Time};
+
+/// Requests of each account and class that are looked at for one with a given home.
+const LOOK_AHEAD: usize = 8;
 
 /// Waiting requests of one pool.
 #[derive(Debug, Default)]
@@ -34,6 +38,9 @@
     virtual_time: f64,
     queues: [VecDeque<Waiting>; 3],
     work: [f64; 3],
+    returned_work: f64,
+    /// The account's fair share when last computed, in tokens a second.
+    pub(crate) share: f64,
     weight: f64,
     /// Until when the account's promised share is taken.
     pub(crate) promised_until: Time,
@@ -50,16 +57,12 @@
     pub(crate) work: f64,
     pub(crate) since: Time,
     pub(crate) returned: bool,
-    /// Whether it counts against the limit on long work.
-    pub(crate) long: bool,
+    /// Target that is likely to hold its prefix.
+    pub(crate) home: Option<TargetKey>,
 }
 
 /// Classes of waiting requests that cannot be placed now.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Blocked {
-    pub(crate) classes: [bool; 3],
-    pub(crate) long: bool,
-}
+pub(crate) type Blocked = [bool; 3];
 
 impl Lanes {
     /// Returns an account's lane, created if new.
@@ -80,18 +83,23 @@
         self.active.retain(|&a| a != account);
     }
 
-    /// Adds a waiting request.
-    pub(crate) fn push(&mut self, waiting: Waiting, weight: f64) {
+    /// Adds a waiting request; an idle account has saved at most this many seconds of its share.
+    pub(crate) fn push(&mut self, waiting: Waiting, weight: f64, saved_s: f64) {
         let present = self.present;
         let Some(lane) = self.lane(waiting.account, weight) else {
             return;
         };
         let was_empty = lane.is_empty();
         if was_empty {
-            lane.virtual_time = lane.virtual_time.max(present);
+            lane.virtual_time = lane
+                .virtual_time
+                .max(present - saved_s * lane.share / weight);
         }
         let class = waiting.priority.index();
         lane.work[class] += waiting.work;
+        if waiting.returned {
+            lane.returned_work += waiting.work;
+        }
         if waiting.returned {
             let place = lane.queues[class].iter().take_while(|w| w.returned).count();
             lane.queues[class].insert(place, waiting);
@@ -114,11 +122,37 @@
     ) -> Option<Waiting> {
         let share = (drain / self.active_weight()).max(1e-6);
         let heads = self.active.iter().flat_map(|&a| self.lanes[a].heads());
-        let free = heads.filter(|(_, w)| !blocked.blocks(w));
+        let free = heads.filter(|(_, w)| !blocked[w.priority.index()]);
         let scored = free.map(|(vt, w)| (score(now, vt - self.present, share, w, cfg), w));
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
     }
 
+    /// Returns the first request in fair order whose home is a target, if it is near the first.
+    pub(crate) fn peek_home(
+        &self,
+        now: Time,
+        drain: f64,
+        first: &Waiting,
+        home: TargetKey,
+        cfg: &PolicyConfig,
+    ) -> Option<Waiting> {
+        let share = (drain / self.active_weight()).max(1e-6);
+        let score = |account: AccountKey, w: &Waiting| {
+            let ahead = self.lanes[account].virtual_time - self.present;
+            score(now, ahead, share, w, cfg)
+        };
+        let limit = score(first.account, first) + cfg.affinity_wait_s;
+        let near = self
+            .active
+            .iter()
+            .flat_map(|&a| self.lanes[a].front().map(move |w| (a, w)));
+        let at_home = near.filter(|(_, w)| w.home == Some(home) && w.priority <= first.priority);
+        let scored = at_home
+            .map(|(a, w)| (score(a, w), w))
+            .filter(|(s, _)| *s <= limit);
+        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
+    }
+
     /// Returns whether any request waits.
     pub(crate) fn is_waiting(&self) -> bool {
         !self.active.is_empty()
@@ -140,6 +174,9 @@
         } else {
             lane.work[class] - waiting.work
         };
+        if waiting.returned {
+            lane.returned_work = (lane.returned_work - waiting.work).max(0.0);
+        }
         if lane.is_empty() {
             self.active.retain(|&a| a != waiting.account);
         }
@@ -162,6 +199,12 @@
         lane.virtual_time += work / lane.weight.max(1e-3);
     }
 
+    /// Returns the work that an account is ahead of the others, in tokens; negative if behind.
+    pub(crate) fn ahead(&self, account: AccountKey) -> f64 {
+        let lane = self.lanes.get(account);
+        lane.map_or(0.0, |l| (l.virtual_time - self.present) * l.weight)
+    }
+
     /// Returns the waiting work of all accounts in a class and above, in tokens.
     pub(crate) fn work_above(&self, priority: Priority) -> f64 {
         let lanes = self.active.iter().map(|&a| &self.lanes[a]);
@@ -194,6 +237,11 @@
 }
 
 impl Lane {
+    /// Returns the waiting work of callers that came back as told, in tokens.
+    pub(crate) fn returned_work(&self) -> f64 {
+        self.returned_work
+    }
+
     /// Returns the waiting work in a class and above, in tokens.
     pub(crate) fn work_above(&self, priority: Priority) -> f64 {
         self.work[..=priority.index()].iter().sum()
@@ -203,14 +251,18 @@
         self.queues.iter().all(VecDeque::is_empty)
     }
 
-    /// Returns the first request of each class and, behind a long one, the first that is not long.
+    /// Returns the first request of each class.
     fn heads(&self) -> impl Iterator<Item = (f64, &Waiting)> {
         let vt = self.virtual_time;
-        let first = self.queues.iter().filter_map(|q| q.front());
-        let long = |q: &&VecDeque<Waiting>| q.front().is_some_and(|w| w.long);
-        let behind = self.queues.iter().filter(long);
-        let short = behind.filter_map(|q| q.iter().find(|w| !w.long));
-        first.chain(short).map(move |w| (vt, w))
+        self.queues
+            .iter()
+            .filter_map(|q| q.front())
+            .map(move |w| (vt, w))
+    }
+
+    /// Returns the first few requests of each class.
+    fn front(&self) -> impl Iterator<Item = &Waiting> {
+        self.queues.iter().flat_map(|q| q.iter().take(LOOK_AHEAD))
     }
 
     /// Returns how far ahead the account is with all its waiting work done.
@@ -219,12 +271,6 @@
     }
 }
 
-impl Blocked {
-    fn blocks(&self, waiting: &Waiting) -> bool {
-        self.classes[waiting.priority.index()] || (self.long && waiting.long)
-    }
-}
-
 /// Returns a request's place in the order, in seconds of an account's share; the least goes first.
 fn score(now: Time, lead: f64, share: f64, waiting: &Waiting, cfg: &PolicyConfig) -> f64 {
     let ahead = if cfg.parts.fairness {
@@ -233,6 +279,7 @@
         0.0
     };
     let head_start = match waiting.priority {
+        _ if waiting.returned => cfg.returned_lead_s,
         Priority::Interactive if cfg.parts.priority => cfg.interactive_lead_s,
         Priority::Standard if cfg.parts.priority => cfg.standard_lead_s,
         _ => 0.0,
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -66,6 +66,10 @@
     /// Puts a job into its account's lane and sets its latest start.
     pub(super) fn enqueue(&mut self, ticket: Ticket, weight: f64, first: bool) {
         let job = &self.jobs[ticket];
+        let pool = &self.pools[job.pool];
+        let prefix = job.facts.prefix.filter(|_| self.cfg.parts.affinity);
+        let home = prefix
+            .and_then(|p| choice::home(&pool.members, &self.targets, job.offered_at, p, &self.cfg));
         let waiting = Waiting {
             ticket,
             account: job.facts.account,
@@ -73,10 +77,12 @@
             work: job.work,
             since: job.offered_at,
             returned: first,
-            long: job.long,
+            home,
         };
         let at = job.start_by;
-        self.pools[job.pool].lanes.push(waiting, weight);
+        let saved_s = self.cfg.saved_share_s;
+        self.pools[job.pool].lanes.push(waiting, weight, saved_s);
+        self.jobs[ticket].waiting = Some(waiting);
         self.alarms.push(Reverse(Alarm {
             at,
             kind: AlarmKind::Start,
@@ -94,23 +100,17 @@
             .lanes
             .peek(now, drain, blocked, &self.cfg)
         {
-            if !self.jobs.contains_key(next.ticket) {
-                self.pools[pool_key].lanes.take(&next);
-                continue;
-            }
-            if next.long && self.long_is_full(pool_key, capacity) {
-                blocked.long = true;
-                continue;
-            }
             let capacity = Capacity { own, ..capacity };
             let Some(target) = self.choose(now, next.ticket, capacity, None) else {
                 block(&mut blocked, next.priority);
                 continue;
             };
+            let next = self.prefer_home(now, next, target, capacity, drain);
             let pool = &mut self.pools[pool_key];
             pool.lanes.take(&next);
             pool.lanes.charge(next.account, next.work);
             pool.caution[next.priority.index()].learn(false);
+            self.jobs[next.ticket].waiting = None;
             self.start(now, next.ticket, target);
             own += 1;
             let decision = Decision::Run { target };
@@ -121,6 +121,28 @@
         }
     }
 
+    /// Returns the request to run at a target: the next, or one near it whose home it is.
+    fn prefer_home(
+        &mut self,
+        now: Time,
+        next: Waiting,
+        target: TargetKey,
+        capacity: Capacity,
+        drain: f64,
+    ) -> Waiting {
+        if !self.cfg.parts.affinity || next.home == Some(target) {
+            return next;
+        }
+        let lanes = &self.pools[self.jobs[next.ticket].pool].lanes;
+        let Some(other) = lanes.peek_home(now, drain, &next, target, &self.cfg) else {
+            return next;
+        };
+        if self.choose(now, other.ticket, capacity, None) == Some(target) {
+            return other;
+        }
+        next
+    }
+
     /// Returns the best target with room for a job, if any.
     pub(super) fn choose(
         &mut self,
@@ -161,7 +183,6 @@
         }
         target.load.own += 1;
         target.load.own_low += u32::from(job.facts.priority != Priority::Interactive);
-        self.pools[job.pool].own_long += u32::from(job.long);
         job.runs.push(Run {
             target: key,
             first_token_at: None,
@@ -202,7 +223,6 @@
         let begun = facts.begin_by.plus_secs(-prompt / slot_rate);
         let longest = prompt + pool.longest_output(&facts);
         let done = facts.deadline.plus_secs(-longest / slot_rate);
-        let long = pool.judge_length(work, &self.cfg);
         let urgent = facts.priority == Priority::Interactive;
         let slot_secs = if urgent { work / slot_rate } else { 0.0 };
         pool.reserve.offered(now, slot_secs, &self.cfg);
@@ -213,7 +233,7 @@
             output,
             start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
             offered_at: now,
-            long,
+            waiting: None,
             hedged: false,
             runs: SmallVec::new(),
         }
@@ -254,17 +274,7 @@
                 return;
             };
             self.give_up(now, least.ticket, Refusal::Shed);
-            self.pools[pool_key].lanes.take(&least);
-        }
-    }
-
-    /// Returns whether long work has all the slots it may have.
-    fn long_is_full(&self, pool: PoolKey, capacity: Capacity) -> bool {
-        if !self.cfg.parts.long_limit {
-            return false;
         }
-        let share = capacity.slots / self.routers * self.cfg.long_share;
-        f64::from(self.pools[pool].own_long) >= share.max(1.0)
     }
 
     /// Returns when the first avoided member of a pool gets work again.
@@ -282,7 +292,7 @@
 
 /// Blocks a class and all below it: what finds no room for urgent work finds none for the rest.
 fn block(blocked: &mut Blocked, priority: Priority) {
-    for class in &mut blocked.classes[priority.index()..] {
+    for class in &mut blocked[priority.index()..] {
         *class = true;
     }
 }
