bench: faults against real processes under load, and five checks over the history

Checked against bills, executions at the targets, answers and refusals; a broken property ends with exit code 1 and the request's trace.

--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use wisteriapass_bench::faults::{self, FaultsOpts};
 use wisteriapass_bench::loads::{self, LoadsOpts};
 
 use daemon::DaemonOptions;
@@ -41,6 +42,8 @@
     Drive(DriveOptions),
     #[options(help = "play load patterns against a model of a target pool")]
     Loads(LoadsOpts),
+    #[options(help = "play faults against real processes under load and check the history")]
+    Faults(FaultsOpts),
 }
 
 impl Cli {
@@ -55,6 +58,7 @@
             Some(Command::Overhead(options)) => return options.run(),
             Some(Command::Drive(options)) => return options.run(),
             Some(Command::Loads(opts)) => return loads::run(&opts),
+            Some(Command::Faults(opts)) => return faults::run(&opts),
             None => {
                 eprintln!("name a command\n\n{}", Cli::usage());
                 eprintln!("\n{}", Command::usage());
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod digest;
 pub mod experiment;
+pub mod faults;
 pub mod fleet;
 pub mod link;
 pub mod load;
--- a/wisteriapass_coord/src/once/bill_ledger.rs
+++ b/wisteriapass_coord/src/once/bill_ledger.rs
@@ -36,20 +36,30 @@
         }
     }
 
-    /// Reads all bills, each run once.
+    /// Reads all bills as written, some of them perhaps more than once.
     ///
     /// # Errors
     ///
     /// [`OnceError`] if the service gave no answer or a batch can't be read.
-    pub fn read(&self) -> Result<BTreeMap<RunId, Bill>> {
-        let mut all = BTreeMap::new();
+    pub fn read_all(&self) -> Result<Vec<Bill>> {
+        let mut all = Vec::new();
         for entry in self.store.list(PREFIX)? {
             let batch: Vec<Bill> =
                 serde_json::from_str(&entry.value).map_err(|e| corrupt(&entry.key, &e))?;
-            all.extend(batch.into_iter().map(|bill| (bill.run.clone(), bill)));
+            all.extend(batch);
         }
         Ok(all)
     }
+
+    /// Reads all bills, each run once.
+    ///
+    /// # Errors
+    ///
+    /// [`OnceError`] if the service gave no answer or a batch can't be read.
+    pub fn read(&self) -> Result<BTreeMap<RunId, Bill>> {
+        let all = self.read_all()?.into_iter();
+        Ok(all.map(|bill| (bill.run.clone(), bill)).collect())
+    }
 }
 
 fn corrupt(key: &str, e: &serde_json::Error) -> OnceError {
