--- a/wisteriapass_coord/src/membership/incarnation.rs
+++ b/wisteriapass_coord/src/membership/incarnation.rs
@@ -7,6 +7,9 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+/// Bits of the random part in the packed number; the start time takes the others until 2109.
+const NONCE_BITS: u32 = 22;
+
 /// One start of a process: later starts compare greater, the random part tells equal times apart.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -51,6 +54,12 @@
         Self::new(known.started_ms + 1, self.nonce)
     }
 
+    /// Returns the incarnation as one number: start time, then the low bits of the random part.
+    pub fn packed(self) -> u64 {
+        let nonce = u64::from(self.nonce) & ((1 << NONCE_BITS) - 1);
+        (self.started_ms << NONCE_BITS) | nonce
+    }
+
     /// Returns when the process started, in Unix milliseconds.
     pub fn started_ms(self) -> u64 {
         self.started_ms
--- a/wisteriapass_coord/src/membership/table.rs
+++ b/wisteriapass_coord/src/membership/table.rs
@@ -73,7 +73,7 @@
     /// heard of later may be the replacement under the same name: it is held back while the list
     /// says so, without a mark.
     pub fn read_vm_list(&mut self, list: &[ListedVm], now: Instant) {
-        let leaving = |vm: &&ListedVm| vm.state == VmState::Leaving;
+        let leaving = |vm: &&ListedVm| vm.state != VmState::Live;
         let names: Vec<String> = list.iter().filter(leaving).map(|l| l.vm.clone()).collect();
         let before = std::mem::replace(&mut self.leaving_vms, names);
         let news: Vec<Announcement> = self
@@ -145,9 +145,23 @@
 
     /// Returns whether new work may go to this name; a name never heard of may be tried.
     pub fn may_get_work(&self, name: &str, now: Instant) -> bool {
-        let planned_to_leave = self.draining.iter().any(|d| d == name);
         let state = self.state(name, now).unwrap_or(MemberState::Live);
-        state == MemberState::Live && !planned_to_leave
+        state == MemberState::Live && !self.is_leaving(name)
+    }
+
+    /// Returns whether any word says that this name is leaving, however long it is silent.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        let is_planned = self.draining.iter().any(|d| d == name);
+        let said = match self.member(name) {
+            Some(member) => member.leaving.is_some() || member.held_by_list,
+            None => self.marks.contains_key(name),
+        };
+        is_planned || said
+    }
+
+    /// Sets the timeouts, for deadlines from now on.
+    pub fn set_timeouts(&mut self, timeouts: Timeouts) {
+        self.timeouts = timeouts;
     }
 
     /// Returns the mark of this incarnation of a name, for the process that bears the name.
--- a/wisteriapass_coord/src/membership/timeouts.rs
+++ b/wisteriapass_coord/src/membership/timeouts.rs
@@ -25,3 +25,15 @@
         }
     }
 }
+
+impl Timeouts {
+    /// Returns timeouts for heartbeats this far apart: three may be late before suspicion.
+    pub fn for_period(period: Duration) -> Self {
+        let usual = Self::default();
+        Self {
+            suspect_after: usual.suspect_after.max(period * 3),
+            gone_after: usual.gone_after.max(period * 10),
+            ..usual
+        }
+    }
+}
--- a/wisteriapass_coord/src/membership/vm.rs
+++ b/wisteriapass_coord/src/membership/vm.rs
@@ -10,6 +10,8 @@
     Live,
     /// Will be taken away.
     Leaving,
+    /// Was taken away and never comes back.
+    Gone,
 }
 
 /// One VM on the platform's list.
--- a/wisteriapass_coord/src/revision/bootstrap.rs
+++ b/wisteriapass_coord/src/revision/bootstrap.rs
@@ -63,9 +63,14 @@
 
     /// Returns whether the process may serve with what it has in force.
     pub fn readiness(&self, in_force: &InForce) -> Readiness {
+        self.readiness_at(in_force.revision())
+    }
+
+    /// Returns whether the process may serve with the revision `in_force`.
+    pub fn readiness_at(&self, in_force: ConfigRevision) -> Readiness {
         let highest = self.heard.iter().max_by_key(|(_, revision)| **revision);
         if let Some((peer, &revision)) = highest
-            && revision > in_force.revision()
+            && revision > in_force
         {
             let peer = peer.clone();
             return Readiness::Fetch { peer, revision };
@@ -75,7 +80,7 @@
         }
         let majority = self.known / 2 + 1;
         let missing = majority.saturating_sub(self.heard.len());
-        if missing == 0 && in_force.held().is_some() {
+        if missing == 0 && in_force > ConfigRevision::NONE {
             return Readiness::Ready;
         }
         Readiness::Wait { missing }
--- a/wisteriapass_daemon/src/control.rs
+++ b/wisteriapass_daemon/src/control.rs
@@ -1,10 +1,12 @@
 //! Answering the control calls that every daemon has.
 
 use jsonrpsee::core::RpcResult;
+use jsonrpsee::types::ErrorObjectOwned;
+use wisteriapass_coord::order::FencingToken;
 
+use crate::fleet::{Fleet, InForce, Orders};
 use crate::prelude::*;
-use crate::router::InForce;
-use crate::rpc::{ControlServer, Role, Status};
+use crate::rpc::{ControlServer, Heartbeat, HeartbeatAnswer, Role, Status};
 use crate::stop::Stop;
 
 /// Answers control calls from the services of this process.
@@ -14,8 +16,13 @@
     incarnation: String,
     config: Arc<InForce>,
     stop: Arc<Stop>,
+    fleet: Arc<Fleet>,
+    orders: Option<Arc<Orders>>,
 }
 
+/// Code of the error with which an order is refused.
+const ORDER_REFUSED: i32 = 1;
+
 impl ControlService {
     /// Creates the answers of a process.
     ///
@@ -34,6 +41,8 @@
             incarnation: incarnation.into(),
             config: kernel.find()?,
             stop: kernel.find()?,
+            fleet: kernel.find()?,
+            orders: kernel.find().ok(),
         })
     }
 }
@@ -49,4 +58,26 @@
             working: self.stop.working() as u64,
         })
     }
+    fn heartbeat(&self, beat: Heartbeat) -> RpcResult<HeartbeatAnswer> {
+        Ok(self.fleet.answer(&beat, Instant::now()))
+    }
+
+    fn document(&self) -> RpcResult<Option<String>> {
+        Ok(self.config.held().map(|held| held.text().to_string()))
+    }
+
+    fn offer(&self, document: String) -> RpcResult<u64> {
+        self.config.offer(&document);
+        Ok(self.config.revision())
+    }
+
+    fn order(&self, token: FencingToken) -> RpcResult<()> {
+        let refuse = |cause: String| ErrorObjectOwned::owned(ORDER_REFUSED, cause, None::<()>);
+        let Some(orders) = &self.orders else {
+            return Err(refuse(
+                "a router takes no orders; send it to a side process".into(),
+            ));
+        };
+        orders.carry_out(token).map_err(refuse)
+    }
 }
--- /dev/null
+++ b/wisteriapass_daemon/src/fleet.rs
@@ -0,0 +1,16 @@
+//! The fleet as this process sees it: members, the configuration in force, orders to the target.
+
+mod config;
+mod follow;
+mod heartbeat;
+mod orders;
+mod own;
+mod partners;
+mod service;
+
+pub use config::InForce;
+pub use follow::{StartRule, follow};
+pub use heartbeat::beat;
+pub use orders::Orders;
+pub use own::Own;
+pub use service::{Fit, Fleet};
--- /dev/null
+++ b/wisteriapass_daemon/src/fleet/orders.rs
@@ -0,0 +1,152 @@
+//! Carrying out orders at the target beside this process, behind the gate.
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use serde::Serialize;
+use wisteriapass_coord::order::{FencingToken, Gate, Order, Permit, Refusal, WeightBucket};
+use wisteriapass_coord::store::HttpStore;
+
+use crate::prelude::*;
+
+/// Rate of the weight store that the fleet keeps to, in bytes a second.
+const WEIGHT_RATE: u64 = 16 << 20;
+
+/// Longest time of one order at the target, in seconds.
+const TARGET_S: u64 = 30;
+
+/// Orders to one target.
+pub struct Orders {
+    target: SocketAddr,
+    store: HttpStore,
+    gate: Mutex<Gate>,
+}
+
+impl Service for Orders {
+    const NAME: &'static str = "orders";
+}
+
+/// Body of `POST /orders` at a target.
+#[derive(Debug, Default, Serialize)]
+struct TargetOrder<'a> {
+    order: &'static str,
+    model: &'a str,
+    version: &'a str,
+    adapter: &'a str,
+    role: &'a str,
+    fencing: u64,
+}
+
+impl Orders {
+    /// Creates the orders to the target `name` at `target`.
+    pub fn new(name: &str, target: SocketAddr, store: SocketAddr) -> Self {
+        Self {
+            target,
+            store: HttpStore::new(store.to_string()),
+            gate: Mutex::new(Gate::new(name)),
+        }
+    }
+
+    /// Has an order of the key-value service carried out; waits for its share of the weight store.
+    ///
+    /// # Errors
+    ///
+    /// What the gate refused, or what the target said.
+    pub fn carry_out(&self, offered: FencingToken) -> Result<(), String> {
+        let permit = self.admit(offered).map_err(|e| e.to_string())?;
+        if let Order::Load { bytes, .. } = permit.order {
+            self.wait_for_weights(bytes, offered)?;
+        }
+        // The wait may have outlasted the proof, so the order is proved anew.
+        let permit = self.admit(offered).map_err(|e| e.to_string())?;
+        let mut gate = self.gate.lock();
+        gate.pass(&permit, Instant::now())
+            .map_err(|e| e.to_string())?;
+        self.send(&permit)
+    }
+
+    fn admit(&self, offered: FencingToken) -> Result<Permit, Refusal> {
+        let now = Instant::now();
+        let admitted = self.gate.lock().admit(&self.store, offered, now);
+        if let Err(e) = &admitted {
+            log::warn!(target: "fleet", "Order refused. token={offered} cause={e:?}");
+        }
+        admitted
+    }
+
+    fn wait_for_weights(&self, bytes: u64, offered: FencingToken) -> Result<(), String> {
+        let op = format!("{}/{offered}", self.target);
+        let bucket = WeightBucket::new(WEIGHT_RATE);
+        let start = bucket.reserve(&self.store, bytes, unix_ms(), &op);
+        let start = start.map_err(|e| e.to_string())?;
+        let wait_ms = start.at_ms.saturating_sub(unix_ms());
+        std::thread::sleep(Duration::from_millis(wait_ms));
+        Ok(())
+    }
+
+    fn send(&self, permit: &Permit) -> Result<(), String> {
+        let body = target_order(permit);
+        let text = serde_json::to_string(&body).map_err(|e| e.to_string())?;
+        let answer = minreq::post(format!("http://{}/orders", self.target))
+            .with_header("content-type", "application/json")
+            .with_body(text)
+            .with_timeout(TARGET_S)
+            .send()
+            .map_err(|e| e.to_string())?;
+        log::info!(
+            target: "fleet",
+            "Order sent. token={} status={}",
+            permit.token,
+            answer.status_code
+        );
+        match answer.status_code {
+            200 => Ok(()),
+            status => Err(format!("the target refused the order with status {status}")),
+        }
+    }
+}
+
+fn target_order(permit: &Permit) -> TargetOrder<'_> {
+    let fencing = permit.token.0;
+    match &permit.order {
+        Order::Load {
+            model,
+            version,
+            adapter,
+            ..
+        } => TargetOrder {
+            order: "load",
+            model,
+            version,
+            adapter: adapter.as_deref().unwrap_or_default(),
+            role: "",
+            fencing,
+        },
+        Order::Unload {
+            model,
+            version,
+            adapter,
+        } => TargetOrder {
+            order: "unload",
+            model,
+            version,
+            adapter: adapter.as_deref().unwrap_or_default(),
+            role: "",
+            fencing,
+        },
+        Order::ChangeRole { role } => TargetOrder {
+            order: "role",
+            role,
+            fencing,
+            ..TargetOrder::default()
+        },
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/fleet/partners.rs
@@ -0,0 +1,90 @@
+//! Whom this process exchanges heartbeats with.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wisteriapass_config::{Inventory, Router};
+use wisteriapass_coord::membership::{MemberRole, Subset, heartbeat_period};
+
+/// Routers that a router chooses, so that words travel between failure domains in few steps.
+const ROUTERS: Subset = Subset { near: 2, far: 2 };
+
+/// Routers a failure domain that watch the key-value service and the VM list; the others hear from
+/// them. Two may fail at once.
+const WATCHERS: Subset = Subset { near: 3, far: 0 };
+
+/// Bytes of one heartbeat and its answer with all headers; docs/CAPACITY.md has the measurement.
+const EXCHANGE_BYTES: u64 = 1_300;
+
+/// Bytes a second for heartbeats made; about as many again are answered, within 8 KB in all.
+const BYTES_A_SECOND: u64 = 4_000;
+
+/// Shortest time between two heartbeats to one partner.
+const SHORTEST: Duration = Duration::from_secs(1);
+
+/// Partners by name with their control addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Partners {
+    by_name: BTreeMap<String, SocketAddr>,
+    is_watcher: bool,
+}
+
+impl Partners {
+    /// Chooses the partners of a member among all that the inventory plans.
+    pub fn choose(name: &str, domain: &str, role: MemberRole, inventory: &Inventory) -> Self {
+        let routers = inventory.router.iter();
+        let routers = routers.map(|r| (r.name.as_str(), r.failure_domain.as_str()));
+        let sides = inventory.target.iter();
+        let sides = sides.map(|t| (t.name.as_str(), t.failure_domain.as_str()));
+        let mut chosen = Vec::new();
+        match role {
+            MemberRole::Router => {
+                chosen.extend(ROUTERS.choose(name, domain, routers));
+                chosen.extend(Subset::default().choose(name, domain, sides));
+            }
+            MemberRole::Side => chosen.extend(Subset::OF_SIDE.choose(name, domain, routers)),
+        }
+        let addressed = chosen.into_iter().filter_map(|n| {
+            let control = control_of(inventory, n)?;
+            Some((n.to_owned(), control))
+        });
+        Self {
+            by_name: addressed.collect(),
+            is_watcher: role == MemberRole::Router && is_watcher(name, domain, &inventory.router),
+        }
+    }
+
+    /// Returns the control addresses.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.by_name.values().copied().collect()
+    }
+
+    /// Returns whether this name is a partner.
+    pub fn has(&self, name: &str) -> bool {
+        self.by_name.contains_key(name)
+    }
+
+    /// Returns whether this process watches the key-value service and the VM list.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    /// Returns the time between two heartbeats to each partner.
+    pub fn period(&self) -> Duration {
+        let count = self.by_name.len();
+        heartbeat_period(count, EXCHANGE_BYTES, BYTES_A_SECOND, SHORTEST)
+    }
+}
+
+/// Returns the control address of a router or of a target's side process.
+pub fn control_of(inventory: &Inventory, name: &str) -> Option<SocketAddr> {
+    let router = inventory.router_named(name).map(|r| r.control);
+    router.or_else(|| inventory.target_named(name).map(|t| t.side_control))
+}
+
+fn is_watcher(name: &str, domain: &str, routers: &[Router]) -> bool {
+    let near = routers.iter().filter(|r| r.failure_domain == domain);
+    let near = near.map(|r| (r.name.as_str(), domain));
+    WATCHERS.choose(domain, domain, near).contains(&name)
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -0,0 +1,249 @@
+//! Members, peers' revisions and partners of this process, and its answers to heartbeats.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use parking_lot::Mutex;
+use wisteriapass_config::{Document, Settings};
+use wisteriapass_coord::membership::{
+    Announcement, Digest, Heard, Incarnation, LeavingCause, ListedVm, MemberState, Membership,
+    Planned, Timeouts,
+};
+use wisteriapass_coord::revision::{Catalogue, ConfigRevision};
+
+use crate::fleet::partners::{Partners, control_of};
+use crate::fleet::{InForce, Own};
+use crate::prelude::*;
+use crate::rpc::{Heartbeat, HeartbeatAnswer};
+use crate::stop::Stop;
+
+/// Whether a member may be given new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fit {
+    /// It may.
+    Fit,
+    /// It was silent for a while; only if nobody else is fit.
+    Doubtful,
+    /// It is leaving.
+    Leaving,
+}
+
+#[derive(Default)]
+struct State {
+    members: Membership,
+    peers: Catalogue,
+    partners: Partners,
+    /// Control addresses of those who sent heartbeats, to be told when this process leaves.
+    listeners: BTreeSet<SocketAddr>,
+    planned_at: u64,
+}
+
+/// The fleet as this process knows it.
+pub struct Fleet {
+    own: Own,
+    config: Arc<InForce>,
+    stop: Arc<Stop>,
+    state: Mutex<State>,
+}
+
+impl Service for Fleet {
+    const NAME: &'static str = "fleet";
+}
+
+impl Fleet {
+    /// Creates the fleet of a process that knows nobody yet.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(
+        kernel: &Kernel,
+        settings: &Settings,
+        incarnation: Incarnation,
+    ) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            own: Own::new(settings, incarnation),
+            config: kernel.find()?,
+            stop: kernel.find()?,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Returns what this process says of itself.
+    pub fn announcement(&self) -> Announcement {
+        let revision = self.config.revision();
+        self.own.announcement(revision, self.stop.is_raised())
+    }
+
+    /// Returns a heartbeat to send.
+    pub fn heartbeat(&self, now: Instant) -> Heartbeat {
+        Heartbeat {
+            from: self.announcement(),
+            marks: self.state.lock().members.digest(now),
+        }
+    }
+
+    /// Answers a heartbeat.
+    pub fn answer(&self, beat: &Heartbeat, now: Instant) -> HeartbeatAnswer {
+        let superseded = self.hear(&beat.from, &beat.marks, now);
+        let mut state = self.state.lock();
+        if let Some(control) = control_of(&self.config.document().inventory, &beat.from.name) {
+            state.listeners.insert(control);
+        }
+        HeartbeatAnswer {
+            from: self.announcement(),
+            is_ready: self.config.is_ready(),
+            superseded,
+            marks: state.members.digest(now),
+        }
+    }
+
+    /// Takes the answer to a heartbeat of this process.
+    pub fn answered(&self, answer: &HeartbeatAnswer, now: Instant) {
+        self.hear(&answer.from, &answer.marks, now);
+        let Some(newer) = answer.superseded else {
+            return;
+        };
+        if self.config.is_ready() {
+            log::error!(target: "fleet", "Replaced by a newer process; stopping. newer={newer}");
+            self.stop.raise();
+        } else {
+            log::warn!(target: "fleet", "Clock behind the predecessor's. known={newer}");
+            self.own.step_past(newer);
+        }
+    }
+
+    /// Hears a member; returns the newer incarnation if the member was replaced.
+    fn hear(&self, said: &Announcement, marks: &Digest, now: Instant) -> Option<Incarnation> {
+        if self.own.is_rival(said) {
+            let own = self.announcement().incarnation;
+            return (own > said.incarnation).then_some(own);
+        }
+        let mut state = self.state.lock();
+        state.members.hear_digest(marks, now);
+        let heard = state.members.hear(said, now);
+        if let Heard::Superseded(newer) = heard {
+            return Some(newer);
+        }
+        state
+            .peers
+            .note(&said.name, said.incarnation, said.revision);
+        for change in state.members.transitions(now) {
+            let (name, from, to) = (change.name, change.from, change.to);
+            log::info!(target: "fleet", "Member changed. name={name} from={from:?} to={to:?}");
+        }
+        None
+    }
+
+    /// Takes the configuration in force, if it changed: plans, drains and partners.
+    pub fn plan(&self, now: Instant) {
+        let document = self.config.document();
+        let own = self.announcement();
+        let mut state = self.state.lock();
+        if document.revision <= state.planned_at {
+            return;
+        }
+        state.planned_at = document.revision;
+        let partners = Partners::choose(
+            &own.name,
+            &own.failure_domain,
+            own.role,
+            &document.inventory,
+        );
+        state
+            .members
+            .set_timeouts(Timeouts::for_period(partners.period()));
+        state.partners = partners;
+        state.members.read_inventory(planned(&document), now);
+        state
+            .peers
+            .retain(|name| control_of(&document.inventory, name).is_some());
+    }
+
+    /// Takes the platform's VM list.
+    pub fn read_vm_list(&self, list: &[ListedVm], now: Instant) {
+        let mut state = self.state.lock();
+        state.members.read_vm_list(list, now);
+        let own = self.announcement();
+        // Its own incarnation is a member too, so that the list's word on its VM reaches it.
+        state.members.hear(&own, now);
+    }
+
+    /// Returns whether a target may be given new work.
+    pub fn fit(&self, name: &str, now: Instant) -> Fit {
+        let state = self.state.lock();
+        if state.members.is_leaving(name) {
+            return Fit::Leaving;
+        }
+        // Silence means something only from those who are asked.
+        let is_asked = state.partners.has(name);
+        match state.members.state(name, now) {
+            Some(MemberState::Suspect | MemberState::Gone) if is_asked => Fit::Doubtful,
+            _ => Fit::Fit,
+        }
+    }
+
+    /// Returns the targets that get no new work now: those that are leaving, and the silent ones
+    /// unless all are.
+    pub fn without_work(&self, document: &Document, now: Instant) -> Vec<String> {
+        let targets = &document.inventory.target;
+        let fits: Vec<(&str, Fit)> = targets
+            .iter()
+            .map(|t| (t.name.as_str(), self.fit(&t.name, now)))
+            .collect();
+        let worst = match fits.iter().any(|(_, fit)| *fit == Fit::Fit) {
+            true => Fit::Fit,
+            // All are silent: the fault is more likely here than at every one of them.
+            false => Fit::Doubtful,
+        };
+        let without = fits.iter().filter(|(_, fit)| *fit > worst);
+        without.map(|(name, _)| (*name).to_owned()).collect()
+    }
+
+    /// Returns who said that this process is leaving, if anybody did.
+    pub fn own_leaving(&self) -> Option<LeavingCause> {
+        if self.stop.is_raised() {
+            return Some(LeavingCause::Announced);
+        }
+        let own = self.announcement();
+        let document = self.config.document();
+        let planned = document.inventory.target_named(&own.name);
+        if planned.is_some_and(|t| t.draining) {
+            return Some(LeavingCause::Inventory);
+        }
+        self.state
+            .lock()
+            .members
+            .leaving(&own.name, own.incarnation)
+    }
+
+    /// Returns the partners.
+    pub fn partners(&self) -> Partners {
+        self.state.lock().partners.clone()
+    }
+
+    /// Returns everybody who has to hear that this process leaves.
+    pub fn listeners(&self) -> Vec<SocketAddr> {
+        let state = self.state.lock();
+        let mut all = state.listeners.clone();
+        all.extend(state.partners.addresses());
+        all.into_iter().collect()
+    }
+
+    /// Returns how many known members have at least `revision`, and how many are known.
+    pub fn spread(&self, revision: u64) -> (usize, usize) {
+        self.state.lock().peers.spread(ConfigRevision(revision))
+    }
+}
+
+fn planned(document: &Document) -> impl Iterator<Item = Planned<'_>> {
+    let routers = document.inventory.router.iter().map(|r| Planned {
+        name: &r.name,
+        draining: false,
+    });
+    let targets = document.inventory.target.iter().map(|t| Planned {
+        name: &t.name,
+        draining: t.draining,
+    });
+    routers.chain(targets)
+}
--- a/wisteriapass_daemon/src/http.rs
+++ b/wisteriapass_daemon/src/http.rs
@@ -10,4 +10,4 @@
 pub use headers::header;
 pub use line_stream::{Frame, LineStream, StreamError};
 pub use listener::{Listener, serve};
-pub use stream_writer::{StreamWriter, respond_json};
+pub use stream_writer::{StreamWriter, respond_and_close, respond_json};
--- a/wisteriapass_daemon/src/http/stream_writer.rs
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -17,6 +17,21 @@
     let _ = req.respond(response);
 }
 
+/// Answers a request with JSON and asks the caller to close its connection, so that its next
+/// request goes to another router. tiny_http drops that header from its own responses.
+pub fn respond_and_close(req: Request, status: u16, body: &str, extra: &[(&str, String)]) {
+    let mut headers = vec![
+        ("content-type", "application/json"),
+        ("connection", "close"),
+    ];
+    headers.extend(extra.iter().map(|(name, value)| (*name, value.as_str())));
+    // A caller that went away needs no answer.
+    let _ = StreamWriter::new(req, status, &headers).and_then(|mut out| {
+        out.send(body.as_bytes())?;
+        out.finish()
+    });
+}
+
 /// A chunked answer whose every piece is flushed at once.
 ///
 /// tiny_http's own `Response` buffers a stream until its end, so the head and the chunks are
--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod api;
 mod control;
+pub mod fleet;
 pub mod http;
 pub mod kernel;
 mod logging;
--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -4,7 +4,6 @@
 mod asked;
 mod attempt;
 mod carry;
-mod config;
 mod follower;
 mod front;
 mod money;
@@ -14,11 +13,11 @@
 mod scheduling;
 mod turn;
 
-pub use config::InForce;
 pub use front::serve;
 pub use money::Money;
 pub use scheduling::Scheduling;
 
+pub use crate::fleet::InForce;
 use crate::kernel::Service;
 
 /// What a router knows of itself.
--- a/wisteriapass_daemon/src/router/answer.rs
+++ b/wisteriapass_daemon/src/router/answer.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use tiny_http::Request;
 
-use crate::http::{StreamWriter, respond_json};
+use crate::http::{StreamWriter, respond_and_close, respond_json};
 use crate::prelude::*;
 use crate::router::openai::{Answer as Body, AnswerChoice, AnswerText, AnswerUsage, finish_reason};
 use crate::run_wire::{Blob, Finish, HeaderLine, RunBill, RunRequest};
@@ -234,10 +234,14 @@
 /// Answers a request with a refusal.
 pub fn refuse(req: Request, refusal: &Refusal) {
     let mut headers = Vec::new();
+    let closes = refusal.reason == Reason::Stopping;
     if refusal.retry_after_ms > 0 {
         let seconds = refusal.retry_after_ms.div_ceil(1_000);
         headers.push(("retry-after", seconds.to_string()));
     }
+    if closes {
+        return respond_and_close(req, refusal.reason.status(), &refusal.body(), &headers);
+    }
     respond_json(req, refusal.reason.status(), refusal.body(), &headers);
 }
 
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -68,13 +68,12 @@
                 "this router is stopping",
             ));
         }
-        let document = self.config.document();
-        if document.revision == 0 {
+        let Some(document) = self.config.serving() else {
             return Err(Refusal::not_run(
                 Reason::NotReady,
-                "no configuration is in force yet",
+                "the configuration in force is not known yet",
             ));
-        }
+        };
         let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
         let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
         Asked::new(req, body, &document, &self.limits)
--- a/wisteriapass_daemon/src/rpc/caller.rs
+++ b/wisteriapass_daemon/src/rpc/caller.rs
@@ -10,6 +10,7 @@
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinSet;
 
 use crate::kernel::Service;
 
@@ -74,7 +75,46 @@
         Fut: Future<Output = Result<T, ClientError>>,
     {
         let client = self.client(address)?;
-        match self.runtime.block_on(call(client)) {
+        let result = self.runtime.block_on(call(client));
+        self.judge(address, result)
+    }
+
+    /// Makes the same call to each address at once; `done` gets the answers as they come.
+    pub fn call_each<T, F, Fut>(
+        &self,
+        addresses: &[SocketAddr],
+        call: F,
+        mut done: impl FnMut(SocketAddr, Result<T, CallError>),
+    ) where
+        T: Send + 'static,
+        F: Fn(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>> + Send + 'static,
+    {
+        let _entered = self.runtime.enter();
+        let mut calls = JoinSet::new();
+        for &address in addresses {
+            match self.client(address) {
+                Ok(client) => {
+                    let answer = call(client);
+                    calls.spawn(async move { (address, answer.await) });
+                }
+                Err(e) => done(address, Err(e)),
+            }
+        }
+        while let Some(joined) = self.runtime.block_on(calls.join_next()) {
+            if let Ok((address, result)) = joined {
+                done(address, self.judge(address, result));
+            }
+        }
+    }
+
+    /// Sorts a failed call, and forgets the connection of one that has no answer.
+    fn judge<T>(
+        &self,
+        address: SocketAddr,
+        result: Result<T, ClientError>,
+    ) -> Result<T, CallError> {
+        match result {
             Ok(answer) => Ok(answer),
             Err(ClientError::Call(e)) => Err(CallError::Refused {
                 cause: e.to_string(),
--- a/wisteriapass_daemon/src/rpc/messages.rs
+++ b/wisteriapass_daemon/src/rpc/messages.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use wisteriapass_coord::membership::{Announcement, Digest, Incarnation};
 
 /// What a process is.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,3 +32,28 @@
     /// Requests or runs it works on.
     pub working: u64,
 }
+
+/// What a process says to its partners, again and again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's word about itself.
+    pub from: Announcement,
+    /// Leaving marks that the sender relays.
+    #[serde(default)]
+    pub marks: Digest,
+}
+
+/// Answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// The answering process's word about itself.
+    pub from: Announcement,
+    /// Whether it serves, so that its revision counts for a fresh process.
+    pub is_ready: bool,
+    /// The newer incarnation that bears the caller's name, if one does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub superseded: Option<Incarnation>,
+    /// Leaving marks that it relays.
+    #[serde(default)]
+    pub marks: Digest,
+}
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -3,6 +3,7 @@
 use serde::de::DeserializeOwned;
 use tiny_http::Request;
 
+use crate::fleet::Fleet;
 use crate::http::{Listener, StreamWriter, read_body, respond_json};
 use crate::prelude::*;
 use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
@@ -26,6 +27,7 @@
     executor: Arc<Executor>,
     metrics: Arc<Metrics>,
     stop: Arc<Stop>,
+    fleet: Arc<Fleet>,
 }
 
 /// Serves routers on a listener.
@@ -40,6 +42,7 @@
         runs: kernel.find()?,
         metrics: kernel.find()?,
         stop: kernel.find()?,
+        fleet: kernel.find()?,
         executor,
     };
     crate::http::serve(listener, "side", move |req| front.handle(req));
@@ -78,6 +81,11 @@
     }
 
     fn begin(&self, dispatch: Dispatch) -> Result<Arc<Run>, Refusal> {
+        // A run that goes on here already is followed in any case.
+        let known = self.runs.known(&dispatch)?;
+        if let Some(run) = known {
+            return Ok(run);
+        }
         if self.stop.is_raised() {
             return Err(Refusal::not_run(
                 Reason::Stopping,
@@ -90,6 +98,10 @@
                 "the side process was replaced",
             ));
         }
+        if let Some(cause) = self.fleet.own_leaving() {
+            let message = format!("the target is leaving ({cause:?})");
+            return Err(Refusal::not_run(Reason::NoTarget, message));
+        }
         match self.runs.begin(dispatch)? {
             Begun::Known(run) => Ok(run),
             Begun::New(run) => {
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -51,6 +51,19 @@
         Ok(Begun::New(run))
     }
 
+    /// Finds the run that a dispatch repeats.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the identity belongs to another request.
+    pub fn known(&self, dispatch: &Dispatch) -> Result<Option<Arc<Run>>, Refusal> {
+        let run = self.runs.lock().get(&dispatch.run).cloned();
+        if let Some(run) = &run {
+            check_fingerprint(run, &dispatch.fingerprint)?;
+        }
+        Ok(run)
+    }
+
     /// Finds a run to follow.
     ///
     /// # Errors
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -3,15 +3,16 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::thread::sleep;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::{Display, Error, From};
+use flume::{Receiver, RecvTimeoutError};
 use jsonrpsee::RpcModule;
 use tiny_http::{Request, Response};
 use wisteriapass_config::{ConfigError, Document, Role, Settings};
-use wisteriapass_coord::store::{HttpStore, Revision, Store};
+use wisteriapass_coord::membership::Incarnation;
 
 use crate::control::ControlService;
+use crate::fleet::{self, Fleet, Orders};
 use crate::http::Listener;
 use crate::kernel::KernelError;
 use crate::logging::{self, LogError};
@@ -28,14 +29,12 @@
 /// Exit code when the settings are refused.
 const BAD_SETTINGS: u8 = 2;
 
-/// Key of the configuration in the key-value service.
-pub const CONFIG_KEY: &str = "config/current";
+/// Time between two looks at which targets are leaving, in milliseconds.
+const LEAVING_MS: u64 = 100;
 
-/// Longest wait of one watch call, in seconds.
-const WATCH_S: u64 = 20;
-
-/// Pause after a failed call to the key-value service, in milliseconds.
-const STORE_PAUSE_MS: u64 = 250;
+/// Shortest time that a stopping process goes on refusing, in milliseconds: the balancer takes a
+/// look at readiness in between, and requests on their way get an answer.
+const LINGER_MS: u64 = 1_500;
 
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
@@ -71,18 +70,20 @@
     let stop = kernel.register(Stop::new());
     stop.on_signals()?;
     kernel.register(Metrics::new()?);
-    let config = kernel.register(InForce::new());
-    follow_config(&settings, config);
+    kernel.register(InForce::new());
     let admin = Listener::bind(settings.admin)?;
     serve_admin(&admin, &kernel)?;
     let listener = Listener::bind(settings.listen)?;
     kernel.register(Caller::new()?);
-    let incarnation = new_incarnation(&settings.name);
+    let incarnation = Incarnation::fresh();
+    let fleet = kernel.register(Fleet::new(&kernel, &settings, incarnation)?);
+    let incarnation = format!("{}.{incarnation}", settings.name);
     match settings.role {
         Role::Router => start_router(&settings, &kernel, &listener, &incarnation)?,
         Role::Side => start_side(&settings, &kernel, &listener, &incarnation)?,
     }
     let control = start_control(&settings, &kernel, &incarnation)?;
+    fleet::follow(&settings, &kernel)?;
     log::info!(
         target: "start",
         "Started. listen={} control={} admin={} role={:?}",
@@ -92,6 +93,7 @@
         settings.role
     );
     wait_for_stop(&stop);
+    announce_leaving(&fleet, &kernel)?;
     finish_work(&stop, Duration::from_millis(settings.limits.stop_ms));
     Ok(())
 }
@@ -106,11 +108,10 @@
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
     let documents = kernel.find::<InForce>()?.follow();
+    let fleet = kernel.find::<Fleet>()?;
     let failure_domain = settings.failure_domain.clone();
     spawn("targets", move || {
-        for document in documents {
-            scheduling.set_document(&document, &failure_domain, &[]);
-        }
+        keep_targets(&documents, &fleet, &scheduling, &failure_domain);
     })?;
     kernel.register(RouterIdentity {
         name: settings.name.clone(),
@@ -121,6 +122,39 @@
     Ok(())
 }
 
+/// Keeps the scheduler's targets in step with the configuration and with who is leaving.
+fn keep_targets(
+    documents: &Receiver<Arc<Document>>,
+    fleet: &Fleet,
+    scheduling: &Scheduling,
+    failure_domain: &str,
+) {
+    let mut document = Arc::new(Document::default());
+    let mut leaving = Vec::new();
+    loop {
+        let news = match documents.recv_timeout(Duration::from_millis(LEAVING_MS)) {
+            Ok(news) => Some(news),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let is_news = news.is_some();
+        document = news.unwrap_or(document);
+        let now_leaving = fleet.without_work(&document, Instant::now());
+        if is_news || now_leaving != leaving {
+            log::info!(target: "fleet", "Targets without new work. names={now_leaving:?}");
+            scheduling.set_document(&document, failure_domain, &now_leaving);
+            leaving = now_leaving;
+        }
+    }
+}
+
+/// Tells everybody who may send work that this process takes none.
+fn announce_leaving(fleet: &Arc<Fleet>, kernel: &Kernel) -> Result<()> {
+    let (caller, config) = (kernel.find::<Caller>()?, kernel.find::<InForce>()?);
+    fleet::beat(fleet, &caller, &config, &fleet.listeners());
+    Ok(())
+}
+
 /// Starts a named thread.
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     std::thread::Builder::new().name(name.into()).spawn(work)?;
@@ -137,6 +171,7 @@
         return Err(StartError::NoTarget);
     };
     kernel.register(Runs::new());
+    kernel.register(Orders::new(&settings.name, target, settings.store));
     kernel.register(SideIdentity {
         name: settings.name.clone(),
         incarnation: incarnation.into(),
@@ -163,49 +198,6 @@
     Ok(ControlServerHandle::start(settings.control, module)?)
 }
 
-/// Makes the incarnation of this process: name, start time and a random part.
-fn new_incarnation(name: &str) -> String {
-    let started = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    format!(
-        "{name}.{}.{:08x}",
-        started.as_millis(),
-        rand::random::<u32>()
-    )
-}
-
-/// Keeps the configuration in step with the key-value service.
-fn follow_config(settings: &Settings, config: Arc<InForce>) {
-    let store = HttpStore::new(settings.store.to_string());
-    std::thread::spawn(move || {
-        let mut seen = Revision::ABSENT;
-        loop {
-            match store.watch(CONFIG_KEY, seen, Duration::from_secs(WATCH_S)) {
-                Ok((_, entries)) => {
-                    for entry in entries {
-                        seen = seen.max(entry.revision);
-                        adopt(&config, &entry.value);
-                    }
-                }
-                Err(e) => {
-                    log::warn!(target: "fleet", "Cannot watch the configuration. cause={e:?}");
-                    sleep(Duration::from_millis(STORE_PAUSE_MS));
-                }
-            }
-        }
-    });
-}
-
-fn adopt(config: &InForce, text: &str) {
-    match serde_json::from_str::<Document>(text) {
-        Ok(document) => {
-            config.adopt(document);
-        }
-        Err(e) => log::error!(target: "fleet", "Cannot read the configuration. cause={e:?}"),
-    }
-}
-
 fn serve_admin(listener: &Listener, kernel: &Kernel) -> Result<()> {
     let metrics = kernel.find::<Metrics>()?;
     let config = kernel.find::<InForce>()?;
@@ -217,7 +209,7 @@
 }
 
 fn answer_admin(req: Request, metrics: &Metrics, config: &InForce, stop: &Stop) {
-    let ready = config.revision() > 0 && !stop.is_raised();
+    let ready = config.is_ready() && !stop.is_raised();
     let response = match req.url() {
         "/metrics" => Response::from_string(metrics.text()),
         "/livez" => Response::from_string("live\n"),
@@ -234,11 +226,12 @@
     }
 }
 
-/// Lets work end, up to a bound.
+/// Lets work end, up to a bound; goes on refusing for a while also without any.
 fn finish_work(stop: &Stop, most: Duration) {
     log::info!(target: "start", "Stopping. working={}", stop.working());
     let deadline = Instant::now() + most;
-    while stop.working() > 0 && Instant::now() < deadline {
+    let linger_until = Instant::now() + most.min(Duration::from_millis(LINGER_MS));
+    while (stop.working() > 0 || Instant::now() < linger_until) && Instant::now() < deadline {
         sleep(Duration::from_millis(LOOK_MS));
     }
     log::info!(target: "start", "Stopped. cut={}", stop.working());
--- a/wisteriapass_daemon/src/stop.rs
+++ b/wisteriapass_daemon/src/stop.rs
@@ -59,6 +59,11 @@
         self.working.load(Ordering::Acquire)
     }
 
+    /// Raises the flag from within, for a process that was replaced.
+    pub fn raise(&self) {
+        self.raised.store(true, Ordering::Release);
+    }
+
     /// Returns whether the process is stopping.
     pub fn is_raised(&self) -> bool {
         self.raised.load(Ordering::Acquire)
