--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -68,6 +68,10 @@
                 "this router is stopping",
             ));
         }
+        if self.stop.working() > self.limits.requests {
+            let message = "this router works on as many requests as its settings allow";
+            return Err(Refusal::not_run(Reason::Overloaded, message));
+        }
         let Some(document) = self.config.serving() else {
             return Err(Refusal::not_run(
                 Reason::NotReady,
