--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -1,6 +1,7 @@
 //! Control calls between processes, by JSON-RPC.
 
 mod caller;
+mod counters;
 mod messages;
 mod server;
 
@@ -9,6 +10,7 @@
 use wisteriapass_coord::order::FencingToken;
 
 pub use caller::{CallError, Caller};
+pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Heartbeat, HeartbeatAnswer, Role, Status};
 pub use server::ControlServerHandle;
 
