--- /dev/null
+++ b/wisteriapass_bench/tests/changes.rs
@@ -0,0 +1,195 @@
+//! Changes of a running fleet: replacing routers, draining, editing, outages and orders.
+
+mod caller;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use caller::{ask, plan, under_load, within};
+use wisteriapass_bench::fleet::{Fleet, FleetPlan, PLATFORM, Signal};
+use wisteriapass_bench::standin::platform::VmState;
+use wisteriapass_bench::standin::{Outage, PlatformFaults};
+use wisteriapass_coord::membership::Incarnation;
+use wisteriapass_coord::order::{FencingToken, Issued, Order, issue};
+use wisteriapass_daemon::rpc::{Caller, ControlClient};
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(20)
+}
+
+fn status(caller: &Caller, address: SocketAddr) -> Option<u64> {
+    let status = caller.call(address, |c| async move { ControlClient::status(&c).await });
+    status.ok().map(|s| s.revision)
+}
+
+fn runs_of(fleet: &Fleet, engine: &str) -> usize {
+    fleet.engines()[engine].ran().len()
+}
+
+fn set_outage(fleet: &Fleet, outage: Outage) {
+    fleet.platform().set_faults(PlatformFaults {
+        outage,
+        ..PlatformFaults::default()
+    });
+}
+
+#[test]
+fn all_routers_are_replaced_under_load_without_a_failed_request() {
+    let fleet = Fleet::start(plan(3, 2)).unwrap();
+    let (answered, failures) = under_load(&fleet, 6, || {
+        for name in fleet.router_names() {
+            let mut router = fleet.daemon(&name).unwrap();
+            router.signal(Signal::Terminate).unwrap();
+            assert!(router.wait_exit(soon()).unwrap().success());
+            router.start().unwrap();
+            router.wait_ready(soon()).unwrap();
+        }
+    });
+    assert_eq!(failures, Vec::<String>::new());
+    assert!(answered > 0);
+}
+
+#[test]
+fn a_stopping_side_process_finishes_its_runs_and_loses_none() {
+    let fleet = Fleet::start(plan(2, 2)).unwrap();
+    let (_, failures) = under_load(&fleet, 4, || {
+        for name in fleet.side_names() {
+            let mut side = fleet.daemon(&name).unwrap();
+            side.signal(Signal::Terminate).unwrap();
+            assert!(side.wait_exit(soon()).unwrap().success());
+            side.start().unwrap();
+            side.wait_ready(soon()).unwrap();
+        }
+    });
+    assert_eq!(failures, Vec::<String>::new());
+}
+
+/// Has `leave` make `engine-1` leave, and checks that three seconds later it gets no new work.
+fn gets_no_work_after(fleet: &Fleet, leave: impl FnOnce()) {
+    let (_, failures) = under_load(fleet, 4, || {
+        assert!(within(10, || runs_of(fleet, "engine-1") > 0));
+        leave();
+        std::thread::sleep(Duration::from_secs(3));
+        let runs = runs_of(fleet, "engine-1");
+        std::thread::sleep(Duration::from_secs(1));
+        assert_eq!(runs_of(fleet, "engine-1"), runs);
+    });
+    assert_eq!(failures, Vec::<String>::new());
+}
+
+#[test]
+fn a_target_drained_in_the_inventory_gets_no_new_work() {
+    let fleet = Fleet::start(plan(2, 2)).unwrap();
+    gets_no_work_after(&fleet, || {
+        let mut document = fleet.document();
+        document.inventory.target[0].draining = true;
+        fleet.apply(document).unwrap();
+    });
+}
+
+#[test]
+fn a_target_that_the_vm_list_calls_leaving_gets_no_new_work() {
+    let fleet = Fleet::start(plan(2, 2)).unwrap();
+    gets_no_work_after(&fleet, || {
+        let vm = &fleet.document().inventory.target[0].vm;
+        fleet.platform().set_vm(vm, VmState::Leaving);
+    });
+}
+
+#[test]
+fn a_drain_reaches_a_router_that_is_cut_off_from_the_service() {
+    let fleet = Fleet::start(plan(2, 2)).unwrap();
+    fleet.network().cut("router-2", PLATFORM);
+    gets_no_work_after(&fleet, || {
+        let mut document = fleet.document();
+        document.inventory.target[0].draining = true;
+        fleet.apply(document).unwrap();
+    });
+}
+
+#[test]
+fn an_edit_reaches_everybody_and_a_fresh_process_never_starts_on_an_older_one() {
+    let fleet = Fleet::start(plan(3, 2)).unwrap();
+    let caller = Caller::new().unwrap();
+    let inventory = fleet.document().inventory;
+    let routers = inventory.router.iter().map(|r| r.control);
+    let sides = inventory.target.iter().map(|t| t.side_control);
+    let all: Vec<SocketAddr> = routers.chain(sides).collect();
+    let edited = fleet.apply(fleet.document()).unwrap();
+    let has_edit = |a: &SocketAddr| status(&caller, *a) == Some(edited);
+    assert!(within(10, || all.iter().all(has_edit)));
+
+    set_outage(&fleet, Outage::Refusing);
+    let mut router = fleet.daemon("router-1").unwrap();
+    router.kill();
+    router.start().unwrap();
+    router.wait_ready(soon()).unwrap();
+    let control = inventory.router[0].control;
+    assert_eq!(status(&caller, control), Some(edited));
+    drop(router);
+
+    // Without a majority of the others it does not serve at all.
+    fleet.daemon("router-2").unwrap().kill();
+    fleet.daemon("router-3").unwrap().kill();
+    let mut router = fleet.daemon("router-1").unwrap();
+    router.kill();
+    router.start().unwrap();
+    let in_vain = Instant::now() + Duration::from_secs(3);
+    assert!(router.wait_ready(in_vain).is_err());
+    set_outage(&fleet, Outage::None);
+    router.wait_ready(soon()).unwrap();
+}
+
+#[test]
+fn requests_are_served_all_through_an_outage_of_the_service() {
+    let fleet = Fleet::start(plan(2, 1)).unwrap();
+    set_outage(&fleet, Outage::Silent);
+    let routers = fleet.router_addrs();
+    for n in 0..5 {
+        ask(&routers, &format!("outage-{n}"), 10).unwrap();
+    }
+}
+
+#[test]
+fn an_order_is_carried_out_once_and_an_overtaken_one_never() {
+    for checks_fencing in [true, false] {
+        let fleet = Fleet::start(FleetPlan {
+            checks_fencing,
+            ..plan(1, 1)
+        })
+        .unwrap();
+        let caller = Caller::new().unwrap();
+        let side = fleet.document().inventory.target[0].side_control;
+        let store = fleet.platform().store();
+        let order = |seen: u64, role: &str| {
+            let order = Order::ChangeRole { role: role.into() };
+            let holder = Incarnation::new(seen, 0);
+            issue(store, "engine-1", FencingToken(seen), &order, holder, role).unwrap()
+        };
+        let send = |token: u64| {
+            let token = FencingToken(token);
+            caller.call(side, move |c| async move {
+                ControlClient::order(&c, token).await
+            })
+        };
+        assert_eq!(order(0, "prefill"), Issued::Standing(FencingToken(1)));
+        assert_eq!(order(1, "decode"), Issued::Standing(FencingToken(2)));
+        send(2).unwrap();
+        // The first holder wakes and sends what it had been given leave for.
+        assert!(send(1).is_err());
+        set_outage(&fleet, Outage::Refusing);
+        assert!(send(2).is_err());
+        let mut side_process = fleet.daemon("engine-1").unwrap();
+        side_process.kill();
+        set_outage(&fleet, Outage::None);
+        side_process.start().unwrap();
+        side_process.wait_ready(soon()).unwrap();
+        assert!(send(1).is_err());
+        let roles: Vec<String> = fleet.engines()["engine-1"]
+            .orders()
+            .into_iter()
+            .map(|taken| taken.order.role)
+            .collect();
+        assert_eq!(roles, ["decode"]);
+    }
+}
