--- a/wisteriapass_bench/src/fleet.rs
+++ b/wisteriapass_bench/src/fleet.rs
@@ -2,6 +2,8 @@
 
 mod daemon;
 mod error;
+mod money;
+mod placement;
 mod plan;
 mod program;
 mod scratch;
@@ -12,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::{Mutex, MutexGuard};
-use wisteriapass_config::{CURRENT_KEY, Document, Role, Router, Settings, Target, TargetKind};
+use wisteriapass_config::{CURRENT_KEY, Document, Settings, TargetKind};
 use wisteriapass_coord::store::{Revision, Store, Swap};
 
 use crate::link::Network;
@@ -24,12 +26,16 @@
 pub use plan::{AccountPlan, BUDGET, FleetPlan, SERVICE, key_digest};
 pub use program::Program;
 
-use daemon::{Front, free_addr};
+use daemon::Front;
+use placement::{router_settings, side_settings};
 use scratch::Scratch;
 
 /// Name of the platform in the network.
 pub const PLATFORM: &str = "platform";
 
+/// Id of the top-up with which each account starts.
+pub const FIRST_TOPUP: &str = "before-start";
+
 /// Longest time for all daemons to become ready, in seconds.
 const READY_S: u64 = 20;
 
@@ -81,6 +87,9 @@
         fleet.place_daemons(store)?;
         let document = fleet.document();
         fleet.apply(document)?;
+        for account in fleet.plan.accounts.iter().filter(|a| a.prepaid > 0) {
+            fleet.top_up(&account.name, FIRST_TOPUP, account.prepaid)?;
+        }
         for daemon in fleet.daemons.values() {
             daemon.lock().start()?;
         }
@@ -278,32 +287,3 @@
         Ok(self.network.add(owner, addr)?)
     }
 }
-
-/// Returns the settings of a router, with what all daemons share still to be filled in.
-fn router_settings(router: &Router) -> Result<Settings> {
-    Ok(Settings {
-        role: Role::Router,
-        name: router.name.clone(),
-        vm: router.vm.clone(),
-        failure_domain: router.failure_domain.clone(),
-        listen: free_addr()?,
-        control: free_addr()?,
-        admin: free_addr()?,
-        ..Settings::default()
-    })
-}
-
-/// Returns the settings of a side process, with what all daemons share still to be filled in.
-fn side_settings(target: &Target) -> Result<Settings> {
-    Ok(Settings {
-        role: Role::Side,
-        name: target.name.clone(),
-        vm: target.vm.clone(),
-        failure_domain: target.failure_domain.clone(),
-        listen: free_addr()?,
-        control: free_addr()?,
-        admin: free_addr()?,
-        target: Some(target.address),
-        ..Settings::default()
-    })
-}
--- a/wisteriapass_bench/tests/caller/mod.rs
+++ b/wisteriapass_bench/tests/caller/mod.rs
@@ -91,6 +91,15 @@
     Err(format!("not the whole answer: {answer}"))
 }
 
+/// Ends the load also when the test panics.
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Keeps `callers` asking while `work` goes on; returns the answered and the failures.
 #[allow(dead_code)]
 pub fn under_load(fleet: &Fleet, callers: usize, work: impl FnOnce()) -> (usize, Vec<String>) {
@@ -120,8 +129,9 @@
                 })
             })
             .collect();
+        let over = Over(&is_over);
         work();
-        is_over.store(true, Ordering::Relaxed);
+        drop(over);
         let ended = threads.into_iter().map(|t| t.join().unwrap());
         ended.flatten().collect()
     });
--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -4,6 +4,7 @@
 mod asked;
 mod attempt;
 mod carry;
+mod control;
 mod follower;
 mod front;
 mod money;
@@ -12,10 +13,13 @@
 mod pipeline;
 mod scheduling;
 mod turn;
+mod unsettled;
 
+pub use control::RouterControlService;
 pub use front::serve;
-pub use money::Money;
+pub use money::{Money, Peers};
 pub use scheduling::Scheduling;
+pub use unsettled::Unsettled;
 
 pub use crate::fleet::InForce;
 use crate::kernel::Service;
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -1,5 +1,8 @@
 //! One request on its way: money, turn, attempts, settlement.
 
+use std::net::SocketAddr;
+
+use wisteriapass_coord::budget::Reservation;
 use wisteriapass_policy::FailureKind;
 
 use crate::api::Ran;
@@ -7,10 +10,11 @@
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
-use crate::router::attempt::{Ended, carry_out};
+use crate::router::attempt::{Attempt, Ended};
 use crate::router::pipeline::Pipeline;
 use crate::router::turn::Turn;
-use crate::run_wire::Payment;
+use crate::router::unsettled::OpenReservation;
+use crate::run_wire::RunBill;
 
 /// Attempts of one request at most.
 const MOST_ATTEMPTS: u32 = 3;
@@ -31,6 +35,13 @@
     Again(Refusal, FailureKind),
 }
 
+/// A dispatch that was sent.
+struct Sent {
+    reservation: Option<Reservation>,
+    control: SocketAddr,
+    attempt: u32,
+}
+
 impl<'a> Carry<'a> {
     /// Creates the way of a request that was not tried yet.
     pub fn new(pipeline: &'a Pipeline, asked: &'a Asked, run: &'a str) -> Self {
@@ -86,47 +97,52 @@
         turn: &mut Turn,
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
-        let payment = self.pipeline.reserve(self.asked)?;
+        let reservation = self.pipeline.reserve(self.asked)?;
         let placed = match turn.wait(&self.pipeline.stop) {
             Ok(placed) => placed,
             Err(refusal) => {
-                self.pipeline.money.release(&payment);
+                self.release(reservation);
                 return Err(refusal);
             }
         };
         let document = self.pipeline.config.document();
         let Some(target) = document.inventory.target_named(&placed.target) else {
-            self.pipeline.money.release(&payment);
+            self.release(reservation);
             let refusal = Refusal::not_run(Reason::NoTarget, "the target left");
             return Ok(Step::Again(refusal, FailureKind::Unreachable));
         };
         let dispatch = self
             .pipeline
-            .dispatch(self.asked, self.run, attempt, &payment);
-        let ended = carry_out(target.side, &dispatch, answer, turn, &self.pipeline.metrics);
-        self.settle(&payment, ended, turn, answer)
+            .dispatch(self.asked, self.run, attempt, reservation.as_ref());
+        let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
+        let ended = Attempt::new(target, &dispatch, metrics, caller).carry_out(answer, turn);
+        let sent = Sent {
+            reservation,
+            control: target.side_control,
+            attempt,
+        };
+        self.settle(sent, ended, turn, answer)
     }
 
     fn settle(
         &mut self,
-        payment: &Payment,
+        sent: Sent,
         ended: Ended,
         turn: &mut Turn,
         answer: &mut Answer,
     ) -> Result<Step, Refusal> {
-        let money = &self.pipeline.money;
         match ended {
             Ended::Answered(bill) => {
                 turn.finished(u32::try_from(bill.output_tokens).unwrap_or(u32::MAX));
-                money.settle(payment, &bill);
+                self.settle_bill(sent.reservation, &bill);
                 Ok(Step::Done)
             }
-            Ended::CallerGone => {
-                money.keep_aside(payment);
+            Ended::CallerGone(bill) => {
+                self.settle_bill(sent.reservation, &bill);
                 Ok(Step::Done)
             }
             Ended::NotRun(refusal, reason) => {
-                money.release(payment);
+                self.release(sent.reservation);
                 self.count(reason);
                 let kind = match reason {
                     Retry::NotSent => FailureKind::Unreachable,
@@ -136,7 +152,7 @@
             }
             Ended::Failed(bill) => {
                 self.may_have_run = true;
-                money.settle(payment, &bill);
+                self.settle_bill(sent.reservation, &bill);
                 let message = "the target failed before the answer was whole";
                 let refusal = Refusal::not_run(Reason::TargetFailed, message);
                 self.again(
@@ -146,14 +162,42 @@
                     answer,
                 )
             }
-            Ended::Unknown(refusal) => {
+            Ended::Unknown(refusal, bill) => {
                 self.may_have_run = true;
-                money.keep_aside(payment);
+                self.settle_unknown(sent, bill);
                 self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
             }
         }
     }
 
+    fn settle_bill(&self, reservation: Option<Reservation>, bill: &RunBill) {
+        if let Some(reservation) = reservation {
+            self.pipeline.money.settle(reservation, bill);
+        }
+    }
+
+    fn release(&self, reservation: Option<Reservation>) {
+        if let Some(reservation) = reservation {
+            self.pipeline.money.release(reservation);
+        }
+    }
+
+    /// Settles a run whose answer is lost, at once or when its side process can be asked.
+    fn settle_unknown(&self, sent: Sent, bill: Option<RunBill>) {
+        let Some(reservation) = sent.reservation else {
+            return;
+        };
+        match bill {
+            Some(bill) => self.pipeline.money.settle(reservation, &bill),
+            None => self.pipeline.unsettled.keep(OpenReservation {
+                reservation,
+                control: sent.control,
+                run: self.run.into(),
+                attempt: sent.attempt,
+            }),
+        }
+    }
+
     /// Allows another attempt of what may have run, if it is idempotent and the caller has no part.
     fn again(
         &self,
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use wisteriapass_coord::budget::Reservation;
 use wisteriapass_policy::{Priority, RequestFacts, Time};
 
 use crate::prelude::*;
@@ -10,8 +11,9 @@
 use crate::router::carry::Carry;
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
-use crate::router::{InForce, Money, RouterIdentity, Scheduling};
-use crate::run_wire::{Dispatch, Payment, RunRequest};
+use crate::router::{InForce, Money, RouterIdentity, Scheduling, Unsettled};
+use crate::rpc::Caller;
+use crate::run_wire::{Dispatch, RunRequest};
 use crate::stop::Stop;
 
 /// Carries requests through.
@@ -20,6 +22,8 @@
     pub(super) money: Arc<Money>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) stop: Arc<Stop>,
+    pub(super) caller: Arc<Caller>,
+    pub(super) unsettled: Arc<Unsettled>,
     router: Arc<RouterIdentity>,
     scheduling: Arc<Scheduling>,
     next_run: AtomicU64,
@@ -41,6 +45,8 @@
             money: kernel.find()?,
             metrics: kernel.find()?,
             stop: kernel.find()?,
+            caller: kernel.find()?,
+            unsettled: kernel.find()?,
             router: kernel.find()?,
             scheduling: kernel.find()?,
             next_run: AtomicU64::new(0),
@@ -84,19 +90,18 @@
         Ok(self.scheduling.offer(self.facts(asked)?))
     }
 
-    /// Reserves the worst case of a request.
+    /// Reserves the worst case of a request; nothing for one that costs nothing.
     ///
     /// # Errors
     ///
     /// A [`Refusal`] if there is not enough.
-    pub(super) fn reserve(&self, asked: &Asked) -> Result<Payment, Refusal> {
-        match &asked.budget {
-            Some(budget) => self.money.reserve(budget, asked.worst),
-            None => Ok(Payment {
-                budget: String::new(),
-                parts: Vec::new(),
-            }),
-        }
+    pub(super) fn reserve(&self, asked: &Asked) -> Result<Option<Reservation>, Refusal> {
+        let Some(budget) = &asked.budget else {
+            return Ok(None);
+        };
+        self.money
+            .reserve(budget, asked.worst, asked.deadline)
+            .map(Some)
     }
 
     /// Makes the order to run a request.
@@ -105,7 +110,7 @@
         asked: &Asked,
         run: &str,
         attempt: u32,
-        payment: &Payment,
+        reservation: Option<&Reservation>,
     ) -> Dispatch {
         let left = asked.deadline.saturating_duration_since(Instant::now());
         Dispatch {
@@ -115,8 +120,9 @@
             incarnation: String::new(),
             router: self.router.incarnation.clone(),
             account: asked.account.clone(),
-            payment: payment.clone(),
+            payment: reservation.map(|r| r.payment().clone()),
             idempotent: asked.idempotent,
+            keyed: asked.key.is_some(),
             start_within_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             revision: self.config.revision(),
             request: asked.request.clone(),
@@ -134,7 +140,7 @@
         let wants = self.scheduling.wants(model, service);
         let (prefix, prompt_tokens, max_tokens) = match &asked.request {
             RunRequest::Chat(chat) => {
-                let prompt = asked.worst.saturating_sub(chat.max_tokens.into());
+                let prompt = asked.worst.0.saturating_sub(chat.max_tokens.into());
                 (prefix_hash(&chat.messages), prompt, chat.max_tokens)
             }
             RunRequest::Call(_) => (None, 0, 0),
--- a/wisteriapass_daemon/src/rpc.rs
+++ b/wisteriapass_daemon/src/rpc.rs
@@ -3,7 +3,9 @@
 mod caller;
 mod counters;
 mod messages;
+mod router;
 mod server;
+mod side;
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
@@ -12,7 +14,9 @@
 pub use caller::{CallError, Caller};
 pub use counters::{CountersClient, CountersServer, ReasonCount};
 pub use messages::{Heartbeat, HeartbeatAnswer, Role, Status};
+pub use router::{RouterControlClient, RouterControlServer};
 pub use server::ControlServerHandle;
+pub use side::{SideControlClient, SideControlServer, Withdrawal, Withdrawn};
 
 /// Control calls of every daemon.
 #[rpc(server, client, namespace = "control")]
--- a/wisteriapass_daemon/src/side/executor.rs
+++ b/wisteriapass_daemon/src/side/executor.rs
@@ -4,6 +4,7 @@
 use crate::run_wire::{Finish, RunRequest};
 use crate::side::engine::EngineRun;
 use crate::side::{Run, SideIdentity, service};
+use crate::stop::Stop;
 
 /// Stack of an executor thread, in bytes.
 const STACK: usize = 128 * 1024;
@@ -12,6 +13,7 @@
 pub struct Executor {
     side: Arc<SideIdentity>,
     metrics: Arc<Metrics>,
+    stop: Arc<Stop>,
 }
 
 impl Service for Executor {
@@ -28,6 +30,7 @@
         Ok(Self {
             side: kernel.find()?,
             metrics: kernel.find()?,
+            stop: kernel.find()?,
         })
     }
 
@@ -36,7 +39,12 @@
         let (side, metrics) = (self.side.clone(), self.metrics.clone());
         let work = {
             let run = run.clone();
-            move || execute(&run, &side, &metrics)
+            // A stop waits for runs also while nobody follows them.
+            let work = self.stop.work();
+            move || {
+                execute(&run, &side, &metrics);
+                drop(work);
+            }
         };
         let builder = std::thread::Builder::new()
             .name("run".into())
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -82,8 +82,7 @@
 
     fn begin(&self, dispatch: Dispatch) -> Result<Arc<Run>, Refusal> {
         // A run that goes on here already is followed in any case.
-        let known = self.runs.known(&dispatch)?;
-        if let Some(run) = known {
+        if let Some(run) = self.runs.known(&dispatch)? {
             return Ok(run);
         }
         if self.stop.is_raised() {
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -112,6 +112,17 @@
         self.state.lock().ended_at
     }
 
+    /// Returns whether it ended without its answer at a target that failed.
+    pub fn failed(&self) -> bool {
+        matches!(
+            self.state.lock().events.last(),
+            Some(RunEvent::End {
+                finish: Finish::Failed | Finish::Cancelled,
+                ..
+            })
+        )
+    }
+
     /// Returns the bill, if the run ended with one.
     pub fn bill(&self) -> Option<RunBill> {
         match self.state.lock().events.last() {
@@ -123,7 +134,7 @@
     /// Ends the run with its bill, capped at what was reserved.
     pub fn end(&self, ran_at: &str, finish: Finish, prompt_tokens: u64, output_tokens: u64) {
         let payment = self.dispatch.payment.clone();
-        let reserved: u64 = payment.parts.iter().map(|p| p.amount).sum();
+        let reserved = payment.as_ref().map_or(0, |p| p.total().0);
         let amount = match finish {
             Finish::Failed => 0,
             Finish::Stop | Finish::Length | Finish::Cancelled => {
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -8,8 +8,11 @@
 use flume::{Receiver, RecvTimeoutError};
 use jsonrpsee::RpcModule;
 use tiny_http::{Request, Response};
+use twox_hash::XxHash64;
 use wisteriapass_config::{ConfigError, Document, Role, Settings};
+use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::membership::Incarnation;
+use wisteriapass_coord::store::HttpStore;
 
 use crate::control::ControlService;
 use crate::counters::CountersService;
@@ -19,9 +22,14 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{self, InForce, Money, RouterIdentity, Scheduling};
-use crate::rpc::{self, Caller, ControlServer, ControlServerHandle, CountersServer};
-use crate::side::{self, Runs, SideIdentity};
+use crate::router::{
+    self, InForce, Money, Peers, RouterControlService, RouterIdentity, Scheduling, Unsettled,
+};
+use crate::rpc::{
+    self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
+    SideControlServer,
+};
+use crate::side::{self, Runs, SideControlService, SideIdentity};
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -37,6 +45,9 @@
 /// look at readiness in between, and requests on their way get an answer.
 const LINGER_MS: u64 = 1_500;
 
+/// Time between two sweeps of a side process's runs, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -96,6 +107,9 @@
     wait_for_stop(&stop);
     announce_leaving(&fleet, &kernel)?;
     finish_work(&stop, Duration::from_millis(settings.limits.stop_ms));
+    if settings.role == Role::Router {
+        kernel.find::<Money>()?.leave();
+    }
     Ok(())
 }
 
@@ -105,9 +119,16 @@
     listener: &Listener,
     incarnation: &str,
 ) -> Result<()> {
-    kernel.register(Money::new(incarnation));
+    let store = HttpStore::new(settings.store.to_string());
+    let peers = Peers::new(&settings.name, kernel.find()?, kernel.find()?);
+    let origin = Origin(XxHash64::oneshot(0, incarnation.as_bytes()));
+    let money = kernel.register(Money::new(origin, Box::new(store), peers));
+    let stop = kernel.find::<Stop>()?;
+    spawn("money", move || money.keep(&stop))?;
     let scheduling = kernel.register(Scheduling::new());
     scheduling.start()?;
+    let unsettled = kernel.register(Unsettled::new(kernel)?);
+    spawn("unsettled", move || unsettled.ask_forever())?;
     let documents = kernel.find::<InForce>()?.follow();
     let fleet = kernel.find::<Fleet>()?;
     let failure_domain = settings.failure_domain.clone();
@@ -171,7 +192,13 @@
     let Some(target) = settings.target else {
         return Err(StartError::NoTarget);
     };
-    kernel.register(Runs::new());
+    let runs = kernel.register(Runs::new());
+    spawn("sweep", move || {
+        loop {
+            sleep(Duration::from_millis(SWEEP_MS));
+            runs.sweep(Instant::now());
+        }
+    })?;
     kernel.register(Orders::new(&settings.name, target, settings.store));
     kernel.register(SideIdentity {
         name: settings.name.clone(),
@@ -196,6 +223,16 @@
     module
         .merge(service.into_rpc())
         .map_err(std::io::Error::other)?;
+    if role == rpc::Role::Router {
+        let service = RouterControlService::new(kernel)?;
+        let merged = module.merge(service.into_rpc());
+        merged.map_err(std::io::Error::other)?;
+    }
+    if role == rpc::Role::Side {
+        let service = SideControlService::new(kernel)?;
+        let merged = module.merge(service.into_rpc());
+        merged.map_err(std::io::Error::other)?;
+    }
     module
         .merge(CountersService::new(kernel)?.into_rpc())
         .map_err(std::io::Error::other)?;
