--- a/wisteriapass_bench/tests/caller/mod.rs
+++ b/wisteriapass_bench/tests/caller/mod.rs
@@ -4,12 +4,15 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use wisteriapass_bench::fleet::{Fleet, FleetPlan, Program};
+use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
 use wisteriapass_bench::standin::expected_answer;
 
 /// Time between two looks, in milliseconds.
 const LOOK_MS: u64 = 20;
 
+/// Tokens of the account, far more than any test spends.
+const PREPAID: u64 = 10_000_000;
+
 /// Times that a request is sent at most.
 const TRIES: usize = 60;
 
@@ -21,6 +24,7 @@
         routers,
         engines,
         services: 0,
+        accounts: vec![AccountPlan::new("acme").with_prepaid(PREPAID)],
         ..FleetPlan::new(Program::Tool(tool))
     }
 }
--- a/wisteriapass_bench/tests/changes.rs
+++ b/wisteriapass_bench/tests/changes.rs
@@ -143,8 +143,12 @@
 #[test]
 fn requests_are_served_all_through_an_outage_of_the_service() {
     let fleet = Fleet::start(plan(2, 1)).unwrap();
-    set_outage(&fleet, Outage::Silent);
     let routers = fleet.router_addrs();
+    // The service being down, a router spends what it was granted before.
+    for (n, router) in routers.iter().enumerate() {
+        ask(&[*router], &format!("before-{n}"), 10).unwrap();
+    }
+    set_outage(&fleet, Outage::Silent);
     for n in 0..5 {
         ask(&routers, &format!("outage-{n}"), 10).unwrap();
     }
--- a/wisteriapass_coord/src/membership/table.rs
+++ b/wisteriapass_coord/src/membership/table.rs
@@ -54,9 +54,6 @@
         if said.leaving {
             self.mark(said, LeavingCause::Announced, now);
         }
-        if self.draining.contains(&said.name) {
-            self.mark(said, LeavingCause::Inventory, now);
-        }
         self.apply_mark(&said.name);
         heard
     }
@@ -91,7 +88,10 @@
     }
 
     /// Takes the members that the configuration in force plans; forgets names that it dropped.
-    pub fn read_inventory<'a>(&mut self, plan: impl Iterator<Item = Planned<'a>>, now: Instant) {
+    ///
+    /// A drain is no mark: operators take a target back by their next edit, and as revisions only
+    /// grow no lagging word can undo it or bring it back.
+    pub fn read_inventory<'a>(&mut self, plan: impl Iterator<Item = Planned<'a>>) {
         let plan: HashMap<&str, bool> = plan.map(|p| (p.name, p.draining)).collect();
         self.draining = plan
             .iter()
@@ -101,15 +101,6 @@
         self.by_name.retain(|n, _| plan.contains_key(n.as_str()));
         self.members
             .retain(|_, m| plan.contains_key(m.said.name.as_str()));
-        let drained: Vec<Announcement> = self
-            .members
-            .values()
-            .filter(|m| self.draining.contains(&m.said.name))
-            .map(|m| m.said.clone())
-            .collect();
-        for said in &drained {
-            self.mark(said, LeavingCause::Inventory, now);
-        }
     }
 
     /// Returns the marks to relay in the next message: those that were relayed least first.
--- a/wisteriapass_daemon/src/fleet/follow.rs
+++ b/wisteriapass_daemon/src/fleet/follow.rs
@@ -83,7 +83,7 @@
         let store = HttpStore::new(self.settings.store.to_string());
         let (mut seen, rule) = self.start(&store);
         // Learn of a predecessor with a faster clock before serving.
-        self.fleet.plan(Instant::now());
+        self.fleet.plan();
         let partners = self.fleet.partners().addresses();
         beat(&self.fleet, &self.caller, &self.config, &partners);
         self.config.set_ready();
--- a/wisteriapass_daemon/src/fleet/heartbeat.rs
+++ b/wisteriapass_daemon/src/fleet/heartbeat.rs
@@ -17,7 +17,7 @@
 ) {
     loop {
         let started_at = Instant::now();
-        fleet.plan(started_at);
+        fleet.plan();
         let partners = fleet.partners();
         beat(fleet, caller, config, &partners.addresses());
         let next_at = started_at + partners.period();
--- a/wisteriapass_daemon/src/fleet/service.rs
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -136,7 +136,7 @@
     }
 
     /// Takes the configuration in force, if it changed: plans, drains and partners.
-    pub fn plan(&self, now: Instant) {
+    pub fn plan(&self) {
         let document = self.config.document();
         let own = self.announcement();
         let mut state = self.state.lock();
@@ -154,7 +154,7 @@
             .members
             .set_timeouts(Timeouts::for_period(partners.period()));
         state.partners = partners;
-        state.members.read_inventory(planned(&document), now);
+        state.members.read_inventory(planned(&document));
         state
             .peers
             .retain(|name| control_of(&document.inventory, name).is_some());
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -29,7 +29,7 @@
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
 };
-use crate::side::{self, Runs, SideControlService, SideIdentity};
+use crate::side::{self, Index, Runs, SideControlService, SideIdentity};
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -161,6 +161,7 @@
         };
         let is_news = news.is_some();
         document = news.unwrap_or(document);
+        fleet.plan();
         let now_leaving = fleet.without_work(&document, Instant::now());
         if is_news || now_leaving != leaving {
             log::info!(target: "fleet", "Targets without new work. names={now_leaving:?}");
@@ -205,6 +206,8 @@
         incarnation: incarnation.into(),
         target,
     });
+    let index = kernel.register(Index::new(kernel)?);
+    spawn("index", move || index.fill_forever())?;
     side::serve(listener, kernel)?;
     Ok(())
 }
