--- a/wisteriapass_coord/src/fence/registry.rs
+++ b/wisteriapass_coord/src/fence/registry.rs
@@ -107,9 +107,11 @@
     ///
     /// [`StoreError`] if the service gave no answer.
     pub fn suspects(&self) -> Result<BTreeMap<Origin, Registered>> {
+        // Origins first: one that is listed was marked live before.
+        let origins = self.names(ORIGINS)?;
         let live: Vec<String> = self.names(LIVE)?.into_keys().collect();
         let mut suspects = BTreeMap::new();
-        for (name, registered) in self.names(ORIGINS)? {
+        for (name, registered) in origins {
             let origin = u64::from_str_radix(&name, 16).map(Origin);
             if let (Ok(origin), false) = (origin, live.contains(&name)) {
                 suspects.insert(origin, registered);
--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -4,7 +4,6 @@
 mod asked;
 mod attempt;
 mod carry;
-mod config;
 mod control;
 mod follower;
 mod front;
@@ -18,7 +17,6 @@
 mod turn;
 mod unsettled;
 
-pub use config::InForce;
 pub use control::RouterControlService;
 pub use front::serve;
 pub use incarnations::Incarnations;
@@ -27,6 +25,7 @@
 pub use scheduling::Scheduling;
 pub use unsettled::Unsettled;
 
+pub use crate::fleet::InForce;
 use crate::kernel::Service;
 
 /// What a router knows of itself.
