Harness: do not bind a port to see whether it is free

Cause of the flaky starts that remained (address in use, once in some 40 fleet starts under load): the check bound the port for a moment, and a child process that another test's thread started in that moment kept the socket open until its exec. Ruled out: other processes on the address, which is this process's own. Ports are handed out in turn without a check.

--- a/wisteriapass_bench/src/fleet.rs
+++ b/wisteriapass_bench/src/fleet.rs
@@ -232,14 +232,14 @@
         let mut document = self.document();
         let mut placed = Vec::new();
         for router in &mut document.inventory.router {
-            let settings = router_settings(router)?;
+            let settings = router_settings(router);
             router.listen = self.reachable(&router.name, settings.listen)?;
             router.control = self.reachable(&router.name, settings.control)?;
             self.platform.set_vm(&router.vm, VmState::Live);
             placed.push((settings, self.front(router.listen, router.control)));
         }
         for target in &mut document.inventory.target {
-            let settings = side_settings(target)?;
+            let settings = side_settings(target);
             target.side = self.reachable(&target.name, settings.listen)?;
             target.side_control = self.reachable(&target.name, settings.control)?;
             placed.push((settings, self.front(target.side, target.side_control)));
--- a/wisteriapass_bench/src/fleet/daemon.rs
+++ b/wisteriapass_bench/src/fleet/daemon.rs
@@ -1,8 +1,7 @@
 //! One router or side process as a child process.
 
 use std::fs::{self, File};
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -227,9 +226,9 @@
         let Some(front) = self.front else {
             return Ok(());
         };
-        self.settings.listen = free_addr()?;
-        self.settings.control = free_addr()?;
-        self.settings.admin = free_addr()?;
+        self.settings.listen = free_addr();
+        self.settings.control = free_addr();
+        self.settings.admin = free_addr();
         self.network.set_server(front.listen, self.settings.listen);
         self.network
             .set_server(front.control, self.settings.control);
@@ -263,19 +262,14 @@
 
 /// Returns a loopback address with a free port.
 ///
-/// A port that the system chooses may be taken by another connection before the daemon binds it.
-/// So each process of the tool has a loopback address of its own, and hands its ports out in turn.
-pub(super) fn free_addr() -> Result<SocketAddr> {
+/// A port that the system chooses may be taken by another connection before the daemon binds it,
+/// and one that is bound to see whether it is free may be kept open for a moment by a child
+/// process that another thread starts. So each process of the tool has a loopback address of its
+/// own, and hands its ports out in turn.
+pub(super) fn free_addr() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        let addr = SocketAddr::new(own_host().into(), port as u16);
-        match TcpListener::bind(addr) {
-            Ok(_) => return Ok(addr),
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
-            Err(e) => return Err(e.into()),
-        }
-    }
+    let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+    SocketAddr::new(own_host().into(), port as u16)
 }
 
 /// Returns the loopback address of this process, other than 127.0.0.1.
