--- a/wisteriapass/tests/commands.rs
+++ b/wisteriapass/tests/commands.rs
@@ -159,6 +159,7 @@
     let journal = Journal::new(Origin(7), Shards::default());
     let budget = BudgetId::new("lican-estudio", "all");
     let want = Want {
+        held: Tokens::ZERO,
         budget,
         need: Tokens(100),
         draw_per_second: Tokens(100),
--- /dev/null
+++ b/wisteriapass_bench/src/budgets/opts.rs
@@ -0,0 +1,16 @@
+//! Options of the `budgets` subcommand.
+
+use gumdrop::Options;
+
+/// Options of the `budgets` subcommand.
+#[derive(Clone, Debug, Options)]
+pub struct BudgetsOpts {
+    /// Prints help.
+    pub help: bool,
+    /// Seed of the requests.
+    #[options(meta = "N", default = "1", help = "seed of the requests")]
+    pub seed: u64,
+    /// Whether to print JSON.
+    #[options(help = "print one JSON object a scenario")]
+    pub json: bool,
+}
--- /dev/null
+++ b/wisteriapass_bench/src/budgets/router.rs
@@ -0,0 +1,121 @@
+//! One router's money, kept as the daemon keeps it.
+
+use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::{
+    BudgetId, GrantSize, Journal, Ledger, Origin, Reservation, Shards, Tokens, Wallet, Want,
+};
+
+use super::scenario::BUDGETS;
+use super::store::CountingStore;
+
+/// Time for which a refused need is not asked for again, in milliseconds, as in the daemon.
+const REFUSED_MS: u64 = 500;
+
+/// What is known of a budget since the last exchange.
+#[derive(Clone, Copy, Default)]
+struct Known {
+    free: Tokens,
+    refused_until_ms: u64,
+}
+
+/// One router.
+pub struct Router {
+    /// Its wallet.
+    pub wallet: Wallet,
+    journal: Journal,
+    size: GrantSize,
+    known: [Known; BUDGETS],
+}
+
+/// Returns the name of a budget.
+pub fn name(budget: usize) -> BudgetId {
+    BudgetId::new("account", &budget.to_string())
+}
+
+impl Router {
+    /// Creates a router without money.
+    pub fn new(origin: u64) -> Self {
+        Self {
+            wallet: Wallet::new(Origin(origin)),
+            journal: Journal::new(Origin(origin), Shards::default()),
+            size: GrantSize::new(),
+            known: [Known::default(); BUDGETS],
+        }
+    }
+
+    /// Reserves from what is held, or after a grant.
+    pub fn reserve(
+        &mut self,
+        store: &CountingStore,
+        budget: usize,
+        worst: Tokens,
+        now_ms: u64,
+    ) -> Option<Reservation> {
+        let id = name(budget);
+        if let Ok(reservation) = self.wallet.reserve(&id, worst, Millis(now_ms)) {
+            return Some(reservation);
+        }
+        let known = self.known[budget];
+        if now_ms < known.refused_until_ms && known.free < worst {
+            return None;
+        }
+        let need = worst.saturating_sub(self.wallet.held(&id));
+        let want = self.want(budget, need, now_ms);
+        self.exchange(store, vec![want], now_ms, false);
+        self.wallet.reserve(&id, worst, Millis(now_ms)).ok()
+    }
+
+    /// The daemon's round: refills, surplus, and reports if they are due.
+    pub fn round(&mut self, store: &CountingStore, now_ms: u64, reports: bool) {
+        let mut wants = Vec::new();
+        let mut returns = false;
+        for budget in 0..BUDGETS {
+            let id = name(budget);
+            let (held, free) = (self.wallet.held(&id), self.known[budget].free);
+            let draw = self.wallet.draw(&id, Millis(now_ms));
+            if self.size.should_refill(held, draw, free) {
+                wants.push(self.want(budget, Tokens(1), now_ms));
+                continue;
+            }
+            let surplus = self.size.surplus(held, draw, free);
+            returns |= !self.wallet.give_back(&id, surplus).is_zero();
+        }
+        self.exchange(store, wants, now_ms, reports || returns);
+    }
+
+    fn want(&self, budget: usize, need: Tokens, now_ms: u64) -> Want {
+        let id = name(budget);
+        Want {
+            need,
+            held: self.wallet.held(&id),
+            draw_per_second: self.wallet.draw(&id, Millis(now_ms)),
+            budget: id,
+        }
+    }
+
+    fn exchange(&mut self, store: &CountingStore, wants: Vec<Want>, now_ms: u64, reports: bool) {
+        let shards = self.journal.shards();
+        let written: Vec<_> = wants.iter().map(|w| shards.of(&w.budget)).collect();
+        let is_written = |b: &BudgetId| reports || written.contains(&shards.of(b));
+        let reports = self.wallet.drain_reports_where(is_written);
+        let exchange = Ledger::new(store, &self.journal).exchange(wants, reports);
+        for lot in exchange.lots {
+            self.wallet.credit(lot);
+        }
+        self.wallet.put_back(exchange.unsent);
+        for grant in exchange.grants {
+            let budget = (0..BUDGETS).find(|b| name(*b) == grant.budget);
+            if let Some(budget) = budget {
+                let rest = if grant.amount.is_zero() {
+                    REFUSED_MS
+                } else {
+                    0
+                };
+                self.known[budget] = Known {
+                    free: grant.free,
+                    refused_until_ms: now_ms + rest,
+                };
+            }
+        }
+    }
+}
--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use wisteriapass_bench::budgets::{self, BudgetsOpts};
 use wisteriapass_bench::faults::{self, FaultsOpts};
 use wisteriapass_bench::loads::{self, LoadsOpts};
 
@@ -42,6 +43,8 @@
     Drive(DriveOptions),
     #[options(help = "play load patterns against a model of a target pool")]
     Loads(LoadsOpts),
+    #[options(help = "measure false refusals and writes of budgets in virtual time")]
+    Budgets(BudgetsOpts),
     #[options(help = "play faults against real processes under load and check the history")]
     Faults(FaultsOpts),
 }
@@ -58,6 +61,7 @@
             Some(Command::Overhead(options)) => return options.run(),
             Some(Command::Drive(options)) => return options.run(),
             Some(Command::Loads(opts)) => return loads::run(&opts),
+            Some(Command::Budgets(opts)) => return budgets::run(&opts),
             Some(Command::Faults(opts)) => return faults::run(&opts),
             None => {
                 eprintln!("name a command\n\n{}", Cli::usage());
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
+pub mod budgets;
 mod digest;
 pub mod experiment;
 pub mod faults;
--- a/wisteriapass_coord/src/budget/batch.rs
+++ b/wisteriapass_coord/src/budget/batch.rs
@@ -20,8 +20,10 @@
 pub struct Want {
     /// The budget.
     pub budget: BudgetId,
-    /// Least amount that is of use.
+    /// Least amount that is of use, on top of what it holds.
     pub need: Tokens,
+    /// What it holds already.
+    pub held: Tokens,
     /// Tokens it draws a second, as measured.
     pub draw_per_second: Tokens,
 }
--- a/wisteriapass_coord/src/budget/journal.rs
+++ b/wisteriapass_coord/src/budget/journal.rs
@@ -39,7 +39,10 @@
     pub(super) seq: u64,
     /// An operation whose answer was lost; it is repeated unchanged until its end is known.
     pub(super) pending: Option<Batch>,
-    /// The record as last seen, which spares a read before most writes.
+    /// The record as a lost race showed it, which spares a read.
+    ///
+    /// What this writer wrote last is not kept: with several routers it is old by the next write,
+    /// and a lost race costs a write, of which the service has fewer than reads.
     pub(super) seen: Option<Seen>,
 }
 
--- a/wisteriapass_coord/src/budget/ledger.rs
+++ b/wisteriapass_coord/src/budget/ledger.rs
@@ -275,10 +275,7 @@
             return Ok(Tried::Done(receipt));
         }
         match self.write(shard, seen.revision, &record) {
-            Ok(Swap::Done(revision)) => {
-                slot.seen = Some(Seen { revision, record });
-                Ok(Tried::Done(receipt))
-            }
+            Ok(Swap::Done(_)) => Ok(Tried::Done(receipt)),
             Ok(Swap::Conflict(current)) => {
                 slot.seen = Some(Seen::parse(shard, current)?);
                 Ok(Tried::Again)
--- a/wisteriapass_coord/src/budget/meter.rs
+++ b/wisteriapass_coord/src/budget/meter.rs
@@ -5,9 +5,9 @@
 
 /// Time over which the draw is averaged, in milliseconds.
 ///
-/// Long enough that one large request does not look like a stream of them, short enough that a
-/// grant follows a burst within a few seconds.
-const WINDOW_MS: f64 = 5_000.0;
+/// Long enough that a request now and then does not empty and fill a router each time, short enough
+/// that a router which lost its callers gives its money back within minutes.
+const WINDOW_MS: f64 = 60_000.0;
 
 /// Exponential average of the tokens drawn a second.
 #[derive(Clone, Copy, Debug, Default)]
--- a/wisteriapass_coord/src/budget/record.rs
+++ b/wisteriapass_coord/src/budget/record.rs
@@ -214,7 +214,7 @@
                 prepaid: Tokens::ZERO,
             };
         };
-        let amount = size.grant(want.need, want.draw_per_second, entry.free);
+        let amount = size.grant(want.need, want.held, want.draw_per_second, entry.free);
         entry.grant(writer, amount);
         Grant {
             budget: want.budget.clone(),
--- a/wisteriapass_coord/src/budget/size.rs
+++ b/wisteriapass_coord/src/budget/size.rs
@@ -1,34 +1,39 @@
 //! How much money a router takes and when it gives some back.
 //!
-//! Answers skewed and drifting draw: with one size for all, an idle router holds what a busy one
-//! is refused for, or every request costs a write.
+//! Answers skewed and drifting draw and a service that is down for minutes: with one size for all,
+//! an idle router holds what a busy one is refused for; with small grants, every router runs dry
+//! soon after the service is gone; with large ones, the last money sits where nobody asks for it.
 
 use crate::budget::Tokens;
 
-/// Seconds of measured draw that a grant covers.
+/// Seconds of measured draw that a router holds while the budget has plenty.
 ///
-/// A write per budget, router and ten seconds keeps today's sizes well under 20 writes a second.
-const GRANT_SECONDS: u64 = 10;
+/// Half as much again as the longest outage of the service to be bridged, ten minutes, because the
+/// draw during it may exceed what was measured before.
+const HOLD_SECONDS: u64 = 900;
 
-/// Smallest grant while the budget has plenty, in tokens: a few typical requests, so that the
-/// first callers of an idle router do not cost a write each.
-const SMALLEST_GRANT: Tokens = Tokens(4_000);
+/// Least that a router holds while the budget has plenty, in tokens: a few typical requests, so
+/// that the first callers of an idle router do not cost a write each.
+const LEAST_HELD: Tokens = Tokens(4_000);
 
-/// A grant is at most this part of the free money, unless the need is larger.
+/// A router holds at most this part of what it holds and what is free.
 ///
-/// Grants shrink geometrically as the budget empties, so the last tokens stay where any router
-/// can reach them.
-const FREE_PART: u64 = 8;
+/// Holdings shrink in step with the budget: six routers leave half of it free, and the last tokens
+/// stay where any router can reach them.
+const PART: u64 = 8;
 
-/// A router refills when it holds less than this many seconds of its draw.
-///
-/// Longer than a slow answer of the service with one retry, so callers seldom wait for a grant.
-const REFILL_SECONDS: u64 = 3;
+/// A router refills when it holds less than this part of its target, so that each write moves a
+/// worthwhile amount.
+const REFILL_PART: u64 = 2;
+
+/// A router gives back what exceeds this multiple of its target, so that a dip in the draw does not
+/// send back what the next moment takes again.
+const KEEP_TIMES: u64 = 2;
 
-/// A router gives back what exceeds this many seconds of its draw.
+/// Seconds of draw below which a router refills whatever its target, and which it never gives back.
 ///
-/// Twice the grant, so that a grant just taken is not given back when the draw dips.
-const KEEP_SECONDS: u64 = 20;
+/// Longer than a slow answer of the service with one retry, so callers seldom wait for a grant.
+const URGENT_SECONDS: u64 = 3;
 
 /// Policy of grant sizes; pure.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,21 +47,38 @@
         Self::default()
     }
 
-    /// Returns the grant for a router that needs `need` now and draws `draw_per_second`, when
-    /// `free` is left: zero if the need exceeds what is free.
-    pub fn grant(&self, need: Tokens, draw_per_second: Tokens, free: Tokens) -> Tokens {
+    /// Returns what a router should hold that holds `held` and draws `draw_per_second`, when
+    /// `free` is left.
+    pub fn target(&self, held: Tokens, draw_per_second: Tokens, free: Tokens) -> Tokens {
+        let by_draw = Tokens(draw_per_second.0.saturating_mul(HOLD_SECONDS));
+        let by_part = Tokens(free.saturating_add(held).0 / PART);
+        by_draw.max(LEAST_HELD).min(by_part)
+    }
+
+    /// Returns the grant for a router that needs `need` more than the `held` it has: zero if the
+    /// need exceeds what is free.
+    pub fn grant(
+        &self,
+        need: Tokens,
+        held: Tokens,
+        draw_per_second: Tokens,
+        free: Tokens,
+    ) -> Tokens {
         if need > free {
             return Tokens::ZERO;
         }
-        let drawn = Tokens(draw_per_second.0.saturating_mul(GRANT_SECONDS));
-        let wanted = drawn.max(SMALLEST_GRANT);
-        let part = Tokens(free.0 / FREE_PART);
-        wanted.min(part).max(need)
+        let target = self.target(held, draw_per_second, free);
+        target.saturating_sub(held).min(free).max(need)
     }
 
-    /// Returns whether a router that holds `held` should take a grant before it runs dry.
-    pub fn should_refill(&self, held: Tokens, draw_per_second: Tokens) -> bool {
-        !draw_per_second.is_zero() && held.0 < draw_per_second.0.saturating_mul(REFILL_SECONDS)
+    /// Returns whether a router should take a grant before it runs dry, when `free` was left at
+    /// its last exchange.
+    pub fn should_refill(&self, held: Tokens, draw_per_second: Tokens, free: Tokens) -> bool {
+        if draw_per_second.is_zero() || free.is_zero() {
+            return false;
+        }
+        let target = self.target(held, draw_per_second, free);
+        held.0 < target.0 / REFILL_PART || held < urgent(draw_per_second)
     }
 
     /// Returns what a router that holds `held` should give back, when `free` was left at its
@@ -65,12 +87,13 @@
         if draw_per_second.is_zero() {
             return held;
         }
-        let keep = Tokens(draw_per_second.0.saturating_mul(KEEP_SECONDS));
-        let keep = keep.max(SMALLEST_GRANT);
-        // With little left, a router keeps no more than a new grant would give it, so that the
-        // others find money in the record.
-        let scarce = Tokens(free.0.saturating_add(held.0) / FREE_PART);
-        let least = Tokens(draw_per_second.0.saturating_mul(REFILL_SECONDS));
-        held.saturating_sub(keep.min(scarce.max(least)))
+        let target = self.target(held, draw_per_second, free);
+        let keep = Tokens(target.0.saturating_mul(KEEP_TIMES));
+        held.saturating_sub(keep.max(urgent(draw_per_second)))
     }
 }
+
+/// Returns what is drawn before a grant may come.
+fn urgent(draw_per_second: Tokens) -> Tokens {
+    Tokens(draw_per_second.0.saturating_mul(URGENT_SECONDS))
+}
--- a/wisteriapass_coord/src/budget/wallet.rs
+++ b/wisteriapass_coord/src/budget/wallet.rs
@@ -247,8 +247,15 @@
 
     /// Takes out what the service has not been told yet.
     pub fn drain_reports(&mut self) -> Vec<Report> {
+        self.drain_reports_where(|_| true)
+    }
+
+    /// Takes out what the service has not been told yet of some budgets, such as those whose
+    /// record is about to be written anyway.
+    pub fn drain_reports_where(&mut self, is_wanted: impl Fn(&BudgetId) -> bool) -> Vec<Report> {
         let mut reports = Vec::new();
-        for (budget, purse) in &mut self.purses {
+        let wanted = self.purses.iter_mut().filter(|(b, _)| is_wanted(b));
+        for (budget, purse) in wanted {
             for (origin, tally) in std::mem::take(&mut purse.tallies) {
                 if tally.spent.is_zero() && tally.returned.is_zero() {
                     continue;
--- a/wisteriapass_coord/tests/budget_machine.rs
+++ b/wisteriapass_coord/tests/budget_machine.rs
@@ -234,6 +234,7 @@
                 let want = Want {
                     budget: budget(*b),
                     need: Tokens(u64::from(*need)),
+                    held: self.routers[*router].wallet.held(&budget(*b)),
                     draw_per_second: Tokens(100),
                 };
                 self.exchange(*router, vec![want]);
--- a/wisteriapass_daemon/src/router/money.rs
+++ b/wisteriapass_daemon/src/router/money.rs
@@ -33,6 +33,9 @@
 /// Longest wait for money, in milliseconds; a caller is told sooner where the answer is known.
 const MONEY_WAIT_MS: u64 = 3_000;
 
+/// Longest wait for reservations to settle, in milliseconds: about as long as a typical run.
+const SETTLE_MS: u64 = 2_000;
+
 /// What the last exchange said of a budget.
 #[derive(Clone, Copy, Debug)]
 struct Known {
@@ -60,6 +63,7 @@
     started: Instant,
     held: Mutex<Held>,
     round: Condvar,
+    settled: Condvar,
     journal: Mutex<Arc<Journal>>,
     /// Whether the origin in use is registered, without which it takes no money.
     registered: AtomicBool,
@@ -92,6 +96,7 @@
             started: Instant::now(),
             held: Mutex::new(held),
             round: Condvar::new(),
+            settled: Condvar::new(),
             journal: Mutex::new(Arc::new(Journal::new(origin, Shards::default()))),
             registered: AtomicBool::new(false),
             bills: Bills::default(),
@@ -142,10 +147,37 @@
             }
             self.borrow(budget, amount, deadline);
             let reservation = self.try_reserve(budget, amount);
+            let reservation =
+                reservation.or_else(|| self.wait_for_settlement(budget, amount, deadline));
             return reservation.ok_or_else(|| shortage.refusal(budget, amount));
         }
     }
 
+    /// Waits for reservations of this router to settle below their worst case; the last tokens of a
+    /// budget are mostly reserved and not spent.
+    fn wait_for_settlement(
+        &self,
+        budget: &BudgetId,
+        amount: Tokens,
+        deadline: Instant,
+    ) -> Option<Reservation> {
+        let deadline = deadline.min(Instant::now() + Duration::from_millis(SETTLE_MS));
+        let mut held = self.held.lock();
+        loop {
+            let reserved = held.wallet.reserved(budget);
+            if held.wallet.held(budget) + reserved < amount {
+                return None;
+            }
+            let now = self.now();
+            if let Ok(reservation) = held.wallet.reserve(budget, amount, now) {
+                return Some(reservation);
+            }
+            if self.settled.wait_until(&mut held, deadline).timed_out() {
+                return None;
+            }
+        }
+    }
+
     /// Settles a reservation with the bill of its run.
     ///
     /// A run that an earlier dispatch paid costs this one nothing.
@@ -161,6 +193,7 @@
             .lock()
             .wallet
             .settle(reservation, Tokens(bill.amount));
+        self.settled.notify_all();
         if !settled.excess.is_zero() {
             log::error!(target: "money", "A bill exceeds its reservation. run={}", bill.run);
         }
@@ -169,6 +202,7 @@
     /// Gives back a reservation whose request did not run and will not.
     pub fn release(&self, reservation: Reservation) {
         self.held.lock().wallet.release(reservation);
+        self.settled.notify_all();
     }
 
     /// Answers another router that ran dry.
--- a/wisteriapass_daemon/src/router/money/borrow.rs
+++ b/wisteriapass_daemon/src/router/money/borrow.rs
@@ -13,7 +13,7 @@
 use crate::rpc::{Caller, RouterControlClient};
 
 /// Routers asked for one request.
-const MOST_ASKED: usize = 3;
+const MOST_ASKED: usize = 5;
 
 /// Time for which a router that did not answer, or had nothing, is not asked again, in
 /// milliseconds; in a partition each ask costs a caller the time of a whole call.
