Stop: refusals arrive whole, and the listener closes before the end

Replacing all routers one by one under load lost requests now and then. A connection closed with its request unread is reset by the system, which takes the refusal with it; the body is read first now. Requests that came in the last moment were cut by the exit: the listener closes once nothing is worked on, and what came just before is finished.

Ruled out: a longer linger, which only made the same window rarer.

--- a/wisteriapass_daemon/src/http/listener.rs
+++ b/wisteriapass_daemon/src/http/listener.rs
@@ -63,6 +63,12 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Stops listening: connections made from now on are refused, which tells callers that
+    /// nothing was sent. Requests under way go on.
+    pub fn close(self) {
+        self.server.unblock();
+    }
 }
 
 /// Handles requests, each on a thread of its own, until the listener's process ends.
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -63,6 +63,9 @@
 
     fn ask(&self, req: &mut Request) -> Result<Asked, Refusal> {
         if self.stop.is_raised() {
+            // A connection that closes with its request unread is reset, and the refusal lost.
+            let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
+            let _ = read_body(req, self.limits.body_bytes, deadline);
             return Err(Refusal::not_run(
                 Reason::Stopping,
                 "this router is stopping",
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -53,6 +53,9 @@
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
+/// Time for requests that came just before the listener closed, in milliseconds.
+const CLOSE_MS: u64 = 200;
+
 /// Why a daemon did not start.
 #[derive(Debug, Display, Error, From)]
 enum StartError {
@@ -117,7 +120,11 @@
     );
     wait_for_stop(&stop);
     announce_leaving(&fleet, &kernel)?;
-    finish_work(&stop, Duration::from_millis(settings.limits.stop_ms));
+    let deadline = Instant::now() + Duration::from_millis(settings.limits.stop_ms);
+    finish_work(&stop, deadline);
+    listener.close();
+    finish_closed(&stop, deadline);
+    log::info!(target: "start", "Stopped. cut={}", stop.working());
     if settings.role == Role::Router {
         kernel.find::<Money>()?.leave();
     }
@@ -307,13 +314,22 @@
     }
 }
 
-/// Lets work end, up to a bound; goes on refusing for a while also without any.
-fn finish_work(stop: &Stop, most: Duration) {
+/// Lets work end, up to a bound; goes on refusing until nothing came for a while.
+fn finish_work(stop: &Stop, deadline: Instant) {
     log::info!(target: "start", "Stopping. working={}", stop.working());
-    let deadline = Instant::now() + most;
-    let linger_until = Instant::now() + most.min(Duration::from_millis(LINGER_MS));
-    while (stop.working() > 0 || Instant::now() < linger_until) && Instant::now() < deadline {
+    let linger_until = deadline.min(Instant::now() + Duration::from_millis(LINGER_MS));
+    while stop.working() > 0 || Instant::now() < linger_until {
+        if Instant::now() >= deadline {
+            return;
+        }
+        sleep(Duration::from_millis(LOOK_MS));
+    }
+}
+
+/// Lets the requests end that came just before the listener closed.
+fn finish_closed(stop: &Stop, deadline: Instant) {
+    sleep(Duration::from_millis(CLOSE_MS));
+    while stop.working() > 0 && Instant::now() < deadline {
         sleep(Duration::from_millis(LOOK_MS));
     }
-    log::info!(target: "start", "Stopped. cut={}", stop.working());
 }
