Heartbeats: sizes from measurement, marks told at once

An exchange is 660 bytes with headers, not 1,300. As periods grow with the fleet, a new leaving mark is relayed at once instead of with the next heartbeat.

--- a/wisteriapass_coord/src/membership/table.rs
+++ b/wisteriapass_coord/src/membership/table.rs
@@ -69,7 +69,9 @@
     /// The list lags, so a VM called leaving marks the incarnation known now. An incarnation first
     /// heard of later may be the replacement under the same name: it is held back while the list
     /// says so, without a mark.
-    pub fn read_vm_list(&mut self, list: &[ListedVm], now: Instant) {
+    ///
+    /// Returns how many marks were news.
+    pub fn read_vm_list(&mut self, list: &[ListedVm], now: Instant) -> usize {
         let leaving = |vm: &&ListedVm| vm.state != VmState::Live;
         let names: Vec<String> = list.iter().filter(leaving).map(|l| l.vm.clone()).collect();
         let before = std::mem::replace(&mut self.leaving_vms, names);
@@ -79,12 +81,11 @@
             .filter(|m| self.leaving_vms.contains(&m.said.vm) && !before.contains(&m.said.vm))
             .map(|m| m.said.clone())
             .collect();
-        for said in &news {
-            self.mark(said, LeavingCause::VmList, now);
-        }
         for member in self.members.values_mut() {
             member.held_by_list &= self.leaving_vms.contains(&member.said.vm);
         }
+        let marked = |said: &&Announcement| self.mark(said, LeavingCause::VmList, now);
+        news.iter().filter(marked).count()
     }
 
     /// Takes the members that the configuration in force plans; forgets names that it dropped.
@@ -212,13 +213,13 @@
         id
     }
 
-    fn mark(&mut self, said: &Announcement, cause: LeavingCause, now: Instant) {
+    fn mark(&mut self, said: &Announcement, cause: LeavingCause, now: Instant) -> bool {
         let mark = LeavingMark {
             name: said.name.clone(),
             incarnation: said.incarnation,
             cause,
         };
-        self.insert_mark(&mark, now);
+        self.insert_mark(&mark, now)
     }
 
     /// Keeps a mark unless one for this or a newer incarnation stands; returns whether it was news.
--- a/wisteriapass_daemon/src/fleet/follow.rs
+++ b/wisteriapass_daemon/src/fleet/follow.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::thread::sleep;
 
-use flume::{Receiver, Sender};
 use wisteriapass_config::Settings;
 use wisteriapass_coord::membership::ListedVm;
 use wisteriapass_coord::revision::{Bootstrap, CONFIG_KEY, ConfigRevision, Readiness};
@@ -47,7 +46,6 @@
     fleet: Arc<Fleet>,
     caller: Arc<Caller>,
     config: Arc<InForce>,
-    news: Sender<()>,
 }
 
 /// Starts the threads that follow the platform and the partners.
@@ -56,15 +54,13 @@
 ///
 /// [`crate::kernel::KernelError`] if a service it needs is missing.
 pub fn follow(settings: &Settings, kernel: &Kernel) -> crate::kernel::Result<()> {
-    let (tx, rx) = flume::bounded(1);
     let follower = Follower {
         settings: Arc::new(settings.clone()),
         fleet: kernel.find()?,
         caller: kernel.find()?,
         config: kernel.find()?,
-        news: tx,
     };
-    spawn("config", follower.clone(), move |f| f.keep_config(&rx));
+    spawn("config", follower.clone(), |f| f.keep_config());
     if let Some(address) = settings.vm_list {
         spawn("vm-list", follower, move |f| f.keep_vm_list(address));
     }
@@ -79,7 +75,7 @@
 }
 
 impl Follower {
-    fn keep_config(&self, news: &Receiver<()>) {
+    fn keep_config(&self) {
         let store = HttpStore::new(self.settings.store.to_string());
         let (mut seen, rule) = self.start(&store);
         // Learn of a predecessor with a faster clock before serving.
@@ -89,9 +85,9 @@
         self.config.set_ready();
         log::info!(target: "fleet", "Ready. rule={rule:?} revision={}", self.config.revision());
         let (fleet, caller) = (self.fleet.clone(), self.caller.clone());
-        let (config, news) = (self.config.clone(), news.clone());
+        let config = self.config.clone();
         let beats = std::thread::Builder::new().name("heartbeat".into());
-        let beats = beats.spawn(move || keep_beating(&fleet, &caller, &config, &news));
+        let beats = beats.spawn(move || keep_beating(&fleet, &caller, &config));
         if let Err(e) = beats {
             log::error!(target: "fleet", "Cannot start a thread. cause={e:?}");
         }
@@ -185,8 +181,7 @@
     /// Offers a document to this process; partners hear of it at once if it is news.
     fn offer(&self, text: &str) {
         if self.config.offer(text) {
-            // A round that is due already will carry it.
-            let _ = self.news.try_send(());
+            self.fleet.tell();
         }
     }
 
--- a/wisteriapass_daemon/src/fleet/heartbeat.rs
+++ b/wisteriapass_daemon/src/fleet/heartbeat.rs
@@ -2,26 +2,21 @@
 
 use std::net::SocketAddr;
 
-use flume::{Receiver, RecvTimeoutError};
+use flume::RecvTimeoutError;
 
 use crate::fleet::{Fleet, InForce};
 use crate::prelude::*;
 use crate::rpc::{CallError, Caller, ControlClient, HeartbeatAnswer};
 
-/// Keeps exchanging heartbeats, one round a period and one whenever `news` says so.
-pub fn keep_beating(
-    fleet: &Arc<Fleet>,
-    caller: &Arc<Caller>,
-    config: &Arc<InForce>,
-    news: &Receiver<()>,
-) {
+/// Keeps exchanging heartbeats, one round a period and one whenever there is news.
+pub fn keep_beating(fleet: &Arc<Fleet>, caller: &Arc<Caller>, config: &Arc<InForce>) {
     loop {
         let started_at = Instant::now();
         fleet.plan();
         let partners = fleet.partners();
         beat(fleet, caller, config, &partners.addresses());
         let next_at = started_at + partners.period();
-        match news.recv_deadline(next_at) {
+        match fleet.news().recv_deadline(next_at) {
             Ok(()) | Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
--- a/wisteriapass_daemon/src/fleet/partners.rs
+++ b/wisteriapass_daemon/src/fleet/partners.rs
@@ -15,10 +15,14 @@
 const WATCHERS: Subset = Subset { near: 3, far: 0 };
 
 /// Bytes of one heartbeat and its answer with all headers; docs/CAPACITY.md has the measurement.
-const EXCHANGE_BYTES: u64 = 1_300;
+const EXCHANGE_BYTES: u64 = 660;
 
-/// Bytes a second for heartbeats made; about as many again are answered, within 8 KB in all.
-const BYTES_A_SECOND: u64 = 4_000;
+/// Bytes a second for the heartbeats that a router makes; it answers about as many, within 8 KB.
+const ROUTER_BYTES_A_SECOND: u64 = 4_000;
+
+/// Bytes a second for the heartbeats that a side process makes. There are three side processes to
+/// a router, so theirs are the greater part of what a router answers.
+const SIDE_BYTES_A_SECOND: u64 = 1_000;
 
 /// Shortest time between two heartbeats to one partner.
 const SHORTEST: Duration = Duration::from_secs(1);
@@ -28,6 +32,7 @@
 pub struct Partners {
     by_name: BTreeMap<String, SocketAddr>,
     is_watcher: bool,
+    bytes_a_second: u64,
 }
 
 impl Partners {
@@ -52,6 +57,10 @@
         Self {
             by_name: addressed.collect(),
             is_watcher: role == MemberRole::Router && is_watcher(name, domain, &inventory.router),
+            bytes_a_second: match role {
+                MemberRole::Router => ROUTER_BYTES_A_SECOND,
+                MemberRole::Side => SIDE_BYTES_A_SECOND,
+            },
         }
     }
 
@@ -73,7 +82,7 @@
     /// Returns the time between two heartbeats to each partner.
     pub fn period(&self) -> Duration {
         let count = self.by_name.len();
-        heartbeat_period(count, EXCHANGE_BYTES, BYTES_A_SECOND, SHORTEST)
+        heartbeat_period(count, EXCHANGE_BYTES, self.bytes_a_second, SHORTEST)
     }
 }
 
--- a/wisteriapass_daemon/src/fleet/service.rs
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use flume::{Receiver, Sender};
 use parking_lot::Mutex;
 use wisteriapass_config::{Document, Settings};
 use wisteriapass_coord::membership::{
@@ -44,6 +45,8 @@
     config: Arc<InForce>,
     stop: Arc<Stop>,
     state: Mutex<State>,
+    tell: Sender<()>,
+    told: Receiver<()>,
 }
 
 impl Service for Fleet {
@@ -61,7 +64,10 @@
         settings: &Settings,
         incarnation: Incarnation,
     ) -> crate::kernel::Result<Self> {
+        let (tell, told) = flume::bounded(1);
         Ok(Self {
+            tell,
+            told,
             own: Own::new(settings, incarnation),
             config: kernel.find()?,
             stop: kernel.find()?,
@@ -69,6 +75,17 @@
         })
     }
 
+    /// Has the partners told at once, ahead of the next heartbeat.
+    pub fn tell(&self) {
+        // A round that is due already carries the news.
+        let _ = self.tell.try_send(());
+    }
+
+    /// Returns the channel that asks for a round of heartbeats at once.
+    pub fn news(&self) -> &Receiver<()> {
+        &self.told
+    }
+
     /// Returns what this process says of itself.
     pub fn announcement(&self) -> Announcement {
         let revision = self.config.revision();
@@ -120,7 +137,10 @@
             return (own > said.incarnation).then_some(own);
         }
         let mut state = self.state.lock();
-        state.members.hear_digest(marks, now);
+        // Marks are rare; relayed at once they are round the fleet in a few steps.
+        if state.members.hear_digest(marks, now) > 0 {
+            self.tell();
+        }
         let heard = state.members.hear(said, now);
         if let Heard::Superseded(newer) = heard {
             return Some(newer);
@@ -163,7 +183,9 @@
     /// Takes the platform's VM list.
     pub fn read_vm_list(&self, list: &[ListedVm], now: Instant) {
         let mut state = self.state.lock();
-        state.members.read_vm_list(list, now);
+        if state.members.read_vm_list(list, now) > 0 {
+            self.tell();
+        }
         let own = self.announcement();
         // Its own incarnation is a member too, so that the list's word on its VM reaches it.
         state.members.hear(&own, now);
