--- a/wisteriapass_bench/src/commands.rs
+++ b/wisteriapass_bench/src/commands.rs
@@ -9,6 +9,7 @@
 use gumdrop::Options;
 use wisteriapass_bench::faults::{self, FaultsOpts};
 use wisteriapass_bench::loads::{self, LoadsOpts};
+use wisteriapass_bench::slopes::{self, SlopesOpts};
 
 use daemon::DaemonOptions;
 use experiments::{DriveOptions, OverheadOptions, QuickstartOptions};
@@ -42,6 +43,8 @@
     Drive(DriveOptions),
     #[options(help = "play load patterns against a model of a target pool")]
     Loads(LoadsOpts),
+    #[options(help = "measure what routers and side processes cost against the size of the fleet")]
+    Slopes(SlopesOpts),
     #[options(help = "play faults against real processes under load and check the history")]
     Faults(FaultsOpts),
 }
@@ -58,6 +61,7 @@
             Some(Command::Overhead(options)) => return options.run(),
             Some(Command::Drive(options)) => return options.run(),
             Some(Command::Loads(opts)) => return loads::run(&opts),
+            Some(Command::Slopes(opts)) => return slopes::run(&opts),
             Some(Command::Faults(opts)) => return faults::run(&opts),
             None => {
                 eprintln!("name a command\n\n{}", Cli::usage());
--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod load;
 pub mod loads;
+pub mod slopes;
 pub mod standin;
 
 pub use digest::sha256_hex;
--- a/wisteriapass_bench/src/link.rs
+++ b/wisteriapass_bench/src/link.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 
 use parking_lot::{Condvar, Mutex};
@@ -33,6 +34,7 @@
     callers: Callers,
     rules: Mutex<Rules>,
     changed: Condvar,
+    bytes: AtomicU64,
 }
 
 /// Faults in force and open connections.
@@ -68,6 +70,7 @@
             callers,
             rules: Mutex::default(),
             changed: Condvar::new(),
+            bytes: AtomicU64::new(0),
         });
         let acceptor = {
             let shared = Arc::clone(&shared);
@@ -124,6 +127,11 @@
         });
     }
 
+    /// Returns the bytes that passed so far, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.shared.rules.lock().connections.len()
@@ -158,6 +166,11 @@
         self.changed.notify_all();
     }
 
+    /// Counts bytes that passed.
+    fn count(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         while let Ok((client, _)) = listener.accept() {
             if self.rules.lock().is_stopped {
--- a/wisteriapass_bench/src/link/connection.rs
+++ b/wisteriapass_bench/src/link/connection.rs
@@ -101,6 +101,7 @@
                 return into.shutdown(Shutdown::Write);
             }
             into.write_all(&buf[..n])?;
+            link.count(n);
         }
     }
 }
--- a/wisteriapass_bench/src/link/network.rs
+++ b/wisteriapass_bench/src/link/network.rs
@@ -53,6 +53,13 @@
             .for_each(|l| l.set_server(server));
     }
 
+    /// Returns the bytes that passed through the link with this address so far, both ways.
+    pub fn bytes_through(&self, link: SocketAddr) -> u64 {
+        let links = self.links.lock();
+        let found = links.values().flatten().find(|l| l.addr() == link);
+        found.map_or(0, Link::bytes)
+    }
+
     /// Sets the faults of the connections that `from` makes to `to`.
     pub fn set_faults(&self, from: &str, to: &str, faults: LinkFaults) {
         self.each_link_of(to, |link| link.set_faults_for(from, faults));
