bench: tests of changes without links where callers judge connections

A link accepts what its server would refuse, so a request that was never sent looked like one that was cut.

--- a/wisteriapass_bench/tests/caller/mod.rs
+++ b/wisteriapass_bench/tests/caller/mod.rs
@@ -16,7 +16,8 @@
 /// Times that a request is sent at most.
 const TRIES: usize = 60;
 
-/// Returns a plan whose daemons run the tool.
+/// Returns a plan whose daemons run the tool, without links: a link accepts what its server would
+/// refuse, and callers could not tell a request that was never sent from one that was cut.
 #[allow(dead_code)]
 pub fn plan(routers: usize, engines: usize) -> FleetPlan {
     let tool = env!("CARGO_BIN_EXE_wisteriapass_bench").into();
@@ -24,6 +25,7 @@
         routers,
         engines,
         services: 0,
+        linked: false,
         accounts: vec![AccountPlan::new("acme").with_prepaid(PREPAID)],
         ..FleetPlan::new(Program::Tool(tool))
     }
