LineStream: ask targets and side processes to close the connection

tiny_http ends a connection only for clients that ask for it, so a target whose answer was cut looked silent until the gap of three seconds had passed. tests/path.rs an_engine_whose_stream_goes_silent_is_resumed: 3.16 s before, 0.32 s after.

--- a/wisteriapass_daemon/src/http/line_stream.rs
+++ b/wisteriapass_daemon/src/http/line_stream.rs
@@ -117,6 +117,7 @@
     let answer = match req
         .with_timeout(EXCHANGE_S)
         .with_follow_redirects(false)
+        .with_header("connection", "close")
         .send_lazy()
     {
         Ok(answer) => answer,
