Have more patience with targets whose work from here may all be queued

With one or two requests at a target, all waiting in its queue, a router heard nothing for 1.5 s and avoided a well target; the prefixes it held then moved away from home.

--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -55,8 +55,10 @@
     pub reserve_max: f64,
     /// A target is slow if its speed is below this share of the pool's median.
     pub slow_below: f64,
-    /// Time without any sign from a target with work after which it is silent, in seconds.
+    /// Time without any sign from a target that was answering after which it is silent, in seconds.
     pub silent_after_s: f64,
+    /// The same for a target whose requests from here may all wait in its queue, in seconds.
+    pub silent_queued_s: f64,
     /// Failures in a row after which a target is avoided.
     pub failures_to_avoid: u32,
     /// First time of avoiding a target, in seconds; doubles each time.
@@ -112,6 +114,7 @@
             reserve_max: 0.9,
             slow_below: 0.5,
             silent_after_s: 1.5,
+            silent_queued_s: 4.0,
             failures_to_avoid: 3,
             avoid_first_s: 2.0,
             avoid_max_s: 30.0,
--- a/wisteriapass_policy/src/health.rs
+++ b/wisteriapass_policy/src/health.rs
@@ -6,8 +6,9 @@
 //!
 //! Speed is compared with the pool's median, so that a pool which is slow as a whole is not avoided
 //! as a whole. Half the median is far outside what batching does to a healthy target. Silence is
-//! judged by the target, not by the run: a healthy target with work gives some sign many times a
-//! second. Avoiding starts at two seconds, about one answer's time, and doubles, so that a target
+//! judged by the target, not by the run: a healthy target that answers gives some sign many times a
+//! second. If all that this router has there may wait in its queue, more patience is due: at 1.5 s
+//! well targets of a saturated pool were avoided, and their prefixes moved away from home. Avoiding starts at two seconds, about one answer's time, and doubles, so that a target
 //! which stays bad costs less and less; after it the target gets one request, then two, four and so
 //! on, each step after a few good answers.
 
--- a/wisteriapass_policy/src/load_view.rs
+++ b/wisteriapass_policy/src/load_view.rs
@@ -17,6 +17,8 @@
     pub(crate) own: u32,
     /// Own requests in flight that are not interactive.
     pub(crate) own_low: u32,
+    /// Own requests in flight that gave their first token.
+    pub(crate) answering: u32,
     report: Option<LoadReport>,
     allowed: u32,
 }
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -25,9 +25,14 @@
         let Some(run) = self.jobs.get_mut(ticket).and_then(|j| j.run_at(target)) else {
             return;
         };
-        run.first_token_at.get_or_insert(now);
+        if run.first_token_at.replace(now).is_some() {
+            return;
+        }
         run.sampled_at = now;
         run.sampled_tokens = 1;
+        if let Some(target) = self.targets.get_mut(target) {
+            target.load.answering += 1;
+        }
     }
 
     /// Takes in that a run gave this many tokens so far.
@@ -215,6 +220,8 @@
     fn release(&mut self, run: Run, priority: Priority) {
         if let Some(target) = self.targets.get_mut(run.target) {
             target.load.own = target.load.own.saturating_sub(1);
+            let answering = u32::from(run.first_token_at.is_some());
+            target.load.answering = target.load.answering.saturating_sub(answering);
             let low = u32::from(priority != Priority::Interactive);
             target.load.own_low = target.load.own_low.saturating_sub(low);
         }
--- a/wisteriapass_policy/src/scheduler/poll.rs
+++ b/wisteriapass_policy/src/scheduler/poll.rs
@@ -32,10 +32,7 @@
     /// Returns when to poll next if nothing else happens before.
     pub fn next_wake(&self, now: Time) -> Option<Time> {
         let alarm = self.alarms.peek().map(|Reverse(a)| a.at);
-        let silent = self.targets.values().filter(|t| t.load.own > 0).map(|t| {
-            let silent = t.health.last_sign.plus_secs(self.cfg.silent_after_s);
-            silent.max(t.health.avoided_until())
-        });
+        let silent = self.targets.values().filter_map(|t| t.silent_at(&self.cfg));
         let pending = if self.ready.is_empty() {
             None
         } else {
@@ -121,11 +118,10 @@
         if !self.cfg.parts.health {
             return;
         }
-        let limit = self.cfg.silent_after_s;
-        let silent = self.targets.iter().filter(|(_, t)| {
-            let quiet = now.secs_since(t.health.last_sign) >= limit;
-            t.load.own > 0 && quiet && now >= t.health.avoided_until()
-        });
+        let silent = self
+            .targets
+            .iter()
+            .filter(|(_, t)| t.silent_at(&self.cfg).is_some_and(|s| s <= now));
         let silent: SmallVec<[TargetKey; 4]> = silent.map(|(key, _)| key).collect();
         for key in silent {
             self.targets[key].health.avoid(now, &self.cfg);
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -116,6 +116,21 @@
         self.slot_rate() * self.health.speed.clamp(0.01, 1.5)
     }
 
+    /// Returns when it counts as silent if it gives no sign before; never while it has no work.
+    pub(crate) fn silent_at(&self, cfg: &PolicyConfig) -> Option<Time> {
+        if self.load.own == 0 {
+            return None;
+        }
+        let queued = self.load.answering == 0;
+        let patience = if queued {
+            cfg.silent_queued_s
+        } else {
+            cfg.silent_after_s
+        };
+        let silent = self.health.last_sign.plus_secs(patience);
+        Some(silent.max(self.health.avoided_until()))
+    }
+
     /// Returns whether it counts as part of its pools' capacity now.
     pub(crate) fn works(&self, now: Time, cfg: &PolicyConfig) -> bool {
         self.open() && (!cfg.parts.health || self.health.limit(now) > 1)
