--- a/wisteriapass_policy/src/room.rs
+++ b/wisteriapass_policy/src/room.rs
@@ -15,6 +15,9 @@
 /// Requests that interactive work may send beyond the allowance.
 const INTERACTIVE_EXTRA: u32 = 1;
 
+/// Requests that a router may send beyond the allowance to the home of their prefix.
+const HOME_EXTRA: u32 = 2;
+
 /// Returns whether a target has room for a request.
 pub(crate) fn has_room(
     target: &Target,
@@ -48,7 +51,12 @@
         }
     }
     let queues = load.total + 1.0 > target.slots() && (at_home || !choosing.over_share);
-    let extra = if interactive { INTERACTIVE_EXTRA } else { 0 };
+    let extra = match (interactive, at_home) {
+        (true, true) => INTERACTIVE_EXTRA + HOME_EXTRA,
+        (true, false) => INTERACTIVE_EXTRA,
+        (false, true) => HOME_EXTRA,
+        (false, false) => 0,
+    };
     queues || target.load.within_allowance(choosing.now, extra, cfg)
 }
 
