--- a/wisteriapass_bench/src/loads/cost.rs
+++ b/wisteriapass_bench/src/loads/cost.rs
@@ -4,8 +4,8 @@
 
 use smallvec::smallvec;
 use wisteriapass_policy::{
-    AccountFacts, Held, Nearness, Outcome, PolicyConfig, Priority, RequestFacts, Scheduler,
-    TargetFacts, TargetRole, Time, Wants,
+    AccountFacts, Held, LoadReport, Nearness, Outcome, PolicyConfig, Priority, RequestFacts,
+    Scheduler, TargetFacts, TargetRole, Time, Wants,
 };
 
 /// Decisions of one measurement.
@@ -25,7 +25,8 @@
     }
 }
 
-/// Returns the mean time of one request's offer, poll and end, in nanoseconds.
+/// Returns the mean time of all calls for one request, in nanoseconds: a hint, a report, its offer,
+/// a poll and its end.
 fn measure(targets: usize, queue: usize) -> f64 {
     let mut scheduler = filled(targets);
     let mut now = Time::from_secs(1);
@@ -44,11 +45,24 @@
     let slots = if queue > 0 { targets * 16 } else { targets * 8 };
     let start = slots + queue;
     let mut started = Instant::now();
+    let keys: Vec<_> = (0..targets)
+        .filter_map(|t| scheduler.target(&format!("engine-{t}")))
+        .collect();
     for n in 0..start as u64 + DECISIONS {
         if n == start as u64 {
             started = Instant::now();
         }
-        now = now.plus_secs(1e-5);
+        now = now.plus_secs(1e-4);
+        let key = keys[n as usize % targets];
+        scheduler.cache_hint(now, key, n % 50, n % 3 > 0);
+        let report = LoadReport {
+            taken_at: now,
+            running: scheduler.in_flight(key),
+            queued: 0,
+            interactive: 0,
+            of_receiver: scheduler.in_flight(key),
+        };
+        scheduler.load_report(now, key, report);
         let facts = RequestFacts {
             account: accounts[n as usize % ACCOUNTS],
             priority: Priority::ALL[n as usize % 3],
--- a/wisteriapass_policy/src/affinity.rs
+++ b/wisteriapass_policy/src/affinity.rs
@@ -2,54 +2,83 @@
 //!
 //! Answers long shared templates and a hot prefix. Without it every target reads every template
 //! again (`loads --pattern hot --without affinity`); without a bound by load, which `room` sets, one
-//! target gets all of a hot prefix's work. Hints come late and with gaps, so they only add to a rule that needs
-//! none: every router ranks the targets for a prefix by the same hash and so picks the same ones.
+//! target gets all of a hot prefix's work. Hints come late and with gaps, so they only add to a rule
+//! that needs none: every router ranks the targets for a prefix by the same hash and so picks the
+//! same one, its home.
 
+use std::collections::HashMap;
 use std::hash::Hasher;
 
 use smallvec::SmallVec;
 use twox_hash::XxHash64;
 
-use crate::{PolicyConfig, Time};
+use crate::{PolicyConfig, TargetKey, Time};
 
-/// Prefix hints kept for one target; the oldest goes first.
-const HINTS: usize = 64;
+/// Prefixes remembered; beyond it the stale ones are forgotten.
+const PREFIXES: usize = 16_384;
 /// Worth of the hash's choice against a hint's, as a share.
 const HOME_WORTH: f64 = 0.6;
 
-/// Prefixes that one target was said to hold.
-#[derive(Clone, Debug, Default)]
+/// Which targets were said to hold which prefixes.
+#[derive(Debug, Default)]
 pub(crate) struct CacheHints {
-    held: SmallVec<[Hint; 4]>,
+    holders: HashMap<u64, Holders>,
 }
 
-/// One prefix and when it was last known to be held.
+/// Targets that were said to hold one prefix.
+pub(crate) type Holders = SmallVec<[Hint; 4]>;
+
+/// A target that was said to hold a prefix, and when.
 #[derive(Clone, Copy, Debug)]
-struct Hint {
-    prefix: u64,
+pub(crate) struct Hint {
+    target: TargetKey,
     at: Time,
 }
 
 impl CacheHints {
     /// Takes a hint in.
-    pub(crate) fn set(&mut self, now: Time, prefix: u64, held: bool) {
-        self.held.retain(|h| h.prefix != prefix);
-        if !held {
-            return;
+    pub(crate) fn set(
+        &mut self,
+        now: Time,
+        target: TargetKey,
+        prefix: u64,
+        held: bool,
+        cfg: &PolicyConfig,
+    ) {
+        if held && self.holders.len() >= PREFIXES {
+            self.forget_stale(now, cfg);
+        }
+        let holders = self.holders.entry(prefix).or_default();
+        holders.retain(|h| h.target != target);
+        if held {
+            holders.push(Hint { target, at: now });
         }
-        if self.held.len() == HINTS {
-            self.held.remove(0);
+        if holders.is_empty() {
+            self.holders.remove(&prefix);
         }
-        self.held.push(Hint { prefix, at: now });
     }
 
-    /// Returns how sure it is that the target holds a prefix, from 0 to 1.
-    pub(crate) fn belief(&self, now: Time, prefix: u64, cfg: &PolicyConfig) -> f64 {
-        let Some(hint) = self.held.iter().find(|h| h.prefix == prefix) else {
-            return 0.0;
-        };
-        (1.0 - now.secs_since(hint.at) / cfg.cache_hint_s).max(0.0)
+    /// Returns the targets that were said to hold a prefix.
+    pub(crate) fn holders(&self, prefix: u64) -> &[Hint] {
+        self.holders.get(&prefix).map_or(&[], |h| h.as_slice())
     }
+
+    /// Forgets hints that are worth nothing any more, or all if none is.
+    fn forget_stale(&mut self, now: Time, cfg: &PolicyConfig) {
+        let fresh = |h: &Hint| now.secs_since(h.at) < cfg.cache_hint_s;
+        self.holders.retain(|_, holders| holders.iter().any(fresh));
+        if self.holders.len() >= PREFIXES {
+            self.holders.clear();
+        }
+    }
+}
+
+/// Returns how sure it is that a target holds a prefix with these holders, from 0 to 1.
+pub(crate) fn belief(now: Time, target: TargetKey, holders: &[Hint], cfg: &PolicyConfig) -> f64 {
+    let Some(hint) = holders.iter().find(|h| h.target == target) else {
+        return 0.0;
+    };
+    (1.0 - now.secs_since(hint.at) / cfg.cache_hint_s).max(0.0)
 }
 
 /// Returns a target's rank for a prefix; the highest is its home.
--- a/wisteriapass_policy/src/choice.rs
+++ b/wisteriapass_policy/src/choice.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
+use crate::affinity::Hint;
 use crate::target::Target;
 use crate::{PolicyConfig, Priority, TargetKey, Time};
 use crate::{affinity, room};
@@ -15,12 +16,18 @@
 /// Noise added to each candidate's load, as a share of its slots.
 const NOISE: f64 = 0.05;
 
+/// Multiplier of a linear congruential sequence (Knuth's MMIX).
+const NOISE_FACTOR: u64 = 6_364_136_223_846_793_005;
+
 /// What the choice knows of the request and its pool.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Choosing {
+pub(crate) struct Choosing<'a> {
     pub(crate) now: Time,
     pub(crate) priority: Priority,
-    pub(crate) prefix: Option<u64>,
+    /// Where the request's prefix is to be held, if it has one.
+    pub(crate) home: Option<TargetKey>,
+    /// Who was said to hold the prefix.
+    pub(crate) holders: &'a [Hint],
     /// Routers that share the targets.
     pub(crate) routers: f64,
     /// Slots to keep for interactive work, as a share of all.
@@ -51,7 +58,7 @@
 pub(crate) fn choose(
     members: &[TargetKey],
     targets: &SlotMap<TargetKey, Target>,
-    choosing: Choosing,
+    choosing: Choosing<'_>,
     cfg: &PolicyConfig,
     rng: &mut impl Rng,
 ) -> Option<TargetKey> {
@@ -61,22 +68,28 @@
             .filter_map(|&k| Some((k, targets.get(k)?)))
             .filter(|(_, t)| t.open())
     };
-    let prefix = choosing.prefix.filter(|_| cfg.parts.affinity);
-    let home = prefix.and_then(|p| home(members, targets, choosing.now, p, cfg));
+    // One random number is enough for the noise: each candidate sees other bits of it.
+    let mut noise = rng.random::<u64>() | 1;
     let mut best: Option<(f64, TargetKey)> = None;
     for (key, target) in open().filter(|&(key, _)| choosing.except != Some(key)) {
-        let at_home = home == Some(key);
+        let at_home = choosing.home == Some(key);
         let load = target.load.load(choosing.now, choosing.routers, cfg);
         if !room::has_room(target, load, at_home, choosing, cfg) {
             continue;
         }
-        let belief = prefix.map_or(0.0, |p| target.cache.belief(choosing.now, p, cfg));
+        let belief = affinity::belief(choosing.now, key, choosing.holders, cfg);
         let worth = affinity::worth(belief, at_home);
         let seeming = load.total / target.slots() * target.slowness(cfg) + target.distance(cfg);
-        let score = seeming + rng.random_range(0.0..NOISE) - worth * cfg.affinity_bonus;
+        noise = noise.wrapping_mul(NOISE_FACTOR);
+        let score = seeming + noise_of(noise) - worth * cfg.affinity_bonus;
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, key));
         }
     }
     best.map(|(_, key)| key)
 }
+
+/// Returns a random number's part of a candidate's load.
+fn noise_of(random: u64) -> f64 {
+    NOISE * (random >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/wisteriapass_policy/src/job.rs
+++ b/wisteriapass_policy/src/job.rs
@@ -18,6 +18,8 @@
     /// Latest start that keeps its deadlines.
     pub(crate) start_by: Time,
     pub(crate) offered_at: Time,
+    /// Target that is to hold its prefix, if it has one.
+    pub(crate) home: Option<TargetKey>,
     /// Its place in the queue while it waits.
     pub(crate) waiting: Option<Waiting>,
     pub(crate) hedged: bool,
--- a/wisteriapass_policy/src/request_facts.rs
+++ b/wisteriapass_policy/src/request_facts.rs
@@ -21,7 +21,7 @@
     pub deadline: Time,
     /// Whether running it twice does no harm; others are never retried or hedged once sent.
     pub idempotent: bool,
-    /// Hash of the prompt's shared prefix, if it has one.
+    /// Hash of model, adapter and the prompt's shared prefix, if it has one.
     pub prefix: Option<u64>,
     /// Length of that prefix, in tokens.
     pub prefix_tokens: u32,
--- a/wisteriapass_policy/src/room.rs
+++ b/wisteriapass_policy/src/room.rs
@@ -23,7 +23,7 @@
     target: &Target,
     load: Load,
     at_home: bool,
-    choosing: Choosing,
+    choosing: Choosing<'_>,
     cfg: &PolicyConfig,
 ) -> bool {
     if cfg.parts.health && !well_enough(target, choosing) {
@@ -61,7 +61,7 @@
 }
 
 /// Returns whether the target's health allows one more request from this router.
-fn well_enough(target: &Target, choosing: Choosing) -> bool {
+fn well_enough(target: &Target, choosing: Choosing<'_>) -> bool {
     if target.health.suspect() && !choosing.may_probe {
         return false;
     }
--- a/wisteriapass_policy/src/scheduler.rs
+++ b/wisteriapass_policy/src/scheduler.rs
@@ -16,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::{Key, SlotMap};
 
+use crate::affinity::CacheHints;
 use crate::job::Job;
 use crate::keys::PoolKey;
 use crate::names::Names;
@@ -40,6 +41,7 @@
     pools: SlotMap<PoolKey, Pool>,
     pool_keys: HashMap<Wants, PoolKey>,
     jobs: SlotMap<Ticket, Job>,
+    hints: CacheHints,
     alarms: Alarms,
     ready: Vec<Decided>,
     tries: TryBudget,
@@ -59,6 +61,7 @@
             pools: SlotMap::with_key(),
             pool_keys: HashMap::new(),
             jobs: SlotMap::with_key(),
+            hints: CacheHints::default(),
             alarms: Alarms::new(),
             ready: Vec::new(),
             tries: TryBudget::new(cfg.try_share, cfg.try_burst),
@@ -175,9 +178,11 @@
     }
 
     /// Takes in that a target was said to hold (or to have dropped) a prompt prefix.
+    ///
+    /// The hash is that of [`crate::RequestFacts::prefix`], and covers the model and adapter too.
     pub fn cache_hint(&mut self, now: Time, target: TargetKey, prefix: u64, held: bool) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.cache.set(now, prefix, held);
+        if self.targets.contains_key(target) {
+            self.hints.set(now, target, prefix, held, &self.cfg);
         }
     }
 
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -66,10 +66,6 @@
     /// Puts a job into its account's lane and sets its latest start.
     pub(super) fn enqueue(&mut self, ticket: Ticket, weight: f64, first: bool) {
         let job = &self.jobs[ticket];
-        let pool = &self.pools[job.pool];
-        let prefix = job.facts.prefix.filter(|_| self.cfg.parts.affinity);
-        let home = prefix
-            .and_then(|p| choice::home(&pool.members, &self.targets, job.offered_at, p, &self.cfg));
         let waiting = Waiting {
             ticket,
             account: job.facts.account,
@@ -77,7 +73,7 @@
             work: job.work,
             since: job.offered_at,
             returned: first,
-            home,
+            home: job.home,
         };
         let at = job.start_by;
         let saved_s = self.cfg.saved_share_s;
@@ -155,10 +151,15 @@
         let pool = &mut self.pools[job.pool];
         let need = pool.reserve.slots(now, &self.cfg) * self.routers;
         let urgent = job.facts.priority == Priority::Interactive;
+        let holders = job
+            .home
+            .and(job.facts.prefix)
+            .map_or(&[][..], |p| self.hints.holders(p));
         let choosing = Choosing {
             now,
             priority: job.facts.priority,
-            prefix: job.facts.prefix,
+            home: job.home,
+            holders,
             routers: self.routers,
             reserve: (need / capacity.slots.max(1.0)).min(self.cfg.reserve_max),
             over_share: f64::from(capacity.own) >= capacity.slots / self.routers,
@@ -226,6 +227,9 @@
         let urgent = facts.priority == Priority::Interactive;
         let slot_secs = if urgent { work / slot_rate } else { 0.0 };
         pool.reserve.offered(now, slot_secs, &self.cfg);
+        let prefix = facts.prefix.filter(|_| self.cfg.parts.affinity);
+        let home =
+            prefix.and_then(|p| choice::home(&pool.members, &self.targets, now, p, &self.cfg));
         Job {
             facts,
             pool: key,
@@ -234,6 +238,7 @@
             start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
             offered_at: now,
             waiting: None,
+            home,
             hedged: false,
             runs: SmallVec::new(),
         }
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -5,7 +5,6 @@
 use smallvec::SmallVec;
 use twox_hash::XxHash64;
 
-use crate::affinity::CacheHints;
 use crate::health::Health;
 use crate::load_view::LoadView;
 use crate::names::Names;
@@ -19,7 +18,6 @@
     pub(crate) name_hash: u64,
     pub(crate) load: LoadView,
     pub(crate) health: Health,
-    pub(crate) cache: CacheHints,
 }
 
 impl Target {
@@ -31,7 +29,6 @@
             name_hash: hasher.finish(),
             load: LoadView::default(),
             health: Health::new(cfg),
-            cache: CacheHints::default(),
             held,
             facts,
         }
