Look for room again only when something changed

Each offer and each poll compared all targets anew although nothing had made room. The cost run now tells decisions (offer and poll) from feedback and takes the median batch.

--- a/wisteriapass_bench/src/loads/cost.rs
+++ b/wisteriapass_bench/src/loads/cost.rs
@@ -1,15 +1,19 @@
 //! Cost of one decision, by targets and queue length.
 
-use std::time::Instant;
+use std::collections::VecDeque;
+use std::ops::Range;
+use std::time::{Duration, Instant};
 
 use smallvec::smallvec;
 use wisteriapass_policy::{
-    AccountFacts, Held, LoadReport, Nearness, Outcome, PolicyConfig, Priority, RequestFacts,
-    Scheduler, TargetFacts, TargetRole, Time, Wants,
+    AccountFacts, AccountKey, Decision, Held, LoadReport, Nearness, Outcome, PolicyConfig,
+    Priority, RequestFacts, Scheduler, TargetFacts, TargetKey, TargetRole, Ticket, Time, Wants,
 };
 
-/// Decisions of one measurement.
-const DECISIONS: u64 = 200_000;
+/// Requests of one batch; the batch with the median cost counts.
+const BATCH: u64 = 2_000;
+/// Batches of one measurement.
+const BATCHES: u64 = 41;
 /// Accounts that the requests come from.
 const ACCOUNTS: usize = 32;
 /// Work of each request, in tokens.
@@ -19,54 +23,95 @@
 pub(super) fn print() {
     for targets in [8, 32, 128] {
         for queue in [0, 100, 1_000] {
-            let ns = measure(targets, queue);
-            println!("{{\"targets\":{targets},\"queue\":{queue},\"ns_a_decision\":{ns:.0}}}");
+            let mut bench = Bench::new(targets);
+            let cost = bench.measure(targets, queue);
+            println!(
+                "{{\"targets\":{targets},\"queue\":{queue},\"decision_ns\":{:.0},\"feedback_ns\":{:.0}}}",
+                cost.decision_ns, cost.feedback_ns
+            );
         }
     }
 }
 
-/// Returns the mean time of all calls for one request, in nanoseconds: a hint, a report, its offer,
-/// a poll and its end.
-fn measure(targets: usize, queue: usize) -> f64 {
-    let mut scheduler = filled(targets);
-    let mut now = Time::from_secs(1);
-    let model = scheduler
-        .name("model")
-        .unwrap_or_else(|| unreachable!("the targets hold it"));
-    let wants = Wants::Model {
-        model,
-        version: None,
-        adapter: None,
-    };
-    let accounts: Vec<_> = (0..ACCOUNTS)
-        .filter_map(|a| scheduler.account(&format!("account-{a}")))
-        .collect();
-    let mut running = std::collections::VecDeque::new();
-    let slots = if queue > 0 { targets * 16 } else { targets * 8 };
-    let start = slots + queue;
-    let mut started = Instant::now();
-    let keys: Vec<_> = (0..targets)
-        .filter_map(|t| scheduler.target(&format!("engine-{t}")))
-        .collect();
-    for n in 0..start as u64 + DECISIONS {
-        if n == start as u64 {
-            started = Instant::now();
+/// Mean times of one request's calls, in nanoseconds.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    /// Its offer and a poll.
+    decision_ns: f64,
+    /// A cache hint, a load report and its end.
+    feedback_ns: f64,
+}
+
+/// A scheduler with requests that come and end.
+struct Bench {
+    scheduler: Scheduler,
+    now: Time,
+    wants: Wants,
+    targets: Vec<TargetKey>,
+    accounts: Vec<AccountKey>,
+    running: VecDeque<(Ticket, TargetKey)>,
+}
+
+impl Bench {
+    fn new(targets: usize) -> Self {
+        let scheduler = filled(targets);
+        let model = scheduler
+            .name("model")
+            .unwrap_or_else(|| unreachable!("the targets hold it"));
+        let target = |t| scheduler.target(&format!("engine-{t}"));
+        let account = |a| scheduler.account(&format!("account-{a}"));
+        Self {
+            now: Time::from_secs(1),
+            wants: Wants::Model {
+                model,
+                version: None,
+                adapter: None,
+            },
+            targets: (0..targets).filter_map(target).collect(),
+            accounts: (0..ACCOUNTS).filter_map(account).collect(),
+            running: VecDeque::new(),
+            scheduler,
         }
-        now = now.plus_secs(1e-4);
-        let key = keys[n as usize % targets];
-        scheduler.cache_hint(now, key, n % 50, n % 3 > 0);
-        let report = LoadReport {
-            taken_at: now,
-            running: scheduler.in_flight(key),
-            queued: 0,
-            interactive: 0,
-            of_receiver: scheduler.in_flight(key),
-        };
-        scheduler.load_report(now, key, report);
+    }
+
+    /// Returns the mean cost with a queue of this length and all slots busy, or half of them.
+    fn measure(&mut self, targets: usize, queue: usize) -> Cost {
+        let slots = if queue > 0 { targets * 16 } else { targets * 8 };
+        let fill = (slots + queue) as u64;
+        for n in 0..fill {
+            self.decide(n);
+        }
+        let batch = |b: u64| fill + b * BATCH..fill + (b + 1) * BATCH;
+        let mut costs: Vec<Cost> = (0..BATCHES).map(|b| self.batch(batch(b))).collect();
+        costs.sort_by(|a, b| a.decision_ns.total_cmp(&b.decision_ns));
+        costs[costs.len() / 2]
+    }
+
+    /// Returns the mean cost of some requests.
+    fn batch(&mut self, numbers: Range<u64>) -> Cost {
+        let (mut decision, mut feedback) = (Duration::ZERO, Duration::ZERO);
+        for n in numbers {
+            let start = Instant::now();
+            self.decide(n);
+            let decided = Instant::now();
+            self.feed(n);
+            decision += decided - start;
+            feedback += decided.elapsed();
+        }
+        let mean = |d: Duration| d.as_nanos() as f64 / BATCH as f64;
+        Cost {
+            decision_ns: mean(decision),
+            feedback_ns: mean(feedback),
+        }
+    }
+
+    /// Offers a request and polls.
+    fn decide(&mut self, n: u64) {
+        self.now = self.now.plus_secs(1e-4);
         let facts = RequestFacts {
-            account: accounts[n as usize % ACCOUNTS],
+            account: self.accounts[n as usize % ACCOUNTS],
             priority: Priority::ALL[n as usize % 3],
-            wants,
+            wants: self.wants,
             prompt_tokens: TOKENS,
             max_tokens: TOKENS,
             begin_by: Time::MAX,
@@ -76,30 +121,38 @@
             prefix_tokens: TOKENS / 2,
             attempt: 0,
         };
-        let (ticket, decision) = scheduler.offer(now, facts);
-        if let wisteriapass_policy::Decision::Run { target } = decision {
-            running.push_back((ticket, target));
+        let (ticket, decision) = self.scheduler.offer(self.now, facts);
+        if let Decision::Run { target } = decision {
+            self.running.push_back((ticket, target));
         }
-        for d in scheduler.poll(now) {
-            if let wisteriapass_policy::Decision::Run { target } = d.decision {
-                running.push_back((d.ticket, target));
+        for d in self.scheduler.poll(self.now) {
+            if let Decision::Run { target } = d.decision {
+                self.running.push_back((d.ticket, target));
             }
         }
-        if n < start as u64 {
-            continue;
-        }
-        if let Some((ticket, target)) = running.pop_front() {
-            scheduler.finished(
-                now,
-                ticket,
-                target,
-                Outcome {
-                    output_tokens: TOKENS,
-                },
-            );
+    }
+
+    /// Gives a hint and a report, and ends the oldest run.
+    fn feed(&mut self, n: u64) {
+        let key = self.targets[n as usize % self.targets.len()];
+        self.scheduler
+            .cache_hint(self.now, key, n % 50, !n.is_multiple_of(3));
+        let in_flight = self.scheduler.in_flight(key);
+        let report = LoadReport {
+            taken_at: self.now,
+            running: in_flight,
+            queued: 0,
+            interactive: 0,
+            of_receiver: in_flight,
+        };
+        self.scheduler.load_report(self.now, key, report);
+        if let Some((ticket, target)) = self.running.pop_front() {
+            let outcome = Outcome {
+                output_tokens: TOKENS,
+            };
+            self.scheduler.finished(self.now, ticket, target, outcome);
         }
     }
-    started.elapsed().as_nanos() as f64 / DECISIONS as f64
 }
 
 /// Creates a scheduler with this many targets.
--- a/wisteriapass_policy/src/affinity.rs
+++ b/wisteriapass_policy/src/affinity.rs
@@ -7,7 +7,6 @@
 //! same one, its home.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
 
 use smallvec::SmallVec;
 use twox_hash::XxHash64;
@@ -83,9 +82,7 @@
 
 /// Returns a target's rank for a prefix; the highest is its home.
 pub(crate) fn rank(prefix: u64, target_hash: u64) -> u64 {
-    let mut hasher = XxHash64::with_seed(prefix);
-    hasher.write_u64(target_hash);
-    hasher.finish()
+    XxHash64::oneshot(prefix, &target_hash.to_le_bytes())
 }
 
 /// Returns the worth of a target for a prefix, before the bound by load.
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -29,6 +29,8 @@
     present: f64,
     /// Work that waits, in tokens.
     pub(crate) work: f64,
+    /// Requests that wait, by class.
+    count: [usize; 3],
 }
 
 /// One account's part of the queue.
@@ -79,6 +81,9 @@
     pub(crate) fn remove(&mut self, account: AccountKey) {
         if let Some(lane) = self.lanes.remove(account) {
             self.work -= lane.work.iter().sum::<f64>();
+            for (count, queue) in self.count.iter_mut().zip(&lane.queues) {
+                *count -= queue.len();
+            }
         }
         self.active.retain(|&a| a != account);
     }
@@ -110,6 +115,7 @@
             self.active.push(waiting.account);
         }
         self.work += waiting.work;
+        self.count[class] += 1;
     }
 
     /// Returns the next request in fair order that is not blocked, without taking it out.
@@ -121,6 +127,9 @@
         cfg: &PolicyConfig,
     ) -> Option<Waiting> {
         let share = (drain / self.active_weight()).max(1e-6);
+        if blocked.iter().all(|&b| b) {
+            return None;
+        }
         let heads = self.active.iter().flat_map(|&a| self.lanes[a].heads());
         let free = heads.filter(|(_, w)| !blocked[w.priority.index()]);
         let scored = free.map(|(vt, w)| (score(now, vt - self.present, share, w, cfg), w));
@@ -158,6 +167,14 @@
         !self.active.is_empty()
     }
 
+    /// Returns whether any request waits of a class that is not blocked.
+    pub(crate) fn is_waiting_beside(&self, blocked: Blocked) -> bool {
+        self.count
+            .iter()
+            .zip(blocked)
+            .any(|(&n, blocked)| n > 0 && !blocked)
+    }
+
     /// Takes a waiting request out; returns whether it was there.
     pub(crate) fn take(&mut self, waiting: &Waiting) -> bool {
         let Some(lane) = self.lanes.get_mut(waiting.account) else {
@@ -169,6 +186,7 @@
             return false;
         };
         queue.remove(place);
+        self.count[class] -= 1;
         lane.work[class] = if queue.is_empty() {
             0.0
         } else {
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -33,6 +33,7 @@
 mod reserve;
 mod room;
 mod scheduler;
+mod stuck;
 mod target;
 mod target_facts;
 mod time;
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::config::{FIRST_LENGTH_SHARE, FIRST_TAIL_SHARE, LEARNING_STEP, SERVICE_CALL_WORK};
 use crate::lanes::Lanes;
 use crate::reserve::Reserve;
+use crate::stuck::Stuck;
 use crate::target::Target;
 use crate::{PolicyConfig, Priority, RequestFacts, TargetKey, Time, Wants};
 
@@ -19,6 +20,8 @@
     pub(crate) members: Vec<TargetKey>,
     pub(crate) lanes: Lanes,
     pub(crate) reserve: Reserve,
+    /// Classes that found no room when it was last looked for.
+    pub(crate) stuck: Stuck,
     length_share: [f64; 3],
     tail_share: [f64; 3],
     /// What admission learned of its own estimates.
@@ -35,6 +38,7 @@
             members: Vec::new(),
             lanes: Lanes::default(),
             reserve: Reserve::default(),
+            stuck: Stuck::default(),
             length_share: [FIRST_LENGTH_SHARE; 3],
             tail_share: [FIRST_TAIL_SHARE; 3],
             caution: [Caution::default(); 3],
--- a/wisteriapass_policy/src/scheduler.rs
+++ b/wisteriapass_policy/src/scheduler.rs
@@ -45,6 +45,8 @@
     alarms: Alarms,
     ready: Vec<Decided>,
     tries: TryBudget,
+    /// Events so far that may have made room at a target.
+    changes: u64,
     routers: f64,
     rng: ChaCha8Rng,
 }
@@ -65,6 +67,7 @@
             alarms: Alarms::new(),
             ready: Vec::new(),
             tries: TryBudget::new(cfg.try_share, cfg.try_burst),
+            changes: 0,
             routers: 1.0,
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             cfg,
@@ -86,6 +89,7 @@
     ///
     /// A target that is not named any more gets no new work, and is forgotten once its runs ended.
     pub fn set_targets(&mut self, _now: Time, facts: &[TargetFacts]) {
+        self.changes += 1;
         for target in self.targets.values_mut() {
             target.facts.leaving = true;
         }
@@ -173,6 +177,7 @@
         let Some(target) = self.targets.get_mut(target) else {
             return;
         };
+        self.changes += 1;
         let slots = target.slots();
         target.load.report(report, slots, routers, &mut self.rng);
     }
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -218,6 +218,7 @@
 
     /// Frees what one run held.
     fn release(&mut self, run: Run, priority: Priority) {
+        self.changes += 1;
         if let Some(target) = self.targets.get_mut(run.target) {
             target.load.own = target.load.own.saturating_sub(1);
             let answering = u32::from(run.first_token_at.is_some());
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -13,6 +13,7 @@
 use crate::keys::PoolKey;
 use crate::lanes::{Blocked, Waiting};
 use crate::pool::Capacity;
+use crate::stuck::Stuck;
 use crate::{Decided, Decision, Priority, Refusal, RequestFacts, TargetKey, Ticket, Time};
 
 /// When to ask again for what no target holds, in seconds; loading a model takes longer than that.
@@ -88,9 +89,13 @@
 
     /// Gives work to whatever is next in fair order, as long as there is room.
     pub(super) fn dispatch(&mut self, now: Time, pool_key: PoolKey) {
+        let stuck = self.pools[pool_key].stuck.classes(now, self.changes);
+        if !self.pools[pool_key].lanes.is_waiting_beside(stuck) {
+            return;
+        }
+        let mut blocked = stuck;
         let capacity = self.capacity(now, pool_key);
         let drain = self.pools[pool_key].drain(now, capacity, self.routers);
-        let mut blocked = Blocked::default();
         let mut own = capacity.own;
         while let Some(next) = self.pools[pool_key]
             .lanes
@@ -115,6 +120,9 @@
                 decision,
             });
         }
+        if blocked != stuck {
+            self.pools[pool_key].stuck = Stuck::new(blocked, now, self.changes);
+        }
     }
 
     /// Returns the request to run at a target: the next, or one near it whose home it is.
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -1,7 +1,5 @@
 //! One target as the scheduler sees it.
 
-use std::hash::Hasher;
-
 use smallvec::SmallVec;
 use twox_hash::XxHash64;
 
@@ -23,10 +21,8 @@
 impl Target {
     /// Creates a target of which only the facts are known.
     pub(crate) fn new(facts: TargetFacts, held: SmallVec<[Wants; 4]>, cfg: &PolicyConfig) -> Self {
-        let mut hasher = XxHash64::with_seed(0);
-        hasher.write(facts.name.as_bytes());
         Self {
-            name_hash: hasher.finish(),
+            name_hash: XxHash64::oneshot(0, facts.name.as_bytes()),
             load: LoadView::default(),
             health: Health::new(cfg),
             held,
