--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,5 +1,11 @@
-//! Stand-ins for platform and targets, load and experiments.
-
-#![warn(missing_docs)]
+//! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
+mod digest;
+pub mod experiment;
+pub mod fleet;
+pub mod link;
+pub mod load;
 pub mod loads;
+pub mod standin;
+
+pub use digest::sha256_hex;
--- /dev/null
+++ b/wisteriapass_config/src/check/parse.rs
@@ -0,0 +1,43 @@
+//! Parsing of TOML texts into documents, with mistakes that name line and remedy.
+
+use serde::de::DeserializeOwned;
+
+use crate::Mistake;
+use crate::lines::{Lines, line_at};
+
+/// Parses one TOML text.
+///
+/// The parser stops at the first key it does not know or whose type is wrong.
+pub(crate) fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Mistake> {
+    toml::from_str(text).map_err(|e| mistake_of(file, text, &e))
+}
+
+/// Turns the parser's error into a mistake.
+fn mistake_of(file: &str, text: &str, e: &toml::de::Error) -> Mistake {
+    let start = e.span().map(|span| span.start);
+    let cause = e.message().to_owned();
+    let remedy = remedy_for(&cause);
+    Mistake {
+        file: file.to_owned(),
+        line: start.map(|offset| line_at(text, offset)),
+        key: start
+            .and_then(|o| Lines::new(text).key_at(o))
+            .unwrap_or_default(),
+        cause,
+        remedy: remedy.to_owned(),
+    }
+}
+
+/// Returns what to do about a parser's message.
+fn remedy_for(cause: &str) -> &'static str {
+    if cause.starts_with("unknown field") {
+        return "remove the key or correct its spelling";
+    }
+    if cause.starts_with("missing field") {
+        return "add the key";
+    }
+    if cause.contains("socket address") {
+        return "write an address as \"IP:port\"";
+    }
+    "correct the value on this line"
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -0,0 +1,154 @@
+//! Reservations that cannot be settled yet: their runs' ends are not known, or their bills need a
+//! claim.
+
+use std::net::SocketAddr;
+
+use parking_lot::Mutex;
+use wisteriapass_coord::budget::{Reservation, Tokens};
+use wisteriapass_coord::once::{Attempt, Place, RunId};
+
+use crate::prelude::*;
+use crate::router::locate::Locator;
+use crate::router::{InForce, Money};
+use crate::rpc::{Caller, SideControlClient, Withdrawn};
+use crate::run_wire::RunBill;
+
+/// Time between two rounds of asking, in milliseconds.
+const ASK_MS: u64 = 500;
+
+/// What a reservation waits for.
+#[derive(Clone, Debug)]
+pub enum Awaits {
+    /// Word of its run.
+    Bill {
+        /// Attempt that was sent.
+        attempt: Attempt,
+    },
+    /// The claim that makes its bill the only one.
+    Confirmation {
+        /// The bill.
+        bill: Box<RunBill>,
+        /// Where it ran.
+        place: Place,
+        /// A place that had gone, where it may have run before.
+        gone: Option<Place>,
+    },
+}
+
+/// A reservation that waits.
+#[derive(Debug)]
+pub struct OpenReservation {
+    /// Money reserved.
+    pub reservation: Reservation,
+    /// Where the side process takes control calls.
+    pub control: SocketAddr,
+    /// Identity of the run.
+    pub run: RunId,
+    /// What it waits for.
+    pub awaits: Awaits,
+}
+
+/// How a reservation is to be settled.
+enum Verdict {
+    /// With this bill.
+    Bill(RunBill),
+    /// The request cost nothing.
+    Free,
+    /// Not yet.
+    Wait,
+}
+
+/// All reservations that wait.
+pub struct Unsettled {
+    money: Arc<Money>,
+    caller: Arc<Caller>,
+    locator: Arc<Locator>,
+    config: Arc<InForce>,
+    open: Mutex<Vec<OpenReservation>>,
+}
+
+impl Service for Unsettled {
+    const NAME: &'static str = "unsettled";
+}
+
+impl Unsettled {
+    /// Creates an empty list.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            money: kernel.find()?,
+            caller: kernel.find()?,
+            locator: kernel.find()?,
+            config: kernel.find()?,
+            open: Mutex::default(),
+        })
+    }
+
+    /// Keeps a reservation until it can be settled.
+    pub fn keep(&self, reservation: OpenReservation) {
+        self.open.lock().push(reservation);
+    }
+
+    /// Returns the amount that waits.
+    pub fn amount(&self) -> Tokens {
+        self.open
+            .lock()
+            .iter()
+            .map(|r| r.reservation.amount())
+            .sum()
+    }
+
+    /// Asks again and again.
+    pub fn ask_forever(&self) {
+        loop {
+            std::thread::sleep(Duration::from_millis(ASK_MS));
+            self.ask_all();
+        }
+    }
+
+    /// Asks once about each reservation.
+    pub fn ask_all(&self) {
+        let open = std::mem::take(&mut *self.open.lock());
+        for reservation in open {
+            match self.judge(&reservation) {
+                Verdict::Bill(bill) => self.money.settle(reservation.reservation, &bill),
+                Verdict::Free => self.money.release(reservation.reservation),
+                Verdict::Wait => self.open.lock().push(reservation),
+            }
+        }
+    }
+
+    fn judge(&self, open: &OpenReservation) -> Verdict {
+        match &open.awaits {
+            Awaits::Bill { attempt } => self.ask(open, *attempt),
+            Awaits::Confirmation { bill, place, gone } => {
+                let document = self.config.document();
+                match self
+                    .locator
+                    .confirm(&document, &open.run, place, gone.as_ref())
+                {
+                    Some(true) => Verdict::Bill(bill.as_ref().clone()),
+                    Some(false) => Verdict::Free,
+                    None => Verdict::Wait,
+                }
+            }
+        }
+    }
+
+    fn ask(&self, open: &OpenReservation, attempt: Attempt) -> Verdict {
+        let (run, attempt) = (open.run.to_string(), attempt.0);
+        let answer = self.caller.call(
+            open.control,
+            |c| async move { c.withdraw(run, attempt).await },
+        );
+        match answer.map(|w| w.withdrawn) {
+            Ok(Withdrawn::Ended { bill }) => Verdict::Bill(bill),
+            // A later incarnation says this too: then no bill was made, and none will be.
+            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => Verdict::Free,
+            Ok(Withdrawn::Running) | Err(_) => Verdict::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -0,0 +1,110 @@
+//! Control calls of side processes.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use serde::{Deserialize, Serialize};
+use wisteriapass_coord::budget::Origin;
+use wisteriapass_coord::fence::SideAck;
+use wisteriapass_coord::once::{Bill, Held, HomeAnswer, Place, RunId};
+
+use crate::run_wire::RunBill;
+
+/// What became of a run that was to be withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Withdrawn {
+    /// It never began here and never will.
+    NeverRuns,
+    /// It goes on.
+    Running,
+    /// It ended and costs this.
+    Ended {
+        /// The bill.
+        bill: RunBill,
+    },
+    /// It ended, and whether it took effect at the target is not known.
+    Unknown,
+}
+
+/// Answer to a withdrawal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdrawal {
+    /// Incarnation of the side process that answers.
+    pub incarnation: String,
+    /// What became of the run.
+    pub withdrawn: Withdrawn,
+}
+
+/// A run that a side process owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedRun {
+    /// Identity of the run.
+    pub run: RunId,
+    /// Time for which it is surely kept, in milliseconds from now.
+    pub kept_ms: u64,
+}
+
+/// What a side process owns that is to be found through one home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owned {
+    /// The side process.
+    pub place: Place,
+    /// Its runs.
+    pub runs: Vec<OwnedRun>,
+}
+
+/// Claim of a run for a place, at one of the run's homes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeClaim {
+    /// Identity of the run.
+    pub run: RunId,
+    /// Where it is about to be sent.
+    pub place: Place,
+    /// A place known to have gone, whose entry is replaced.
+    pub gone: Option<Place>,
+}
+
+/// What a home knows of a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Looked {
+    /// Where it is, if the home knows.
+    pub held: Option<Held>,
+    /// Whether the home knows all runs.
+    pub is_complete: bool,
+}
+
+/// Control calls of a side process.
+#[rpc(server, client, namespace = "side")]
+pub trait SideControl {
+    /// Makes sure that attempts of a run up to this one never begin, unless one has.
+    #[method(name = "withdraw")]
+    fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal>;
+
+    /// Claims a run at this home, or tells where it is.
+    #[method(name = "claim")]
+    fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
+
+    /// Tells where a run is, as far as this home knows.
+    #[method(name = "lookup")]
+    fn lookup(&self, run: RunId) -> RpcResult<Looked>;
+
+    /// Returns the keyed runs here that have the side process of this name for a home.
+    #[method(name = "owned")]
+    fn owned(&self, home: String) -> RpcResult<Owned>;
+
+    /// Refuses work paid with an origin from now on, and says what was spent of it.
+    #[method(name = "fence")]
+    fn fence(&self, origin: Origin) -> RpcResult<SideAck>;
+
+    /// Returns bills that their own routers have not acknowledged in time.
+    #[method(name = "open_bills")]
+    fn open_bills(&self) -> RpcResult<Vec<Bill>>;
+
+    /// Acknowledges bills that are in the service.
+    #[method(name = "acknowledge")]
+    fn acknowledge(&self, runs: Vec<RunId>) -> RpcResult<()>;
+
+    /// Asks a run to stop; its bill counts what was generated. Returns whether it was running.
+    #[method(name = "cancel")]
+    fn cancel(&self, run: String) -> RpcResult<bool>;
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side.rs
@@ -0,0 +1,49 @@
+//! Side process: runs requests at the target beside it and keeps their answers for attachment.
+
+mod control;
+mod engine;
+mod engine_wire;
+mod executor;
+mod front;
+mod index;
+mod money;
+mod run;
+mod runs;
+mod service;
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use wisteriapass_coord::Millis;
+
+use crate::kernel::Service;
+
+pub use control::SideControlService;
+pub use front::serve;
+pub use index::{Index, homes_in};
+pub use money::SideMoney;
+pub use run::{Next, Run};
+pub use runs::Runs;
+
+/// Returns the time of this process's clock.
+fn clock() -> Millis {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// What a side process knows of itself.
+#[derive(Clone, Debug)]
+pub struct SideIdentity {
+    /// Name of the target beside it.
+    pub name: String,
+    /// Incarnation of this process.
+    pub incarnation: String,
+    /// Address of the target.
+    pub target: SocketAddr,
+}
+
+impl Service for SideIdentity {
+    const NAME: &'static str = "side";
+}
--- /dev/null
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -0,0 +1,89 @@
+//! Answering the control calls of a side process.
+
+use jsonrpsee::core::RpcResult;
+use wisteriapass_coord::budget::Origin;
+use wisteriapass_coord::fence::SideAck;
+use wisteriapass_coord::once::{Bill, HomeAnswer, RunId};
+
+use crate::prelude::*;
+use crate::router::InForce;
+use crate::rpc::{HomeClaim, Looked, Owned, OwnedRun, SideControlServer, Withdrawal};
+use crate::side::index::{kept, own_place};
+use crate::side::{Index, Runs, SideIdentity, SideMoney, homes_in};
+
+/// Answers a side process's control calls from its services.
+pub struct SideControlService {
+    side: Arc<SideIdentity>,
+    runs: Arc<Runs>,
+    index: Arc<Index>,
+    config: Arc<InForce>,
+    money: Arc<SideMoney>,
+}
+
+impl SideControlService {
+    /// Creates the answers.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::kernel::KernelError`] if a service it needs is missing.
+    pub fn new(kernel: &Kernel) -> crate::kernel::Result<Self> {
+        Ok(Self {
+            side: kernel.find()?,
+            runs: kernel.find()?,
+            index: kernel.find()?,
+            config: kernel.find()?,
+            money: kernel.find()?,
+        })
+    }
+}
+
+impl SideControlServer for SideControlService {
+    fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal> {
+        let withdrawn = self.runs.withdraw(&run, attempt, Instant::now());
+        Ok(Withdrawal {
+            incarnation: self.side.incarnation.clone(),
+            withdrawn,
+        })
+    }
+
+    fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer> {
+        Ok(self.index.claim(&claim))
+    }
+
+    fn lookup(&self, run: RunId) -> RpcResult<Looked> {
+        Ok(self.index.lookup(&run))
+    }
+
+    fn owned(&self, home: String) -> RpcResult<Owned> {
+        let document = self.config.document();
+        let kept_ms = kept().0;
+        let runs = self
+            .runs
+            .keyed()
+            .into_iter()
+            .filter(|run| homes_in(&document, run).contains(&home))
+            .map(|run| OwnedRun { run, kept_ms })
+            .collect();
+        Ok(Owned {
+            place: own_place(&self.side),
+            runs,
+        })
+    }
+
+    fn fence(&self, origin: Origin) -> RpcResult<SideAck> {
+        Ok(self.money.fence(origin))
+    }
+
+    fn open_bills(&self) -> RpcResult<Vec<Bill>> {
+        Ok(self.money.open_bills())
+    }
+
+    fn acknowledge(&self, runs: Vec<RunId>) -> RpcResult<()> {
+        self.money.acknowledge(&runs);
+        Ok(())
+    }
+
+    fn cancel(&self, run: String) -> RpcResult<bool> {
+        Ok(self.runs.cancel(&run))
+    }
+}
