--- a/wisteriapass_bench/src/loads/summary.rs
+++ b/wisteriapass_bench/src/loads/summary.rs
@@ -24,6 +24,8 @@
     pub bound: f64,
     /// Least share that an account got of its fair part of the bound; one is all of it.
     pub worst_share: f64,
+    /// What each account got of its fair part of the bound.
+    pub share_by_account: [f64; ACCOUNTS],
     /// 95th percentile of interactive work's time to first token, in milliseconds.
     pub p95_first_token_ms: f64,
     /// Requests refused.
@@ -66,6 +68,7 @@
         let per_s = |tokens: f64| tokens / PLAY_SECS;
         let percentile =
             |q: f64| [0, 1, 2].map(|c| tally.first_token[c].value_at_quantile(q) as f64);
+        let shares = shares(tally, bound);
         let reasons = Refusal::ALL
             .iter()
             .zip(tally.refused)
@@ -76,7 +79,8 @@
             policy: policy.to_string(),
             goodput: per_s(tally.done.iter().sum()),
             bound: per_s(bound),
-            worst_share: worst_share(tally, bound),
+            worst_share: shares.iter().copied().fold(f64::MAX, f64::min),
+            share_by_account: shares,
             p95_first_token_ms: percentile(0.95)[0],
             refused: tally.refused.iter().sum::<u64>() as f64,
             come_back_right: match tally.returned {
@@ -113,6 +117,7 @@
             goodput: mid(&|s| s.goodput),
             bound: mid(&|s| s.bound),
             worst_share: mid(&|s| s.worst_share),
+            share_by_account: std::array::from_fn(|a| mid(&|s| s.share_by_account[a])),
             p95_first_token_ms: mid(&|s| s.p95_first_token_ms),
             refused: mid(&|s| s.refused),
             come_back_right: mid(&|s| s.come_back_right),
@@ -142,15 +147,12 @@
     values[values.len() / 2]
 }
 
-/// Returns the least part that any account got of its fair share of the bound.
-fn worst_share(tally: &Tally, bound: f64) -> f64 {
+/// Returns what each account got of its fair share of the bound.
+fn shares(tally: &Tally, bound: f64) -> [f64; ACCOUNTS] {
     // More than the bound may be answered to what arrived, if the queue grew meanwhile.
     let whole = bound.max(tally.good.iter().sum());
     let fair = fair_shares(&tally.asked, whole);
-    let shares = (0..ACCOUNTS)
-        .filter(|&a| fair[a] > 0.0)
-        .map(|a| tally.good[a] / fair[a]);
-    shares.fold(f64::MAX, f64::min)
+    std::array::from_fn(|a| tally.good[a] / fair[a].max(1.0))
 }
 
 /// Returns each account's weighted share of what there is; what one does not ask for is lent.
--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -8,8 +8,8 @@
 //!
 //! Come-back times are promises: each takes its work out of a share of what the account's fair
 //! share can do, one after the other. Without that every refused caller is told the same time and
-//! they all come at once (`loads --pattern saturation --without come_back`). Half of the share is
-//! promised, so that the other half is left for new requests and for errors of estimate.
+//! they all come at once (`loads --pattern saturation --without come_back`). A third of the share is
+//! promised; with half of it too many came when others' promises were still being kept.
 
 use crate::lanes::Lanes;
 use crate::{AccountKey, PolicyConfig, Refusal, RequestFacts, Time};
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -106,7 +106,7 @@
             queue_limit_s: 20.0,
             interactive_lead_s: 8.0,
             standard_lead_s: 5.0,
-            returned_lead_s: 12.0,
+            returned_lead_s: 16.0,
             saved_share_s: 30.0,
             ageing: 0.1,
             reserve_memory_s: 10.0,
@@ -128,7 +128,7 @@
             try_burst: 10.0,
             hedge_factor: 3.0,
             hedge_min_s: 0.4,
-            promise_share: 0.5,
+            promise_share: 0.35,
             come_back_min_s: 0.5,
         }
     }
