--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -225,8 +225,9 @@
                 self.send(now, place, target);
             }
             Decision::Refuse { reason, come_back } => {
-                if counts(self.requests[place].at) {
-                    self.tally.refused(reason);
+                let at = self.requests[place].at;
+                if counts(at) {
+                    self.tally.refused(reason, now.secs_since(at));
                 }
                 self.callers[place].over = true;
                 self.come_back(place, come_back);
--- a/wisteriapass_bench/src/loads/summary.rs
+++ b/wisteriapass_bench/src/loads/summary.rs
@@ -52,6 +52,8 @@
     pub p95_by_class_ms: [f64; 3],
     /// 99th percentile of the time to first token by class, in milliseconds.
     pub p99_by_class_ms: [f64; 3],
+    /// 95th percentile of the time from arrival to refusal, in milliseconds.
+    pub p95_refused_after_ms: f64,
     /// Refusals by reason.
     pub refused_by_reason: BTreeMap<String, f64>,
 }
@@ -97,6 +99,7 @@
             p50_by_class_ms: percentile(0.5),
             p95_by_class_ms: percentile(0.95),
             p99_by_class_ms: percentile(0.99),
+            p95_refused_after_ms: tally.refused_after.value_at_quantile(0.95) as f64,
             refused_by_reason: reasons.map(|(r, n)| (r.to_string(), n as f64)).collect(),
         }
     }
@@ -131,6 +134,7 @@
             p50_by_class_ms: mid3(&|s| s.p50_by_class_ms),
             p95_by_class_ms: mid3(&|s| s.p95_by_class_ms),
             p99_by_class_ms: mid3(&|s| s.p99_by_class_ms),
+            p95_refused_after_ms: mid(&|s| s.p95_refused_after_ms),
             refused_by_reason: reasons.map(by_reason).collect(),
         }
     }
--- a/wisteriapass_bench/src/loads/tally.rs
+++ b/wisteriapass_bench/src/loads/tally.rs
@@ -16,6 +16,8 @@
     pub(super) asked: [f64; ACCOUNTS],
     /// Times to first token by class, in milliseconds.
     pub(super) first_token: [Histogram<u64>; 3],
+    /// Times from arrival to refusal, in milliseconds.
+    pub(super) refused_after: Histogram<u64>,
     /// Refusals by reason, in the order of [`Refusal::ALL`].
     pub(super) refused: [u64; Refusal::ALL.len()],
     /// Requests cut off at their deadline.
@@ -48,6 +50,7 @@
             done: [0.0; 3],
             asked: [0.0; ACCOUNTS],
             first_token: [empty(), empty(), empty()],
+            refused_after: empty(),
             refused: [0; Refusal::ALL.len()],
             cut: 0,
             answered: 0,
@@ -77,7 +80,9 @@
     }
 
     /// Counts a refusal.
-    pub(super) fn refused(&mut self, reason: Refusal) {
+    pub(super) fn refused(&mut self, reason: Refusal, after_s: f64) {
+        self.refused_after
+            .saturating_record(((after_s * 1e3) as u64).max(1));
         let place = Refusal::ALL.iter().position(|&r| r == reason);
         self.refused[place.unwrap_or(0)] += 1;
     }
