--- a/wisteriapass_coord/src/membership/table.rs
+++ b/wisteriapass_coord/src/membership/table.rs
@@ -54,9 +54,6 @@
         if said.leaving {
             self.mark(said, LeavingCause::Announced, now);
         }
-        if self.draining.contains(&said.name) {
-            self.mark(said, LeavingCause::Inventory, now);
-        }
         self.apply_mark(&said.name);
         heard
     }
@@ -73,7 +70,7 @@
     /// heard of later may be the replacement under the same name: it is held back while the list
     /// says so, without a mark.
     pub fn read_vm_list(&mut self, list: &[ListedVm], now: Instant) {
-        let leaving = |vm: &&ListedVm| vm.state == VmState::Leaving;
+        let leaving = |vm: &&ListedVm| vm.state != VmState::Live;
         let names: Vec<String> = list.iter().filter(leaving).map(|l| l.vm.clone()).collect();
         let before = std::mem::replace(&mut self.leaving_vms, names);
         let news: Vec<Announcement> = self
@@ -91,7 +88,10 @@
     }
 
     /// Takes the members that the configuration in force plans; forgets names that it dropped.
-    pub fn read_inventory<'a>(&mut self, plan: impl Iterator<Item = Planned<'a>>, now: Instant) {
+    ///
+    /// A drain is no mark: operators take a target back by their next edit, and as revisions only
+    /// grow no lagging word can undo it or bring it back.
+    pub fn read_inventory<'a>(&mut self, plan: impl Iterator<Item = Planned<'a>>) {
         let plan: HashMap<&str, bool> = plan.map(|p| (p.name, p.draining)).collect();
         self.draining = plan
             .iter()
@@ -101,15 +101,6 @@
         self.by_name.retain(|n, _| plan.contains_key(n.as_str()));
         self.members
             .retain(|_, m| plan.contains_key(m.said.name.as_str()));
-        let drained: Vec<Announcement> = self
-            .members
-            .values()
-            .filter(|m| self.draining.contains(&m.said.name))
-            .map(|m| m.said.clone())
-            .collect();
-        for said in &drained {
-            self.mark(said, LeavingCause::Inventory, now);
-        }
     }
 
     /// Returns the marks to relay in the next message: those that were relayed least first.
@@ -145,9 +136,23 @@
 
     /// Returns whether new work may go to this name; a name never heard of may be tried.
     pub fn may_get_work(&self, name: &str, now: Instant) -> bool {
-        let planned_to_leave = self.draining.iter().any(|d| d == name);
         let state = self.state(name, now).unwrap_or(MemberState::Live);
-        state == MemberState::Live && !planned_to_leave
+        state == MemberState::Live && !self.is_leaving(name)
+    }
+
+    /// Returns whether any word says that this name is leaving, however long it is silent.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        let is_planned = self.draining.iter().any(|d| d == name);
+        let said = match self.member(name) {
+            Some(member) => member.leaving.is_some() || member.held_by_list,
+            None => self.marks.contains_key(name),
+        };
+        is_planned || said
+    }
+
+    /// Sets the timeouts, for deadlines from now on.
+    pub fn set_timeouts(&mut self, timeouts: Timeouts) {
+        self.timeouts = timeouts;
     }
 
     /// Returns the mark of this incarnation of a name, for the process that bears the name.
--- a/wisteriapass_daemon/src/side/executor.rs
+++ b/wisteriapass_daemon/src/side/executor.rs
@@ -4,6 +4,7 @@
 use crate::run_wire::{Finish, RunRequest};
 use crate::side::engine::EngineRun;
 use crate::side::{Run, SideIdentity, SideMoney, service};
+use crate::stop::Stop;
 
 /// Stack of an executor thread, in bytes.
 const STACK: usize = 128 * 1024;
@@ -13,6 +14,7 @@
     side: Arc<SideIdentity>,
     metrics: Arc<Metrics>,
     money: Arc<SideMoney>,
+    stop: Arc<Stop>,
 }
 
 impl Service for Executor {
@@ -30,6 +32,7 @@
             side: kernel.find()?,
             metrics: kernel.find()?,
             money: kernel.find()?,
+            stop: kernel.find()?,
         })
     }
 
@@ -39,9 +42,12 @@
         let money = self.money.clone();
         let work = {
             let run = run.clone();
+            // A stop waits for runs also while nobody follows them.
+            let work = self.stop.work();
             move || {
                 execute(&run, &side, &metrics);
                 money.ended(&run.dispatch().run, run.bill());
+                drop(work);
             }
         };
         let builder = std::thread::Builder::new()
--- a/wisteriapass_daemon/src/side/runs.rs
+++ b/wisteriapass_daemon/src/side/runs.rs
@@ -41,6 +41,17 @@
     withdrawn: HashMap<String, Withdrawing>,
 }
 
+impl Table {
+    fn known(&self, dispatch: &Dispatch) -> Result<Option<Arc<Run>>, Refusal> {
+        let Some(run) = self.runs.get(&dispatch.run) else {
+            return Ok(None);
+        };
+        check_fingerprint(run, &dispatch.fingerprint)?;
+        let begins_anew = run.failed() && dispatch.idempotent;
+        Ok((!begins_anew).then(|| run.clone()))
+    }
+}
+
 /// The runs of one side process.
 #[derive(Default)]
 pub struct Runs {
@@ -70,11 +81,8 @@
         admit: impl FnOnce(&Dispatch) -> Result<(), Refusal>,
     ) -> Result<Begun, Refusal> {
         let mut table = self.table.lock();
-        if let Some(run) = table.runs.get(&dispatch.run) {
-            check_fingerprint(run, &dispatch.fingerprint)?;
-            if !run.failed() || !dispatch.idempotent {
-                return Ok(Begun::Known(run.clone()));
-            }
+        if let Some(run) = table.known(&dispatch)? {
+            return Ok(Begun::Known(run));
         }
         if table
             .withdrawn
@@ -92,6 +100,15 @@
         Ok(Begun::New(run))
     }
 
+    /// Finds the run that a dispatch repeats, unless that has to begin anew.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the identity belongs to another request.
+    pub fn known(&self, dispatch: &Dispatch) -> Result<Option<Arc<Run>>, Refusal> {
+        self.table.lock().known(dispatch)
+    }
+
     /// Finds a run to follow, if there is one.
     ///
     /// # Errors
