Estimate a class's wait from what more urgent classes leave to it

Batch work was admitted as if the whole pool were its own, and told 44 s later that its turn did not come. Tests the bound on queues without deadlines as well.

--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -28,6 +28,8 @@
     pub(crate) start_by: Time,
     /// What the router gets of the pool, in tokens a second.
     pub(crate) drain: f64,
+    /// Share of the pool that more urgent classes leave to it.
+    pub(crate) left: f64,
     /// Factor on the estimated wait, learned from earlier ones.
     pub(crate) caution: f64,
     /// Whether a slot is free for it now.
@@ -57,8 +59,8 @@
         return (wait > ask.start_by).then_some(Refusal::OverFairShare);
     }
     let own_ahead = lane.work_above(ask.facts.priority) + lead;
-    let wait_all = all_ahead / ask.drain;
-    let wait_own = own_ahead.max(0.0) / share;
+    let wait_all = all_ahead / (ask.drain * ask.left);
+    let wait_own = own_ahead.max(0.0) / (share * ask.left);
     // The request itself needs a slot of its own, which comes free a share of its work later.
     let wait = (wait_all.min(wait_own) + ask.work / ask.drain) * ask.caution;
     if now.plus_secs(wait) <= ask.start_by {
--- a/wisteriapass_policy/src/pool.rs
+++ b/wisteriapass_policy/src/pool.rs
@@ -10,6 +10,10 @@
 use crate::target::Target;
 use crate::{PolicyConfig, Priority, RequestFacts, TargetKey, Time, Wants};
 
+/// Memory of the work given to each class, in seconds.
+const GIVEN_MEMORY_S: f64 = 10.0;
+/// Least share of the pool that ageing leaves to the lowest class.
+const LEAST_LEFT: f64 = 0.1;
 /// Memory of the pool's measured output, in seconds.
 const DONE_MEMORY_S: f64 = 5.0;
 
@@ -20,6 +24,9 @@
     pub(crate) members: Vec<TargetKey>,
     pub(crate) lanes: Lanes,
     pub(crate) reserve: Reserve,
+    /// Work given to each class lately, in tokens a second.
+    given: [f64; 3],
+    given_at: Time,
     /// Classes that found no room when it was last looked for.
     pub(crate) stuck: Stuck,
     length_share: [f64; 3],
@@ -38,6 +45,8 @@
             members: Vec::new(),
             lanes: Lanes::default(),
             reserve: Reserve::default(),
+            given: [0.0; 3],
+            given_at: Time::default(),
             stuck: Stuck::default(),
             length_share: [FIRST_LENGTH_SHARE; 3],
             tail_share: [FIRST_TAIL_SHARE; 3],
@@ -92,6 +101,21 @@
         *tail = (*tail + (cfg.length_quantile - below) * LEARNING_STEP).clamp(0.01, 1.0);
     }
 
+    /// Counts work given to a class, in tokens.
+    pub(crate) fn gave(&mut self, now: Time, priority: Priority, work: f64) {
+        let kept = (-now.secs_since(self.given_at) / GIVEN_MEMORY_S).exp();
+        self.given.iter_mut().for_each(|g| *g *= kept);
+        self.given[priority.index()] += work / GIVEN_MEMORY_S;
+        self.given_at = now;
+    }
+
+    /// Returns the share of the pool that more urgent classes leave to a class.
+    pub(crate) fn left_to(&self, now: Time, priority: Priority, drain: f64) -> f64 {
+        let kept = (-now.secs_since(self.given_at) / GIVEN_MEMORY_S).exp();
+        let above: f64 = self.given[..priority.index()].iter().sum();
+        (1.0 - above * kept / drain).max(LEAST_LEFT)
+    }
+
     /// Counts finished work, in tokens.
     pub(crate) fn finished(&mut self, now: Time, work: f64) {
         self.done = self.done_rate(now) + work / DONE_MEMORY_S;
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -110,6 +110,7 @@
             let pool = &mut self.pools[pool_key];
             pool.lanes.take(&next);
             pool.lanes.charge(next.account, next.work);
+            pool.gave(now, next.priority, next.work);
             pool.caution[next.priority.index()].learn(false);
             self.jobs[next.ticket].waiting = None;
             self.start(now, next.ticket, target);
@@ -268,6 +269,7 @@
             work: job.work,
             start_by: job.start_by,
             drain,
+            left: pool.left_to(now, job.facts.priority, drain),
             caution: pool.caution[job.facts.priority.index()].factor,
             free_now: f64::from(capacity.own) < capacity.slots / self.routers,
         };
--- a/wisteriapass_policy/src/scheduler/poll.rs
+++ b/wisteriapass_policy/src/scheduler/poll.rs
@@ -58,6 +58,7 @@
             work: job.work,
             start_by: job.start_by,
             drain: pool.drain(now, capacity, self.routers),
+            left: 1.0,
             caution: 1.0,
             free_now: false,
         };
--- a/wisteriapass_policy/tests/decisions.rs
+++ b/wisteriapass_policy/tests/decisions.rs
@@ -287,3 +287,24 @@
     let again = s.offer(now, facts).1;
     assert!(matches!(again, Decision::Wait { .. }), "{again:?}");
 }
+
+#[test]
+fn queue_without_deadlines_is_bounded_and_sheds_batch_work_first() {
+    let now = Time::from_secs(1);
+    let mut cfg = PolicyConfig::default();
+    cfg.parts.admission = false;
+    let mut s = scheduler(cfg, 1);
+    let mut facts = request(&s, true);
+    facts.deadline = Time::MAX;
+    for n in 0..600 {
+        facts.priority = if n % 2 == 0 {
+            Priority::Batch
+        } else {
+            Priority::Interactive
+        };
+        s.offer(now, facts);
+    }
+    assert!(s.waiting() < 200, "{}", s.waiting());
+    facts.priority = Priority::Batch;
+    assert_eq!(reason(s.offer(now, facts).1), Refusal::Shed);
+}
