--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -13,6 +13,7 @@
 use crate::keys::PoolKey;
 use crate::lanes::{Blocked, Waiting};
 use crate::pool::Capacity;
+use crate::stuck::Stuck;
 use crate::{Decided, Decision, Priority, Refusal, RequestFacts, TargetKey, Ticket, Time};
 
 /// When to ask again for what no target holds, in seconds; loading a model takes longer than that.
@@ -66,10 +67,6 @@
     /// Puts a job into its account's lane and sets its latest start.
     pub(super) fn enqueue(&mut self, ticket: Ticket, weight: f64, first: bool) {
         let job = &self.jobs[ticket];
-        let pool = &self.pools[job.pool];
-        let prefix = job.facts.prefix.filter(|_| self.cfg.parts.affinity);
-        let home = prefix
-            .and_then(|p| choice::home(&pool.members, &self.targets, job.offered_at, p, &self.cfg));
         let waiting = Waiting {
             ticket,
             account: job.facts.account,
@@ -77,7 +74,7 @@
             work: job.work,
             since: job.offered_at,
             returned: first,
-            home,
+            home: job.home,
         };
         let at = job.start_by;
         let saved_s = self.cfg.saved_share_s;
@@ -92,9 +89,13 @@
 
     /// Gives work to whatever is next in fair order, as long as there is room.
     pub(super) fn dispatch(&mut self, now: Time, pool_key: PoolKey) {
+        let stuck = self.pools[pool_key].stuck.classes(now, self.changes);
+        if !self.pools[pool_key].lanes.is_waiting_beside(stuck) {
+            return;
+        }
+        let mut blocked = stuck;
         let capacity = self.capacity(now, pool_key);
         let drain = self.pools[pool_key].drain(now, capacity, self.routers);
-        let mut blocked = Blocked::default();
         let mut own = capacity.own;
         while let Some(next) = self.pools[pool_key]
             .lanes
@@ -109,6 +110,7 @@
             let pool = &mut self.pools[pool_key];
             pool.lanes.take(&next);
             pool.lanes.charge(next.account, next.work);
+            pool.gave(now, next.priority, next.work);
             pool.caution[next.priority.index()].learn(false);
             self.jobs[next.ticket].waiting = None;
             self.start(now, next.ticket, target);
@@ -119,6 +121,9 @@
                 decision,
             });
         }
+        if blocked != stuck {
+            self.pools[pool_key].stuck = Stuck::new(blocked, now, self.changes);
+        }
     }
 
     /// Returns the request to run at a target: the next, or one near it whose home it is.
@@ -155,10 +160,15 @@
         let pool = &mut self.pools[job.pool];
         let need = pool.reserve.slots(now, &self.cfg) * self.routers;
         let urgent = job.facts.priority == Priority::Interactive;
+        let holders = job
+            .home
+            .and(job.facts.prefix)
+            .map_or(&[][..], |p| self.hints.holders(p));
         let choosing = Choosing {
             now,
             priority: job.facts.priority,
-            prefix: job.facts.prefix,
+            home: job.home,
+            holders,
             routers: self.routers,
             reserve: (need / capacity.slots.max(1.0)).min(self.cfg.reserve_max),
             over_share: f64::from(capacity.own) >= capacity.slots / self.routers,
@@ -226,6 +236,9 @@
         let urgent = facts.priority == Priority::Interactive;
         let slot_secs = if urgent { work / slot_rate } else { 0.0 };
         pool.reserve.offered(now, slot_secs, &self.cfg);
+        let prefix = facts.prefix.filter(|_| self.cfg.parts.affinity);
+        let home =
+            prefix.and_then(|p| choice::home(&pool.members, &self.targets, now, p, &self.cfg));
         Job {
             facts,
             pool: key,
@@ -234,6 +247,7 @@
             start_by: begun.min(done).min(now.plus_secs(LONGEST_WAIT_S)),
             offered_at: now,
             waiting: None,
+            home,
             hedged: false,
             runs: SmallVec::new(),
         }
@@ -255,6 +269,7 @@
             work: job.work,
             start_by: job.start_by,
             drain,
+            left: pool.left_to(now, job.facts.priority, drain),
             caution: pool.caution[job.facts.priority.index()].factor,
             free_now: f64::from(capacity.own) < capacity.slots / self.routers,
         };
