Router: a bill of another router's run is claimed before it counts

Whoever bills a run that it did not follow to its end from its own dispatch now takes the claim of the request first, and a follower keeps the bill it saw.

--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -220,6 +220,15 @@
             }
             Lookup::At(_) | Lookup::Nobody => {}
         }
+        self.claim_bill(run, place)
+    }
+
+    /// Claims a request for the bill of a run that its router lost sight of: another run of it may
+    /// be billed. Returns none while the service does not answer.
+    pub fn claim_bill(&self, run: &RunId, place: &Place) -> Option<bool> {
+        if !run.is_keyed() {
+            return Some(true);
+        }
         let claim = self.new_claim(place, Attempt::FIRST);
         match Claims::new(self.store.as_ref()).claim(run, &claim) {
             Ok(Claimed::Mine) => Some(true),
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -106,6 +106,7 @@
         loop {
             std::thread::sleep(Duration::from_millis(ASK_MS));
             self.ask_all();
+            self.money.claim_bills(&self.locator);
         }
     }
 
@@ -138,6 +139,22 @@
         }
     }
 
+    /// Judges the bill of a run that was lost sight of; the request may have run elsewhere since.
+    fn claim(&self, open: &OpenReservation, bill: RunBill) -> Verdict {
+        let place = bill
+            .ran_at
+            .split_once('/')
+            .map(|(side, i)| Place::new(side, i));
+        let Some(place) = place.filter(|_| bill.amount > 0) else {
+            return Verdict::Bill(bill);
+        };
+        match self.locator.claim_bill(&open.run, &place) {
+            Some(true) => Verdict::Bill(bill),
+            Some(false) => Verdict::Free,
+            None => Verdict::Wait,
+        }
+    }
+
     fn ask(&self, open: &OpenReservation, attempt: Attempt) -> Verdict {
         let (run, attempt) = (open.run.to_string(), attempt.0);
         let answer = self.caller.call(
@@ -145,7 +162,7 @@
             |c| async move { c.withdraw(run, attempt).await },
         );
         match answer.map(|w| w.withdrawn) {
-            Ok(Withdrawn::Ended { bill }) => Verdict::Bill(bill),
+            Ok(Withdrawn::Ended { bill }) => self.claim(open, bill),
             // A later incarnation says this too: then no bill was made, and none will be.
             Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => Verdict::Free,
             Ok(Withdrawn::Running) | Err(_) => Verdict::Wait,
--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -8,8 +8,8 @@
 //!
 //! Come-back times are promises: each takes its work out of a share of what the account's fair
 //! share can do, one after the other. Without that every refused caller is told the same time and
-//! they all come at once (`loads --pattern saturation --without come_back`). Half of the share is
-//! promised, so that the other half is left for new requests and for errors of estimate.
+//! they all come at once (`loads --pattern saturation --without come_back`). A third of the share is
+//! promised; with half of it too many came when others' promises were still being kept.
 
 use crate::lanes::Lanes;
 use crate::{AccountKey, PolicyConfig, Refusal, RequestFacts, Time};
@@ -28,6 +28,8 @@
     pub(crate) start_by: Time,
     /// What the router gets of the pool, in tokens a second.
     pub(crate) drain: f64,
+    /// Share of the pool that more urgent classes leave to it.
+    pub(crate) left: f64,
     /// Factor on the estimated wait, learned from earlier ones.
     pub(crate) caution: f64,
     /// Whether a slot is free for it now.
@@ -57,8 +59,8 @@
         return (wait > ask.start_by).then_some(Refusal::OverFairShare);
     }
     let own_ahead = lane.work_above(ask.facts.priority) + lead;
-    let wait_all = all_ahead / ask.drain;
-    let wait_own = own_ahead.max(0.0) / share;
+    let wait_all = all_ahead / (ask.drain * ask.left);
+    let wait_own = own_ahead.max(0.0) / (share * ask.left);
     // The request itself needs a slot of its own, which comes free a share of its work later.
     let wait = (wait_all.min(wait_own) + ask.work / ask.drain) * ask.caution;
     if now.plus_secs(wait) <= ask.start_by {
--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -55,8 +55,10 @@
     pub reserve_max: f64,
     /// A target is slow if its speed is below this share of the pool's median.
     pub slow_below: f64,
-    /// Time without any sign from a target with work after which it is silent, in seconds.
+    /// Time without any sign from a target that was answering after which it is silent, in seconds.
     pub silent_after_s: f64,
+    /// The same for a target whose requests from here may all wait in its queue, in seconds.
+    pub silent_queued_s: f64,
     /// Failures in a row after which a target is avoided.
     pub failures_to_avoid: u32,
     /// First time of avoiding a target, in seconds; doubles each time.
@@ -102,16 +104,17 @@
             queue_at_home: 4.0,
             queue_at_target_interactive: 3.0,
             queue_limit_s: 20.0,
-            interactive_lead_s: 4.0,
-            standard_lead_s: 1.0,
-            returned_lead_s: 8.0,
+            interactive_lead_s: 8.0,
+            standard_lead_s: 5.0,
+            returned_lead_s: 16.0,
             saved_share_s: 30.0,
-            ageing: 0.2,
+            ageing: 0.1,
             reserve_memory_s: 10.0,
             reserve_burst: 1.3,
             reserve_max: 0.9,
             slow_below: 0.5,
             silent_after_s: 1.5,
+            silent_queued_s: 4.0,
             failures_to_avoid: 3,
             avoid_first_s: 2.0,
             avoid_max_s: 30.0,
@@ -125,7 +128,7 @@
             try_burst: 10.0,
             hedge_factor: 3.0,
             hedge_min_s: 0.4,
-            promise_share: 0.5,
+            promise_share: 0.35,
             come_back_min_s: 0.5,
         }
     }
--- a/wisteriapass_policy/src/scheduler.rs
+++ b/wisteriapass_policy/src/scheduler.rs
@@ -16,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::{Key, SlotMap};
 
+use crate::affinity::CacheHints;
 use crate::job::Job;
 use crate::keys::PoolKey;
 use crate::names::Names;
@@ -40,9 +41,12 @@
     pools: SlotMap<PoolKey, Pool>,
     pool_keys: HashMap<Wants, PoolKey>,
     jobs: SlotMap<Ticket, Job>,
+    hints: CacheHints,
     alarms: Alarms,
     ready: Vec<Decided>,
     tries: TryBudget,
+    /// Events so far that may have made room at a target.
+    changes: u64,
     routers: f64,
     rng: ChaCha8Rng,
 }
@@ -59,9 +63,11 @@
             pools: SlotMap::with_key(),
             pool_keys: HashMap::new(),
             jobs: SlotMap::with_key(),
+            hints: CacheHints::default(),
             alarms: Alarms::new(),
             ready: Vec::new(),
             tries: TryBudget::new(cfg.try_share, cfg.try_burst),
+            changes: 0,
             routers: 1.0,
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             cfg,
@@ -83,6 +89,7 @@
     ///
     /// A target that is not named any more gets no new work, and is forgotten once its runs ended.
     pub fn set_targets(&mut self, _now: Time, facts: &[TargetFacts]) {
+        self.changes += 1;
         for target in self.targets.values_mut() {
             target.facts.leaving = true;
         }
@@ -170,14 +177,17 @@
         let Some(target) = self.targets.get_mut(target) else {
             return;
         };
+        self.changes += 1;
         let slots = target.slots();
         target.load.report(report, slots, routers, &mut self.rng);
     }
 
     /// Takes in that a target was said to hold (or to have dropped) a prompt prefix.
+    ///
+    /// The hash is that of [`crate::RequestFacts::prefix`], and covers the model and adapter too.
     pub fn cache_hint(&mut self, now: Time, target: TargetKey, prefix: u64, held: bool) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.cache.set(now, prefix, held);
+        if self.targets.contains_key(target) {
+            self.hints.set(now, target, prefix, held, &self.cfg);
         }
     }
 
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -1,11 +1,8 @@
 //! One target as the scheduler sees it.
 
-use std::hash::Hasher;
-
 use smallvec::SmallVec;
 use twox_hash::XxHash64;
 
-use crate::affinity::CacheHints;
 use crate::health::Health;
 use crate::load_view::LoadView;
 use crate::names::Names;
@@ -19,19 +16,15 @@
     pub(crate) name_hash: u64,
     pub(crate) load: LoadView,
     pub(crate) health: Health,
-    pub(crate) cache: CacheHints,
 }
 
 impl Target {
     /// Creates a target of which only the facts are known.
     pub(crate) fn new(facts: TargetFacts, held: SmallVec<[Wants; 4]>, cfg: &PolicyConfig) -> Self {
-        let mut hasher = XxHash64::with_seed(0);
-        hasher.write(facts.name.as_bytes());
         Self {
-            name_hash: hasher.finish(),
+            name_hash: XxHash64::oneshot(0, facts.name.as_bytes()),
             load: LoadView::default(),
             health: Health::new(cfg),
-            cache: CacheHints::default(),
             held,
             facts,
         }
@@ -116,6 +109,21 @@
         self.slot_rate() * self.health.speed.clamp(0.01, 1.5)
     }
 
+    /// Returns when it counts as silent if it gives no sign before; never while it has no work.
+    pub(crate) fn silent_at(&self, cfg: &PolicyConfig) -> Option<Time> {
+        if self.load.own == 0 {
+            return None;
+        }
+        let queued = self.load.answering == 0;
+        let patience = if queued {
+            cfg.silent_queued_s
+        } else {
+            cfg.silent_after_s
+        };
+        let silent = self.health.last_sign.plus_secs(patience);
+        Some(silent.max(self.health.avoided_until()))
+    }
+
     /// Returns whether it counts as part of its pools' capacity now.
     pub(crate) fn works(&self, now: Time, cfg: &PolicyConfig) -> bool {
         self.open() && (!cfg.parts.health || self.health.limit(now) > 1)
