--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    /// Asks until nothing waits or the deadline has come: what waits here ends with the process.
+    pub fn settle_until(&self, deadline: Instant) {
+        while !self.open.lock().is_empty() && Instant::now() < deadline {
+            self.ask_all();
+            self.money.claim_bills(&self.locator);
+            std::thread::sleep(Duration::from_millis(ASK_MS));
+        }
+    }
+
     /// Asks once about each reservation.
     pub fn ask_all(&self) {
         let open = std::mem::take(&mut *self.open.lock());
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -50,6 +50,9 @@
 /// Time between two sweeps of a side process's runs, in milliseconds.
 const SWEEP_MS: u64 = 500;
 
+/// Longest wait of a stopping router for bills that need a claim, in milliseconds.
+const SETTLE_MS: u64 = 5_000;
+
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -126,6 +129,8 @@
     finish_closed(&stop, deadline);
     log::info!(target: "start", "Stopped. cut={}", stop.working());
     if settings.role == Role::Router {
+        let deadline = Instant::now() + Duration::from_millis(SETTLE_MS);
+        kernel.find::<Unsettled>()?.settle_until(deadline);
         kernel.find::<Money>()?.leave();
     }
     Ok(())
