--- a/wisteriapass_coord/src/budget/meter.rs
+++ b/wisteriapass_coord/src/budget/meter.rs
@@ -7,7 +7,7 @@
 ///
 /// Long enough that a request now and then does not empty and fill a router each time, short enough
 /// that a router which lost its callers gives its money back within minutes.
-const WINDOW_MS: f64 = 60_000.0;
+const WINDOW_MS: f64 = 180_000.0;
 
 /// Exponential average of the tokens drawn a second.
 #[derive(Clone, Copy, Debug, Default)]
--- a/wisteriapass_coord/src/budget/size.rs
+++ b/wisteriapass_coord/src/budget/size.rs
@@ -8,9 +8,9 @@
 
 /// Seconds of measured draw that a router holds while the budget has plenty.
 ///
-/// Half as much again as the longest outage of the service to be bridged, ten minutes, because the
-/// draw during it may exceed what was measured before.
-const HOLD_SECONDS: u64 = 900;
+/// Twice the longest outage of the service to be bridged, ten minutes: a router may be down to three
+/// quarters of it, and the draw may exceed what was measured before.
+const HOLD_SECONDS: u64 = 1_200;
 
 /// Least that a router holds while the budget has plenty, in tokens: a few typical requests, so
 /// that the first callers of an idle router do not cost a write each.
@@ -22,9 +22,9 @@
 /// stay where any router can reach them.
 const PART: u64 = 8;
 
-/// A router refills when it holds less than this part of its target, so that each write moves a
+/// A router refills when it lacks more than this part of its target, so that each write moves a
 /// worthwhile amount.
-const REFILL_PART: u64 = 2;
+const REFILL_PART: u64 = 4;
 
 /// A router gives back what exceeds this multiple of its target, so that a dip in the draw does not
 /// send back what the next moment takes again.
@@ -78,7 +78,7 @@
             return false;
         }
         let target = self.target(held, draw_per_second, free);
-        held.0 < target.0 / REFILL_PART || held < urgent(draw_per_second)
+        held.0 < target.0 - target.0 / REFILL_PART || held < urgent(draw_per_second)
     }
 
     /// Returns what a router that holds `held` should give back, when `free` was left at its
--- a/wisteriapass_daemon/src/router/money/keeper.rs
+++ b/wisteriapass_daemon/src/router/money/keeper.rs
@@ -100,16 +100,17 @@
             let mut held = self.held.lock();
             held.begun += 1;
             let wants = self.wants(&mut held, due);
-            let returns = due && self.give_surplus_back(&mut held);
-            // What is spent rides along with a want, and is written by itself only when due.
-            let reports = if reports || returns {
-                held.wallet.drain_reports()
+            let returns = if due {
+                self.give_surplus_back(&mut held)
             } else {
-                let shards = self.journal().shards();
-                let written: Vec<_> = wants.iter().map(|w| shards.of(&w.budget)).collect();
-                let is_written = |b: &BudgetId| written.contains(&shards.of(b));
-                held.wallet.drain_reports_where(is_written)
+                Vec::new()
             };
+            // What is spent rides along with a want, and is written by itself only when due.
+            let shards = self.journal().shards();
+            let budgets = wants.iter().map(|w| &w.budget).chain(&returns);
+            let written: Vec<_> = budgets.map(|b| shards.of(b)).collect();
+            let is_written = |b: &BudgetId| reports || written.contains(&shards.of(b));
+            let reports = held.wallet.drain_reports_where(is_written);
             (wants, reports)
         };
         let journal = self.journal();
@@ -163,9 +164,9 @@
         wants
     }
 
-    /// Sets aside what is to be given back; returns whether there is any.
-    fn give_surplus_back(&self, held: &mut super::Held) -> bool {
-        let mut is_any = false;
+    /// Sets aside what is to be given back; returns of which budgets.
+    fn give_surplus_back(&self, held: &mut super::Held) -> Vec<BudgetId> {
+        let mut returns = Vec::new();
         let now = self.now();
         let budgets: Vec<BudgetId> = held.wallet.budgets().cloned().collect();
         for budget in &budgets {
@@ -174,10 +175,10 @@
             let surplus = self.size.surplus(held.wallet.held(budget), draw, free);
             if !surplus.is_zero() {
                 held.wallet.give_back(budget, surplus);
-                is_any = true;
+                returns.push(budget.clone());
             }
         }
-        is_any
+        returns
     }
 
     fn book(&self, exchange: Exchange) {
