Daemon: listens only once it may serve; looks before it refuses a keyed request

Cause of refusals with an unknown outcome while routers were replaced: a router that was stopping or not ready refused keyed requests without having looked whether they ran. It now asks the homes first, and before it is ready its address refuses connections, which is a sure 'not run'. A side process listens only once it knows the fenced origins, and no longer ignores SIGTERM while it waits for the service. Start is split by role.

--- a/wisteriapass_daemon/src/api.rs
+++ b/wisteriapass_daemon/src/api.rs
@@ -209,6 +209,12 @@
         }
     }
 
+    /// Says that the request may have run.
+    pub fn with_unknown_outcome(mut self) -> Self {
+        self.ran = Ran::OutcomeUnknown;
+        self
+    }
+
     /// Sets when to come back, in milliseconds from now.
     pub fn with_retry_after_ms(mut self, ms: u64) -> Self {
         self.retry_after_ms = ms;
--- a/wisteriapass_daemon/src/http.rs
+++ b/wisteriapass_daemon/src/http.rs
@@ -9,5 +9,5 @@
 pub use body::{BodyError, read_body};
 pub use headers::header;
 pub use line_stream::{Frame, LineStream, StreamError};
-pub use listener::{Listener, serve};
+pub use listener::{Listener, Reserved, serve};
 pub use stream_writer::{StreamWriter, respond_and_close, respond_json};
--- a/wisteriapass_daemon/src/http/listener.rs
+++ b/wisteriapass_daemon/src/http/listener.rs
@@ -24,13 +24,12 @@
 /// Stack of a handler thread, in bytes.
 const STACK: usize = 256 * 1024;
 
-/// An HTTP server on a TCP address.
-pub struct Listener {
-    server: Arc<Server>,
-    address: SocketAddr,
+/// An address that is taken and not listened on: connections to it are refused.
+pub struct Reserved {
+    socket: Socket,
 }
 
-impl Listener {
+impl Reserved {
     /// Binds to an address.
     ///
     /// The socket's options are inherited by accepted connections (Linux), which is the only way
@@ -49,16 +48,33 @@
             .with_interval(Duration::from_secs(KEEPALIVE_S));
         socket.set_tcp_keepalive(&keepalive)?;
         socket.bind(&address.into())?;
-        socket.listen(BACKLOG)?;
-        let listener: TcpListener = socket.into();
+        Ok(Self { socket })
+    }
+
+    /// Begins to listen.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    pub fn listen(self) -> io::Result<Listener> {
+        self.socket.listen(BACKLOG)?;
+        let listener: TcpListener = self.socket.into();
         let address = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        Ok(Self {
+        Ok(Listener {
             server: Arc::new(server),
             address,
         })
     }
+}
 
+/// An HTTP server on a TCP address.
+pub struct Listener {
+    server: Arc<Server>,
+    address: SocketAddr,
+}
+
+impl Listener {
     /// Returns the address bound to.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -7,7 +7,6 @@
 use wisteriapass_coord::once::{Place, RunId};
 use wisteriapass_policy::FailureKind;
 
-use crate::api::Ran;
 use crate::metrics::Retry;
 use crate::prelude::*;
 use crate::router::answer::Answer;
@@ -74,10 +73,7 @@
     /// "Not run" is said only if no attempt may have run.
     fn truthful(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run && refusal.reason != Reason::KeyReused {
-            return Refusal {
-                ran: Ran::OutcomeUnknown,
-                ..refusal
-            };
+            return refusal.with_unknown_outcome();
         }
         refusal
     }
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -3,7 +3,6 @@
 use tiny_http::Request;
 use wisteriapass_config::Limits;
 
-use crate::api::Ran;
 use crate::http::{BodyError, Listener, header, read_body};
 use crate::prelude::*;
 use crate::router::InForce;
@@ -45,7 +44,6 @@
         let asked = match self.ask(&mut req) {
             Ok(asked) => asked,
             Err(refusal) => {
-                let refusal = truthful(refusal, header(&req, KEY_HEADER).is_some());
                 self.metrics.refusal(refusal.reason);
                 return refuse(req, &refusal);
             }
@@ -63,42 +61,43 @@
         self.metrics.stream(-1);
     }
 
+    /// Reads and checks a request.
+    ///
+    /// The body is read also by a router that stops: a connection that closes with its request
+    /// unread is reset, and the refusal lost.
     fn ask(&self, req: &mut Request) -> Result<Asked, Refusal> {
+        let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
+        let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
+        let Some(document) = self.config.serving() else {
+            let message = "the configuration in force is not known yet";
+            let refusal = Refusal::not_run(Reason::NotReady, message);
+            let is_keyed = header(req, KEY_HEADER).is_some();
+            return Err(if is_keyed {
+                refusal.with_unknown_outcome()
+            } else {
+                refusal
+            });
+        };
+        let asked = Asked::new(req, body, &document, &self.limits)?;
+        match self.closed() {
+            Some(refusal) => Err(self.pipeline.refuse_unseen(&asked, refusal)),
+            None => Ok(asked),
+        }
+    }
+
+    /// Returns why this router takes no request now, if so.
+    fn closed(&self) -> Option<Refusal> {
         if self.stop.is_raised() {
-            // A connection that closes with its request unread is reset, and the refusal lost.
-            let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
-            let _ = read_body(req, self.limits.body_bytes, deadline);
-            return Err(Refusal::not_run(
+            return Some(Refusal::not_run(
                 Reason::Stopping,
                 "this router is stopping",
             ));
         }
         if self.stop.working() > self.limits.requests {
             let message = "this router works on as many requests as its settings allow";
-            return Err(Refusal::not_run(Reason::Overloaded, message));
+            return Some(Refusal::not_run(Reason::Overloaded, message));
         }
-        let Some(document) = self.config.serving() else {
-            return Err(Refusal::not_run(
-                Reason::NotReady,
-                "the configuration in force is not known yet",
-            ));
-        };
-        let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
-        let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
-        Asked::new(req, body, &document, &self.limits)
-    }
-}
-
-/// Says that the outcome is unknown where a repeat could have been asked for elsewhere before.
-///
-/// A router that is stopping, overloaded or not ready has not looked whether the key ran already.
-fn truthful(refusal: Refusal, is_keyed: bool) -> Refusal {
-    match refusal.reason {
-        Reason::Stopping | Reason::Overloaded | Reason::NotReady if is_keyed => Refusal {
-            ran: Ran::OutcomeUnknown,
-            ..refusal
-        },
-        _ => refusal,
+        None
     }
 }
 
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -10,7 +10,7 @@
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
 use crate::router::carry::Carry;
-use crate::router::locate::Located;
+use crate::router::locate::{Located, Lookup};
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
 use crate::router::{InForce, Incarnations, Locator, Money, RouterIdentity, Scheduling, Unsettled};
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Refuses a request that this router does not try: "not run" is said of a keyed one only if
+    /// its homes know of no run.
+    pub fn refuse_unseen(&self, asked: &Asked, refusal: Refusal) -> Refusal {
+        if asked.key.is_none() {
+            return refusal;
+        }
+        let run = RunId::from_text(self.run_id(asked));
+        match self.locator.lookup(&self.config.document(), &run) {
+            Lookup::Nobody => refusal,
+            Lookup::At(_) | Lookup::Unsure => refusal.with_unknown_outcome(),
+        }
+    }
+
     /// Asks the scheduler for a turn.
     ///
     /// # Errors
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -11,6 +11,7 @@
 use crate::prelude::*;
 use crate::run_wire::{Dispatch, RunBill};
 use crate::side::{SideIdentity, clock};
+use crate::stop::Stop;
 
 /// Time for which a bill is left to the router whose run it is, in milliseconds.
 ///
@@ -52,8 +53,8 @@
 
     /// Registers this incarnation and reads which origins are fenced; waits until the service
     /// answers, because without the list a fenced router's money might be spent again.
-    pub fn register(&self, store: &dyn Store) {
-        loop {
+    pub fn register(&self, store: &dyn Store, stop: &Stop) {
+        while !stop.is_raised() {
             let registered = Registry::new(store)
                 .add_side(&self.side.name, &self.side.incarnation)
                 .and_then(|()| FenceList::read(store));
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -1,37 +1,34 @@
 //! Starting a daemon: settings, log, services, listeners; then waiting for the stop.
 
+mod admin;
+mod router;
+mod side;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 
 use derive_more::{Display, Error, From};
-use flume::{Receiver, RecvTimeoutError};
 use jsonrpsee::RpcModule;
-use tiny_http::{Request, Response};
-use twox_hash::XxHash64;
-use wisteriapass_config::{ConfigError, Document, Role, Settings};
-use wisteriapass_coord::budget::Origin;
+use wisteriapass_config::{ConfigError, Role, Settings};
 use wisteriapass_coord::membership::Incarnation;
-use wisteriapass_coord::store::HttpStore;
 
 use crate::control::ControlService;
 use crate::counters::CountersService;
-use crate::fleet::{self, Fleet, Orders};
-use crate::http::Listener;
+use crate::fleet::{self, Fleet, InForce};
+use crate::http::{Listener, Reserved};
 use crate::kernel::KernelError;
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{
-    self, InForce, Incarnations, Locator, Money, Peers, RouterControlService, RouterIdentity,
-    Scheduling, Unsettled,
-};
+use crate::router::{Money, RouterControlService};
 use crate::rpc::{
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
 };
-use crate::side::{self, Index, Runs, SideControlService, SideIdentity, SideMoney};
+use crate::side::SideControlService;
 use crate::stop::Stop;
 
 /// Result of starting a daemon.
@@ -40,16 +37,10 @@
 /// Exit code when the settings are refused.
 const BAD_SETTINGS: u8 = 2;
 
-/// Time between two looks at which targets are leaving, in milliseconds.
-const LEAVING_MS: u64 = 100;
-
 /// Shortest time that a stopping process goes on refusing, in milliseconds: the balancer takes a
 /// look at readiness in between, and requests on their way get an answer.
 const LINGER_MS: u64 = 1_500;
 
-/// Time between two sweeps of a side process's runs, in milliseconds.
-const SWEEP_MS: u64 = 500;
-
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -97,19 +88,22 @@
     stop.on_signals()?;
     kernel.register(Metrics::new()?);
     kernel.register(InForce::new());
-    let admin = bind("admin", settings.admin)?;
-    let listener = bind("listen", settings.listen)?;
+    let admin = listen("admin", settings.admin, reserve("admin", settings.admin)?)?;
+    let reserved = reserve("listen", settings.listen)?;
     kernel.register(Caller::new()?);
     let incarnation = Incarnation::fresh();
     let fleet = kernel.register(Fleet::new(&kernel, &settings, incarnation)?);
     let incarnation = format!("{}.{incarnation}", settings.name);
     match settings.role {
-        Role::Router => start_router(&settings, &kernel, &listener, &incarnation)?,
-        Role::Side => start_side(&settings, &kernel, &listener, &incarnation)?,
+        Role::Router => router::register(&settings, &kernel, &incarnation)?,
+        Role::Side => side::register(&settings, &kernel, &incarnation)?,
     }
-    serve_admin(&admin, &kernel)?;
+    let open = Arc::new(AtomicBool::new(false));
+    admin::serve(&admin, &kernel, open.clone())?;
     let control = start_control(&settings, &kernel, &incarnation)?;
     fleet::follow(&settings, &kernel)?;
+    let listener = serve(&settings, &kernel, reserved)?;
+    open.store(true, Ordering::Release);
     log::info!(
         target: "start",
         "Started. listen={} control={} admin={} role={:?}",
@@ -131,78 +125,35 @@
     Ok(())
 }
 
-fn bind(key: &'static str, address: SocketAddr) -> Result<Listener> {
-    Listener::bind(address).map_err(|cause| StartError::Listen {
+/// Listens as soon as this process may serve; until then connections are refused, which tells
+/// whoever connects that nothing was sent.
+fn serve(settings: &Settings, kernel: &Kernel, reserved: Reserved) -> Result<Listener> {
+    match settings.role {
+        Role::Router => router::wait_until_ready(kernel)?,
+        Role::Side => side::wait_until_ready(settings, kernel)?,
+    }
+    let listener = listen("listen", settings.listen, reserved)?;
+    match settings.role {
+        Role::Router => crate::router::serve(&listener, kernel, settings.limits.clone())?,
+        Role::Side => crate::side::serve(&listener, kernel)?,
+    }
+    Ok(listener)
+}
+
+fn reserve(key: &'static str, address: SocketAddr) -> Result<Reserved> {
+    Reserved::bind(address).map_err(|cause| StartError::Listen {
         key,
         address,
         cause,
     })
 }
 
-fn start_router(
-    settings: &Settings,
-    kernel: &Kernel,
-    listener: &Listener,
-    incarnation: &str,
-) -> Result<()> {
-    let store = HttpStore::new(settings.store.to_string());
-    let peers = Peers::new(&settings.name, kernel.find()?, kernel.find()?);
-    let origin = Origin(XxHash64::oneshot(0, incarnation.as_bytes()));
-    let money = kernel.register(Money::new(origin, Box::new(store), peers));
-    let stop = kernel.find::<Stop>()?;
-    let registered = money.clone();
-    spawn("money", {
-        let stop = stop.clone();
-        move || money.keep(&stop)
-    })?;
-    spawn("lease", move || registered.stay_registered(&stop))?;
-    let scheduling = kernel.register(Scheduling::new());
-    scheduling.start()?;
-    kernel.register(RouterIdentity {
-        name: settings.name.clone(),
-        incarnation: incarnation.into(),
-        failure_domain: settings.failure_domain.clone(),
-    });
-    kernel.register(Incarnations::new(kernel)?);
-    let claims = HttpStore::new(settings.store.to_string());
-    kernel.register(Locator::new(kernel, Box::new(claims))?);
-    let unsettled = kernel.register(Unsettled::new(kernel)?);
-    spawn("unsettled", move || unsettled.ask_forever())?;
-    let documents = kernel.find::<InForce>()?.follow();
-    let fleet = kernel.find::<Fleet>()?;
-    let failure_domain = settings.failure_domain.clone();
-    spawn("targets", move || {
-        keep_targets(&documents, &fleet, &scheduling, &failure_domain);
-    })?;
-    router::serve(listener, kernel, settings.limits.clone())?;
-    Ok(())
-}
-
-/// Keeps the scheduler's targets in step with the configuration and with who is leaving.
-fn keep_targets(
-    documents: &Receiver<Arc<Document>>,
-    fleet: &Fleet,
-    scheduling: &Scheduling,
-    failure_domain: &str,
-) {
-    let mut document = Arc::new(Document::default());
-    let mut leaving = Vec::new();
-    loop {
-        let news = match documents.recv_timeout(Duration::from_millis(LEAVING_MS)) {
-            Ok(news) => Some(news),
-            Err(RecvTimeoutError::Timeout) => None,
-            Err(RecvTimeoutError::Disconnected) => return,
-        };
-        let is_news = news.is_some();
-        document = news.unwrap_or(document);
-        fleet.plan();
-        let now_leaving = fleet.without_work(&document, Instant::now());
-        if is_news || now_leaving != leaving {
-            log::info!(target: "fleet", "Targets without new work. names={now_leaving:?}");
-            scheduling.set_document(&document, failure_domain, &now_leaving);
-            leaving = now_leaving;
-        }
-    }
+fn listen(key: &'static str, address: SocketAddr, reserved: Reserved) -> Result<Listener> {
+    reserved.listen().map_err(|cause| StartError::Listen {
+        key,
+        address,
+        cause,
+    })
 }
 
 /// Tells everybody who may send work that this process takes none.
@@ -218,36 +169,6 @@
     Ok(())
 }
 
-fn start_side(
-    settings: &Settings,
-    kernel: &Kernel,
-    listener: &Listener,
-    incarnation: &str,
-) -> Result<()> {
-    let Some(target) = settings.target else {
-        return Err(StartError::NoTarget);
-    };
-    let runs = kernel.register(Runs::new());
-    spawn("sweep", move || {
-        loop {
-            sleep(Duration::from_millis(SWEEP_MS));
-            runs.sweep(Instant::now());
-        }
-    })?;
-    kernel.register(Orders::new(&settings.name, target, settings.store));
-    let side = kernel.register(SideIdentity {
-        name: settings.name.clone(),
-        incarnation: incarnation.into(),
-        target,
-    });
-    let money = kernel.register(SideMoney::new(side));
-    money.register(&HttpStore::new(settings.store.to_string()));
-    let index = kernel.register(Index::new(kernel)?);
-    spawn("index", move || index.fill_forever())?;
-    side::serve(listener, kernel)?;
-    Ok(())
-}
-
 fn start_control(
     settings: &Settings,
     kernel: &Kernel,
@@ -283,31 +204,6 @@
     })
 }
 
-fn serve_admin(listener: &Listener, kernel: &Kernel) -> Result<()> {
-    let metrics = kernel.find::<Metrics>()?;
-    let config = kernel.find::<InForce>()?;
-    let stop = kernel.find::<Stop>()?;
-    // Only side processes have an index.
-    let index = kernel.find::<Index>().ok();
-    crate::http::serve(listener, "admin", move |req| {
-        let indexed = index.as_ref().is_none_or(|i| i.is_ready());
-        let ready = indexed && config.is_ready() && !stop.is_raised();
-        answer_admin(req, &metrics, ready);
-    });
-    Ok(())
-}
-
-fn answer_admin(req: Request, metrics: &Metrics, ready: bool) {
-    let response = match req.url() {
-        "/metrics" => Response::from_string(metrics.text()),
-        "/livez" => Response::from_string("live\n"),
-        "/readyz" if ready => Response::from_string("ready\n"),
-        "/readyz" => Response::from_string("not ready\n").with_status_code(503),
-        _ => Response::from_string("unknown path\n").with_status_code(404),
-    };
-    let _ = req.respond(response);
-}
-
 fn wait_for_stop(stop: &Stop) {
     while !stop.is_raised() {
         sleep(Duration::from_millis(LOOK_MS));
--- /dev/null
+++ b/wisteriapass_daemon/src/start/side.rs
@@ -0,0 +1,46 @@
+//! Services and threads of a side process.
+
+use std::thread::sleep;
+
+use wisteriapass_config::Settings;
+use wisteriapass_coord::store::HttpStore;
+
+use super::{Result, StartError, spawn};
+use crate::fleet::Orders;
+use crate::prelude::*;
+use crate::side::{Index, Runs, SideIdentity, SideMoney};
+use crate::stop::Stop;
+
+/// Time between two sweeps of a side process's runs, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
+/// Registers the services of a side process and starts their threads.
+pub(super) fn register(settings: &Settings, kernel: &Kernel, incarnation: &str) -> Result<()> {
+    let Some(target) = settings.target else {
+        return Err(StartError::NoTarget);
+    };
+    let runs = kernel.register(Runs::new());
+    spawn("sweep", move || {
+        loop {
+            sleep(Duration::from_millis(SWEEP_MS));
+            runs.sweep(Instant::now());
+        }
+    })?;
+    kernel.register(Orders::new(&settings.name, target, settings.store));
+    let side = kernel.register(SideIdentity {
+        name: settings.name.clone(),
+        incarnation: incarnation.into(),
+        target,
+    });
+    kernel.register(SideMoney::new(side));
+    let index = kernel.register(Index::new(kernel)?);
+    spawn("index", move || index.fill_forever())?;
+    Ok(())
+}
+
+/// Waits until it is known which money is fenced.
+pub(super) fn wait_until_ready(settings: &Settings, kernel: &Kernel) -> Result<()> {
+    let (money, stop) = (kernel.find::<SideMoney>()?, kernel.find::<Stop>()?);
+    money.register(&HttpStore::new(settings.store.to_string()), &stop);
+    Ok(())
+}
