--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -115,7 +115,11 @@
         };
         let (metrics, caller) = (&self.pipeline.metrics, &self.pipeline.caller);
         match Attempt::new(target, order, metrics, caller).carry_out(answer, None) {
-            Ended::Answered(_) | Ended::CallerGone(_) => Ok(true),
+            Ended::Answered(bill) | Ended::CallerGone(bill) => {
+                // The router that sent it may have died.
+                self.pipeline.money.keep_bill(&bill);
+                Ok(true)
+            }
             Ended::NoSuchRun => {
                 // It was claimed for there, and has not arrived; or that incarnation has gone.
                 if !self.pipeline.incarnations.is_current(target, &place) {
