--- a/wisteriapass_daemon/src/router/money/bills.rs
+++ b/wisteriapass_daemon/src/router/money/bills.rs
@@ -8,6 +8,7 @@
 use wisteriapass_coord::once::{Bill, BillLedger, Place, RunId};
 
 use crate::router::Money;
+use crate::router::locate::Locator;
 use crate::rpc::SideControlClient;
 use crate::run_wire::RunBill;
 
@@ -24,6 +25,8 @@
 #[derive(Debug, Default)]
 struct State {
     waiting: BTreeMap<RunId, Bill>,
+    /// Bills of other routers' runs, which need a claim before they count.
+    foreign: BTreeMap<RunId, Bill>,
     sent: Option<Batch>,
     next: u64,
 }
@@ -41,6 +44,22 @@
         self.state.lock().waiting.entry(run).or_insert(bill);
     }
 
+    /// Keeps a bill of another router's run until it is claimed.
+    fn keep_foreign(&self, bill: Bill) {
+        let mut state = self.state.lock();
+        if !state.waiting.contains_key(&bill.run) {
+            state.foreign.insert(bill.run.clone(), bill);
+        }
+    }
+
+    fn foreign(&self) -> Vec<Bill> {
+        self.state.lock().foreign.values().cloned().collect()
+    }
+
+    fn forget_foreign(&self, run: &RunId) {
+        self.state.lock().foreign.remove(run);
+    }
+
     /// Returns the batch to be written: the last one again until its answer has come.
     fn next_batch(&self) -> Option<Batch> {
         let mut state = self.state.lock();
@@ -89,7 +108,27 @@
             .caller()
             .call(target.side_control, |c| async move { c.open_bills().await });
         for bill in open.unwrap_or_default() {
-            self.bills.enter(bill);
+            self.bills.keep_foreign(bill);
+        }
+    }
+
+    /// Keeps the bill of a run that another router sent, in case that one has died.
+    pub fn keep_bill(&self, bill: &RunBill) {
+        if let Some(bill) = to_bill(bill) {
+            self.bills.keep_foreign(bill);
+        }
+    }
+
+    /// Claims the bills of other routers' runs; a request that another run is billed for is not
+    /// billed again.
+    pub fn claim_bills(&self, locator: &Locator) {
+        for bill in self.bills.foreign() {
+            match locator.claim_bill(&bill.run, &bill.place) {
+                Some(true) => self.bills.enter(bill.clone()),
+                Some(false) => self.acknowledge(std::slice::from_ref(&bill)),
+                None => return,
+            }
+            self.bills.forget_foreign(&bill.run);
         }
     }
 
