--- a/wisteriapass_bench/src/slopes.rs
+++ b/wisteriapass_bench/src/slopes.rs
@@ -30,7 +30,7 @@
     /// Axis to measure.
     #[options(
         meta = "NAME",
-        help = "targets, routers, budgets, requests or edits; each in turn if none"
+        help = "targets, routers, budgets, requests, tokens, edits or processes; each if none"
     )]
     pub axis: Option<Axis>,
 }
--- a/wisteriapass_bench/src/slopes/load.rs
+++ b/wisteriapass_bench/src/slopes/load.rs
@@ -9,9 +9,6 @@
 use crate::slopes::size::Size;
 use wisteriapass_daemon::rpc::{Caller, ControlClient};
 
-/// Output tokens of each request.
-const TOKENS: u32 = 20;
-
 /// Longest wait for one answer, in seconds.
 const ANSWER_S: u64 = 30;
 
@@ -50,14 +47,14 @@
             sleep(next_at.saturating_duration_since(Instant::now()));
             let router = routers[n % routers.len()];
             let account = n % size.budgets;
-            scope.spawn(move || ask(router, account, n, tally));
+            scope.spawn(move || ask(router, account, n, size.tokens, tally));
         }
     });
 }
 
-fn ask(router: SocketAddr, account: usize, n: usize, tally: &Tally) {
+fn ask(router: SocketAddr, account: usize, n: usize, tokens: usize, tally: &Tally) {
     let body = format!(
-        r#"{{"model":"wisteria-8b","max_tokens":{TOKENS},"messages":[{{"role":"user","content":"question {n} tokens={TOKENS}"}}]}}"#
+        r#"{{"model":"wisteria-8b","max_tokens":{tokens},"messages":[{{"role":"user","content":"question {n} tokens={tokens}"}}]}}"#
     );
     let answer = minreq::post(format!("http://{router}/v1/chat/completions"))
         .with_header("authorization", format!("Bearer key-of-account-{account}"))
@@ -109,9 +106,9 @@
     }
 }
 
+/// Returns the control addresses past the links, so that looking costs no measured bytes.
 fn controls(fleet: &Fleet) -> Vec<SocketAddr> {
-    let inventory = fleet.document().inventory;
-    let routers = inventory.router.iter().map(|r| r.control);
-    let sides = inventory.target.iter().map(|t| t.side_control);
-    routers.chain(sides).collect()
+    let names = fleet.router_names().into_iter().chain(fleet.side_names());
+    let control = |n: String| Some(fleet.daemon(&n).ok()?.settings().control);
+    names.filter_map(control).collect()
 }
