--- a/wisteriapass_bench/tests/changes.rs
+++ b/wisteriapass_bench/tests/changes.rs
@@ -111,6 +111,20 @@
     });
 }
 
+#[test]
+fn the_word_of_the_vm_list_reaches_a_router_that_cannot_read_it() {
+    let fleet = Fleet::start(FleetPlan {
+        linked: true,
+        ..plan(2, 2)
+    })
+    .unwrap();
+    gets_no_work_after(&fleet, || {
+        fleet.network().cut("router-2", PLATFORM);
+        let vm = &fleet.document().inventory.target[0].vm;
+        fleet.platform().set_vm(vm, VmState::Leaving);
+    });
+}
+
 #[test]
 fn an_edit_reaches_everybody_and_a_fresh_process_never_starts_on_an_older_one() {
     let fleet = Fleet::start(plan(3, 2)).unwrap();
