Configuration: who is behind fetches, once

A heartbeat says the revision, and the receiver fetches from the first sender that is ahead. It is offered the document only if it is still behind when told again, since it may not know the sender's address yet. Routers that watch beat less often, as each edit costs them a round.

--- a/wisteriapass_daemon/src/fleet/heartbeat.rs
+++ b/wisteriapass_daemon/src/fleet/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use flume::RecvTimeoutError;
+use wisteriapass_coord::revision::ConfigRevision;
 
 use crate::fleet::{Fleet, InForce};
 use crate::prelude::*;
@@ -12,6 +13,11 @@
 pub fn keep_beating(fleet: &Arc<Fleet>, caller: &Arc<Caller>, config: &Arc<InForce>) {
     loop {
         let started_at = Instant::now();
+        if let Some(address) = fleet.take_ahead()
+            && let Err(e) = fetch(caller, config, address)
+        {
+            log::warn!(target: "fleet", "Cannot catch up. address={address} cause={e:?}");
+        }
         fleet.plan();
         let partners = fleet.partners();
         beat(fleet, caller, config, &partners.addresses());
@@ -44,30 +50,30 @@
         Err(e) => log::debug!(target: "fleet", "No heartbeat. address={address} cause={e:?}"),
     });
     for (address, answer) in &answers {
-        if let Err(e) = catch_up(caller, config, *address, answer) {
+        if let Err(e) = catch_up(fleet, caller, config, *address, answer) {
             log::warn!(target: "fleet", "Cannot catch up. address={address} cause={e:?}");
         }
     }
     answers
 }
 
-/// Fetches the partner's document if it is ahead, and offers ours if it is behind.
+/// Fetches the partner's document if it is ahead, and offers ours if it is behind for long.
+///
+/// A partner that is behind fetches by itself once it has our heartbeat. Offering at once would
+/// send it the document from everybody who heard of the edit before it.
 fn catch_up(
+    fleet: &Fleet,
     caller: &Caller,
     config: &InForce,
     address: SocketAddr,
     answer: &HeartbeatAnswer,
 ) -> Result<(), CallError> {
-    let theirs = answer.from.revision.0;
-    if theirs > config.revision() {
-        let text = caller.call(
-            address,
-            |c| async move { ControlClient::document(&c).await },
-        )?;
-        if let Some(text) = text {
-            config.offer(&text);
-        }
-    } else if theirs < config.revision()
+    let own = ConfigRevision(config.revision());
+    if answer.from.revision > own {
+        return fetch(caller, config, address);
+    }
+    if answer.from.revision < own
+        && fleet.was_told(address, own)
         && let Some(held) = config.held()
     {
         let text = held.text().to_string();
@@ -78,3 +84,14 @@
     }
     Ok(())
 }
+
+fn fetch(caller: &Caller, config: &InForce, address: SocketAddr) -> Result<(), CallError> {
+    let text = caller.call(
+        address,
+        |c| async move { ControlClient::document(&c).await },
+    )?;
+    if let Some(text) = text {
+        config.offer(&text);
+    }
+    Ok(())
+}
--- a/wisteriapass_daemon/src/fleet/partners.rs
+++ b/wisteriapass_daemon/src/fleet/partners.rs
@@ -20,6 +20,9 @@
 /// Bytes a second for the heartbeats that a router makes; it answers about as many, within 8 KB.
 const ROUTER_BYTES_A_SECOND: u64 = 4_000;
 
+/// The same for a router that watches: each edit costs it a round at once, besides.
+const WATCHER_BYTES_A_SECOND: u64 = 2_500;
+
 /// Bytes a second for the heartbeats that a side process makes. There are three side processes to
 /// a router, so theirs are the greater part of what a router answers.
 const SIDE_BYTES_A_SECOND: u64 = 1_000;
@@ -50,14 +53,16 @@
             }
             MemberRole::Side => chosen.extend(Subset::OF_SIDE.choose(name, domain, routers)),
         }
+        let is_watcher = role == MemberRole::Router && is_watcher(name, domain, &inventory.router);
         let addressed = chosen.into_iter().filter_map(|n| {
             let control = control_of(inventory, n)?;
             Some((n.to_owned(), control))
         });
         Self {
             by_name: addressed.collect(),
-            is_watcher: role == MemberRole::Router && is_watcher(name, domain, &inventory.router),
+            is_watcher,
             bytes_a_second: match role {
+                MemberRole::Router if is_watcher => WATCHER_BYTES_A_SECOND,
                 MemberRole::Router => ROUTER_BYTES_A_SECOND,
                 MemberRole::Side => SIDE_BYTES_A_SECOND,
             },
--- a/wisteriapass_daemon/src/fleet/service.rs
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -1,6 +1,6 @@
 //! Members, peers' revisions and partners of this process, and its answers to heartbeats.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use flume::{Receiver, Sender};
@@ -36,6 +36,10 @@
     partners: Partners,
     /// Control addresses of those who sent heartbeats, to be told when this process leaves.
     listeners: BTreeSet<SocketAddr>,
+    /// Who sent a heartbeat with a newer revision than ours.
+    ahead: Option<SocketAddr>,
+    /// Revision that each partner was last told of; who is told has the time to fetch it.
+    told: HashMap<SocketAddr, ConfigRevision>,
     planned_at: u64,
 }
 
@@ -106,6 +110,10 @@
         let mut state = self.state.lock();
         if let Some(control) = control_of(&self.config.document().inventory, &beat.from.name) {
             state.listeners.insert(control);
+            if beat.from.revision.0 > self.config.revision() && state.ahead.is_none() {
+                state.ahead = Some(control);
+                self.tell();
+            }
         }
         HeartbeatAnswer {
             from: self.announcement(),
@@ -115,6 +123,18 @@
         }
     }
 
+    /// Returns who is known to be ahead, once.
+    pub fn take_ahead(&self) -> Option<SocketAddr> {
+        self.state.lock().ahead.take()
+    }
+
+    /// Returns whether a partner that is behind had been told of this revision before, so that it
+    /// cannot fetch it by itself: it may not know our address yet.
+    pub fn was_told(&self, partner: SocketAddr, revision: ConfigRevision) -> bool {
+        let told = self.state.lock().told.insert(partner, revision);
+        told == Some(revision)
+    }
+
     /// Takes the answer to a heartbeat of this process.
     pub fn answered(&self, answer: &HeartbeatAnswer, now: Instant) {
         self.hear(&answer.from, &answer.marks, now);
