--- a/wisteriapass_bench/src/loads/play.rs
+++ b/wisteriapass_bench/src/loads/play.rs
@@ -1,25 +1,24 @@
 //! One play: events in virtual time between callers, routers and targets.
 
 mod event;
+mod news;
+mod router;
+mod runs;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slotmap::SecondaryMap;
-use wisteriapass_policy::{
-    AccountKey, Decision, LoadReport, Outcome, PolicyConfig, Priority, RequestFacts, Scheduler,
-    TargetKey, Ticket, Time, Wants,
-};
+use wisteriapass_policy::{Decision, PolicyConfig, TargetKey, Ticket, Time};
 
 use super::arrivals::{self, Request};
-use super::balancer::{self, Baseline, MODEL};
-use super::engine::{Engine, EngineRun, RunId};
-use super::pattern::{ROUTERS, SLOTS, TARGETS};
+use super::engine::{Engine, RunId};
+use super::pattern::{ROUTERS, TARGETS};
 use super::tally::Tally;
 use super::{END_SECS, PLAY_SECS, Pattern, Policy, Summary, WARM_UP_SECS, bound};
 use event::{Event, Timed};
+use router::{Decides, Ours, Router};
 
 /// One way between a router and a target, in seconds.
 const HOP_S: f64 = 0.0005;
@@ -68,28 +67,6 @@
     over: bool,
 }
 
-/// One router's state.
-struct Router {
-    decides: Decides,
-    wake: Time,
-}
-
-/// What a router decides with.
-enum Decides {
-    Ours(Box<Ours>),
-    Baseline(Box<Baseline>),
-}
-
-/// Our scheduler and the play's names for its keys.
-struct Ours {
-    scheduler: Scheduler,
-    targets: Vec<TargetKey>,
-    places: SecondaryMap<TargetKey, usize>,
-    accounts: Vec<AccountKey>,
-    wants: Wants,
-    requests: HashMap<Ticket, usize>,
-}
-
 impl Play {
     /// Creates a play.
     pub(super) fn new(pattern: Pattern, policy: Policy, seed: u64, cfg: &PolicyConfig) -> Self {
@@ -252,219 +229,6 @@
         self.at(at, Event::Arrive { request });
     }
 
-    fn send(&mut self, now: Time, request: usize, target: usize) {
-        let run = self.runs.len();
-        self.runs.push(Run {
-            request,
-            target,
-            first_token: None,
-            over: false,
-        });
-        self.callers[request].runs.push(run);
-        self.at(now.plus_secs(HOP_S), Event::Reach { run });
-    }
-
-    fn reach(&mut self, now: Time, id: RunId) {
-        let run = self.runs[id];
-        if run.over {
-            return;
-        }
-        let request = self.requests[run.request];
-        let (router, priority) = (request.router, request.priority);
-        self.engines[run.target].push(EngineRun {
-            id,
-            router,
-            priority,
-        });
-        self.fill(now, run.target);
-    }
-
-    /// Begins runs while a target has free slots.
-    fn fill(&mut self, now: Time, target: usize) {
-        while let Some(next) = self.engines[target].next() {
-            let run = self.runs[next.id];
-            let request = self.requests[run.request];
-            if let Some(prefix) = request.prefix.filter(|_| counts(request.at)) {
-                self.tally.held[0] += f64::from(self.engines[target].holds(prefix) as u8);
-                self.tally.held[1] += 1.0;
-            }
-            let begun = self.engines[target].begin(now, &request);
-            self.at(begun.first_token, Event::FirstToken { run: next.id });
-            self.at(begun.end, Event::End { run: next.id });
-        }
-    }
-
-    fn first_token(&mut self, now: Time, id: RunId) {
-        let run = self.runs[id];
-        if run.over {
-            return;
-        }
-        self.runs[id].first_token = Some(now);
-        let request = self.requests[run.request];
-        if let Some(prefix) = request.prefix {
-            self.cached(now, run.target, prefix);
-        }
-        if !self.callers[run.request].answering {
-            self.callers[run.request].answering = true;
-            self.tally
-                .first_token(&request, now.secs_since(request.at) + HOP_S);
-            self.stop_others(now, run.request, id);
-        }
-        self.at(now.plus_secs(PROGRESS_EVERY_S), Event::Progress { run: id });
-        self.tell_of(now, run, |ours, ticket, key| {
-            ours.scheduler.first_token(now, ticket, key);
-        });
-    }
-
-    fn progress(&mut self, now: Time, id: RunId) {
-        let run = self.runs[id];
-        let Some(first) = run.first_token.filter(|_| !run.over) else {
-            return;
-        };
-        let tokens = self.engines[run.target].tokens_between(first, now) as u32 + 1;
-        let before = now.plus_secs(-PROGRESS_EVERY_S);
-        let news = self.engines[run.target].tokens_between(before, now) >= 1.0;
-        self.at(now.plus_secs(PROGRESS_EVERY_S), Event::Progress { run: id });
-        if news {
-            self.tell_of(now, run, |ours, ticket, key| {
-                ours.scheduler.progress(now, ticket, key, tokens);
-            });
-        }
-    }
-
-    fn end(&mut self, now: Time, id: RunId) {
-        let run = self.runs[id];
-        if run.over {
-            return;
-        }
-        self.stop(now, id, false);
-        let request = self.requests[run.request];
-        self.callers[run.request].over = true;
-        if counts(request.at) {
-            self.tally.answered(&request);
-        }
-        if counts(now) {
-            self.tally.done(&request);
-        }
-        if request.attempt > 0 {
-            self.tally.returned_well += 1;
-        }
-        let outcome = Outcome {
-            output_tokens: request.output,
-        };
-        self.tell_of(now, run, |ours, ticket, key| {
-            ours.scheduler.finished(now, ticket, key, outcome);
-            ours.requests.remove(&ticket);
-        });
-    }
-
-    /// Has a caller leave at its deadline, with all that runs for it.
-    fn deadline(&mut self, now: Time, place: usize) {
-        if self.callers[place].over {
-            return;
-        }
-        self.callers[place].over = true;
-        if counts(self.requests[place].at) {
-            self.tally.cut += 1;
-        }
-        for id in self.callers[place].runs.clone() {
-            self.stop(now, id, true);
-        }
-        let router = self.requests[place].router;
-        if let Some(ticket) = self.callers[place].ticket {
-            self.tell(now, router, |ours| {
-                ours.scheduler.cancel(now, ticket);
-                ours.requests.remove(&ticket);
-            });
-        }
-    }
-
-    /// Cancels a request's other copies once one answers.
-    fn stop_others(&mut self, now: Time, place: usize, keep: RunId) {
-        for id in self.callers[place].runs.clone() {
-            let run = self.runs[id];
-            if id == keep || run.over {
-                continue;
-            }
-            self.stop(now, id, true);
-            self.tell_of(now, run, |ours, ticket, key| {
-                ours.scheduler.cancel_run(ticket, key);
-            });
-        }
-    }
-
-    /// Ends a run at its target; what it generated may be wasted.
-    fn stop(&mut self, now: Time, id: RunId, wasted: bool) {
-        let run = self.runs[id];
-        if run.over {
-            return;
-        }
-        self.runs[id].over = true;
-        let counted = counts(self.requests[run.request].at);
-        let engine = &mut self.engines[run.target];
-        engine.remove(id);
-        if let Some(first) = run.first_token.filter(|_| wasted && counted) {
-            self.tally.wasted += engine.tokens_between(first, now) + 1.0;
-        }
-        let router = self.requests[run.request].router;
-        if let Decides::Baseline(b) = &mut self.routers[router].decides {
-            b.ended(run.target);
-        }
-        self.fill(now, run.target);
-    }
-
-    /// Publishes a target's load to each router, late or not at all.
-    fn report(&mut self, now: Time, target: usize) {
-        self.at(now.plus_secs(REPORT_EVERY_S), Event::Report { target });
-        if counts(now) && self.engines[target].is_well(now) {
-            self.tally.busy[0] += self.engines[target].running.len() as f64;
-            self.tally.busy[1] += f64::from(SLOTS);
-        }
-        if self.policy != Policy::Ours {
-            return;
-        }
-        let arrives = now.plus_secs(self.pattern.report_delay());
-        for router in 0..ROUTERS {
-            if self.rng.random_bool(self.pattern.report_loss()) {
-                continue;
-            }
-            let report = self.engines[target].report(now, router);
-            self.at(
-                arrives,
-                Event::Reported {
-                    router,
-                    target,
-                    report,
-                },
-            );
-        }
-    }
-
-    /// Publishes that a target holds a prefix, and has perhaps dropped another.
-    fn cached(&mut self, now: Time, target: usize, prefix: u64) {
-        let dropped = self.engines[target].cache(prefix);
-        if self.policy != Policy::Ours {
-            return;
-        }
-        let hints = dropped
-            .map(|p| (p, false))
-            .into_iter()
-            .chain([(prefix, true)]);
-        for (prefix, held) in hints {
-            for router in 0..ROUTERS {
-                if !self.rng.random_bool(HINT_LOSS) {
-                    let event = Event::Hint {
-                        router,
-                        target,
-                        prefix,
-                        held,
-                    };
-                    self.at(now.plus_secs(HINT_DELAY_S), event);
-                }
-            }
-        }
-    }
-
     /// Tells a router's scheduler of one of its runs.
     fn tell_of(&mut self, now: Time, run: Run, f: impl FnOnce(&mut Ours, Ticket, TargetKey)) {
         let Some(ticket) = self.callers[run.request].ticket else {
@@ -519,78 +283,3 @@
     let begin = Time::default().plus_secs(WARM_UP_SECS);
     at >= begin && at < begin.plus_secs(PLAY_SECS)
 }
-
-impl Engine {
-    /// Returns the load that one router is told of.
-    fn report(&self, now: Time, router: usize) -> LoadReport {
-        let all = || self.running.iter().chain(&self.queue);
-        LoadReport {
-            taken_at: now,
-            running: self.running.len() as u32,
-            queued: self.queue.len() as u32,
-            interactive: all()
-                .filter(|r| r.priority == Priority::Interactive)
-                .count() as u32,
-            of_receiver: all().filter(|r| r.router == router).count() as u32,
-        }
-    }
-}
-
-impl Router {
-    fn new(policy: Policy, seed: u64, router: usize, cfg: &PolicyConfig) -> Self {
-        let decides = match policy {
-            Policy::Ours => Decides::Ours(Box::new(Ours::new(cfg, seed, router))),
-            _ => Decides::Baseline(Box::new(Baseline::new(policy, seed))),
-        };
-        Self {
-            decides,
-            wake: Time::MAX,
-        }
-    }
-}
-
-impl Ours {
-    fn new(cfg: &PolicyConfig, seed: u64, router: usize) -> Self {
-        let scheduler = balancer::scheduler(cfg, seed, router);
-        let target = |t| scheduler.target(&balancer::target_name(t));
-        let targets: Vec<TargetKey> = (0..TARGETS).filter_map(target).collect();
-        let account = |a| scheduler.account(&balancer::account_name(a));
-        let accounts = (0..arrivals::ACCOUNTS).filter_map(account).collect();
-        let places = targets
-            .iter()
-            .enumerate()
-            .map(|(place, &key)| (key, place))
-            .collect();
-        let model = scheduler
-            .name(MODEL)
-            .unwrap_or_else(|| unreachable!("the targets hold it"));
-        Self {
-            wants: Wants::Model {
-                model,
-                version: None,
-                adapter: None,
-            },
-            targets,
-            places,
-            accounts,
-            requests: HashMap::new(),
-            scheduler,
-        }
-    }
-
-    fn facts(&self, request: &Request) -> RequestFacts {
-        RequestFacts {
-            account: self.accounts[request.account],
-            priority: request.priority,
-            wants: self.wants,
-            prompt_tokens: request.prompt,
-            max_tokens: request.max_output,
-            begin_by: Time::MAX,
-            deadline: request.deadline,
-            idempotent: request.idempotent,
-            prefix: request.prefix,
-            prefix_tokens: request.prefix_tokens,
-            attempt: request.attempt,
-        }
-    }
-}
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -11,14 +11,11 @@
 //! Without classes a question waits behind drafts (`loads --pattern saturation --without
 //! priority`).
 
-use std::collections::VecDeque;
-
 use slotmap::SecondaryMap;
 
-use crate::{AccountKey, PolicyConfig, Priority, TargetKey, Ticket, Time};
-
-/// Requests of each account and class that are looked at for one with a given home.
-const LOOK_AHEAD: usize = 8;
+use crate::lane::Lane;
+use crate::waiting::Waiting;
+use crate::{AccountKey, PolicyConfig, Priority, TargetKey, Time};
 
 /// Waiting requests of one pool.
 #[derive(Debug, Default)]
@@ -33,36 +30,6 @@
     count: [usize; 3],
 }
 
-/// One account's part of the queue.
-#[derive(Debug, Default)]
-pub(crate) struct Lane {
-    /// Work given so far by weight, in tokens.
-    virtual_time: f64,
-    queues: [VecDeque<Waiting>; 3],
-    work: [f64; 3],
-    returned_work: f64,
-    /// The account's fair share when last computed, in tokens a second.
-    pub(crate) share: f64,
-    weight: f64,
-    /// Until when the account's promised share is taken.
-    pub(crate) promised_until: Time,
-    /// When the account last offered work.
-    pub(crate) last_offer: Time,
-}
-
-/// One waiting request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Waiting {
-    pub(crate) ticket: Ticket,
-    pub(crate) account: AccountKey,
-    pub(crate) priority: Priority,
-    pub(crate) work: f64,
-    pub(crate) since: Time,
-    pub(crate) returned: bool,
-    /// Target that is likely to hold its prefix.
-    pub(crate) home: Option<TargetKey>,
-}
-
 /// Classes of waiting requests that cannot be placed now.
 pub(crate) type Blocked = [bool; 3];
 
@@ -132,7 +99,7 @@
         }
         let heads = self.active.iter().flat_map(|&a| self.lanes[a].heads());
         let free = heads.filter(|(_, w)| !blocked[w.priority.index()]);
-        let scored = free.map(|(vt, w)| (score(now, vt - self.present, share, w, cfg), w));
+        let scored = free.map(|(vt, w)| (w.score(now, vt - self.present, share, cfg), w));
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, w)| *w)
     }
 
@@ -148,7 +115,7 @@
         let share = (drain / self.active_weight()).max(1e-6);
         let score = |account: AccountKey, w: &Waiting| {
             let ahead = self.lanes[account].virtual_time - self.present;
-            score(now, ahead, share, w, cfg)
+            w.score(now, ahead, share, cfg)
         };
         let limit = score(first.account, first) + cfg.affinity_wait_s;
         let near = self
@@ -253,56 +220,3 @@
         ahead.queues[class.index()].back().copied()
     }
 }
-
-impl Lane {
-    /// Returns the waiting work of callers that came back as told, in tokens.
-    pub(crate) fn returned_work(&self) -> f64 {
-        self.returned_work
-    }
-
-    /// Returns the waiting work in a class and above, in tokens.
-    pub(crate) fn work_above(&self, priority: Priority) -> f64 {
-        self.work[..=priority.index()].iter().sum()
-    }
-
-    fn is_empty(&self) -> bool {
-        self.queues.iter().all(VecDeque::is_empty)
-    }
-
-    /// Returns the first request of each class.
-    fn heads(&self) -> impl Iterator<Item = (f64, &Waiting)> {
-        let vt = self.virtual_time;
-        self.queues
-            .iter()
-            .filter_map(|q| q.front())
-            .map(move |w| (vt, w))
-    }
-
-    /// Returns the first few requests of each class.
-    fn front(&self) -> impl Iterator<Item = &Waiting> {
-        self.queues.iter().flat_map(|q| q.iter().take(LOOK_AHEAD))
-    }
-
-    /// Returns how far ahead the account is with all its waiting work done.
-    fn lead(&self) -> f64 {
-        self.virtual_time + self.work.iter().sum::<f64>() / self.weight.max(1e-3)
-    }
-}
-
-/// Returns a request's place in the order, in seconds of an account's share; the least goes first.
-fn score(now: Time, lead: f64, share: f64, waiting: &Waiting, cfg: &PolicyConfig) -> f64 {
-    let ahead = if cfg.parts.fairness {
-        lead / share
-    } else {
-        0.0
-    };
-    let head_start = match waiting.priority {
-        _ if waiting.returned => cfg.returned_lead_s,
-        Priority::Interactive if cfg.parts.priority => cfg.interactive_lead_s,
-        Priority::Standard if cfg.parts.priority => cfg.standard_lead_s,
-        _ => 0.0,
-    };
-    // With fairness off this is arrival order within a class.
-    let ageing = if cfg.parts.fairness { cfg.ageing } else { 1.0 };
-    ahead - head_start - now.secs_since(waiting.since) * ageing
-}
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod health;
 mod job;
 mod keys;
+mod lane;
 mod lanes;
 mod load_report;
 mod load_view;
@@ -38,6 +39,7 @@
 mod target_facts;
 mod time;
 mod try_budget;
+mod waiting;
 mod wants;
 
 pub use account_facts::AccountFacts;
--- a/wisteriapass_policy/src/scheduler.rs
+++ b/wisteriapass_policy/src/scheduler.rs
@@ -6,6 +6,7 @@
 //! [`Scheduler::next_wake`].
 
 mod alarm;
+mod dispatch;
 mod feedback;
 mod offer;
 mod poll;
