--- a/wisteriapass_policy/src/admission.rs
+++ b/wisteriapass_policy/src/admission.rs
@@ -14,9 +14,6 @@
 use crate::lanes::Lanes;
 use crate::{AccountKey, PolicyConfig, Refusal, RequestFacts, Time};
 
-/// Time over which an account counts as active, in seconds.
-const ACTIVE_S: f64 = 5.0;
-
 /// What admission knows of a request and its pool.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ask<'a> {
@@ -92,7 +89,7 @@
     if let Some(lane) = lanes.lane(account, weight) {
         lane.last_offer = now;
     }
-    let active = lanes.weight_since(now.plus_secs(-ACTIVE_S));
+    let active = lanes.recent_weight(now).max(weight);
     let share = (drain * weight / active).max(1e-3);
     if let Some(lane) = lanes.lane(account, weight) {
         lane.share = share;
--- a/wisteriapass_policy/src/lanes.rs
+++ b/wisteriapass_policy/src/lanes.rs
@@ -17,6 +17,11 @@
 use crate::waiting::Waiting;
 use crate::{AccountKey, PolicyConfig, Priority, TargetKey, Time};
 
+/// Time over which an account counts as active, in seconds.
+const ACTIVE_S: f64 = 5.0;
+/// Time between two counts of the active accounts, in seconds.
+const RECOUNT_S: f64 = 0.1;
+
 /// Waiting requests of one pool.
 #[derive(Debug, Default)]
 pub(crate) struct Lanes {
@@ -28,6 +33,14 @@
     pub(crate) work: f64,
     /// Requests that wait, by class.
     count: [usize; 3],
+    recent: Option<Recent>,
+}
+
+/// Weights of the accounts that offered work lately, together.
+#[derive(Clone, Copy, Debug)]
+struct Recent {
+    at: Time,
+    weight: f64,
 }
 
 /// Classes of waiting requests that cannot be placed now.
@@ -202,10 +215,17 @@
         weights.sum::<f64>().max(1e-3)
     }
 
-    /// Returns the weights of the accounts that offered work since a time.
-    pub(crate) fn weight_since(&self, since: Time) -> f64 {
-        let lanes = self.lanes.values().filter(|l| l.last_offer >= since);
-        lanes.map(|l| l.weight).sum::<f64>().max(1e-3)
+    /// Returns the weights of the accounts that offered work lately, counted anew now and then.
+    pub(crate) fn recent_weight(&mut self, now: Time) -> f64 {
+        let counted = self.recent.filter(|r| now.secs_since(r.at) < RECOUNT_S);
+        let recent = counted.unwrap_or_else(|| {
+            let since = now.plus_secs(-ACTIVE_S);
+            let lanes = self.lanes.values().filter(|l| l.last_offer >= since);
+            let weight = lanes.map(|l| l.weight).sum();
+            Recent { at: now, weight }
+        });
+        self.recent = Some(recent);
+        recent.weight
     }
 
     /// Returns the least valuable waiting request: lowest class, furthest ahead, newest.
--- a/wisteriapass_policy/src/load_view.rs
+++ b/wisteriapass_policy/src/load_view.rs
@@ -30,6 +30,8 @@
     pub(crate) total: f64,
     /// Those that are not interactive.
     pub(crate) low: f64,
+    /// How much the report behind it is worth, from 0 to 1.
+    pub(crate) freshness: f64,
 }
 
 impl LoadView {
@@ -61,13 +63,11 @@
             return Load {
                 total: own * routers,
                 low: own_low * routers,
+                freshness: 0.0,
             };
         };
-        let weight = if cfg.parts.damping {
-            self.freshness(now, cfg)
-        } else {
-            1.0
-        };
+        let freshness = self.freshness(now, cfg);
+        let weight = if cfg.parts.damping { freshness } else { 1.0 };
         let reported =
             f64::from((report.running + report.queued).saturating_sub(report.of_receiver));
         let all = f64::from(report.running + report.queued).max(1.0);
@@ -77,15 +77,16 @@
         Load {
             total: own + others,
             low: own_low + others_low,
+            freshness,
         }
     }
 
     /// Returns whether one more request keeps within this router's share of the free slots.
-    pub(crate) fn within_allowance(&self, now: Time, extra: u32, cfg: &PolicyConfig) -> bool {
+    pub(crate) fn within_allowance(&self, load: Load, extra: u32, cfg: &PolicyConfig) -> bool {
         if !cfg.parts.damping || self.report.is_none() {
             return true;
         }
-        self.freshness(now, cfg) < 0.5 || self.own < self.allowed + extra
+        load.freshness < 0.5 || self.own < self.allowed + extra
     }
 
     /// Returns how much the last report is worth, from 0 to 1.
--- a/wisteriapass_policy/src/room.rs
+++ b/wisteriapass_policy/src/room.rs
@@ -57,7 +57,7 @@
         (false, true) => HOME_EXTRA,
         (false, false) => 0,
     };
-    queues || target.load.within_allowance(choosing.now, extra, cfg)
+    queues || target.load.within_allowance(load, extra, cfg)
 }
 
 /// Returns whether the target's health allows one more request from this router.
--- a/wisteriapass_policy/src/scheduler/dispatch.rs
+++ b/wisteriapass_policy/src/scheduler/dispatch.rs
@@ -16,12 +16,26 @@
 impl Scheduler {
     /// Gives work to whatever is next in fair order, as long as there is room.
     pub(super) fn dispatch(&mut self, now: Time, pool_key: PoolKey) {
+        if self.finds_room(now, pool_key) {
+            let capacity = self.capacity(now, pool_key);
+            self.dispatch_within(now, pool_key, capacity);
+        }
+    }
+
+    /// Returns whether anything waits for which it is worth looking for room.
+    fn finds_room(&self, now: Time, pool_key: PoolKey) -> bool {
+        let pool = &self.pools[pool_key];
+        let stuck = pool.stuck.classes(now, self.changes);
+        pool.lanes.is_waiting_beside(stuck)
+    }
+
+    /// The same with the pool's capacity known.
+    pub(super) fn dispatch_within(&mut self, now: Time, pool_key: PoolKey, capacity: Capacity) {
         let stuck = self.pools[pool_key].stuck.classes(now, self.changes);
         if !self.pools[pool_key].lanes.is_waiting_beside(stuck) {
             return;
         }
         let mut blocked = stuck;
-        let capacity = self.capacity(now, pool_key);
         let drain = self.pools[pool_key].drain(now, capacity, self.routers);
         let mut own = capacity.own;
         while let Some(next) = self.pools[pool_key]
--- a/wisteriapass_policy/src/scheduler/offer.rs
+++ b/wisteriapass_policy/src/scheduler/offer.rs
@@ -49,7 +49,7 @@
         self.tries.earn();
         let ticket = self.jobs.insert(job);
         self.enqueue(ticket, weight, facts.attempt > 0);
-        self.dispatch(now, pool_key);
+        self.dispatch_within(now, pool_key, capacity);
         self.shed(now, pool_key, capacity);
         (ticket, self.decision_of(ticket))
     }
--- a/wisteriapass_policy/src/target.rs
+++ b/wisteriapass_policy/src/target.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Target {
     pub(crate) facts: TargetFacts,
     held: SmallVec<[Wants; 4]>,
+    slots: f64,
+    slot_rate: f64,
     pub(crate) name_hash: u64,
     pub(crate) load: LoadView,
     pub(crate) health: Health,
@@ -26,12 +28,16 @@
             load: LoadView::default(),
             health: Health::new(cfg),
             held,
+            slots: slots_of(&facts),
+            slot_rate: slot_rate_of(&facts),
             facts,
         }
     }
 
     /// Replaces the facts.
     pub(crate) fn set_facts(&mut self, facts: TargetFacts, held: SmallVec<[Wants; 4]>) {
+        self.slots = slots_of(&facts);
+        self.slot_rate = slot_rate_of(&facts);
         self.facts = facts;
         self.held = held;
     }
@@ -96,12 +102,12 @@
 
     /// Returns its slots.
     pub(crate) fn slots(&self) -> f64 {
-        f64::from(self.facts.slots)
+        self.slots
     }
 
     /// Returns what one slot does nominally, in tokens a second.
     pub(crate) fn slot_rate(&self) -> f64 {
-        f64::from(self.facts.tokens_per_s.max(1)) / self.slots().max(1.0)
+        self.slot_rate
     }
 
     /// Returns what one slot does by experience, in tokens a second.
@@ -146,3 +152,13 @@
         }
     }
 }
+
+/// Returns a target's slots.
+fn slots_of(facts: &TargetFacts) -> f64 {
+    f64::from(facts.slots)
+}
+
+/// Returns what one slot of a target does nominally, in tokens a second.
+fn slot_rate_of(facts: &TargetFacts) -> f64 {
+    f64::from(facts.tokens_per_s.max(1)) / slots_of(facts).max(1.0)
+}
