--- a/wisteriapass_bench/src/lib.rs
+++ b/wisteriapass_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for platform and targets, load and experiments; not part of what ships to VMs.
 
+pub mod budgets;
 mod digest;
 pub mod experiment;
 pub mod faults;
@@ -7,6 +8,7 @@
 pub mod link;
 pub mod load;
 pub mod loads;
+pub mod slopes;
 pub mod standin;
 
 pub use digest::sha256_hex;
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -3,11 +3,11 @@
 use tiny_http::Request;
 use wisteriapass_config::Limits;
 
-use crate::http::{BodyError, Listener, read_body};
+use crate::http::{BodyError, Listener, header, read_body};
 use crate::prelude::*;
 use crate::router::InForce;
 use crate::router::answer::{Answer, refuse};
-use crate::router::asked::Asked;
+use crate::router::asked::{Asked, KEY_HEADER};
 use crate::router::pipeline::Pipeline;
 use crate::stop::Stop;
 
@@ -61,26 +61,43 @@
         self.metrics.stream(-1);
     }
 
+    /// Reads and checks a request.
+    ///
+    /// The body is read also by a router that stops: a connection that closes with its request
+    /// unread is reset, and the refusal lost.
     fn ask(&self, req: &mut Request) -> Result<Asked, Refusal> {
+        let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
+        let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
+        let Some(document) = self.config.serving() else {
+            let message = "the configuration in force is not known yet";
+            let refusal = Refusal::not_run(Reason::NotReady, message);
+            let is_keyed = header(req, KEY_HEADER).is_some();
+            return Err(if is_keyed {
+                refusal.with_unknown_outcome()
+            } else {
+                refusal
+            });
+        };
+        let asked = Asked::new(req, body, &document, &self.limits)?;
+        match self.closed() {
+            Some(refusal) => Err(self.pipeline.refuse_unseen(&asked, refusal)),
+            None => Ok(asked),
+        }
+    }
+
+    /// Returns why this router takes no request now, if so.
+    fn closed(&self) -> Option<Refusal> {
         if self.stop.is_raised() {
-            return Err(Refusal::not_run(
+            return Some(Refusal::not_run(
                 Reason::Stopping,
                 "this router is stopping",
             ));
         }
         if self.stop.working() > self.limits.requests {
             let message = "this router works on as many requests as its settings allow";
-            return Err(Refusal::not_run(Reason::Overloaded, message));
+            return Some(Refusal::not_run(Reason::Overloaded, message));
         }
-        let Some(document) = self.config.serving() else {
-            return Err(Refusal::not_run(
-                Reason::NotReady,
-                "the configuration in force is not known yet",
-            ));
-        };
-        let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
-        let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
-        Asked::new(req, body, &document, &self.limits)
+        None
     }
 }
 
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -11,10 +11,13 @@
 use crate::prelude::*;
 use crate::run_wire::{Dispatch, RunBill};
 use crate::side::{SideIdentity, clock};
+use crate::stop::Stop;
 
-/// Time for which a bill is left to the router whose run it is, in milliseconds; reporting takes
-/// it a few seconds.
-const HAND_OVER_MS: u64 = 15_000;
+/// Time for which a bill is left to the router whose run it is, in milliseconds.
+///
+/// A router that lives writes it within two seconds. Until another has it too, the deaths of router
+/// and side process lose it, so this is short.
+const HAND_OVER_MS: u64 = 4_000;
 
 /// Bills handed to a router at once.
 const MOST_BILLS: usize = 500;
@@ -50,8 +53,8 @@
 
     /// Registers this incarnation and reads which origins are fenced; waits until the service
     /// answers, because without the list a fenced router's money might be spent again.
-    pub fn register(&self, store: &dyn Store) {
-        loop {
+    pub fn register(&self, store: &dyn Store, stop: &Stop) {
+        while !stop.is_raised() {
             let registered = Registry::new(store)
                 .add_side(&self.side.name, &self.side.incarnation)
                 .and_then(|()| FenceList::read(store));
