--- a/wisteriapass_policy/tests/patterns.rs
+++ b/wisteriapass_policy/tests/patterns.rs
@@ -45,9 +45,10 @@
 #[test]
 fn hot_accounts_and_prefix_take_nothing_from_others() {
     let s = ours(Pattern::Hot);
-    assert!(s.worst_share > 0.85, "{s:?}");
-    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
-    assert!(s.prefix_held > 0.7, "{s:?}");
+    assert!(s.worst_share > 0.9, "{s:?}");
+    assert!(s.goodput > 0.95 * s.bound, "{s:?}");
+    assert!(s.come_back_right > 0.9, "{s:?}");
+    assert!(s.prefix_held > 0.8, "{s:?}");
     beats_baselines(&s, Pattern::Hot);
 }
 
@@ -77,9 +78,9 @@
 #[test]
 fn saturation_loses_little_and_starves_nobody() {
     let s = ours(Pattern::Saturation);
-    assert!(s.goodput > 0.93 * s.bound, "{s:?}");
-    assert!(s.worst_share > 0.8, "{s:?}");
-    assert!(s.come_back_right > 0.75, "{s:?}");
+    assert!(s.goodput > 0.95 * s.bound, "{s:?}");
+    assert!(s.worst_share > 0.9, "{s:?}");
+    assert!(s.come_back_right > 0.9, "{s:?}");
     beats_baselines(&s, Pattern::Saturation);
 }
 
@@ -93,8 +94,10 @@
 #[test]
 fn all_at_once_is_survived() {
     let s = ours(Pattern::All);
-    assert!(s.goodput > 0.9 * s.bound, "{s:?}");
-    assert!(s.worst_share > 0.6, "{s:?}");
+    assert!(s.goodput > 0.95 * s.bound, "{s:?}");
+    // The aims are 0.9 for both; the load page tells why they are missed here.
+    assert!(s.worst_share > 0.75, "{s:?}");
+    assert!(s.come_back_right > 0.75, "{s:?}");
     beats_baselines(&s, Pattern::All);
 }
 
@@ -111,6 +114,35 @@
     assert!(off > 1.5 * with, "{off} and {with}");
 }
 
+#[test]
+fn without_damping_routers_rush_to_the_same_targets() {
+    let with = ours(Pattern::Lagging);
+    let off = without(Pattern::Lagging, "damping");
+    assert!(off.p95_first_token_ms > 1.5 * with.p95_first_token_ms);
+    assert!(off.cut_off > with.cut_off + 50.0, "{off:?}");
+}
+
+#[test]
+fn without_come_back_times_callers_return_in_vain() {
+    let off = without(Pattern::Saturation, "come_back");
+    assert!(off.come_back_right < 0.7, "{off:?}");
+}
+
+#[test]
+fn without_health_a_slow_target_cuts_answers_off() {
+    let with = ours(Pattern::Slow).cut_off;
+    let off = without(Pattern::Slow, "health").cut_off;
+    assert!(off > 1.5 * with, "{off} and {with}");
+}
+
+#[test]
+fn without_affinity_prompts_are_read_again() {
+    let with = ours(Pattern::Saturation);
+    let off = without(Pattern::Saturation, "affinity");
+    assert!(off.prefix_held < 0.5 * with.prefix_held, "{off:?}");
+    assert!(off.goodput < 0.98 * with.goodput, "{off:?}");
+}
+
 #[test]
 fn without_fairness_hot_accounts_starve_others() {
     let with = ours(Pattern::Hot).worst_share;
