--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -23,7 +23,7 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{Money, RouterControlService};
+use crate::router::{Money, RouterControlService, Unsettled};
 use crate::rpc::{
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
