--- a/wisteriapass_bench/tests/money.rs
+++ b/wisteriapass_bench/tests/money.rs
@@ -11,12 +11,17 @@
 const PREPAID: u64 = 100_000;
 
 /// Longest wait for what a dead router held, in seconds.
-const PATIENCE_S: u64 = 60;
+const PATIENCE_S: u64 = 30;
 
 fn start() -> Fleet {
+    start_with(2)
+}
+
+fn start_with(engines: usize) -> Fleet {
     let mut plan = FleetPlan::new(Program::Tool(
         env!("CARGO_BIN_EXE_wisteriapass_bench").into(),
     ));
+    plan.engines = engines;
     plan.services = 0;
     plan.accounts[0].prepaid = PREPAID;
     plan.engine.token = Duration::from_millis(20);
@@ -112,6 +117,31 @@
     assert_eq!(totals(&fleet).spent, spent);
 }
 
+/// Found by seeds 6 and 10 of the faults experiment: the second run took its own bill for that of
+/// the place that had gone, which had the same side process.
+#[test]
+fn a_run_after_one_lost_at_the_same_side_process_is_billed() {
+    let fleet = start_with(1);
+    let router = fleet.router_addrs()[0];
+    let ask_until_answered = || loop {
+        let req = ask(router, 90)
+            .with_header("idempotency-key", "a")
+            .with_timeout(10);
+        match req.send() {
+            Ok(answer) if answer.status_code == 200 => return,
+            _ => std::thread::sleep(Duration::from_millis(500)),
+        }
+    };
+    std::thread::scope(|s| {
+        s.spawn(ask_until_answered);
+        std::thread::sleep(Duration::from_millis(800));
+        let mut side = fleet.daemon("engine-1").unwrap();
+        side.kill();
+        side.start().unwrap();
+    });
+    wait_for("the bill", || bills(&fleet).len() == 1);
+}
+
 #[test]
 fn a_router_paused_past_its_lease_is_fenced_and_serves_on() {
     let fleet = start();
--- a/wisteriapass_daemon/src/router/attempt.rs
+++ b/wisteriapass_daemon/src/router/attempt.rs
@@ -158,10 +158,10 @@
             return Ended::Unknown(unknown, None);
         };
         let (run, attempt) = (dispatch.run.clone(), dispatch.attempt);
-        let answer = self.caller.call(
-            self.control,
-            |c| async move { c.withdraw(run, attempt).await },
-        );
+        let incarnation = dispatch.incarnation.clone();
+        let answer = self.caller.call(self.control, |c| async move {
+            c.withdraw(run, attempt, incarnation).await
+        });
         // Another incarnation cannot know what the one that was sent the dispatch did.
         let proves = |w: &Withdrawal| w.incarnation == dispatch.incarnation;
         match answer {
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -349,6 +349,7 @@
             run: self.run.clone(),
             awaits: Awaits::Bill {
                 attempt: sent.located.attempt,
+                incarnation: sent.located.place.incarnation,
             },
         });
     }
--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -246,10 +246,16 @@
             return Some(false);
         };
         let (id, attempt) = (run.to_string(), Attempt::FIRST.0);
+        let incarnation = place.incarnation.clone();
         let answer = self.caller.call(target.side_control, |c| async move {
-            c.withdraw(id, attempt).await
+            c.withdraw(id, attempt, incarnation).await
         });
-        match answer.ok()?.withdrawn {
+        let answer = answer.ok()?;
+        // The later incarnation may run the very bill that is to be confirmed.
+        if answer.incarnation != place.incarnation {
+            return Some(false);
+        }
+        match answer.withdrawn {
             Withdrawn::NeverRuns => Some(false),
             Withdrawn::Running | Withdrawn::Unknown => Some(true),
             Withdrawn::Ended { bill } => Some(bill.amount > 0),
@@ -292,8 +298,9 @@
             return HeldClaim::Unknown;
         };
         let (id, attempt) = (run.to_string(), held.attempt.0);
+        let incarnation = held.place.incarnation.clone();
         let answer = self.caller.call(target.side_control, |c| async move {
-            c.withdraw(id, attempt).await
+            c.withdraw(id, attempt, incarnation).await
         });
         let Ok(answer) = answer else {
             return HeldClaim::judge(held, None);
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -23,6 +23,8 @@
     Bill {
         /// Attempt that was sent.
         attempt: Attempt,
+        /// Incarnation of the side process it was sent to.
+        incarnation: String,
     },
     /// The claim that makes its bill the only one.
     Confirmation {
@@ -133,7 +135,10 @@
 
     fn judge(&self, open: &OpenReservation) -> Verdict {
         match &open.awaits {
-            Awaits::Bill { attempt } => self.ask(open, *attempt),
+            Awaits::Bill {
+                attempt,
+                incarnation,
+            } => self.ask(open, *attempt, incarnation.clone()),
             Awaits::Confirmation { bill, place, gone } => {
                 let document = self.config.document();
                 match self
@@ -164,12 +169,11 @@
         }
     }
 
-    fn ask(&self, open: &OpenReservation, attempt: Attempt) -> Verdict {
+    fn ask(&self, open: &OpenReservation, attempt: Attempt, incarnation: String) -> Verdict {
         let (run, attempt) = (open.run.to_string(), attempt.0);
-        let answer = self.caller.call(
-            open.control,
-            |c| async move { c.withdraw(run, attempt).await },
-        );
+        let answer = self.caller.call(open.control, |c| async move {
+            c.withdraw(run, attempt, incarnation).await
+        });
         match answer.map(|w| w.withdrawn) {
             Ok(Withdrawn::Ended { bill }) => self.claim(open, bill),
             // A later incarnation says this too: then no bill was made, and none will be.
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -77,8 +77,11 @@
 #[rpc(server, client, namespace = "side")]
 pub trait SideControl {
     /// Makes sure that attempts of a run up to this one never begin, unless one has.
+    ///
+    /// Only the incarnation it was sent to withdraws it; a later one refuses its dispatch anyway and
+    /// may be sent the run anew under the same number.
     #[method(name = "withdraw")]
-    fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal>;
+    fn withdraw(&self, run: String, attempt: u32, incarnation: String) -> RpcResult<Withdrawal>;
 
     /// Claims a run at this home, or tells where it is.
     #[method(name = "claim")]
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 use crate::router::InForce;
-use crate::rpc::{HomeClaim, Looked, Owned, OwnedRun, SideControlServer, Withdrawal};
+use crate::rpc::{HomeClaim, Looked, Owned, OwnedRun, SideControlServer, Withdrawal, Withdrawn};
 use crate::side::index::{kept, own_place};
 use crate::side::{Index, Runs, SideIdentity, SideMoney, homes_in};
 
@@ -38,8 +38,12 @@
 }
 
 impl SideControlServer for SideControlService {
-    fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal> {
-        let withdrawn = self.runs.withdraw(&run, attempt, Instant::now());
+    fn withdraw(&self, run: String, attempt: u32, incarnation: String) -> RpcResult<Withdrawal> {
+        let withdrawn = if incarnation == self.side.incarnation {
+            self.runs.withdraw(&run, attempt, Instant::now())
+        } else {
+            Withdrawn::NeverRuns
+        };
         Ok(Withdrawal {
             incarnation: self.side.incarnation.clone(),
             withdrawn,
