--- a/wisteriapass_daemon/src/router/money/bills.rs
+++ b/wisteriapass_daemon/src/router/money/bills.rs
@@ -4,6 +4,7 @@
 
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
+use wisteriapass_config::Document;
 use wisteriapass_coord::budget::Tokens;
 use wisteriapass_coord::once::{Bill, BillLedger, Place, RunId};
 
@@ -11,6 +12,7 @@
 use crate::router::locate::Locator;
 use crate::rpc::SideControlClient;
 use crate::run_wire::RunBill;
+use crate::side::homes_in;
 
 /// Bills written in one batch, so that a batch stays far below the size of a value.
 const MOST_IN_BATCH: usize = 1_000;
@@ -133,14 +135,9 @@
     }
 
     fn acknowledge(&self, bills: &[Bill]) {
-        let mut by_side = BTreeMap::<&str, Vec<RunId>>::new();
-        for bill in bills {
-            let runs = by_side.entry(&bill.place.side).or_default();
-            runs.push(bill.run.clone());
-        }
         let document = self.peers.document();
-        for (side, runs) in by_side {
-            let Some(target) = document.inventory.target_named(side) else {
+        for (side, runs) in by_keeper(&document, bills) {
+            let Some(target) = document.inventory.target_named(&side) else {
                 continue;
             };
             // Without it the bill is handed over once more, which does no harm.
@@ -155,6 +152,21 @@
     }
 }
 
+/// Returns which side processes keep which bills: their owners, and the homes of their runs.
+fn by_keeper(document: &Document, bills: &[Bill]) -> BTreeMap<String, Vec<RunId>> {
+    let mut by_keeper = BTreeMap::<String, Vec<RunId>>::new();
+    for bill in bills {
+        let mut keepers = homes_in(document, &bill.run);
+        if !keepers.contains(&bill.place.side) {
+            keepers.push(bill.place.side.clone());
+        }
+        for keeper in keepers {
+            by_keeper.entry(keeper).or_default().push(bill.run.clone());
+        }
+    }
+    by_keeper
+}
+
 /// Returns the bill of a run as the service keeps it; none if it cost nothing.
 pub(super) fn to_bill(bill: &RunBill) -> Option<Bill> {
     let payment = bill.payment.as_deref().filter(|_| bill.amount > 0)?;
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -80,6 +80,10 @@
     #[method(name = "withdraw")]
     fn withdraw(&self, run: String, attempt: u32) -> RpcResult<Withdrawal>;
 
+    /// Keeps copies of bills, as a home of their runs, until a router has written them.
+    #[method(name = "keep_bills")]
+    fn keep_bills(&self, bills: Vec<Bill>) -> RpcResult<()>;
+
     /// Claims a run at this home, or tells where it is.
     #[method(name = "claim")]
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
--- a/wisteriapass_daemon/src/side.rs
+++ b/wisteriapass_daemon/src/side.rs
@@ -1,6 +1,7 @@
 //! Side process: runs requests at the target beside it and keeps their answers for attachment.
 
 mod control;
+mod copies;
 mod engine;
 mod engine_wire;
 mod executor;
@@ -19,6 +20,7 @@
 use crate::kernel::Service;
 
 pub use control::SideControlService;
+pub use copies::Copies;
 pub use front::serve;
 pub use index::{Index, homes_in};
 pub use money::SideMoney;
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -46,6 +46,11 @@
         })
     }
 
+    fn keep_bills(&self, bills: Vec<Bill>) -> RpcResult<()> {
+        self.money.keep_copies(bills);
+        Ok(())
+    }
+
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer> {
         Ok(self.index.claim(&claim))
     }
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -19,6 +19,9 @@
 /// and side process lose it, so this is short.
 const HAND_OVER_MS: u64 = 4_000;
 
+/// The same for a copy, which is needed only if router and owner died.
+const COPY_HAND_OVER_MS: u64 = 8_000;
+
 /// Bills handed to a router at once.
 const MOST_BILLS: usize = 500;
 
@@ -30,6 +33,8 @@
     usage: Usage,
     running: HashMap<String, Payment>,
     book: BillBook,
+    /// Bills that the homes of their runs have no copy of yet.
+    uncopied: Vec<Bill>,
 }
 
 /// Money of the runs of one side process.
@@ -108,6 +113,7 @@
             amount: Tokens(bill.amount),
             is_provisional: false,
         };
+        state.uncopied.push(bill.clone());
         state.book.enter(bill, clock().plus(HAND_OVER_MS));
     }
 
@@ -126,6 +132,20 @@
         }
     }
 
+    /// Takes out the bills that no other side process has a copy of.
+    pub fn take_uncopied(&self) -> Vec<Bill> {
+        std::mem::take(&mut self.state.lock().uncopied)
+    }
+
+    /// Keeps copies of other side processes' bills.
+    pub fn keep_copies(&self, bills: Vec<Bill>) {
+        let hand_over_at = clock().plus(COPY_HAND_OVER_MS);
+        let mut state = self.state.lock();
+        for bill in bills {
+            state.book.enter(bill, hand_over_at);
+        }
+    }
+
     /// Returns bills that their own routers have not acknowledged in time.
     pub fn open_bills(&self) -> Vec<Bill> {
         self.state.lock().book.to_hand_over(clock(), MOST_BILLS)
