Keep promises before anything else of the account

In all, two thirds of the promises that were not kept were of the small account that sends 37% of the load: its standard work came after other accounts' saved shares. Promises are bounded by promise_share, so they may as well go first.

--- a/wisteriapass_policy/src/config.rs
+++ b/wisteriapass_policy/src/config.rs
@@ -106,7 +106,7 @@
             queue_limit_s: 20.0,
             interactive_lead_s: 8.0,
             standard_lead_s: 5.0,
-            returned_lead_s: 16.0,
+            returned_lead_s: 60.0,
             saved_share_s: 30.0,
             ageing: 0.1,
             reserve_memory_s: 10.0,
