--- a/wisteriapass_policy/src/scheduler.rs
+++ b/wisteriapass_policy/src/scheduler.rs
@@ -45,6 +45,8 @@
     hints: CacheHints,
     alarms: Alarms,
     ready: Vec<Decided>,
+    /// Waiting requests whose account was removed.
+    orphans: Vec<Ticket>,
     tries: TryBudget,
     /// Events so far that may have made room at a target.
     changes: u64,
@@ -67,6 +69,7 @@
             hints: CacheHints::default(),
             alarms: Alarms::new(),
             ready: Vec::new(),
+            orphans: Vec::new(),
             tries: TryBudget::new(cfg.try_share, cfg.try_burst),
             changes: 0,
             routers: 1.0,
@@ -199,10 +202,8 @@
         }
         let waits = |j: &Job| j.facts.account == key && j.runs.is_empty();
         let orphans = self.jobs.iter().filter(|(_, j)| waits(j));
-        let orphans: Vec<Ticket> = orphans.map(|(ticket, _)| ticket).collect();
-        for ticket in orphans {
-            self.give_up(Time::default(), ticket, crate::Refusal::UnknownAccount);
-        }
+        let orphans = orphans.map(|(ticket, _)| ticket);
+        self.orphans.extend(orphans);
         for pool in self.pools.values_mut() {
             pool.lanes.remove(key);
         }
--- a/wisteriapass_policy/src/scheduler/poll.rs
+++ b/wisteriapass_policy/src/scheduler/poll.rs
@@ -10,9 +10,13 @@
 use crate::keys::PoolKey;
 use crate::{Decided, Decision, Priority, Refusal, TargetKey, Ticket, Time};
 
+/// When to ask again after the account was removed, in seconds; long enough for a new edit.
+const NO_ACCOUNT_RETRY_S: f64 = 10.0;
+
 impl Scheduler {
     /// Returns the decisions that are due.
     pub fn poll(&mut self, now: Time) -> SmallVec<[Decided; 8]> {
+        self.refuse_orphans(now);
         self.find_silent(now);
         while let Some(&Reverse(alarm)) = self.alarms.peek() {
             if alarm.at > now {
@@ -33,7 +37,7 @@
     pub fn next_wake(&self, now: Time) -> Option<Time> {
         let alarm = self.alarms.peek().map(|Reverse(a)| a.at);
         let silent = self.targets.values().filter_map(|t| t.silent_at(&self.cfg));
-        let pending = if self.ready.is_empty() {
+        let pending = if self.ready.is_empty() && self.orphans.is_empty() {
             None
         } else {
             Some(now)
@@ -67,6 +71,20 @@
         self.ready.push(Decided { ticket, decision });
     }
 
+    /// Refuses the waiting requests of removed accounts.
+    fn refuse_orphans(&mut self, now: Time) {
+        for ticket in self.orphans.drain(..) {
+            if self.jobs.remove(ticket).is_none() {
+                continue;
+            }
+            let decision = Decision::Refuse {
+                reason: Refusal::UnknownAccount,
+                come_back: now.plus_secs(NO_ACCOUNT_RETRY_S),
+            };
+            self.ready.push(Decided { ticket, decision });
+        }
+    }
+
     /// Acts on one alarm.
     fn ring(&mut self, now: Time, alarm: Alarm) {
         let Some(job) = self.jobs.get(alarm.ticket) else {
--- a/wisteriapass_policy/tests/decisions.rs
+++ b/wisteriapass_policy/tests/decisions.rs
@@ -308,3 +308,24 @@
     facts.priority = Priority::Batch;
     assert_eq!(reason(s.offer(now, facts).1), Refusal::Shed);
 }
+
+#[test]
+fn waiting_requests_of_a_removed_account_are_refused_with_a_later_time() {
+    let now = Time::from_secs(1);
+    let mut s = scheduler(PolicyConfig::default(), 1);
+    let facts = request(&s, true);
+    let offers: Vec<_> = (0..10).map(|_| s.offer(now, facts)).collect();
+    let waits = |d: &Decision| matches!(d, Decision::Wait { .. });
+    let waiting = offers.iter().filter(|(_, d)| waits(d)).count();
+    assert!(waiting > 0, "{offers:?}");
+    s.set_accounts(&[]);
+    let decided = s.poll(now);
+    assert_eq!(decided.len(), waiting, "{decided:?}");
+    for d in decided {
+        let Decision::Refuse { reason, come_back } = d.decision else {
+            panic!("not refused: {d:?}");
+        };
+        assert_eq!(reason, Refusal::UnknownAccount);
+        assert!(come_back > now);
+    }
+}
