--- a/wisteriapass_policy/src/lane.rs
+++ b/wisteriapass_policy/src/lane.rs
@@ -6,7 +6,7 @@
 use crate::{Priority, Time};
 
 /// Requests of each class that are looked at for one with a given home.
-const LOOK_AHEAD: usize = 8;
+const LOOK_AHEAD: usize = 4;
 
 /// One account's part of the queue.
 #[derive(Debug, Default)]
