--- a/wisteriapass_daemon/src/fleet/follow.rs
+++ b/wisteriapass_daemon/src/fleet/follow.rs
@@ -21,8 +21,9 @@
 /// its partners, at 2,500 processes some 40 calls a second.
 const READ_S: u64 = 60;
 
-/// Time between two looks at the VM list, in milliseconds.
-const VM_LIST_MS: u64 = 1_000;
+/// Time between two looks at the VM list, in milliseconds; the word has to be everywhere 3 s after
+/// the list has it. Only routers that watch look.
+const VM_LIST_MS: u64 = 500;
 
 /// Longest wait for the VM list, in seconds.
 const VM_LIST_TIMEOUT_S: u64 = 2;
