--- a/wisteriapass_daemon/src/router/money/bills.rs
+++ b/wisteriapass_daemon/src/router/money/bills.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use parking_lot::Mutex;
-use rand::seq::IndexedRandom;
 use wisteriapass_config::Document;
 use wisteriapass_coord::budget::Tokens;
 use wisteriapass_coord::once::{Bill, BillLedger, Place, RunId};
@@ -31,6 +30,8 @@
     foreign: BTreeMap<RunId, Bill>,
     sent: Option<Batch>,
     next: u64,
+    /// Side process to be asked next for bills.
+    turn: Option<usize>,
 }
 
 /// Bills of this router's runs, and of others' that died, until the service has them.
@@ -54,6 +55,14 @@
         }
     }
 
+    /// Returns whose turn it is to be asked for bills, from a random beginning.
+    fn next_turn(&self) -> usize {
+        let mut state = self.state.lock();
+        let turn = state.turn.unwrap_or_else(|| rand::random::<u16>().into());
+        state.turn = Some(turn + 1);
+        turn
+    }
+
     fn foreign(&self) -> Vec<Bill> {
         self.state.lock().foreign.values().cloned().collect()
     }
@@ -99,10 +108,12 @@
         }
     }
 
-    /// Takes bills over from one side process whose routers have died.
+    /// Takes bills over from one side process whose routers have died, each in its turn.
     pub(super) fn take_over_bills(&self) {
         let document = self.peers.document();
-        let Some(target) = document.inventory.target.choose(&mut rand::rng()) else {
+        let targets = &document.inventory.target;
+        let turn = self.bills.next_turn();
+        let Some(target) = turn.checked_rem(targets.len()).map(|i| &targets[i]) else {
             return;
         };
         let open = self
