Side process: plain services are called by ureq, which sees a cut body

Cause: minreq ends a body that was cut (chunked, or short of its content-length) as if it were whole, so a caller got part of a service's answer as the whole of it. Ruled out: the router. tests/path.rs (a_service_answer_that_is_cut) failed with minreq and passes with ureq, minreq's nearest kin; chats stay with minreq, as their last event says that they are whole. A cut answer now ends with a chunk whose size cannot be read, because tiny_http keeps the connection open. A service's own x-request-id is no longer sent beside the router's.

--- a/wisteriapass_bench/tests/path.rs
+++ b/wisteriapass_bench/tests/path.rs
@@ -1,6 +1,7 @@
 //! The whole path through separate processes: caller, router, side process, target and back.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -309,3 +310,28 @@
     let (status, got) = ask(routers[1]);
     assert_eq!(status, 200, "{got}");
 }
+
+#[test]
+fn a_service_answer_that_is_cut_is_not_passed_on_as_whole() {
+    let fleet = start(plan());
+    let router = fleet.router_addrs()[0];
+    let service = fleet.services().values().next().unwrap();
+    // Bytes of the caller's answer, to see whether it ends as a whole one does.
+    let read = || {
+        let mut stream = TcpStream::connect(router).unwrap();
+        let head = "GET /services/records/lots/7 HTTP/1.1\r\nhost: records\r\n";
+        let rest = format!("authorization: {KEY}\r\nconnection: close\r\n\r\n");
+        stream.write_all((head.to_owned() + &rest).as_bytes()).unwrap();
+        let mut got = Vec::new();
+        let _ = stream.read_to_end(&mut got);
+        String::from_utf8(got).unwrap()
+    };
+    let whole = read();
+    assert!(whole.ends_with("0\r\n\r\n"), "{whole}");
+    service.set_faults(TargetFaults {
+        cuts: 1,
+        ..TargetFaults::default()
+    });
+    let cut = read();
+    assert!(!cut.ends_with("0\r\n\r\n"), "{cut}");
+}
--- a/wisteriapass_daemon/src/http/stream_writer.rs
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -114,7 +114,21 @@
         self.out.flush()
     }
 
-    /// Ends the answer; without it the caller sees that it was cut.
+    /// Ends the answer so that the caller sees it was cut.
+    ///
+    /// tiny_http keeps the connection open, so that a caller would wait for the next chunk; one
+    /// whose size cannot be read ends the wait.
+    pub fn cut(mut self) {
+        if self.framing == Framing::Chunked {
+            // A caller that went away needs no sign.
+            let _ = self
+                .out
+                .write_all(b"cut\r\n\r\n")
+                .and_then(|()| self.out.flush());
+        }
+    }
+
+    /// Ends the answer; it is whole.
     ///
     /// # Errors
     ///
--- a/wisteriapass_daemon/src/router/answer.rs
+++ b/wisteriapass_daemon/src/router/answer.rs
@@ -10,6 +10,9 @@
 use crate::router::openai::{Answer as Body, AnswerChoice, AnswerText, AnswerUsage, finish_reason};
 use crate::run_wire::{Blob, Finish, HeaderLine, RunBill, RunRequest};
 
+/// Header that names a request.
+const ID_HEADER: &str = "x-request-id";
+
 /// Object name of a streamed chunk.
 const CHUNK: &str = "chat.completion.chunk";
 
@@ -150,11 +153,11 @@
         match std::mem::replace(&mut self.state, State::Done) {
             State::Waiting(req) => refuse(req, refusal),
             State::Streaming(mut out) => {
-                // A plain service's answer is left without its end, so that the cut shows.
-                if self.model.is_some() {
-                    let event = format!("data: {}\n\n", refusal.body());
-                    let _ = out.send(event.as_bytes()).and_then(|()| out.finish());
+                if self.model.is_none() {
+                    return out.cut();
                 }
+                let event = format!("data: {}\n\n", refusal.body());
+                let _ = out.send(event.as_bytes()).and_then(|()| out.finish());
             }
             State::Done => {}
         }
@@ -223,8 +226,14 @@
             return Ok(());
         }
         if let State::Waiting(req) = std::mem::replace(&mut self.state, State::Done) {
-            let mut all = vec![("x-request-id", self.id.as_str())];
-            all.extend_from_slice(headers);
+            let mut all = headers.to_vec();
+            // A plain service may name the request itself.
+            if !all
+                .iter()
+                .any(|(name, _)| name.eq_ignore_ascii_case(ID_HEADER))
+            {
+                all.push((ID_HEADER, self.id.as_str()));
+            }
             self.state = State::Streaming(StreamWriter::new(req, status, &all)?);
         }
         Ok(())
--- a/wisteriapass_daemon/src/router/follower.rs
+++ b/wisteriapass_daemon/src/router/follower.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::http::{Frame, LineStream, StreamError};
+use crate::http::{Frame, Frames, StreamError, lines};
 use crate::metrics::{Dropped, Retry};
 use crate::prelude::*;
 use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
@@ -34,7 +34,7 @@
     run: &'a str,
     fingerprint: &'a str,
     metrics: &'a Metrics,
-    stream: LineStream,
+    stream: Frames,
     received: u64,
     attached: bool,
     tries: u32,
@@ -43,7 +43,7 @@
 impl<'a> Follower<'a> {
     /// Sends a dispatch and follows its run.
     pub fn new(side: SocketAddr, dispatch: &'a Dispatch, metrics: &'a Metrics) -> Self {
-        let stream = LineStream::lines(post(side, RUN_PATH, dispatch));
+        let stream = lines(post(side, RUN_PATH, dispatch));
         Self {
             side,
             run: &dispatch.run,
@@ -73,7 +73,7 @@
             run,
             fingerprint,
             metrics,
-            stream: LineStream::lines(post(side, ATTACH_PATH, &attach)),
+            stream: lines(post(side, ATTACH_PATH, &attach)),
             received: 0,
             attached: false,
             tries: 0,
@@ -150,7 +150,7 @@
             fingerprint: self.fingerprint.into(),
             from: self.received,
         };
-        self.stream = LineStream::lines(post(self.side, ATTACH_PATH, &attach));
+        self.stream = lines(post(self.side, ATTACH_PATH, &attach));
         Ok(())
     }
 }
--- a/wisteriapass_daemon/src/side/engine.rs
+++ b/wisteriapass_daemon/src/side/engine.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::http::{Frame, LineStream, StreamError};
+use crate::http::{Frame, StreamError, lines};
 use crate::metrics::{Dropped, Retry};
 use crate::prelude::*;
 use crate::run_wire::{ChatRun, Finish, RunEvent};
@@ -138,7 +138,7 @@
     }
 
     fn exchange(&mut self, req: minreq::Request) -> Exchange {
-        let stream = LineStream::lines(req);
+        let stream = lines(req);
         self.foreign = false;
         let mut give_up_at = Instant::now() + Duration::from_secs(FIRST_TOKEN_S);
         loop {
--- a/wisteriapass_daemon/src/side/service.rs
+++ b/wisteriapass_daemon/src/side/service.rs
@@ -1,6 +1,6 @@
 //! Running one call of a plain service.
 
-use crate::http::{Frame, LineStream, StreamError};
+use crate::http::{Frame, PieceRequest, StreamError, pieces};
 use crate::prelude::*;
 use crate::run_wire::{Blob, CallRun, Finish, HeaderLine, RunEvent};
 use crate::side::{Run, SideIdentity};
@@ -28,7 +28,7 @@
 
 /// Executes a call and ends the run; it is sent at most once.
 pub fn execute(run: &Arc<Run>, call: &CallRun, side: &SideIdentity) {
-    let stream = LineStream::pieces(request(run, call, side));
+    let stream = pieces(request(run, call, side));
     let mut sent = false;
     loop {
         let deadline = Instant::now() + Duration::from_secs(GAP_S);
@@ -63,15 +63,16 @@
     });
 }
 
-fn request(run: &Run, call: &CallRun, side: &SideIdentity) -> minreq::Request {
-    let method = minreq::Method::Custom(call.method.clone());
-    let mut req = minreq::Request::new(method, format!("http://{}{}", side.target, call.path))
-        .with_header("x-request-id", &run.dispatch().run)
-        .with_body(call.body.0.clone());
-    for h in call.headers.iter().filter(|h| is_end_to_end(&h.name)) {
-        req = req.with_header(&h.name, &h.value);
+fn request(run: &Run, call: &CallRun, side: &SideIdentity) -> PieceRequest {
+    let own = ("x-request-id".to_owned(), run.dispatch().run.clone());
+    let passed = call.headers.iter().filter(|h| is_end_to_end(&h.name));
+    let passed = passed.map(|h| (h.name.clone(), h.value.clone()));
+    PieceRequest {
+        method: call.method.clone(),
+        url: format!("http://{}{}", side.target, call.path),
+        headers: std::iter::once(own).chain(passed).collect(),
+        body: call.body.0.clone(),
     }
-    req
 }
 
 fn pass_through(headers: Vec<(String, String)>) -> Vec<HeaderLine> {
