Router: a run lost sight of is paid once, also when its side process was replaced

Cause (tests/bills.rs, a_run_that_was_lost_sight_of): a side process that was replaced was taken to mean that no bill was made, although a home or another router may have it: both reservations were given back, and the bill stood in the service without being spent from the budget. Ruled out: the claim, which named the right run. The router now asks the homes for that place's copy, then the bills in the service. Also: an answer of which nothing was passed on may be retried after its first token (it was refused as outcome unknown), and a request without a key that was lost sight of is not run again, because its two bills could not be told apart.

--- a/wisteriapass_bench/tests/bills.rs
+++ b/wisteriapass_bench/tests/bills.rs
@@ -36,7 +36,33 @@
     .send()
     .unwrap();
     let got: Value = serde_json::from_slice(answer.as_bytes()).unwrap();
-    got["usage"]["billed_tokens"].as_u64().unwrap()
+    let billed = got["usage"]["billed_tokens"].as_u64();
+    billed.unwrap_or_else(|| panic!("{got}"))
+}
+
+/// Returns the engine that ran a keyed request, if one did.
+fn engine_of(fleet: &Fleet, key: &str) -> Option<String> {
+    let ran = |e: &String| {
+        let runs = fleet.engines()[e].ran();
+        runs.iter().any(|r| r.request_id.ends_with(key))
+    };
+    fleet.side_names().into_iter().find(ran)
+}
+
+fn spent(fleet: &Fleet) -> u64 {
+    fleet.totals().unwrap().iter().map(|t| t.spent.0).sum()
+}
+
+/// Waits until a condition holds; returns whether it did.
+fn within(seconds: u64, holds: impl Fn() -> bool) -> bool {
+    let give_up_at = Instant::now() + Duration::from_secs(seconds);
+    while !holds() {
+        if Instant::now() >= give_up_at {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    true
 }
 
 fn billed(fleet: &Fleet, key: &str) -> Option<u64> {
@@ -56,17 +82,34 @@
     });
     let amount = ask(&fleet, "second");
     std::thread::sleep(Duration::from_millis(500));
-    let ran = |e: &str| {
-        let runs = fleet.engines()[e].ran();
-        runs.iter().any(|r| r.request_id.ends_with("second"))
-    };
-    let side = fleet.side_names().into_iter().find(|s| ran(s)).unwrap();
+    let side = engine_of(&fleet, "second").unwrap();
     fleet.daemon("router-1").unwrap().kill();
     fleet.daemon(&side).unwrap().kill();
     fleet.platform().set_faults(PlatformFaults::default());
-    let give_up_at = Instant::now() + Duration::from_secs(40);
-    while billed(&fleet, "second").is_none() && Instant::now() < give_up_at {
-        std::thread::sleep(Duration::from_millis(200));
-    }
+    within(60, || billed(&fleet, "second").is_some());
     assert_eq!(billed(&fleet, "second"), Some(amount));
 }
+
+#[test]
+fn a_run_that_was_lost_sight_of_and_run_again_is_paid_once() {
+    let mut plan = plan();
+    plan.engine.token = Duration::from_millis(50);
+    let fleet = Fleet::start(plan).unwrap();
+    let amount = std::thread::scope(|s| {
+        let asked = s.spawn(|| ask(&fleet, "lost"));
+        assert!(within(10, || engine_of(&fleet, "lost").is_some()));
+        let first = engine_of(&fleet, "lost").unwrap();
+        fleet.network().cut("router-1", &first);
+        let amount = asked.join().unwrap();
+        // The first run ended long ago; its maker forgets it, and only copies of its bill are left.
+        let mut side = fleet.daemon(&first).unwrap();
+        side.kill();
+        side.start().unwrap();
+        drop(side);
+        amount
+    });
+    fleet.network().heal_all();
+    assert!(within(60, || spent(&fleet) > 0));
+    std::thread::sleep(Duration::from_secs(6));
+    assert_eq!(spent(&fleet), amount);
+}
--- a/wisteriapass_coord/src/once/bill_book.rs
+++ b/wisteriapass_coord/src/once/bill_book.rs
@@ -33,6 +33,11 @@
         self.open.entry(run).or_insert(open);
     }
 
+    /// Returns the bill of a run, if it is open here.
+    pub fn find(&self, run: &RunId) -> Option<&Bill> {
+        self.open.get(run).map(|o| &o.bill)
+    }
+
     /// Strikes bills that are in the service now.
     pub fn acknowledge<'a>(&mut self, runs: impl IntoIterator<Item = &'a RunId>) {
         for run in runs {
--- a/wisteriapass_coord/src/once/bill_ledger.rs
+++ b/wisteriapass_coord/src/once/bill_ledger.rs
@@ -51,6 +51,15 @@
         Ok(all)
     }
 
+    /// Finds the bill of one run; reads all batches, so it is for rare cases.
+    ///
+    /// # Errors
+    ///
+    /// [`OnceError`] if the service gave no answer or a batch can't be read.
+    pub fn find(&self, run: &RunId) -> Result<Option<Bill>> {
+        Ok(self.read()?.remove(run))
+    }
+
     /// Reads all bills, each run once.
     ///
     /// # Errors
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -167,7 +167,10 @@
             match self.attempt(attempt, &mut turn, answer) {
                 Ok(Step::Done) => return Ok(()),
                 Ok(Step::Again(refusal, kind)) => {
-                    turn.failed(kind);
+                    // A part that came here and was not passed on does not count.
+                    if turn.failed(kind) {
+                        turn = self.pipeline.offer(self.asked)?;
+                    }
                     last = Some(refusal);
                 }
                 // What an earlier attempt said tells more than that there is no further one.
@@ -299,11 +302,11 @@
             Ended::NoSuchRun => {
                 let refusal = Refusal::outcome_unknown("the side process was replaced");
                 self.settle_unknown(sent, None);
-                self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
+                self.again_if_keyed(refusal, answer)
             }
             Ended::Unknown(refusal, bill) => {
                 self.settle_unknown(sent, bill);
-                self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
+                self.again_if_keyed(refusal, answer)
             }
         }
     }
@@ -318,6 +321,7 @@
         }
         self.pipeline.unsettled.keep(OpenReservation {
             reservation,
+            side: sent.located.place.side.clone(),
             control: sent.control,
             run: self.run.clone(),
             awaits: Awaits::Confirmation {
@@ -345,6 +349,7 @@
         };
         self.pipeline.unsettled.keep(OpenReservation {
             reservation,
+            side: sent.located.place.side.clone(),
             control: sent.control,
             run: self.run.clone(),
             awaits: Awaits::Bill {
@@ -354,6 +359,15 @@
         });
     }
 
+    /// Allows another attempt of a run that was lost sight of, if it has a key: without one its two
+    /// bills could not be told apart.
+    fn again_if_keyed(&self, refusal: Refusal, answer: &mut Answer) -> Result<Step, Refusal> {
+        if self.asked.key.is_none() {
+            return Err(refusal);
+        }
+        self.again(refusal, FailureKind::ConnectionLost, Retry::Broken, answer)
+    }
+
     /// Allows another attempt of what may have run, if it is idempotent and the caller has no part.
     fn again(
         &self,
--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -5,9 +5,10 @@
 
 use wisteriapass_config::Document;
 use wisteriapass_coord::Millis;
+use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::once::{
-    Attempt, Claim, ClaimOp, Claimed, Claims, Found, HeldClaim, HolderSays, HomeAnswer, Place,
-    RunId,
+    Attempt, Bill, BillLedger, Claim, ClaimOp, Claimed, Claims, Found, HeldClaim, HolderSays,
+    HomeAnswer, Place, RunId,
 };
 use wisteriapass_coord::store::{Revision, Store};
 
@@ -237,6 +238,47 @@
         }
     }
 
+    /// Returns the copy of a place's bill that the run's homes keep, if they do; none while a home
+    /// does not answer and no other has it.
+    pub fn bill_copy(
+        &self,
+        document: &Document,
+        run: &RunId,
+        place: &Place,
+    ) -> Option<Option<Bill>> {
+        let mut all_answered = true;
+        for home in homes_in(document, run) {
+            let Some(target) = document.inventory.target_named(&home) else {
+                continue;
+            };
+            let id = run.clone();
+            let answer = self
+                .caller
+                .call(target.side_control, |c| async move { c.bill(id).await });
+            match answer {
+                Ok(Some(bill)) if bill.place == *place => return Some(Some(bill)),
+                Ok(_) => {}
+                Err(_) => all_answered = false,
+            }
+        }
+        all_answered.then_some(None)
+    }
+
+    /// Returns the bill that another router wrote for a run, if one did; none while the service
+    /// gives no answer, or somebody has claimed it and not written it yet.
+    pub fn written_bill(&self, run: &RunId, place: &Place) -> Option<Option<Bill>> {
+        let ledger = BillLedger::new(self.store.as_ref(), Origin(0));
+        if let Some(bill) = ledger.find(run).ok()? {
+            return Some(Some(bill).filter(|b| b.place == *place));
+        }
+        if !run.is_keyed() {
+            return Some(None);
+        }
+        let claim = Claims::new(self.store.as_ref()).read(run).ok()?;
+        let is_claimed = claim.is_some_and(|c| c.place == *place);
+        (!is_claimed).then_some(None)
+    }
+
     /// Returns whether a run is or was at a place; none if its side process does not answer.
     ///
     /// A later incarnation knows nothing of it, and neither did anybody settle its bill as firm:
--- a/wisteriapass_daemon/src/router/turn.rs
+++ b/wisteriapass_daemon/src/router/turn.rs
@@ -96,14 +96,18 @@
     }
 
     /// Tells that the run failed; [`Turn::wait`] then tells what becomes of the request.
-    pub fn failed(&mut self, kind: FailureKind) {
+    ///
+    /// Returns whether the scheduler gave the request up because a part of its answer came.
+    pub fn failed(&mut self, kind: FailureKind) -> bool {
         let Some(target) = self.running.take() else {
-            return;
+            return false;
         };
         let next = self
             .scheduling
             .with(|s, now| s.failed(now, self.ticket, target, kind));
         self.next = Some(next);
+        let given_up = PolicyRefusal::NotRetryable;
+        matches!(next, Decision::Refuse { reason, .. } if reason == given_up)
     }
 
     fn decision(&mut self, stop: &Stop) -> Result<Decision, Refusal> {
--- a/wisteriapass_daemon/src/router/unsettled.rs
+++ b/wisteriapass_daemon/src/router/unsettled.rs
@@ -42,7 +42,9 @@
 pub struct OpenReservation {
     /// Money reserved.
     pub reservation: Reservation,
-    /// Where the side process takes control calls.
+    /// Name of the side process.
+    pub side: String,
+    /// Where it takes control calls.
     pub control: SocketAddr,
     /// Identity of the run.
     pub run: RunId,
@@ -126,8 +128,15 @@
         let open = std::mem::take(&mut *self.open.lock());
         for reservation in open {
             match self.judge(&reservation) {
-                Verdict::Bill(bill) => self.money.settle(reservation.reservation, &bill),
-                Verdict::Free => self.money.release(reservation.reservation),
+                Verdict::Bill(bill) => {
+                    let amount = bill.amount;
+                    log::info!(target: "money", "Settled late. run={} tokens={amount}", bill.run);
+                    self.money.settle(reservation.reservation, &bill);
+                }
+                Verdict::Free => {
+                    log::info!(target: "money", "Cost nothing. run={}", reservation.run);
+                    self.money.release(reservation.reservation);
+                }
                 Verdict::Wait => self.open.lock().push(reservation),
             }
         }
@@ -171,14 +180,36 @@
 
     fn ask(&self, open: &OpenReservation, attempt: Attempt, incarnation: String) -> Verdict {
         let (run, attempt) = (open.run.to_string(), attempt.0);
+        let sent_to = incarnation.clone();
         let answer = self.caller.call(open.control, |c| async move {
             c.withdraw(run, attempt, incarnation).await
         });
-        match answer.map(|w| w.withdrawn) {
-            Ok(Withdrawn::Ended { bill }) => self.claim(open, bill),
-            // A later incarnation says this too: then no bill was made, and none will be.
-            Ok(Withdrawn::NeverRuns | Withdrawn::Unknown) => Verdict::Free,
-            Ok(Withdrawn::Running) | Err(_) => Verdict::Wait,
+        let Ok(answer) = answer else {
+            return Verdict::Wait;
+        };
+        match answer.withdrawn {
+            Withdrawn::Ended { bill } => self.claim(open, bill),
+            Withdrawn::Running => Verdict::Wait,
+            Withdrawn::NeverRuns if answer.incarnation != sent_to => self.ask_homes(open, &sent_to),
+            Withdrawn::NeverRuns | Withdrawn::Unknown => Verdict::Free,
+        }
+    }
+
+    /// Asks for the copy of a bill whose side process was replaced, then for the bill that another
+    /// router wrote; without either no bill was made, or it died with its maker.
+    fn ask_homes(&self, open: &OpenReservation, sent_to: &str) -> Verdict {
+        let document = self.config.document();
+        let place = Place::new(&open.side, sent_to);
+        match self.locator.bill_copy(&document, &open.run, &place) {
+            Some(Some(bill)) => return self.claim(open, RunBill::from_copy(bill)),
+            Some(None) => {}
+            None => return Verdict::Wait,
+        }
+        // Copies go only after the bill is written, so this order misses none.
+        match self.locator.written_bill(&open.run, &place) {
+            Some(Some(bill)) => Verdict::Bill(RunBill::from_copy(bill)),
+            Some(None) => Verdict::Free,
+            None => Verdict::Wait,
         }
     }
 }
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -87,6 +87,10 @@
     #[method(name = "keep_bills")]
     fn keep_bills(&self, bills: Vec<Bill>) -> RpcResult<()>;
 
+    /// Returns the bill of a run, or the copy kept here as a home of the run.
+    #[method(name = "bill")]
+    fn bill(&self, run: RunId) -> RpcResult<Option<Bill>>;
+
     /// Claims a run at this home, or tells where it is.
     #[method(name = "claim")]
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -8,6 +8,7 @@
 use derive_more::{Deref, From};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use wisteriapass_coord::budget::Payment;
+use wisteriapass_coord::once::Bill;
 
 use crate::api::Refusal;
 
@@ -142,6 +143,19 @@
 }
 
 impl RunBill {
+    /// Creates a bill from the copy that a home kept; it does not tell prompt from output.
+    pub fn from_copy(bill: Bill) -> Self {
+        Self {
+            run: bill.run.to_string(),
+            ran_at: bill.place.to_string(),
+            account: bill.account,
+            payment: Some(Box::new(bill.payment)),
+            amount: bill.amount.0,
+            prompt_tokens: 0,
+            output_tokens: bill.amount.0,
+        }
+    }
+
     /// Returns whether a reservation pays this bill: only that of the order that began the run.
     pub fn is_paid_by(&self, reserved: &Payment) -> bool {
         self.payment.as_ref().is_some_and(|p| p.id == reserved.id)
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -55,6 +55,10 @@
         Ok(())
     }
 
+    fn bill(&self, run: RunId) -> RpcResult<Option<Bill>> {
+        Ok(self.money.bill(&run))
+    }
+
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer> {
         Ok(self.index.claim(&claim))
     }
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns the bill of a run, or the copy of it, that is open here.
+    pub fn bill(&self, run: &RunId) -> Option<Bill> {
+        self.state.lock().book.find(run).cloned()
+    }
+
     /// Returns bills that their own routers have not acknowledged in time.
     pub fn open_bills(&self) -> Vec<Bill> {
         self.state.lock().book.to_hand_over(clock(), MOST_BILLS)
