Router: the prefix hash covers model and adapter

Cause: `prefix_hash` hashed the text alone, so that conversations with one beginning and different models or adapters counted as sharing a prefix and were drawn to one engine, which holds nothing for the other model. Before: the hash took the messages only, so two models with one text had one hash by construction. Ruled out: the account in the hash, since engines share prefixes between accounts.

--- a/wisteriapass_daemon/src/router.rs
+++ b/wisteriapass_daemon/src/router.rs
@@ -22,6 +22,7 @@
 pub use incarnations::Incarnations;
 pub use locate::Locator;
 pub use money::{Money, Peers};
+pub use offers::prefix_hash;
 pub use scheduling::Scheduling;
 pub use unsettled::Unsettled;
 
--- a/wisteriapass_daemon/src/router/offers.rs
+++ b/wisteriapass_daemon/src/router/offers.rs
@@ -1,9 +1,14 @@
 //! What a request needs, and which targets offer it.
 
+use std::hash::{Hash, Hasher};
+
 use twox_hash::XxHash64;
 use wisteriapass_config::Target;
 
-use crate::run_wire::{ChatMessage, RunRequest};
+use crate::run_wire::{ChatRun, RunRequest};
+
+/// Field of a chat that names an adapter of the model.
+const ADAPTER: &str = "adapter";
 
 /// Bytes of a prompt's beginning that count as its shared prefix.
 const PREFIX_BYTES: usize = 1_024;
@@ -26,12 +31,21 @@
 }
 
 /// Returns a hash of a conversation's beginning, by which engines that hold it are preferred.
-pub fn prefix_hash(messages: &[ChatMessage]) -> Option<u64> {
-    let first = messages.first()?.content.as_bytes();
+///
+/// Model and adapter are part of it: what one of them computed from a text is of no use to another.
+/// A beginning of fewer than 1,024 bytes is not worth holding and has none.
+pub fn prefix_hash(chat: &ChatRun) -> Option<u64> {
+    let first = chat.messages.first()?.content.as_bytes();
     if first.len() < PREFIX_BYTES {
         return None;
     }
-    Some(XxHash64::oneshot(0, &first[..PREFIX_BYTES]))
+    let adapter = chat.other.0.get(ADAPTER).and_then(|a| a.as_str());
+    let mut hasher = XxHash64::with_seed(0);
+    // Both end in a byte that no text has, so that they cannot run into each other.
+    chat.model.hash(&mut hasher);
+    adapter.unwrap_or_default().hash(&mut hasher);
+    hasher.write(&first[..PREFIX_BYTES]);
+    Some(hasher.finish())
 }
 
 /// Returns the tokens of a shared prefix, roughly.
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -160,7 +160,7 @@
         let (prefix, prompt_tokens, max_tokens) = match &asked.request {
             RunRequest::Chat(chat) => {
                 let prompt = asked.worst.0.saturating_sub(chat.max_tokens.into());
-                (prefix_hash(&chat.messages), prompt, chat.max_tokens)
+                (prefix_hash(chat), prompt, chat.max_tokens)
             }
             RunRequest::Call(_) => (None, 0, 0),
         };
