Settings: the table [policy] holds the thresholds of a router's decisions

Before: a settings file with [policy] was refused as an unknown field. After: wisteriapass_config depends on wisteriapass_policy for `PolicyConfig`; the table may be left out, an unknown key, a wrong type and a number out of range are named with path and line (test thresholds_of_the_policy_are_named_with_their_path). Second copies stay off whatever is given. Ruled out: an untyped table, whose mistakes would show in the daemon only and without a line. Tests: the_settings_examples_show_every_key_with_a_comment asks for uncommented keys, and thresholds are to stand commented out in the router's example; it leaves them to a new test, which reads them as if uncommented and asks for every key, its comment and its default. Not checked: whether thresholds make sense together, but for report_fresh_s and report_stale_s.

--- a/wisteriapass_config/src/check.rs
+++ b/wisteriapass_config/src/check.rs
@@ -2,6 +2,7 @@
 
 mod inventory;
 mod parse;
+mod policy;
 mod rules;
 mod settings;
 
@@ -15,6 +16,7 @@
 
 pub(crate) use inventory::check_inventory;
 pub(crate) use parse::parse;
+use policy::check_policy;
 pub(crate) use rules::check_rules;
 pub(crate) use settings::check_settings;
 
--- a/wisteriapass_config/src/check/settings.rs
+++ b/wisteriapass_config/src/check/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::check::{Checker, Once};
+use crate::check::{Checker, Once, check_policy};
 use crate::{KeyPath, Limits, Role, Settings};
 
 /// Log levels, least severe last.
@@ -31,6 +31,7 @@
     check_peers(checker, settings);
     check_log(checker, &settings.log);
     check_limits(checker, &settings.limits);
+    check_policy(checker, &settings.policy);
 }
 
 fn check_identity(checker: &mut Checker<'_>, settings: &Settings) {
--- a/wisteriapass_config/src/settings.rs
+++ b/wisteriapass_config/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
+use wisteriapass_policy::PolicyConfig;
 
 use crate::check::{Checker, accept, check_settings, parse};
 use crate::{ConfigError, Result};
@@ -49,6 +50,8 @@
     pub log: String,
     /// Limits of this process.
     pub limits: Limits,
+    /// Thresholds of a router's decisions under load.
+    pub policy: PolicyConfig,
 }
 
 /// Limits of one daemon process.
@@ -84,6 +87,7 @@
             peers: Vec::new(),
             log: "info".into(),
             limits: Limits::default(),
+            policy: PolicyConfig::default(),
         }
     }
 }
--- a/wisteriapass_config/tests/examples.rs
+++ b/wisteriapass_config/tests/examples.rs
@@ -105,10 +105,40 @@
     }
 }
 
-/// Returns the names of all keys that settings hold.
+/// Returns the names of all keys that settings hold, without the thresholds of the policy: these
+/// stand commented out in the router's example, which the next test reads.
 fn keys(settings: &Settings) -> Vec<String> {
     let table = toml::Table::try_from(settings).unwrap();
     let limits = table["limits"].as_table().unwrap().keys().cloned();
-    let top = table.keys().filter(|k| *k != "limits").cloned();
+    let is_table = |k: &str| k == "limits" || k == "policy";
+    let top = table.keys().filter(|k| !is_table(k)).cloned();
     limits.chain(top).collect()
 }
+
+#[test]
+fn the_router_example_lists_every_threshold_with_its_default() {
+    let text = fs::read_to_string(example("router.toml")).unwrap();
+    let is_key = |key: &str| key.bytes().all(|b| b.is_ascii_lowercase() || b == b'_');
+    let given = |line: &str| {
+        let bare = line.strip_prefix("# ")?;
+        let (key, _) = bare.split_once(" = ")?;
+        is_key(key).then(|| bare.to_owned())
+    };
+    let lines = text.lines();
+    let all: Vec<String> = lines
+        .map(|line| given(line).unwrap_or_else(|| line.to_owned()))
+        .collect();
+    let settings = Settings::from_toml("router.toml", &all.join("\n")).unwrap();
+    assert_eq!(settings.policy, Settings::default().policy);
+    let policy = toml::Table::try_from(&settings.policy).unwrap();
+    let parts = policy["parts"].as_table().unwrap();
+    for key in parts.keys().filter(|key| *key != "hedging") {
+        assert!(all.contains(&format!("{key} = true")), "{key}");
+    }
+    for key in policy.keys().filter(|key| *key != "parts") {
+        let prefix = format!("{key} = ");
+        let at = all.iter().position(|line| line.starts_with(&prefix));
+        let at = at.unwrap_or_else(|| panic!("router.toml lacks {key}"));
+        assert!(all[at - 1].starts_with("# "), "{key} has no comment");
+    }
+}
--- a/wisteriapass_config/tests/mistakes.rs
+++ b/wisteriapass_config/tests/mistakes.rs
@@ -242,6 +242,33 @@
     assert!(keys.contains(&("store", None)), "{refused}");
 }
 
+#[test]
+fn thresholds_of_the_policy_are_named_with_their_path() {
+    let refused = |policy: &str| {
+        let text = format!("name = \"router-1\"\n{policy}\n");
+        let refused = Settings::from_toml("router.toml", &text).unwrap_err();
+        let told = refused.mistakes().iter();
+        let told = told.filter(|m| m.key.starts_with("policy"));
+        told.map(|m| (m.key.clone(), m.line)).collect::<Vec<_>>()
+    };
+    let place = |key: &str, line| vec![(key.to_owned(), Some(line))];
+    assert_eq!(refused("[policy]"), []);
+    let unknown = refused("[policy]\nreserve_brust = 2.0");
+    assert_eq!(unknown, place("policy.reserve_brust", 3));
+    let wrong_type = refused("[policy]\nageing = \"slow\"");
+    assert_eq!(wrong_type, place("policy.ageing", 3));
+    let unknown_part = refused("[policy.parts]\nluck = true");
+    assert_eq!(unknown_part, place("policy.parts.luck", 3));
+    let negative = refused("[policy]\nqueue_at_target = -1.0");
+    assert_eq!(negative, place("policy.queue_at_target", 3));
+    let endless = refused("[policy]\nqueue_limit_s = inf");
+    assert_eq!(endless, place("policy.queue_limit_s", 3));
+    let above_one = refused("[policy]\nreserve_max = 1.5");
+    assert_eq!(above_one, place("policy.reserve_max", 3));
+    let stale = refused("[policy]\nreport_stale_s = 0.5");
+    assert_eq!(stale, place("policy.report_stale_s", 3));
+}
+
 #[test]
 fn a_settings_file_that_cannot_be_read_says_so() {
     let refused = Settings::from_file("no/such/file.toml".as_ref()).unwrap_err();
--- a/wisteriapass_daemon/src/router/scheduling.rs
+++ b/wisteriapass_daemon/src/router/scheduling.rs
@@ -7,8 +7,8 @@
 use parking_lot::Mutex;
 use wisteriapass_config::{Document, Target};
 use wisteriapass_policy::{
-    AccountFacts, Decision, Held, LoadReport, Nearness, Parts, PolicyConfig, RequestFacts,
-    Scheduler, TargetFacts, TargetRole, Ticket, Time, Wants,
+    AccountFacts, Decision, Held, LoadReport, Nearness, PolicyConfig, RequestFacts, Scheduler,
+    TargetFacts, TargetRole, Ticket, Time, Wants,
 };
 
 use crate::fleet::HeardLoad;
@@ -37,16 +37,9 @@
 impl Scheduling {
     /// Creates a scheduler that knows no targets.
     ///
-    /// Second copies are switched off: the pipeline follows one run at a time.
-    pub fn new() -> Self {
-        let parts = Parts {
-            hedging: false,
-            ..Parts::default()
-        };
-        let cfg = PolicyConfig {
-            parts,
-            ..PolicyConfig::default()
-        };
+    /// Second copies are switched off whatever is given: the pipeline follows one run at a time.
+    pub fn new(mut cfg: PolicyConfig) -> Self {
+        cfg.parts.hedging = false;
         let (wake, woken) = flume::bounded(1);
         Self {
             started: Instant::now(),
@@ -206,12 +199,6 @@
     }
 }
 
-impl Default for Scheduling {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn region_of(document: &Document, failure_domain: &str) -> Option<String> {
     let domain = document
         .inventory
--- a/wisteriapass_daemon/src/start/router.rs
+++ b/wisteriapass_daemon/src/start/router.rs
@@ -30,7 +30,7 @@
         move || money.keep(&stop)
     })?;
     spawn("lease", move || registered.stay_registered(&stop))?;
-    let scheduling = kernel.register(Scheduling::new());
+    let scheduling = kernel.register(Scheduling::new(settings.policy.clone()));
     scheduling.start()?;
     kernel.register(RouterIdentity {
         name: settings.name.clone(),
