--- a/wisteriapass_daemon/src/router/scheduling.rs
+++ b/wisteriapass_daemon/src/router/scheduling.rs
@@ -7,10 +7,11 @@
 use parking_lot::Mutex;
 use wisteriapass_config::{Document, Target};
 use wisteriapass_policy::{
-    AccountFacts, Decision, Held, Nearness, Parts, PolicyConfig, RequestFacts, Scheduler,
+    AccountFacts, Decision, Held, LoadReport, Nearness, PolicyConfig, RequestFacts, Scheduler,
     TargetFacts, TargetRole, Ticket, Time, Wants,
 };
 
+use crate::fleet::HeardLoad;
 use crate::prelude::*;
 use crate::router::turn::Turn;
 
@@ -36,16 +37,9 @@
 impl Scheduling {
     /// Creates a scheduler that knows no targets.
     ///
-    /// Second copies are switched off: the pipeline follows one run at a time.
-    pub fn new() -> Self {
-        let parts = Parts {
-            hedging: false,
-            ..Parts::default()
-        };
-        let cfg = PolicyConfig {
-            parts,
-            ..PolicyConfig::default()
-        };
+    /// Second copies are switched off whatever is given: the pipeline follows one run at a time.
+    pub fn new(mut cfg: PolicyConfig) -> Self {
+        cfg.parts.hedging = false;
         let (wake, woken) = flume::bounded(1);
         Self {
             started: Instant::now(),
@@ -104,6 +98,22 @@
         self.poke();
     }
 
+    /// Takes in what a side process said of its target's load.
+    pub fn hear_load(&self, heard: &HeardLoad) {
+        let report = LoadReport {
+            taken_at: self.time(heard.taken_at),
+            running: heard.load.running,
+            queued: heard.load.queued,
+            interactive: heard.load.interactive,
+            of_receiver: heard.load.of_receiver,
+        };
+        self.with(|s, now| {
+            if let Some(target) = s.target(&heard.target) {
+                s.load_report(now, target, report);
+            }
+        });
+    }
+
     /// Uses the scheduler, then has it polled.
     pub fn with<T>(&self, work: impl FnOnce(&mut Scheduler, Time) -> T) -> T {
         let now = self.now();
@@ -189,12 +199,6 @@
     }
 }
 
-impl Default for Scheduling {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn region_of(document: &Document, failure_domain: &str) -> Option<String> {
     let domain = document
         .inventory
--- a/wisteriapass_daemon/src/start/router.rs
+++ b/wisteriapass_daemon/src/start/router.rs
@@ -30,7 +30,7 @@
         move || money.keep(&stop)
     })?;
     spawn("lease", move || registered.stay_registered(&stop))?;
-    let scheduling = kernel.register(Scheduling::new());
+    let scheduling = kernel.register(Scheduling::new(settings.policy.clone()));
     scheduling.start()?;
     kernel.register(RouterIdentity {
         name: settings.name.clone(),
@@ -44,6 +44,14 @@
     spawn("unsettled", move || unsettled.ask_forever())?;
     let documents = kernel.find::<InForce>()?.follow();
     let fleet = kernel.find::<Fleet>()?;
+    spawn("loads", {
+        let (fleet, scheduling) = (fleet.clone(), scheduling.clone());
+        move || {
+            for heard in fleet.loads() {
+                scheduling.hear_load(&heard);
+            }
+        }
+    })?;
     let failure_domain = settings.failure_domain.clone();
     spawn("targets", move || {
         keep_targets(&documents, &fleet, &scheduling, &failure_domain);
