--- a/wisteriapass_bench/tests/path.rs
+++ b/wisteriapass_bench/tests/path.rs
@@ -321,7 +321,9 @@
         let mut stream = TcpStream::connect(router).unwrap();
         let head = "GET /services/records/lots/7 HTTP/1.1\r\nhost: records\r\n";
         let rest = format!("authorization: {KEY}\r\nconnection: close\r\n\r\n");
-        stream.write_all((head.to_owned() + &rest).as_bytes()).unwrap();
+        stream
+            .write_all((head.to_owned() + &rest).as_bytes())
+            .unwrap();
         let mut got = Vec::new();
         let _ = stream.read_to_end(&mut got);
         String::from_utf8(got).unwrap()
