Bench: faults draws stops, drains, leaving VMs, racing edits and overtaken orders

The seeded plan now also draws: graceful stops of side processes, drains and undrains in the inventory, VMs leaving by the VM list, two edits from the same revision (just one may win), and an adapter's load ordered by a holder that another overtook. Two checks with their JSON keys: work_after_leaving and reverted; either makes the exit code 1.

Weighed: the three seconds run from the write of the inventory, or from when the VM list shows the state, and nothing is exempt, neither an outage of the service nor a pause; an exemption would hide what the check is for. A run of an identity that ran before is not new. Overlapping drains of a target end with the last. Revision 0 is a daemon that has no configuration yet, and is not counted as going back. Daemons are polled every 100 ms with a thread each, as a paused daemon holds up its caller.

Plans of a seed differ from those before this commit, as the draw has more kinds; a seed still gives the same plan at each run.

Ruled out: polling from the thread that plays faults, which pauses would delay.

The made-up histories show that both new checks find their fault, and that the limits at both ends of a drain hold.

Conclusion: the experiment covers the operators' changes.

--- a/wisteriapass_bench/src/faults.rs
+++ b/wisteriapass_bench/src/faults.rs
@@ -2,15 +2,18 @@
 
 mod check;
 mod facts;
+mod leave;
 mod opts;
+mod orders;
 mod plan;
 mod play;
 mod report;
+mod revisions;
 mod stage;
 mod workload;
 
 pub use check::{Property, Violation, check};
-pub use facts::{Added, Asked, Facts, Run, Try};
+pub use facts::{Added, Asked, Facts, Leaving, Reverted, Run, Try};
 pub use opts::FaultsOpts;
 pub use plan::{Fault, Planned, plan_faults};
 pub use play::{PlayError, play};
--- a/wisteriapass_bench/src/faults/check.rs
+++ b/wisteriapass_bench/src/faults/check.rs
@@ -1,16 +1,19 @@
-//! The five properties, each with a named check over the facts.
+//! The properties, each with a named check over the facts.
 
 use derive_more::Display;
 use wisteriapass_coord::once::Bill;
 use wisteriapass_daemon::api::Ran;
 
-use super::facts::{Asked, Facts};
+use super::facts::{Asked, Facts, Leaving};
 use crate::load::{Answered, CallId, Outcome, Work};
 
 /// Uncertainty of the targets' clocks against the history's, in microseconds: both are rounded to
 /// a millisecond.
 const SLACK_US: u64 = 3_000;
 
+/// Time after which a leaving target begins no new work, in microseconds.
+const LEAVE_US: u64 = 3_000_000;
+
 /// A property that must always hold.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Property {
@@ -35,6 +38,12 @@
     /// The budget records account for every token.
     #[display("not_conserved")]
     NotConserved,
+    /// A drained or leaving target begins no new work.
+    #[display("work_after_leaving")]
+    WorkAfterLeaving,
+    /// No daemon goes back to an older configuration.
+    #[display("reverted")]
+    Reverted,
 }
 
 /// A broken property, with the offending request's trace.
@@ -56,6 +65,8 @@
     let mut found = spend_within_budget(facts);
     found.extend(money_is_conserved(facts));
     found.extend(no_second_bill(facts));
+    found.extend(leaving_targets_begin_no_work(facts));
+    found.extend(no_daemon_reverts(facts));
     for (id, asked) in &facts.calls {
         found.extend(answers_have_their_bills(facts, *id, asked));
         found.extend(answers_are_whole_and_own(facts, *id, asked));
@@ -124,6 +135,40 @@
     found
 }
 
+/// Only the first run of an identity is new work: later ones repeat a known key.
+fn leaving_targets_begin_no_work(facts: &Facts) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (id, runs) in &facts.runs {
+        let Some(first) = runs.iter().min_by_key(|r| r.started_us) else {
+            continue;
+        };
+        let is_late = |l: &&Leaving| {
+            let is_after = first.started_us > l.from_us + LEAVE_US + SLACK_US;
+            l.target == first.target && is_after && first.started_us + SLACK_US < l.until_us
+        };
+        if let Some(leaving) = facts.leaving.iter().find(is_late) {
+            found.push(Violation {
+                property: Property::WorkAfterLeaving,
+                amount: 1,
+                what: format!("{id} began as {first:?} after {leaving:?}"),
+                trace: trace_of_run(facts, id),
+            });
+        }
+    }
+    found
+}
+
+/// A configuration in force is followed by newer ones only.
+fn no_daemon_reverts(facts: &Facts) -> Vec<Violation> {
+    let violation = |reverted| Violation {
+        property: Property::Reverted,
+        amount: 1,
+        what: format!("{reverted:?}"),
+        trace: String::new(),
+    };
+    facts.reverted.iter().map(violation).collect()
+}
+
 /// Property 3: the whole answer to the own request.
 fn answers_are_whole_and_own(facts: &Facts, id: CallId, asked: &Asked) -> Vec<Violation> {
     let mut found = Vec::new();
--- a/wisteriapass_bench/src/faults/facts.rs
+++ b/wisteriapass_bench/src/faults/facts.rs
@@ -54,6 +54,28 @@
     pub tokens: u64,
 }
 
+/// A time during which a target was drained or leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leaving {
+    /// Name of the target.
+    pub target: String,
+    /// When the word was given, in microseconds since the history began.
+    pub from_us: u64,
+    /// When it was taken back.
+    pub until_us: u64,
+}
+
+/// A daemon seen at an older configuration than before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reverted {
+    /// Name of the daemon.
+    pub daemon: String,
+    /// Revision that it had in force.
+    pub from: u64,
+    /// Revision in force afterwards.
+    pub to: u64,
+}
+
 /// What is known of a run of the experiment.
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
@@ -67,6 +89,10 @@
     pub added: BTreeMap<String, Vec<Added>>,
     /// Where the money is by the budget records.
     pub totals: Vec<Totals>,
+    /// Times during which targets were leaving.
+    pub leaving: Vec<Leaving>,
+    /// Daemons that went back to an older configuration.
+    pub reverted: Vec<Reverted>,
 }
 
 impl Facts {
--- a/wisteriapass_bench/src/faults/plan.rs
+++ b/wisteriapass_bench/src/faults/plan.rs
@@ -66,6 +66,21 @@
     /// An engine answers late, crosses answers, and cuts some.
     #[display("disturbed target {_0}")]
     DisturbTarget(usize),
+    /// A side process is stopped gracefully, and started again at the end.
+    #[display("stop side {_0}")]
+    StopSide(usize),
+    /// A target is drained in the inventory, and undrained at the end.
+    #[display("drain target {_0}")]
+    Drain(usize),
+    /// The VM list says that a target's VM leaves, and that it lives at the end.
+    #[display("VM of target {_0} leaves")]
+    Leave(usize),
+    /// Two writers edit the configuration from the same revision.
+    #[display("racing edits")]
+    RaceEdits,
+    /// A target is ordered to load an adapter by a holder that another has overtaken.
+    #[display("overtaken order to target {_0}")]
+    OvertakenOrder(usize),
     /// The nearly empty account is topped up.
     #[display("top-up")]
     TopUp,
@@ -122,6 +137,11 @@
         Fault::Partition(router),
         Fault::Silence(side),
         Fault::DisturbTarget(side),
+        Fault::StopSide(side),
+        Fault::Drain(side),
+        Fault::Leave(side),
+        Fault::RaceEdits,
+        Fault::OvertakenOrder(side),
         Fault::TopUp,
         Fault::TopUp,
     ];
--- a/wisteriapass_bench/src/faults/play.rs
+++ b/wisteriapass_bench/src/faults/play.rs
@@ -9,6 +9,7 @@
 
 use super::check::{Property, check};
 use super::facts::{Added, Facts};
+use super::revisions::Revisions;
 use super::stage::{Stage, TOPUP_TOKENS};
 use super::workload::Workload;
 use super::{FaultsOpts, Report, plan_faults};
@@ -59,16 +60,28 @@
         seed: opts.seed,
     };
     let mut stage = Stage::new(&fleet, ACCOUNTS[2].0, began);
+    let revisions = Revisions::default();
     std::thread::scope(|s| {
-        s.spawn(|| workload.play(&history, ends_at));
-        stage.play(&plan, began, opts.verbose)
+        s.spawn(|| revisions.watch(&fleet));
+        let load = s.spawn(|| workload.play(&history, ends_at));
+        let played = stage.play(&plan, began, opts.verbose);
+        let _ = load.join();
+        revisions.end();
+        played
     })?;
     let rates_until = fleet.platform().counts();
     let seconds = began.elapsed().as_secs_f64();
     stage.end_all()?;
     fleet.wait_ready()?;
     let added = added(stage.topups());
-    let gather = || Facts::gather(&fleet, &history.records(), began_unix_ms, added.clone());
+    let gather = || {
+        let facts = Facts::gather(&fleet, &history.records(), began_unix_ms, added.clone())?;
+        Ok(Facts {
+            leaving: stage.leaving().to_vec(),
+            reverted: revisions.reverted(),
+            ..facts
+        })
+    };
     let facts = quiet(gather)?;
     let violations = check(&facts);
     let report = Report::new(&facts, violations).with_rates(counts, rates_until, seconds);
--- a/wisteriapass_bench/src/faults/report.rs
+++ b/wisteriapass_bench/src/faults/report.rs
@@ -52,6 +52,10 @@
     pub crossed: u64,
     /// Budgets whose record does not add up.
     pub not_conserved: u64,
+    /// New work that a target began after it was told to leave.
+    pub work_after_leaving: u64,
+    /// Times that a daemon went back to an older configuration.
+    pub reverted: u64,
     /// Tries refused for lack of money that nobody had spent.
     pub false_refusals: u64,
     /// Tries refused, by reason.
@@ -87,6 +91,8 @@
             wrong_not_run: sum(Property::WrongNotRun),
             crossed: sum(Property::Crossed),
             not_conserved: sum(Property::NotConserved),
+            work_after_leaving: sum(Property::WorkAfterLeaving),
+            reverted: sum(Property::Reverted),
             stranded: facts.totals.iter().map(|t| t.stranded.0).sum(),
             recovered: facts.totals.iter().map(|t| t.recovered.0).sum(),
             ..Self::default()
--- a/wisteriapass_bench/src/faults/stage.rs
+++ b/wisteriapass_bench/src/faults/stage.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Fault, Planned};
+use super::facts::Leaving;
+use super::leave::{Leavers, Word};
+use super::{Fault, Planned, orders};
 use crate::fleet::{Fleet, PLATFORM, Result, Signal};
+use crate::standin::platform::VmState;
 use crate::standin::{Outage, PlatformFaults, TargetFaults};
 
 /// Tokens of one top-up of the nearly empty account.
@@ -20,6 +23,7 @@
     sides: Vec<String>,
     began: Instant,
     topups: Vec<u64>,
+    leavers: Leavers,
 }
 
 impl<'a> Stage<'a> {
@@ -32,6 +36,7 @@
             sides: fleet.side_names(),
             began,
             topups: Vec::new(),
+            leavers: Leavers::default(),
         }
     }
 
@@ -40,6 +45,11 @@
         &self.topups
     }
 
+    /// Returns when targets were drained or leaving.
+    pub fn leaving(&self) -> &[Leaving] {
+        self.leavers.past()
+    }
+
     /// Plays planned faults in their time; `began` is the start of the load.
     pub fn play(&mut self, plan: &[Planned], began: Instant, is_verbose: bool) -> Result<()> {
         let mut steps: Vec<(u64, bool, Fault)> = Vec::new();
@@ -122,8 +132,28 @@
                 for _ in 0..2 {
                     self.fleet.top_up(self.poor, &id, TOPUP_TOKENS)?;
                 }
-                let since = self.began.elapsed().as_micros();
-                self.topups.push(u64::try_from(since).unwrap_or(u64::MAX));
+                self.topups.push(self.now_us());
+            }
+            Fault::StopSide(n) => {
+                let _ = self.fleet.daemon(&self.sides[n])?.signal(Signal::Terminate);
+            }
+            Fault::Drain(s) => {
+                self.drain(s, true)?;
+                let now_us = self.now_us();
+                self.leavers.begin(&self.sides[s], Word::Drained, now_us);
+            }
+            Fault::Leave(s) => {
+                self.set_vm(s, VmState::Leaving);
+                // The word is given when the list shows it.
+                let shown_us = self.now_us() + self.fleet.plan().platform.vm_lag_ms * 1_000;
+                self.leavers
+                    .begin(&self.sides[s], Word::VmLeaving, shown_us);
+            }
+            Fault::RaceEdits => {
+                self.fleet.race_edits()?;
+            }
+            Fault::OvertakenOrder(s) => {
+                orders::overtake(self.fleet, &self.sides[s], &self.fleet.plan().models[0]);
             }
         }
         Ok(())
@@ -159,11 +189,45 @@
                     engine.set_faults(TargetFaults::default());
                 }
             }
-            Fault::Silence(_) | Fault::TopUp => {}
+            Fault::StopSide(n) => {
+                let mut daemon = self.fleet.daemon(&self.sides[n])?;
+                let _ = daemon.signal(Signal::Resume);
+                daemon.wait_exit(Instant::now() + Duration::from_secs(STOP_S));
+                daemon.start()?;
+            }
+            Fault::Drain(s) => {
+                let now_us = self.now_us();
+                if self.leavers.end(&self.sides[s], Word::Drained, now_us) {
+                    self.drain(s, false)?;
+                }
+            }
+            Fault::Leave(s) => {
+                let now_us = self.now_us();
+                if self.leavers.end(&self.sides[s], Word::VmLeaving, now_us) {
+                    self.set_vm(s, VmState::Live);
+                }
+            }
+            Fault::Silence(_) | Fault::TopUp | Fault::RaceEdits | Fault::OvertakenOrder(_) => {}
         }
         Ok(())
     }
 
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn drain(&self, side: usize, draining: bool) -> Result<()> {
+        let mut document = self.fleet.document();
+        document.inventory.target[side].draining = draining;
+        self.fleet.apply(document)?;
+        Ok(())
+    }
+
+    fn set_vm(&self, side: usize, state: VmState) {
+        let vm = &self.fleet.document().inventory.target[side].vm;
+        self.fleet.platform().set_vm(vm, state);
+    }
+
     fn platform(&self, faults: PlatformFaults) {
         self.fleet.platform().set_faults(faults);
     }
--- a/wisteriapass_bench/src/fleet.rs
+++ b/wisteriapass_bench/src/fleet.rs
@@ -6,6 +6,7 @@
 mod placement;
 mod plan;
 mod program;
+mod race;
 mod scratch;
 
 use std::collections::BTreeMap;
--- a/wisteriapass_bench/tests/faults.rs
+++ b/wisteriapass_bench/tests/faults.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use wisteriapass_bench::faults::{
-    Added, Asked, Facts, FaultsOpts, Property, Report, Run, Try, check, play,
+    Added, Asked, Facts, FaultsOpts, Leaving, Property, Report, Reverted, Run, Try, check, play,
 };
 use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
 use wisteriapass_bench::load::{Answered, Call, CallId, Caller, History, Outcome, Refused};
@@ -134,6 +134,8 @@
         bills: BTreeMap::from([("k/acme/a".into(), vec![bill("e1", 70)])]),
         added: BTreeMap::from([("acme".into(), vec![added])]),
         totals: Vec::new(),
+        leaving: Vec::new(),
+        reverted: Vec::new(),
     }
 }
 
@@ -183,3 +185,39 @@
     });
     assert_eq!(again, [Property::RanTwice]);
 }
+
+/// Tells a target to leave, with its run begun this long after.
+fn leave(facts: &mut Facts, target: &str, after_us: u64) {
+    runs(facts)[0].started_us = 100_000 + after_us;
+    call(facts).tries[1].ended_us = 200_000 + after_us;
+    facts.leaving.push(Leaving {
+        target: target.into(),
+        from_us: 100_000,
+        until_us: 10_000_000,
+    });
+}
+
+#[test]
+fn work_of_a_leaving_target_and_older_configurations_are_found() {
+    let late = broken(|f| leave(f, "e1", 3_100_000));
+    assert_eq!(late, [Property::WorkAfterLeaving]);
+    assert_eq!(broken(|f| leave(f, "e1", 2_900_000)), []);
+    assert_eq!(broken(|f| leave(f, "e2", 3_100_000)), []);
+    assert_eq!(broken(|f| leave(f, "e1", 9_950_000)), []);
+    let repeated = broken(|f| {
+        leave(f, "e1", 3_100_000);
+        let started_us = 100_000;
+        let target = "e2".into();
+        runs(f).push(Run { target, started_us });
+        call(f).call.non_idempotent = false;
+    });
+    assert_eq!(repeated, []);
+    let reverted = broken(|f| {
+        f.reverted.push(Reverted {
+            daemon: "r1".into(),
+            from: 3,
+            to: 2,
+        });
+    });
+    assert_eq!(reverted, [Property::Reverted]);
+}
