--- a/wisteriapass_bench/tests/fleet.rs
+++ b/wisteriapass_bench/tests/fleet.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use wisteriapass_bench::fleet::{Fleet, FleetError, FleetPlan, Program, Signal};
+use wisteriapass_config::CURRENT_KEY;
+use wisteriapass_coord::store::Store;
 
 fn plan() -> FleetPlan {
     FleetPlan {
@@ -59,6 +61,19 @@
     router.wait_ready(soon()).unwrap();
 }
 
+#[test]
+fn of_two_writers_from_the_same_revision_just_one_wins() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let before = fleet.document().revision;
+    for n in 1..=20 {
+        assert_eq!(fleet.race_edits().unwrap(), before + n);
+    }
+    let entry = fleet.platform().store().get(CURRENT_KEY).unwrap().unwrap();
+    assert_eq!(entry.value, fleet.document().to_json());
+    // The edit that lost stands nowhere in the way of the next.
+    assert_eq!(fleet.apply(fleet.document()).unwrap(), before + 21);
+}
+
 #[test]
 fn a_daemon_that_refuses_its_settings_is_reported_with_its_log() {
     let refused = Fleet::start(FleetPlan {
