Bench: after a VM leaves, its target comes back as a new process

Cause: a mark of leaving holds for an incarnation for good, so a target whose VM the list called live again never got work in the same process. Each drawn leave took a target out for the rest of the run, and the checks saw less. At the end the side process is now stopped, the VM set to live, and a new process started once the list shows it. Ruled out: a fault of the daemon; a VM that leaves doesn't come back, and read_vm_list marks only news. Conclusion: leaves are followed by work of the target again.

--- a/wisteriapass_bench/src/faults/plan.rs
+++ b/wisteriapass_bench/src/faults/plan.rs
@@ -72,7 +72,7 @@
     /// A target is drained in the inventory, and undrained at the end.
     #[display("drain target {_0}")]
     Drain(usize),
-    /// The VM list says that a target's VM leaves, and that it lives at the end.
+    /// The VM list says that a target's VM leaves; another replaces it at the end.
     #[display("VM of target {_0} leaves")]
     Leave(usize),
     /// Two writers edit the configuration from the same revision.
--- a/wisteriapass_bench/src/faults/stage.rs
+++ b/wisteriapass_bench/src/faults/stage.rs
@@ -15,6 +15,9 @@
 /// Longest wait for a graceful stop, in seconds.
 const STOP_S: u64 = 20;
 
+/// Time within which daemons read the VM list again, in milliseconds; they do so twice a second.
+const READ_MS: u64 = 1_000;
+
 /// A fleet with the names that faults refer to.
 pub struct Stage<'a> {
     fleet: &'a Fleet,
@@ -204,7 +207,7 @@
             Fault::Leave(s) => {
                 let now_us = self.now_us();
                 if self.leavers.end(&self.sides[s], Word::VmLeaving, now_us) {
-                    self.set_vm(s, VmState::Live);
+                    self.replace_vm(s)?;
                 }
             }
             Fault::Silence(_) | Fault::TopUp | Fault::RaceEdits | Fault::OvertakenOrder(_) => {}
@@ -228,6 +231,19 @@
         self.fleet.platform().set_vm(vm, state);
     }
 
+    /// Gives a target's side process a new VM of the same name: a leaving one never lives again.
+    fn replace_vm(&self, side: usize) -> Result<()> {
+        let mut daemon = self.fleet.daemon(&self.sides[side])?;
+        let _ = daemon.signal(Signal::Resume);
+        let _ = daemon.signal(Signal::Terminate);
+        daemon.wait_exit(Instant::now() + Duration::from_secs(STOP_S));
+        self.set_vm(side, VmState::Live);
+        // A process that starts while the list still says so would be leaving too.
+        let lag_ms = self.fleet.plan().platform.vm_lag_ms;
+        std::thread::sleep(Duration::from_millis(lag_ms + READ_MS));
+        daemon.start()
+    }
+
     fn platform(&self, faults: PlatformFaults) {
         self.fleet.platform().set_faults(faults);
     }
