--- a/wisteriapass_bench/tests/once.rs
+++ b/wisteriapass_bench/tests/once.rs
@@ -211,3 +211,22 @@
     });
     assert_eq!(got["error"]["ran"], "outcome_unknown", "{got}");
 }
+
+#[test]
+fn a_save_that_ran_is_never_said_not_to_have_run_after_all_side_processes_were_replaced() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let routers = fleet.router_addrs();
+    let (status, first) = answer(save(routers[0], "lots/3", "s7"));
+    assert_eq!(status, 200, "{first}");
+    // Owner and homes lose their memory; only the claim in the service is left.
+    for name in fleet.side_names() {
+        let mut side = fleet.daemon(&name).unwrap();
+        side.kill();
+        side.start().unwrap();
+    }
+    fleet.wait_ready().unwrap();
+    fleet.daemon("service-1").unwrap().kill();
+    let (_, again) = answer(save(routers[1], "lots/3", "s7"));
+    assert_eq!(again["error"]["ran"], "outcome_unknown", "{again}");
+    assert_eq!(calls(&fleet), 1);
+}
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -7,6 +7,7 @@
 use wisteriapass_coord::once::{Place, RunId};
 use wisteriapass_policy::FailureKind;
 
+use crate::api::Ran;
 use crate::metrics::Retry;
 use crate::prelude::*;
 use crate::router::answer::Answer;
@@ -28,6 +29,8 @@
     run: RunId,
     /// Whether an attempt, here or at another router, may have run.
     may_have_run: bool,
+    /// Whether its homes, and for what may not be repeated the service, have its claim.
+    is_claimed: bool,
     /// A place where it was or may have been, and which has gone.
     gone: Option<Place>,
 }
@@ -56,6 +59,7 @@
             asked,
             run: RunId::from_text(run),
             may_have_run: false,
+            is_claimed: false,
             gone: None,
         }
     }
@@ -70,12 +74,18 @@
         ended.map_err(|refusal| self.truthful(refusal))
     }
 
-    /// "Not run" is said only if no attempt may have run.
+    /// "Not run" is said only if no attempt, here or elsewhere, may have run.
     fn truthful(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run && refusal.reason != Reason::KeyReused {
+        if refusal.reason == Reason::KeyReused || refusal.ran == Ran::OutcomeUnknown {
+            return refusal;
+        }
+        if self.may_have_run {
             return refusal.with_unknown_outcome();
         }
-        refusal
+        if self.is_claimed {
+            return refusal;
+        }
+        self.pipeline.refuse_unseen(self.asked, refusal)
     }
 
     fn known_or_new(&mut self, answer: &mut Answer) -> Result<(), Refusal> {
@@ -213,7 +223,7 @@
 
     /// Waits for a turn, and finds or claims the place for it; no place if it does not answer.
     fn locate(
-        &self,
+        &mut self,
         attempt: u32,
         turn: &mut Turn,
     ) -> Result<(Arc<Document>, Option<Located>), Refusal> {
@@ -227,11 +237,15 @@
         if self.asked.key.is_none() {
             return Ok((document, Some(Located::new(place, attempt))));
         }
-        let located = locator.find(&document, &self.run, &place, self.gone.as_ref());
-        if self.asked.idempotent {
-            return Ok((document, Some(located)));
-        }
-        let located = locator.claim_once(&document, &self.run, &located.place)?;
+        let located = if self.asked.idempotent {
+            locator.find(&document, &self.run, &place, self.gone.as_ref())
+        } else {
+            let located = locator.claim_once(&document, &self.run, &place)?;
+            // The claim decides; the homes only hear of it, for those who look later.
+            locator.find(&document, &self.run, &located.place, self.gone.as_ref());
+            located
+        };
+        self.is_claimed = true;
         Ok((document, Some(located)))
     }
 
--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -100,6 +100,31 @@
         Lookup::Unsure
     }
 
+    /// Returns whether a request surely did not run: before a caller is told so, all homes are
+    /// asked, as one that was replaced may have missed it, and for what may not be repeated the
+    /// claims too, which outlive owners and homes.
+    pub fn surely_not_run(&self, document: &Document, run: &RunId, is_idempotent: bool) -> bool {
+        let homes = homes_in(document, run);
+        let looked: Vec<Option<Looked>> = homes
+            .iter()
+            .map(|home| self.lookup_at(document, home, run))
+            .collect();
+        let is_complete = |l: &Option<Looked>| l.as_ref().is_some_and(|l| l.is_complete);
+        if looked.iter().flatten().any(|l| l.held.is_some()) {
+            return false;
+        }
+        if !looked.iter().any(is_complete) {
+            return false;
+        }
+        if is_idempotent {
+            return true;
+        }
+        match Claims::new(self.store.as_ref()).read(run) {
+            Ok(claim) => claim.is_none(),
+            Err(_) => looked.iter().all(is_complete),
+        }
+    }
+
     fn lookup_at(&self, document: &Document, home: &str, run: &RunId) -> Option<Looked> {
         let control = document.inventory.target_named(home)?.side_control;
         let run = run.clone();
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -10,7 +10,7 @@
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
 use crate::router::carry::Carry;
-use crate::router::locate::{Located, Lookup};
+use crate::router::locate::Located;
 use crate::router::offers::{prefix_hash, prefix_tokens, service_of};
 use crate::router::turn::Turn;
 use crate::router::{InForce, Incarnations, Locator, Money, RouterIdentity, Scheduling, Unsettled};
@@ -94,10 +94,14 @@
             return refusal;
         }
         let run = RunId::from_text(self.run_id(asked));
-        match self.locator.lookup(&self.config.document(), &run) {
-            Lookup::Nobody => refusal,
-            Lookup::At(_) | Lookup::Unsure => refusal.with_unknown_outcome(),
+        let document = self.config.document();
+        if self
+            .locator
+            .surely_not_run(&document, &run, asked.idempotent)
+        {
+            return refusal;
         }
+        refusal.with_unknown_outcome()
     }
 
     /// Asks the scheduler for a turn.
