Side process: a dispatch that was held up on its way is refused

The time left was sent with a dispatch and looked at by nobody; only withdrawals stopped a late one. The deadline itself is sent now, and a side process refuses what comes after it, truthfully not run. The wall clock stands in one place.

--- a/wisteriapass_bench/tests/once.rs
+++ b/wisteriapass_bench/tests/once.rs
@@ -6,6 +6,11 @@
 use serde_json::{Value, json};
 use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
 use wisteriapass_bench::standin::{Outage, PlatformFaults, Silence, TargetFaults, expected_answer};
+use wisteriapass_coord::Millis;
+use wisteriapass_daemon::api::Ran;
+use wisteriapass_daemon::run_wire::{
+    ChatRun, Dispatch, OtherFields, RUN_PATH, RunEvent, RunRequest,
+};
 
 const MODEL: &str = "wisteria-8b";
 
@@ -230,3 +235,41 @@
     assert_eq!(again["error"]["ran"], "outcome_unknown", "{again}");
     assert_eq!(calls(&fleet), 1);
 }
+
+#[test]
+fn a_dispatch_that_was_held_up_never_runs() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let side = fleet.document().inventory.target[0].side;
+    let late = Dispatch {
+        run: "k/acme/late".into(),
+        fingerprint: String::new(),
+        attempt: 1,
+        incarnation: String::new(),
+        router: "router-1".into(),
+        account: "acme".into(),
+        payment: None,
+        idempotent: true,
+        keyed: true,
+        start_by: Millis(1),
+        revision: 1,
+        request: RunRequest::Chat(ChatRun {
+            model: MODEL.into(),
+            messages: Vec::new(),
+            max_tokens: 5,
+            priority: 1,
+            other: OtherFields::default(),
+        }),
+        from: 0,
+    };
+    let answer = minreq::post(format!("http://{side}{RUN_PATH}"))
+        .with_body(serde_json::to_string(&late).unwrap())
+        .with_timeout(10)
+        .send()
+        .unwrap();
+    let event: RunEvent = serde_json::from_slice(answer.as_bytes()).unwrap();
+    let RunEvent::Refused { refusal } = event else {
+        panic!("{event:?}");
+    };
+    assert_eq!(refusal.ran, Ran::NotRun, "{refusal}");
+    assert_eq!(runs(&fleet), 0);
+}
--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+mod clock;
 mod control;
 mod counters;
 pub mod fleet;
--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -1,10 +1,8 @@
 //! Where a keyed request runs already, and the claims that keep it from running twice.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use wisteriapass_config::Document;
-use wisteriapass_coord::Millis;
 use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::once::{
     Attempt, Bill, BillLedger, Claim, ClaimOp, Claimed, Claims, Found, HeldClaim, HolderSays,
@@ -12,6 +10,7 @@
 };
 use wisteriapass_coord::store::{Revision, Store};
 
+use crate::clock;
 use crate::prelude::*;
 use crate::router::RouterIdentity;
 use crate::rpc::{Caller, HomeClaim, Looked, SideControlClient, Withdrawn};
@@ -335,7 +334,7 @@
             place: place.clone(),
             attempt,
             op: ClaimOp(format!("{}/{n}", self.router.incarnation)),
-            until: now().plus(CLAIM_MS),
+            until: clock::now().plus(CLAIM_MS),
         }
     }
 
@@ -380,10 +379,3 @@
         HeldClaim::judge(held, Some((&answer.incarnation, says)))
     }
 }
-
-fn now() -> Millis {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
-}
--- a/wisteriapass_daemon/src/router/pipeline.rs
+++ b/wisteriapass_daemon/src/router/pipeline.rs
@@ -6,6 +6,7 @@
 use wisteriapass_coord::once::RunId;
 use wisteriapass_policy::{Priority, RequestFacts, Time};
 
+use crate::clock;
 use crate::prelude::*;
 use crate::router::answer::Answer;
 use crate::router::asked::Asked;
@@ -135,7 +136,6 @@
         located: &Located,
         reservation: Option<&Reservation>,
     ) -> Dispatch {
-        let left = asked.deadline.saturating_duration_since(Instant::now());
         Dispatch {
             run: run.to_string(),
             fingerprint: asked.fingerprint.clone(),
@@ -146,7 +146,7 @@
             payment: reservation.map(|r| r.payment().clone()),
             idempotent: asked.idempotent,
             keyed: asked.key.is_some(),
-            start_within_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            start_by: clock::at(asked.deadline),
             revision: self.config.revision(),
             request: asked.request.clone(),
             from: 0,
--- a/wisteriapass_daemon/src/run_wire.rs
+++ b/wisteriapass_daemon/src/run_wire.rs
@@ -7,6 +7,7 @@
 use base64::prelude::BASE64_STANDARD;
 use derive_more::{Deref, From};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use wisteriapass_coord::Millis;
 use wisteriapass_coord::budget::Payment;
 use wisteriapass_coord::once::Bill;
 
@@ -121,8 +122,8 @@
     pub idempotent: bool,
     /// Whether its caller gave a key, and so may ask for it again.
     pub keyed: bool,
-    /// Time left to start it, in milliseconds; a late dispatch is refused.
-    pub start_within_ms: u64,
+    /// It may not begin later; a dispatch that was held up on its way is refused.
+    pub start_by: Millis,
     /// Revision of the configuration the router has in force.
     pub revision: u64,
     /// What to run.
--- a/wisteriapass_daemon/src/side.rs
+++ b/wisteriapass_daemon/src/side.rs
@@ -14,9 +14,6 @@
 mod service;
 
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
-
-use wisteriapass_coord::Millis;
 
 use crate::kernel::Service;
 
@@ -29,14 +26,6 @@
 pub use run::{Next, Run};
 pub use runs::Runs;
 
-/// Returns the time of this process's clock.
-fn clock() -> Millis {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// What a side process knows of itself.
 #[derive(Clone, Debug)]
 pub struct SideIdentity {
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -3,6 +3,7 @@
 use serde::de::DeserializeOwned;
 use tiny_http::Request;
 
+use crate::clock;
 use crate::fleet::Fleet;
 use crate::http::{Listener, StreamWriter, read_body, respond_json};
 use crate::prelude::*;
@@ -103,6 +104,10 @@
                 "the side process was replaced",
             ));
         }
+        if clock::now() > dispatch.start_by {
+            let message = "the dispatch came after its deadline";
+            return Err(Refusal::not_run(Reason::Deadline, message));
+        }
         if let Some(cause) = self.fleet.own_leaving() {
             let message = format!("the target is leaving ({cause:?})");
             return Err(Refusal::not_run(Reason::NoTarget, message));
--- a/wisteriapass_daemon/src/side/index.rs
+++ b/wisteriapass_daemon/src/side/index.rs
@@ -9,10 +9,11 @@
 use wisteriapass_coord::Millis;
 use wisteriapass_coord::once::{Directory, Held, Home, HomeAnswer, Place, RunId, homes};
 
+use crate::clock;
 use crate::prelude::*;
 use crate::router::InForce;
 use crate::rpc::{Caller, HomeClaim, Looked, Owned, SideControlClient};
-use crate::side::{SideIdentity, clock};
+use crate::side::SideIdentity;
 
 /// Time an entry is kept, in milliseconds: longer than any run and the keeping of its answer.
 const KEEP_MS: u64 = 3_600_000;
@@ -81,7 +82,7 @@
 
     /// Claims a run for a place, or tells where it is.
     pub fn claim(&self, claim: &HomeClaim) -> HomeAnswer {
-        let now = clock();
+        let now = clock::now();
         let until = now.plus(KEEP_MS);
         let document = self.config.document();
         let members = document.inventory.target.iter().map(|t| t.name.as_str());
@@ -102,7 +103,7 @@
         let members = document.inventory.target.iter().map(|t| t.name.as_str());
         let directory = &self.state.lock().directory;
         Looked {
-            held: directory.find(run, clock()).cloned(),
+            held: directory.find(run, clock::now()).cloned(),
             is_complete: directory.is_complete(members),
         }
     }
@@ -116,7 +117,7 @@
             for target in &document.inventory.target {
                 self.ask(target);
             }
-            self.state.lock().directory.expire(clock());
+            self.state.lock().directory.expire(clock::now());
             let pause = if self.is_ready() {
                 ASK_MS
             } else {
@@ -157,7 +158,7 @@
     }
 
     fn publish(&self, side: &str, owned: Owned) {
-        let now = clock();
+        let now = clock::now();
         let mut state = self.state.lock();
         for run in owned.runs {
             let held = Held {
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -8,9 +8,10 @@
 use wisteriapass_coord::once::{Bill, BillBook, FenceAck, Place, RunId, Usage};
 use wisteriapass_coord::store::Store;
 
+use crate::clock;
 use crate::prelude::*;
 use crate::run_wire::{Dispatch, RunBill};
-use crate::side::{SideIdentity, clock};
+use crate::side::SideIdentity;
 use crate::stop::Stop;
 
 /// Time for which a bill is left to the router whose run it is, in milliseconds.
@@ -114,7 +115,7 @@
             is_provisional: false,
         };
         state.uncopied.push(bill.clone());
-        state.book.enter(bill, clock().plus(HAND_OVER_MS));
+        state.book.enter(bill, clock::now().plus(HAND_OVER_MS));
     }
 
     /// Refuses work paid with an origin from now on, and says what was spent of it.
@@ -139,7 +140,7 @@
 
     /// Keeps copies of other side processes' bills.
     pub fn keep_copies(&self, bills: Vec<Bill>) {
-        let hand_over_at = clock().plus(COPY_HAND_OVER_MS);
+        let hand_over_at = clock::now().plus(COPY_HAND_OVER_MS);
         let mut state = self.state.lock();
         for bill in bills {
             state.book.enter(bill, hand_over_at);
@@ -153,7 +154,10 @@
 
     /// Returns bills that their own routers have not acknowledged in time.
     pub fn open_bills(&self) -> Vec<Bill> {
-        self.state.lock().book.to_hand_over(clock(), MOST_BILLS)
+        self.state
+            .lock()
+            .book
+            .to_hand_over(clock::now(), MOST_BILLS)
     }
 
     /// Forgets bills that are in the service.
