Side process: a graceful stop hands the open bills over

Ruled out: the claim of the bill. A stopping side process now gives its open bills and copies to two routers. tests/bills.rs (a_side_process_that_stops) fails without it, no bill in 60 s, and passes with it. Settling at a router's stop stands with the router's start.

--- a/wisteriapass_bench/tests/bills.rs
+++ b/wisteriapass_bench/tests/bills.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program};
+use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program, Signal};
 use wisteriapass_bench::standin::{Outage, PlatformFaults};
 use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::once::{BillLedger, RunId};
@@ -113,3 +113,29 @@
     std::thread::sleep(Duration::from_secs(6));
     assert_eq!(spent(&fleet), amount);
 }
+
+#[test]
+fn a_side_process_that_stops_hands_its_bills_over() {
+    // A single side process has no home elsewhere that keeps a copy.
+    let fleet = Fleet::start(FleetPlan {
+        engines: 1,
+        ..plan()
+    })
+    .unwrap();
+    ask(&fleet, "first");
+    fleet.platform().set_faults(PlatformFaults {
+        outage: Outage::Refusing,
+        ..PlatformFaults::default()
+    });
+    let amount = ask(&fleet, "second");
+    let mut side = fleet.daemon("engine-1").unwrap();
+    side.signal(Signal::Terminate).unwrap();
+    assert!(
+        side.wait_exit(Instant::now() + Duration::from_secs(20))
+            .is_some()
+    );
+    fleet.daemon("router-1").unwrap().kill();
+    fleet.platform().set_faults(PlatformFaults::default());
+    within(60, || billed(&fleet, "second").is_some());
+    assert_eq!(billed(&fleet, "second"), Some(amount));
+}
--- a/wisteriapass_coord/src/once/bill_book.rs
+++ b/wisteriapass_coord/src/once/bill_book.rs
@@ -33,6 +33,11 @@
         self.open.entry(run).or_insert(open);
     }
 
+    /// Returns all open bills.
+    pub fn all(&self) -> impl Iterator<Item = &Bill> {
+        self.open.values().map(|o| &o.bill)
+    }
+
     /// Returns the bill of a run, if it is open here.
     pub fn find(&self, run: &RunId) -> Option<&Bill> {
         self.open.get(run).map(|o| &o.bill)
--- a/wisteriapass_daemon/src/router/control.rs
+++ b/wisteriapass_daemon/src/router/control.rs
@@ -2,6 +2,7 @@
 
 use jsonrpsee::core::RpcResult;
 use wisteriapass_coord::budget::{Ask, Transfer};
+use wisteriapass_coord::once::Bill;
 
 use crate::prelude::*;
 use crate::router::Money;
@@ -29,4 +30,9 @@
     fn lend(&self, ask: Ask) -> RpcResult<Transfer> {
         Ok(self.money.lend(&ask))
     }
+
+    fn take_bills(&self, bills: Vec<Bill>) -> RpcResult<()> {
+        self.money.take_bills(bills);
+        Ok(())
+    }
 }
--- a/wisteriapass_daemon/src/router/money/bills.rs
+++ b/wisteriapass_daemon/src/router/money/bills.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Takes the open bills of a side process that stops.
+    pub fn take_bills(&self, bills: Vec<Bill>) {
+        for bill in bills {
+            self.bills.keep_foreign(bill);
+        }
+    }
+
     /// Keeps the bill of a run that another router sent, in case that one has died.
     pub fn keep_bill(&self, bill: &RunBill) {
         if let Some(bill) = to_bill(bill) {
--- a/wisteriapass_daemon/src/side/money.rs
+++ b/wisteriapass_daemon/src/side/money.rs
@@ -152,6 +152,11 @@
         self.state.lock().book.find(run).cloned()
     }
 
+    /// Returns all bills and copies that are not known to be in the service.
+    pub fn all_bills(&self) -> Vec<Bill> {
+        self.state.lock().book.all().cloned().collect()
+    }
+
     /// Returns bills that their own routers have not acknowledged in time.
     pub fn open_bills(&self) -> Vec<Bill> {
         self.state
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -23,7 +23,7 @@
 use crate::logging::{self, LogError};
 use crate::metrics::MetricsError;
 use crate::prelude::*;
-use crate::router::{Money, RouterControlService, Unsettled};
+use crate::router::RouterControlService;
 use crate::rpc::{
     self, Caller, ControlServer, ControlServerHandle, CountersServer, RouterControlServer,
     SideControlServer,
@@ -41,9 +41,6 @@
 /// look at readiness in between, and requests on their way get an answer.
 const LINGER_MS: u64 = 1_500;
 
-/// Longest wait of a stopping router for bills that need a claim, in milliseconds.
-const SETTLE_MS: u64 = 5_000;
-
 /// Time between two looks at the stop flag, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -122,10 +119,9 @@
     listener.close();
     finish_closed(&stop, deadline);
     log::info!(target: "start", "Stopped. cut={}", stop.working());
-    if settings.role == Role::Router {
-        let deadline = Instant::now() + Duration::from_millis(SETTLE_MS);
-        kernel.find::<Unsettled>()?.settle_until(deadline);
-        kernel.find::<Money>()?.leave();
+    match settings.role {
+        Role::Router => router::settle(&kernel)?,
+        Role::Side => side::hand_bills_over(&kernel)?,
     }
     Ok(())
 }
--- a/wisteriapass_daemon/src/start/router.rs
+++ b/wisteriapass_daemon/src/start/router.rs
@@ -14,6 +14,9 @@
 use crate::router::{Incarnations, Locator, Money, Peers, RouterIdentity, Scheduling, Unsettled};
 use crate::stop::Stop;
 
+/// Longest wait of a stopping router for bills that need a claim, in milliseconds.
+const SETTLE_MS: u64 = 5_000;
+
 /// Time between two looks at which targets are leaving, in milliseconds.
 const LEAVING_MS: u64 = 100;
 
@@ -94,3 +97,11 @@
         }
     }
 }
+
+/// Settles what can be settled, and returns the rest of the money.
+pub(super) fn settle(kernel: &Kernel) -> Result<()> {
+    let deadline = Instant::now() + Duration::from_millis(SETTLE_MS);
+    kernel.find::<Unsettled>()?.settle_until(deadline);
+    kernel.find::<Money>()?.leave();
+    Ok(())
+}
--- a/wisteriapass_daemon/src/start/side.rs
+++ b/wisteriapass_daemon/src/start/side.rs
@@ -6,11 +6,15 @@
 use wisteriapass_coord::store::HttpStore;
 
 use super::{Result, StartError, spawn};
-use crate::fleet::Orders;
+use crate::fleet::{InForce, Orders};
 use crate::prelude::*;
+use crate::rpc::{Caller, RouterControlClient};
 use crate::side::{Copies, Index, LoadWatch, Runs, SideIdentity, SideMoney};
 use crate::stop::Stop;
 
+/// Routers that a stopping side process hands its bills to.
+const BILL_TAKERS: usize = 2;
+
 /// Time between two sweeps of a side process's runs, in milliseconds.
 const SWEEP_MS: u64 = 500;
 
@@ -48,3 +52,24 @@
     money.register(&HttpStore::new(settings.store.to_string()), &stop);
     Ok(())
 }
+
+/// Hands the bills over that are not in the service yet, to a few routers in case one dies.
+pub(super) fn hand_bills_over(kernel: &Kernel) -> Result<()> {
+    let bills = kernel.find::<SideMoney>()?.all_bills();
+    if bills.is_empty() {
+        return Ok(());
+    }
+    let (caller, config) = (kernel.find::<Caller>()?, kernel.find::<InForce>()?);
+    let document = config.document();
+    let mut takers = 0;
+    for router in &document.inventory.router {
+        let copy = bills.clone();
+        let taken = caller.call(router.control, |c| async move { c.take_bills(copy).await });
+        takers += usize::from(taken.is_ok());
+        if takers == BILL_TAKERS {
+            break;
+        }
+    }
+    log::info!(target: "money", "Bills handed over. bills={} takers={takers}", bills.len());
+    Ok(())
+}
