Router: a run that failed takes no claim

A bill of nothing needs no claim now. The test in tests/bills.rs holds the behaviour but passes without the change too: it does not bring the fault about, so the cause is not proved by it.

--- a/wisteriapass_bench/tests/bills.rs
+++ b/wisteriapass_bench/tests/bills.rs
@@ -4,9 +4,10 @@
 
 use serde_json::{Value, json};
 use wisteriapass_bench::fleet::{AccountPlan, Fleet, FleetPlan, Program, Signal};
-use wisteriapass_bench::standin::{Outage, PlatformFaults};
+use wisteriapass_bench::standin::{Outage, PlatformFaults, TargetFaults};
 use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::once::{BillLedger, RunId};
+use wisteriapass_daemon::rpc::{Caller, SideControlClient};
 
 fn plan() -> FleetPlan {
     let program = Program::Tool(env!("CARGO_BIN_EXE_wisteriapass_bench").into());
@@ -18,8 +19,8 @@
     }
 }
 
-/// Asks the first router; returns what was billed.
-fn ask(fleet: &Fleet, key: &str) -> u64 {
+/// Asks the first router.
+fn send(fleet: &Fleet, key: &str) -> Value {
     let body = json!({
         "model": "wisteria-8b",
         "messages": [{"role": "user", "content": "page tokens=20"}],
@@ -35,7 +36,12 @@
     .with_timeout(30)
     .send()
     .unwrap();
-    let got: Value = serde_json::from_slice(answer.as_bytes()).unwrap();
+    serde_json::from_slice(answer.as_bytes()).unwrap()
+}
+
+/// Asks the first router; returns what was billed.
+fn ask(fleet: &Fleet, key: &str) -> u64 {
+    let got = send(fleet, key);
     let billed = got["usage"]["billed_tokens"].as_u64();
     billed.unwrap_or_else(|| panic!("{got}"))
 }
@@ -49,6 +55,18 @@
     fleet.side_names().into_iter().find(ran)
 }
 
+/// Returns the side process that the homes name for a keyed request.
+fn place_of(fleet: &Fleet, key: &str) -> String {
+    let caller = Caller::new().unwrap();
+    let targets = fleet.document().inventory.target;
+    let held = targets.iter().find_map(|t| {
+        let run = RunId::keyed("acme", key);
+        let looked = caller.call(t.side_control, |c| async move { c.lookup(run).await });
+        looked.unwrap().held
+    });
+    held.unwrap().place.side
+}
+
 fn spent(fleet: &Fleet) -> u64 {
     fleet.totals().unwrap().iter().map(|t| t.spent.0).sum()
 }
@@ -139,3 +157,29 @@
     within(60, || billed(&fleet, "second").is_some());
     assert_eq!(billed(&fleet, "second"), Some(amount));
 }
+
+#[test]
+fn a_run_that_failed_claims_nothing_from_the_one_that_answers() {
+    let fleet = Fleet::start(plan()).unwrap();
+    let fail = |errors| {
+        for engine in fleet.engines().values() {
+            engine.set_faults(TargetFaults {
+                errors,
+                ..TargetFaults::default()
+            });
+        }
+    };
+    fail(9);
+    let failed = send(&fleet, "again");
+    assert_eq!(failed["error"]["ran"], "outcome_unknown", "{failed}");
+    fail(0);
+    // Its side process forgets the failed run, so that the next one is elsewhere and provisional.
+    let mut side = fleet.daemon(&place_of(&fleet, "again")).unwrap();
+    side.kill();
+    side.start().unwrap();
+    drop(side);
+    fleet.wait_ready().unwrap();
+    let amount = ask(&fleet, "again");
+    within(60, || billed(&fleet, "again").is_some());
+    assert_eq!(billed(&fleet, "again"), Some(amount));
+}
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -329,7 +329,9 @@
         let Some(reservation) = sent.reservation else {
             return;
         };
-        let needs_claim = sent.located.is_provisional && bill.is_paid_by(reservation.payment());
+        // A run that failed costs nothing, and must not take the claim from one that answers.
+        let is_ours = bill.amount > 0 && bill.is_paid_by(reservation.payment());
+        let needs_claim = sent.located.is_provisional && is_ours;
         if !needs_claim {
             return self.pipeline.money.settle(reservation, bill);
         }
