--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod membership;
 pub mod once;
 pub mod order;
+pub mod prepaid;
 pub mod revision;
 pub mod store;
 mod time;
--- /dev/null
+++ b/wisteriapass_coord/src/prepaid/record.rs
@@ -0,0 +1,80 @@
+//! A record of the service: the shares of all routers in some accounts.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prepaid::{HolderId, Share, Stamp, Tenure};
+
+/// Shares by account and holder.
+///
+/// For each account the sum of what was granted never exceeds the total that the writer knows;
+/// totals only grow, so a writer with an older total grants less.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ShareRecord {
+    accounts: BTreeMap<String, BTreeMap<HolderId, Share>>,
+    holders: BTreeMap<HolderId, Tenure>,
+}
+
+impl ShareRecord {
+    /// Returns a holder's share of an account; none taken is an empty one.
+    pub fn share(&self, account: &str, holder: &HolderId) -> Share {
+        let shares = self.accounts.get(account);
+        shares
+            .and_then(|s| s.get(holder))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns who holds a VM's shares.
+    pub fn tenure(&self, holder: &HolderId) -> Option<Tenure> {
+        self.holders.get(holder).copied()
+    }
+
+    /// Returns all holders with their tenures.
+    pub fn tenures(&self) -> impl Iterator<Item = (&HolderId, &Tenure)> {
+        self.holders.iter()
+    }
+
+    /// Returns the sum of what was granted of an account, in tokens.
+    pub fn granted(&self, account: &str) -> u64 {
+        self.sum(account, |s| s.granted)
+    }
+
+    /// Returns the sum of what is known to be spent of an account, in tokens.
+    pub fn used(&self, account: &str) -> u64 {
+        self.sum(account, |s| s.used)
+    }
+
+    /// Replaces a holder's share of an account.
+    pub fn set_share(&mut self, account: &str, holder: &HolderId, share: Share) {
+        let shares = self.accounts.entry(account.to_owned()).or_default();
+        shares.insert(holder.clone(), share);
+    }
+
+    /// Notes that a process wrote this record.
+    pub fn sign(&mut self, holder: &HolderId, tenure: Tenure) {
+        self.holders.insert(holder.clone(), tenure);
+    }
+
+    /// Hands the shares of a VM to the process that started there at `now`; `seal_ms` is the time
+    /// out of touch after which the one before would have opened its sealed part.
+    ///
+    /// Only for a process whose start proves that the one before is dead.
+    pub fn succeed(&mut self, holder: &HolderId, now: Stamp, seal_ms: u64) {
+        let Some(before) = self.tenure(holder) else {
+            return;
+        };
+        let whole = now.since(before.stamp).is_some_and(|ms| ms < seal_ms);
+        let shares = self.accounts.values_mut();
+        for share in shares.filter_map(|s| s.get_mut(holder)) {
+            share.succeed(whole);
+        }
+    }
+
+    fn sum(&self, account: &str, of: impl Fn(&Share) -> u64) -> u64 {
+        let shares = self.accounts.get(account);
+        shares.map_or(0, |s| s.values().map(of).sum())
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -0,0 +1,228 @@
+//! Shares of prepaid totals: never more than the total, over cuts, kills and late writes.
+
+use quickcheck_macros::quickcheck;
+use wisteriapass_coord::prepaid::{
+    HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall, Stamp,
+};
+
+const SIZES: ShareSizes = ShareSizes {
+    open_ms: 4_000,
+    sealed_ms: 6_000,
+    seal_ms: 2_000,
+    greed: 0.25,
+};
+const ACCOUNT: &str = "firm";
+
+fn at(ms: u64) -> Stamp {
+    Stamp {
+        since_boot: 50_000 + ms,
+        time_of_day: 1_000_000 + ms,
+    }
+}
+
+fn holder(name: &str, process: u64, total: u64) -> ShareHolder {
+    holder_at(name, process, total, at(0))
+}
+
+fn holder_at(name: &str, process: u64, total: u64, started: Stamp) -> ShareHolder {
+    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, SIZES);
+    holder.set_total(ACCOUNT, total);
+    holder
+}
+
+/// Writes the holder's next state and tells it that this took effect.
+fn exchange(h: &mut ShareHolder, now_ms: u64, record: &mut ShareRecord) {
+    let next = h.compose(now_ms, at(now_ms), record);
+    h.sent(at(now_ms));
+    *record = next;
+    assert!(h.adopt(record));
+}
+
+/// Reserves, exchanging once if the share is short.
+fn take(h: &mut ShareHolder, now: u64, most: u64, r: &mut ShareRecord) -> Result<(), Shortfall> {
+    if h.reserve(now, ACCOUNT, most).is_ok() {
+        return Ok(());
+    }
+    exchange(h, now, r);
+    h.reserve(now, ACCOUNT, most)
+}
+
+#[test]
+fn nothing_is_spent_before_a_share_is_there() {
+    let mut h = holder("a", 1, 1_000);
+    assert_eq!(h.reserve(0, ACCOUNT, 10), Err(Shortfall::Short));
+    let mut record = ShareRecord::default();
+    exchange(&mut h, 0, &mut record);
+    assert_eq!(h.reserve(0, ACCOUNT, 10), Ok(()));
+}
+
+#[test]
+fn a_write_without_answer_gives_nothing() {
+    let mut h = holder("a", 1, 1_000);
+    assert!(h.reserve(0, ACCOUNT, 10).is_err());
+    let _lost = h.compose(0, at(0), &ShareRecord::default());
+    h.sent(at(0));
+    assert_eq!(h.reserve(0, ACCOUNT, 10), Err(Shortfall::Short));
+}
+
+#[test]
+fn the_last_tokens_can_be_spent() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 100);
+    for i in 0..10 {
+        assert_eq!(take(&mut h, i * 100, 10, &mut record), Ok(()));
+        h.settle(ACCOUNT, 10, 10);
+    }
+    assert_eq!(
+        take(&mut h, 1_000, 10, &mut record),
+        Err(Shortfall::Exhausted)
+    );
+}
+
+#[test]
+fn a_top_up_is_spendable() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 10);
+    assert_eq!(take(&mut h, 0, 10, &mut record), Ok(()));
+    assert!(take(&mut h, 0, 10, &mut record).is_err());
+    h.set_total(ACCOUNT, 20);
+    assert_eq!(take(&mut h, 1, 10, &mut record), Ok(()));
+}
+
+#[test]
+fn a_sealed_part_opens_only_out_of_touch() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 1_000_000);
+    for i in 0..20 {
+        assert_eq!(take(&mut h, i * 100, 100, &mut record), Ok(()));
+        h.settle(ACCOUNT, 100, 100);
+        exchange(&mut h, i * 100, &mut record);
+    }
+    let sealed = record.share(ACCOUNT, h.id()).sealed;
+    assert!(sealed > 0);
+    assert!(!h.unseal(at(1_900 + SIZES.seal_ms - 1)));
+    assert!(h.unseal(at(1_900 + SIZES.seal_ms)));
+    let open = record.share(ACCOUNT, h.id()).open();
+    assert_eq!(h.reserve(9_000, ACCOUNT, open + sealed), Ok(()));
+}
+
+#[test]
+fn a_successor_gets_a_whole_seal_back_and_no_other() {
+    for (age, whole) in [(SIZES.seal_ms - 1, true), (SIZES.seal_ms, false)] {
+        let mut record = ShareRecord::default();
+        let mut h = holder("a", 1, 10_000);
+        assert_eq!(take(&mut h, 0, 500, &mut record), Ok(()));
+        exchange(&mut h, 0, &mut record);
+        let before = record.share(ACCOUNT, h.id());
+        assert!(before.sealed > 0);
+        record.succeed(h.id(), at(age), SIZES.seal_ms);
+        let after = record.share(ACCOUNT, h.id());
+        let back = if whole { before.sealed } else { 0 };
+        assert_eq!(after.granted, before.granted - back);
+        assert_eq!(after.used + after.lost, after.granted);
+    }
+}
+
+#[test]
+fn clocks_that_disagree_prove_nothing() {
+    let early = at(0);
+    let mut set_back = at(3_000);
+    set_back.time_of_day -= 2_400;
+    assert_eq!(set_back.since(early), None);
+    let rebooted = Stamp {
+        since_boot: 100,
+        time_of_day: 1_001_000,
+    };
+    assert_eq!(rebooted.since(early), None);
+}
+
+/// What a random history does with one of three routers on three VMs.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Spend(u64),
+    Exchange,
+    /// The write takes effect, its answer is lost.
+    Lost,
+    /// The write takes effect later, if its condition still holds.
+    Late,
+    Kill,
+    GiveBack,
+    TopUp,
+}
+
+fn step(n: u16) -> Step {
+    match n % 16 {
+        0..=6 => Step::Spend(u64::from(n) % 97 + 1),
+        7..=9 => Step::Exchange,
+        10 => Step::Lost,
+        11 => Step::Late,
+        12 => Step::Kill,
+        13 => Step::GiveBack,
+        14 => Step::TopUp,
+        _ => Step::Spend(400),
+    }
+}
+
+#[quickcheck]
+fn totals_hold_over_any_history(history: Vec<(u8, u16, u16)>) -> bool {
+    let mut total = 2_000;
+    let mut record = (0_u64, ShareRecord::default());
+    let mut late: Vec<(u64, ShareRecord)> = Vec::new();
+    let mut holders: Vec<ShareHolder> =
+        (0..3).map(|i| holder(&format!("r{i}"), i, total)).collect();
+    let (mut spent, mut now, mut processes) = (0, 0, 3);
+    for (who, what, pause) in history {
+        now += u64::from(pause) % 1_500;
+        let h = &mut holders[usize::from(who) % 3];
+        h.unseal(at(now));
+        match step(what) {
+            Step::Spend(most) => {
+                if h.reserve(now, ACCOUNT, most).is_ok() {
+                    let used = most - most / 3;
+                    spent += used;
+                    h.settle(ACCOUNT, most, used);
+                }
+            }
+            Step::Exchange | Step::Lost => {
+                let next = h.compose(now, at(now), &record.1);
+                h.sent(at(now));
+                record = (record.0 + 1, next);
+                if matches!(step(what), Step::Exchange) {
+                    h.adopt(&record.1);
+                }
+            }
+            Step::Late => {
+                let next = h.compose(now, at(now), &record.1);
+                h.sent(at(now));
+                late.push((record.0, next));
+            }
+            Step::Kill => {
+                let name = h.id().0.clone();
+                processes += 1;
+                *h = holder_at(&name, processes, total, at(now));
+            }
+            Step::GiveBack => {
+                if let Some(next) = h.give_back(at(now), &record.1) {
+                    record = (record.0 + 1, next);
+                    let name = h.id().0.clone();
+                    processes += 1;
+                    *h = holder_at(&name, processes, total, at(now));
+                }
+            }
+            Step::TopUp => {
+                total += 500;
+                h.set_total(ACCOUNT, total);
+            }
+        }
+        if let Some(at) = late.iter().position(|(rev, _)| *rev == record.0) {
+            let (rev, next) = late.swap_remove(at);
+            if what % 3 == 0 {
+                record = (rev + 1, next);
+            }
+        }
+        if spent > total || record.1.granted(ACCOUNT) > total {
+            return false;
+        }
+    }
+    true
+}
--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod kernel;
 mod logging;
 pub mod metrics;
+mod on_platform;
 mod prelude;
 pub mod router;
 pub mod rpc;
@@ -19,4 +20,5 @@
 mod start;
 mod stop;
 
+pub use on_platform::run_on_platform;
 pub use start::run;
--- a/wisteriapass_daemon/src/main.rs
+++ b/wisteriapass_daemon/src/main.rs
@@ -16,6 +16,9 @@
     /// Settings file (TOML).
     #[options(meta = "FILE")]
     settings: Option<PathBuf>,
+    /// Run as router of the users' platform, with the settings that it gives.
+    #[options(no_short)]
+    on_platform: bool,
 }
 
 /// Exit code for a wrong command line.
@@ -27,8 +30,11 @@
         println!("wisteriapassd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if opts.on_platform {
+        return wisteriapass_daemon::run_on_platform();
+    }
     let Some(path) = opts.settings else {
-        eprintln!("wisteriapassd: no settings; give --settings FILE");
+        eprintln!("wisteriapassd: no settings; give --settings FILE or --on-platform");
         return ExitCode::from(USAGE);
     };
     wisteriapass_daemon::run(&path)
--- /dev/null
+++ b/wisteriapass_daemon/src/on_platform.rs
@@ -0,0 +1,43 @@
+//! Starting a router on the users' platform.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use derive_more::{Display, Error, From};
+use wisteriapass_gateway::RunError;
+use wisteriapass_platform::{PlatformSettings, SettingsError, UsersPlatform};
+
+use crate::logging::{self, LogError};
+
+/// Exit code when the settings are refused or an address is taken.
+const NOT_STARTED: u8 = 2;
+
+/// Level of the log: one line for each failure and each change of what the router believes.
+const LEVEL: &str = "info";
+
+/// Why a router did not start.
+#[derive(Debug, Display, Error, From)]
+enum StartError {
+    Settings(SettingsError),
+    Log(LogError),
+    Run(RunError),
+}
+
+/// Runs a router on the users' platform until it is told to stop.
+pub fn run_on_platform() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("wisteriapassd: {e}");
+            ExitCode::from(NOT_STARTED)
+        }
+    }
+}
+
+fn start() -> Result<(), StartError> {
+    let settings = PlatformSettings::from_environment()?;
+    logging::start(&settings.gateway.name, LEVEL)?;
+    let platform = Rc::new(UsersPlatform::new(settings.store));
+    wisteriapass_gateway::run(settings.gateway, platform)?;
+    Ok(())
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/bank.rs
@@ -0,0 +1,217 @@
+//! The money of this router: reserve and settle in memory, exchange with the service.
+
+mod exchange;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, timeout_at};
+use twox_hash::XxHash64;
+use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall};
+
+use crate::catalogue::{Account, Catalogue};
+use crate::clock::Clock;
+use crate::facts::RequestFacts;
+use crate::gateway::Gateway;
+use crate::refusal::Refusal;
+use crate::reservation::Reservation;
+
+/// Records over which accounts are spread: writers of different accounts seldom meet at one.
+const GROUPS: u32 = 4;
+
+/// Time after the last write at which the sealed part opens, in milliseconds: a router that is
+/// killed and restarted at once proves within it that the seal was whole.
+const SEAL_MS: u64 = 3_000;
+
+/// Draw that the open part covers, in milliseconds: lasts over the seal and the time between two
+/// exchanges.
+const OPEN_MS: u64 = 4_500;
+
+/// Draw that the sealed part covers, in milliseconds: what is left of a cut of some ten seconds.
+const SEALED_MS: u64 = 8_000;
+
+/// Part of what is left of a total that one exchange may take beyond what waits for it: several
+/// routers reach the end of a total together.
+const GREED: f64 = 0.2;
+
+/// Longest time that a request waits for a share, in milliseconds: some exchanges of a service
+/// that answers in milliseconds.
+const WAIT_MS: u64 = 250;
+
+/// Shares of accounts in one record.
+struct Group {
+    holder: RefCell<ShareHolder>,
+    /// Somebody needs an exchange.
+    needed: Notify,
+    /// An exchange ended.
+    done: Notify,
+    /// Whether the record is known and this process signed it.
+    in_touch: Cell<bool>,
+}
+
+/// Money of one router process.
+pub struct Bank {
+    clock: Clock,
+    groups: Vec<Group>,
+    /// Routers that wrote of late, this one included.
+    routers: Cell<usize>,
+    seen: RefCell<HashMap<HolderId, Seen>>,
+}
+
+/// A router's last write and when it was seen.
+struct Seen {
+    process: u64,
+    write: u64,
+    at: Instant,
+}
+
+/// Time without a write after which a router counts as gone, in milliseconds: six exchanges.
+const GONE_MS: u64 = 6_000;
+
+impl Bank {
+    /// Creates a bank without shares.
+    pub fn new(clock: Clock, name: &str) -> Self {
+        let sizes = ShareSizes {
+            open_ms: OPEN_MS,
+            sealed_ms: SEALED_MS,
+            seal_ms: SEAL_MS,
+            greed: GREED,
+        };
+        let process = rand::random();
+        let started = clock.stamp();
+        let group = |_| Group {
+            holder: RefCell::new(ShareHolder::new(
+                HolderId(name.to_owned()),
+                process,
+                started,
+                sizes,
+            )),
+            needed: Notify::new(),
+            done: Notify::new(),
+            in_touch: Cell::new(false),
+        };
+        Self {
+            clock,
+            groups: (0..GROUPS).map(group).collect(),
+            routers: Cell::new(1),
+            seen: RefCell::default(),
+        }
+    }
+
+    /// Starts a task for each record that keeps this router's shares.
+    pub fn start(gw: &Rc<Gateway>) -> Vec<JoinHandle<()>> {
+        let keep = |index| spawn_local(gw.bank.clone().keep(gw.clone(), index));
+        (0..GROUPS).map(keep).collect()
+    }
+
+    /// Takes the totals of a configuration over.
+    pub fn set_totals(&self, catalogue: &Catalogue) {
+        for account in catalogue.accounts() {
+            let Some(total) = account.prepaid else {
+                continue;
+            };
+            let group = self.group(&account.name);
+            group.holder.borrow_mut().set_total(&account.name, total);
+        }
+        self.groups.iter().for_each(|g| g.needed.notify_one());
+    }
+
+    /// Returns how many routers wrote of late, this one included.
+    pub fn routers(&self) -> usize {
+        self.routers.get()
+    }
+
+    /// Sets the most that a request can cost aside.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Exhausted`] or [`Refusal::ShareShort`].
+    pub async fn reserve(
+        self: &Rc<Self>,
+        account: &Account,
+        request: &RequestFacts,
+        per_event: u64,
+        deadline: Instant,
+    ) -> Result<Option<Reservation>, Refusal> {
+        let (Some(_), Some(work)) = (account.prepaid, request.work) else {
+            return Ok(None);
+        };
+        let most = request.most();
+        let until = deadline.min(Instant::now() + Duration::from_millis(WAIT_MS));
+        let group = self.group(&account.name);
+        loop {
+            let done = group.done.notified();
+            let name = &account.name;
+            let now_ms = self.clock.now_ms();
+            let reserved = group.holder.borrow_mut().reserve(now_ms, name, most);
+            match reserved {
+                Ok(()) => break,
+                Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
+                Err(Shortfall::Short) => {}
+            }
+            let may_come = group.in_touch.get() && group.holder.borrow().is_due(now_ms);
+            if !may_come {
+                return Err(Refusal::ShareShort);
+            }
+            group.needed.notify_one();
+            if timeout_at(until, done).await.is_err() {
+                return Err(Refusal::ShareShort);
+            }
+        }
+        let me = self.clone();
+        let name = account.name.clone();
+        Ok(Some(Reservation::new(
+            me,
+            name,
+            most,
+            work.prompt,
+            per_event,
+        )))
+    }
+
+    /// Replaces a reservation by what it cost.
+    pub fn settle(&self, account: &str, most: u64, used: u64) {
+        let group = self.group(account);
+        group.holder.borrow_mut().settle(account, most, used);
+        if group.holder.borrow().is_due(self.clock.now_ms()) {
+            group.needed.notify_one();
+        }
+    }
+
+    fn group(&self, account: &str) -> &Group {
+        let hash = XxHash64::oneshot(0, account.as_bytes());
+        &self.groups[(hash % u64::from(GROUPS)) as usize]
+    }
+
+    /// Counts the routers that signed a record of late.
+    fn count_routers(&self, record: &ShareRecord) {
+        let now = Instant::now();
+        let mut seen = self.seen.borrow_mut();
+        for (id, tenure) in record.tenures() {
+            let fresh = Seen {
+                process: tenure.process,
+                write: tenure.write,
+                at: now,
+            };
+            let known = seen.get(id);
+            if known.is_none_or(|s| (s.process, s.write) != (fresh.process, fresh.write)) {
+                seen.insert(id.clone(), fresh);
+            }
+        }
+        let gone = Duration::from_millis(GONE_MS);
+        let live = seen.values().filter(|s| now - s.at < gone).count();
+        self.routers.set(live.max(1));
+    }
+}
+
+impl std::fmt::Debug for Bank {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Bank")
+            .field("routers", &self.routers)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -0,0 +1,154 @@
+//! Exchanging shares with the service: one task for each record.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+use wisteriapass_coord::prepaid::ShareRecord;
+
+use super::{Bank, GROUPS, Group};
+use crate::gateway::Gateway;
+use crate::platform::{Recorded, StoreError, Swap, Versioned};
+
+/// Time between two exchanges when nobody waits, in milliseconds: the proof that a seal is whole
+/// is that young.
+const TICK_MS: u64 = 800;
+
+/// Shortest time between two exchanges, in milliseconds: requests that come meanwhile share one.
+const PAUSE_MS: u64 = 25;
+
+/// Time between two reads while the service does not answer, in milliseconds.
+const PROBE_MS: u64 = 200;
+
+/// What is known of a record.
+enum Known {
+    /// Nothing: it has to be read before the next write.
+    Nothing,
+    /// Its state at a revision.
+    State(u64, ShareRecord),
+}
+
+impl Bank {
+    /// Keeps this router's shares of one record; never ends.
+    pub async fn keep(self: Rc<Self>, gw: Rc<Gateway>, index: u32) {
+        let group = &self.groups[index as usize];
+        let mut known = Known::Nothing;
+        loop {
+            known = match known {
+                Known::Nothing => self.read(&gw, index).await,
+                Known::State(revision, record) => {
+                    let tick = Duration::from_millis(TICK_MS);
+                    // Either way an exchange is made: it is due, or the proof grows old.
+                    let _ = timeout(tick, group.needed.notified()).await;
+                    let known = self.write(&gw, index, revision, record).await;
+                    sleep(Duration::from_millis(PAUSE_MS)).await;
+                    known
+                }
+            };
+            let stamp = self.clock.stamp();
+            group.holder.borrow_mut().unseal(stamp);
+        }
+    }
+
+    /// Gives back what is not spent; for a process that ends in good order.
+    pub async fn give_back(&self, gw: &Gateway) {
+        for index in 0..GROUPS {
+            let Known::State(revision, record) = self.read(gw, index).await else {
+                continue;
+            };
+            let holder = &self.groups[index as usize].holder;
+            let next = holder.borrow_mut().give_back(self.clock.stamp(), &record);
+            let Some(next) = next else {
+                continue;
+            };
+            let swap = gw
+                .platform
+                .swap(Recorded::Shares(index), revision, encode(&next));
+            let done = matches!(swap.await, Ok(Swap::Done(_)));
+            log::info!(target: "money", "Shares given back. record={index} done={done}");
+        }
+    }
+
+    async fn read(&self, gw: &Gateway, index: u32) -> Known {
+        let group = &self.groups[index as usize];
+        match gw.platform.load(Recorded::Shares(index)).await {
+            Ok(versioned) => {
+                let known = decode(&versioned);
+                if let Known::State(_, record) = &known {
+                    self.adopt(group, index, record);
+                }
+                known
+            }
+            Err(e) => {
+                group.in_touch.set(false);
+                log::debug!(target: "money", "Record not read. record={index} cause={e:?}");
+                sleep(Duration::from_millis(PROBE_MS)).await;
+                Known::Nothing
+            }
+        }
+    }
+
+    /// Writes this router's next state over a known one.
+    async fn write(&self, gw: &Gateway, index: u32, revision: u64, record: ShareRecord) -> Known {
+        let group = &self.groups[index as usize];
+        let stamp = self.clock.stamp();
+        let now_ms = self.clock.now_ms();
+        let next = group.holder.borrow_mut().compose(now_ms, stamp, &record);
+        let before = group.holder.borrow_mut().sent(stamp);
+        let swap = gw
+            .platform
+            .swap(Recorded::Shares(index), revision, encode(&next));
+        match swap.await {
+            Ok(Swap::Done(revision)) => {
+                self.adopt(group, index, &next);
+                Known::State(revision, next)
+            }
+            Ok(Swap::Conflict(versioned)) => {
+                group.holder.borrow_mut().not_done(before);
+                group.needed.notify_one();
+                decode(&versioned)
+            }
+            Err(StoreError::Refused) => {
+                group.holder.borrow_mut().not_done(before);
+                group.in_touch.set(false);
+                sleep(Duration::from_millis(PROBE_MS)).await;
+                Known::State(revision, record)
+            }
+            Err(e) => {
+                group.in_touch.set(false);
+                log::info!(target: "money", "Write without answer. record={index} cause={e:?}");
+                Known::Nothing
+            }
+        }
+    }
+
+    fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
+        let is_mine = group.holder.borrow_mut().adopt(record);
+        group.in_touch.set(is_mine);
+        if !is_mine {
+            group.needed.notify_one();
+        }
+        if index == 0 {
+            self.count_routers(record);
+        }
+        group.done.notify_waiters();
+    }
+}
+
+fn encode(record: &ShareRecord) -> Vec<u8> {
+    serde_json::to_vec(record).unwrap_or_default()
+}
+
+/// Reads a record; one that cannot be read is not written over.
+fn decode(versioned: &Versioned) -> Known {
+    if versioned.revision == 0 {
+        return Known::State(0, ShareRecord::default());
+    }
+    match serde_json::from_slice(&versioned.value) {
+        Ok(record) => Known::State(versioned.revision, record),
+        Err(e) => {
+            log::error!(target: "money", "Record unreadable; remove it or restore it. cause={e}");
+            Known::Nothing
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -0,0 +1,86 @@
+//! The way of one request: accept, route, authenticate, reserve, admit, dispatch, relay, settle.
+
+mod attempt;
+mod plan;
+mod reply;
+
+use std::convert::Infallible;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::time::timeout_at;
+
+use crate::dispatch::outgoing;
+use crate::prelude::*;
+use plan::Plan;
+
+pub use attempt::{Job, Tries};
+pub use reply::{AnswerBody, Pieces, streamed};
+
+/// Serves one request.
+///
+/// # Errors
+///
+/// None; a failure is an answer too.
+pub async fn serve(
+    gw: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let facts = gw.platform.request_facts(&parts.headers);
+    let plan = match Plan::new(&gw, &parts, &facts, arrived) {
+        Ok(plan) => plan,
+        Err(refusal) => return Ok(reply::refuse(&gw, &facts, None, refusal, arrived)),
+    };
+    let result = carry(&gw, parts, body, &facts, &plan).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => reply::refuse(&gw, &facts, Some(&plan), refusal, arrived),
+    };
+    if gw.stopping.get() {
+        reply::close(&mut response);
+    }
+    Ok(response)
+}
+
+/// Takes a planned request to a target and brings the answer back.
+async fn carry(
+    gw: &Rc<Gateway>,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    facts: &RequestFacts,
+    plan: &Plan,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let body = read_body(body, plan).await?;
+    let reservation = match &plan.account {
+        Some(account) => {
+            let per_event = plan.tokens_per_event;
+            gw.bank
+                .reserve(account, facts, per_event, plan.deadline)
+                .await?
+        }
+        None => None,
+    };
+    gw.earn_retry(&plan.service);
+    let job = Job {
+        gw: gw.clone(),
+        out: outgoing(parts, body),
+        facts: facts.clone(),
+        plan: plan.clone(),
+    };
+    job.run(reservation).await
+}
+
+/// Reads a body whole, so that it can be sent again.
+async fn read_body(body: Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, plan.limits.body_bytes);
+    let until = plan.deadline.min(plan.body_by);
+    match timeout_at(until, limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Err(_) => Err(Refusal::LateNotRun),
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -0,0 +1,333 @@
+//! Sending a request to targets until one answers or no more may be asked.
+
+use http_body_util::BodyExt;
+use hyper::Response;
+use smallvec::SmallVec;
+use tokio::time::timeout_at;
+use wisteriapass_policy::Time;
+use wisteriapass_policy::placement::{self, Candidate};
+
+use super::plan::Plan;
+use super::reply::{self, AnswerBody};
+use crate::dispatch::{Answer, Outgoing, Sent, send};
+use crate::metrics::RetryReason;
+use crate::prelude::*;
+use crate::relay::Relay;
+use crate::reservation::Reservation;
+use crate::target::{Target, TargetKey};
+
+/// Targets that may be tried without reaching any of them: beyond that the caller is told.
+const MOST_UNSENT: usize = 4;
+
+/// Patience with an idempotent request before it is sent elsewhere, as a multiple of the time in
+/// which its answer is on time: half of what then is late may still be saved.
+const PATIENCE_TIMES: f64 = 1.5;
+
+/// Weight of a failure in a target's rank.
+const FAILED: f64 = 1.0;
+
+/// Weight of a shed request: the target says itself that it is full.
+const SHED: f64 = 0.5;
+
+/// A request with all that it takes to send it, also again.
+#[derive(Debug)]
+pub struct Job {
+    /// The router.
+    pub gw: Rc<Gateway>,
+    /// What is sent.
+    pub out: Outgoing,
+    /// What the caller says.
+    pub facts: RequestFacts,
+    /// What was decided.
+    pub plan: Plan,
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Gateway").finish_non_exhaustive()
+    }
+}
+
+/// What the tries so far have come to.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Targets that were asked or could not be reached.
+    pub tried: SmallVec<[TargetKey; 4]>,
+    /// Targets that the request was sent to.
+    pub sent: u32,
+    unsent: usize,
+    may_have_run: bool,
+}
+
+impl Job {
+    /// Runs the request; the reservation is settled when the answer is whole or given up.
+    pub async fn run(
+        self,
+        mut reservation: Option<Reservation>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut tries = Tries::default();
+        loop {
+            let answer = self.next_answer(&mut tries, &mut reservation, None).await?;
+            if answer.facts.events && answer.status.is_success() {
+                return Ok(Relay::start(self, answer, tries, reservation));
+            }
+            if let Some(response) = self.finish(answer, &mut tries, &mut reservation).await? {
+                return Ok(response);
+            }
+        }
+    }
+
+    /// Returns the head of a right answer.
+    pub async fn next_answer(
+        &self,
+        tries: &mut Tries,
+        reservation: &mut Option<Reservation>,
+        last_event: Option<u64>,
+    ) -> Result<Answer, Refusal> {
+        loop {
+            if Instant::now() >= self.plan.deadline {
+                return Err(tries.late());
+            }
+            let key = self.place(tries).ok_or_else(|| self.unplaced(tries))?;
+            tries.tried.push(key);
+            if let Some(r) = reservation {
+                r.sent();
+            }
+            match self.send_to(key, tries, last_event).await {
+                Sent::Answer(answer) => match self.judge(key, answer) {
+                    Verdict::Right(answer) => {
+                        tries.sent += 1;
+                        tries.may_have_run = true;
+                        return Ok(answer);
+                    }
+                    Verdict::NotRun => {
+                        tries.sent += 1;
+                        self.note_not_run(tries, reservation);
+                        self.again(tries, RetryReason::NotRun)?;
+                    }
+                    Verdict::Wrong => self.lost(key, tries)?,
+                },
+                Sent::NotSent => {
+                    self.fault(key, FAILED);
+                    self.note_not_run(tries, reservation);
+                    tries.unsent += 1;
+                    if tries.unsent >= MOST_UNSENT {
+                        return Err(self.unplaced(tries));
+                    }
+                    self.gw.metrics.retried(RetryReason::NotSent);
+                }
+                Sent::Lost => self.lost(key, tries)?,
+            }
+        }
+    }
+
+    /// Sends to one target, within the time that it is given.
+    async fn send_to(&self, key: TargetKey, tries: &Tries, last_event: Option<u64>) -> Sent {
+        let Some(headers) = self.headers_for(key, last_event) else {
+            return Sent::NotSent;
+        };
+        let unread = self.facts.work.map_or(0, |w| w.prompt);
+        let sending = send(&self.gw, key, &self.out, headers, unread);
+        timeout_at(self.patience(tries), sending)
+            .await
+            .unwrap_or(Sent::Lost)
+    }
+
+    fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
+        let targets = self.gw.targets.borrow();
+        let target = targets.get(key)?;
+        let facts = DispatchFacts {
+            remaining_ms: self.plan.remaining_ms(),
+            target: &target.entry.id,
+            account: self.plan.account_name(),
+            priority: self.plan.priority,
+            last_event,
+        };
+        Some(self.gw.platform.dispatch_headers(&self.out.headers, &facts))
+    }
+
+    /// Returns until when a target may keep its answer to itself.
+    fn patience(&self, tries: &Tries) -> Instant {
+        let route = &self.plan.route;
+        let is_last = tries.sent + 1 >= route.attempts;
+        if route.kind != Kind::Idempotent || is_last {
+            return self.plan.deadline;
+        }
+        let patience = Duration::from_millis(route.aim_ms).mul_f64(PATIENCE_TIMES);
+        self.plan.deadline.min(Instant::now() + patience)
+    }
+
+    /// Chooses a target that was not tried.
+    fn place(&self, tries: &Tries) -> Option<TargetKey> {
+        let now = Instant::now();
+        let time = Time::from_millis(self.gw.clock.now_ms());
+        let targets = self.gw.targets.borrow();
+        let open = targets.open(&self.plan.service, now);
+        let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
+        let domain = &self.gw.settings.domain;
+        let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
+            .map(|(key, target)| candidate(*key, target, domain, time))
+            .collect();
+        let part = self.facts.shared_part();
+        placement::choose(&candidates, part, self.gw.bank.routers(), rand::random())
+    }
+
+    /// Decides whether an answer is one to this request.
+    fn judge(&self, key: TargetKey, answer: Answer) -> Verdict {
+        let facts = &answer.facts;
+        let echoed = facts.id == self.facts.id;
+        let unnamed = facts.id.is_none() && answer.line.is_fresh;
+        if facts.not_run && (echoed || unnamed) {
+            self.fault(key, SHED);
+            return Verdict::NotRun;
+        }
+        if !echoed || facts.encoded || answer.status.is_success() && !facts.signed {
+            self.fault(key, FAILED);
+            return Verdict::Wrong;
+        }
+        Verdict::Right(answer)
+    }
+
+    /// Reads a whole answer; `None` if it is wrong and the request goes to another target.
+    async fn finish(
+        &self,
+        answer: Answer,
+        tries: &mut Tries,
+        reservation: &mut Option<Reservation>,
+    ) -> Result<Option<Response<AnswerBody>>, Refusal> {
+        let Answer {
+            status,
+            headers,
+            facts,
+            body,
+            line,
+        } = answer;
+        let key = tries.tried.last().copied().unwrap_or_default();
+        let body = match timeout_at(self.plan.deadline, body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                self.lost(key, tries)?;
+                return Ok(None);
+            }
+            Err(_) => return Err(tries.late()),
+        };
+        line.finish(&facts);
+        if status.is_server_error() {
+            self.fault(key, FAILED);
+            let again = self.plan.route.kind.repeatable();
+            if again && self.again(tries, RetryReason::Failed).is_ok() {
+                return Ok(None);
+            }
+        } else {
+            self.ease(key);
+        }
+        if let Some(r) = reservation {
+            r.ended();
+        }
+        self.gw.metrics.answered();
+        Ok(Some(reply::whole(status, headers, body)))
+    }
+
+    /// Notes an answer that was lost or wrong; goes on if the request may run again.
+    fn lost(&self, key: TargetKey, tries: &mut Tries) -> Result<(), Refusal> {
+        tries.sent += 1;
+        tries.may_have_run = true;
+        self.fault(key, FAILED);
+        if Instant::now() >= self.plan.deadline {
+            return Err(Refusal::Late);
+        }
+        if !self.plan.route.kind.repeatable() {
+            return Err(Refusal::OutcomeUnknown);
+        }
+        self.again(tries, RetryReason::Lost)
+    }
+
+    /// Takes a repeat, if one is left.
+    pub fn again(&self, tries: &Tries, reason: RetryReason) -> Result<(), Refusal> {
+        if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
+            return Err(tries.given_up());
+        }
+        self.gw.metrics.retried(reason);
+        log::info!(
+            target: "exchange",
+            "Sent again. request={} reason={reason} sent={}",
+            self.facts.id_text(),
+            tries.sent
+        );
+        Ok(())
+    }
+
+    fn note_not_run(&self, tries: &Tries, reservation: &mut Option<Reservation>) {
+        if tries.may_have_run {
+            return;
+        }
+        if let Some(r) = reservation {
+            r.not_run();
+        }
+    }
+
+    /// Counts a failure of a target.
+    pub fn fault(&self, key: TargetKey, weight: f64) {
+        let now = Time::from_millis(self.gw.clock.now_ms());
+        let targets = self.gw.targets.borrow();
+        if let Some(target) = targets.get(key) {
+            target.trouble.borrow_mut().add(now, weight);
+            log::info!(target: "targets", "Failure. target={} weight={weight}", target.entry.id);
+        }
+    }
+
+    /// Counts a success of a target.
+    pub fn ease(&self, key: TargetKey) {
+        let now = Time::from_millis(self.gw.clock.now_ms());
+        let targets = self.gw.targets.borrow();
+        if let Some(target) = targets.get(key) {
+            target.trouble.borrow_mut().ease(now);
+        }
+    }
+
+    fn unplaced(&self, tries: &Tries) -> Refusal {
+        if tries.may_have_run {
+            return Refusal::OutcomeUnknown;
+        }
+        if tries.tried.is_empty() {
+            return Refusal::NoTarget;
+        }
+        Refusal::NotTaken
+    }
+}
+
+impl Tries {
+    /// Returns what to say when the time is up.
+    pub fn late(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::Late;
+        }
+        Refusal::LateNotRun
+    }
+
+    fn given_up(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::OutcomeUnknown;
+        }
+        Refusal::NotTaken
+    }
+}
+
+/// What an answer's head says.
+enum Verdict {
+    Right(Answer),
+    NotRun,
+    Wrong,
+}
+
+fn candidate(key: TargetKey, target: &Target, domain: &str, now: Time) -> Candidate<TargetKey> {
+    Candidate {
+        key,
+        hash: placement::hash(&target.entry.id.0),
+        slots: target.entry.slots,
+        running: target.running.get(),
+        unread: target.unread.get(),
+        near: target.entry.domain == domain,
+        trouble: target.trouble.borrow().now(now),
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -0,0 +1,110 @@
+//! What is decided about a request before it goes anywhere: route, account, deadline, rank.
+
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+
+use crate::catalogue::{Account, Catalogue, Limits};
+use crate::prelude::*;
+
+/// Longest time for a caller's body, as a multiple of the limit on its headers: a body has more
+/// bytes.
+const BODY_TIMES: u32 = 2;
+
+/// What is decided about a request.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Route that fits.
+    pub route: Rc<Route>,
+    /// Service, drawn by the route's weights.
+    pub service: String,
+    /// Account that pays, if the route asks for one.
+    pub account: Option<Rc<Account>>,
+    /// Limits on the caller.
+    pub limits: Limits,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// When the answer has to be final.
+    pub deadline: Instant,
+    /// When the body has to be there.
+    pub body_by: Instant,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Tokens in an event of the service's streams.
+    pub tokens_per_event: u64,
+}
+
+impl Plan {
+    /// Decides about a request that arrived just now.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if there is no configuration, no route or no account for it.
+    pub fn new(
+        gw: &Gateway,
+        parts: &Parts,
+        facts: &RequestFacts,
+        arrived: Instant,
+    ) -> Result<Self, Refusal> {
+        let catalogue = gw.catalogue().ok_or(Refusal::NotConfigured)?;
+        let host = host(parts);
+        let route = catalogue.route(&host, parts.uri.path());
+        let route = route.ok_or(Refusal::NoRoute)?;
+        let account = account(&catalogue, &route, facts)?;
+        let service = route.service(rand::random()).unwrap_or_default().to_owned();
+        let wait = facts
+            .remaining_ms
+            .unwrap_or(route.timeout_ms)
+            .min(route.timeout_ms);
+        let of_account = account.as_ref().and_then(|a| a.priority);
+        let body_ms = Duration::from_millis(catalogue.limits.header_ms) * BODY_TIMES;
+        Ok(Self {
+            priority: of_account.unwrap_or(route.priority),
+            tokens_per_event: tokens_per_event(&catalogue, &service),
+            limits: catalogue.limits,
+            arrived,
+            deadline: arrived + Duration::from_millis(wait),
+            body_by: arrived + body_ms,
+            account,
+            service,
+            route,
+        })
+    }
+
+    /// Returns the account's name.
+    pub fn account_name(&self) -> Option<&str> {
+        self.account.as_ref().map(|a| a.name.as_str())
+    }
+
+    /// Returns the milliseconds that are left.
+    pub fn remaining_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.as_millis() as u64
+    }
+}
+
+/// Returns the account that holds the caller's key.
+fn account(
+    catalogue: &Catalogue,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<Option<Rc<Account>>, Refusal> {
+    if route.public || !catalogue.has_accounts() {
+        return Ok(None);
+    }
+    let key = facts.key.as_ref().ok_or(Refusal::UnknownKey)?;
+    let account = catalogue.account(key).ok_or(Refusal::UnknownKey)?;
+    Ok(Some(account))
+}
+
+/// Returns the tokens in an event; one that is not stated is taken for one token.
+fn tokens_per_event(catalogue: &Catalogue, service: &str) -> u64 {
+    catalogue.service(service).tokens_per_event.unwrap_or(1)
+}
+
+/// Returns the host that a request names, in lower case and without a port.
+fn host(parts: &Parts) -> String {
+    let named = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
+    let bare = host.split(':').next().unwrap_or_default();
+    bare.to_ascii_lowercase()
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -0,0 +1,79 @@
+//! Answers to callers: a target's, or a refusal of our own.
+
+use std::pin::Pin;
+
+use futures_util::Stream;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use serde_json::json;
+
+use super::plan::Plan;
+use crate::dispatch::strip_hop_headers;
+use crate::prelude::*;
+use crate::relay::Broken;
+
+/// Bytes of a stream as they come.
+pub type Pieces = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Broken>>>>;
+
+/// Body of an answer: whole, or a stream.
+pub type AnswerBody = Either<Full<Bytes>, StreamBody<Pieces>>;
+
+/// Returns a target's answer with its whole body.
+pub fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<AnswerBody> {
+    passed_on(status, headers, Either::Left(Full::new(body)))
+}
+
+/// Returns a target's answer whose body comes piece by piece.
+pub fn streamed(status: StatusCode, headers: HeaderMap, body: Pieces) -> Response<AnswerBody> {
+    passed_on(status, headers, Either::Right(StreamBody::new(body)))
+}
+
+fn passed_on(status: StatusCode, mut headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    strip_hop_headers(&mut headers);
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Refuses a request, with a line in the log.
+pub fn refuse(
+    gw: &Gateway,
+    facts: &RequestFacts,
+    plan: Option<&Plan>,
+    refusal: Refusal,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    gw.metrics.refused(refusal);
+    log::info!(
+        target: "exchange",
+        "Refused. request={} reason={refusal} route={} account={} after_ms={}",
+        facts.id_text(),
+        plan.map_or("-", |p| &p.route.name),
+        plan.and_then(Plan::account_name).unwrap_or("-"),
+        arrived.elapsed().as_millis()
+    );
+    let back = refusal.retry_after_ms();
+    let text = json!({"error": {"reason": refusal.to_string(), "retry_after_ms": back}});
+    let body = Full::new(Bytes::from(text.to_string()));
+    let mut response = Response::new(Either::Left(body));
+    *response.status_mut() = refusal.status();
+    let headers = response.headers_mut();
+    *headers = gw.platform.refusal_headers(facts);
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(ms) = back {
+        let secs = format!("{:.3}", ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&secs) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Tells the caller that its connection closes behind this answer.
+pub fn close(response: &mut Response<AnswerBody>) {
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/follow.rs
@@ -0,0 +1,88 @@
+//! Following the configuration and the targets.
+
+use tokio::time::sleep;
+
+use crate::platform::{Change, Feed, StoreError, Topic};
+use crate::prelude::*;
+
+/// Time that one watch waits, in milliseconds: a connection that went silent is noticed soon
+/// after, within the time in which a change has to be in force.
+const WAIT_MS: u64 = 900;
+
+/// Pause between two watches of the targets, in milliseconds: their entries change all the time,
+/// and one answer then carries many changes.
+const TARGETS_PAUSE_MS: u64 = 300;
+
+/// Pause after a call without answer, in milliseconds.
+const FAILED_PAUSE_MS: u64 = 100;
+
+/// Follows a topic for ever.
+pub async fn follow(gw: Rc<Gateway>, topic: Topic) {
+    loop {
+        let after = match gw.platform.read(topic).await {
+            Ok(feed) => {
+                gw.touch.answered(Instant::now());
+                take_all(&gw, topic, &feed);
+                feed.at
+            }
+            Err(e) => {
+                note_failure(&gw, topic, e).await;
+                continue;
+            }
+        };
+        watch_from(&gw, topic, after).await;
+    }
+}
+
+/// Follows changes until the whole state has to be read again.
+async fn watch_from(gw: &Gateway, topic: Topic, mut after: u64) {
+    let wait = Duration::from_millis(WAIT_MS);
+    loop {
+        match gw.platform.watch(topic, after, wait).await {
+            Ok(feed) => {
+                gw.touch.answered(Instant::now());
+                // An empty answer may come from a service that hears nothing just now; going on
+                // from the last change seen misses none.
+                if !feed.changes.is_empty() {
+                    after = feed.at;
+                }
+                take(gw, &feed);
+            }
+            Err(StoreError::Compacted) => return,
+            Err(e) => note_failure(gw, topic, e).await,
+        }
+        if topic == Topic::Targets {
+            sleep(Duration::from_millis(TARGETS_PAUSE_MS)).await;
+        }
+    }
+}
+
+async fn note_failure(gw: &Gateway, topic: Topic, e: StoreError) {
+    gw.touch.failed();
+    log::debug!(target: "store", "Not followed. topic={topic} cause={e:?}");
+    sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+}
+
+fn take_all(gw: &Gateway, topic: Topic, feed: &Feed) {
+    if topic == Topic::Targets {
+        let regained = gw.touch.regained();
+        let mut targets = gw.targets.borrow_mut();
+        targets.replace(&feed.changes, Instant::now(), regained);
+        gw.set_knows_targets();
+    }
+    take(gw, feed);
+}
+
+fn take(gw: &Gateway, feed: &Feed) {
+    let now = Instant::now();
+    for change in &feed.changes {
+        match change {
+            Change::Configuration(catalogue) => gw.set_catalogue(catalogue.clone()),
+            _ => {
+                let regained = gw.touch.regained();
+                gw.targets.borrow_mut().apply(change, now, regained);
+            }
+        }
+    }
+    gw.targets.borrow_mut().sweep(now);
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -0,0 +1,108 @@
+//! What the services of one router share.
+
+use std::collections::HashMap;
+
+use tokio::sync::watch;
+
+use crate::bank::Bank;
+use crate::catalogue::Catalogue;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::prelude::*;
+use crate::retries::Retries;
+use crate::settings::GatewaySettings;
+use crate::targets::Targets;
+use crate::touch::Touch;
+
+/// One router.
+pub struct Gateway {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Edge to the platform.
+    pub platform: Rc<dyn Platform>,
+    pub(crate) clock: Clock,
+    pub(crate) bank: Rc<Bank>,
+    pub(crate) targets: RefCell<Targets>,
+    pub(crate) touch: Touch,
+    pub(crate) metrics: Metrics,
+    pub(crate) stopping: Cell<bool>,
+    /// Turns true when idle connections have to close.
+    pub(crate) closing: watch::Sender<bool>,
+    catalogue: RefCell<Option<Rc<Catalogue>>>,
+    retries: RefCell<HashMap<String, Retries>>,
+    knows_targets: Cell<bool>,
+}
+
+impl Gateway {
+    /// Creates a router that knows no configuration and no targets.
+    pub fn new(settings: GatewaySettings, platform: Rc<dyn Platform>, metrics: Metrics) -> Self {
+        let clock = Clock::new();
+        let bank = Rc::new(Bank::new(clock, &settings.name));
+        Self {
+            settings,
+            platform,
+            clock,
+            bank,
+            targets: RefCell::default(),
+            touch: Touch::new(),
+            metrics,
+            stopping: Cell::new(false),
+            closing: watch::Sender::new(false),
+            catalogue: RefCell::default(),
+            retries: RefCell::default(),
+            knows_targets: Cell::new(false),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalogue(&self) -> Option<Rc<Catalogue>> {
+        self.catalogue.borrow().clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn set_catalogue(&self, next: Rc<Catalogue>) {
+        let now = self.catalogue.borrow().as_ref().map_or(0, |c| c.version);
+        if next.version <= now {
+            return;
+        }
+        log::info!(
+            target: "config",
+            "Configuration in force. version={} routes={}",
+            next.version,
+            next.routes_len()
+        );
+        self.bank.set_totals(&next);
+        *self.catalogue.borrow_mut() = Some(next);
+    }
+
+    /// Notes that the targets were read once.
+    pub(crate) fn set_knows_targets(&self) {
+        self.knows_targets.set(true);
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.knows_targets.get() && self.catalogue.borrow().is_some()
+    }
+
+    /// Counts a request towards the repeats of its service.
+    pub(crate) fn earn_retry(&self, service: &str) {
+        let routers = self.bank.routers();
+        let mut retries = self.retries.borrow_mut();
+        match retries.get_mut(service) {
+            Some(bucket) => bucket.earn(routers),
+            None => {
+                let bucket = Retries::new(&self.settings.bounds, Instant::now());
+                retries.insert(service.to_owned(), bucket);
+            }
+        }
+    }
+
+    /// Takes one repeat of a service, if there is one.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        let routers = self.bank.routers();
+        let mut retries = self.retries.borrow_mut();
+        let bucket = retries.get_mut(service);
+        bucket.is_some_and(|b| b.take(Instant::now(), routers))
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/lib.rs
@@ -0,0 +1,44 @@
+//! The data path of a router that dispatches straight to targets.
+//!
+//! Read `exchange` first: the way of one request from top to bottom. [`Gateway`] holds what it
+//! asks; [`Platform`] is the edge to names and formats of the users' platform.
+
+#![warn(missing_docs)]
+
+mod bank;
+mod catalogue;
+mod clock;
+mod dispatch;
+mod events;
+mod exchange;
+mod facts;
+mod follow;
+mod gateway;
+mod listener;
+mod metrics;
+mod platform;
+mod pool;
+mod prelude;
+mod refusal;
+mod relay;
+mod reservation;
+mod retries;
+mod route;
+mod run;
+mod settings;
+mod target;
+mod targets;
+mod touch;
+
+pub use catalogue::{Account, Catalogue, Limits, Service};
+pub use events::{Event, EventReader};
+pub use facts::{AnswerFacts, DispatchFacts, PrefixPart, RequestFacts, TokenWork};
+pub use gateway::Gateway;
+pub use platform::{
+    Change, Feed, LocalFuture, Platform, Recorded, StoreError, Swap, Topic, Versioned,
+};
+pub use refusal::Refusal;
+pub use route::{Kind, Route, Split};
+pub use run::{RunError, run};
+pub use settings::{Bounds, GatewaySettings};
+pub use target::{TargetEntry, TargetId};
--- /dev/null
+++ b/wisteriapass_gateway/src/platform.rs
@@ -0,0 +1,124 @@
+//! The edge to the users' platform: headers of callers and targets, and the key-value service.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use hyper::{HeaderMap, Method};
+
+use crate::catalogue::Catalogue;
+use crate::facts::{AnswerFacts, DispatchFacts, RequestFacts};
+use crate::target::{TargetEntry, TargetId};
+
+/// A future of this thread.
+pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// Result of a call to the key-value service.
+pub type Result<T, E = StoreError> = std::result::Result<T, E>;
+
+/// Why a call to the key-value service gave nothing.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[display("the service refused the call; it is tried again")]
+    Refused,
+    /// No answer; a write may have taken effect, or may yet.
+    #[display("no answer of the service; the state is read again")]
+    Unknown,
+    /// Changes since that revision are no longer there.
+    #[display("the history is gone; the whole state is read again")]
+    Compacted,
+    /// The answer cannot be read.
+    #[display("the service's answer cannot be read; look at its version")]
+    Malformed,
+}
+
+/// What a router follows.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    #[display("configuration")]
+    Configuration,
+    /// The targets.
+    #[display("targets")]
+    Targets,
+}
+
+/// One change of what is followed.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// A configuration.
+    Configuration(Rc<Catalogue>),
+    /// A target's entry, new or changed.
+    Target(TargetEntry),
+    /// An entry that is not there any more.
+    Gone(TargetId),
+    /// An entry that cannot be read, or names a state that is not known.
+    Unusable(TargetId),
+}
+
+/// Changes up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Feed {
+    /// Revision from which to go on.
+    pub at: u64,
+    /// The changes in order.
+    pub changes: Vec<Change>,
+}
+
+/// A record and its revision; 0 is none.
+#[derive(Clone, Debug, Default)]
+pub struct Versioned {
+    /// Revision of the last change.
+    pub revision: u64,
+    /// The record's bytes.
+    pub value: Vec<u8>,
+}
+
+/// Names one of the records that routers write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// Shares of a group of accounts.
+    Shares(u32),
+}
+
+/// Outcome of a compare-and-swap that was answered.
+#[derive(Clone, Debug)]
+pub enum Swap {
+    /// It took effect at this revision.
+    Done(u64),
+    /// The record is at another revision: this.
+    Conflict(Versioned),
+}
+
+/// Names, formats and calls of a platform; decides nothing.
+pub trait Platform {
+    /// Decodes a caller's headers.
+    fn request_facts(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Returns the headers to send to a target: the caller's, less what only the system may set.
+    fn dispatch_headers(&self, headers: &HeaderMap, facts: &DispatchFacts<'_>) -> HeaderMap;
+
+    /// Decodes a target's headers.
+    fn answer_facts(&self, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Returns the headers of an answer that the router itself gives.
+    fn refusal_headers(&self, request: &RequestFacts) -> HeaderMap;
+
+    /// Returns whether a request asks if this router takes callers.
+    fn is_readiness_probe(&self, method: &Method, path: &str) -> bool;
+
+    /// Reads all of a topic.
+    fn read(&self, topic: Topic) -> LocalFuture<'_, Result<Feed>>;
+
+    /// Waits for changes of a topic after a revision.
+    fn watch(&self, topic: Topic, after: u64, wait: Duration) -> LocalFuture<'_, Result<Feed>>;
+
+    /// Reads a record.
+    fn load(&self, name: Recorded) -> LocalFuture<'_, Result<Versioned>>;
+
+    /// Replaces a record if it is at a revision; 0 is none.
+    fn swap(&self, name: Recorded, expected: u64, value: Vec<u8>) -> LocalFuture<'_, Result<Swap>>;
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/prelude.rs
@@ -0,0 +1,15 @@
+//! The common types of this crate.
+
+pub use std::cell::{Cell, RefCell};
+pub use std::rc::Rc;
+pub use std::time::Duration;
+
+pub use bytes::Bytes;
+pub use hyper::{HeaderMap, StatusCode};
+pub use tokio::time::Instant;
+
+pub use crate::clock::Clock;
+pub use crate::facts::{AnswerFacts, DispatchFacts, RequestFacts};
+pub use crate::gateway::Gateway;
+pub use crate::refusal::Refusal;
+pub use crate::route::{Kind, Route};
--- /dev/null
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -0,0 +1,85 @@
+//! The closed set of answers that the router itself gives.
+
+use derive_more::Display;
+use hyper::StatusCode;
+
+/// Why a request got no answer of a target.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[display("not_configured")]
+    NotConfigured,
+    /// No route for host and path.
+    #[display("no_route")]
+    NoRoute,
+    /// No account holds the key.
+    #[display("unknown_key")]
+    UnknownKey,
+    /// The body is larger than allowed.
+    #[display("too_large")]
+    TooLarge,
+    /// The body did not arrive whole.
+    #[display("body_broken")]
+    BodyBroken,
+    /// The account's total does not cover the request.
+    #[display("budget_exhausted")]
+    Exhausted,
+    /// This router's share of the account does not cover it now.
+    #[display("share_short")]
+    ShareShort,
+    /// No target of the service is open.
+    #[display("no_target")]
+    NoTarget,
+    /// All targets are full.
+    #[display("full")]
+    Full,
+    /// Targets that were asked did not run it, and it may not be sent on.
+    #[display("not_taken")]
+    NotTaken,
+    /// The time is up, and it did not run.
+    #[display("late_not_run")]
+    LateNotRun,
+    /// The time is up, and it may have run.
+    #[display("late")]
+    Late,
+    /// The target's answer was lost or wrong, and it may have run.
+    #[display("outcome_unknown")]
+    OutcomeUnknown,
+}
+
+impl Refusal {
+    /// Returns the status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::Exhausted => StatusCode::PAYMENT_REQUIRED,
+            Self::NotConfigured
+            | Self::ShareShort
+            | Self::NoTarget
+            | Self::Full
+            | Self::NotTaken
+            | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Returns when to come back, in milliseconds, if the request has not run and may yet.
+    pub fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            // A configuration is there within a second of the service's return.
+            Self::NotConfigured => Some(1_000),
+            // A share comes with the next exchange, which takes some tens of milliseconds; out
+            // of touch it takes until others give back.
+            Self::ShareShort => Some(500),
+            Self::NoTarget => Some(1_000),
+            // The time of a few short requests at a full target.
+            Self::Full | Self::NotTaken => Some(300),
+            Self::LateNotRun => Some(200),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/relay.rs
@@ -0,0 +1,195 @@
+//! Relaying a stream of events, and going on at another target when it breaks.
+
+use std::collections::VecDeque;
+
+use derive_more::{Display, Error};
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Frame;
+use tokio::time::timeout_at;
+
+use crate::dispatch::Answer;
+use crate::events::{Event, EventReader};
+use crate::exchange::{AnswerBody, Job, Pieces, Tries, streamed};
+use crate::metrics::RetryReason;
+use crate::prelude::*;
+use crate::reservation::Reservation;
+
+/// Why a stream ended early; the caller's connection is broken off with it.
+#[derive(Clone, Copy, Debug, Display, Error)]
+pub enum Broken {
+    /// The time is up.
+    #[display("the time is up")]
+    Late,
+    /// The target broke off, or sent what is no next event.
+    #[display("the target broke off")]
+    Lost,
+}
+
+/// One stream under way.
+pub struct Relay {
+    job: Job,
+    answer: Option<Answer>,
+    tries: Tries,
+    reservation: Option<Reservation>,
+    reader: EventReader,
+    ready: VecDeque<Bytes>,
+    /// Id of the last event passed on.
+    last: Option<u64>,
+}
+
+impl Relay {
+    /// Returns the answer to the caller; its body is relayed as it comes.
+    pub fn start(
+        job: Job,
+        answer: Answer,
+        tries: Tries,
+        reservation: Option<Reservation>,
+    ) -> Response<AnswerBody> {
+        let status = answer.status;
+        let headers = answer.headers.clone();
+        let last = job.facts.last_event;
+        let relay = Self {
+            job,
+            answer: Some(answer),
+            tries,
+            reservation,
+            reader: EventReader::default(),
+            ready: VecDeque::new(),
+            last,
+        };
+        let pieces: Pieces = Box::pin(unfold(Some(relay), |relay| async move {
+            let mut relay = relay?;
+            match relay.next_piece().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(None) => None,
+                Err(broken) => {
+                    relay.note_broken(broken);
+                    Some((Err(broken), None))
+                }
+            }
+        }));
+        streamed(status, headers, pieces)
+    }
+
+    /// Returns the next bytes for the caller; `None` after the last.
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, Broken> {
+        loop {
+            if let Some(bytes) = self.ready.pop_front() {
+                return Ok(Some(bytes));
+            }
+            let Some(answer) = &mut self.answer else {
+                return Ok(None);
+            };
+            let frame = timeout_at(self.job.plan.deadline, answer.body.frame()).await;
+            let frame = frame.map_err(|_| Broken::Late)?;
+            let is_sound = match frame {
+                Some(Ok(frame)) => self.take(frame),
+                Some(Err(_)) => false,
+                None => {
+                    self.finish();
+                    continue;
+                }
+            };
+            if !is_sound {
+                self.resume().await?;
+            }
+        }
+    }
+
+    /// Takes bytes of the target in; `false` if they are no next events.
+    fn take(&mut self, frame: Frame<Bytes>) -> bool {
+        let Ok(bytes) = frame.into_data() else {
+            return true;
+        };
+        if let Some(answer) = &mut self.answer {
+            answer.line.heard();
+        }
+        if !self.reader.push(&bytes) {
+            return false;
+        }
+        while let Some(event) = self.reader.next_event() {
+            if !self.pass_on(event) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Passes an event on, if it is the next.
+    fn pass_on(&mut self, event: Event) -> bool {
+        let is_next = match (self.last, event.id) {
+            (Some(last), Some(id)) => id == last + 1,
+            _ => true,
+        };
+        if !is_next {
+            return false;
+        }
+        if event.id.is_some() {
+            self.last = event.id;
+            if let Some(r) = &mut self.reservation {
+                r.event();
+            }
+        }
+        self.ready.push_back(event.bytes);
+        true
+    }
+
+    /// Ends a stream that the target ended.
+    fn finish(&mut self) {
+        let rest = self.reader.rest();
+        if !rest.is_empty() {
+            self.ready.push_back(rest);
+        }
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        if let Some(key) = self.tries.tried.last() {
+            self.job.ease(*key);
+        }
+        answer.line.finish(&answer.facts);
+        if let Some(mut r) = self.reservation.take() {
+            r.ended();
+        }
+        self.job.gw.metrics.answered();
+    }
+
+    /// Goes on behind the last event at another target, where that is allowed.
+    async fn resume(&mut self) -> Result<(), Broken> {
+        // The run before must not go on beside the next one.
+        self.answer = None;
+        self.reader = EventReader::default();
+        if let Some(key) = self.tries.tried.last() {
+            self.job.fault(*key, 1.0);
+        }
+        if !self.job.plan.route.kind.repeatable() {
+            return Err(Broken::Lost);
+        }
+        loop {
+            let again = self.job.again(&self.tries, RetryReason::Resumed);
+            again.map_err(|_| Broken::Lost)?;
+            let answer = self
+                .job
+                .next_answer(&mut self.tries, &mut self.reservation, self.last)
+                .await
+                .map_err(|_| Broken::Lost)?;
+            if answer.facts.events && answer.status.is_success() {
+                self.answer = Some(answer);
+                return Ok(());
+            }
+        }
+    }
+
+    fn note_broken(&self, broken: Broken) {
+        self.job.gw.metrics.broke();
+        log::info!(
+            target: "exchange",
+            "Stream broken. request={} cause=\"{broken}\" last_event={:?} sent={} after_ms={}",
+            self.job.facts.id_text(),
+            self.last,
+            self.tries.sent,
+            self.job.plan.arrived.elapsed().as_millis()
+        );
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/route.rs
@@ -0,0 +1,75 @@
+//! A route: which requests go to which service, and what is promised about them.
+
+use smallvec::SmallVec;
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// A stream of events; `resumable` ones may go on at another target.
+    Stream {
+        /// Whether the stream may go on at another target.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Returns whether a request that may have run can be sent again.
+    pub fn repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+    }
+}
+
+/// A service and its weight in a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Split {
+    /// Name of the service.
+    pub service: String,
+    /// Relative share of requests.
+    pub weight: u32,
+}
+
+/// A route of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: String,
+    /// Host, in lower case.
+    pub host: String,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: String,
+    /// Where requests go.
+    pub splits: SmallVec<[Split; 2]>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a request is kept, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer (its first event) is on time, in milliseconds.
+    pub aim_ms: u64,
+    /// Longest pause between events that is on time, in milliseconds.
+    pub gap_ms: Option<u64>,
+    /// Most targets to which one attempt of a caller is sent.
+    pub attempts: u32,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Whether it serves callers without an account.
+    pub public: bool,
+}
+
+impl Route {
+    /// Returns the service for a request; `draw` is uniform over `u32`.
+    pub fn service(&self, draw: u32) -> Option<&str> {
+        let total: u64 = self.splits.iter().map(|s| u64::from(s.weight)).sum();
+        let mut place = u64::from(draw) * total.max(1) >> 32;
+        for split in &self.splits {
+            if place < u64::from(split.weight) {
+                return Some(&split.service);
+            }
+            place -= u64::from(split.weight);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/run.rs
@@ -0,0 +1,99 @@
+//! Running a router: start, serve, stop in good order.
+
+use derive_more::{Display, Error, From};
+use tokio::runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::bank::Bank;
+use crate::follow::follow;
+use crate::listener::{listen, serve_callers, serve_readiness};
+use crate::metrics::{Metrics, MetricsError};
+use crate::platform::{Platform, Topic};
+use crate::prelude::*;
+use crate::settings::GatewaySettings;
+
+/// Time after the stop signal in which new connections are still taken, in milliseconds: the
+/// balancer asks once a second and needs two answers to stop sending callers.
+const LINGER_MS: u64 = 2_300;
+
+/// Time before the kill at which the process ends by itself, in milliseconds: to give shares back.
+const SPARE_MS: u64 = 400;
+
+/// Longest time for giving shares back, in milliseconds.
+const GIVE_BACK_MS: u64 = 300;
+
+/// Time between two looks at what is still under way, in milliseconds.
+const LOOK_MS: u64 = 20;
+
+/// Why a router did not start.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// Counters.
+    Metrics(MetricsError),
+    /// The system.
+    #[display("cannot listen or handle signals ({_0}); give addresses of this VM that are free")]
+    Io(std::io::Error),
+}
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// [`RunError`] if it cannot start.
+pub fn run(settings: GatewaySettings, platform: Rc<dyn Platform>) -> Result<(), RunError> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let gw = Rc::new(Gateway::new(settings, platform, Metrics::new()?));
+        serve(gw).await
+    })
+}
+
+async fn serve(gw: Rc<Gateway>) -> Result<(), RunError> {
+    let mut stop = signal(SignalKind::terminate())?;
+    spawn_local(ignore(signal(SignalKind::hangup())?));
+    let callers = listen(gw.settings.listen)?;
+    let ready = listen(gw.settings.ready)?;
+    let open = Rc::new(Cell::new(0));
+    spawn_local(serve_readiness(gw.clone(), ready));
+    spawn_local(serve_callers(gw.clone(), callers, open.clone()));
+    spawn_local(follow(gw.clone(), Topic::Configuration));
+    spawn_local(follow(gw.clone(), Topic::Targets));
+    let keepers = Bank::start(&gw);
+    let stamp = gw.clock.stamp();
+    log::info!(
+        target: "start",
+        "Started. listen={} domain={} since_boot_ms={} time_of_day_ms={}",
+        gw.settings.listen, gw.settings.domain, stamp.since_boot, stamp.time_of_day
+    );
+    stop.recv().await;
+    let deadline = Instant::now() + Duration::from_millis(gw.settings.bounds.grace_ms - SPARE_MS);
+    leave(&gw, &open, deadline).await;
+    keepers.iter().for_each(tokio::task::JoinHandle::abort);
+    let give_back = gw.bank.give_back(&gw);
+    let done = timeout(Duration::from_millis(GIVE_BACK_MS), give_back).await;
+    log::info!(target: "start", "Stopped. cut={} given_back={}", open.get(), done.is_ok());
+    Ok(())
+}
+
+/// Lets callers go elsewhere and what is under way end.
+async fn leave(gw: &Gateway, open: &Cell<usize>, deadline: Instant) {
+    log::info!(target: "start", "Stopping. connections={}", open.get());
+    gw.stopping.set(true);
+    sleep(Duration::from_millis(LINGER_MS)).await;
+    gw.closing.send_replace(true);
+    while open.get() > 0 && Instant::now() < deadline {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+/// Keeps a signal from ending the process: settings that change here need no action.
+async fn ignore(mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        log::info!(target: "start", "Signal to read settings again; none of ours can change.");
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/targets.rs
@@ -0,0 +1,120 @@
+//! The targets that this router knows, by service.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::platform::Change;
+use crate::target::{Standing, Target, TargetEntry, TargetId, TargetKey};
+use std::time::Duration;
+
+/// Time that an entry may be missing after an outage of the service, in milliseconds: the
+/// platform says that targets that live are back within about two seconds.
+const LAPSE_MS: u64 = 2_200;
+
+/// Arena of targets.
+#[derive(Debug, Default)]
+pub struct Targets {
+    arena: SlotMap<TargetKey, Target>,
+    ids: HashMap<TargetId, TargetKey>,
+}
+
+impl Targets {
+    /// Returns a target; `None` after it was forgotten.
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.arena.get(key)
+    }
+
+    /// Returns the targets of a service that may get new work.
+    pub fn open(&self, service: &str, now: Instant) -> SmallVec<[(TargetKey, &Target); 32]> {
+        let fits = |t: &Target| t.entry.service == service && t.is_open(now);
+        self.arena.iter().filter(|(_, t)| fits(t)).collect()
+    }
+
+    /// Returns how many targets may get new work.
+    pub fn open_len(&self, now: Instant) -> usize {
+        self.arena.values().filter(|t| t.is_open(now)).count()
+    }
+
+    /// Takes a change in; entries that go within `LAPSE_MS` of `regained` may come back.
+    pub fn apply(&mut self, change: &Change, now: Instant, regained: Option<Instant>) {
+        match change {
+            Change::Target(entry) => self.set(entry, now),
+            Change::Gone(id) => self.remove(id, now, regained),
+            Change::Unusable(id) => {
+                log::warn!(target: "targets", "Entry unusable. target={id}");
+                self.close(id);
+            }
+            Change::Configuration(_) => {}
+        }
+    }
+
+    /// Takes the whole state in: entries that are not in it are gone.
+    pub fn replace(&mut self, changes: &[Change], now: Instant, regained: Option<Instant>) {
+        let named: Vec<&TargetId> = changes.iter().filter_map(named).collect();
+        let is_missing = |id: &&TargetId| !named.contains(id);
+        let gone: Vec<TargetId> = self.ids.keys().filter(is_missing).cloned().collect();
+        for id in gone {
+            self.remove(&id, now, regained);
+        }
+        for change in changes {
+            self.apply(change, now, regained);
+        }
+    }
+
+    /// Forgets targets that are closed and have nothing of this router under way.
+    pub fn sweep(&mut self, now: Instant) {
+        let keep = |t: &Target| t.is_open(now) || t.running.get() > 0 || t.entry.leaving;
+        self.arena.retain(|_, t| keep(t));
+        self.ids.retain(|_, key| self.arena.contains_key(*key));
+    }
+
+    fn set(&mut self, entry: &TargetEntry, now: Instant) {
+        let known = self.ids.get(&entry.id).copied();
+        if let Some(target) = known.and_then(|key| self.arena.get_mut(key)) {
+            if !target.is_other(entry) {
+                target.set_entry(entry.clone());
+                return;
+            }
+            log::info!(target: "targets", "Target started anew. target={}", entry.id);
+            target.standing = Standing::Closed;
+        }
+        log::info!(
+            target: "targets",
+            "Target known. target={} service={} address={} leaving={}",
+            entry.id, entry.service, entry.address, entry.leaving
+        );
+        let key = self.arena.insert(Target::new(entry.clone(), now));
+        self.ids.insert(entry.id.clone(), key);
+    }
+
+    fn remove(&mut self, id: &TargetId, now: Instant, regained: Option<Instant>) {
+        let Some(target) = self.ids.get(id).and_then(|key| self.arena.get_mut(*key)) else {
+            return;
+        };
+        if target.standing != Standing::Open {
+            return;
+        }
+        let until = regained.map(|at| at + Duration::from_millis(LAPSE_MS));
+        let until = until.filter(|until| *until > now);
+        target.standing = until.map_or(Standing::Closed, Standing::Missing);
+        log::info!(target: "targets", "Entry gone. target={id} lapsed={}", until.is_some());
+    }
+
+    fn close(&mut self, id: &TargetId) {
+        let target = self.ids.get(id).and_then(|key| self.arena.get_mut(*key));
+        if let Some(target) = target {
+            target.standing = Standing::Closed;
+        }
+    }
+}
+
+fn named(change: &Change) -> Option<&TargetId> {
+    match change {
+        Change::Target(entry) => Some(&entry.id),
+        Change::Unusable(id) | Change::Gone(id) => Some(id),
+        Change::Configuration(_) => None,
+    }
+}
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod names;
 mod orders;
 mod parts;
+pub mod placement;
 mod pool;
 mod priority;
 mod refusal;
