--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -13,7 +13,7 @@
 mod stamp;
 mod tenure;
 
-pub use holder::{ShareHolder, ShareSizes, Shortfall};
+pub use holder::{ShareHolder, ShareSizes, Shortfall, Standing};
 pub use meter::DrawMeter;
 pub use record::ShareRecord;
 pub use share::Share;
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use derive_more::Display;
+
 use crate::prepaid::{DrawMeter, HolderId, Share, ShareRecord, Stamp, Tenure};
 
 /// How large shares are, and when a sealed part opens.
@@ -14,8 +16,12 @@
     /// Time since the last write that may have reached the service after which the sealed part
     /// opens, in milliseconds.
     pub seal_ms: u64,
-    /// Largest part of what is left of a total that one write may take beyond what waits for it.
-    pub greed: f64,
+    /// Part of what is left of a total that all routers together hold unspent at the most: what
+    /// they hold is lost if all of them are killed, and what they don't is not there in a cut.
+    pub held: f64,
+    /// Part of what is left that a router without draw holds, divided by the routers: the first
+    /// request of an account does not wait for an exchange.
+    pub floor: f64,
 }
 
 /// Why a reservation was not made.
@@ -27,14 +33,40 @@
     Short,
 }
 
+/// What a router knows of an account, in tokens, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[display(
+    "total={total} granted={granted} spent={spent} sealed={sealed} \
+     others_granted={others_granted} others_used={others_used}"
+)]
+pub struct Standing {
+    /// Total by the configuration in force.
+    pub total: u64,
+    /// This VM's share.
+    pub granted: u64,
+    /// What of it is spent, lost or reserved.
+    pub spent: u64,
+    /// What of it may not be spent yet.
+    pub sealed: u64,
+    /// What others were granted.
+    pub others_granted: u64,
+    /// What others are known to have spent.
+    pub others_used: u64,
+}
+
 /// What this router knows of one account.
 #[derive(Clone, Copy, Debug, Default)]
 struct Purchase {
     share: Share,
+    /// The most that may be spent while the seal is whole, in tokens: in whichever of the states
+    /// that the service may hold, a successor takes no more than the rest back.
+    open: u64,
     /// What predecessors on this VM are known to have spent, in tokens.
     base: u64,
     /// What they may have spent beyond that, in tokens.
     lost: u64,
+    /// Whether what predecessors spent was looked up.
+    based: bool,
     /// Settled by this process, in tokens.
     used: u64,
     /// Reserved by requests under way, in tokens.
@@ -133,8 +165,7 @@
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self, now_ms: u64) -> bool {
         let due = |a: &Purchase| {
-            let (open, _) = a.aim(now_ms, &self.sizes);
-            let is_low = 2 * a.spendable(false) < open;
+            let is_low = 2 * a.spendable(false) < a.open_wish(now_ms, &self.sizes);
             let has_rest = a.others_granted + a.share.granted < a.total;
             has_rest && (a.wanted > 0 || is_low)
         };
@@ -154,13 +185,15 @@
         }
         for (name, a) in &mut self.accounts {
             let mut share = next.share(name, &self.id);
-            if before.is_none_or(|t| t.process != self.process) {
+            if !a.based || before.is_none_or(|t| t.process != self.process) {
+                a.based = true;
                 a.base = share.used;
                 a.lost = share.lost;
             }
-            let granted = next.granted(name);
-            let free = a.total.saturating_sub(granted);
-            a.compose(now_ms, &self.sizes, &mut share, free);
+            share.wish = a.wish(now_ms, &self.sizes);
+            next.set_share(name, &self.id, share);
+            let scene = Scene::new(&next, name, a.total, &self.sizes);
+            a.compose(&self.sizes, &mut share, scene);
             next.set_share(name, &self.id, share);
         }
         self.writes += 1;
@@ -188,16 +221,18 @@
         self.last_sent = before;
     }
 
-    /// Takes over what the service holds, if this process wrote it last.
+    /// Takes over what the service holds, if it holds the last write of this process.
     ///
-    /// Returns whether it did; otherwise the shares in memory stay as they are.
+    /// Returns whether it does. Otherwise a write may come late, and could lower a share that is
+    /// believed to be larger: the shares in memory stay as they are until the next write.
     pub fn adopt(&mut self, record: &ShareRecord) -> bool {
         let tenure = record.tenure(&self.id);
-        if tenure.is_none_or(|t| t.process != self.process) {
+        if tenure.is_none_or(|t| (t.process, t.write) != (self.process, self.writes)) {
             return false;
         }
         for (name, a) in &mut self.accounts {
             a.share = record.share(name, &self.id);
+            a.open = a.share.granted - a.share.sealed.min(a.share.granted);
             a.others_granted = record.granted(name) - a.share.granted;
             a.others_used = record.used(name) - a.share.used;
             a.wanted = 0;
@@ -217,7 +252,9 @@
             share.used = a.base + a.used + a.reserved;
             share.granted = a.spent().min(share.granted);
             share.sealed = 0;
+            share.wish = 0;
             a.share = share;
+            a.open = share.granted;
             next.set_share(name, &self.id, share);
         }
         self.writes += 1;
@@ -234,6 +271,19 @@
         Some(next)
     }
 
+    /// Returns what is known of an account.
+    pub fn standing(&self, account: &str) -> Standing {
+        let a = self.accounts.get(account).copied().unwrap_or_default();
+        Standing {
+            total: a.total,
+            granted: a.share.granted,
+            spent: a.spent(),
+            sealed: if self.unsealed { 0 } else { a.share.sealed },
+            others_granted: a.others_granted,
+            others_used: a.others_used,
+        }
+    }
+
     /// Returns what this process has settled of an account, in tokens.
     pub fn used(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |a| a.used)
@@ -248,41 +298,70 @@
 
     /// Returns what may be reserved now, in tokens.
     fn spendable(&self, unsealed: bool) -> u64 {
-        let closed = if unsealed { 0 } else { self.share.sealed };
-        self.share.granted.saturating_sub(self.spent() + closed)
+        let most = if unsealed {
+            self.share.granted
+        } else {
+            self.open.min(self.share.granted)
+        };
+        most.saturating_sub(self.spent())
+    }
+
+    /// Returns what the draw makes desirable to have unspent, in tokens.
+    fn wish(&self, now_ms: u64, sizes: &ShareSizes) -> u64 {
+        let ms = (sizes.open_ms + sizes.sealed_ms) as f64;
+        let draw = self.draw.per_second(now_ms) / 1_000.0;
+        (draw * ms + 2.0 * self.draw.largest(now_ms)) as u64
     }
 
-    /// Returns the open and the sealed part to aim at, in tokens.
-    fn aim(&self, now_ms: u64, sizes: &ShareSizes) -> (u64, u64) {
+    /// Returns the open part of what is desirable, in tokens.
+    fn open_wish(&self, now_ms: u64, sizes: &ShareSizes) -> u64 {
         let draw = self.draw.per_second(now_ms) / 1_000.0;
-        let open = draw * sizes.open_ms as f64;
-        let sealed = draw * sizes.sealed_ms as f64;
-        (open as u64, sealed as u64)
+        (draw * sizes.open_ms as f64 + self.draw.largest(now_ms)) as u64
     }
 
-    /// Changes a share towards its aim, within what is free of the total.
-    fn compose(&mut self, now_ms: u64, sizes: &ShareSizes, share: &mut Share, free: u64) {
-        let (open, sealed) = self.aim(now_ms, sizes);
+    /// Changes a share towards what is fair, within what is free of the total.
+    fn compose(&mut self, sizes: &ShareSizes, share: &mut Share, scene: Scene) {
         let spent = self.spent();
-        let need = spent + self.wanted;
-        let left = (free as f64 * sizes.greed) as u64;
-        let most = share.granted + free.min(left.max(need.saturating_sub(share.granted)));
-        let target = (need + open + sealed).max(spent);
+        let aim = ((share.wish as f64 * scene.scale) as u64).max(scene.floor);
+        let target = spent + self.wanted + aim;
         share.used = self.base + self.used;
         if target >= share.granted {
-            share.granted = target.min(most);
-        } else if 2 * (share.granted - target) > open + sealed {
+            share.granted = target.min(share.granted + scene.free);
+        } else if share.granted - target > aim / GIVE_BACK {
             share.granted = target;
         }
-        let rest = share.granted.saturating_sub(spent);
-        let part = sealed as f64 / (open + sealed).max(1) as f64;
-        share.sealed = (rest.saturating_sub(self.wanted) as f64 * part) as u64;
-        self.lower(share);
+        let rest = share.granted.saturating_sub(spent + self.wanted);
+        let part = sizes.sealed_ms as f64 / (sizes.open_ms + sizes.sealed_ms).max(1) as f64;
+        share.sealed = (rest as f64 * part) as u64;
+        self.share.granted = self.share.granted.min(share.granted);
+        self.open = self.open.min(share.granted - share.sealed);
     }
+}
 
-    /// Forgoes at once what the composed share no longer has.
-    fn lower(&mut self, share: &Share) {
-        self.share.granted = self.share.granted.min(share.granted);
-        self.share.sealed = self.share.sealed.max(share.sealed).min(self.share.granted);
+/// Part of what a router aims at by which its share may be larger before it gives back: one that
+/// gives back at every exchange takes again at the next.
+const GIVE_BACK: u64 = 4;
+
+/// What an account's record leaves to this router.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    /// What nobody was granted, in tokens.
+    free: u64,
+    /// Part of each router's wish that fits.
+    scale: f64,
+    /// What a router without draw holds, in tokens.
+    floor: u64,
+}
+
+impl Scene {
+    fn new(record: &ShareRecord, account: &str, total: u64, sizes: &ShareSizes) -> Self {
+        let left = total.saturating_sub(record.gone(account)) as f64;
+        let wishes = record.wishes(account).max(1) as f64;
+        let holders = record.tenures().count().max(1) as f64;
+        Self {
+            free: total.saturating_sub(record.granted(account)),
+            scale: (left * sizes.held / wishes).min(1.0),
+            floor: (left * sizes.floor / holders) as u64,
+        }
     }
 }
--- a/wisteriapass_coord/src/prepaid/record.rs
+++ b/wisteriapass_coord/src/prepaid/record.rs
@@ -47,6 +47,16 @@
         self.sum(account, |s| s.used)
     }
 
+    /// Returns the sum of what is known to be spent or lost of an account, in tokens.
+    pub fn gone(&self, account: &str) -> u64 {
+        self.sum(account, |s| s.used + s.lost)
+    }
+
+    /// Returns the sum of what routers would like to have unspent of an account, in tokens.
+    pub fn wishes(&self, account: &str) -> u64 {
+        self.sum(account, |s| s.wish)
+    }
+
     /// Replaces a holder's share of an account.
     pub fn set_share(&mut self, account: &str, holder: &HolderId, share: Share) {
         let shares = self.accounts.entry(account.to_owned()).or_default();
--- a/wisteriapass_coord/src/prepaid/share.rs
+++ b/wisteriapass_coord/src/prepaid/share.rs
@@ -4,7 +4,7 @@
 
 /// What a router took of an account's total, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "[u64; 4]", into = "[u64; 4]")]
+#[serde(from = "[u64; 5]", into = "[u64; 5]")]
 pub struct Share {
     /// The most that the router and its predecessors on this VM may ever have spent.
     pub granted: u64,
@@ -14,6 +14,8 @@
     pub sealed: u64,
     /// What dead predecessors may have spent beyond what is known.
     pub lost: u64,
+    /// What the router would like to have unspent, going by its draw.
+    pub wish: u64,
 }
 
 impl Share {
@@ -32,22 +34,30 @@
         }
         self.sealed = 0;
         self.lost = self.granted.saturating_sub(self.used);
+        self.wish = 0;
     }
 }
 
-impl From<[u64; 4]> for Share {
-    fn from([granted, used, sealed, lost]: [u64; 4]) -> Self {
+impl From<[u64; 5]> for Share {
+    fn from([granted, used, sealed, lost, wish]: [u64; 5]) -> Self {
         Self {
             granted,
             used,
             sealed,
             lost,
+            wish,
         }
     }
 }
 
-impl From<Share> for [u64; 4] {
+impl From<Share> for [u64; 5] {
     fn from(share: Share) -> Self {
-        [share.granted, share.used, share.sealed, share.lost]
+        [
+            share.granted,
+            share.used,
+            share.sealed,
+            share.lost,
+            share.wish,
+        ]
     }
 }
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -9,7 +9,8 @@
     open_ms: 4_000,
     sealed_ms: 6_000,
     seal_ms: 2_000,
-    greed: 0.25,
+    held: 0.6,
+    floor: 0.05,
 };
 const ACCOUNT: &str = "firm";
 
@@ -89,6 +90,41 @@
     assert_eq!(take(&mut h, 1, 10, &mut record), Ok(()));
 }
 
+#[test]
+fn a_lost_write_that_asks_for_more_takes_nothing_away() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 1_000_000);
+    assert_eq!(take(&mut h, 0, 1_000, &mut record), Ok(()));
+    exchange(&mut h, 10, &mut record);
+    let before = record.share(ACCOUNT, h.id());
+    assert_eq!(h.reserve(20, ACCOUNT, 1_000), Ok(()));
+    let _lost = h.compose(20, at(20), &record);
+    h.sent(at(20));
+    assert_eq!(h.reserve(30, ACCOUNT, before.open() - 2_000), Ok(()));
+}
+
+#[test]
+fn an_idle_router_gives_back_to_one_that_is_short() {
+    let mut record = ShareRecord::default();
+    let (mut a, mut b) = (holder("a", 1, 10_000), holder("b", 2, 10_000));
+    for i in 0..6 {
+        assert_eq!(take(&mut a, i * 10, 400, &mut record), Ok(()));
+        a.settle(ACCOUNT, 400, 400);
+        exchange(&mut a, i * 10, &mut record);
+    }
+    let mut served = 0;
+    for i in 0..30 {
+        let now = 3_000 + i * 800;
+        exchange(&mut a, now, &mut record);
+        if take(&mut b, now, 250, &mut record).is_ok() {
+            b.settle(ACCOUNT, 250, 250);
+            served += 250;
+        }
+        exchange(&mut b, now, &mut record);
+    }
+    assert!(served >= 7_000, "{served} of 7600 were served");
+}
+
 #[test]
 fn a_sealed_part_opens_only_out_of_touch() {
     let mut record = ShareRecord::default();
@@ -103,6 +139,7 @@
     assert!(!h.unseal(at(1_900 + SIZES.seal_ms - 1)));
     assert!(h.unseal(at(1_900 + SIZES.seal_ms)));
     let open = record.share(ACCOUNT, h.id()).open();
+    assert!(open > 0);
     assert_eq!(h.reserve(9_000, ACCOUNT, open + sealed), Ok(()));
 }
 
@@ -136,6 +173,34 @@
     assert_eq!(rebooted.since(early), None);
 }
 
+#[test]
+fn a_successor_that_learns_of_an_account_late_counts_what_was_spent() {
+    let mut record = ShareRecord::default();
+    let mut before = holder("a", 1, 100);
+    assert_eq!(take(&mut before, 0, 100, &mut record), Ok(()));
+    before.settle(ACCOUNT, 100, 100);
+    let id = HolderId("a".into());
+    let mut after = ShareHolder::new(id, 2, at(5_000), SIZES);
+    exchange(&mut after, 5_000, &mut record);
+    after.set_total(ACCOUNT, 100);
+    exchange(&mut after, 5_100, &mut record);
+    assert!(take(&mut after, 5_200, 10, &mut record).is_err());
+}
+
+#[test]
+fn a_state_read_while_a_write_may_come_late_gives_nothing_back() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 10_000);
+    assert_eq!(take(&mut h, 0, 1_000, &mut record), Ok(()));
+    h.settle(ACCOUNT, 1_000, 0);
+    let late = h.compose(60_000, at(60_000), &record);
+    h.sent(at(60_000));
+    assert!(late.granted(ACCOUNT) < record.granted(ACCOUNT));
+    h.adopt(&record);
+    let left = late.share(ACCOUNT, h.id()).granted;
+    assert!(h.reserve(60_100, ACCOUNT, left + 1).is_err());
+}
+
 /// What a random history does with one of three routers on three VMs.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -145,13 +210,15 @@
     Lost,
     /// The write takes effect later, if its condition still holds.
     Late,
+    /// The record is read and taken over as far as it may be.
+    Reread,
     Kill,
     GiveBack,
     TopUp,
 }
 
 fn step(n: u16) -> Step {
-    match n % 16 {
+    match n % 17 {
         0..=6 => Step::Spend(u64::from(n) % 97 + 1),
         7..=9 => Step::Exchange,
         10 => Step::Lost,
@@ -159,6 +226,7 @@
         12 => Step::Kill,
         13 => Step::GiveBack,
         14 => Step::TopUp,
+        15 => Step::Reread,
         _ => Step::Spend(400),
     }
 }
@@ -196,6 +264,9 @@
                 h.sent(at(now));
                 late.push((record.0, next));
             }
+            Step::Reread => {
+                h.adopt(&record.1);
+            }
             Step::Kill => {
                 let name = h.id().0.clone();
                 processes += 1;
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -20,8 +20,9 @@
 use crate::refusal::Refusal;
 use crate::reservation::Reservation;
 
-/// Records over which accounts are spread: writers of different accounts seldom meet at one.
-const GROUPS: u32 = 4;
+/// Records over which accounts are spread: one costs one call for each exchange, and holds some
+/// hundred accounts of some tens of routers.
+const GROUPS: u32 = 1;
 
 /// Time after the last write at which the sealed part opens, in milliseconds: a router that is
 /// killed and restarted at once proves within it that the seal was whole.
@@ -34,9 +35,13 @@
 /// Draw that the sealed part covers, in milliseconds: what is left of a cut of some ten seconds.
 const SEALED_MS: u64 = 8_000;
 
-/// Part of what is left of a total that one exchange may take beyond what waits for it: several
-/// routers reach the end of a total together.
-const GREED: f64 = 0.2;
+/// Part of what is left of a total that all routers together hold unspent: a kill of all loses at
+/// most that, and a cut of all leaves as much to be served.
+const HELD: f64 = 0.6;
+
+/// Part of what is left that routers without draw hold together: covers a first request of the
+/// usual size, and strands little.
+const FLOOR: f64 = 0.05;
 
 /// Longest time that a request waits for a share, in milliseconds: some exchanges of a service
 /// that answers in milliseconds.
@@ -53,6 +58,21 @@
     in_touch: Cell<bool>,
 }
 
+impl Group {
+    /// Says why a share is short.
+    fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
+        log::info!(
+            target: "money",
+            "Share short. request={} account={} most={most} {} in_touch={}",
+            request.id_text(),
+            account.name,
+            self.holder.borrow().standing(&account.name),
+            self.in_touch.get()
+        );
+        Refusal::ShareShort
+    }
+}
+
 /// Money of one router process.
 pub struct Bank {
     clock: Clock,
@@ -79,7 +99,8 @@
             open_ms: OPEN_MS,
             sealed_ms: SEALED_MS,
             seal_ms: SEAL_MS,
-            greed: GREED,
+            held: HELD,
+            floor: FLOOR,
         };
         let process = rand::random();
         let started = clock.stamp();
@@ -140,7 +161,7 @@
         let (Some(_), Some(work)) = (account.prepaid, request.work) else {
             return Ok(None);
         };
-        let most = request.most();
+        let most = work.most();
         let until = deadline.min(Instant::now() + Duration::from_millis(WAIT_MS));
         let group = self.group(&account.name);
         loop {
@@ -155,22 +176,22 @@
             }
             let may_come = group.in_touch.get() && group.holder.borrow().is_due(now_ms);
             if !may_come {
-                return Err(Refusal::ShareShort);
+                return Err(group.short(request, account, most));
             }
             group.needed.notify_one();
             if timeout_at(until, done).await.is_err() {
-                return Err(Refusal::ShareShort);
+                return Err(group.short(request, account, most));
             }
         }
         let me = self.clone();
         let name = account.name.clone();
-        Ok(Some(Reservation::new(
-            me,
-            name,
-            most,
-            work.prompt,
-            per_event,
-        )))
+        Ok(Some(Reservation::new(me, name, work, per_event)))
+    }
+
+    /// Sets more aside for a request under way, if there is as much at hand.
+    pub fn reserve_more(&self, account: &str, tokens: u64) -> bool {
+        let mut holder = self.group(account).holder.borrow_mut();
+        holder.reserve(self.clock.now_ms(), account, tokens).is_ok()
     }
 
     /// Replaces a reservation by what it cost.
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -40,9 +40,7 @@
                     let tick = Duration::from_millis(TICK_MS);
                     // Either way an exchange is made: it is due, or the proof grows old.
                     let _ = timeout(tick, group.needed.notified()).await;
-                    let known = self.write(&gw, index, revision, record).await;
-                    sleep(Duration::from_millis(PAUSE_MS)).await;
-                    known
+                    self.write(&gw, index, revision, record).await
                 }
             };
             let stamp = self.clock.stamp();
@@ -101,11 +99,15 @@
         match swap.await {
             Ok(Swap::Done(revision)) => {
                 self.adopt(group, index, &next);
+                sleep(Duration::from_millis(PAUSE_MS)).await;
                 Known::State(revision, next)
             }
             Ok(Swap::Conflict(versioned)) => {
                 group.holder.borrow_mut().not_done(before);
                 group.needed.notify_one();
+                // Routers that met once do not meet again.
+                let apart = rand::random_range(0..PAUSE_MS / 2);
+                sleep(Duration::from_millis(apart)).await;
                 decode(&versioned)
             }
             Err(StoreError::Refused) => {
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -103,9 +103,9 @@
                     Verdict::NotRun => {
                         tries.sent += 1;
                         self.note_not_run(tries, reservation);
-                        self.again(tries, RetryReason::NotRun)?;
+                        self.again(tries, reservation, RetryReason::NotRun)?;
                     }
-                    Verdict::Wrong => self.lost(key, tries)?,
+                    Verdict::Wrong => self.lost(key, tries, reservation)?,
                 },
                 Sent::NotSent => {
                     self.fault(key, FAILED);
@@ -116,7 +116,7 @@
                     }
                     self.gw.metrics.retried(RetryReason::NotSent);
                 }
-                Sent::Lost => self.lost(key, tries)?,
+                Sent::Lost => self.lost(key, tries, reservation)?,
             }
         }
     }
@@ -206,7 +206,7 @@
         let body = match timeout_at(self.plan.deadline, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
-                self.lost(key, tries)?;
+                self.lost(key, tries, reservation)?;
                 return Ok(None);
             }
             Err(_) => return Err(tries.late()),
@@ -215,7 +215,7 @@
         if status.is_server_error() {
             self.fault(key, FAILED);
             let again = self.plan.route.kind.repeatable();
-            if again && self.again(tries, RetryReason::Failed).is_ok() {
+            if again && self.again(tries, reservation, RetryReason::Failed).is_ok() {
                 return Ok(None);
             }
         } else {
@@ -229,7 +229,12 @@
     }
 
     /// Notes an answer that was lost or wrong; goes on if the request may run again.
-    fn lost(&self, key: TargetKey, tries: &mut Tries) -> Result<(), Refusal> {
+    fn lost(
+        &self,
+        key: TargetKey,
+        tries: &mut Tries,
+        reservation: &mut Option<Reservation>,
+    ) -> Result<(), Refusal> {
         tries.sent += 1;
         tries.may_have_run = true;
         self.fault(key, FAILED);
@@ -239,14 +244,23 @@
         if !self.plan.route.kind.repeatable() {
             return Err(Refusal::OutcomeUnknown);
         }
-        self.again(tries, RetryReason::Lost)
+        self.again(tries, reservation, RetryReason::Lost)
     }
 
     /// Takes a repeat, if one is left.
-    pub fn again(&self, tries: &Tries, reason: RetryReason) -> Result<(), Refusal> {
+    pub fn again(
+        &self,
+        tries: &Tries,
+        reservation: &mut Option<Reservation>,
+        reason: RetryReason,
+    ) -> Result<(), Refusal> {
         if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
             return Err(tries.given_up());
         }
+        let unpaid = tries.may_have_run && reservation.as_mut().is_some_and(|r| !r.renew());
+        if unpaid {
+            return Err(tries.given_up());
+        }
         self.gw.metrics.retried(reason);
         log::info!(
             target: "exchange",
--- a/wisteriapass_gateway/src/facts.rs
+++ b/wisteriapass_gateway/src/facts.rs
@@ -14,6 +14,13 @@
     pub max_output: u64,
 }
 
+impl TokenWork {
+    /// Returns the most that it can cost, in tokens.
+    pub fn most(self) -> u64 {
+        self.prompt.saturating_add(self.max_output)
+    }
+}
+
 /// One part of a prompt, which other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PrefixPart {
@@ -47,12 +54,6 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
-    /// Returns the most that the request can cost, in tokens.
-    pub fn most(&self) -> u64 {
-        self.work
-            .map_or(0, |w| w.prompt.saturating_add(w.max_output))
-    }
-
     /// Returns the deepest part that other requests share.
     pub fn shared_part(&self) -> Option<u64> {
         let deepest = self.prefix.len().checked_sub(2)?;
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/relay.rs
@@ -167,7 +167,9 @@
             return Err(Broken::Lost);
         }
         loop {
-            let again = self.job.again(&self.tries, RetryReason::Resumed);
+            let again = self
+                .job
+                .again(&self.tries, &mut self.reservation, RetryReason::Resumed);
             again.map_err(|_| Broken::Lost)?;
             let answer = self
                 .job
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -3,33 +3,35 @@
 use std::rc::Rc;
 
 use crate::bank::Bank;
-
-/// Events that a target may have sent beyond those that arrived when a stream ended early: what
-/// is on its way within a few milliseconds.
-const EVENTS_ON_THE_WAY: u64 = 2;
+use crate::facts::TokenWork;
 
 /// The most that a request can cost, and what it has cost so far, in tokens.
+///
+/// A run whose end is not known is paid in full: behind a cut its target may go on to the end.
 #[derive(Debug)]
 pub struct Reservation {
     bank: Rc<Bank>,
     account: String,
-    most: u64,
-    prompt: u64,
+    work: TokenWork,
     per_event: u64,
+    most: u64,
+    /// Output of runs before, whose end is not known.
+    lost: u64,
     sent: bool,
     events: u64,
     ended: bool,
 }
 
 impl Reservation {
-    /// Creates one for `most` tokens that the bank has set aside.
-    pub fn new(bank: Rc<Bank>, account: String, most: u64, prompt: u64, per_event: u64) -> Self {
+    /// Creates one for work whose most the bank has set aside.
+    pub fn new(bank: Rc<Bank>, account: String, work: TokenWork, per_event: u64) -> Self {
         Self {
             bank,
             account,
-            most,
-            prompt,
+            work,
             per_event,
+            most: work.most(),
+            lost: 0,
             sent: false,
             events: 0,
             ended: false,
@@ -41,11 +43,25 @@
         self.sent = true;
     }
 
-    /// Notes that the target said that it did not run it.
+    /// Notes that no target has run it.
     pub fn not_run(&mut self) {
         self.sent = false;
     }
 
+    /// Sets the output of another run aside, after one whose end is not known.
+    ///
+    /// Returns whether there is money for it.
+    pub fn renew(&mut self) -> bool {
+        let output = self.work.max_output;
+        if !self.bank.reserve_more(&self.account, output) {
+            return false;
+        }
+        self.most += output;
+        self.lost += output;
+        self.events = 0;
+        true
+    }
+
     /// Notes an event that arrived.
     pub fn event(&mut self) {
         self.events += 1;
@@ -61,9 +77,11 @@
         if !self.sent {
             return 0;
         }
-        let on_the_way = if self.ended { 0 } else { EVENTS_ON_THE_WAY };
-        let output = (self.events + on_the_way) * self.per_event;
-        (self.prompt + output).min(self.most)
+        if !self.ended {
+            return self.most;
+        }
+        let output = self.events * self.per_event;
+        self.work.prompt + self.lost + output.min(self.work.max_output)
     }
 }
 
