--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -36,7 +36,7 @@
 /// What a router knows of an account, in tokens, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(
-    "total={total} granted={granted} spent={spent} sealed={sealed} \
+    "total={total} granted={granted} spent={spent} lost={lost} sealed={sealed} \
      others_granted={others_granted} others_used={others_used}"
 )]
 pub struct Standing {
@@ -46,6 +46,8 @@
     pub granted: u64,
     /// What of it is spent, lost or reserved.
     pub spent: u64,
+    /// What of that predecessors may have spent, and nobody knows.
+    pub lost: u64,
     /// What of it may not be spent yet.
     pub sealed: u64,
     /// What others were granted.
@@ -92,6 +94,8 @@
     /// Stamp of the last write that may have reached the service.
     last_sent: Option<Stamp>,
     unsealed: bool,
+    /// Whether shares were given back: nothing is reserved any more.
+    closed: bool,
     /// When this process started: no predecessor lived later.
     started: Stamp,
 }
@@ -107,6 +111,7 @@
             accounts: BTreeMap::new(),
             last_sent: None,
             unsealed: false,
+            closed: false,
             started,
         }
     }
@@ -127,6 +132,9 @@
     ///
     /// [`Shortfall`] if the share does not cover it.
     pub fn reserve(&mut self, now_ms: u64, account: &str, most: u64) -> Result<(), Shortfall> {
+        if self.closed {
+            return Err(Shortfall::Short);
+        }
         let unsealed = self.unsealed;
         let a = self.accounts.entry(account.to_owned()).or_default();
         if a.spendable(unsealed) >= most {
@@ -247,8 +255,9 @@
         if tenure.process != self.process {
             return None;
         }
+        self.closed = true;
         let mut next = record.clone();
-        for (name, a) in &mut self.accounts {
+        for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.based) {
             let mut share = next.share(name, &self.id);
             share.used = a.base + a.used + a.reserved;
             share.granted = a.spent().min(share.granted);
@@ -279,6 +288,7 @@
             total: a.total,
             granted: a.share.granted,
             spent: a.spent(),
+            lost: a.lost,
             sealed: if self.unsealed { 0 } else { a.share.sealed },
             others_granted: a.others_granted,
             others_used: a.others_used,
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -37,7 +37,7 @@
 
 /// Part of what is left of a total that all routers together hold unspent: a kill of all loses at
 /// most that, and a cut of all leaves as much to be served.
-const HELD: f64 = 0.6;
+const HELD: f64 = 0.4;
 
 /// Part of what is left that routers without draw hold together: covers a first request of the
 /// usual size, and strands little.
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -48,25 +48,28 @@
         }
     }
 
-    /// Gives back what is not spent; for a process that ends in good order.
+    /// Gives back what is not spent, as often as it takes; for a process that ends in good order.
     pub async fn give_back(&self, gw: &Gateway) {
         for index in 0..GROUPS {
-            let Known::State(revision, record) = self.read(gw, index).await else {
-                continue;
-            };
-            let holder = &self.groups[index as usize].holder;
-            let next = holder.borrow_mut().give_back(self.clock.stamp(), &record);
-            let Some(next) = next else {
-                continue;
-            };
-            let swap = gw
-                .platform
-                .swap(Recorded::Shares(index), revision, encode(&next));
-            let done = matches!(swap.await, Ok(Swap::Done(_)));
-            log::info!(target: "money", "Shares given back. record={index} done={done}");
+            while !self.try_give_back(gw, index).await {}
+            log::info!(target: "money", "Shares given back. record={index}");
         }
     }
 
+    /// Returns whether there is nothing left to give back.
+    async fn try_give_back(&self, gw: &Gateway, index: u32) -> bool {
+        let Known::State(revision, record) = self.read(gw, index).await else {
+            return false;
+        };
+        let holder = &self.groups[index as usize].holder;
+        let next = holder.borrow_mut().give_back(self.clock.stamp(), &record);
+        let Some(next) = next else {
+            return true;
+        };
+        let swap = gw.platform.swap(Recorded::Shares(index), revision, encode(&next));
+        matches!(swap.await, Ok(Swap::Done(_)))
+    }
+
     async fn read(&self, gw: &Gateway, index: u32) -> Known {
         let group = &self.groups[index as usize];
         match gw.platform.load(Recorded::Shares(index)).await {
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -4,7 +4,7 @@
 use tokio::runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at};
 
 use crate::bank::Bank;
 use crate::follow::follow;
@@ -18,11 +18,12 @@
 /// balancer asks once a second and needs two answers to stop sending callers.
 const LINGER_MS: u64 = 2_300;
 
-/// Time before the kill at which the process ends by itself, in milliseconds: to give shares back.
+/// Time before the kill at which what is under way is given up, in milliseconds: to give shares
+/// back.
 const SPARE_MS: u64 = 400;
 
-/// Longest time for giving shares back, in milliseconds.
-const GIVE_BACK_MS: u64 = 300;
+/// Time before the kill at which the process ends in any case, in milliseconds.
+const END_MS: u64 = 50;
 
 /// Time between two looks at what is still under way, in milliseconds.
 const LOOK_MS: u64 = 20;
@@ -71,11 +72,12 @@
         gw.settings.listen, gw.settings.domain, stamp.since_boot, stamp.time_of_day
     );
     stop.recv().await;
-    let deadline = Instant::now() + Duration::from_millis(gw.settings.bounds.grace_ms - SPARE_MS);
-    leave(&gw, &open, deadline).await;
+    let grace_ms = gw.settings.bounds.grace_ms;
+    let before_kill = |ms| Duration::from_millis(grace_ms.saturating_sub(ms));
+    let stopped = Instant::now();
+    leave(&gw, &open, stopped + before_kill(SPARE_MS)).await;
     keepers.iter().for_each(tokio::task::JoinHandle::abort);
-    let give_back = gw.bank.give_back(&gw);
-    let done = timeout(Duration::from_millis(GIVE_BACK_MS), give_back).await;
+    let done = timeout_at(stopped + before_kill(END_MS), gw.bank.give_back(&gw)).await;
     log::info!(target: "start", "Stopped. cut={} given_back={}", open.get(), done.is_ok());
     Ok(())
 }
