--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -75,6 +75,8 @@
     reserved: u64,
     /// Largest request refused as short since the last exchange, in tokens.
     wanted: u64,
+    /// Whether the last exchange brought nothing for what was wanted.
+    barren: bool,
     /// Total by the configuration in force, in tokens.
     total: u64,
     /// What others are known to have been granted and to have spent, in tokens.
@@ -123,7 +125,9 @@
 
     /// Sets an account's total; one that shrinks takes no share back.
     pub fn set_total(&mut self, account: &str, total: u64) {
-        self.accounts.entry(account.to_owned()).or_default().total = total;
+        let a = self.accounts.entry(account.to_owned()).or_default();
+        a.barren &= a.total == total;
+        a.total = total;
     }
 
     /// Reserves the most that a request can cost, in tokens.
@@ -175,7 +179,7 @@
         let due = |a: &Purchase| {
             let is_low = 2 * a.spendable(false) < a.open_wish(now_ms, &self.sizes);
             let has_rest = a.others_granted + a.share.granted < a.total;
-            has_rest && (a.wanted > 0 || is_low)
+            has_rest && !a.barren && (a.wanted > 0 || is_low)
         };
         self.accounts.values().any(due)
     }
@@ -244,6 +248,7 @@
             a.open = a.share.granted - a.share.sealed.min(a.share.granted);
             a.others_granted = record.granted(name) - a.share.granted;
             a.others_used = record.used(name) - a.share.used;
+            a.barren = a.spendable(false) < a.wanted;
             a.wanted = 0;
         }
         true
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -26,18 +26,18 @@
 
 /// Time after the last write at which the sealed part opens, in milliseconds: a router that is
 /// killed and restarted at once proves within it that the seal was whole.
-const SEAL_MS: u64 = 3_000;
+const SEAL_MS: u64 = 2_200;
 
 /// Draw that the open part covers, in milliseconds: lasts over the seal and the time between two
 /// exchanges.
-const OPEN_MS: u64 = 4_500;
+const OPEN_MS: u64 = 2_900;
 
 /// Draw that the sealed part covers, in milliseconds: what is left of a cut of some ten seconds.
-const SEALED_MS: u64 = 8_000;
+const SEALED_MS: u64 = 7_000;
 
 /// Part of what is left of a total that all routers together hold unspent: a kill of all loses at
 /// most that, and a cut of all leaves as much to be served.
-const HELD: f64 = 0.4;
+const HELD: f64 = 0.5;
 
 /// Part of what is left that routers without draw hold together: covers a first request of the
 /// usual size, and strands little.
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -12,10 +12,11 @@
 
 /// Time between two exchanges when nobody waits, in milliseconds: the proof that a seal is whole
 /// is that young.
-const TICK_MS: u64 = 800;
+const TICK_MS: u64 = 500;
 
-/// Shortest time between two exchanges, in milliseconds: requests that come meanwhile share one.
-const PAUSE_MS: u64 = 25;
+/// Shortest time between two exchanges, in milliseconds: requests that come meanwhile share one,
+/// and wait little beside the time in which an answer is on time.
+const PAUSE_MS: u64 = 60;
 
 /// Time between two reads while the service does not answer, in milliseconds.
 const PROBE_MS: u64 = 200;
@@ -109,7 +110,7 @@
                 group.holder.borrow_mut().not_done(before);
                 group.needed.notify_one();
                 // Routers that met once do not meet again.
-                let apart = rand::random_range(0..PAUSE_MS / 2);
+                let apart = rand::random_range(0..PAUSE_MS / 3);
                 sleep(Duration::from_millis(apart)).await;
                 decode(&versioned)
             }
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -1,10 +1,21 @@
 //! Money set aside for one request, settled when it is dropped.
 
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use crate::bank::Bank;
 use crate::facts::TokenWork;
 
+/// Time since the last event within which a target is sure to see that its stream was closed, in
+/// milliseconds: several times the usual pause between events.
+const IN_TOUCH_MS: u64 = 300;
+
+/// Events that such a target may have sent before it sees the close: those of a round trip and of
+/// a step or two.
+const EVENTS_ON_THE_WAY: u64 = 6;
+
 /// The most that a request can cost, and what it has cost so far, in tokens.
 ///
 /// A run whose end is not known is paid in full: behind a cut its target may go on to the end.
@@ -19,6 +30,7 @@
     lost: u64,
     sent: bool,
     events: u64,
+    last_event: Option<Instant>,
     ended: bool,
 }
 
@@ -34,6 +46,7 @@
             lost: 0,
             sent: false,
             events: 0,
+            last_event: None,
             ended: false,
         }
     }
@@ -59,12 +72,14 @@
         self.most += output;
         self.lost += output;
         self.events = 0;
+        self.last_event = None;
         true
     }
 
     /// Notes an event that arrived.
     pub fn event(&mut self) {
         self.events += 1;
+        self.last_event = Some(Instant::now());
     }
 
     /// Notes that the answer arrived whole.
@@ -77,12 +92,21 @@
         if !self.sent {
             return 0;
         }
-        if !self.ended {
-            return self.most;
-        }
-        let output = self.events * self.per_event;
+        let output = self.events_made() * self.per_event;
         self.work.prompt + self.lost + output.min(self.work.max_output)
     }
+
+    /// Returns the most events that the last run can have made.
+    fn events_made(&self) -> u64 {
+        if self.ended {
+            return self.events;
+        }
+        let in_touch = |at: Instant| at.elapsed() < Duration::from_millis(IN_TOUCH_MS);
+        if self.last_event.is_some_and(in_touch) {
+            return self.events + EVENTS_ON_THE_WAY;
+        }
+        u64::MAX / self.per_event.max(1)
+    }
 }
 
 impl Drop for Reservation {
