Shares: seals proved whole over a loss of power by the time of day of all routers

Cause: after a loss of power the boot clock starts anew, so no seal could be proved whole, and what all routers held was lost; accounts never reached their totals, and all later requests were refused. It assumes that not all clocks of the fleet are set back alike within the seconds of a cut; one or some are noticed (tests).

--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -2,9 +2,11 @@
 //!
 //! The total of an account comes from the configuration and only grows. A [`ShareRecord`] of the
 //! service says how much of it each router may have spent; a router's [`ShareHolder`] spends
-//! within its share, also while it is cut off. No clock decides whether a spend is safe, but one:
-//! a part of each share is sealed, and the [`Stamp`] of a record tells a successor whether the
-//! seal can have been broken.
+//! within its share, also while it is cut off. Clocks decide one thing only: a part of each share
+//! is sealed until its holder is out of touch for a while, and by the [`Stamp`] of the last write
+//! a successor knows whether the seal can have been broken. It believes boot time and time of day
+//! where they agree; after a loss of power, the time of day, if that of all other routers agreed
+//! with it at the last write and again at the successor's.
 
 mod holder;
 mod meter;
@@ -12,6 +14,7 @@
 mod share;
 mod stamp;
 mod tenure;
+mod witness;
 
 pub use holder::{ShareHolder, ShareSizes, Shortfall, Standing};
 pub use meter::DrawMeter;
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::prepaid::witness::Witness;
 use crate::prepaid::{DrawMeter, HolderId, Share, ShareRecord, Stamp, Tenure};
 
 /// How large shares are, and when a sealed part opens.
@@ -100,6 +101,9 @@
     closed: bool,
     /// When this process started: no predecessor lived later.
     started: Stamp,
+    witness: Witness,
+    /// Sealed parts of the predecessor that are whole if the time of day is right, by account.
+    claims: BTreeMap<String, u64>,
 }
 
 impl ShareHolder {
@@ -115,6 +119,8 @@
             unsealed: false,
             closed: false,
             started,
+            witness: Witness::default(),
+            claims: BTreeMap::new(),
         }
     }
 
@@ -191,9 +197,13 @@
     /// its way.
     pub fn compose(&mut self, now_ms: u64, now: Stamp, record: &ShareRecord) -> ShareRecord {
         let mut next = record.clone();
+        let agreed = self.witness.look(&self.id, now, record);
         let before = record.tenure(&self.id);
-        if before.is_some_and(|t| t.process != self.process) {
-            next.succeed(&self.id, self.started, self.sizes.seal_ms);
+        if let Some(before) = before.filter(|t| t.process != self.process) {
+            self.succeed(before, &mut next);
+        }
+        if agreed && now.since(self.started).is_some() {
+            self.claim();
         }
         for (name, a) in &mut self.accounts {
             let mut share = next.share(name, &self.id);
@@ -202,6 +212,9 @@
                 a.base = share.used;
                 a.lost = share.lost;
             }
+            // What was claimed since the record was written.
+            share.granted -= share.lost.saturating_sub(a.lost).min(share.granted);
+            share.lost = a.lost;
             share.wish = a.wish(now_ms, &self.sizes);
             next.set_share(name, &self.id, share);
             let scene = Scene::new(&next, name, a.total, &self.sizes);
@@ -215,11 +228,34 @@
                 process: self.process,
                 write: self.writes,
                 stamp: now,
+                agreed,
             },
         );
         next
     }
 
+    /// Takes the shares of a dead predecessor over.
+    fn succeed(&mut self, before: Tenure, next: &mut ShareRecord) {
+        let seal_ms = self.sizes.seal_ms;
+        let proved = self.started.since(before.stamp);
+        let whole = proved.is_some_and(|ms| ms < seal_ms);
+        let by_day = self.started.since_by_day(before.stamp);
+        let may_be_whole = before.agreed && by_day.is_some_and(|ms| ms < seal_ms);
+        self.claims.clear();
+        if !whole && may_be_whole {
+            self.claims = next.sealed(&self.id);
+        }
+        next.succeed(&self.id, whole);
+    }
+
+    /// Gets sealed parts back after a loss of power, once the time of day is confirmed.
+    fn claim(&mut self) {
+        for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.based) {
+            let claim = self.claims.remove(name).unwrap_or_default();
+            a.lost = a.lost.saturating_sub(claim);
+        }
+    }
+
     /// Notes that a composed record is being sent: it may take effect from now on.
     ///
     /// Returns the mark to give to [`ShareHolder::not_done`].
@@ -242,6 +278,7 @@
         if tenure.is_none_or(|t| (t.process, t.write) != (self.process, self.writes)) {
             return false;
         }
+        self.witness.confirm();
         // An account that became known while the write was under way has no part in it yet.
         for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.based) {
             a.share = record.share(name, &self.id);
@@ -281,6 +318,7 @@
                 process,
                 write,
                 stamp: now,
+                agreed: false,
             },
         );
         Some(next)
--- a/wisteriapass_coord/src/prepaid/record.rs
+++ b/wisteriapass_coord/src/prepaid/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::{HolderId, Share, Stamp, Tenure};
+use crate::prepaid::{HolderId, Share, Tenure};
 
 /// Shares by account and holder.
 ///
@@ -57,6 +57,15 @@
         self.sum(account, |s| s.wish)
     }
 
+    /// Returns the sealed parts of a holder by account, in tokens.
+    pub fn sealed(&self, holder: &HolderId) -> BTreeMap<String, u64> {
+        let share = |(name, s): (&String, &BTreeMap<HolderId, Share>)| {
+            let share = s.get(holder)?;
+            (share.sealed > 0).then(|| (name.clone(), share.sealed))
+        };
+        self.accounts.iter().filter_map(share).collect()
+    }
+
     /// Replaces a holder's share of an account.
     pub fn set_share(&mut self, account: &str, holder: &HolderId, share: Share) {
         let shares = self.accounts.entry(account.to_owned()).or_default();
@@ -68,15 +77,11 @@
         self.holders.insert(holder.clone(), tenure);
     }
 
-    /// Hands the shares of a VM to the process that started there at `now`; `seal_ms` is the time
-    /// out of touch after which the one before would have opened its sealed part.
+    /// Hands the shares of a VM to the process that started there; `whole` says whether the one
+    /// before is known not to have opened its sealed parts.
     ///
     /// Only for a process whose start proves that the one before is dead.
-    pub fn succeed(&mut self, holder: &HolderId, now: Stamp, seal_ms: u64) {
-        let Some(before) = self.tenure(holder) else {
-            return;
-        };
-        let whole = now.since(before.stamp).is_some_and(|ms| ms < seal_ms);
+    pub fn succeed(&mut self, holder: &HolderId, whole: bool) {
         let shares = self.accounts.values_mut();
         for share in shares.filter_map(|s| s.get_mut(holder)) {
             share.succeed(whole);
--- a/wisteriapass_coord/src/prepaid/stamp.rs
+++ b/wisteriapass_coord/src/prepaid/stamp.rs
@@ -4,7 +4,7 @@
 
 /// Disagreement of the two clocks from which on neither is believed, in milliseconds; above what
 /// reading them one after the other can differ, far below the steps of a clock that was set.
-const AGREE_MS: u64 = 250;
+pub(super) const AGREE_MS: u64 = 250;
 
 /// Two readings taken together, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +24,14 @@
         let day = self.time_of_day.checked_sub(earlier.time_of_day)?;
         (boot.abs_diff(day) <= AGREE_MS).then_some(boot.max(day))
     }
+
+    /// Returns the milliseconds since an earlier stamp by the time of day alone, which holds over
+    /// a loss of power; `None` if they would be negative.
+    pub fn since_by_day(&self, earlier: Stamp) -> Option<u64> {
+        (self.time_of_day + AGREE_MS)
+            .checked_sub(earlier.time_of_day)
+            .map(|ms| ms.saturating_sub(AGREE_MS))
+    }
 }
 
 impl From<(u64, u64)> for Stamp {
--- a/wisteriapass_coord/src/prepaid/tenure.rs
+++ b/wisteriapass_coord/src/prepaid/tenure.rs
@@ -21,4 +21,7 @@
     pub write: u64,
     /// When that write was composed.
     pub stamp: Stamp,
+    /// Whether the time of day agreed with that of the other routers.
+    #[serde(default)]
+    pub agreed: bool,
 }
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -143,20 +143,95 @@
     assert_eq!(h.reserve(9_000, ACCOUNT, open + sealed), Ok(()));
 }
 
+/// A holder that spent 500 of 10,000, and the record with its sealed part.
+fn sealed_share() -> (ShareRecord, u64) {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 10_000);
+    assert_eq!(take(&mut h, 0, 500, &mut record), Ok(()));
+    exchange(&mut h, 0, &mut record);
+    let sealed = record.share(ACCOUNT, h.id()).sealed;
+    assert!(sealed > 0);
+    (record, sealed)
+}
+
 #[test]
 fn a_successor_gets_a_whole_seal_back_and_no_other() {
     for (age, whole) in [(SIZES.seal_ms - 1, true), (SIZES.seal_ms, false)] {
-        let mut record = ShareRecord::default();
-        let mut h = holder("a", 1, 10_000);
-        assert_eq!(take(&mut h, 0, 500, &mut record), Ok(()));
-        exchange(&mut h, 0, &mut record);
-        let before = record.share(ACCOUNT, h.id());
-        assert!(before.sealed > 0);
-        record.succeed(h.id(), at(age), SIZES.seal_ms);
-        let after = record.share(ACCOUNT, h.id());
-        let back = if whole { before.sealed } else { 0 };
-        assert_eq!(after.granted, before.granted - back);
-        assert_eq!(after.used + after.lost, after.granted);
+        let (mut record, sealed) = sealed_share();
+        let before = record.granted(ACCOUNT);
+        let mut after = holder_at("a", 2, 10_000, at(age));
+        exchange(&mut after, age, &mut record);
+        let lost = record.share(ACCOUNT, after.id()).lost;
+        let back = if whole { sealed } else { 0 };
+        assert_eq!(lost, before - back);
+    }
+}
+
+/// A stamp behind a loss of power: the time since the start of the VM begins anew.
+fn rebooted(ms: u64, set_by: i64) -> Stamp {
+    let mut stamp = at(ms);
+    stamp.since_boot = 7_000_000 + ms;
+    stamp.time_of_day = stamp.time_of_day.wrapping_add_signed(set_by);
+    stamp
+}
+
+/// Exchanges by three routers in turn, so that each sees the others' stamps.
+fn rounds(
+    all: &mut [ShareHolder],
+    record: &mut ShareRecord,
+    from: u64,
+    stamp: &dyn Fn(usize, u64) -> Stamp,
+) {
+    for round in 0..4 {
+        for (i, h) in all.iter_mut().enumerate() {
+            let now = from + round * 400 + i as u64 * 10;
+            let next = h.compose(now, stamp(i, now), record);
+            h.sent(stamp(i, now));
+            *record = next;
+            assert!(h.adopt(record));
+        }
+    }
+}
+
+/// Loses the power of three routers, `dark_ms` after their last writes; returns what is lost.
+fn lost_by_power(dark_ms: u64, set_by: &dyn Fn(usize) -> i64) -> u64 {
+    let mut record = ShareRecord::default();
+    let mut all: Vec<ShareHolder> = ["a", "b", "c"]
+        .iter()
+        .zip(1..)
+        .map(|(name, process)| holder(name, process, 100_000))
+        .collect();
+    for h in &mut all {
+        assert_eq!(take(h, 0, 2_000, &mut record), Ok(()));
+    }
+    rounds(&mut all, &mut record, 100, &|_, ms| at(ms));
+    let start = 1_320 + dark_ms;
+    let mut next: Vec<ShareHolder> = ["a", "b", "c"]
+        .iter()
+        .enumerate()
+        .map(|(i, n)| holder_at(n, 10 + i as u64, 100_000, rebooted(start, set_by(i))))
+        .collect();
+    rounds(&mut next, &mut record, start, &|i, ms| {
+        rebooted(ms, set_by(i))
+    });
+    next.iter()
+        .map(|h| record.share(ACCOUNT, h.id()).lost)
+        .sum()
+}
+
+#[test]
+fn after_a_loss_of_power_seals_are_whole_if_all_clocks_agree() {
+    let in_time = lost_by_power(1_000, &|_| 0);
+    let late = lost_by_power(4_000, &|_| 0);
+    assert!(in_time * 3 < late * 2, "{in_time} of {late}");
+}
+
+#[test]
+fn one_clock_that_was_set_back_keeps_all_seals_broken() {
+    let late = lost_by_power(4_000, &|_| 0);
+    for liar in 0..3 {
+        let set_by = |i: usize| if i == liar { -3_000 } else { 0 };
+        assert_eq!(lost_by_power(4_000, &set_by), late);
     }
 }
 
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -67,7 +67,9 @@
         let Some(next) = next else {
             return true;
         };
-        let swap = gw.platform.swap(Recorded::Shares(index), revision, encode(&next));
+        let swap = gw
+            .platform
+            .swap(Recorded::Shares(index), revision, encode(&next));
         matches!(swap.await, Ok(Swap::Done(_)))
     }
 
