--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -1,6 +1,7 @@
 //! A router's shares in memory: reserve, settle, and what to write next.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use derive_more::Display;
 
@@ -70,7 +71,9 @@
     lost: u64,
     /// Whether what predecessors spent was looked up.
     based: bool,
-    /// Settled by this process, in tokens.
+    /// Borrowed from other routers so far, in tokens; they count it as spent.
+    borrowed: u64,
+    /// Settled or lent by this process, in tokens.
     used: u64,
     /// Reserved by requests under way, in tokens.
     reserved: u64,
@@ -101,6 +104,7 @@
     closed: bool,
     /// When this process started: no predecessor lived later.
     started: Stamp,
+    lends_at: Option<SocketAddr>,
     witness: Witness,
     /// Sealed parts of the predecessor that are whole if the time of day is right, by account.
     claims: BTreeMap<String, u64>,
@@ -119,11 +123,51 @@
             unsealed: false,
             closed: false,
             started,
+            lends_at: None,
             witness: Witness::default(),
             claims: BTreeMap::new(),
         }
     }
 
+    /// Says where this process lends shares to other routers.
+    pub fn with_lending(mut self, at: SocketAddr) -> Self {
+        self.lends_at = Some(at);
+        self
+    }
+
+    /// Lends from this router's share, in tokens: what is asked for or half of what is at hand, if
+    /// that is at least `least`, or all that is needed for `least`; else nothing.
+    ///
+    /// What is lent counts as spent here from now on, so an answer that is lost strands it and
+    /// doubles nothing.
+    pub fn lend(&mut self, account: &str, ask: u64, least: u64) -> u64 {
+        let unsealed = self.unsealed;
+        let Some(a) = self.accounts.get_mut(account).filter(|_| !self.closed) else {
+            return 0;
+        };
+        let spare = a.spendable(unsealed);
+        if spare < least {
+            return 0;
+        }
+        let lent = ask.min(spare / 2).max(least);
+        a.used += lent;
+        lent
+    }
+
+    /// Takes what another router lent, in tokens.
+    pub fn borrow(&mut self, account: &str, lent: u64) {
+        self.accounts
+            .entry(account.to_owned())
+            .or_default()
+            .borrowed += lent;
+    }
+
+    /// Returns what to ask another router for so that `most` fits, in tokens.
+    pub fn loan(&self, now_ms: u64, account: &str, most: u64) -> u64 {
+        let a = self.accounts.get(account).copied().unwrap_or_default();
+        most + a.open_wish(now_ms, &self.sizes)
+    }
+
     /// Returns the name under which shares are held.
     pub fn id(&self) -> &HolderId {
         &self.id
@@ -153,7 +197,7 @@
             return Ok(());
         }
         a.wanted = a.wanted.max(most);
-        if a.base + a.used + a.reserved + a.others_used + most > a.total {
+        if a.spent() - a.lost + a.others_used + most > a.total {
             return Err(Shortfall::Exhausted);
         }
         Err(Shortfall::Short)
@@ -229,6 +273,7 @@
                 write: self.writes,
                 stamp: now,
                 agreed,
+                lends_at: self.lends_at,
             },
         );
         next
@@ -301,7 +346,7 @@
         let mut next = record.clone();
         for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.based) {
             let mut share = next.share(name, &self.id);
-            share.used = a.base + a.used + a.reserved;
+            share.used = a.spent() - a.lost;
             share.granted = a.spent().min(share.granted);
             share.sealed = 0;
             share.wish = 0;
@@ -319,6 +364,7 @@
                 write,
                 stamp: now,
                 agreed: false,
+                lends_at: None,
             },
         );
         Some(next)
@@ -345,9 +391,15 @@
 }
 
 impl Purchase {
-    /// Returns what is spent or may still be spent by requests under way, in tokens.
+    /// Returns what of the share is spent or may still be by requests under way, in tokens.
     fn spent(&self) -> u64 {
-        self.base + self.lost + self.used + self.reserved
+        let own = self.used + self.reserved;
+        self.base + self.lost + own.saturating_sub(self.borrowed)
+    }
+
+    /// Returns what of the share is known to be spent, in tokens; loans are spent first.
+    fn used(&self) -> u64 {
+        self.base + self.used.saturating_sub(self.borrowed)
     }
 
     /// Returns what may be reserved now, in tokens.
@@ -357,7 +409,8 @@
         } else {
             self.open.min(self.share.granted)
         };
-        most.saturating_sub(self.spent())
+        let loans = self.borrowed.saturating_sub(self.used + self.reserved);
+        most.saturating_sub(self.spent()) + loans
     }
 
     /// Returns what the draw makes desirable to have unspent, in tokens.
@@ -378,7 +431,7 @@
         let spent = self.spent();
         let aim = ((share.wish as f64 * scene.scale) as u64).max(scene.floor);
         let target = spent + self.wanted + aim;
-        share.used = self.base + self.used;
+        share.used = self.used();
         if target >= share.granted {
             share.granted = target.min(share.granted + scene.free);
         } else if share.granted - target > aim / GIVE_BACK {
--- a/wisteriapass_coord/src/prepaid/tenure.rs
+++ b/wisteriapass_coord/src/prepaid/tenure.rs
@@ -1,5 +1,7 @@
 //! One process's time as holder of its VM's shares.
 
+use std::net::SocketAddr;
+
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
@@ -24,4 +26,7 @@
     /// Whether the time of day agreed with that of the other routers.
     #[serde(default)]
     pub agreed: bool,
+    /// Where the process lends shares to other routers, if it does.
+    #[serde(default)]
+    pub lends_at: Option<SocketAddr>,
 }
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -66,6 +66,25 @@
     assert_eq!(h.reserve(0, ACCOUNT, 10), Err(Shortfall::Short));
 }
 
+#[test]
+fn what_is_lent_is_spent_once() {
+    let mut record = ShareRecord::default();
+    let (mut a, mut b) = (holder("a", 1, 1_000), holder("b", 2, 1_000));
+    for h in [&mut a, &mut b] {
+        assert_eq!(take(h, 0, 100, &mut record), Ok(()));
+        exchange(h, 1, &mut record);
+    }
+    let lent = a.lend(ACCOUNT, 200, 50);
+    assert!(lent >= 50);
+    let before = a.standing(ACCOUNT);
+    assert!(before.granted - before.sealed >= before.spent);
+    let short = b.standing(ACCOUNT);
+    let own = short.granted - short.sealed - short.spent;
+    b.borrow(ACCOUNT, lent);
+    assert_eq!(b.reserve(10, ACCOUNT, own + lent), Ok(()));
+    assert!(b.reserve(10, ACCOUNT, 1).is_err());
+}
+
 #[test]
 fn the_last_tokens_can_be_spent() {
     let mut record = ShareRecord::default();
@@ -304,10 +323,12 @@
     Kill,
     GiveBack,
     TopUp,
+    /// The next router lends to this one; sometimes the answer is lost.
+    Borrow(u64),
 }
 
 fn step(n: u16) -> Step {
-    match n % 17 {
+    match n % 18 {
         0..=6 => Step::Spend(u64::from(n) % 97 + 1),
         7..=9 => Step::Exchange,
         10 => Step::Lost,
@@ -316,6 +337,7 @@
         13 => Step::GiveBack,
         14 => Step::TopUp,
         15 => Step::Reread,
+        16 => Step::Borrow(u64::from(n) % 301),
         _ => Step::Spend(400),
     }
 }
@@ -330,7 +352,14 @@
     let (mut spent, mut now, mut processes) = (0, 0, 3);
     for (who, what, pause) in history {
         now += u64::from(pause) % 1_500;
-        let h = &mut holders[usize::from(who) % 3];
+        let me = usize::from(who) % 3;
+        if let Step::Borrow(least) = step(what) {
+            let lent = holders[(me + 1) % 3].lend(ACCOUNT, 2 * least, least);
+            if pause % 4 != 0 {
+                holders[me].borrow(ACCOUNT, lent);
+            }
+        }
+        let h = &mut holders[me];
         h.unseal(at(now));
         match step(what) {
             Step::Spend(most) => {
@@ -353,6 +382,7 @@
                 h.sent(at(now));
                 late.push((record.0, next));
             }
+            Step::Borrow(_) => {}
             Step::Reread => {
                 h.adopt(&record.1);
             }
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -1,9 +1,11 @@
 //! The money of this router: reserve and settle in memory, exchange with the service.
 
 mod exchange;
+mod lending;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +58,10 @@
     done: Notify,
     /// Whether the record is known and this process signed it.
     in_touch: Cell<bool>,
+    /// The record as of the last exchange.
+    record: RefCell<ShareRecord>,
+    /// Accounts for which no loan is asked for until then.
+    no_loan: RefCell<HashMap<String, Instant>>,
 }
 
 impl Group {
@@ -94,7 +100,7 @@
 
 impl Bank {
     /// Creates a bank without shares.
-    pub fn new(clock: Clock, name: &str) -> Self {
+    pub fn new(clock: Clock, name: &str, lends_at: SocketAddr) -> Self {
         let sizes = ShareSizes {
             open_ms: OPEN_MS,
             sealed_ms: SEALED_MS,
@@ -105,15 +111,15 @@
         let process = rand::random();
         let started = clock.stamp();
         let group = |_| Group {
-            holder: RefCell::new(ShareHolder::new(
-                HolderId(name.to_owned()),
-                process,
-                started,
-                sizes,
-            )),
+            holder: RefCell::new(
+                ShareHolder::new(HolderId(name.to_owned()), process, started, sizes)
+                    .with_lending(lends_at),
+            ),
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
+            record: RefCell::default(),
+            no_loan: RefCell::default(),
         };
         Self {
             clock,
@@ -176,6 +182,9 @@
             }
             let may_come = group.in_touch.get() && group.holder.borrow().is_due(now_ms);
             if !may_come {
+                if self.borrow(group, name, most).await {
+                    continue;
+                }
                 return Err(group.short(request, account, most));
             }
             group.needed.notify_one();
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -139,6 +139,7 @@
         if index == 0 {
             self.count_routers(record);
         }
+        *group.record.borrow_mut() = record.clone();
         group.done.notify_waiters();
     }
 }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -37,7 +37,7 @@
     /// Creates a router that knows no configuration and no targets.
     pub fn new(settings: GatewaySettings, platform: Rc<dyn Platform>, metrics: Metrics) -> Self {
         let clock = Clock::new();
-        let bank = Rc::new(Bank::new(clock, &settings.name));
+        let bank = Rc::new(Bank::new(clock, &settings.name, settings.lending));
         Self {
             settings,
             platform,
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -59,7 +59,9 @@
     spawn_local(ignore(signal(SignalKind::hangup())?));
     let callers = listen(gw.settings.listen)?;
     let ready = listen(gw.settings.ready)?;
+    let lending = listen(gw.settings.lending)?;
     let open = Rc::new(Cell::new(0));
+    spawn_local(gw.bank.clone().serve_lending(lending));
     spawn_local(serve_readiness(gw.clone(), ready));
     spawn_local(serve_callers(gw.clone(), callers, open.clone()));
     spawn_local(follow(gw.clone(), Topic::Configuration));
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub listen: SocketAddr,
     /// Address where readiness is asked for.
     pub ready: SocketAddr,
+    /// Address where other routers borrow shares.
+    pub lending: SocketAddr,
     /// Bounds.
     pub bounds: Bounds,
     /// Descriptors that connections may use.
