--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -165,7 +165,7 @@
     /// Returns what to ask another router for so that `most` fits, in tokens.
     pub fn loan(&self, now_ms: u64, account: &str, most: u64) -> u64 {
         let a = self.accounts.get(account).copied().unwrap_or_default();
-        most + a.open_wish(now_ms, &self.sizes)
+        most + a.open_wish(now_ms, &self.sizes) / LOAN
     }
 
     /// Returns the name under which shares are held.
@@ -409,8 +409,12 @@
         } else {
             self.open.min(self.share.granted)
         };
-        let loans = self.borrowed.saturating_sub(self.used + self.reserved);
-        most.saturating_sub(self.spent()) + loans
+        most.saturating_sub(self.spent()) + self.loans()
+    }
+
+    /// Returns what is left of what was borrowed, in tokens.
+    fn loans(&self) -> u64 {
+        self.borrowed.saturating_sub(self.used + self.reserved)
     }
 
     /// Returns what the draw makes desirable to have unspent, in tokens.
@@ -430,6 +434,7 @@
     fn compose(&mut self, sizes: &ShareSizes, share: &mut Share, scene: Scene) {
         let spent = self.spent();
         let aim = ((share.wish as f64 * scene.scale) as u64).max(scene.floor);
+        let aim = aim.saturating_sub(self.loans());
         let target = spent + self.wanted + aim;
         share.used = self.used();
         if target >= share.granted {
@@ -449,6 +454,10 @@
 /// gives back at every exchange takes again at the next.
 const GIVE_BACK: u64 = 4;
 
+/// Part of the open wish that is asked for beyond what is needed: what is left of a loan is lost
+/// with its borrower, and a larger one saves few calls.
+const LOAN: u64 = 4;
+
 /// What an account's record leaves to this router.
 #[derive(Clone, Copy, Debug)]
 struct Scene {
