--- a/wisteriapass_coord/src/prepaid/witness.rs
+++ b/wisteriapass_coord/src/prepaid/witness.rs
@@ -16,6 +16,9 @@
     known: Look,
     /// As of the record that was looked at last.
     last: Look,
+    /// By how much the time of day was ahead of the time since the start of the VM when it agreed
+    /// with the others last, in milliseconds: while that stays, it agrees still.
+    ahead: Option<i64>,
 }
 
 /// One look at a record.
@@ -28,14 +31,12 @@
 impl Witness {
     /// Looks at a record that was read before `now`.
     ///
-    /// Returns whether all routers that wrote since the look that was confirmed last, two at the
-    /// least, had a time of day that fits this router's.
+    /// Returns whether the time of day agreed with that of all routers that wrote between two
+    /// looks, two at the least, and was not set since.
     pub fn look(&mut self, me: &HolderId, now: Stamp, record: &ShareRecord) -> bool {
         let others = record.tenures().filter(|(id, _)| *id != me);
-        let waited = self
-            .known
-            .at
-            .map_or(0, |at| now.since_boot.saturating_sub(at.since_boot));
+        let known = self.known.at;
+        let waited = known.map_or(0, |at| now.since_boot.saturating_sub(at.since_boot));
         let (mut fresh, mut fits) = (0, true);
         let mut look = Look {
             at: Some(now),
@@ -53,7 +54,13 @@
             fresh += 1;
         }
         self.last = look;
-        fits && fresh >= LEAST_OTHERS
+        if !fits {
+            self.ahead = None;
+        } else if fresh >= LEAST_OTHERS {
+            self.ahead = Some(ahead(now));
+        }
+        let set_by = |at: i64| ahead(now).abs_diff(at);
+        self.ahead.is_some_and(|at| set_by(at) <= AGREE_MS)
     }
 
     /// Notes that the record looked at last was the newest: this router's write took its place.
@@ -61,3 +68,7 @@
         self.known = self.last.clone();
     }
 }
+
+fn ahead(stamp: Stamp) -> i64 {
+    stamp.time_of_day as i64 - stamp.since_boot as i64
+}
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -245,6 +245,24 @@
     assert!(in_time * 3 < late * 2, "{in_time} of {late}");
 }
 
+#[test]
+fn a_clock_that_agreed_agrees_until_it_is_set() {
+    let mut record = ShareRecord::default();
+    let mut all: Vec<ShareHolder> = (1..4).map(|p| holder(&format!("r{p}"), p, 9_000)).collect();
+    rounds(&mut all, &mut record, 100, &|_, ms| at(ms));
+    let me = all[0].id().clone();
+    let agreed = |record: &ShareRecord| record.tenure(&me).is_some_and(|t| t.agreed);
+    exchange(&mut all[0], 2_000, &mut record);
+    assert!(
+        agreed(&record),
+        "nobody else wrote since, and the clock was not set"
+    );
+    let mut set = at(2_100);
+    set.time_of_day -= 2_000;
+    record = all[0].compose(2_100, set, &record);
+    assert!(!agreed(&record));
+}
+
 #[test]
 fn one_clock_that_was_set_back_keeps_all_seals_broken() {
     let late = lost_by_power(4_000, &|_| 0);
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -58,6 +58,8 @@
     done: Notify,
     /// Whether the record is known and this process signed it.
     in_touch: Cell<bool>,
+    /// Time that the last exchange took.
+    took: Cell<Duration>,
     /// The record as of the last exchange.
     record: RefCell<ShareRecord>,
     /// Accounts for which no loan is asked for until then.
@@ -65,6 +67,12 @@
 }
 
 impl Group {
+    /// Returns whether an exchange ends within the time that a request waits.
+    fn is_quick(&self) -> bool {
+        let quick = Duration::from_millis(WAIT_MS / 2);
+        self.in_touch.get() && self.took.get() < quick
+    }
+
     /// Says why a share is short.
     fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
         log::info!(
@@ -118,6 +126,7 @@
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
+            took: Cell::new(Duration::ZERO),
             record: RefCell::default(),
             no_loan: RefCell::default(),
         };
@@ -180,7 +189,7 @@
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
                 Err(Shortfall::Short) => {}
             }
-            let may_come = group.in_touch.get() && group.holder.borrow().is_due(now_ms);
+            let may_come = group.is_quick() && group.holder.borrow().is_due(now_ms);
             if !may_come {
                 if self.borrow(group, name, most).await {
                     continue;
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use wisteriapass_coord::prepaid::ShareRecord;
 
 use super::{Bank, GROUPS, Group};
@@ -38,7 +38,7 @@
             known = match known {
                 Known::Nothing => self.read(&gw, index).await,
                 Known::State(revision, record) => {
-                    let tick = Duration::from_millis(TICK_MS);
+                    let tick = Duration::from_millis(TICK_MS).max(self.turn(group));
                     // Either way an exchange is made: it is due, or the proof grows old.
                     let _ = timeout(tick, group.needed.notified()).await;
                     self.write(&gw, index, revision, record).await
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Returns the time after which every router had a turn at a slow service: of those that write
+    /// at the same time one gets through.
+    fn turn(&self, group: &Group) -> Duration {
+        let routers = u32::try_from(self.routers()).unwrap_or(u32::MAX);
+        group.took.get().saturating_mul(routers) / 2
+    }
+
     fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
         let is_mine = group.holder.borrow_mut().adopt(record);
         group.in_touch.set(is_mine);
