Placement: ranks in tokens to read; a prompt's shared parts are counted where they are kept

Cause: a router's own few requests times the number of routers is a noisy count of what a target has, and pushed requests off the target that had read their prompt; a third of the shared parts was read again.

--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -48,6 +48,14 @@
     }
 }
 
+/// Where a request goes.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    key: TargetKey,
+    /// Prompt tokens that the target has to read.
+    unread: u64,
+}
+
 /// What the tries so far have come to.
 #[derive(Debug, Default)]
 pub struct Tries {
@@ -88,12 +96,13 @@
             if Instant::now() >= self.plan.deadline {
                 return Err(tries.late());
             }
-            let key = self.place(tries).ok_or_else(|| self.unplaced(tries))?;
+            let place = self.place(tries).ok_or_else(|| self.unplaced(tries))?;
+            let key = place.key;
             tries.tried.push(key);
             if let Some(r) = reservation {
                 r.sent();
             }
-            match self.send_to(key, tries, last_event).await {
+            match self.send_to(place, tries, last_event).await {
                 Sent::Answer(answer) => match self.judge(key, answer) {
                     Verdict::Right(answer) => {
                         tries.sent += 1;
@@ -122,12 +131,11 @@
     }
 
     /// Sends to one target, within the time that it is given.
-    async fn send_to(&self, key: TargetKey, tries: &Tries, last_event: Option<u64>) -> Sent {
-        let Some(headers) = self.headers_for(key, last_event) else {
+    async fn send_to(&self, place: Place, tries: &Tries, last_event: Option<u64>) -> Sent {
+        let Some(headers) = self.headers_for(place.key, last_event) else {
             return Sent::NotSent;
         };
-        let unread = self.facts.work.map_or(0, |w| w.prompt);
-        let sending = send(&self.gw, key, &self.out, headers, unread);
+        let sending = send(&self.gw, place.key, &self.out, headers, place.unread);
         timeout_at(self.patience(tries), sending)
             .await
             .unwrap_or(Sent::Lost)
@@ -158,18 +166,35 @@
     }
 
     /// Chooses a target that was not tried.
-    fn place(&self, tries: &Tries) -> Option<TargetKey> {
+    fn place(&self, tries: &Tries) -> Option<Place> {
         let now = Instant::now();
         let time = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
         let open = targets.open(&self.plan.service, now);
         let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
         let domain = &self.gw.settings.domain;
+        let prompt = self.facts.prompt();
         let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
-            .map(|(key, target)| candidate(*key, target, domain, time))
+            .map(|(key, target)| Candidate {
+                kept: prompt
+                    .part
+                    .is_some_and(|part| target.kept.borrow().has(part, now)),
+                ..candidate(*key, target, domain, time)
+            })
             .collect();
-        let part = self.facts.shared_part();
-        placement::choose(&candidates, part, self.gw.bank.routers(), rand::random())
+        let routers = self.gw.bank.routers();
+        let key = placement::choose(&candidates, prompt, routers, rand::random())?;
+        let kept = candidates.iter().any(|c| c.key == key && c.kept);
+        if let Some(part) = prompt.part {
+            let target = targets.get(key)?;
+            target.kept.borrow_mut().add(part, now);
+        }
+        let unread = if kept {
+            prompt.tokens.saturating_sub(prompt.shared)
+        } else {
+            prompt.tokens
+        };
+        Some(Place { key, unread })
     }
 
     /// Decides whether an answer is one to this request.
@@ -341,6 +366,7 @@
         slots: target.entry.slots,
         running: target.running.get(),
         unread: target.unread.get(),
+        kept: false,
         near: target.entry.domain == domain,
         trouble: target.trouble.borrow().now(now),
     }
--- a/wisteriapass_gateway/src/facts.rs
+++ b/wisteriapass_gateway/src/facts.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::HeaderValue;
 use smallvec::SmallVec;
+use wisteriapass_policy::placement::Prompt;
 
 use crate::target::TargetId;
 
@@ -54,10 +55,15 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
-    /// Returns the deepest part that other requests share.
-    pub fn shared_part(&self) -> Option<u64> {
-        let deepest = self.prefix.len().checked_sub(2)?;
-        Some(self.prefix[deepest].id)
+    /// Returns the prompt, as far as it decides about a place.
+    pub fn prompt(&self) -> Prompt {
+        let deepest = self.prefix.len().checked_sub(2);
+        let shared = &self.prefix[..deepest.map_or(0, |at| at + 1)];
+        Prompt {
+            part: shared.last().map(|part| part.id),
+            shared: shared.iter().map(|part| part.tokens).sum(),
+            tokens: self.work.map_or(0, |w| w.prompt),
+        }
     }
 }
 
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod facts;
 mod follow;
 mod gateway;
+mod kept_parts;
 mod listener;
 mod metrics;
 mod platform;
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use wisteriapass_policy::placement::Trouble;
 
+use crate::kept_parts::KeptParts;
 use crate::pool::Pool;
 
 new_key_type! {
@@ -64,6 +65,8 @@
     pub heard: Cell<Instant>,
     /// Failures of late.
     pub trouble: RefCell<Trouble>,
+    /// Prompt parts that this router had it read of late.
+    pub kept: RefCell<KeptParts>,
     /// Idle connections.
     pub pool: RefCell<Pool>,
 }
@@ -79,6 +82,7 @@
             unread: Cell::new(0),
             heard: Cell::new(now),
             trouble: RefCell::default(),
+            kept: RefCell::default(),
             pool: RefCell::default(),
         }
     }
--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -1,33 +1,43 @@
 //! Placing one request on a target, from what one router sees itself.
 //!
-//! Answers these loads: shared prompt parts asked for again and again (each has a home, so that
-//! it is read once and not at every target); one part that becomes hot (its home is given up when
-//! it is fuller than the next by [`HOME_SLOTS`]); long prompts among short requests (prompts that
-//! are not read yet count as work); targets that fail or fall silent (they lose rank at once and
-//! get it back in steps). All routers reckon with the same homes, so a router's own count times
-//! the number of routers is what a target has, without asking it.
+//! Ranks are in prompt tokens: what a target has to read before this request's first event, and
+//! what the request makes it read. Answers these loads: shared prompt parts asked for again and
+//! again (each has a home, so that it is read once and not at every target); one part that becomes
+//! hot (its home is given up when more waits there than reading the part again costs); long
+//! prompts among short requests (they go where least is unread); targets that fail or fall silent
+//! (they lose rank at once and get it back in steps). All routers reckon with the same homes, so a
+//! target has more of what this router sent there than of what is sent on the average.
 
 use twox_hash::XxHash64;
 
 use crate::Time;
 
-/// Part of a target's slots by which a part's home may be fuller than another target and still be
-/// chosen: a prompt part that is read again costs about the work that a quarter of the slots does
-/// in the meantime.
-const HOME_SLOTS: f64 = 0.25;
+/// Weight of a token that this request makes a target read, against one that others wait to have
+/// read: it delays this request, and all that run beside it.
+const READ_WEIGHT: f64 = 6.0;
 
-/// The same for the second in a part's order of homes, which takes what the first has no room for.
-const SECOND_HOME_SLOTS: f64 = 0.12;
+/// Part of a prompt's shared tokens that its second home is taken to hold: it takes what the first
+/// has no room for, and seldom all.
+const SECOND_HOME: f64 = 0.5;
 
-/// Advantage of a target in the router's own failure domain, as a part of its slots: breaks ties.
-const NEAR_SLOTS: f64 = 0.02;
+/// Tokens that a running request counts as: it makes each step a little longer.
+const RUNNING_TOKENS: f64 = 100.0;
 
-/// Prompt tokens that count as much as one running request: what a target reads in the time of
-/// some ten steps, by which each running request is delayed.
-const UNREAD_PER_SLOT: f64 = 4_000.0;
+/// Tokens that a request beyond the slots counts as: one of those that run has to end first.
+const QUEUED_TOKENS: f64 = 4_000.0;
 
-/// Rank lost by one failure, as a part of the slots.
-const TROUBLE_SLOTS: f64 = 0.5;
+/// Tokens that the whole of a target's slots counts as for requests without a prompt.
+const SLOTS_TOKENS: f64 = 10_000.0;
+
+/// Advantage of a target in the router's own failure domain, in tokens: breaks ties.
+const NEAR_TOKENS: f64 = 150.0;
+
+/// How far the other routers' requests at a target are like this router's; the rest is like the
+/// average over all targets. A router's own count is small, and alone says little.
+const LIKENESS: f64 = 0.5;
+
+/// Rank lost by one failure, in tokens: about the longest prompt.
+const TROUBLE_TOKENS: f64 = 20_000.0;
 
 /// Time in which half of a failure is forgotten, in seconds.
 const TROUBLE_HALF_S: f64 = 1.5;
@@ -51,12 +61,25 @@
     pub running: u32,
     /// Prompt tokens of those whose answer has not begun.
     pub unread: u64,
+    /// Whether it read the prompt's shared parts of late, as far as this router knows.
+    pub kept: bool,
     /// Whether it is in the router's failure domain.
     pub near: bool,
     /// Failures of late, by [`Trouble::now`].
     pub trouble: f64,
 }
 
+/// The prompt of a request, as far as it decides about its place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Prompt {
+    /// Its deepest part that other requests share.
+    pub part: Option<u64>,
+    /// Tokens up to the end of that part.
+    pub shared: u64,
+    /// All its tokens; none for a request without a prompt.
+    pub tokens: u64,
+}
+
 /// Failures of a target, forgotten with time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Trouble {
@@ -83,36 +106,79 @@
     }
 }
 
-/// Chooses a target for a request; `part` is its deepest shared prompt part, `draw` breaks ties.
+/// Chooses a target for a request; `draw` breaks ties.
 pub fn choose<K: Copy>(
     candidates: &[Candidate<K>],
-    part: Option<u64>,
+    prompt: Prompt,
     routers: usize,
     draw: u64,
 ) -> Option<K> {
-    let homes = part.map(|part| homes(candidates, part));
+    let scene = Scene::new(candidates, prompt, routers);
     let sound = candidates.iter().any(|c| c.trouble < SUSPECT);
     let ranked = candidates.iter().filter(|c| !sound || c.trouble < SUSPECT);
-    let ranked = ranked.map(|c| (rank(c, homes, routers), tie(c.hash, draw), c.key));
+    let ranked = ranked.map(|c| (scene.rank(c), tie(c.hash, draw), c.key));
     let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     best.map(|(_, _, key)| key)
 }
 
-/// Returns how full a target is for all routers, as a part of its slots.
-pub fn fullness<K>(c: &Candidate<K>, routers: usize) -> f64 {
-    let work = f64::from(c.running) + c.unread as f64 / UNREAD_PER_SLOT;
-    work * routers.max(1) as f64 / f64::from(c.slots.max(1))
+/// What is the same for all targets when one request is placed.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    prompt: Prompt,
+    others: f64,
+    mean_running: f64,
+    mean_unread: f64,
+    homes: Option<(u64, u64)>,
 }
 
-/// Returns a target's rank; the lowest is the best.
-fn rank<K>(c: &Candidate<K>, homes: Option<(u64, u64)>, routers: usize) -> f64 {
-    let home = match homes {
-        Some((first, _)) if first == c.hash => HOME_SLOTS,
-        Some((_, second)) if second == c.hash => SECOND_HOME_SLOTS,
-        _ => 0.0,
-    };
-    let near = if c.near { NEAR_SLOTS } else { 0.0 };
-    fullness(c, routers) + c.trouble * TROUBLE_SLOTS - home - near
+impl Scene {
+    fn new<K>(candidates: &[Candidate<K>], prompt: Prompt, routers: usize) -> Self {
+        let mean = |of: fn(&Candidate<K>) -> f64| {
+            let sum: f64 = candidates.iter().map(of).sum();
+            sum / candidates.len().max(1) as f64
+        };
+        Self {
+            prompt,
+            others: routers.saturating_sub(1) as f64,
+            mean_running: mean(|c| f64::from(c.running)),
+            mean_unread: mean(|c| c.unread as f64),
+            homes: prompt.part.map(|part| homes(candidates, part)),
+        }
+    }
+
+    /// Returns a target's rank in tokens; the lowest is the best.
+    fn rank<K>(&self, c: &Candidate<K>) -> f64 {
+        let near = if c.near { NEAR_TOKENS } else { 0.0 };
+        self.wait(c) + self.reading(c) + c.trouble * TROUBLE_TOKENS - near
+    }
+
+    /// Returns what a target has to do first, by all routers.
+    fn wait<K>(&self, c: &Candidate<K>) -> f64 {
+        let running = self.of_all(f64::from(c.running), self.mean_running);
+        let unread = self.of_all(c.unread as f64, self.mean_unread);
+        let slots = f64::from(c.slots.max(1));
+        let queued = (running + 1.0 - slots).max(0.0) * QUEUED_TOKENS;
+        if self.prompt.tokens == 0 {
+            return running / slots * SLOTS_TOKENS + queued;
+        }
+        unread + running * RUNNING_TOKENS + queued
+    }
+
+    /// Returns what this request makes a target read.
+    fn reading<K>(&self, c: &Candidate<K>) -> f64 {
+        let held = match self.homes {
+            _ if c.kept => 1.0,
+            Some((first, _)) if first == c.hash => 1.0,
+            Some((_, second)) if second == c.hash => SECOND_HOME,
+            _ => 0.0,
+        };
+        (self.prompt.tokens as f64 - held * self.prompt.shared as f64) * READ_WEIGHT
+    }
+
+    /// Returns what all routers have at a target, from what this router has there.
+    fn of_all(&self, own: f64, mean: f64) -> f64 {
+        own + self.others * (LIKENESS * own + (1.0 - LIKENESS) * mean)
+    }
 }
 
 /// Returns the first two targets in a part's order, which is the same at all routers.
