Shares: an exchange is due when a third of what the last one left is left

Cause: an account whose share was scaled down was low by its own wish for ever, and exchanged every 60 ms; calls to the store were the largest price. Also: targets are watched every 450 ms, and repeats start from what eight routers may have.

--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -79,6 +79,8 @@
     reserved: u64,
     /// Largest request refused as short since the last exchange, in tokens.
     wanted: u64,
+    /// What could be reserved after the last exchange, in tokens.
+    stocked: u64,
     /// Whether the last exchange brought nothing for what was wanted.
     barren: bool,
     /// Total by the configuration in force, in tokens.
@@ -225,9 +227,9 @@
     }
 
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
-    pub fn is_due(&self, now_ms: u64) -> bool {
+    pub fn is_due(&self) -> bool {
         let due = |a: &Purchase| {
-            let is_low = 2 * a.spendable(false) < a.open_wish(now_ms, &self.sizes);
+            let is_low = LOW * a.spendable(false) < a.stocked;
             let has_rest = a.others_granted + a.share.granted < a.total;
             has_rest && !a.barren && (a.wanted > 0 || is_low)
         };
@@ -330,7 +332,8 @@
             a.open = a.share.granted - a.share.sealed.min(a.share.granted);
             a.others_granted = record.granted(name) - a.share.granted;
             a.others_used = record.used(name) - a.share.used;
-            a.barren = a.spendable(false) < a.wanted;
+            a.stocked = a.spendable(false);
+            a.barren = a.stocked < a.wanted;
             a.wanted = 0;
         }
         true
@@ -454,6 +457,9 @@
 /// gives back at every exchange takes again at the next.
 const GIVE_BACK: u64 = 4;
 
+/// Part of what the last exchange left at hand below which the next is due.
+const LOW: u64 = 3;
+
 /// Part of the open wish that is asked for beyond what is needed: what is left of a loan is lost
 /// with its borrower, and a larger one saves few calls.
 const LOAN: u64 = 4;
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -189,7 +189,7 @@
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
                 Err(Shortfall::Short) => {}
             }
-            let may_come = group.is_quick() && group.holder.borrow().is_due(now_ms);
+            let may_come = group.is_quick() && group.holder.borrow().is_due();
             if !may_come {
                 if self.borrow(group, name, most).await {
                     continue;
@@ -216,7 +216,7 @@
     pub fn settle(&self, account: &str, most: u64, used: u64) {
         let group = self.group(account);
         group.holder.borrow_mut().settle(account, most, used);
-        if group.holder.borrow().is_due(self.clock.now_ms()) {
+        if group.holder.borrow().is_due() {
             group.needed.notify_one();
         }
     }
--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -11,7 +11,7 @@
 
 /// Pause between two watches of the targets, in milliseconds: their entries change all the time,
 /// and one answer then carries many changes.
-const TARGETS_PAUSE_MS: u64 = 300;
+const TARGETS_PAUSE_MS: u64 = 450;
 
 /// Pause after a call without answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 100;
--- a/wisteriapass_gateway/src/retries.rs
+++ b/wisteriapass_gateway/src/retries.rs
@@ -5,7 +5,10 @@
 use crate::settings::Bounds;
 
 /// Part of the bound that is used: routers come and go, and count the same window apart.
-const CAUTION: f64 = 0.7;
+const CAUTION: f64 = 0.85;
+
+/// Routers that are reckoned with before others were seen.
+const ROUTERS_UNKNOWN: usize = 8;
 
 /// A bucket of repeats: requests fill it, repeats empty it.
 ///
@@ -27,7 +30,7 @@
         Self {
             ratio: bounds.retry_ratio * CAUTION,
             slack,
-            left: 0.0,
+            left: slack / 4.0 / ROUTERS_UNKNOWN as f64,
             refill_per_s: slack * 500.0 / bounds.retry_window_ms.max(1) as f64,
             at: now,
         }
