--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -49,6 +49,13 @@
 /// that answers in milliseconds.
 const WAIT_MS: u64 = 250;
 
+/// When to come back if others hold what is left, in milliseconds: they give back at their next
+/// exchange what they don't need, and two exchanges make it plain.
+const BACK_IN_TOUCH_MS: u64 = 1_200;
+
+/// When to come back if nothing is at hand during a cut, in milliseconds: cuts last for seconds.
+const BACK_OUT_OF_TOUCH_MS: u64 = 4_000;
+
 /// Shares of accounts in one record.
 struct Group {
     holder: RefCell<ShareHolder>,
@@ -83,7 +90,20 @@
             self.holder.borrow().standing(&account.name),
             self.in_touch.get()
         );
-        Refusal::ShareShort
+        Refusal::ShareShort {
+            back_ms: self.back_ms(&account.name, most),
+        }
+    }
+
+    /// Returns when there may be more of a share, in milliseconds.
+    fn back_ms(&self, account: &str, most: u64) -> u64 {
+        if self.in_touch.get() {
+            return BACK_IN_TOUCH_MS;
+        }
+        if self.holder.borrow().standing(account).sealed >= most {
+            return SEAL_MS;
+        }
+        BACK_OUT_OF_TOUCH_MS
     }
 }
 
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -26,7 +26,10 @@
     Exhausted,
     /// This router's share of the account does not cover it now.
     #[display("share_short")]
-    ShareShort,
+    ShareShort {
+        /// When there may be more, in milliseconds.
+        back_ms: u64,
+    },
     /// No target of the service is open.
     #[display("no_target")]
     NoTarget,
@@ -57,7 +60,7 @@
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::Exhausted => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
-            | Self::ShareShort
+            | Self::ShareShort { .. }
             | Self::NoTarget
             | Self::Full
             | Self::NotTaken
@@ -72,9 +75,7 @@
         match self {
             // A configuration is there within a second of the service's return.
             Self::NotConfigured => Some(1_000),
-            // A share comes with the next exchange, which takes some tens of milliseconds; out
-            // of touch it takes until others give back.
-            Self::ShareShort => Some(500),
+            Self::ShareShort { back_ms } => Some(back_ms),
             Self::NoTarget => Some(1_000),
             // The time of a few short requests at a full target.
             Self::Full | Self::NotTaken => Some(300),
