Tests of the path on stand-ins of the users' platform; loans cover just what is short

Cause: with the last tokens of a total split between two routers, neither could serve a request, and callers were told to come back for ever (test: a total is spent to its end by all routers). A loan now covers what is short of the request; before, a lender had to hold all of it.

--- /dev/null
+++ b/wisteriapass_bench/src/standin/users/store.rs
@@ -0,0 +1,261 @@
+//! The platform's key-value service: items, ranges, watches and conditional writes.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::standin::http::{Call, Handler, HttpServer};
+
+/// Time between two looks of a watch that waits.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// What the service does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls; nothing is done.
+    Down,
+    /// It never answers; nothing is done.
+    Silent,
+    /// It does what is written and never answers.
+    Lost,
+}
+
+/// One change of a key; without a value it was removed.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    history: Vec<Change>,
+    /// Revision up to which history was dropped.
+    dropped: u64,
+    fault: StoreFault,
+}
+
+/// A running stand-in; it stops when dropped.
+pub struct UsersStore {
+    state: Arc<Mutex<State>>,
+    server: HttpServer,
+}
+
+impl UsersStore {
+    /// Starts on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Those of the system.
+    pub fn start() -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let calls = Arc::new(Calls {
+            state: Arc::clone(&state),
+        });
+        let server = HttpServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), calls)?;
+        Ok(Self { state, server })
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Writes a key, as operators and targets do.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
+        self.state.lock().set(key, Some(value.into()));
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.state.lock().set(key, None);
+    }
+
+    /// Returns a key's value.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock();
+        state.items.get(key).map(|(_, value)| value.clone())
+    }
+
+    /// Sets what it does wrong from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.state.lock();
+        state.dropped = state.revision;
+        state.history.clear();
+    }
+}
+
+impl State {
+    fn set(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.revision += 1;
+        let revision = self.revision;
+        match &value {
+            Some(value) => {
+                self.items.insert(key.into(), (revision, value.clone()));
+            }
+            None => {
+                self.items.remove(key);
+            }
+        }
+        self.history.push(Change {
+            revision,
+            key: key.into(),
+            value,
+        });
+    }
+
+    fn item(&self, key: &str) -> Value {
+        match self.items.get(key) {
+            Some((revision, value)) => {
+                json!({"key": key, "value": STANDARD.encode(value), "revision": revision})
+            }
+            None => json!({"key": key, "revision": 0}),
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let fits = |c: &&Change| c.revision > after && c.key.starts_with(prefix);
+        let event = |c: &Change| match &c.value {
+            Some(value) => {
+                json!({"key": c.key, "value": STANDARD.encode(value), "revision": c.revision})
+            }
+            None => json!({"key": c.key, "revision": c.revision, "deleted": true}),
+        };
+        self.history.iter().filter(fits).map(event).collect()
+    }
+}
+
+struct Calls {
+    state: Arc<Mutex<State>>,
+}
+
+/// A conditional write.
+#[derive(Deserialize)]
+struct Txn {
+    #[serde(default)]
+    expect: Vec<Expected>,
+    #[serde(default)]
+    write: Vec<Write>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Write {
+    key: String,
+    value: String,
+}
+
+impl Handler for Calls {
+    fn handle(self: Arc<Self>, call: Call) {
+        let fault = self.state.lock().fault;
+        match (fault, call.path()) {
+            (StoreFault::Down, _) => call.refuse(503, "down"),
+            (StoreFault::Silent, _) => call.hold(),
+            (_, "/-/kv-key") => self.key(call),
+            (_, "/-/kv-range") => self.range(call),
+            (_, "/-/kv-watch") => self.watch(call),
+            (_, "/-/kv-txn") => self.txn(call, fault),
+            _ => call.refuse(404, "no such call"),
+        }
+    }
+}
+
+impl Calls {
+    fn key(&self, call: Call) {
+        let key = call.query("key").unwrap_or_default().to_owned();
+        let state = self.state.lock();
+        let status = if state.items.contains_key(&key) {
+            200
+        } else {
+            404
+        };
+        let item = state.item(&key);
+        drop(state);
+        call.answer(status, &item);
+    }
+
+    fn range(&self, call: Call) {
+        let prefix = call.query("prefix").unwrap_or_default().to_owned();
+        let state = self.state.lock();
+        let keys = state.items.keys().filter(|k| k.starts_with(&prefix));
+        let entries: Vec<Value> = keys.map(|k| state.item(k)).collect();
+        let page = json!({"entries": entries, "has_more": false, "at": state.revision});
+        drop(state);
+        call.answer(200, &page);
+    }
+
+    fn watch(&self, call: Call) {
+        let prefix = call.query("prefix").unwrap_or_default().to_owned();
+        let number = |name| call.query(name).and_then(|n| n.parse().ok()).unwrap_or(0);
+        let (after, wait_ms) = (number("after"), number("wait_ms"));
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let state = self.state.lock();
+            if after < state.dropped {
+                drop(state);
+                return call.refuse(410, "history is gone");
+            }
+            let events = state.changes(&prefix, after);
+            if !events.is_empty() || Instant::now() >= until {
+                let changes = json!({"events": events, "at": state.revision});
+                drop(state);
+                return call.answer(200, &changes);
+            }
+            drop(state);
+            sleep(LOOK);
+        }
+    }
+
+    fn txn(&self, call: Call, fault: StoreFault) {
+        let Ok(txn) = call.json::<Txn>() else {
+            return call.refuse(400, "no change");
+        };
+        let mut state = self.state.lock();
+        let at = |e: &Expected| state.items.get(&e.key).map_or(0, |(revision, _)| *revision);
+        if txn.expect.iter().any(|e| at(e) != e.revision) {
+            let entries: Vec<Value> = txn.expect.iter().map(|e| state.item(&e.key)).collect();
+            drop(state);
+            return call.answer(412, &json!({"entries": entries}));
+        }
+        for write in &txn.write {
+            let value = STANDARD.decode(&write.value).unwrap_or_default();
+            state.set(&write.key, Some(value));
+        }
+        for key in &txn.remove {
+            state.set(key, None);
+        }
+        let revision = state.revision;
+        drop(state);
+        match fault {
+            StoreFault::Lost => call.hold(),
+            _ => call.answer(200, &json!({"revision": revision})),
+        }
+    }
+}
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -164,10 +164,12 @@
             .borrowed += lent;
     }
 
-    /// Returns what to ask another router for so that `most` fits, in tokens.
-    pub fn loan(&self, now_ms: u64, account: &str, most: u64) -> u64 {
+    /// Returns what another router has to lend so that `most` fits, in tokens, and what would be
+    /// welcome.
+    pub fn loan(&self, now_ms: u64, account: &str, most: u64) -> (u64, u64) {
         let a = self.accounts.get(account).copied().unwrap_or_default();
-        most + a.open_wish(now_ms, &self.sizes) / LOAN
+        let least = most.saturating_sub(a.spendable(self.unsealed));
+        (least, least + a.open_wish(now_ms, &self.sizes) / LOAN)
     }
 
     /// Returns the name under which shares are held.
--- /dev/null
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -0,0 +1,6 @@
+//! The path on the users' platform: real routers against stand-ins of its store and targets.
+
+mod answers;
+mod changes;
+mod money;
+mod support;
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -99,13 +99,15 @@
         let now_ms = self.clock.now_ms();
         let next = group.holder.borrow_mut().compose(now_ms, stamp, &record);
         let before = group.holder.borrow_mut().sent(stamp);
-        let swap = gw
-            .platform
-            .swap(Recorded::Shares(index), revision, encode(&next));
-        match swap.await {
+        let began = Instant::now();
+        let name = Recorded::Shares(index);
+        let swapped = gw.platform.swap(name, revision, encode(&next)).await;
+        group.took.set(began.elapsed());
+        match swapped {
             Ok(Swap::Done(revision)) => {
                 self.adopt(group, index, &next);
-                sleep(Duration::from_millis(PAUSE_MS)).await;
+                let pause = Duration::from_millis(PAUSE_MS);
+                sleep(pause.max(self.turn(group))).await;
                 Known::State(revision, next)
             }
             Ok(Swap::Conflict(versioned)) => {
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -71,13 +71,12 @@
         }
         let pause = Instant::now() + Duration::from_millis(NO_LOAN_MS);
         group.no_loan.borrow_mut().insert(account.to_owned(), pause);
+        let now_ms = self.clock.now_ms();
+        let (least, ask) = group.holder.borrow().loan(now_ms, account, most);
         let ask = Ask {
             account: account.to_owned(),
-            ask: group
-                .holder
-                .borrow()
-                .loan(self.clock.now_ms(), account, most),
-            least: most,
+            ask,
+            least,
         };
         for lender in lenders(group, account) {
             let asked = timeout(Duration::from_millis(ASK_MS), ask_one(lender, &ask)).await;
