--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -39,7 +39,9 @@
     Change, Feed, LocalFuture, Platform, Recorded, StoreError, Swap, Topic, Versioned,
 };
 pub use refusal::Refusal;
+pub use retries::Retries;
 pub use route::{Kind, Route, Split};
 pub use run::{RunError, run};
 pub use settings::{Bounds, GatewaySettings};
-pub use target::{TargetEntry, TargetId};
+pub use target::{Standing, Target, TargetEntry, TargetId, TargetKey};
+pub use targets::Targets;
--- a/wisteriapass_gateway/src/pool.rs
+++ b/wisteriapass_gateway/src/pool.rs
@@ -56,9 +56,4 @@
             until: now + idle,
         });
     }
-
-    /// Closes all idle connections.
-    pub fn clear(&mut self) {
-        self.idle.clear();
-    }
 }
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -1,6 +1,7 @@
 //! The targets that this router knows, by service.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -8,7 +9,6 @@
 
 use crate::platform::Change;
 use crate::target::{Standing, Target, TargetEntry, TargetId, TargetKey};
-use std::time::Duration;
 
 /// Time that an entry may be missing after an outage of the service, in milliseconds: the
 /// platform says that targets that live are back within about two seconds.
@@ -33,11 +33,6 @@
         self.arena.iter().filter(|(_, t)| fits(t)).collect()
     }
 
-    /// Returns how many targets may get new work.
-    pub fn open_len(&self, now: Instant) -> usize {
-        self.arena.values().filter(|t| t.is_open(now)).count()
-    }
-
     /// Takes a change in; entries that go within `LAPSE_MS` of `regained` may come back.
     pub fn apply(&mut self, change: &Change, now: Instant, regained: Option<Instant>) {
         match change {
--- a/wisteriapass_gateway/src/touch.rs
+++ b/wisteriapass_gateway/src/touch.rs
@@ -44,11 +44,6 @@
         }
     }
 
-    /// Returns whether the service answered just now.
-    pub fn is_kept(&self, now: Instant) -> bool {
-        self.last.get().is_some_and(|at| !lost(at, now))
-    }
-
     /// Returns when the service last came back.
     pub fn regained(&self) -> Option<Instant> {
         self.regained.get()
--- /dev/null
+++ b/wisteriapass_gateway/tests/retries.rs
@@ -0,0 +1,57 @@
+//! The bound on repeats holds for all routers together, in any window.
+
+use std::time::Duration;
+
+use quickcheck_macros::quickcheck;
+use tokio::time::Instant;
+use wisteriapass_gateway::{Bounds, Retries};
+
+const BOUNDS: Bounds = Bounds {
+    grace_ms: 8_000,
+    drain_ms: 2_000,
+    retry_ratio: 0.2,
+    retry_slack: 50.0,
+    retry_window_ms: 10_000,
+};
+
+/// Plays requests that all want a repeat; returns the times of requests and of repeats.
+fn play(routers: usize, gaps: &[u8], since: Instant) -> (Vec<u64>, Vec<u64>) {
+    let mut buckets: Vec<Retries> = (0..routers).map(|_| Retries::new(&BOUNDS, since)).collect();
+    let (mut now_ms, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+    for (i, gap) in gaps.iter().cycle().take(1_500).enumerate() {
+        now_ms += u64::from(gap % 16);
+        let now = since + Duration::from_millis(now_ms);
+        let bucket = &mut buckets[(i + usize::from(*gap)) % routers];
+        bucket.earn(routers);
+        requests.push(now_ms);
+        if bucket.take(now, routers) {
+            repeats.push(now_ms);
+        }
+    }
+    (requests, repeats)
+}
+
+fn in_window(times: &[u64], from: u64) -> f64 {
+    let window = from..from + BOUNDS.retry_window_ms;
+    times.iter().filter(|t| window.contains(t)).count() as f64
+}
+
+#[quickcheck]
+fn no_window_has_more_than_the_bound(routers: u8, gaps: Vec<u8>) -> bool {
+    if gaps.is_empty() {
+        return true;
+    }
+    let routers = usize::from(routers % 30) + 1;
+    let (requests, repeats) = play(routers, &gaps, Instant::now());
+    repeats.iter().all(|from| {
+        let most = BOUNDS.retry_ratio * in_window(&requests, *from) + BOUNDS.retry_slack;
+        in_window(&repeats, *from) <= most
+    })
+}
+
+#[test]
+fn a_good_part_of_the_bound_can_be_used() {
+    let (requests, repeats) = play(5, &[5], Instant::now());
+    let share = repeats.len() as f64 / requests.len() as f64;
+    assert!(share > 0.15, "{share}");
+}
--- /dev/null
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -0,0 +1,103 @@
+//! Which targets may get new work, as their entries come and go.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wisteriapass_gateway::{Change, TargetEntry, TargetId, Targets};
+
+const SERVICE: &str = "s";
+
+fn entry(id: &str) -> TargetEntry {
+    TargetEntry {
+        id: TargetId(id.into()),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "z".into(),
+        slots: 4,
+        leaving: false,
+        born: Some(1),
+    }
+}
+
+fn open(targets: &Targets, now: Instant) -> Vec<String> {
+    let open = targets.open(SERVICE, now);
+    let mut names: Vec<String> = open.iter().map(|(_, t)| t.entry.id.0.clone()).collect();
+    names.sort();
+    names
+}
+
+fn later(now: Instant, ms: u64) -> Instant {
+    now + Duration::from_millis(ms)
+}
+
+#[test]
+fn an_entry_that_goes_is_closed_at_once() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    assert_eq!(open(&targets, now), ["a"]);
+    targets.apply(&Change::Gone(TargetId("a".into())), now, None);
+    assert!(open(&targets, now).is_empty());
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_come_back() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    for id in ["a", "b"] {
+        targets.apply(&Change::Target(entry(id)), now, None);
+        targets.apply(
+            &Change::Gone(TargetId(id.into())),
+            later(now, 50),
+            Some(now),
+        );
+    }
+    assert_eq!(open(&targets, later(now, 2_000)), ["a", "b"]);
+    targets.apply(&Change::Target(entry("a")), later(now, 2_000), Some(now));
+    assert_eq!(open(&targets, later(now, 2_500)), ["a"]);
+}
+
+#[test]
+fn an_entry_that_goes_later_than_that_is_gone() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    let back = later(now, 3_000);
+    targets.apply(&Change::Gone(TargetId("a".into())), back, Some(now));
+    assert!(open(&targets, back).is_empty());
+}
+
+#[test]
+fn a_draining_target_stays_closed_when_its_entry_lapses() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    let mut leaving = entry("a");
+    leaving.leaving = true;
+    targets.apply(&Change::Target(leaving), now, None);
+    targets.apply(&Change::Gone(TargetId("a".into())), now, Some(now));
+    assert!(open(&targets, now).is_empty());
+}
+
+#[test]
+fn a_target_that_starts_anew_begins_with_nothing() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    targets.open(SERVICE, now)[0].1.running.set(3);
+    let mut reborn = entry("a");
+    reborn.born = Some(2);
+    targets.apply(&Change::Target(reborn), now, None);
+    let open = targets.open(SERVICE, now);
+    assert_eq!(open.len(), 1);
+    assert_eq!(open[0].1.running.get(), 0);
+}
+
+#[test]
+fn a_whole_state_closes_what_it_does_not_name() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    for id in ["a", "b", "c"] {
+        targets.apply(&Change::Target(entry(id)), now, None);
+    }
+    let state = [
+        Change::Target(entry("a")),
+        Change::Unusable(TargetId("b".into())),
+    ];
+    targets.replace(&state, now, None);
+    assert_eq!(open(&targets, now), ["a"]);
+}
