--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -8,17 +8,22 @@
 //! where they agree; after a loss of power, the time of day, if that of all other routers agreed
 //! with it at the last write and again at the successor's.
 
+mod account_share;
 mod holder;
 mod meter;
 mod record;
 mod share;
+mod sizes;
 mod stamp;
+mod standing;
 mod tenure;
 mod witness;
 
-pub use holder::{ShareHolder, ShareSizes, Shortfall, Standing};
+pub use holder::{ShareHolder, Shortfall};
 pub use meter::DrawMeter;
 pub use record::ShareRecord;
 pub use share::Share;
+pub use sizes::ShareSizes;
 pub use stamp::Stamp;
+pub use standing::Standing;
 pub use tenure::{HolderId, Tenure};
--- /dev/null
+++ b/wisteriapass_coord/src/prepaid/sizes.rs
@@ -0,0 +1,19 @@
+//! How large shares are.
+
+/// How large shares are, and when a sealed part opens.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareSizes {
+    /// Draw that the open part covers, in milliseconds: has to outlast `seal_ms`.
+    pub open_ms: u64,
+    /// Draw that the sealed part covers, in milliseconds: what is left of a long cut.
+    pub sealed_ms: u64,
+    /// Time since the last write that may have reached the service after which the sealed part
+    /// opens, in milliseconds.
+    pub seal_ms: u64,
+    /// Part of what is left of a total that all routers together hold unspent at the most: what
+    /// they hold is lost if all of them are killed, and what they don't is not there in a cut.
+    pub held: f64,
+    /// Part of what is left that a router without draw holds, divided by the routers: the first
+    /// request of an account does not wait for an exchange.
+    pub floor: f64,
+}
