--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -35,7 +35,7 @@
 const OPEN_MS: u64 = 2_900;
 
 /// Draw that the sealed part covers, in milliseconds: what is left of a cut of some ten seconds.
-const SEALED_MS: u64 = 8_000;
+const SEALED_MS: u64 = 9_000;
 
 /// Part of what is left of a total that all routers together hold unspent: a kill of all loses at
 /// most that, and a cut of all leaves as much to be served.
