Shares: the time of day is believed with a margin

Cause found by review: clocks that agree within 250 ms may make a seal that opened 0.25 s ago look whole. Now they agree within 100 ms, and twice that is added to the age.

--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::prepaid::account_share::{AccountShare, Scene};
+use crate::prepaid::stamp::AGREE_MS;
 use crate::prepaid::witness::Witness;
 use crate::prepaid::{HolderId, ShareRecord, ShareSizes, Stamp, Standing, Tenure};
 
@@ -210,7 +211,9 @@
         let seal_ms = self.sizes.seal_ms;
         let proved = self.started.since(before.stamp);
         let whole = proved.is_some_and(|ms| ms < seal_ms);
+        // Two readings of the time of day may each be off by what still counts as agreement.
         let by_day = self.started.since_by_day(before.stamp);
+        let by_day = by_day.map(|ms| ms + 2 * AGREE_MS);
         let may_be_whole = before.agreed && by_day.is_some_and(|ms| ms < seal_ms);
         self.claims.clear();
         if !whole && may_be_whole {
--- a/wisteriapass_coord/src/prepaid/stamp.rs
+++ b/wisteriapass_coord/src/prepaid/stamp.rs
@@ -4,7 +4,7 @@
 
 /// Disagreement of the two clocks from which on neither is believed, in milliseconds; above what
 /// reading them one after the other can differ, far below the steps of a clock that was set.
-pub(super) const AGREE_MS: u64 = 250;
+pub(super) const AGREE_MS: u64 = 100;
 
 /// Two readings taken together, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
