--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -165,6 +165,13 @@
     }
 }
 
+/// How much less is held for each part of a total that was lost: routers that died are the best
+/// sign that more will, and what they held is lost with them.
+const LOST_WEIGHT: f64 = 4.0;
+
+/// Part of what may be held that is held however much was lost.
+const LEAST_HELD: f64 = 0.15;
+
 /// What an account's record leaves to this router.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scene {
@@ -181,9 +188,11 @@
         let left = total.saturating_sub(record.gone(account)) as f64;
         let wishes = record.wishes(account).max(1) as f64;
         let holders = record.tenures().count().max(1) as f64;
+        let lost = record.lost(account) as f64 / total.max(1) as f64;
+        let held = sizes.held * (1.0 - LOST_WEIGHT * lost).max(LEAST_HELD);
         Self {
             free: total.saturating_sub(record.granted(account)),
-            scale: (left * sizes.held / wishes).min(1.0),
+            scale: (left * held / wishes).min(1.0),
             floor: (left * sizes.floor / holders) as u64,
         }
     }
--- a/wisteriapass_coord/src/prepaid/record.rs
+++ b/wisteriapass_coord/src/prepaid/record.rs
@@ -52,6 +52,11 @@
         self.sum(account, |s| s.used + s.lost)
     }
 
+    /// Returns the sum of what dead routers may have spent of an account, in tokens.
+    pub fn lost(&self, account: &str) -> u64 {
+        self.sum(account, |s| s.lost)
+    }
+
     /// Returns the sum of what routers would like to have unspent of an account, in tokens.
     pub fn wishes(&self, account: &str) -> u64 {
         self.sum(account, |s| s.wish)
