Logs that explain a failure: each failure of a target names the request; lines never block; explain

A line is handed to a thread and lost, and counted, if the reader is slow. Also: a request that waited in vain for an exchange asks other routers for a loan.

--- a/extra/completions/wisteriapass.fish
+++ b/extra/completions/wisteriapass.fish
@@ -1,6 +1,6 @@
 # Completions of wisteriapass for fish.
 
-set -l commands check diff apply show topup drain undrain digest export
+set -l commands check diff apply show topup drain undrain digest export explain
 set -l none "not __fish_seen_subcommand_from $commands"
 
 complete -c wisteriapass -f
@@ -16,7 +16,8 @@
 complete -c wisteriapass -n $none -a undrain -d "give a target or VM work again"
 complete -c wisteriapass -n $none -a digest -d "print the digest of a key"
 complete -c wisteriapass -n $none -a export -d "write the configuration to files"
-complete -c wisteriapass -n "__fish_seen_subcommand_from check diff apply export" -F
+complete -c wisteriapass -n $none -a explain -d "say what became of a request"
+complete -c wisteriapass -n "__fish_seen_subcommand_from check diff apply export explain" -F
 complete -c wisteriapass -n "__fish_seen_subcommand_from apply" -l from -x -d "revision edited from"
 complete -c wisteriapass -n "__fish_seen_subcommand_from apply drain undrain" -l op -x -d "operation id"
 complete -c wisteriapass -n "__fish_seen_subcommand_from topup" -l id -x -d "id of the top-up"
--- a/wisteriapass/src/args.rs
+++ b/wisteriapass/src/args.rs
@@ -53,6 +53,9 @@
     /// Write the configuration in force to files.
     #[options(help = "write the configuration in force to DIR/inventory.toml and DIR/rules.toml")]
     Export(Export),
+    /// Say what became of a request.
+    #[options(help = "say from routers' logs what became of a request")]
+    Explain(Explain),
 }
 
 /// Files to check or compare.
@@ -183,3 +186,17 @@
         args.self_usage()
     )
 }
+
+/// Request to explain.
+#[derive(Clone, Debug, Options)]
+pub struct Explain {
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Id of the request.
+    #[options(free, required, help = "id of the caller's attempt")]
+    pub id: String,
+    /// Logs; none is standard input.
+    #[options(free, help = "files with routers' logs; none is standard input")]
+    pub files: Vec<String>,
+}
--- a/wisteriapass/src/commands.rs
+++ b/wisteriapass/src/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod digest;
 mod drain;
+mod explain;
 mod export;
 mod files;
 mod show;
@@ -30,5 +31,6 @@
         Command::Undrain(opts) => drain::drain(cx, opts, false),
         Command::Digest(_) => digest::digest(cx),
         Command::Export(opts) => export::export(cx, opts),
+        Command::Explain(opts) => explain::explain(cx, opts),
     }
 }
--- a/wisteriapass_daemon/src/logging.rs
+++ b/wisteriapass_daemon/src/logging.rs
@@ -1,9 +1,13 @@
 //! Structured log lines: time, level, part, then `key=value` pairs in a short sentence.
 
+mod line_log;
+
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::{Display, Error};
 
+use line_log::LineLog;
+
 /// Result of starting the log.
 pub type Result<T, E = LogError> = std::result::Result<T, E>;
 
@@ -24,6 +28,8 @@
 
 /// Starts logging to standard error at `level` and above, each line marked with `name`.
 ///
+/// A slow reader costs lines, never time: lines that find no room are lost, and counted in a line.
+///
 /// # Errors
 ///
 /// [`LogError`] if the level is unknown or a log was started before.
@@ -56,7 +62,7 @@
         .level_for("listen", filter)
         .level_for("dispatch", filter)
         .level_for("headers", filter)
-        .chain(std::io::stderr())
+        .chain(Box::new(LineLog::new()) as Box<dyn log::Log>)
         .apply()
         .map_err(|_| LogError::Started)
 }
--- a/wisteriapass_daemon/src/on_platform.rs
+++ b/wisteriapass_daemon/src/on_platform.rs
@@ -25,7 +25,9 @@
 
 /// Runs a router on the users' platform until it is told to stop.
 pub fn run_on_platform() -> ExitCode {
-    match start() {
+    let started = start();
+    log::logger().flush();
+    match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("wisteriapassd: {e}");
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -71,7 +71,9 @@
 
 /// Runs a daemon until it is told to stop.
 pub fn run(settings: &Path) -> ExitCode {
-    match start(settings) {
+    let started = start(settings);
+    log::logger().flush();
+    match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("wisteriapassd: {e}");
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -217,7 +217,8 @@
                 return Err(group.short(request, account, most));
             }
             group.needed.notify_one();
-            if timeout_at(until, done).await.is_err() {
+            let in_time = timeout_at(until, done).await.is_ok();
+            if !in_time && !self.borrow(group, name, most).await {
                 return Err(group.short(request, account, most));
             }
         }
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -64,10 +64,9 @@
 impl Bank {
     /// Borrows for a request that costs `most`; returns whether another try makes sense.
     pub(super) async fn borrow(&self, group: &Group, account: &str, most: u64) -> bool {
-        if let Some(not_before) = group.no_loan.borrow().get(account) {
-            if Instant::now() < *not_before {
-                return false;
-            }
+        let not_before = group.no_loan.borrow().get(account).copied();
+        if not_before.is_some_and(|at| Instant::now() < at) {
+            return false;
         }
         let pause = Instant::now() + Duration::from_millis(NO_LOAN_MS);
         group.no_loan.borrow_mut().insert(account.to_owned(), pause);
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -51,9 +51,9 @@
 #[derive(Debug)]
 pub enum Sent {
     /// The target answers.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// No byte of it reached the target.
-    NotSent,
+    Unsent,
     /// It may have reached the target, and no right answer came.
     Lost,
 }
@@ -160,14 +160,14 @@
 ) -> Sent {
     let mut line = Line::new(gw.clone(), target, unread);
     let Some((mut sender, is_fresh)) = connect(gw, target).await else {
-        return Sent::NotSent;
+        return Sent::Unsent;
     };
     line.is_fresh = is_fresh;
     let answer = match sender.try_send_request(request(out, headers)).await {
         Ok(answer) => answer,
         Err(mut e) => {
             if e.take_message().is_some() {
-                return Sent::NotSent;
+                return Sent::Unsent;
             }
             log::debug!(target: "dispatch", "No answer. cause={}", e.into_error());
             return Sent::Lost;
@@ -181,13 +181,13 @@
 fn read_head(gw: &Gateway, answer: Response<Incoming>, line: Line) -> Sent {
     let (parts, body) = answer.into_parts();
     let facts = gw.platform.answer_facts(&parts.headers);
-    Sent::Answer(Answer {
+    Sent::Answer(Box::new(Answer {
         status: parts.status,
         headers: parts.headers,
         facts,
         body,
         line,
-    })
+    }))
 }
 
 fn request(out: &Outgoing, headers: HeaderMap) -> Request<Full<Bytes>> {
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! The way of one request: accept, route, authenticate, reserve, admit, dispatch, relay, settle.
 
 mod attempt;
+mod fault;
 mod plan;
 mod reply;
 
@@ -16,6 +17,7 @@
 use plan::Plan;
 
 pub use attempt::{Job, Tries};
+pub use fault::Fault;
 pub use reply::{AnswerBody, Pieces, streamed};
 
 /// Serves one request.
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -7,6 +7,7 @@
 use wisteriapass_policy::Time;
 use wisteriapass_policy::placement::{self, Candidate};
 
+use super::fault::Fault;
 use super::plan::Plan;
 use super::reply::{self, AnswerBody};
 use crate::dispatch::{Answer, Outgoing, Sent, send};
@@ -23,12 +24,6 @@
 /// which its answer is on time: half of what then is late may still be saved.
 const PATIENCE_TIMES: f64 = 1.5;
 
-/// Weight of a failure in a target's rank.
-const FAILED: f64 = 1.0;
-
-/// Weight of a shed request: the target says itself that it is full.
-const SHED: f64 = 0.5;
-
 /// A request with all that it takes to send it, also again.
 #[derive(Debug)]
 pub struct Job {
@@ -107,7 +102,7 @@
                     Verdict::Right(answer) => {
                         tries.sent += 1;
                         tries.may_have_run = true;
-                        return Ok(answer);
+                        return Ok(*answer);
                     }
                     Verdict::NotRun => {
                         tries.sent += 1;
@@ -116,8 +111,8 @@
                     }
                     Verdict::Wrong => self.lost(key, tries, reservation)?,
                 },
-                Sent::NotSent => {
-                    self.fault(key, FAILED);
+                Sent::Unsent => {
+                    self.fault(key, Fault::NotSent);
                     self.note_not_run(tries, reservation);
                     tries.unsent += 1;
                     if tries.unsent >= MOST_UNSENT {
@@ -133,7 +128,7 @@
     /// Sends to one target, within the time that it is given.
     async fn send_to(&self, place: Place, tries: &Tries, last_event: Option<u64>) -> Sent {
         let Some(headers) = self.headers_for(place.key, last_event) else {
-            return Sent::NotSent;
+            return Sent::Unsent;
         };
         let sending = send(&self.gw, place.key, &self.out, headers, place.unread);
         timeout_at(self.patience(tries), sending)
@@ -198,16 +193,16 @@
     }
 
     /// Decides whether an answer is one to this request.
-    fn judge(&self, key: TargetKey, answer: Answer) -> Verdict {
+    fn judge(&self, key: TargetKey, answer: Box<Answer>) -> Verdict {
         let facts = &answer.facts;
         let echoed = facts.id == self.facts.id;
         let unnamed = facts.id.is_none() && answer.line.is_fresh;
         if facts.not_run && (echoed || unnamed) {
-            self.fault(key, SHED);
+            self.fault(key, Fault::Shed);
             return Verdict::NotRun;
         }
         if !echoed || facts.encoded || answer.status.is_success() && !facts.signed {
-            self.fault(key, FAILED);
+            self.fault(key, Fault::Wrong);
             return Verdict::Wrong;
         }
         Verdict::Right(answer)
@@ -238,7 +233,7 @@
         };
         line.finish(&facts);
         if status.is_server_error() {
-            self.fault(key, FAILED);
+            self.fault(key, Fault::Failed);
             let again = self.plan.route.kind.repeatable();
             if again && self.again(tries, reservation, RetryReason::Failed).is_ok() {
                 return Ok(None);
@@ -262,7 +257,7 @@
     ) -> Result<(), Refusal> {
         tries.sent += 1;
         tries.may_have_run = true;
-        self.fault(key, FAILED);
+        self.fault(key, Fault::Lost);
         if Instant::now() >= self.plan.deadline {
             return Err(Refusal::Late);
         }
@@ -306,13 +301,21 @@
     }
 
     /// Counts a failure of a target.
-    pub fn fault(&self, key: TargetKey, weight: f64) {
+    pub fn fault(&self, key: TargetKey, fault: Fault) {
         let now = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
-        if let Some(target) = targets.get(key) {
-            target.trouble.borrow_mut().add(now, weight);
-            log::info!(target: "targets", "Failure. target={} weight={weight}", target.entry.id);
-        }
+        let Some(target) = targets.get(key) else {
+            return;
+        };
+        target.trouble.borrow_mut().add(now, fault.weight());
+        log::info!(
+            target: "exchange",
+            "Target failed it. request={} target={} fault={fault} running={} after_ms={}",
+            self.facts.id_text(),
+            target.entry.id,
+            target.running.get(),
+            self.plan.arrived.elapsed().as_millis()
+        );
     }
 
     /// Counts a success of a target.
@@ -354,7 +357,7 @@
 
 /// What an answer's head says.
 enum Verdict {
-    Right(Answer),
+    Right(Box<Answer>),
     NotRun,
     Wrong,
 }
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::dispatch::Answer;
 use crate::events::{Event, EventReader};
-use crate::exchange::{AnswerBody, Job, Pieces, Tries, streamed};
+use crate::exchange::{AnswerBody, Fault, Job, Pieces, Tries, streamed};
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
@@ -161,7 +161,7 @@
         self.answer = None;
         self.reader = EventReader::default();
         if let Some(key) = self.tries.tried.last() {
-            self.job.fault(*key, 1.0);
+            self.job.fault(*key, Fault::Broken);
         }
         if !self.job.plan.route.kind.repeatable() {
             return Err(Broken::Lost);
--- a/wisteriapass_gateway/src/route.rs
+++ b/wisteriapass_gateway/src/route.rs
@@ -63,7 +63,7 @@
     /// Returns the service for a request; `draw` is uniform over `u32`.
     pub fn service(&self, draw: u32) -> Option<&str> {
         let total: u64 = self.splits.iter().map(|s| u64::from(s.weight)).sum();
-        let mut place = u64::from(draw) * total.max(1) >> 32;
+        let mut place = (u64::from(draw) * total.max(1)) >> 32;
         for split in &self.splits {
             if place < u64::from(split.weight) {
                 return Some(&split.service);
