--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -150,7 +150,7 @@
 
 /// Sends a request and waits for the head of its answer.
 ///
-/// `on_send` is called when bytes may reach the target from then on.
+/// Dropped before it ends, it closes the connection.
 pub async fn send(
     gw: &Rc<Gateway>,
     target: TargetKey,
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -37,12 +37,6 @@
     pub plan: Plan,
 }
 
-impl std::fmt::Debug for Gateway {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Gateway").finish_non_exhaustive()
-    }
-}
-
 /// Where a request goes.
 #[derive(Clone, Copy, Debug)]
 struct Place {
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -106,3 +106,9 @@
         bucket.is_some_and(|b| b.take(Instant::now(), routers))
     }
 }
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Gateway").finish_non_exhaustive()
+    }
+}
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -7,8 +7,6 @@
 pub struct Bounds {
     /// Time between the stop signal and the kill, in milliseconds.
     pub grace_ms: u64,
-    /// Time after which a leaving target may get no new work, in milliseconds.
-    pub drain_ms: u64,
     /// Share of requests that may be sent again.
     pub retry_ratio: f64,
     /// Repeats allowed beside that share in a window, over all routers.
@@ -22,7 +20,6 @@
     fn default() -> Self {
         Self {
             grace_ms: 5_000,
-            drain_ms: 1_000,
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window_ms: 10_000,
@@ -45,6 +42,4 @@
     pub lending: SocketAddr,
     /// Bounds.
     pub bounds: Bounds,
-    /// Descriptors that connections may use.
-    pub descriptors: usize,
 }
--- a/wisteriapass_gateway/tests/retries.rs
+++ b/wisteriapass_gateway/tests/retries.rs
@@ -8,7 +8,6 @@
 
 const BOUNDS: Bounds = Bounds {
     grace_ms: 8_000,
-    drain_ms: 2_000,
     retry_ratio: 0.2,
     retry_slack: 50.0,
     retry_window_ms: 10_000,
