Store: one return after a cut, however many calls fail behind it

Ruled out: the watch itself (the change was seen 0.36 s after it was acknowledged). The window is 2.0 s instead of 2.2 s.

--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -44,7 +44,7 @@
             clock,
             bank,
             targets: RefCell::default(),
-            touch: Touch::new(),
+            touch: Touch::default(),
             metrics,
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -45,3 +45,4 @@
 pub use settings::{Bounds, GatewaySettings};
 pub use target::{Standing, Target, TargetEntry, TargetId, TargetKey};
 pub use targets::Targets;
+pub use touch::Touch;
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -10,9 +10,10 @@
 use crate::platform::Change;
 use crate::target::{Standing, Target, TargetEntry, TargetId, TargetKey};
 
-/// Time that an entry may be missing after an outage of the service, in milliseconds: the
-/// platform says that targets that live are back within about two seconds.
-const LAPSE_MS: u64 = 2_200;
+/// Time that an entry may be missing after the service answers again, in milliseconds: the
+/// platform says that targets that live are back about two seconds after its return, of which
+/// some have passed by then; a target that left meanwhile may get no work for longer.
+const LAPSE_MS: u64 = 2_000;
 
 /// Arena of targets.
 #[derive(Debug, Default)]
--- a/wisteriapass_gateway/src/touch.rs
+++ b/wisteriapass_gateway/src/touch.rs
@@ -5,12 +5,12 @@
 
 use tokio::time::Instant;
 
-/// Silence after which the service counts as lost, in milliseconds; watches are answered at
-/// least once a second.
-const LOST_MS: u64 = 1_800;
+/// Silence after which an answer counts as the service's return, in milliseconds: watches are
+/// answered at least once a second, and entries need longer than that to lapse.
+const SILENT_MS: u64 = 1_500;
 
 /// Times of the last answers of the service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Touch {
     last: Cell<Option<Instant>>,
     regained: Cell<Option<Instant>>,
@@ -18,23 +18,18 @@
 }
 
 impl Touch {
-    /// Creates one that was never in touch.
-    pub fn new() -> Self {
-        Self {
-            last: Cell::new(None),
-            regained: Cell::new(None),
-            failed: Cell::new(false),
-        }
-    }
-
-    /// Notes an answer.
+    /// Notes an answer to any call.
+    ///
+    /// One call's failure does not make the next answer a return: others may have been answered.
     pub fn answered(&self, now: Instant) {
-        let was_lost = self.last.get().is_some_and(|at| lost(at, now));
-        if was_lost || self.failed.replace(false) {
+        let silent = Duration::from_millis(SILENT_MS);
+        let last = self.last.replace(Some(now));
+        if last.is_some_and(|last| now.saturating_duration_since(last) >= silent) {
             self.regained.set(Some(now));
+        }
+        if self.failed.replace(false) {
             log::info!(target: "store", "Service answers again.");
         }
-        self.last.set(Some(now));
     }
 
     /// Notes a call without answer.
@@ -49,13 +44,3 @@
         self.regained.get()
     }
 }
-
-impl Default for Touch {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-fn lost(last: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(last) > Duration::from_millis(LOST_MS)
-}
