--- a/wisteriapass_coord/tests/budget_machine.rs
+++ b/wisteriapass_coord/tests/budget_machine/world.rs
@@ -1,12 +1,7 @@
-//! Random interleavings of routers, transfers, fences, top-ups and lost answers: no budget is
-//! overspent and no token is created; named broken variants are seen to fail.
-
-mod common;
+//! Routers, side processes and the service that the steps act on, and what must hold of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{Fate, FaultyStore};
-use quickcheck::{Arbitrary, Gen, QuickCheck};
 use wisteriapass_coord::Millis;
 use wisteriapass_coord::budget::{
     BudgetId, Exchange, Journal, Ledger, Lot, Origin, Part, Payment, Proof, Reservation, Shards,
@@ -14,145 +9,8 @@
 };
 use wisteriapass_coord::store::Store;
 
-const ROUTERS: usize = 3;
-const BUDGETS: usize = 2;
-
-/// Deliberate faults of a design, each of which must be found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Variant {
-    Sound,
-    ReclaimWhenLeaseLapses,
-    RetireWithoutAllSideProcesses,
-    SettleTwice,
-    GiverIsNotDebited,
-    AnswerAcceptedTwice,
-    LostReportIsRepeated,
-    TopupWithoutId,
-}
-
-#[derive(Clone, Debug)]
-enum Step {
-    Topup {
-        budget: usize,
-        id: u8,
-        amount: u16,
-        fate: Fate,
-    },
-    Take {
-        router: usize,
-        budget: usize,
-        need: u16,
-        fates: Vec<Fate>,
-    },
-    Dispatch {
-        router: usize,
-        budget: usize,
-        amount: u16,
-    },
-    End {
-        run: usize,
-        actual: u16,
-    },
-    Flush {
-        router: usize,
-        fates: Vec<Fate>,
-    },
-    GiveBack {
-        router: usize,
-        budget: usize,
-        amount: u16,
-    },
-    Borrow {
-        taker: usize,
-        giver: usize,
-        budget: usize,
-        amount: u16,
-        repeats: u8,
-        is_lost: bool,
-    },
-    Suspect {
-        router: usize,
-        is_dead: bool,
-        has_proof: bool,
-    },
-    Replace {
-        router: usize,
-    },
-}
-
-fn fate(g: &mut Gen) -> Fate {
-    *g.choose(&[
-        Fate::Fine,
-        Fate::Fine,
-        Fate::AnswerLost,
-        Fate::CallLost,
-        Fate::Late,
-        Fate::Down,
-    ])
-    .unwrap()
-}
-
-fn fates(g: &mut Gen) -> Vec<Fate> {
-    // The answer is lost and the reread fails: the writer can't know for a while.
-    if u8::arbitrary(g) % 4 == 0 {
-        return vec![Fate::AnswerLost, Fate::Down];
-    }
-    (0..usize::arbitrary(g) % 4).map(|_| fate(g)).collect()
-}
-
-impl Arbitrary for Step {
-    fn arbitrary(g: &mut Gen) -> Self {
-        let router = usize::arbitrary(g) % ROUTERS;
-        let budget = usize::arbitrary(g) % BUDGETS;
-        let amount = u16::arbitrary(g) % 4_000;
-        match u8::arbitrary(g) % 18 {
-            0 | 16 => Self::Topup {
-                budget,
-                id: u8::arbitrary(g) % 6,
-                amount,
-                fate: fate(g),
-            },
-            1..=3 => Self::Take {
-                router,
-                budget,
-                need: amount,
-                fates: fates(g),
-            },
-            4..=6 => Self::Dispatch {
-                router,
-                budget,
-                amount: amount / 4,
-            },
-            7..=9 => Self::End {
-                run: usize::arbitrary(g),
-                actual: amount / 2,
-            },
-            10 | 11 => Self::Flush {
-                router,
-                fates: fates(g),
-            },
-            12 | 13 => Self::GiveBack {
-                router,
-                budget,
-                amount,
-            },
-            14 => Self::Borrow {
-                taker: router,
-                giver: usize::arbitrary(g) % ROUTERS,
-                budget,
-                amount,
-                repeats: u8::arbitrary(g) % 3,
-                is_lost: bool::arbitrary(g),
-            },
-            15 => Self::Suspect {
-                router,
-                is_dead: bool::arbitrary(g),
-                has_proof: bool::arbitrary(g),
-            },
-            _ => Self::Replace { router },
-        }
-    }
-}
+use crate::common::{Fate, FaultyStore};
+use crate::step::{BUDGETS, ROUTERS, Step, Variant};
 
 struct Router {
     wallet: Wallet,
@@ -177,7 +35,7 @@
     payment: Payment,
 }
 
-struct World {
+pub struct World {
     variant: Variant,
     store: FaultyStore,
     operator: Journal,
@@ -196,7 +54,7 @@
 }
 
 impl World {
-    fn new(variant: Variant) -> Self {
+    pub fn new(variant: Variant) -> Self {
         let world = Self {
             variant,
             store: FaultyStore::new(),
@@ -216,7 +74,7 @@
         world
     }
 
-    fn apply(&mut self, step: &Step) {
+    pub fn apply(&mut self, step: &Step) {
         match step {
             Step::Topup {
                 budget: b,
@@ -440,7 +298,7 @@
     }
 
     /// Returns what is wrong, if anything is.
-    fn fault(&self) -> Option<String> {
+    pub fn fault(&self) -> Option<String> {
         for i in 0..BUDGETS {
             let of_budget = self.spent.iter().filter(|((_, b), _)| *b == budget(i));
             let spent: Tokens = of_budget.map(|(_, amount)| *amount).sum();
@@ -503,49 +361,3 @@
         copy.held(budget)
     }
 }
-
-/// Plays the steps; returns the first fault.
-fn play(variant: Variant, steps: &[Step]) -> Option<String> {
-    let mut world = World::new(variant);
-    for (i, step) in steps.iter().enumerate() {
-        world.apply(step);
-        if let Some(fault) = world.fault() {
-            return Some(format!("step {i}: {fault}"));
-        }
-    }
-    None
-}
-
-#[test]
-fn no_interleaving_overspends_or_creates_money() {
-    fn holds(steps: Vec<Step>) -> Result<(), String> {
-        play(Variant::Sound, &steps).map_or(Ok(()), Err)
-    }
-    let result = QuickCheck::new()
-        .rng(Gen::from_size_and_seed(250, 0x0001))
-        .tests(300)
-        .max_tests(300)
-        .quicktest(holds as fn(Vec<Step>) -> Result<(), String>);
-    assert!(result.is_ok(), "{result:?}");
-}
-
-/// Returns whether some sequence of steps shows the variant's fault.
-fn is_found(variant: Variant) -> bool {
-    let mut g = Gen::from_size_and_seed(250, 0x0002);
-    (0..300).any(|_| play(variant, &Vec::<Step>::arbitrary(&mut g)).is_some())
-}
-
-#[test]
-fn broken_variants_are_found() {
-    let broken = [
-        Variant::ReclaimWhenLeaseLapses,
-        Variant::RetireWithoutAllSideProcesses,
-        Variant::SettleTwice,
-        Variant::GiverIsNotDebited,
-        Variant::AnswerAcceptedTwice,
-        Variant::LostReportIsRepeated,
-        Variant::TopupWithoutId,
-    ];
-    let missed: Vec<_> = broken.into_iter().filter(|v| !is_found(*v)).collect();
-    assert!(missed.is_empty(), "not found: {missed:?}");
-}
