Servers of the product and of its stand-ins run on hyper

Log lines at each step showed that the router's HTTP library had taken the connection and never handed its request over: its pool of threads counted one as free that was not, and the request stood behind a run of 45 s.

Ruled out: the scheduler (its choice was asked for only as often as requests were handed over), the allowance of load reports, health and silence, and our own handing over of requests to threads (each one received was handled).

Change: one thread of hyper for each listener, a thread of ours for each request, the stand-ins on the same server.

--- a/wisteriapass_bench/src/standin/http.rs
+++ b/wisteriapass_bench/src/standin/http.rs
@@ -1,21 +1,24 @@
 //! HTTP server shared by the stand-ins: one thread per request, answers unbuffered on demand.
 
-use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use socket2::SockRef;
-use tiny_http::{Header, Request, Response};
+use wisteriapass_daemon::http::{self, Listener, Request, Reserved, StreamWriter};
 
 /// Largest request body a stand-in reads, in bytes.
-const MAX_BODY: u64 = 4 << 20;
+const MAX_BODY: usize = 4 << 20;
 
-/// Writers of answers that never come; they stay open until the server stops.
-type Held = Mutex<Vec<Box<dyn Write + Send>>>;
+/// Longest time that a body may take to come, in seconds.
+const BODY_S: u64 = 60;
+
+/// Requests that never get an answer, and answers that never go on; they stay open until the
+/// server stops.
+type Held = Mutex<Vec<Box<dyn Send>>>;
 
 /// What answers the calls of a server.
 pub trait Handler: Send + Sync + 'static {
@@ -26,8 +29,7 @@
 /// A running HTTP server; it stops when dropped.
 pub struct HttpServer {
     addr: SocketAddr,
-    server: Arc<tiny_http::Server>,
-    acceptor: Option<JoinHandle<()>>,
+    listener: Option<Listener>,
     held: Arc<Held>,
 }
 
@@ -38,22 +40,18 @@
     ///
     /// The system's error if the address cannot be bound.
     pub fn start<H: Handler>(listen: SocketAddr, handler: Arc<H>) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
-        // Accepted connections inherit this; tiny_http sets nothing itself.
-        SockRef::from(&listener).set_tcp_nodelay(true)?;
-        let addr = listener.local_addr()?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
+        let listener = Reserved::bind(listen)?.listen()?;
+        let addr = listener.address();
         let held = Arc::new(Held::default());
-        let acceptor = {
-            let server = Arc::clone(&server);
-            let held = Arc::clone(&held);
-            std::thread::spawn(move || accept(&server, &handler, &held))
-        };
+        let holds = Arc::clone(&held);
+        http::serve(&listener, "stand-in", move |req| {
+            if let Some(call) = Call::read(req, Arc::clone(&holds)) {
+                Arc::clone(&handler).handle(call);
+            }
+        });
         Ok(Self {
             addr,
-            server,
-            acceptor: Some(acceptor),
+            listener: Some(listener),
             held,
         })
     }
@@ -65,33 +63,21 @@
 
     /// Waits until the server stops, which it does not by itself.
     pub fn wait(&mut self) {
-        if let Some(acceptor) = self.acceptor.take() {
-            acceptor.join().ok();
+        while self.listener.is_some() {
+            std::thread::park();
         }
     }
 }
 
 impl Drop for HttpServer {
     fn drop(&mut self) {
-        self.server.unblock();
-        self.wait();
+        if let Some(listener) = self.listener.take() {
+            listener.stop();
+        }
         self.held.lock().clear();
     }
 }
 
-/// Hands calls to the handler until the server is unblocked.
-fn accept<H: Handler>(server: &tiny_http::Server, handler: &Arc<H>, held: &Arc<Held>) {
-    while let Ok(req) = server.recv() {
-        let handler = Arc::clone(handler);
-        let held = Arc::clone(held);
-        std::thread::spawn(move || {
-            if let Some(call) = Call::read(req, held) {
-                handler.handle(call);
-            }
-        });
-    }
-}
-
 /// One call: the request with its body read.
 pub struct Call {
     req: Request,
@@ -101,10 +87,9 @@
 
 impl Call {
     /// Reads the body; `None` if the client gave up.
-    fn read(mut req: Request, held: Arc<Held>) -> Option<Self> {
-        let mut body = Vec::new();
-        let mut limited = io::Read::take(req.as_reader(), MAX_BODY);
-        io::Read::read_to_end(&mut limited, &mut body).ok()?;
+    fn read(req: Request, held: Arc<Held>) -> Option<Self> {
+        let deadline = Instant::now() + Duration::from_secs(BODY_S);
+        let body = http::read_body(&req, MAX_BODY, deadline).ok()?;
         Some(Self { req, body, held })
     }
 
@@ -136,11 +121,7 @@
 
     /// Returns the value of a header, or nothing.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.req
-            .headers()
-            .iter()
-            .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
-            .map(|h| h.value.as_str())
+        self.req.header(name)
     }
 
     /// Returns the body.
@@ -165,12 +146,9 @@
     /// Answers with JSON that names the request it belongs to.
     pub fn answer_as<T: Serialize>(self, request_id: Option<&str>, status: u16, value: &T) {
         let text = serde_json::to_vec(value).unwrap_or_default();
-        let mut response = Response::from_data(text).with_status_code(status);
-        response.add_header(header("content-type", "application/json"));
-        if let Some(id) = request_id {
-            response.add_header(header("x-request-id", id));
-        }
-        self.req.respond(response).ok();
+        let mut headers = vec![("content-type", "application/json")];
+        headers.extend(request_id.map(|id| ("x-request-id", id)));
+        self.req.respond(status, &headers, text);
     }
 
     /// Answers with an error message.
@@ -179,15 +157,12 @@
         self.answer(status, &ErrorBody { error });
     }
 
-    /// Closes the connection without an answer, if the client asked for `connection: close`.
-    pub fn close(self) {
-        drop(self.req.into_writer());
-    }
+    /// Closes the connection without an answer.
+    pub fn close(self) {}
 
     /// Never answers, and keeps the connection open until the server stops.
     pub fn hold(self) {
-        let writer = self.req.into_writer();
-        self.held.lock().push(writer);
+        self.held.lock().push(Box::new(self.req));
     }
 
     /// Begins an answer that is written piece by piece.
@@ -196,15 +171,9 @@
     ///
     /// The connection's error if the client is gone.
     pub fn stream(self, content_type: &str, request_id: &str) -> io::Result<Stream> {
-        let mut writer = self.req.into_writer();
-        write!(
-            writer,
-            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\nx-request-id: {request_id}\r\n\
-             transfer-encoding: chunked\r\n\r\n"
-        )?;
-        writer.flush()?;
+        let headers = [("content-type", content_type), ("x-request-id", request_id)];
         Ok(Stream {
-            writer,
+            writer: StreamWriter::new(self.req, 200, &headers)?,
             held: self.held,
         })
     }
@@ -212,7 +181,7 @@
 
 /// An answer in pieces, each of which leaves at once.
 pub struct Stream {
-    writer: Box<dyn Write + Send>,
+    writer: StreamWriter,
     held: Arc<Held>,
 }
 
@@ -223,11 +192,7 @@
     ///
     /// The connection's error if the client is gone.
     pub fn send(&mut self, piece: &[u8]) -> io::Result<()> {
-        let mut buf = format!("{:x}\r\n", piece.len()).into_bytes();
-        buf.extend_from_slice(piece);
-        buf.extend_from_slice(b"\r\n");
-        self.writer.write_all(&buf)?;
-        self.writer.flush()
+        self.writer.send(piece)
     }
 
     /// Sends one server-sent event.
@@ -244,14 +209,13 @@
     /// # Errors
     ///
     /// The connection's error if the client is gone.
-    pub fn finish(mut self) -> io::Result<()> {
-        self.writer.write_all(b"0\r\n\r\n")?;
-        self.writer.flush()
+    pub fn finish(self) -> io::Result<()> {
+        self.writer.finish()
     }
 
     /// Sends nothing more, and keeps the connection open until the server stops.
     pub fn hold(self) {
-        self.held.lock().push(self.writer);
+        self.held.lock().push(Box::new(self.writer));
     }
 }
 
@@ -260,10 +224,3 @@
 struct ErrorBody {
     error: String,
 }
-
-/// Builds a header from a name and a value; a value that no header may hold becomes empty.
-fn header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value)
-        .or_else(|()| Header::from_bytes(name, ""))
-        .expect("header names are constants of this crate")
-}
--- a/wisteriapass_daemon/src/http/body.rs
+++ b/wisteriapass_daemon/src/http/body.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use derive_more::{Display, Error};
-use tiny_http::Request;
+use flume::RecvTimeoutError;
+use hyper::header::CONTENT_LENGTH;
 
-/// Bytes read at once.
-const PIECE: usize = 16 * 1024;
+use super::Request;
 
 /// Why a body was not read.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -27,35 +27,29 @@
 
 /// Reads the whole body.
 ///
-/// The deadline is looked at between two reads: tiny_http gives no access to the socket, so a
-/// sender that sends nothing at all holds its thread until the connection dies.
-///
 /// # Errors
 ///
 /// [`BodyError`] if it is too large, late or cut short.
-pub fn read_body(req: &mut Request, limit: usize, deadline: Instant) -> Result<Vec<u8>, BodyError> {
-    let stated = req.body_length();
+pub fn read_body(req: &Request, limit: usize, deadline: Instant) -> Result<Vec<u8>, BodyError> {
+    let stated = stated_length(req);
     if stated.is_some_and(|n| n > limit) {
         return Err(BodyError::TooLarge { limit });
     }
     let mut body = Vec::with_capacity(stated.unwrap_or(0));
-    let mut piece = [0; PIECE];
-    let reader = req.as_reader();
     loop {
-        let n = reader.read(&mut piece).map_err(|_| BodyError::Cut)?;
-        if n == 0 {
-            break;
+        match req.body().recv_deadline(deadline) {
+            Ok(Ok(piece)) => body.extend_from_slice(&piece),
+            Ok(Err(_)) => return Err(BodyError::Cut),
+            Err(RecvTimeoutError::Timeout) => return Err(BodyError::Late),
+            Err(RecvTimeoutError::Disconnected) => return Ok(body),
         }
-        body.extend_from_slice(&piece[..n]);
         if body.len() > limit {
             return Err(BodyError::TooLarge { limit });
         }
-        if Instant::now() > deadline {
-            return Err(BodyError::Late);
-        }
-    }
-    if stated.is_some_and(|n| n != body.len()) {
-        return Err(BodyError::Cut);
     }
-    Ok(body)
+}
+
+/// Returns the length that the head states.
+fn stated_length(req: &Request) -> Option<usize> {
+    req.header(CONTENT_LENGTH.as_str())?.parse().ok()
 }
--- a/wisteriapass_daemon/src/http/stream_writer.rs
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -1,69 +1,55 @@
 //! Writing answers, streams without buffering.
 
-use std::io::{self, Write};
+use std::io;
+use std::time::Duration;
 
-use tiny_http::{HTTPVersion, Header, Method, Request, Response};
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use flume::{Receiver, Sender};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 
-/// Answers a request with JSON and a status.
-pub fn respond_json(req: Request, status: u16, body: String, extra: &[(&str, String)]) {
-    let mut response = Response::from_string(body).with_status_code(status);
-    let json = ("content-type", "application/json".to_owned());
-    for (name, value) in extra.iter().chain([&json]) {
-        if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-            response.add_header(header);
-        }
-    }
-    // A caller that went away needs no answer.
-    let _ = req.respond(response);
-}
+use super::Request;
+use super::request::AnswerBody;
 
-/// Answers a request with JSON and asks the caller to close its connection, so that its next
-/// request goes to another router. tiny_http drops that header from its own responses.
-pub fn respond_and_close(req: Request, status: u16, body: &str, extra: &[(&str, String)]) {
-    let mut headers = vec![
-        ("content-type", "application/json"),
-        ("connection", "close"),
-    ];
-    headers.extend(extra.iter().map(|(name, value)| (*name, value.as_str())));
-    // A caller that went away needs no answer.
-    let _ = StreamWriter::new(req, status, &headers).and_then(|mut out| {
-        out.send(body.as_bytes())?;
-        out.finish()
-    });
+/// Pieces of an answer that may wait for the connection.
+const PIECES_AHEAD: usize = 16;
+
+/// Longest time that a piece waits for a caller that does not read, in seconds.
+const SEND_TIMEOUT_S: u64 = 10;
+
+/// A body that broke off before its end.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the body was cut")]
+pub struct Cut;
+
+/// What comes next of an answer.
+enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// Its end; an answer whose writer is gone without it is cut.
+    End,
 }
 
-/// A chunked answer whose every piece is flushed at once.
-///
-/// tiny_http's own `Response` buffers a stream until its end, so the head and the chunks are
-/// written by hand.
-pub struct StreamWriter {
-    out: Box<dyn Write + Send>,
-    framing: Framing,
-    piece: Vec<u8>,
+/// Answers a request with JSON and a status.
+pub fn respond_json(req: Request, status: u16, body: String, extra: &[(&str, String)]) {
+    let mut headers = vec![("content-type", "application/json")];
+    headers.extend(extra.iter().map(|(name, value)| (*name, value.as_str())));
+    req.respond(status, &headers, body);
 }
 
-/// How the end of the body is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// In chunks, the last one empty.
-    Chunked,
-    /// By the end of the connection, for callers that speak HTTP/1.0.
-    Closed,
-    /// There is no body.
-    None,
+/// Answers a request with JSON and closes its connection, so that the caller's next request goes
+/// to another router.
+pub fn respond_and_close(req: Request, status: u16, body: String, extra: &[(&str, String)]) {
+    let mut headers = extra.to_vec();
+    headers.push(("connection", "close".to_owned()));
+    respond_json(req, status, body, &headers);
 }
 
-impl Framing {
-    fn of(req: &Request, status: u16) -> Self {
-        let bodiless = matches!(status, 100..=199 | 204 | 304);
-        if bodiless || *req.method() == Method::Head {
-            return Self::None;
-        }
-        if *req.http_version() < HTTPVersion(1, 1) {
-            return Self::Closed;
-        }
-        Self::Chunked
-    }
+/// An answer whose every piece leaves at once; dropped before its end, it is cut.
+pub struct StreamWriter {
+    pieces: Sender<Piece>,
 }
 
 impl StreamWriter {
@@ -71,77 +57,60 @@
     ///
     /// # Errors
     ///
-    /// The system's error if the caller went away.
+    /// [`io::ErrorKind::BrokenPipe`] if the caller went away.
     pub fn new(req: Request, status: u16, headers: &[(&str, &str)]) -> io::Result<Self> {
-        let framing = Framing::of(&req, status);
-        let mut out = req.into_writer();
-        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
+        let (pieces, rx) = flume::bounded(PIECES_AHEAD);
+        if !req.reply(status, headers, body_of(rx)) {
+            return Err(io::ErrorKind::BrokenPipe.into());
         }
-        head.push_str(match framing {
-            Framing::Chunked => "transfer-encoding: chunked\r\n\r\n",
-            Framing::Closed => "connection: close\r\n\r\n",
-            Framing::None => "\r\n",
-        });
-        out.write_all(head.as_bytes())?;
-        out.flush()?;
-        Ok(Self {
-            out,
-            framing,
-            piece: Vec::new(),
-        })
+        Ok(Self { pieces })
     }
 
-    /// Sends one piece and flushes it.
+    /// Sends one piece.
     ///
     /// # Errors
     ///
-    /// The system's error if the caller went away.
+    /// [`io::ErrorKind::BrokenPipe`] if the caller went away or does not read.
     pub fn send(&mut self, data: &[u8]) -> io::Result<()> {
-        if data.is_empty() || self.framing == Framing::None {
+        if data.is_empty() {
             return Ok(());
         }
-        if self.framing == Framing::Closed {
-            self.out.write_all(data)?;
-            return self.out.flush();
-        }
-        self.piece.clear();
-        write!(self.piece, "{:x}\r\n", data.len())?;
-        self.piece.extend_from_slice(data);
-        self.piece.extend_from_slice(b"\r\n");
-        self.out.write_all(&self.piece)?;
-        self.out.flush()
+        self.put(Piece::Data(Bytes::copy_from_slice(data)))
     }
 
     /// Ends the answer so that the caller sees it was cut.
-    ///
-    /// tiny_http keeps the connection open, so that a caller would wait for the next chunk; one
-    /// whose size cannot be read ends the wait.
-    pub fn cut(mut self) {
-        if self.framing == Framing::Chunked {
-            // A caller that went away needs no sign.
-            let _ = self
-                .out
-                .write_all(b"cut\r\n\r\n")
-                .and_then(|()| self.out.flush());
-        }
-    }
+    pub fn cut(self) {}
 
     /// Ends the answer; it is whole.
     ///
     /// # Errors
     ///
-    /// The system's error if the caller went away.
-    pub fn finish(mut self) -> io::Result<()> {
-        if self.framing == Framing::Chunked {
-            self.out.write_all(b"0\r\n\r\n")?;
-        }
-        self.out.flush()
+    /// [`io::ErrorKind::BrokenPipe`] if the caller went away or does not read.
+    pub fn finish(self) -> io::Result<()> {
+        self.put(Piece::End)
+    }
+
+    fn put(&self, piece: Piece) -> io::Result<()> {
+        let patience = Duration::from_secs(SEND_TIMEOUT_S);
+        self.pieces
+            .send_timeout(piece, patience)
+            .map_err(|_| io::ErrorKind::BrokenPipe.into())
     }
 }
 
-/// Returns the reason phrase of a status.
-fn reason(status: u16) -> &'static str {
-    tiny_http::StatusCode(status).default_reason_phrase()
+/// Makes a body of the pieces that come.
+fn body_of(pieces: Receiver<Piece>) -> AnswerBody {
+    let frames = stream::unfold(Some(pieces), |pieces| async {
+        let pieces = pieces?;
+        match pieces.recv_async().await {
+            Ok(Piece::Data(data)) => Some((Ok(Frame::data(data)), Some(pieces))),
+            Ok(Piece::End) => None,
+            Err(_) => {
+                // What came before leaves the connection's buffer first.
+                tokio::task::yield_now().await;
+                Some((Err(Cut), None))
+            }
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
 }
--- a/wisteriapass_daemon/src/router/answer.rs
+++ b/wisteriapass_daemon/src/router/answer.rs
@@ -3,9 +3,8 @@
 use std::io;
 
 use serde::Serialize;
-use tiny_http::Request;
 
-use crate::http::{StreamWriter, respond_and_close, respond_json};
+use crate::http::{Request, StreamWriter, respond_and_close, respond_json};
 use crate::prelude::*;
 use crate::router::openai::{Answer as Body, AnswerChoice, AnswerText, AnswerUsage, finish_reason};
 use crate::run_wire::{Blob, Finish, HeaderLine, RunBill, RunRequest};
@@ -249,7 +248,7 @@
         headers.push(("retry-after", seconds.to_string()));
     }
     if closes {
-        return respond_and_close(req, refusal.reason.status(), &refusal.body(), &headers);
+        return respond_and_close(req, refusal.reason.status(), refusal.body(), &headers);
     }
     respond_json(req, refusal.reason.status(), refusal.body(), &headers);
 }
--- a/wisteriapass_daemon/src/router/asked.rs
+++ b/wisteriapass_daemon/src/router/asked.rs
@@ -1,11 +1,10 @@
 //! What a caller asked, checked.
 
 use sha2::{Digest, Sha256};
-use tiny_http::Request;
 use wisteriapass_config::{Account, Document, Limits, Priority};
 use wisteriapass_coord::budget::{BudgetId, Tokens};
 
-use crate::http::header;
+use crate::http::Request;
 use crate::prelude::*;
 use crate::router::offers::{offers, service_of};
 use crate::router::openai::ChatBody;
@@ -95,11 +94,11 @@
 
 impl Marks {
     fn new(req: &Request) -> Result<Self, Refusal> {
-        let key = header(req, KEY_HEADER).map(str::to_owned);
+        let key = req.header(KEY_HEADER).map(str::to_owned);
         if let Some(key) = &key {
             check_key(key)?;
         }
-        let non_idempotent = match header(req, "x-wisteriapass-non-idempotent") {
+        let non_idempotent = match req.header("x-wisteriapass-non-idempotent") {
             None | Some("false") => false,
             Some("true") => true,
             Some(_) => {
@@ -115,7 +114,7 @@
         Ok(Self {
             key,
             idempotent: !non_idempotent,
-            class: header(req, "x-wisteriapass-class").map(str::to_owned),
+            class: req.header("x-wisteriapass-class").map(str::to_owned),
             deadline_ms: deadline_ms(req)?,
         })
     }
@@ -132,7 +131,7 @@
 }
 
 fn deadline_ms(req: &Request) -> Result<Option<u64>, Refusal> {
-    let Some(text) = header(req, "x-wisteriapass-deadline-ms") else {
+    let Some(text) = req.header("x-wisteriapass-deadline-ms") else {
         return Ok(None);
     };
     match text.parse() {
@@ -149,7 +148,9 @@
 
 fn authenticate<'a>(req: &Request, document: &'a Document) -> Result<&'a Account, Refusal> {
     let unauthorized = |m: &str| Refusal::not_run(Reason::Unauthorized, m);
-    let bearer = header(req, "authorization").and_then(|v| v.strip_prefix("Bearer "));
+    let bearer = req
+        .header("authorization")
+        .and_then(|v| v.strip_prefix("Bearer "));
     let key = bearer.ok_or_else(|| unauthorized("no account key"))?;
     let digest = hex(&Sha256::digest(key.trim().as_bytes()));
     let account = document.rules.account_by_digest(&digest);
@@ -284,9 +285,11 @@
     };
     req.headers()
         .iter()
-        .map(|h| HeaderLine {
-            name: h.field.to_string(),
-            value: h.value.to_string(),
+        .filter_map(|(name, value)| {
+            Some(HeaderLine {
+                name: name.to_string(),
+                value: value.to_str().ok()?.to_owned(),
+            })
         })
         .filter(|h| !secret(&h.name))
         .collect()
--- a/wisteriapass_daemon/src/router/front.rs
+++ b/wisteriapass_daemon/src/router/front.rs
@@ -1,9 +1,8 @@
 //! Taking requests from callers.
 
-use tiny_http::Request;
 use wisteriapass_config::Limits;
 
-use crate::http::{BodyError, Listener, header, read_body};
+use crate::http::{BodyError, Listener, Request, read_body};
 use crate::prelude::*;
 use crate::router::InForce;
 use crate::router::answer::{Answer, refuse};
@@ -38,10 +37,10 @@
 }
 
 impl Front {
-    fn handle(&self, mut req: Request) {
+    fn handle(&self, req: Request) {
         let _work = self.stop.work();
         self.metrics.request();
-        let asked = match self.ask(&mut req) {
+        let asked = match self.ask(&req) {
             Ok(asked) => asked,
             Err(refusal) => {
                 self.metrics.refusal(refusal.reason);
@@ -65,13 +64,13 @@
     ///
     /// The body is read also by a router that stops: a connection that closes with its request
     /// unread is reset, and the refusal lost.
-    fn ask(&self, req: &mut Request) -> Result<Asked, Refusal> {
+    fn ask(&self, req: &Request) -> Result<Asked, Refusal> {
         let deadline = Instant::now() + Duration::from_millis(self.limits.body_ms);
         let body = read_body(req, self.limits.body_bytes, deadline).map_err(body_refusal)?;
         let Some(document) = self.config.serving() else {
             let message = "the configuration in force is not known yet";
             let refusal = Refusal::not_run(Reason::NotReady, message);
-            let is_keyed = header(req, KEY_HEADER).is_some();
+            let is_keyed = req.header(KEY_HEADER).is_some();
             return Err(if is_keyed {
                 refusal.with_unknown_outcome()
             } else {
--- a/wisteriapass_daemon/src/side/front.rs
+++ b/wisteriapass_daemon/src/side/front.rs
@@ -1,11 +1,10 @@
 //! Taking dispatches and attachments from routers.
 
 use serde::de::DeserializeOwned;
-use tiny_http::Request;
 
 use crate::clock;
 use crate::fleet::Fleet;
-use crate::http::{Listener, StreamWriter, read_body, respond_json};
+use crate::http::{Listener, Request, StreamWriter, read_body, respond_json};
 use crate::prelude::*;
 use crate::run_wire::{ATTACH_PATH, Attach, Dispatch, RUN_PATH, RunEvent};
 use crate::side::executor::Executor;
@@ -56,10 +55,10 @@
 }
 
 impl Front {
-    fn handle(&self, mut req: Request) {
+    fn handle(&self, req: Request) {
         let _work = self.stop.work();
         let deadline = Instant::now() + Duration::from_secs(DISPATCH_S);
-        let body = match read_body(&mut req, DISPATCH_BYTES, deadline) {
+        let body = match read_body(&req, DISPATCH_BYTES, deadline) {
             Ok(body) => body,
             Err(e) => return refuse(req, &Refusal::not_run(Reason::BadRequest, e.to_string())),
         };
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -120,6 +120,7 @@
     finish_work(&stop, deadline);
     listener.close();
     finish_closed(&stop, deadline);
+    listener.finish(deadline);
     log::info!(target: "start", "Stopped. cut={}", stop.working());
     match settings.role {
         Role::Router => router::settle(&kernel)?,
--- a/wisteriapass_daemon/src/start/admin.rs
+++ b/wisteriapass_daemon/src/start/admin.rs
@@ -2,11 +2,9 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tiny_http::{Request, Response};
-
 use super::Result;
 use crate::fleet::InForce;
-use crate::http::Listener;
+use crate::http::{Listener, Request};
 use crate::prelude::*;
 use crate::side::Index;
 use crate::stop::Stop;
@@ -28,12 +26,12 @@
 }
 
 fn answer(req: Request, metrics: &Metrics, ready: bool) {
-    let response = match req.url() {
-        "/metrics" => Response::from_string(metrics.text()),
-        "/livez" => Response::from_string("live\n"),
-        "/readyz" if ready => Response::from_string("ready\n"),
-        "/readyz" => Response::from_string("not ready\n").with_status_code(503),
-        _ => Response::from_string("unknown path\n").with_status_code(404),
+    let (status, text) = match req.url() {
+        "/metrics" => (200, metrics.text()),
+        "/livez" => (200, "live\n".to_owned()),
+        "/readyz" if ready => (200, "ready\n".to_owned()),
+        "/readyz" => (503, "not ready\n".to_owned()),
+        _ => (404, "unknown path\n".to_owned()),
     };
-    let _ = req.respond(response);
+    req.respond_text(status, text);
 }
