Loans reach routers behind full links

Cause: on a grown deployment one account's callers come to one router whose link of 10 Mbit/s they fill. Its exchanges of shares then take 0.1 to 0.5 s each, another's write always comes first (38 tries in 7.5 s, none done), and its asks for loans were given up after 40 ms. It refused some 100 requests a second while 95% of the account's total was free. Requests that came while a loan was asked for were refused too.

Change: asks wait twice as long as the last exchange took, up to 250 ms; requests wait for a loan under way; the first lender that is asked takes more at its next exchange, for loans to come; what a cut turned away does not swell shares.

Ruled out: more frequent tries of the router itself (its window is as long as four writes of others).

--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -11,6 +11,7 @@
 mod account_share;
 mod holder;
 mod lenders;
+mod loans;
 mod meter;
 mod pace;
 mod packed;
@@ -24,6 +25,7 @@
 
 pub use holder::{ShareHolder, Shortfall};
 pub use lenders::Lenders;
+pub use loans::LoansAsked;
 pub use meter::DrawMeter;
 pub use pace::Pace;
 pub use packed::UnpackError;
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -2,7 +2,7 @@
 
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{
-    HolderId, Lenders, ShareHolder, ShareRecord, ShareSizes, Shortfall, Stamp,
+    HolderId, Lenders, LoansAsked, ShareHolder, ShareRecord, ShareSizes, Shortfall, Stamp,
 };
 
 const SIZES: ShareSizes = ShareSizes {
@@ -429,6 +429,37 @@
     );
 }
 
+#[test]
+fn one_loan_is_asked_for_at_a_time() {
+    let mut loans = LoansAsked::default();
+    assert!(loans.begin(ACCOUNT, 0));
+    assert!(loans.is_under_way(ACCOUNT));
+    assert!(!loans.begin(ACCOUNT, 1));
+    loans.end(ACCOUNT, true, 2);
+    assert!(!loans.is_under_way(ACCOUNT));
+    assert!(loans.begin(ACCOUNT, 3));
+    loans.end(ACCOUNT, false, 4);
+    assert!(!loans.begin(ACCOUNT, 5));
+    assert!(loans.begin("other", 5));
+    assert!(loans.begin(ACCOUNT, 10_000));
+}
+
+#[test]
+fn a_lender_that_is_asked_ahead_has_more_the_next_time() {
+    let mut record = ShareRecord::default();
+    let mut lender = holder("a", 1, 1_000_000);
+    exchange(&mut lender, 0, &mut record);
+    exchange(&mut holder("b", 2, 1_000_000), 0, &mut record);
+    let ask = 60_000;
+    let first = lender.lend(ACCOUNT, ask, 1_000);
+    lender.miss(ACCOUNT, ask - first);
+    lender.turn_away(100, ACCOUNT, ask - first);
+    exchange(&mut lender, 600, &mut record);
+    let next = lender.lend(ACCOUNT, ask, 1_000);
+    assert!(first > 0 && next > 2 * first, "{first}, then {next}");
+    assert!(record.granted(ACCOUNT) <= 1_000_000);
+}
+
 #[quickcheck]
 fn totals_hold_over_any_history(history: Vec<(u8, u16, u16)>) -> bool {
     let mut total = 2_000;
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    HolderId, Lenders, ShareHolder, ShareRecord, ShareSizes, Shortfall,
+    HolderId, Lenders, LoansAsked, ShareHolder, ShareRecord, ShareSizes, Shortfall,
 };
 
 use crate::catalogue::{Account, Catalogue};
@@ -75,8 +75,8 @@
     record: RefCell<ShareRecord>,
     /// Who lent nothing of late.
     lenders: RefCell<Lenders>,
-    /// Accounts for which no loan is asked for until then.
-    no_loan: RefCell<HashMap<String, Instant>>,
+    /// Loans asked for.
+    loans: RefCell<LoansAsked>,
 }
 
 impl Group {
@@ -90,7 +90,9 @@
     /// Says why a share is short.
     fn short(&self, now_ms: u64, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
         let name = &account.name;
-        self.holder.borrow_mut().turn_away(now_ms, name, most);
+        if self.in_touch.get() {
+            self.holder.borrow_mut().turn_away(now_ms, name, most);
+        }
         log::info!(
             target: "money",
             "Share short. request={} account={} most={most} {} in_touch={}",
@@ -159,7 +161,7 @@
             next_at: Cell::new(Instant::now()),
             record: RefCell::default(),
             lenders: RefCell::default(),
-            no_loan: RefCell::default(),
+            loans: RefCell::default(),
         };
         Self {
             clock,
@@ -219,22 +221,22 @@
             match reserved {
                 Ok(()) => break,
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
-                Err(Shortfall::Short) if missed => {}
+                // In a cut the same callers come again and again; no exchange serves them sooner.
+                Err(Shortfall::Short) if missed || !group.in_touch.get() => {}
                 Err(Shortfall::Short) => {
                     group.holder.borrow_mut().miss(name, most);
                     missed = true;
                 }
             }
             let may_come = group.is_quick() && group.holder.borrow().is_due();
-            if !may_come {
-                if self.borrow(group, name, most).await {
-                    continue;
-                }
-                return Err(group.short(now_ms, request, account, most));
+            if may_come {
+                group.needed.notify_one();
             }
-            group.needed.notify_one();
-            let in_time = timeout_at(until, done).await.is_ok();
-            if !in_time && !self.borrow(group, name, most).await {
+            let comes = may_come || group.loans.borrow().is_under_way(name);
+            if comes && timeout_at(until, done).await.is_ok() {
+                continue;
+            }
+            if Instant::now() >= until || !self.borrow(group, name, most).await {
                 return Err(group.short(now_ms, request, account, most));
             }
         }
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -20,19 +20,18 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::{Bank, Group};
 
 /// Path of the call.
 const PATH: &str = "/shares/lend";
 
-/// Longest time for one router's answer, in milliseconds: many round trips within a region.
+/// Shortest wait for one router's answer, in milliseconds: many round trips within a region.
 const ASK_MS: u64 = 40;
 
-/// Time without another try for an account that nobody could lend to, in milliseconds: loans cost
-/// calls at routers that are as short.
-const NO_LOAN_MS: u64 = 250;
+/// Longest wait for it, in milliseconds: that of a router whose own link is full.
+const SLOW_ASK_MS: u64 = 250;
 
 /// Largest message, in bytes.
 const LARGEST: usize = 4 << 10;
@@ -48,6 +47,9 @@
     ask: u64,
     /// Tokens below which a loan is of no use.
     least: u64,
+    /// Whether the lender is to take more at its next exchange for loans to come.
+    #[serde(default)]
+    ahead: bool,
 }
 
 /// Answers it.
@@ -60,27 +62,39 @@
 impl Bank {
     /// Borrows for a request that costs `most`; returns whether another try makes sense.
     pub(super) async fn borrow(&self, group: &Group, account: &str, most: u64) -> bool {
-        let not_before = group.no_loan.borrow().get(account).copied();
-        if not_before.is_some_and(|at| Instant::now() < at) {
+        if !group.loans.borrow_mut().begin(account, self.clock.now_ms()) {
             return false;
         }
-        let pause = Instant::now() + Duration::from_millis(NO_LOAN_MS);
-        group.no_loan.borrow_mut().insert(account.to_owned(), pause);
+        let is_lent = self.ask_lenders(group, account, most).await;
+        let now_ms = self.clock.now_ms();
+        group.loans.borrow_mut().end(account, is_lent, now_ms);
+        group.done.notify_waiters();
+        is_lent
+    }
+
+    /// Asks one router after the other.
+    async fn ask_lenders(&self, group: &Group, account: &str, most: u64) -> bool {
         let now_ms = self.clock.now_ms();
         let (least, ask) = group.holder.borrow().loan(now_ms, account, most);
-        let ask = Ask {
-            account: account.to_owned(),
-            ask,
-            least,
-        };
         let me = group.holder.borrow().id().clone();
         let lenders = {
             let record = group.record.borrow();
             let known = group.lenders.borrow();
             known.choose(&record, &me, account, least, now_ms)
         };
-        for lender in lenders {
-            let asked = timeout(Duration::from_millis(ASK_MS), ask_one(lender, &ask)).await;
+        let patience = 2 * group.took.get();
+        let patience = patience.clamp(
+            Duration::from_millis(ASK_MS),
+            Duration::from_millis(SLOW_ASK_MS),
+        );
+        for (n, lender) in lenders.into_iter().enumerate() {
+            let ask = Ask {
+                account: account.to_owned(),
+                ask,
+                least,
+                ahead: n == 0,
+            };
+            let asked = timeout(patience, ask_one(lender, &ask)).await;
             let lent = asked.ok().flatten().unwrap_or_default().tokens;
             if lent == 0 {
                 let mut lenders = group.lenders.borrow_mut();
@@ -89,8 +103,6 @@
             }
             log::info!(target: "money", "Borrowed. account={account} tokens={lent} of={lender}");
             group.holder.borrow_mut().borrow(account, lent);
-            group.no_loan.borrow_mut().remove(account);
-            group.done.notify_waiters();
             return true;
         }
         false
@@ -134,8 +146,16 @@
     }
 
     fn lend(&self, ask: &Ask) -> Loan {
-        let holder = &self.group(&ask.account).holder;
-        let tokens = holder.borrow_mut().lend(&ask.account, ask.ask, ask.least);
+        let group = self.group(&ask.account);
+        let mut holder = group.holder.borrow_mut();
+        let tokens = holder.lend(&ask.account, ask.ask, ask.least);
+        let rest = ask.ask.saturating_sub(tokens);
+        if ask.ahead && rest > 0 && group.in_touch.get() {
+            // A borrower whose link is full comes to no exchange of its own.
+            holder.miss(&ask.account, rest);
+            holder.turn_away(self.clock.now_ms(), &ask.account, rest);
+            group.needed.notify_one();
+        }
         Loan { tokens }
     }
 }
