What is turned away is no draw

Such callers come again and again; shares grew by them beyond what is drawn, and were lost with their holders.

Lenders that are asked ahead still count what they lacked.

--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -139,10 +139,13 @@
         a.missed = a.missed.saturating_add(most);
     }
 
-    /// Notes that a request of `most` tokens was turned away: it was asked for all the same.
-    pub fn turn_away(&mut self, now_ms: u64, account: &str, most: u64) {
+    /// Notes that as many tokens will be asked for again, for a lender that had less.
+    ///
+    /// Not for requests that were turned away here: they come again and again, shares grow by them
+    /// beyond what is drawn, and what is held beyond that is lost with its holder.
+    pub fn expect(&mut self, now_ms: u64, account: &str, tokens: u64) {
         let a = self.accounts.entry(account.to_owned()).or_default();
-        a.draw.add(now_ms, most);
+        a.draw.add(now_ms, tokens);
     }
 
     /// Replaces a reservation by what was really used, in tokens.
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid.rs
@@ -380,13 +380,13 @@
 }
 
 #[test]
-fn what_is_turned_away_counts_as_draw() {
-    let share_after = |turned_away: u32| {
+fn what_is_expected_counts_as_draw() {
+    let share_after = |expected: u32| {
         let mut h = holder("a", 1, 1_000_000);
         let mut record = ShareRecord::default();
         exchange(&mut h, 0, &mut record);
-        for _ in 0..turned_away {
-            h.turn_away(100, ACCOUNT, 10_000);
+        for _ in 0..expected {
+            h.expect(100, ACCOUNT, 10_000);
         }
         exchange(&mut h, 600, &mut record);
         record.share(ACCOUNT, &HolderId("a".into())).granted
@@ -453,7 +453,7 @@
     let ask = 60_000;
     let first = lender.lend(ACCOUNT, ask, 1_000);
     lender.miss(ACCOUNT, ask - first);
-    lender.turn_away(100, ACCOUNT, ask - first);
+    lender.expect(100, ACCOUNT, ask - first);
     exchange(&mut lender, 600, &mut record);
     let next = lender.lend(ACCOUNT, ask, 1_000);
     assert!(first > 0 && next > 2 * first, "{first}, then {next}");
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -88,11 +88,7 @@
     }
 
     /// Says why a share is short.
-    fn short(&self, now_ms: u64, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
-        let name = &account.name;
-        if self.in_touch.get() {
-            self.holder.borrow_mut().turn_away(now_ms, name, most);
-        }
+    fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
         log::info!(
             target: "money",
             "Share short. request={} account={} most={most} {} in_touch={}",
@@ -237,7 +233,7 @@
                 continue;
             }
             if Instant::now() >= until || !self.borrow(group, name, most).await {
-                return Err(group.short(now_ms, request, account, most));
+                return Err(group.short(request, account, most));
             }
         }
         let me = self.clone();
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -153,7 +153,7 @@
         if ask.ahead && rest > 0 && group.in_touch.get() {
             // A borrower whose link is full comes to no exchange of its own.
             holder.miss(&ask.account, rest);
-            holder.turn_away(self.clock.now_ms(), &ask.account, rest);
+            holder.expect(self.clock.now_ms(), &ask.account, rest);
             group.needed.notify_one();
         }
         Loan { tokens }
