A fresh router waits for its first share

Change: until it was in touch once, and for a second at the most, requests wait for that exchange. In a cut they are refused after that second, as before.

Ruled out: being ready only with a share; a router without one serves all that costs nothing, and in a cut it would never be ready.

--- a/wisteriapass_bench/src/standin/users/store.rs
+++ b/wisteriapass_bench/src/standin/users/store.rs
@@ -18,6 +18,9 @@
 /// Time between two looks of a watch that waits.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Time that a slow write takes.
+const SLOW_WRITE: Duration = Duration::from_millis(150);
+
 /// What the service does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -30,6 +33,8 @@
     Silent,
     /// It does what is written and never answers.
     Lost,
+    /// It takes its time for what is written.
+    SlowWrites,
 }
 
 /// One change of a key; without a value it was removed.
@@ -234,6 +239,9 @@
     }
 
     fn txn(&self, call: Call, fault: StoreFault) {
+        if fault == StoreFault::SlowWrites {
+            sleep(SLOW_WRITE);
+        }
         let Ok(txn) = call.json::<Txn>() else {
             return call.refuse(400, "no change");
         };
--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -117,3 +117,14 @@
     assert!(before + after <= 40);
     assert!(before + after >= 38, "{before} and {after} of 40 ran");
 }
+
+#[test]
+fn a_fresh_router_serves_what_its_first_share_pays_for() {
+    let scene = Scene::new(100_000);
+    scene.store.set_fault(StoreFault::SlowWrites);
+    let mut router = Router::prepared("r", &scene.store);
+    router.spawn();
+    router.wait_until_ready();
+    let answer = router.send(&Request::new("first", "/draft/x").with_tokens(20, 10));
+    assert_eq!(answer.unwrap().status, 200);
+}
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -51,6 +51,10 @@
 /// that answers in milliseconds.
 const WAIT_MS: u64 = 250;
 
+/// The same in a process that was not in touch yet, in milliseconds from its start: its first
+/// exchange comes within that, or there is a cut.
+const FRESH_MS: u64 = 1_000;
+
 /// When to come back if others hold what is left, in milliseconds: they give back at their next
 /// exchange what they don't need, and two exchanges make it plain.
 const BACK_IN_TOUCH_MS: u64 = 1_200;
@@ -67,6 +71,8 @@
     done: Notify,
     /// Whether the record is known and this process signed it.
     in_touch: Cell<bool>,
+    /// Whether it was so at any time.
+    was_in_touch: Cell<bool>,
     /// Time that the last exchange took.
     took: Cell<Duration>,
     /// Earliest time of the next exchange.
@@ -118,6 +124,8 @@
 pub struct Bank {
     clock: Clock,
     groups: Vec<Group>,
+    /// Until when a first exchange is waited for.
+    fresh_until: Instant,
     /// Routers that wrote of late, this one included.
     routers: Cell<usize>,
     seen: RefCell<HashMap<HolderId, Seen>>,
@@ -153,6 +161,7 @@
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
+            was_in_touch: Cell::new(false),
             took: Cell::new(Duration::ZERO),
             next_at: Cell::new(Instant::now()),
             record: RefCell::default(),
@@ -162,6 +171,7 @@
         Self {
             clock,
             groups: (0..GROUPS).map(group).collect(),
+            fresh_until: Instant::now() + Duration::from_millis(FRESH_MS),
             routers: Cell::new(1),
             seen: RefCell::default(),
         }
@@ -206,8 +216,10 @@
             return Ok(None);
         };
         let most = work.most();
-        let until = deadline.min(Instant::now() + Duration::from_millis(WAIT_MS));
         let group = self.group(&account.name);
+        let wait = Instant::now() + Duration::from_millis(WAIT_MS);
+        let is_first = !group.was_in_touch.get() && Instant::now() < self.fresh_until;
+        let until = deadline.min(if is_first { self.fresh_until } else { wait });
         let mut missed = false;
         loop {
             let done = group.done.notified();
@@ -228,7 +240,8 @@
             if may_come {
                 group.needed.notify_one();
             }
-            let comes = may_come || group.loans.borrow().is_under_way(name);
+            let first_comes = !group.was_in_touch.get() && Instant::now() < until;
+            let comes = may_come || first_comes || group.loans.borrow().is_under_way(name);
             if comes && timeout_at(until, done).await.is_ok() {
                 continue;
             }
