Metrics: times of answers by kind, calls to the store by outcome

Cause: that writes of shares came too late showed only after a log line was put in for it; the counters said nothing of the store, and of times neither.

Change: histograms of the time to the first event and to the end of an answer by kind of request; a counter of calls to the store by call and outcome.

Test: metrics_count_what_callers_and_the_store_saw.

--- a/wisteriapass_daemon/tests/on_platform/answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/answers.rs
@@ -137,3 +137,29 @@
     let runs: usize = scene.engines.iter().map(|t| t.runs()).sum();
     assert_eq!(runs, 1);
 }
+
+#[test]
+fn metrics_count_what_callers_and_the_store_saw() {
+    let scene = Scene::new(10_000);
+    let router = Router::start("r", &scene.store);
+    let stream = Request::new("m1", "/draft/x").with_tokens(100, 10);
+    assert_eq!(router.send(&stream).unwrap().status, 200);
+    let plain = Request::new("m2", "/safe/x");
+    assert_eq!(router.send(&plain).unwrap().status, 200);
+    let unknown = Request::new("m3", "/safe/x").with_key("nobody");
+    assert_eq!(router.send(&unknown).unwrap().status, 401);
+    let metrics = router.metrics();
+    let has = |name: &str, labels: &[&str]| {
+        let mut lines = metrics.lines().filter(|l| l.starts_with(name));
+        lines.any(|l| labels.iter().all(|label| l.contains(label)))
+    };
+    assert!(has("wisteriapass_answers_total", &["kind=\"stream\""]));
+    assert!(has("wisteriapass_answers_total", &["kind=\"idempotent\""]));
+    assert!(has("wisteriapass_refusals_total", &["unknown_key"]));
+    assert!(has("wisteriapass_first_event_seconds_bucket", &["stream"]));
+    assert!(has("wisteriapass_answer_seconds_count", &["idempotent"]));
+    for call in ["read", "read_shares", "write_shares"] {
+        let call = format!("call=\"{call}\"");
+        assert!(has("wisteriapass_store_calls_total", &[&call, "answered"]));
+    }
+}
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -144,6 +144,12 @@
         answer.is_some_and(|a| a.status == 200)
     }
 
+    /// Returns the router's metrics as text.
+    pub fn metrics(&self) -> String {
+        let request = "GET /metrics HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+        exchange(self.ports[1], request).map_or(String::new(), |a| a.body)
+    }
+
     /// Returns the port for callers.
     pub fn port(&self) -> u16 {
         self.ports[0]
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -8,6 +8,7 @@
 
 use super::{Bank, GROUPS, Group};
 use crate::gateway::Gateway;
+use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{Recorded, StoreError, Swap, Versioned};
 
 /// Time between two reads while the service does not answer, in milliseconds.
@@ -74,7 +75,11 @@
 
     async fn load(&self, gw: &Gateway, index: u32) -> Known {
         let group = &self.groups[index as usize];
-        match gw.platform.load(Recorded::Shares(index)).await {
+        let loaded = gw.platform.load(Recorded::Shares(index)).await;
+        let outcome = loaded.as_ref().err().map(StoreOutcome::of);
+        let outcome = outcome.unwrap_or(StoreOutcome::Answered);
+        gw.metrics.called_store(StoreCall::ReadShares, outcome);
+        match loaded {
             Ok(versioned) => match decode(&versioned) {
                 Known::Nothing => {
                     sleep(Duration::from_millis(PROBE_MS)).await;
@@ -102,6 +107,12 @@
         let name = Recorded::Shares(index);
         let swapped = gw.platform.swap(name, revision, next.to_bytes()).await;
         group.took.set(began.elapsed());
+        let outcome = match &swapped {
+            Ok(Swap::Done(_)) => StoreOutcome::Answered,
+            Ok(Swap::Conflict(_)) => StoreOutcome::Conflict,
+            Err(e) => StoreOutcome::of(e),
+        };
+        gw.metrics.called_store(StoreCall::WriteShares, outcome);
         match swapped {
             Ok(Swap::Done(revision)) => {
                 self.adopt(group, index, &next);
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -238,7 +238,8 @@
         if let Some(r) = reservation {
             r.ended();
         }
-        self.gw.metrics.answered();
+        let took = self.plan.arrived.elapsed();
+        self.gw.metrics.answered(self.plan.route.kind, took);
         Ok(Some(reply::whole(status, headers, body)))
     }
 
--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -2,6 +2,7 @@
 
 use tokio::time::sleep;
 
+use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{Change, Feed, StoreError, Topic};
 use crate::prelude::*;
 
@@ -19,7 +20,9 @@
 /// Follows a topic for ever.
 pub async fn follow(gw: Rc<Gateway>, topic: Topic) {
     loop {
-        let after = match gw.platform.read(topic).await {
+        let read = gw.platform.read(topic).await;
+        count(&gw, StoreCall::Read, &read);
+        let after = match read {
             Ok(feed) => {
                 gw.touch.answered(Instant::now());
                 take_all(&gw, topic, &feed);
@@ -38,7 +41,9 @@
 async fn watch_from(gw: &Gateway, topic: Topic, mut after: u64) {
     let wait = Duration::from_millis(WAIT_MS);
     loop {
-        match gw.platform.watch(topic, after, wait).await {
+        let watched = gw.platform.watch(topic, after, wait).await;
+        count(gw, watch_of(topic), &watched);
+        match watched {
             Ok(feed) => {
                 gw.touch.answered(Instant::now());
                 // An empty answer may come from a service that hears nothing just now; going on
@@ -57,6 +62,21 @@
     }
 }
 
+fn count(gw: &Gateway, call: StoreCall, result: &Result<Feed, StoreError>) {
+    let outcome = match result {
+        Ok(_) => StoreOutcome::Answered,
+        Err(e) => StoreOutcome::of(e),
+    };
+    gw.metrics.called_store(call, outcome);
+}
+
+fn watch_of(topic: Topic) -> StoreCall {
+    match topic {
+        Topic::Configuration => StoreCall::WatchConfiguration,
+        Topic::Targets => StoreCall::WatchTargets,
+    }
+}
+
 async fn note_failure(gw: &Gateway, topic: Topic, e: StoreError) {
     gw.touch.failed();
     log::debug!(target: "store", "Not followed. topic={topic} cause={e:?}");
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -1,16 +1,34 @@
-//! Counters by opentelemetry, for each refusal and retry reason.
+//! Counters and times by opentelemetry: refusals, repeats, calls to the store, answers.
+
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::platform::StoreError;
 use crate::refusal::Refusal;
+use crate::route::Kind;
 
 /// Label that carries the reason.
 const REASON: &str = "reason";
 
+/// Label that carries the kind of request.
+const KIND: &str = "kind";
+
+/// Label that carries what was called.
+const CALL: &str = "call";
+
+/// Label that carries what became of a call.
+const OUTCOME: &str = "outcome";
+
+/// Upper bounds of times, in seconds: from what a router adds to the longest deadlines in use.
+const SECONDS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0,
+];
+
 /// Why the counters could not be made.
 #[derive(Debug, Display, Error)]
 #[display("metrics: {cause}; report this as a fault of wisteriapass")]
@@ -39,6 +57,57 @@
     Resumed,
 }
 
+/// A call to the key-value service.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StoreCall {
+    /// The whole configuration or all targets.
+    #[display("read")]
+    Read,
+    /// Changes of the configuration.
+    #[display("watch_configuration")]
+    WatchConfiguration,
+    /// Changes of targets.
+    #[display("watch_targets")]
+    WatchTargets,
+    /// The record of shares.
+    #[display("read_shares")]
+    ReadShares,
+    /// Its next state.
+    #[display("write_shares")]
+    WriteShares,
+}
+
+/// What became of a call to the key-value service.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StoreOutcome {
+    /// It was answered.
+    #[display("answered")]
+    Answered,
+    /// Another router had written before.
+    #[display("conflict")]
+    Conflict,
+    /// It was not done.
+    #[display("refused")]
+    Refused,
+    /// No answer came, or none that can be read.
+    #[display("no_answer")]
+    NoAnswer,
+    /// The history asked for is gone.
+    #[display("history_gone")]
+    HistoryGone,
+}
+
+impl StoreOutcome {
+    /// Returns what became of a call that gave no answer.
+    pub fn of(error: &StoreError) -> Self {
+        match error {
+            StoreError::Refused => Self::Refused,
+            StoreError::Compacted => Self::HistoryGone,
+            StoreError::Unknown | StoreError::Malformed => Self::NoAnswer,
+        }
+    }
+}
+
 /// Counters of one router.
 pub struct Metrics {
     registry: Registry,
@@ -47,6 +116,9 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     broken: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_event: Histogram<f64>,
+    whole_answer: Histogram<f64>,
 }
 
 impl Metrics {
@@ -70,14 +142,32 @@
             refusals: meter.u64_counter("wisteriapass_refusals").build(),
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken: meter.u64_counter("wisteriapass_broken_streams").build(),
+            store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
+            first_event: seconds(&meter, "wisteriapass_first_event"),
+            whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
             _provider: provider,
         })
     }
 
-    /// Counts an answer of a target.
-    pub fn answered(&self) {
-        self.answers.add(1, &[]);
+    /// Counts an answer of a target and the time from its request's arrival to its end.
+    pub fn answered(&self, kind: Kind, took: Duration) {
+        let kind = KeyValue::new(KIND, kind.to_string());
+        self.answers.add(1, std::slice::from_ref(&kind));
+        self.whole_answer.record(took.as_secs_f64(), &[kind]);
+    }
+
+    /// Takes in the time from a request's arrival to the first event of its answer.
+    pub fn began(&self, kind: Kind, took: Duration) {
+        let kind = KeyValue::new(KIND, kind.to_string());
+        self.first_event.record(took.as_secs_f64(), &[kind]);
+    }
+
+    /// Counts a call to the key-value service.
+    pub fn called_store(&self, call: StoreCall, outcome: StoreOutcome) {
+        let call = KeyValue::new(CALL, call.to_string());
+        let outcome = KeyValue::new(OUTCOME, outcome.to_string());
+        self.store_calls.add(1, &[call, outcome]);
     }
 
     /// Counts a refusal.
@@ -105,3 +195,9 @@
             .unwrap_or_default()
     }
 }
+
+/// Creates a histogram of times.
+fn seconds(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name).with_unit("s");
+    histogram.with_boundaries(SECONDS.to_vec()).build()
+}
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/relay.rs
@@ -127,6 +127,7 @@
             return false;
         }
         if event.id.is_some() {
+            self.note_first();
             self.last = event.id;
             if let Some(r) = &mut self.reservation {
                 r.event();
@@ -136,6 +137,15 @@
         true
     }
 
+    /// Takes the time of the first event.
+    fn note_first(&self) {
+        if self.last == self.job.facts.last_event {
+            let plan = &self.job.plan;
+            let took = plan.arrived.elapsed();
+            self.job.gw.metrics.began(plan.route.kind, took);
+        }
+    }
+
     /// Ends a stream that the target ended.
     fn finish(&mut self) {
         let rest = self.reader.rest();
@@ -152,7 +162,9 @@
         if let Some(mut r) = self.reservation.take() {
             r.ended();
         }
-        self.job.gw.metrics.answered();
+        let plan = &self.job.plan;
+        let took = plan.arrived.elapsed();
+        self.job.gw.metrics.answered(plan.route.kind, took);
     }
 
     /// Goes on behind the last event at another target, where that is allowed.
--- a/wisteriapass_gateway/src/route.rs
+++ b/wisteriapass_gateway/src/route.rs
@@ -1,15 +1,19 @@
 //! A route: which requests go to which service, and what is promised about them.
 
+use derive_more::Display;
 use smallvec::SmallVec;
 
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Kind {
     /// May run more than once.
+    #[display("idempotent")]
     Idempotent,
     /// Runs at most once.
+    #[display("non_idempotent")]
     NonIdempotent,
     /// A stream of events; `resumable` ones may go on at another target.
+    #[display("stream")]
     Stream {
         /// Whether the stream may go on at another target.
         resumable: bool,
