--- a/wisteriapass_daemon/src/http.rs
+++ b/wisteriapass_daemon/src/http.rs
@@ -2,10 +2,12 @@
 
 mod body;
 mod frames;
+mod handlers;
 mod line_stream;
 mod listener;
 mod piece_stream;
 mod request;
+mod server;
 mod stream_writer;
 
 pub use body::{BodyError, read_body};
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -1,6 +1,7 @@
 //! The money of this router: reserve and settle in memory, exchange with the service.
 
 mod exchange;
+mod group;
 mod lending;
 
 use std::cell::{Cell, RefCell};
@@ -9,14 +10,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
 use twox_hash::XxHash64;
-use wisteriapass_coord::prepaid::{
-    HolderId, Lenders, LoansAsked, ShareHolder, ShareRecord, ShareSizes, Shortfall,
-};
+use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall};
 
+use self::group::Group;
 use crate::catalogue::{Account, Catalogue};
 use crate::clock::Clock;
 use crate::facts::RequestFacts;
@@ -55,71 +54,6 @@
 /// exchange comes within that, or there is a cut.
 const FRESH_MS: u64 = 1_000;
 
-/// When to come back if others hold what is left, in milliseconds: they give back at their next
-/// exchange what they don't need, and two exchanges make it plain.
-const BACK_IN_TOUCH_MS: u64 = 1_200;
-
-/// When to come back if nothing is at hand during a cut, in milliseconds: cuts last for seconds.
-const BACK_OUT_OF_TOUCH_MS: u64 = 4_000;
-
-/// Shares of accounts in one record.
-struct Group {
-    holder: RefCell<ShareHolder>,
-    /// Somebody needs an exchange.
-    needed: Notify,
-    /// An exchange ended.
-    done: Notify,
-    /// Whether the record is known and this process signed it.
-    in_touch: Cell<bool>,
-    /// Whether it was so at any time.
-    was_in_touch: Cell<bool>,
-    /// Time that the last exchange took.
-    took: Cell<Duration>,
-    /// Earliest time of the next exchange.
-    next_at: Cell<Instant>,
-    /// The record as of the last exchange.
-    record: RefCell<ShareRecord>,
-    /// Who lent nothing of late.
-    lenders: RefCell<Lenders>,
-    /// Loans asked for.
-    loans: RefCell<LoansAsked>,
-}
-
-impl Group {
-    /// Returns whether an exchange ends within the time that a request waits.
-    fn is_quick(&self) -> bool {
-        let quick = Duration::from_millis(WAIT_MS / 2);
-        let wait = self.next_at.get().saturating_duration_since(Instant::now());
-        self.in_touch.get() && wait + self.took.get() < quick
-    }
-
-    /// Says why a share is short.
-    fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
-        log::info!(
-            target: "money",
-            "Share short. request={} account={} most={most} {} in_touch={}",
-            request.id_text(),
-            account.name,
-            self.holder.borrow().standing(&account.name),
-            self.in_touch.get()
-        );
-        Refusal::ShareShort {
-            back_ms: self.back_ms(&account.name, most),
-        }
-    }
-
-    /// Returns when there may be more of a share, in milliseconds.
-    fn back_ms(&self, account: &str, most: u64) -> u64 {
-        if self.in_touch.get() {
-            return BACK_IN_TOUCH_MS;
-        }
-        if self.holder.borrow().standing(account).sealed >= most {
-            return SEAL_MS;
-        }
-        BACK_OUT_OF_TOUCH_MS
-    }
-}
-
 /// Money of one router process.
 pub struct Bank {
     clock: Clock,
@@ -153,24 +87,13 @@
         };
         let process = rand::random();
         let started = clock.stamp();
-        let group = |_| Group {
-            holder: RefCell::new(
-                ShareHolder::new(HolderId(name.to_owned()), process, started, sizes)
-                    .with_lending(lends_at),
-            ),
-            needed: Notify::new(),
-            done: Notify::new(),
-            in_touch: Cell::new(false),
-            was_in_touch: Cell::new(false),
-            took: Cell::new(Duration::ZERO),
-            next_at: Cell::new(Instant::now()),
-            record: RefCell::default(),
-            lenders: RefCell::default(),
-            loans: RefCell::default(),
+        let holder = || {
+            ShareHolder::new(HolderId(name.to_owned()), process, started, sizes)
+                .with_lending(lends_at)
         };
         Self {
             clock,
-            groups: (0..GROUPS).map(group).collect(),
+            groups: (0..GROUPS).map(|_| Group::new(holder())).collect(),
             fresh_until: Instant::now() + Duration::from_millis(FRESH_MS),
             routers: Cell::new(1),
             seen: RefCell::default(),
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -6,7 +6,8 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use wisteriapass_coord::prepaid::{Pace, ShareRecord};
 
-use super::{Bank, GROUPS, Group};
+use super::group::Group;
+use super::{Bank, GROUPS};
 use crate::gateway::Gateway;
 use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{Recorded, StoreError, Swap, Versioned};
--- /dev/null
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -0,0 +1,94 @@
+//! Shares of accounts in one record, and what is known of its exchanges.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use wisteriapass_coord::prepaid::{Lenders, LoansAsked, ShareHolder, ShareRecord};
+
+use super::{SEAL_MS, WAIT_MS};
+use crate::catalogue::Account;
+use crate::facts::RequestFacts;
+use crate::refusal::Refusal;
+
+/// When to come back if others hold what is left, in milliseconds: they give back at their next
+/// exchange what they don't need, and two exchanges make it plain.
+const BACK_IN_TOUCH_MS: u64 = 1_200;
+
+/// When to come back if nothing is at hand during a cut, in milliseconds: cuts last for seconds.
+const BACK_OUT_OF_TOUCH_MS: u64 = 4_000;
+
+/// Shares of accounts in one record.
+pub(super) struct Group {
+    pub(super) holder: RefCell<ShareHolder>,
+    /// Somebody needs an exchange.
+    pub(super) needed: Notify,
+    /// An exchange ended.
+    pub(super) done: Notify,
+    /// Whether the record is known and this process signed it.
+    pub(super) in_touch: Cell<bool>,
+    /// Whether it was so at any time.
+    pub(super) was_in_touch: Cell<bool>,
+    /// Time that the last exchange took.
+    pub(super) took: Cell<Duration>,
+    /// Earliest time of the next exchange.
+    pub(super) next_at: Cell<Instant>,
+    /// The record as of the last exchange.
+    pub(super) record: RefCell<ShareRecord>,
+    /// Who lent nothing of late.
+    pub(super) lenders: RefCell<Lenders>,
+    /// Loans asked for.
+    pub(super) loans: RefCell<LoansAsked>,
+}
+
+impl Group {
+    /// Creates a record's shares of a process that was not in touch yet.
+    pub(super) fn new(holder: ShareHolder) -> Self {
+        Self {
+            holder: RefCell::new(holder),
+            needed: Notify::new(),
+            done: Notify::new(),
+            in_touch: Cell::new(false),
+            was_in_touch: Cell::new(false),
+            took: Cell::new(Duration::ZERO),
+            next_at: Cell::new(Instant::now()),
+            record: RefCell::default(),
+            lenders: RefCell::default(),
+            loans: RefCell::default(),
+        }
+    }
+
+    /// Returns whether an exchange ends within the time that a request waits.
+    pub(super) fn is_quick(&self) -> bool {
+        let quick = Duration::from_millis(WAIT_MS / 2);
+        let wait = self.next_at.get().saturating_duration_since(Instant::now());
+        self.in_touch.get() && wait + self.took.get() < quick
+    }
+
+    /// Says why a share is short.
+    pub(super) fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
+        log::info!(
+            target: "money",
+            "Share short. request={} account={} most={most} {} in_touch={}",
+            request.id_text(),
+            account.name,
+            self.holder.borrow().standing(&account.name),
+            self.in_touch.get()
+        );
+        Refusal::ShareShort {
+            back_ms: self.back_ms(&account.name, most),
+        }
+    }
+
+    /// Returns when there may be more of a share, in milliseconds.
+    fn back_ms(&self, account: &str, most: u64) -> u64 {
+        if self.in_touch.get() {
+            return BACK_IN_TOUCH_MS;
+        }
+        if self.holder.borrow().standing(account).sealed >= most {
+            return SEAL_MS;
+        }
+        BACK_OUT_OF_TOUCH_MS
+    }
+}
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -22,7 +22,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::{Bank, Group};
+use super::Bank;
+use super::group::Group;
 
 /// Path of the call.
 const PATH: &str = "/shares/lend";
