Requests of a fresh router wait until a share was there once

Cause: the wait for a first share ended with the first exchange; one that was composed before the configuration came brings no share. Seen in 1 of 9 plays of the platform tests, three loops at once: refused 146 ms after the start.

Change: the wait is by account, until an exchange brought a share of it, and ends as before a second after the start.

--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -50,8 +50,9 @@
 /// that answers in milliseconds.
 const WAIT_MS: u64 = 250;
 
-/// The same in a process that was not in touch yet, in milliseconds from its start: its first
-/// exchange comes within that, or there is a cut.
+/// The same in a process that had no share yet, in milliseconds from its start: its first share
+/// comes within that, with the second exchange if the first knew no configuration, or there is a
+/// cut.
 const FRESH_MS: u64 = 1_000;
 
 /// Money of one router process.
@@ -141,7 +142,7 @@
         let most = work.most();
         let group = self.group(&account.name);
         let wait = Instant::now() + Duration::from_millis(WAIT_MS);
-        let is_first = !group.was_in_touch.get() && Instant::now() < self.fresh_until;
+        let is_first = group.is_new(&account.name) && Instant::now() < self.fresh_until;
         let until = deadline.min(if is_first { self.fresh_until } else { wait });
         let mut missed = false;
         loop {
@@ -163,7 +164,7 @@
             if may_come {
                 group.needed.notify_one();
             }
-            let first_comes = !group.was_in_touch.get() && Instant::now() < until;
+            let first_comes = is_first && group.is_new(name) && Instant::now() < until;
             let comes = may_come || first_comes || group.loans.borrow().is_under_way(name);
             if comes && timeout_at(until, done).await.is_ok() {
                 continue;
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -164,7 +164,6 @@
     fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
         let is_mine = group.holder.borrow_mut().adopt(record);
         group.in_touch.set(is_mine);
-        group.was_in_touch.set(group.was_in_touch.get() || is_mine);
         if !is_mine {
             group.needed.notify_one();
         }
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -28,8 +28,6 @@
     pub(super) done: Notify,
     /// Whether the record is known and this process signed it.
     pub(super) in_touch: Cell<bool>,
-    /// Whether it was so at any time.
-    pub(super) was_in_touch: Cell<bool>,
     /// Time that the last exchange took.
     pub(super) took: Cell<Duration>,
     /// Earliest time of the next exchange.
@@ -50,7 +48,6 @@
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
-            was_in_touch: Cell::new(false),
             took: Cell::new(Duration::ZERO),
             next_at: Cell::new(Instant::now()),
             record: RefCell::default(),
@@ -59,6 +56,11 @@
         }
     }
 
+    /// Returns whether no exchange brought anything of an account yet.
+    pub(super) fn is_new(&self, account: &str) -> bool {
+        self.holder.borrow().standing(account).granted == 0
+    }
+
     /// Returns whether an exchange ends within the time that a request waits.
     pub(super) fn is_quick(&self) -> bool {
         let quick = Duration::from_millis(WAIT_MS / 2);
