--- /dev/null
+++ b/wisteriapass_coord/tests/prepaid/main.rs
@@ -0,0 +1,5 @@
+//! Shares of prepaid totals: never more than the total, over cuts, kills and late writes.
+
+mod loans;
+mod shares;
+mod support;
--- a/wisteriapass_coord/tests/prepaid.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -1,43 +1,9 @@
-//! Shares of prepaid totals: never more than the total, over cuts, kills and late writes.
+//! Shares are taken, spent, given back and succeeded to within the total.
 
 use quickcheck_macros::quickcheck;
-use wisteriapass_coord::prepaid::{
-    HolderId, Lenders, LoansAsked, ShareHolder, ShareRecord, ShareSizes, Shortfall, Stamp,
-};
+use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, Shortfall, Stamp};
 
-const SIZES: ShareSizes = ShareSizes {
-    open_ms: 4_000,
-    sealed_ms: 6_000,
-    seal_ms: 2_000,
-    held: 0.6,
-    floor: 0.05,
-};
-const ACCOUNT: &str = "firm";
-
-fn at(ms: u64) -> Stamp {
-    Stamp {
-        since_boot: 50_000 + ms,
-        time_of_day: 1_000_000 + ms,
-    }
-}
-
-fn holder(name: &str, process: u64, total: u64) -> ShareHolder {
-    holder_at(name, process, total, at(0))
-}
-
-fn holder_at(name: &str, process: u64, total: u64, started: Stamp) -> ShareHolder {
-    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, SIZES);
-    holder.set_total(ACCOUNT, total);
-    holder
-}
-
-/// Writes the holder's next state and tells it that this took effect.
-fn exchange(h: &mut ShareHolder, now_ms: u64, record: &mut ShareRecord) {
-    let next = h.compose(now_ms, at(now_ms), record);
-    h.sent(at(now_ms));
-    *record = next;
-    assert!(h.adopt(record));
-}
+use crate::support::{ACCOUNT, SIZES, at, exchange, holder, holder_at};
 
 /// Reserves, exchanging once if the share is short.
 fn take(h: &mut ShareHolder, now: u64, most: u64, r: &mut ShareRecord) -> Result<(), Shortfall> {
@@ -360,106 +326,6 @@
     }
 }
 
-#[test]
-fn the_next_exchange_covers_all_that_found_a_share_short() {
-    let mut h = holder("a", 1, 1_000_000);
-    let mut record = ShareRecord::default();
-    exchange(&mut h, 0, &mut record);
-    let most = 30_000;
-    for _ in 0..8 {
-        if h.reserve(100, ACCOUNT, most).is_err() {
-            h.miss(ACCOUNT, most);
-        }
-    }
-    exchange(&mut h, 600, &mut record);
-    let mut served = 0;
-    while h.reserve(700, ACCOUNT, most).is_ok() {
-        served += 1;
-    }
-    assert!(served >= 7, "{served} of 7 fit");
-}
-
-#[test]
-fn what_is_expected_counts_as_draw() {
-    let share_after = |expected: u32| {
-        let mut h = holder("a", 1, 1_000_000);
-        let mut record = ShareRecord::default();
-        exchange(&mut h, 0, &mut record);
-        for _ in 0..expected {
-            h.expect(100, ACCOUNT, 10_000);
-        }
-        exchange(&mut h, 600, &mut record);
-        record.share(ACCOUNT, &HolderId("a".into())).granted
-    };
-    assert!(share_after(10) > 2 * share_after(1));
-}
-
-#[test]
-fn routers_that_lent_all_are_passed_over() {
-    let mut record = ShareRecord::default();
-    let names = ["a", "b", "c", "d", "e", "f", "g"];
-    for (n, name) in names.into_iter().enumerate() {
-        let at = format!("127.0.0.1:{}", 9_000 + n).parse().unwrap();
-        let mut h = holder(name, n as u64, 1_000_000).with_lending(at);
-        exchange(&mut h, 0, &mut record);
-    }
-    let me = HolderId("a".into());
-    let mut lenders = Lenders::default();
-    let mut asked = Vec::new();
-    // Nobody has anything: all others are asked once, none twice.
-    loop {
-        let next = lenders.choose(&record, &me, ACCOUNT, 500, 10);
-        if next.is_empty() {
-            break;
-        }
-        for lender in next {
-            asked.push(lender);
-            lenders.note_short(ACCOUNT, lender, 500, 10);
-        }
-    }
-    asked.sort();
-    asked.dedup();
-    assert_eq!(asked.len(), names.len() - 1);
-    // One that has not as much may have less, and more later.
-    assert!(!lenders.choose(&record, &me, ACCOUNT, 100, 10).is_empty());
-    assert!(
-        !lenders
-            .choose(&record, &me, ACCOUNT, 500, 60_000)
-            .is_empty()
-    );
-}
-
-#[test]
-fn one_loan_is_asked_for_at_a_time() {
-    let mut loans = LoansAsked::default();
-    assert!(loans.begin(ACCOUNT, 0));
-    assert!(loans.is_under_way(ACCOUNT));
-    assert!(!loans.begin(ACCOUNT, 1));
-    loans.end(ACCOUNT, true, 2);
-    assert!(!loans.is_under_way(ACCOUNT));
-    assert!(loans.begin(ACCOUNT, 3));
-    loans.end(ACCOUNT, false, 4);
-    assert!(!loans.begin(ACCOUNT, 5));
-    assert!(loans.begin("other", 5));
-    assert!(loans.begin(ACCOUNT, 10_000));
-}
-
-#[test]
-fn a_lender_that_is_asked_ahead_has_more_the_next_time() {
-    let mut record = ShareRecord::default();
-    let mut lender = holder("a", 1, 1_000_000);
-    exchange(&mut lender, 0, &mut record);
-    exchange(&mut holder("b", 2, 1_000_000), 0, &mut record);
-    let ask = 60_000;
-    let first = lender.lend(ACCOUNT, ask, 1_000);
-    lender.miss(ACCOUNT, ask - first);
-    lender.expect(100, ACCOUNT, ask - first);
-    exchange(&mut lender, 600, &mut record);
-    let next = lender.lend(ACCOUNT, ask, 1_000);
-    assert!(first > 0 && next > 2 * first, "{first}, then {next}");
-    assert!(record.granted(ACCOUNT) <= 1_000_000);
-}
-
 #[quickcheck]
 fn totals_hold_over_any_history(history: Vec<(u8, u16, u16)>) -> bool {
     let mut total = 2_000;
--- /dev/null
+++ b/wisteriapass_coord/tests/prepaid/support.rs
@@ -0,0 +1,43 @@
+//! Holders, and exchanges with the record.
+
+use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareSizes, Stamp};
+
+/// Sizes of all shares.
+pub const SIZES: ShareSizes = ShareSizes {
+    open_ms: 4_000,
+    sealed_ms: 6_000,
+    seal_ms: 2_000,
+    held: 0.6,
+    floor: 0.05,
+};
+
+/// The account that is drawn on.
+pub const ACCOUNT: &str = "firm";
+
+/// Returns both clocks at a time of the test.
+pub fn at(ms: u64) -> Stamp {
+    Stamp {
+        since_boot: 50_000 + ms,
+        time_of_day: 1_000_000 + ms,
+    }
+}
+
+/// Creates a holder of the account.
+pub fn holder(name: &str, process: u64, total: u64) -> ShareHolder {
+    holder_at(name, process, total, at(0))
+}
+
+/// Creates one that started at a time.
+pub fn holder_at(name: &str, process: u64, total: u64, started: Stamp) -> ShareHolder {
+    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, SIZES);
+    holder.set_total(ACCOUNT, total);
+    holder
+}
+
+/// Writes the holder's next state and tells it that this took effect.
+pub fn exchange(h: &mut ShareHolder, now_ms: u64, record: &mut ShareRecord) {
+    let next = h.compose(now_ms, at(now_ms), record);
+    h.sent(at(now_ms));
+    *record = next;
+    assert!(h.adopt(record));
+}
