--- a/wisteriapass_bench/src/fleet/daemon.rs
+++ b/wisteriapass_bench/src/fleet/daemon.rs
@@ -37,6 +37,30 @@
     Resume,
 }
 
+/// Longest wait for all threads of a process to halt, in milliseconds.
+const HALT_MS: u64 = 2_000;
+
+/// Waits until all threads of a process have halted: the signal is sent before they have.
+fn wait_until_halted(pid: u32) {
+    let until = Instant::now() + Duration::from_millis(HALT_MS);
+    while !is_halted(pid) && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Returns whether all threads of a process are halted, by the state behind their name.
+fn is_halted(pid: u32) -> bool {
+    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else {
+        return true;
+    };
+    threads.flatten().all(|thread| {
+        let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        stat.rsplit(')')
+            .next()
+            .is_some_and(|rest| rest.starts_with(" T"))
+    })
+}
+
 /// Links through which others reach a daemon.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Front {
@@ -143,10 +167,13 @@
         // The shell's own kill needs neither unsafe code nor another crate.
         let script = format!("kill -s {signal} {pid}");
         let sent = Command::new("sh").arg("-c").arg(script).status()?;
-        if sent.success() {
-            return Ok(());
+        if !sent.success() {
+            return Err(not_running());
         }
-        Err(not_running())
+        if signal == Signal::Pause {
+            wait_until_halted(pid);
+        }
+        Ok(())
     }
 
     /// Waits until the process has ended by itself.
