--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -9,6 +9,8 @@
 //! with it at the last write and again at the successor's.
 
 mod account_share;
+mod attests;
+mod clock_check;
 mod holder;
 mod lenders;
 mod loans;
@@ -16,22 +18,30 @@
 mod pace;
 mod packed;
 mod record;
+mod report;
 mod share;
 mod sizes;
 mod stamp;
 mod standing;
 mod tenure;
-mod witness;
+mod testimony;
+mod witness_book;
+mod witness_id;
 
-pub use holder::{ShareHolder, Shortfall};
+pub use attests::{Attests, Named, WITNESSES};
+pub use holder::{Proof, ShareHolder, Shortfall};
 pub use lenders::Lenders;
 pub use loans::LoansAsked;
 pub use meter::DrawMeter;
 pub use pace::Pace;
 pub use packed::UnpackError;
 pub use record::ShareRecord;
+pub use report::{Receipt, Report};
 pub use share::Share;
 pub use sizes::ShareSizes;
 pub use stamp::Stamp;
 pub use standing::Standing;
 pub use tenure::{HolderId, Tenure};
+pub use testimony::{Inquiry, Testimony};
+pub use witness_book::WitnessBook;
+pub use witness_id::WitnessId;
--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -13,6 +13,10 @@
 /// with its borrower, and a larger one saves few calls.
 const LOAN: u64 = 4;
 
+/// How long a headroom lasts that witnesses are asked for beyond what is spent, in milliseconds of
+/// the draw: some reports; what of it is not spent is lost with its router.
+const HEADROOM_MS: u64 = 400;
+
 /// What this router knows of one account.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AccountShare {
@@ -45,6 +49,8 @@
     /// What others are known to have been granted and to have spent, in tokens.
     pub(super) others_granted: u64,
     pub(super) others_used: u64,
+    /// What of theirs dead routers may have spent and nobody knows, in tokens.
+    pub(super) others_lost: u64,
     pub(super) draw: DrawMeter,
 }
 
@@ -65,14 +71,23 @@
         self.spent() - self.lost + self.others_used
     }
 
-    /// Returns what may be reserved now, in tokens.
-    pub(super) fn spendable(&self, unsealed: bool) -> u64 {
-        let most = if unsealed {
-            self.share.granted
-        } else {
-            self.open.min(self.share.granted)
-        };
-        most.saturating_sub(self.spent()) + self.loans()
+    /// Returns what may be reserved if the share may be spent up to a level, in tokens.
+    pub(super) fn spendable(&self, level: u64) -> u64 {
+        let level = level.min(self.share.granted);
+        level.saturating_sub(self.spent()) + self.loans()
+    }
+
+    /// Returns the level that is open at an age of the last write, in tokens.
+    pub(super) fn aged(&self, age_ms: u64, sizes: &ShareSizes) -> u64 {
+        let sealed = self.share.granted.saturating_sub(self.open);
+        self.open + sizes.opened(sealed, age_ms)
+    }
+
+    /// Returns the level that witnesses are asked for, in tokens.
+    pub(super) fn level(&self, now_ms: u64, sizes: &ShareSizes) -> u64 {
+        let headroom = self.open_wish(now_ms, sizes) * HEADROOM_MS / sizes.open_ms.max(1);
+        let level = self.spent() + self.wanted.max(headroom);
+        level.min(self.share.granted)
     }
 
     /// Returns what is left of what was borrowed, in tokens.
@@ -95,7 +110,7 @@
 
     /// Returns whether an exchange is due: a request waits for it, or the share runs low.
     pub(super) fn is_due(&self) -> bool {
-        let is_low = LOW * self.spendable(false) < self.stocked;
+        let is_low = LOW * self.spendable(self.open) < self.stocked;
         let has_rest = self.others_granted + self.share.granted < self.total;
         has_rest && !self.barren && (self.wanted > 0 || is_low)
     }
@@ -105,20 +120,21 @@
         &self,
         now_ms: u64,
         most: u64,
-        unsealed: bool,
+        level: u64,
         sizes: &ShareSizes,
     ) -> (u64, u64) {
-        let least = most.saturating_sub(self.spendable(unsealed));
+        let least = most.saturating_sub(self.spendable(level));
         (least, least + self.open_wish(now_ms, sizes) / LOAN)
     }
 
     /// Takes over what the service holds: the share, and the sums of all routers.
-    pub(super) fn adopt(&mut self, share: Share, granted: u64, used: u64) {
+    pub(super) fn adopt(&mut self, share: Share, granted: u64, used: u64, lost: u64) {
         self.share = share;
         self.open = share.granted - share.sealed.min(share.granted);
         self.others_granted = granted - share.granted;
         self.others_used = used - share.used;
-        self.stocked = self.spendable(false);
+        self.others_lost = lost - share.lost;
+        self.stocked = self.spendable(self.open);
         self.barren = self.stocked < self.wanted;
         self.wanted = 0;
         self.missed = 0;
@@ -136,15 +152,16 @@
     }
 
     /// Returns what is known, for logs.
-    pub(super) fn standing(&self, unsealed: bool) -> Standing {
+    pub(super) fn standing(&self, level: u64) -> Standing {
         Standing {
             total: self.total,
             granted: self.share.granted,
             spent: self.spent(),
             lost: self.lost,
-            sealed: if unsealed { 0 } else { self.share.sealed },
+            sealed: self.share.granted.saturating_sub(level),
             others_granted: self.others_granted,
             others_used: self.others_used,
+            others_lost: self.others_lost,
         }
     }
 
--- a/wisteriapass_coord/src/prepaid/witness.rs
+++ b/wisteriapass_coord/src/prepaid/clock_check.rs
@@ -11,7 +11,7 @@
 
 /// What was seen of the other routers' writes.
 #[derive(Debug, Default)]
-pub struct Witness {
+pub struct ClockCheck {
     /// As of the last record that is known to have been the newest.
     known: Look,
     /// As of the record that was looked at last.
@@ -28,7 +28,7 @@
     writes: BTreeMap<HolderId, (u64, u64)>,
 }
 
-impl Witness {
+impl ClockCheck {
     /// Looks at a record that was read before `now`.
     ///
     /// Returns whether the time of day agreed with that of all routers that wrote between two
--- a/wisteriapass_coord/src/prepaid/packed.rs
+++ b/wisteriapass_coord/src/prepaid/packed.rs
@@ -5,16 +5,20 @@
 //! before another had.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::{HolderId, Share, ShareRecord, Tenure};
+use crate::prepaid::{HolderId, Share, ShareRecord, Stamp, Tenure};
 
-/// First byte of the form below; the older form was JSON, which begins with a brace.
-const PACKED: u8 = 1;
+/// First byte of the form below.
+const PACKED: u8 = 2;
 
-/// First byte of the older form.
+/// First byte of the form before, whose tenures name no witnesses.
+const UNWITNESSED: u8 = 1;
+
+/// First byte of the oldest form.
 const JSON: u8 = b'{';
 
 /// Why bytes are no record.
@@ -33,11 +37,21 @@
 
 /// A record as it is written.
 #[derive(Serialize, Deserialize)]
-struct Packed {
-    holders: Vec<(HolderId, Tenure)>,
+struct Packed<T = Tenure> {
+    holders: Vec<(HolderId, T)>,
     accounts: Vec<PackedAccount>,
 }
 
+/// A tenure as the form before had it.
+#[derive(Deserialize)]
+struct UnwitnessedTenure {
+    process: u64,
+    write: u64,
+    stamp: Stamp,
+    agreed: bool,
+    lends_at: Option<SocketAddr>,
+}
+
 /// One account's shares, by the places of their holders.
 #[derive(Serialize, Deserialize)]
 struct PackedAccount {
@@ -69,6 +83,11 @@
                     postcard::from_bytes(rest).map_err(|e| damaged(e.to_string()))?;
                 packed.unpack()
             }
+            Some((&UNWITNESSED, rest)) => {
+                let packed: Packed<UnwitnessedTenure> =
+                    postcard::from_bytes(rest).map_err(|e| damaged(e.to_string()))?;
+                packed.unpack()
+            }
             Some((&JSON, _)) => serde_json::from_slice(bytes).map_err(|e| damaged(e.to_string())),
             Some(_) => Err(UnpackError::UnknownForm),
             None => Err(damaged("empty".to_owned())),
@@ -84,7 +103,20 @@
     }
 }
 
-impl Packed {
+impl From<UnwitnessedTenure> for Tenure {
+    fn from(tenure: UnwitnessedTenure) -> Self {
+        Self {
+            process: tenure.process,
+            write: tenure.write,
+            stamp: tenure.stamp,
+            agreed: tenure.agreed,
+            lends_at: tenure.lends_at,
+            witnesses: Default::default(),
+        }
+    }
+}
+
+impl<T: Into<Tenure>> Packed<T> {
     fn unpack(self) -> Result<ShareRecord, UnpackError> {
         let mut accounts = BTreeMap::new();
         for account in self.accounts {
@@ -99,7 +131,11 @@
         }
         Ok(ShareRecord {
             accounts,
-            holders: self.holders.into_iter().collect(),
+            holders: self
+                .holders
+                .into_iter()
+                .map(|(id, t)| (id, t.into()))
+                .collect(),
         })
     }
 }
--- a/wisteriapass_coord/src/prepaid/record.rs
+++ b/wisteriapass_coord/src/prepaid/record.rs
@@ -82,14 +82,15 @@
         self.holders.insert(holder.clone(), tenure);
     }
 
-    /// Hands the shares of a VM to the process that started there; `whole` says whether the one
-    /// before is known not to have opened its sealed parts.
+    /// Hands the shares of a VM to the process that started there; `opened` says what of a share's
+    /// sealed part the one before can have spent, by account, in tokens.
     ///
     /// Only for a process whose start proves that the one before is dead.
-    pub fn succeed(&mut self, holder: &HolderId, whole: bool) {
-        let shares = self.accounts.values_mut();
-        for share in shares.filter_map(|s| s.get_mut(holder)) {
-            share.succeed(whole);
+    pub fn succeed(&mut self, holder: &HolderId, opened: impl Fn(&str, &Share) -> u64) {
+        for (account, shares) in &mut self.accounts {
+            if let Some(share) = shares.get_mut(holder) {
+                share.succeed(opened(account, share));
+            }
         }
     }
 
--- a/wisteriapass_coord/src/prepaid/share.rs
+++ b/wisteriapass_coord/src/prepaid/share.rs
@@ -25,13 +25,11 @@
             .saturating_sub(self.used + self.sealed + self.lost)
     }
 
-    /// Hands the share to a successor of a dead router.
-    ///
-    /// Of the unspent part only a sealed one whose seal is `whole` is known to be unspent.
-    pub fn succeed(&mut self, whole: bool) {
-        if whole {
-            self.granted -= self.sealed.min(self.granted);
-        }
+    /// Hands the share to a successor of a dead router, of whose sealed part `opened` tokens at the
+    /// most can have been spent.
+    pub fn succeed(&mut self, opened: u64) {
+        let whole = self.sealed.saturating_sub(opened);
+        self.granted -= whole.min(self.granted);
         self.sealed = 0;
         self.lost = self.granted.saturating_sub(self.used);
         self.wish = 0;
--- a/wisteriapass_coord/src/prepaid/sizes.rs
+++ b/wisteriapass_coord/src/prepaid/sizes.rs
@@ -8,8 +8,14 @@
     /// Draw that the sealed part covers, in milliseconds: what is left of a long cut.
     pub sealed_ms: u64,
     /// Time since the last write that may have reached the service after which the sealed part
-    /// opens, in milliseconds.
+    /// begins to open, in milliseconds.
     pub seal_ms: u64,
+    /// Time in which it opens, evenly, in milliseconds; 0 is at once. A successor loses what can
+    /// have been open.
+    pub ramp_ms: u64,
+    /// Time since the last report to a witness after which it binds no more, in milliseconds:
+    /// longer than a VM is down for, or nothing is saved; no longer than callers can go without.
+    pub silence_ms: u64,
     /// Part of what is left of a total that all routers together hold unspent at the most: what
     /// they hold is lost if all of them are killed, and what they don't is not there in a cut.
     pub held: f64,
@@ -17,3 +23,17 @@
     /// request of an account does not wait for an exchange.
     pub floor: f64,
 }
+
+impl ShareSizes {
+    /// Returns what of a sealed part is open at an age of the last write that may have reached the
+    /// service, in tokens.
+    pub fn opened(&self, sealed: u64, age_ms: u64) -> u64 {
+        let Some(ms) = age_ms.checked_sub(self.seal_ms) else {
+            return 0;
+        };
+        if ms >= self.ramp_ms {
+            return sealed;
+        }
+        (u128::from(sealed) * u128::from(ms) / u128::from(self.ramp_ms)) as u64
+    }
+}
--- a/wisteriapass_coord/src/prepaid/standing.rs
+++ b/wisteriapass_coord/src/prepaid/standing.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(
     "total={total} granted={granted} spent={spent} lost={lost} sealed={sealed} \
-     others_granted={others_granted} others_used={others_used}"
+     others_granted={others_granted} others_used={others_used} others_lost={others_lost}"
 )]
 pub struct Standing {
     /// Total by the configuration in force.
@@ -23,4 +23,6 @@
     pub others_granted: u64,
     /// What others are known to have spent.
     pub others_used: u64,
+    /// What dead predecessors of others may have spent, and nobody knows.
+    pub others_lost: u64,
 }
--- a/wisteriapass_coord/src/prepaid/tenure.rs
+++ b/wisteriapass_coord/src/prepaid/tenure.rs
@@ -5,11 +5,22 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::Stamp;
+use crate::prepaid::{Named, Stamp};
 
 /// Name of the VM whose router holds a share; a successor on the VM takes it over.
 #[derive(
-    Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Debug,
+    Default,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[serde(transparent)]
 pub struct HolderId(pub String);
@@ -29,4 +40,7 @@
     /// Where the process lends shares to other routers, if it does.
     #[serde(default)]
     pub lends_at: Option<SocketAddr>,
+    /// Who knows how far the process may spend while it is out of touch.
+    #[serde(default)]
+    pub witnesses: Named,
 }
--- a/wisteriapass_coord/tests/prepaid/main.rs
+++ b/wisteriapass_coord/tests/prepaid/main.rs
@@ -3,3 +3,4 @@
 mod loans;
 mod shares;
 mod support;
+mod witnesses;
--- /dev/null
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -0,0 +1,398 @@
+//! Witnesses: what they acknowledge bounds what a dead router can have spent, over any history.
+
+use quickcheck_macros::quickcheck;
+use wisteriapass_coord::prepaid::{
+    Receipt, Report, ShareHolder, ShareRecord, Stamp, WitnessBook, WitnessId,
+};
+
+use crate::support::{ACCOUNT, SIZES, at, exchange, holder, holder_at};
+
+/// Witnesses that a router reports to.
+const WITNESSES: usize = 2;
+
+/// A witness process on its VM.
+struct Witness {
+    id: WitnessId,
+    book: WitnessBook,
+}
+
+impl Witness {
+    fn new(place: usize, process: u64) -> Self {
+        let port = 7_000 + place as u16;
+        Self {
+            id: WitnessId {
+                at: ([127, 0, 0, 1], port).into(),
+                process,
+            },
+            book: WitnessBook::new(process),
+        }
+    }
+}
+
+fn witnesses() -> Vec<Witness> {
+    (0..WITNESSES)
+        .map(|place| Witness::new(place, 900 + place as u64))
+        .collect()
+}
+
+/// What becomes of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    Unanswered,
+    Unread,
+}
+
+/// Reports to one witness.
+fn report(h: &mut ShareHolder, witness: &mut Witness, now: u64, fate: Fate) {
+    let report = h.report(now, at(now));
+    let known = h.attests().addressees();
+    let last = known.iter().find(|(id, _)| *id == witness.id);
+    let Some((id, last)) = last.copied() else {
+        let receipt = witness.book.hear(now, report);
+        if fate == Fate::Answered {
+            h.meet(witness.id, receipt, at(now));
+        }
+        return;
+    };
+    h.attests().sent(id, at(now).since_boot);
+    if fate == Fate::Unread {
+        return;
+    }
+    let levels = report.levels.clone();
+    let report = Report {
+        last: Some(last),
+        ..report
+    };
+    let receipt = witness.book.hear(now, report);
+    if fate == Fate::Answered {
+        h.attests().heard(id, receipt, &levels, at(now).since_boot);
+    }
+}
+
+/// Asks the predecessor's witnesses.
+fn inquire(h: &mut ShareHolder, all: &[Witness], record: &ShareRecord, now: u64) {
+    for (id, inquiry) in h.inquiries(record) {
+        let witness = all.iter().find(|w| w.id.at == id.at);
+        let testimony = witness.and_then(|w| w.book.testify(now, &inquiry));
+        if let Some(testimony) = testimony {
+            h.testify(inquiry.process, testimony, at(now));
+        }
+    }
+}
+
+/// A router that is in touch with service and witnesses, and draws 100 tokens each 100 ms.
+fn in_touch(all: &mut [Witness], record: &mut ShareRecord, until: u64) -> ShareHolder {
+    let mut h = holder("a", 1, 100_000);
+    for now in (0..until).step_by(100) {
+        if h.reserve(now, ACCOUNT, 100).is_ok() {
+            h.settle(ACCOUNT, 100, 100);
+        }
+        exchange(&mut h, now, record);
+        for witness in all.iter_mut() {
+            report(&mut h, witness, now, Fate::Answered);
+        }
+    }
+    h
+}
+
+/// Goes on without the service; returns what is served of 100 tokens each 100 ms.
+fn out_of_touch(h: &mut ShareHolder, all: &mut [Witness], from: u64, until: u64) -> u64 {
+    let mut served = 0;
+    for now in (from..until).step_by(100) {
+        h.unseal(at(now));
+        for witness in all.iter_mut() {
+            report(h, witness, now, Fate::Answered);
+        }
+        if h.reserve(now, ACCOUNT, 100).is_ok() {
+            h.settle(ACCOUNT, 100, 100);
+            served += 100;
+        }
+    }
+    served
+}
+
+fn lost_behind(h: &ShareHolder, all: &[Witness], record: &mut ShareRecord, now: u64) -> u64 {
+    let mut after = holder_at(&h.id().0, 2, 100_000, at(now));
+    inquire(&mut after, all, record, now);
+    exchange(&mut after, now, record);
+    record.share(ACCOUNT, after.id()).lost
+}
+
+#[test]
+fn a_router_that_dies_in_a_cut_loses_little_more_than_it_spent() {
+    let (mut all, mut record) = (witnesses(), ShareRecord::default());
+    let mut h = in_touch(&mut all, &mut record, 15_000);
+    let spent = out_of_touch(&mut h, &mut all, 15_000, 21_000);
+    assert!(spent >= 5_800, "{spent} of 6,000 are served in the cut");
+    let held = record.share(ACCOUNT, h.id());
+    let unspent = held.granted - held.used;
+    let lost = lost_behind(&h, &all, &mut record, 22_500);
+    assert!(lost >= spent, "{spent} were spent, {lost} count as lost");
+    assert!(lost <= spent + 1_000, "{lost} of {unspent} for {spent}");
+}
+
+#[test]
+fn one_witness_is_enough_for_a_successor() {
+    for gone in 0..WITNESSES {
+        let (mut all, mut record) = (witnesses(), ShareRecord::default());
+        let mut h = in_touch(&mut all, &mut record, 3_000);
+        let spent = out_of_touch(&mut h, &mut all, 3_000, 7_000);
+        all[gone] = Witness::new(gone, 77);
+        let lost = lost_behind(&h, &all, &mut record, 8_000);
+        assert!(lost <= spent + 1_000, "{lost} for {spent}");
+    }
+}
+
+#[test]
+fn without_its_witnesses_all_is_lost_as_before() {
+    let (mut all, mut record) = (witnesses(), ShareRecord::default());
+    let mut h = in_touch(&mut all, &mut record, 3_000);
+    out_of_touch(&mut h, &mut all, 3_000, 6_000);
+    let held = record.share(ACCOUNT, h.id());
+    let lost = lost_behind(&h, &[], &mut record, 7_000);
+    assert_eq!(lost, held.granted - held.used);
+}
+
+#[test]
+fn a_router_whose_witnesses_are_gone_opens_its_share_and_they_are_not_believed() {
+    let (mut all, mut record) = (witnesses(), ShareRecord::default());
+    let mut h = in_touch(&mut all, &mut record, 3_000);
+    let last = 3_000;
+    out_of_touch(&mut h, &mut all, 3_000, last);
+    let gone = last + SIZES.silence_ms;
+    assert!(!h.unseal(at(gone - 200)));
+    assert!(h.unseal(at(gone)));
+    let held = record.share(ACCOUNT, h.id());
+    let lost = lost_behind(&h, &all, &mut record, gone + 100);
+    assert_eq!(lost, held.granted - held.used);
+}
+
+#[test]
+fn a_report_that_was_long_on_its_way_proves_no_life() {
+    let (mut all, mut record) = (witnesses(), ShareRecord::default());
+    let mut h = in_touch(&mut all, &mut record, 3_000);
+    let (id, last) = h.attests().addressees()[0];
+    let late = Report {
+        last: Some(last),
+        ..h.report(3_000, at(3_000))
+    };
+    h.attests().sent(id, at(3_000).since_boot);
+    assert!(h.unseal(at(3_000 + SIZES.silence_ms)));
+    // It is read only now, after its sender opened its share.
+    let now = 3_000 + SIZES.silence_ms + 100;
+    all[0].book.hear(now, late);
+    let held = record.share(ACCOUNT, h.id());
+    let lost = lost_behind(&h, &all, &mut record, now);
+    assert_eq!(lost, held.granted - held.used);
+}
+
+#[test]
+fn what_is_known_of_one_process_is_not_believed_of_another() {
+    let (mut all, mut record) = (witnesses(), ShareRecord::default());
+    let h = in_touch(&mut all, &mut record, 3_000);
+    let mut after = holder_at("a", 3, 100_000, at(4_900));
+    inquire(&mut after, &all, &record, 4_900);
+    // A process between the two wrote, and its write comes late.
+    let mut between = holder_at("a", 2, 100_000, at(3_100));
+    exchange(&mut between, 3_100, &mut record);
+    let held = record.share(ACCOUNT, h.id());
+    assert!(held.sealed > 0);
+    exchange(&mut after, 5_200, &mut record);
+    let share = record.share(ACCOUNT, after.id());
+    assert!(share.lost >= held.granted - held.used - held.sealed);
+}
+
+/// What a random history does with one of two routers on two VMs.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Spend(u64),
+    Exchange,
+    /// The write takes effect, its answer is lost.
+    Lost,
+    /// Some reports to all witnesses and an exchange: all is well.
+    Round,
+    /// Reports and spending while the service is away.
+    Cut,
+    Report,
+    /// The receipt is lost.
+    Unheard,
+    /// The report is read when the next one is due.
+    Delayed,
+    /// The witness starts anew and knows nothing.
+    Restart,
+    Kill,
+    /// The successor asks nobody.
+    Deaf,
+    /// The VM is suspended: time passes without a look at the seal.
+    Freeze,
+}
+
+fn step(n: u16) -> Step {
+    match n % 24 {
+        0..=2 => Step::Spend(u64::from(n) % 97 + 1),
+        3 | 4 => Step::Exchange,
+        5 => Step::Lost,
+        6..=9 => Step::Round,
+        10..=14 => Step::Cut,
+        15 | 16 => Step::Report,
+        17 => Step::Unheard,
+        18 => Step::Delayed,
+        19 => Step::Restart,
+        20 | 21 => Step::Kill,
+        22 => Step::Deaf,
+        _ => Step::Freeze,
+    }
+}
+
+/// One history: what was spent of a total, and what routers hold of it.
+struct World {
+    total: u64,
+    spent: Vec<u64>,
+    now: u64,
+    processes: u64,
+    record: ShareRecord,
+    holders: Vec<ShareHolder>,
+    witnesses: Vec<Witness>,
+    delayed: Vec<(usize, Report)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let total = 9_000;
+        let holders = (0..2).map(|i| holder(&format!("r{i}"), i, total));
+        Self {
+            total,
+            spent: vec![0; 2],
+            now: 0,
+            processes: 2,
+            record: ShareRecord::default(),
+            holders: holders.collect(),
+            witnesses: witnesses(),
+            delayed: Vec::new(),
+        }
+    }
+
+    fn play(&mut self, me: usize, what: u16, pause: u16) {
+        let now = self.now;
+        let step = step(what);
+        if !matches!(step, Step::Freeze) {
+            self.holders[me].unseal(at(now));
+        }
+        match step {
+            Step::Spend(most) => self.spend(me, most),
+            Step::Round => {
+                for _ in 0..3 {
+                    self.report(me, |_| Fate::Answered);
+                    self.spend(me, 10);
+                    self.exchange(me, true);
+                }
+            }
+            Step::Cut => {
+                // Two bits decide about a report to one witness.
+                let fates = u32::from(pause) | u32::from(what) << 16;
+                for n in 0..6_u32 {
+                    self.now += u64::from(pause) % 900;
+                    self.holders[me].unseal(at(self.now));
+                    self.report(me, |place| match fates >> (4 * n + 2 * place as u32) & 3 {
+                        0 | 1 => Fate::Answered,
+                        2 => Fate::Unanswered,
+                        _ => Fate::Unread,
+                    });
+                    self.spend(me, 30);
+                }
+            }
+            Step::Exchange | Step::Lost => {
+                inquire(&mut self.holders[me], &self.witnesses, &self.record, now);
+                self.exchange(me, matches!(step, Step::Exchange));
+            }
+            Step::Report | Step::Unheard => {
+                let is_heard = matches!(step, Step::Report);
+                let fate = if is_heard {
+                    Fate::Answered
+                } else {
+                    Fate::Unanswered
+                };
+                let witness = &mut self.witnesses[usize::from(pause) % WITNESSES];
+                report(&mut self.holders[me], witness, now, fate);
+            }
+            Step::Delayed => self.delay(me, usize::from(pause) % WITNESSES),
+            Step::Restart => {
+                self.processes += 1;
+                let place = usize::from(pause) % WITNESSES;
+                self.witnesses[place] = Witness::new(place, 900 + self.processes);
+            }
+            Step::Kill => {
+                self.restart(me);
+                inquire(&mut self.holders[me], &self.witnesses, &self.record, now);
+                self.exchange(me, true);
+            }
+            Step::Deaf => self.restart(me),
+            Step::Freeze => self.now += u64::from(pause) % 9_000,
+        }
+    }
+
+    fn spend(&mut self, me: usize, most: u64) {
+        let h = &mut self.holders[me];
+        if h.reserve(self.now, ACCOUNT, most).is_ok() {
+            self.spent[me] += most;
+            h.settle(ACCOUNT, most, most);
+        }
+    }
+
+    fn report(&mut self, me: usize, fate: impl Fn(usize) -> Fate) {
+        for (place, witness) in self.witnesses.iter_mut().enumerate() {
+            report(&mut self.holders[me], witness, self.now, fate(place));
+        }
+    }
+
+    fn exchange(&mut self, me: usize, is_answered: bool) {
+        let h = &mut self.holders[me];
+        let stamp: Stamp = at(self.now);
+        self.record = h.compose(self.now, stamp, &self.record);
+        h.sent(stamp);
+        if is_answered {
+            h.adopt(&self.record);
+        }
+    }
+
+    /// Sends a report that is read later; those that waited are read now.
+    fn delay(&mut self, me: usize, place: usize) {
+        for (place, report) in std::mem::take(&mut self.delayed) {
+            self.witnesses[place].book.hear(self.now, report);
+        }
+        let h = &mut self.holders[me];
+        let id = self.witnesses[place].id;
+        let known = h.attests().addressees();
+        let last: Option<Receipt> = known.iter().find(|(k, _)| *k == id).map(|(_, last)| *last);
+        h.attests().sent(id, at(self.now).since_boot);
+        let report = Report {
+            last,
+            ..h.report(self.now, at(self.now))
+        };
+        self.delayed.push((place, report));
+    }
+
+    fn restart(&mut self, me: usize) {
+        self.processes += 1;
+        let name = self.holders[me].id().0.clone();
+        self.holders[me] = holder_at(&name, self.processes, self.total, at(self.now));
+    }
+
+    /// Returns whether all that was spent was granted by the record in force.
+    fn holds(&self) -> bool {
+        let granted = |h: &ShareHolder| self.record.share(ACCOUNT, h.id()).granted;
+        let mut spent = self.holders.iter().zip(&self.spent);
+        spent.all(|(h, spent)| *spent <= granted(h)) && self.record.granted(ACCOUNT) <= self.total
+    }
+}
+
+#[quickcheck]
+fn totals_hold_over_any_history_of_witnesses(history: Vec<(u8, u16, u16)>) -> bool {
+    let mut world = World::new();
+    history.into_iter().all(|(who, what, pause)| {
+        world.now += u64::from(pause) % 700;
+        world.play(usize::from(who) % 2, what, pause);
+        world.holds()
+    })
+}
--- a/wisteriapass_coord/tests/prepaid_packed.rs
+++ b/wisteriapass_coord/tests/prepaid_packed.rs
@@ -13,6 +13,7 @@
         },
         agreed: n.is_multiple_of(2),
         lends_at: "10.0.0.1:8421".parse().ok(),
+        witnesses: Default::default(),
     }
 }
 
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -3,6 +3,7 @@
 mod exchange;
 mod group;
 mod lending;
+mod reporting;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,7 +14,9 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
 use twox_hash::XxHash64;
-use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall};
+use wisteriapass_coord::prepaid::{
+    HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall, WitnessBook,
+};
 
 use self::group::Group;
 use crate::catalogue::{Account, Catalogue};
@@ -31,6 +34,13 @@
 /// killed and restarted at once proves within it that the seal was whole.
 const SEAL_MS: u64 = 2_200;
 
+/// Time in which the sealed part opens from then on, in milliseconds.
+const RAMP_MS: u64 = 0;
+
+/// Time since the last report to a witness after which it binds no more, in milliseconds: some
+/// more than VMs are down for.
+const SILENCE_MS: u64 = 5_000;
+
 /// Draw that the open part covers, in milliseconds: lasts over the seal and the time between two
 /// exchanges.
 const OPEN_MS: u64 = 2_900;
@@ -64,6 +74,8 @@
     /// Routers that wrote of late, this one included.
     routers: Cell<usize>,
     seen: RefCell<HashMap<HolderId, Seen>>,
+    /// What other routers reported to this one.
+    book: RefCell<WitnessBook>,
 }
 
 /// A router's last write and when it was seen.
@@ -83,6 +95,8 @@
             open_ms: OPEN_MS,
             sealed_ms: SEALED_MS,
             seal_ms: SEAL_MS,
+            ramp_ms: RAMP_MS,
+            silence_ms: SILENCE_MS,
             held: HELD,
             floor: FLOOR,
         };
@@ -98,13 +112,17 @@
             fresh_until: Instant::now() + Duration::from_millis(FRESH_MS),
             routers: Cell::new(1),
             seen: RefCell::default(),
+            book: RefCell::new(WitnessBook::new(process)),
         }
     }
 
     /// Starts a task for each record that keeps this router's shares.
     pub fn start(gw: &Rc<Gateway>) -> Vec<JoinHandle<()>> {
         let keep = |index| spawn_local(gw.bank.clone().keep(gw.clone(), index));
-        (0..GROUPS).map(keep).collect()
+        let report = |index| spawn_local(gw.bank.clone().keep_witnesses(index));
+        (0..GROUPS)
+            .flat_map(|index| [keep(index), report(index)])
+            .collect()
     }
 
     /// Takes the totals of a configuration over.
@@ -164,8 +182,13 @@
             if may_come {
                 group.needed.notify_one();
             }
+            let level_comes = group.holder.borrow().awaits_witnesses(name, most);
+            if level_comes {
+                group.report_due.notify_one();
+            }
             let first_comes = is_first && group.is_new(name) && Instant::now() < until;
-            let comes = may_come || first_comes || group.loans.borrow().is_under_way(name);
+            let comes = may_come || first_comes || level_comes;
+            let comes = comes || group.loans.borrow().is_under_way(name);
             if comes && timeout_at(until, done).await.is_ok() {
                 continue;
             }
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -100,6 +100,7 @@
     /// Writes this router's next state over a known one.
     async fn write(&self, gw: &Gateway, index: u32, revision: u64, record: ShareRecord) -> Known {
         let group = &self.groups[index as usize];
+        self.inquire(group, &record).await;
         let stamp = self.clock.stamp();
         let now_ms = self.clock.now_ms();
         let next = group.holder.borrow_mut().compose(now_ms, stamp, &record);
@@ -156,6 +157,21 @@
         let _ = timeout_at(began + tick, group.needed.notified()).await;
     }
 
+    /// Logs what a predecessor held that is lost with it.
+    fn tell_losses(&self, group: &Group) {
+        let holder = group.holder.borrow();
+        let Some(proof) = holder.proof() else {
+            return;
+        };
+        for (account, lost) in holder.losses() {
+            log::info!(
+                target: "money",
+                "Lost with predecessors. account={account} tokens={lost} proof={proof} {}",
+                holder.standing(account)
+            );
+        }
+    }
+
     fn pace(&self, group: &Group) -> Pace {
         let took_ms = u64::try_from(group.took.get().as_millis()).unwrap_or(u64::MAX);
         Pace::new(self.routers(), took_ms)
@@ -170,6 +186,9 @@
         if index == 0 {
             self.count_routers(record);
         }
+        if is_mine && !group.has_told.replace(true) {
+            self.tell_losses(group);
+        }
         *group.record.borrow_mut() = record.clone();
         group.done.notify_waiters();
     }
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -1,13 +1,15 @@
 //! Shares of accounts in one record, and what is known of its exchanges.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use wisteriapass_coord::prepaid::{Lenders, LoansAsked, ShareHolder, ShareRecord};
 
-use super::{SEAL_MS, WAIT_MS};
+use super::WAIT_MS;
 use crate::catalogue::Account;
 use crate::facts::RequestFacts;
 use crate::refusal::Refusal;
@@ -16,6 +18,9 @@
 /// exchange what they don't need, and two exchanges make it plain.
 const BACK_IN_TOUCH_MS: u64 = 1_200;
 
+/// When to come back at the earliest if a sealed part opens, in milliseconds.
+const BACK_OPENING_MS: u64 = 200;
+
 /// When to come back if nothing is at hand during a cut, in milliseconds: cuts last for seconds.
 const BACK_OUT_OF_TOUCH_MS: u64 = 4_000;
 
@@ -38,6 +43,14 @@
     pub(super) lenders: RefCell<Lenders>,
     /// Loans asked for.
     pub(super) loans: RefCell<LoansAsked>,
+    /// Somebody needs a report to the witnesses.
+    pub(super) report_due: Notify,
+    /// Until when addresses are passed over where no witness answered.
+    pub(super) away: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Process whose witnesses were asked with success.
+    pub(super) asked: Cell<Option<u64>>,
+    /// Whether the losses of predecessors are logged.
+    pub(super) has_told: Cell<bool>,
 }
 
 impl Group {
@@ -53,6 +66,10 @@
             record: RefCell::default(),
             lenders: RefCell::default(),
             loans: RefCell::default(),
+            report_due: Notify::new(),
+            away: RefCell::default(),
+            asked: Cell::new(None),
+            has_told: Cell::new(false),
         }
     }
 
@@ -88,9 +105,7 @@
         if self.in_touch.get() {
             return BACK_IN_TOUCH_MS;
         }
-        if self.holder.borrow().standing(account).sealed >= most {
-            return SEAL_MS;
-        }
-        BACK_OUT_OF_TOUCH_MS
+        let opens = self.holder.borrow().opens_in(account, most);
+        opens.map_or(BACK_OUT_OF_TOUCH_MS, |ms| ms.max(BACK_OPENING_MS))
     }
 }
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -4,26 +4,15 @@
 //! that run low. The lender counts a loan as spent before it answers: a lost answer strands the
 //! loan and doubles nothing.
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::header::HOST;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpListener;
 
 use super::Bank;
 use super::group::Group;
+use crate::call::{call, serve_calls};
 
 /// Path of the call.
 const PATH: &str = "/shares/lend";
@@ -34,12 +23,6 @@
 /// Longest wait for it, in milliseconds: that of a router whose own link is full.
 const SLOW_ASK_MS: u64 = 250;
 
-/// Largest message, in bytes.
-const LARGEST: usize = 4 << 10;
-
-/// Pause after a connection could not be taken, in milliseconds.
-const REFUSED_PAUSE_MS: u64 = 20;
-
 /// Asks for a loan.
 #[derive(Debug, Serialize, Deserialize)]
 struct Ask {
@@ -95,8 +78,8 @@
                 least,
                 ahead: n == 0,
             };
-            let asked = timeout(patience, ask_one(lender, &ask)).await;
-            let lent = asked.ok().flatten().unwrap_or_default().tokens;
+            let loan = call::<_, Loan>(lender, PATH, &ask, patience).await;
+            let lent = loan.unwrap_or_default().tokens;
             if lent == 0 {
                 let mut lenders = group.lenders.borrow_mut();
                 lenders.note_short(account, lender, least, self.clock.now_ms());
@@ -109,41 +92,16 @@
         false
     }
 
-    /// Lends to other routers, until the process ends.
+    /// Lends to other routers and is their witness, until the process ends.
     pub async fn serve_lending(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                sleep(Duration::from_millis(REFUSED_PAUSE_MS)).await;
-                continue;
-            };
-            let bank = self.clone();
-            spawn_local(async move {
-                let service = service_fn(|request| bank.answer(request));
-                let serving = http1_server().serve_connection(TokioIo::new(stream), service);
-                // Whoever asks may leave at any time.
-                let _ = serving.await;
-            });
-        }
-    }
-
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let is_ask = request.method() == Method::POST && request.uri().path() == PATH;
-        let body = Limited::new(request.into_body(), LARGEST).collect().await;
-        let ask = body.ok().filter(|_| is_ask);
-        let ask = ask.and_then(|b| serde_json::from_slice::<Ask>(&b.to_bytes()).ok());
-        let mut response = Response::default();
-        match ask {
-            Some(ask) => {
-                let loan = self.lend(&ask);
-                let text = serde_json::to_vec(&loan).unwrap_or_default();
-                *response.body_mut() = Full::new(Bytes::from(text));
+        serve_calls(listener, move |path, message| {
+            if path != PATH {
+                return self.bear_witness(path, message);
             }
-            None => *response.status_mut() = StatusCode::BAD_REQUEST,
-        }
-        Ok(response)
+            let ask = serde_json::from_slice::<Ask>(message).ok()?;
+            serde_json::to_vec(&self.lend(&ask)).ok()
+        })
+        .await;
     }
 
     fn lend(&self, ask: &Ask) -> Loan {
@@ -160,25 +118,3 @@
         Loan { tokens }
     }
 }
-
-fn http1_server() -> hyper::server::conn::http1::Builder {
-    hyper::server::conn::http1::Builder::new()
-}
-
-async fn ask_one(lender: SocketAddr, ask: &Ask) -> Option<Loan> {
-    let stream = TcpStream::connect(lender).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (mut sender, line) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    spawn_local(line);
-    let body = Full::new(Bytes::from(serde_json::to_vec(ask).ok()?));
-    let request = Request::post(PATH)
-        .header(HOST, lender.to_string())
-        .body(body)
-        .ok()?;
-    let answer = sender.send_request(request).await.ok()?;
-    let body = Limited::new(answer.into_body(), LARGEST)
-        .collect()
-        .await
-        .ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
-}
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -41,7 +41,7 @@
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &facts, Some(&plan), refusal, arrived),
     };
-    if gw.stopping.get() {
+    if gw.is_stopping() {
         reply::close(&mut response);
     }
     Ok(response)
@@ -55,6 +55,13 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    let work = facts.work;
+    if let Some(drain) = gw.drain.get() {
+        let expected_ms = gw.speed.expected_ms(plan.route.aim_ms, work);
+        if !drain.takes(gw.time(), expected_ms) {
+            return Err(Refusal::Stopping);
+        }
+    }
     let body = read_body(body, plan).await?;
     let reservation = match &plan.account {
         Some(account) => {
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use tokio::sync::watch;
+use wisteriapass_policy::Time;
+use wisteriapass_policy::drain::Drain;
 
 use crate::bank::Bank;
 use crate::catalogue::Catalogue;
@@ -11,9 +13,21 @@
 use crate::prelude::*;
 use crate::retries::Retries;
 use crate::settings::GatewaySettings;
+use crate::speed::Speed;
 use crate::targets::Targets;
 use crate::touch::Touch;
 
+/// Which connections of callers have to close, once nothing is under way on them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Closing {
+    /// None.
+    None,
+    /// Those that were there before the stop.
+    Kept,
+    /// All, and no more are taken.
+    All,
+}
+
 /// One router.
 pub struct Gateway {
     /// Settings.
@@ -25,9 +39,14 @@
     pub(crate) targets: RefCell<Targets>,
     pub(crate) touch: Touch,
     pub(crate) metrics: Metrics,
-    pub(crate) stopping: Cell<bool>,
-    /// Turns true when idle connections have to close.
-    pub(crate) closing: watch::Sender<bool>,
+    /// How this router ends, once it is told to stop.
+    pub(crate) drain: Cell<Option<Drain>>,
+    /// When a connection was taken last.
+    pub(crate) taken_at: Cell<Time>,
+    /// How long output takes of late.
+    pub(crate) speed: Speed,
+    /// Which connections have to close.
+    pub(crate) closing: watch::Sender<Closing>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
     retries: RefCell<HashMap<String, Retries>>,
     knows_targets: Cell<bool>,
@@ -46,8 +65,10 @@
             targets: RefCell::default(),
             touch: Touch::default(),
             metrics,
-            stopping: Cell::new(false),
-            closing: watch::Sender::new(false),
+            drain: Cell::new(None),
+            taken_at: Cell::default(),
+            speed: Speed::default(),
+            closing: watch::Sender::new(Closing::None),
             catalogue: RefCell::default(),
             retries: RefCell::default(),
             knows_targets: Cell::new(false),
@@ -82,7 +103,17 @@
 
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.knows_targets.get() && self.catalogue.borrow().is_some()
+        !self.is_stopping() && self.knows_targets.get() && self.catalogue.borrow().is_some()
+    }
+
+    /// Returns whether this router was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
+    /// Returns the time as decisions count it.
+    pub(crate) fn time(&self) -> Time {
+        Time::from_millis(self.clock.now_ms())
     }
 
     /// Counts a request towards the repeats of its service.
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod bank;
+mod call;
 mod catalogue;
 mod clock;
 mod dispatch;
@@ -27,6 +28,7 @@
 mod route;
 mod run;
 mod settings;
+mod speed;
 mod target;
 mod targets;
 mod touch;
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -10,10 +10,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::exchange;
+use crate::gateway::Closing;
 use crate::prelude::*;
 
 /// Connections that wait to be taken.
@@ -49,10 +51,11 @@
     loop {
         let taken = tokio::select! {
             taken = listener.accept() => taken,
-            _ = closing.wait_for(|closing| *closing) => return,
+            _ = closes(&mut closing, Closing::All) => return,
         };
         match taken {
             Ok((stream, _)) => {
+                gw.taken_at.set(gw.time());
                 spawn_local(serve_caller(gw.clone(), stream, open.clone()));
             }
             Err(e) => {
@@ -63,6 +66,14 @@
     }
 }
 
+/// Waits until connections of a kind have to close.
+///
+/// The state is not held borrowed behind that: who changes it next would wait for ever.
+async fn closes(closing: &mut watch::Receiver<Closing>, at: Closing) {
+    // An error is the end of the router.
+    let _ = closing.wait_for(|closing| *closing >= at).await;
+}
+
 /// Serves one caller's connection to its end.
 async fn serve_caller(gw: Rc<Gateway>, stream: TcpStream, open: Rc<Cell<usize>>) {
     if stream.set_nodelay(true).is_err() {
@@ -71,16 +82,19 @@
     open.set(open.get() + 1);
     let limits = gw.catalogue().map(|c| c.limits).unwrap_or_default();
     let mut closing = gw.closing.subscribe();
+    let is_late = gw.is_stopping();
+    let closes_at = if is_late { Closing::All } else { Closing::Kept };
     let service = service_fn(|request| exchange::serve(gw.clone(), request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        .keep_alive(!is_late)
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         _ = connection.as_mut() => {}
-        _ = closing.wait_for(|closing| *closing) => {
+        _ = closes(&mut closing, closes_at) => {
             connection.as_mut().graceful_shutdown();
             // An error here is the caller's end of the connection; its requests know it.
             let _ = connection.await;
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -15,6 +15,9 @@
     /// No account holds the key.
     #[display("unknown_key")]
     UnknownKey,
+    /// This router stops before the answer would be whole.
+    #[display("stopping")]
+    Stopping,
     /// The body is larger than allowed.
     #[display("too_large")]
     TooLarge,
@@ -60,6 +63,7 @@
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::Exhausted => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
+            | Self::Stopping
             | Self::ShareShort { .. }
             | Self::NoTarget
             | Self::Full
@@ -77,6 +81,8 @@
             Self::NotConfigured => Some(1_000),
             Self::ShareShort { back_ms } => Some(back_ms),
             Self::NoTarget => Some(1_000),
+            // Another router takes it at once.
+            Self::Stopping => Some(100),
             // The time of a few short requests at a full target.
             Self::Full | Self::NotTaken => Some(300),
             Self::LateNotRun => Some(200),
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/relay.rs
@@ -37,6 +37,9 @@
     ready: VecDeque<Bytes>,
     /// Id of the last event passed on.
     last: Option<u64>,
+    /// When the first event came, and how many did.
+    first_at: Option<Instant>,
+    events: u64,
 }
 
 impl Relay {
@@ -58,6 +61,8 @@
             reader: EventReader::default(),
             ready: VecDeque::new(),
             last,
+            first_at: None,
+            events: 0,
         };
         let pieces: Pieces = Box::pin(unfold(Some(relay), |relay| async move {
             let mut relay = relay?;
@@ -128,6 +133,7 @@
         }
         if event.id.is_some() {
             self.note_first();
+            self.events += 1;
             self.last = event.id;
             if let Some(r) = &mut self.reservation {
                 r.event();
@@ -138,8 +144,9 @@
     }
 
     /// Takes the time of the first event.
-    fn note_first(&self) {
+    fn note_first(&mut self) {
         if self.last == self.job.facts.last_event {
+            self.first_at = Some(Instant::now());
             let plan = &self.job.plan;
             let took = plan.arrived.elapsed();
             self.job.gw.metrics.began(plan.route.kind, took);
@@ -165,6 +172,11 @@
         let plan = &self.job.plan;
         let took = plan.arrived.elapsed();
         self.job.gw.metrics.answered(plan.route.kind, took);
+        if let Some(first_at) = self.first_at {
+            let tokens = self.events * plan.tokens_per_event;
+            let ms = first_at.elapsed().as_millis() as u64;
+            self.job.gw.speed.learn(tokens, ms);
+        }
     }
 
     /// Goes on behind the last event at another target, where that is allowed.
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -5,23 +5,17 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout_at};
+use wisteriapass_policy::drain::Drain;
 
 use crate::bank::Bank;
 use crate::follow::follow;
+use crate::gateway::Closing;
 use crate::listener::{listen, serve_callers, serve_readiness};
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::{Platform, Topic};
 use crate::prelude::*;
 use crate::settings::GatewaySettings;
 
-/// Time after the stop signal in which new connections are still taken, in milliseconds: the
-/// balancer asks once a second and needs two answers to stop sending callers.
-const LINGER_MS: u64 = 2_300;
-
-/// Time before the kill at which what is under way is given up, in milliseconds: to give shares
-/// back.
-const SPARE_MS: u64 = 400;
-
 /// Time before the kill at which the process ends in any case, in milliseconds.
 const END_MS: u64 = 50;
 
@@ -75,23 +69,30 @@
     );
     stop.recv().await;
     let grace_ms = gw.settings.bounds.grace_ms;
-    let before_kill = |ms| Duration::from_millis(grace_ms.saturating_sub(ms));
-    let stopped = Instant::now();
-    leave(&gw, &open, stopped + before_kill(SPARE_MS)).await;
+    let last = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MS));
+    leave(&gw, &open).await;
     keepers.iter().for_each(tokio::task::JoinHandle::abort);
-    let done = timeout_at(stopped + before_kill(END_MS), gw.bank.give_back(&gw)).await;
+    let done = timeout_at(last, gw.bank.give_back(&gw)).await;
     log::info!(target: "start", "Stopped. cut={} given_back={}", open.get(), done.is_ok());
     Ok(())
 }
 
 /// Lets callers go elsewhere and what is under way end.
-async fn leave(gw: &Gateway, open: &Cell<usize>, deadline: Instant) {
+async fn leave(gw: &Gateway, open: &Cell<usize>) {
     log::info!(target: "start", "Stopping. connections={}", open.get());
-    gw.stopping.set(true);
-    sleep(Duration::from_millis(LINGER_MS)).await;
-    gw.closing.send_replace(true);
-    while open.get() > 0 && Instant::now() < deadline {
-        sleep(Duration::from_millis(LOOK_MS)).await;
+    let drain = Drain::new(gw.time(), gw.settings.bounds.grace_ms);
+    gw.drain.set(Some(drain));
+    let look = Duration::from_millis(LOOK_MS);
+    while !drain.closes(gw.time(), gw.taken_at.get(), open.get() == 0) {
+        let ends_idle = drain.ends_idle(gw.time());
+        gw.closing
+            .send_if_modified(|c| ends_idle && std::mem::replace(c, Closing::Kept) != *c);
+        sleep(look).await;
+    }
+    log::info!(target: "start", "Taking no more callers. connections={}", open.get());
+    gw.closing.send_replace(Closing::All);
+    while open.get() > 0 && gw.time() < drain.end() {
+        sleep(look).await;
     }
 }
 
--- /dev/null
+++ b/wisteriapass_policy/src/drain.rs
@@ -0,0 +1,76 @@
+//! How long a stopping router goes on taking callers.
+//!
+//! Answers a roll that stops one router after the other faster than each of them drains. A router
+//! that takes nobody while its longest streams end leaves its callers to routers that are stopping
+//! as well: with three routers stopped two seconds apart and drains of seven seconds nobody took
+//! connections for four, and 263 of 583 requests failed. So a stopping router goes on taking
+//! callers as long as they still come, but only work that ends before it is killed.
+
+use crate::Time;
+
+/// Time after the stop in which callers are taken in any case, in milliseconds: the balancer asks
+/// once a second and needs two answers to stop sending callers.
+const LINGER_MS: u64 = 2_300;
+
+/// Time without a new connection after which nobody depends on this router, in milliseconds: twice
+/// the pause between two questions of the balancer, rounded down to its rhythm.
+const QUIET_MS: u64 = 1_000;
+
+/// Time before the kill at which callers are turned away, in milliseconds: nothing but the shortest
+/// work would end in it.
+const LAST_CALL_MS: u64 = 1_200;
+
+/// Time before the kill at which all work has to have ended, in milliseconds: to give shares back.
+const SPARE_MS: u64 = 400;
+
+/// How much longer than expected work may take, as a factor: speeds vary with the load, and a
+/// stream that is cut is lost, one that is refused goes elsewhere.
+const DOUBT: f64 = 1.3;
+
+/// The end of one router.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    linger_until: Time,
+    last_call: Time,
+    end: Time,
+}
+
+impl Drain {
+    /// Creates the end of a router that is told to stop now and killed after `grace_ms`.
+    pub fn new(now: Time, grace_ms: u64) -> Self {
+        let before_kill = |ms: u64| now.plus_millis(grace_ms.saturating_sub(ms));
+        Self {
+            linger_until: now.plus_millis(LINGER_MS),
+            last_call: before_kill(LAST_CALL_MS),
+            end: before_kill(SPARE_MS),
+        }
+    }
+
+    /// Returns whether kept connections are given up on which nothing is under way.
+    pub fn ends_idle(&self, now: Time) -> bool {
+        now >= self.linger_until
+    }
+
+    /// Returns whether new connections are refused from now on; `last_taken` is when one came last,
+    /// `is_idle` says that nothing is under way.
+    ///
+    /// A router that still works takes callers too: those that stopped later may need it yet.
+    pub fn closes(&self, now: Time, last_taken: Time, is_idle: bool) -> bool {
+        if now < self.linger_until {
+            return false;
+        }
+        let is_quiet = now.millis_since(last_taken) >= QUIET_MS;
+        is_quiet && is_idle || now >= self.last_call
+    }
+
+    /// Returns whether work that is expected to take `expected_ms` ends in time.
+    pub fn takes(&self, now: Time, expected_ms: u64) -> bool {
+        let ms = (DOUBT * expected_ms as f64) as u64;
+        now < self.linger_until || now.plus_millis(ms) <= self.end
+    }
+
+    /// Returns when all work has to have ended.
+    pub fn end(&self) -> Time {
+        self.end
+    }
+}
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod choice;
 mod config;
 mod decision;
+pub mod drain;
 mod failure;
 mod health;
 mod job;
--- a/wisteriapass_policy/src/time.rs
+++ b/wisteriapass_policy/src/time.rs
@@ -32,6 +32,16 @@
         Self(self.0.saturating_add((secs * 1e6) as u64))
     }
 
+    /// Returns the time this many milliseconds later.
+    pub fn plus_millis(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms.saturating_mul(1_000)))
+    }
+
+    /// Returns the milliseconds since an earlier time, and zero if it is not earlier.
+    pub fn millis_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0) / 1_000
+    }
+
     /// Returns the seconds since an earlier time, and zero if it is not earlier.
     pub fn secs_since(self, earlier: Self) -> f64 {
         self.0.saturating_sub(earlier.0) as f64 / 1e6
--- /dev/null
+++ b/wisteriapass_policy/tests/drain.rs
@@ -0,0 +1,108 @@
+//! Stopping routers: a roll leaves no moment without one that takes callers.
+
+use wisteriapass_policy::Time;
+use wisteriapass_policy::drain::Drain;
+
+/// Time between the stop signal and the kill, in milliseconds.
+const GRACE_MS: u64 = 8_000;
+
+/// Time from the end of a process until its successor takes callers, in milliseconds.
+const RESTART_MS: u64 = 600;
+
+/// Length of the longest stream, in milliseconds: so long a router drains.
+const LONGEST_MS: u64 = 4_700;
+
+/// Time between two looks, in milliseconds.
+const STEP_MS: u64 = 50;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// One router of a roll, stopped at a time.
+struct Rolled {
+    drain: Drain,
+    stop: u64,
+    closed: Option<u64>,
+}
+
+impl Rolled {
+    fn new(stop: u64) -> Self {
+        Self {
+            drain: Drain::new(at(stop), GRACE_MS),
+            stop,
+            closed: None,
+        }
+    }
+
+    fn takes(&self, now: u64) -> bool {
+        let Some(closed) = self.closed else {
+            return true;
+        };
+        let ends = (closed + LONGEST_MS).min(self.stop + GRACE_MS);
+        now >= ends + RESTART_MS
+    }
+
+    /// Looks at a time, at which callers still come or do not.
+    fn look(&mut self, now: u64, callers_come: bool, last: &mut u64) {
+        if callers_come {
+            *last = now;
+        }
+        let is_idle = now >= *last + LONGEST_MS;
+        if now >= self.stop && self.drain.closes(at(now), at(*last), is_idle) {
+            self.closed = self.closed.or(Some(now));
+        }
+    }
+}
+
+#[test]
+fn a_roll_of_all_routers_leaves_no_moment_without_one() {
+    for gap in [1_000, 1_500, 2_000, 3_000] {
+        let mut all: Vec<Rolled> = (0..3).map(|i| Rolled::new(1_000 + i * gap)).collect();
+        let mut last = [0; 3];
+        for now in (0..25_000).step_by(STEP_MS as usize) {
+            for (router, last) in all.iter_mut().zip(&mut last) {
+                // Each is the only one of its zone, so its callers come as long as it takes them.
+                router.look(now, true, last);
+            }
+            let taking = all.iter().filter(|r| r.takes(now)).count();
+            assert!(taking > 0, "nobody at {now}, gap {gap}");
+        }
+    }
+}
+
+#[test]
+fn a_router_whose_callers_go_elsewhere_ends_early() {
+    let mut router = Rolled::new(0);
+    let mut last = 0;
+    for now in (0..GRACE_MS).step_by(STEP_MS as usize) {
+        router.look(now, now < 2_000, &mut last);
+    }
+    assert!(router.closed.is_some_and(|at| at <= 2_000 + LONGEST_MS));
+}
+
+#[test]
+fn callers_are_taken_while_the_balancer_does_not_know_yet() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    assert!(!drain.closes(at(2_200), at(0), true));
+}
+
+#[test]
+fn late_in_a_drain_only_short_work_is_taken() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    assert!(
+        drain.takes(at(2_000), 9_000),
+        "nobody knows of the stop yet"
+    );
+    assert!(drain.takes(at(3_000), 3_000));
+    assert!(!drain.takes(at(5_000), 3_000));
+    assert!(drain.takes(at(6_500), 300));
+    assert!(!drain.takes(at(7_500), 300));
+}
+
+#[test]
+fn a_router_that_still_works_takes_callers_of_those_that_stopped_later() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    assert!(!drain.closes(at(5_000), at(1_000), false));
+    assert!(drain.closes(at(5_000), at(1_000), true));
+}
