Tests of witnesses and of stopping routers on the path; headroom of two seconds

Tried and reverted: reads that may be seconds old before each write of shares, at a tenth of the price. They are old more often than not, so writes come too late.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -15,7 +15,7 @@
 
 /// How long a headroom lasts that witnesses are asked for beyond what is spent, in milliseconds of
 /// the draw: some reports; what of it is not spent is lost with its router.
-const HEADROOM_MS: u64 = 400;
+const HEADROOM_MS: u64 = 2_000;
 
 /// What this router knows of one account.
 #[derive(Clone, Copy, Debug, Default)]
--- a/wisteriapass_coord/tests/prepaid_packed.rs
+++ b/wisteriapass_coord/tests/prepaid_packed.rs
@@ -81,3 +81,39 @@
         Err(e) => !e.to_string().is_empty(),
     }
 }
+
+/// A tenure as it was before witnesses were named.
+#[derive(serde::Serialize)]
+struct TenureBefore {
+    process: u64,
+    write: u64,
+    stamp: Stamp,
+    agreed: bool,
+    lends_at: Option<std::net::SocketAddr>,
+}
+
+#[test]
+fn a_packed_record_without_witnesses_is_read() {
+    let record = record(2, 3);
+    let mut holders = Vec::new();
+    for (id, tenure) in record.tenures() {
+        let before = TenureBefore {
+            process: tenure.process,
+            write: tenure.write,
+            stamp: tenure.stamp,
+            agreed: tenure.agreed,
+            lends_at: tenure.lends_at,
+        };
+        holders.push((id.clone(), before));
+    }
+    let shares = |account: &str| -> Vec<Share> {
+        let ids = record.tenures().map(|(id, _)| id);
+        ids.map(|id| record.share(account, id)).collect()
+    };
+    let accounts: Vec<(&str, Vec<Share>)> = ["account-0", "account-1"]
+        .iter()
+        .map(|name| (*name, shares(name)))
+        .collect();
+    let bytes = postcard::to_extend(&(holders, accounts), vec![1]).unwrap();
+    assert_eq!(ShareRecord::from_bytes(&bytes), Ok(record));
+}
--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -1,10 +1,15 @@
 //! Changes: drains, damaged entries, keys that are taken away, stops under load.
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use wisteriapass_bench::standin::users::{Behaviour, StoreFault};
 
 use crate::support::{KEY, Request, Router, Scene, configuration, wait_for};
 
+/// Time behind a stop after which the balancer knows of it; no bound of the product.
+const AFTER_LINGER: Duration = Duration::from_millis(2_600);
+
 /// Sends requests until one target got none of several in a row.
 fn wait_until_left(scene: &Scene, router: &Router, left: usize) {
     let mut n = 0;
@@ -148,6 +153,32 @@
     router.wait();
 }
 
+#[test]
+fn a_stopping_router_takes_callers_while_it_still_works() {
+    let scene = Scene::new(10_000);
+    let mut router = Router::start("r", &scene.store);
+    for target in &scene.engines {
+        target.will(&[Behaviour::Slow(45); 2]);
+    }
+    let port = router.port();
+    let long = std::thread::spawn(move || {
+        let request = Request::new("long", "/draft/x").with_tokens(100, 10);
+        crate::support::exchange(port, &request.text())
+    });
+    let begun = || scene.engines.iter().any(|t| !t.seen().is_empty());
+    wait_for("a stream", begun);
+    router.signal(Signal::SIGTERM);
+    wait_for("not ready", || !router.is_ready());
+    // Longer than the balancer takes to send callers elsewhere, if there is anybody else.
+    std::thread::sleep(AFTER_LINGER);
+    for n in 0..4 {
+        let request = Request::new(&format!("late{n}"), "/safe/x");
+        assert_eq!(router.send(&request).map(|a| a.status), Some(200));
+    }
+    assert_eq!(long.join().unwrap().unwrap().events(), [1, 2, 3, 4, 5]);
+    router.wait();
+}
+
 #[test]
 fn a_signal_to_read_settings_ends_nothing() {
     let scene = Scene::new(10_000);
