Holder of shares: succession and reach in files of their own; witnesses are asked once

A successor asked its predecessor's witnesses before each write until one was believed; where they were gone too, each try cost up to 400 ms in which callers wait.

--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -1,17 +1,16 @@
 //! A router's shares in memory: reserve, settle, and what to write next.
 
+mod reach;
+mod succession;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use derive_more::Display;
-
 use crate::prepaid::account_share::{AccountShare, Scene};
 use crate::prepaid::attests::Attests;
 use crate::prepaid::clock_check::ClockCheck;
-use crate::prepaid::stamp::AGREE_MS;
 use crate::prepaid::{
-    HolderId, Inquiry, Receipt, Report, ShareRecord, ShareSizes, Stamp, Standing, Tenure,
-    Testimony, WitnessId,
+    HolderId, Proof, ShareRecord, ShareSizes, Stamp, Standing, Tenure, WitnessId,
 };
 
 /// Why a reservation was not made.
@@ -23,27 +22,6 @@
     Short,
 }
 
-/// Steps in which the time is looked for after which a sealed part is open far enough, in
-/// milliseconds: callers are told no more precisely.
-const OPENS_STEP_MS: usize = 100;
-
-/// What says how far a dead predecessor can have spent its shares.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Proof {
-    /// Its seals are whole: its last write was young enough.
-    #[display("seal")]
-    Seal,
-    /// A witness that it named.
-    #[display("witness")]
-    Witness,
-    /// Its seals may be whole by the time of day, if that is confirmed.
-    #[display("time_of_day")]
-    TimeOfDay,
-    /// Nothing: all that it held is lost.
-    #[display("none")]
-    Nothing,
-}
-
 /// The shares of one router process.
 #[derive(Debug)]
 pub struct ShareHolder {
@@ -191,106 +169,6 @@
         a.used += used.min(most);
     }
 
-    /// Opens the sealed parts by the age of the last write that may have reached the service, and
-    /// as far as no witness binds this process.
-    ///
-    /// Returns whether they are open whole.
-    pub fn unseal(&mut self, now: Stamp) -> bool {
-        let Some(sent) = self.last_sent else {
-            return false;
-        };
-        // Of two clocks that disagree, the one by which more time passed is the one not to
-        // believe: a successor believes neither, so nothing is lost by waiting.
-        let age_ms = now.since_boot.saturating_sub(sent.since_boot);
-        self.age_ms = self.age_ms.max(age_ms);
-        self.attests.advance(now.since_boot, self.sizes.silence_ms);
-        self.age_ms >= self.sizes.seal_ms + self.sizes.ramp_ms && !self.attests.bind()
-    }
-
-    /// Returns up to which level an account's share may be spent now, in tokens.
-    fn level(&self, account: &str) -> u64 {
-        let share = self.accounts.get(account).copied().unwrap_or_default();
-        let aged = share.aged(self.age_ms, &self.sizes);
-        if !self.attests.bind() {
-            return aged;
-        }
-        share.open.max(aged.min(self.attests.level(account)))
-    }
-
-    /// Returns whether a report to the witnesses may make room for `most` tokens.
-    pub fn awaits_witnesses(&self, account: &str, most: u64) -> bool {
-        let share = self.accounts.get(account).copied().unwrap_or_default();
-        let aged = share.aged(self.age_ms, &self.sizes);
-        let is_bound = self.level(account) < aged && self.attests.answer();
-        is_bound && share.spendable(aged) >= most
-    }
-
-    /// Returns in what time enough of a sealed part opens for `most` tokens, in milliseconds, if
-    /// the service stays away.
-    pub fn opens_in(&self, account: &str, most: u64) -> Option<u64> {
-        let share = self.accounts.get(account)?;
-        let most_ms = self.sizes.seal_ms + self.sizes.ramp_ms;
-        let ages = (self.age_ms..=most_ms).step_by(OPENS_STEP_MS);
-        let fits = |age_ms: &u64| share.spendable(share.aged(*age_ms, &self.sizes)) >= most;
-        let age_ms = ages.chain([most_ms]).find(fits)?;
-        Some(age_ms.saturating_sub(self.age_ms))
-    }
-
-    /// Returns the witnesses of this process.
-    pub fn attests(&mut self) -> &mut Attests {
-        &mut self.attests
-    }
-
-    /// Composes what the witnesses are told, but for their last receipts.
-    ///
-    /// While the service answers nothing beyond the open parts is asked for.
-    pub fn report(&self, now_ms: u64, now: Stamp) -> Report {
-        let sent = self.last_sent.map_or(now.since_boot, |s| s.since_boot);
-        let soon = now.since_boot.saturating_sub(sent) >= self.sizes.seal_ms / 2;
-        let asking = self.accounts.iter().filter(|(_, a)| soon && a.has_base);
-        let level = |a: &AccountShare| a.level(now_ms, &self.sizes);
-        Report {
-            holder: self.id.clone(),
-            process: self.process,
-            levels: asking.map(|(name, a)| (name.clone(), level(a))).collect(),
-            last: None,
-        }
-    }
-
-    /// Takes on a witness that answered this process's first report, sent at `sent`.
-    pub fn meet(&mut self, id: WitnessId, receipt: Receipt, sent: Stamp) {
-        self.attests.meet(id, receipt, sent.since_boot);
-    }
-
-    /// Returns what to ask the witnesses of a dead predecessor for, if there are any.
-    pub fn inquiries(&self, record: &ShareRecord) -> Vec<(WitnessId, Inquiry)> {
-        let before = record.tenure(&self.id);
-        let Some(before) = before.filter(|t| t.process != self.process) else {
-            return Vec::new();
-        };
-        let inquiry = |id: WitnessId| Inquiry {
-            witness: id.process,
-            holder: self.id.clone(),
-            process: before.process,
-        };
-        let named = before.witnesses.into_iter().flatten();
-        named.map(|id| (id, inquiry(id))).collect()
-    }
-
-    /// Takes what a witness says of a predecessor's process to a question sent at `asked`.
-    ///
-    /// Believed only if at this process's start the predecessor cannot have been silent for so
-    /// long that the witness bound it no more; returns whether it is.
-    pub fn testify(&mut self, process: u64, testimony: Testimony, asked: Stamp) -> bool {
-        let up_ms = asked.since_boot.saturating_sub(self.started.since_boot);
-        let silent_ms = testimony.silent_ms.saturating_sub(up_ms) + AGREE_MS;
-        if silent_ms >= self.sizes.silence_ms {
-            return false;
-        }
-        self.testimony = Some((process, testimony.levels));
-        true
-    }
-
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
         self.accounts.values().any(AccountShare::is_due)
@@ -346,53 +224,6 @@
         record.sign(&self.id, tenure);
     }
 
-    /// Takes the shares of a dead predecessor over.
-    fn succeed(&mut self, before: Tenure, next: &mut ShareRecord) {
-        let sizes = self.sizes;
-        let age_ms = self.started.since(before.stamp);
-        // Two readings of the time of day may each be off by what still counts as agreement.
-        let by_day = self.started.since_by_day(before.stamp);
-        let by_day = by_day.map(|ms| ms + 2 * AGREE_MS);
-        let by_day = by_day.filter(|_| before.agreed && age_ms.is_none());
-        let opened_at = |age: Option<u64>, sealed| {
-            let opened = age.map(|ms| sizes.opened(sealed, ms));
-            opened.unwrap_or(sealed)
-        };
-        let known = self.testimony.as_ref();
-        let known = known.filter(|(process, _)| *process == before.process);
-        self.proof = Some(match (age_ms, known, by_day) {
-            (_, Some(_), _) => Proof::Witness,
-            (Some(_), ..) => Proof::Seal,
-            (None, None, Some(_)) => Proof::TimeOfDay,
-            (None, None, None) => Proof::Nothing,
-        });
-        self.claims.clear();
-        let mut claims = BTreeMap::new();
-        for (account, sealed) in next.sealed(&self.id) {
-            claims.insert(account, sealed - opened_at(by_day, sealed));
-        }
-        if known.is_none() && by_day.is_some() {
-            self.claims = claims;
-        }
-        next.succeed(&self.id, |account, share| {
-            let opened = opened_at(age_ms, share.sealed);
-            let Some((_, levels)) = known else {
-                return opened;
-            };
-            let open = share.granted - share.sealed.min(share.granted);
-            let level = levels.get(account).copied().unwrap_or_default();
-            opened.min(level.saturating_sub(open))
-        });
-    }
-
-    /// Gets sealed parts back after a loss of power, once the time of day is confirmed.
-    fn claim(&mut self) {
-        for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.has_base) {
-            let claim = self.claims.remove(name).unwrap_or_default();
-            a.lost = a.lost.saturating_sub(claim);
-        }
-    }
-
     /// Notes that a composed record is being sent: it may take effect from now on.
     ///
     /// Returns the mark to give to [`ShareHolder::not_done`].
@@ -456,18 +287,6 @@
         a.standing(self.level(account))
     }
 
-    /// Returns what the succession to a dead predecessor rests on, if there was one.
-    pub fn proof(&self) -> Option<Proof> {
-        self.proof
-    }
-
-    /// Returns what predecessors on this VM may have spent and nobody knows, in tokens, of accounts
-    /// that lost any.
-    pub fn losses(&self) -> impl Iterator<Item = (&str, u64)> {
-        let lost = self.accounts.iter().filter(|(_, a)| a.lost > 0);
-        lost.map(|(name, a)| (name.as_str(), a.lost))
-    }
-
     /// Returns what this process has settled of an account, in tokens.
     pub fn used(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |a| a.used)
--- /dev/null
+++ b/wisteriapass_coord/src/prepaid/holder/reach.rs
@@ -0,0 +1,83 @@
+//! How far shares may be spent: by the age of the last write, and by what witnesses acknowledge.
+
+use super::ShareHolder;
+use crate::prepaid::account_share::AccountShare;
+use crate::prepaid::attests::Attests;
+use crate::prepaid::{Receipt, Report, Stamp, WitnessId};
+
+/// Steps in which the time is looked for after which a sealed part is open far enough, in
+/// milliseconds: callers are told no more precisely.
+const OPENS_STEP_MS: usize = 100;
+
+impl ShareHolder {
+    /// Opens the sealed parts by the age of the last write that may have reached the service, and
+    /// as far as no witness binds this process.
+    ///
+    /// Returns whether they are open whole.
+    pub fn unseal(&mut self, now: Stamp) -> bool {
+        let Some(sent) = self.last_sent else {
+            return false;
+        };
+        // Of two clocks that disagree, the one by which more time passed is the one not to
+        // believe: a successor believes neither, so nothing is lost by waiting.
+        let age_ms = now.since_boot.saturating_sub(sent.since_boot);
+        self.age_ms = self.age_ms.max(age_ms);
+        self.attests.advance(now.since_boot, self.sizes.silence_ms);
+        self.age_ms >= self.sizes.seal_ms + self.sizes.ramp_ms && !self.attests.bind()
+    }
+
+    /// Returns up to which level an account's share may be spent now, in tokens.
+    pub(super) fn level(&self, account: &str) -> u64 {
+        let share = self.accounts.get(account).copied().unwrap_or_default();
+        let aged = share.aged(self.age_ms, &self.sizes);
+        if !self.attests.bind() {
+            return aged;
+        }
+        share.open.max(aged.min(self.attests.level(account)))
+    }
+
+    /// Returns whether a report to the witnesses may make room for `most` tokens.
+    pub fn awaits_witnesses(&self, account: &str, most: u64) -> bool {
+        let share = self.accounts.get(account).copied().unwrap_or_default();
+        let aged = share.aged(self.age_ms, &self.sizes);
+        let is_bound = self.level(account) < aged && self.attests.answer();
+        is_bound && share.spendable(aged) >= most
+    }
+
+    /// Returns in what time enough of a sealed part opens for `most` tokens, in milliseconds, if
+    /// the service stays away.
+    pub fn opens_in(&self, account: &str, most: u64) -> Option<u64> {
+        let share = self.accounts.get(account)?;
+        let most_ms = self.sizes.seal_ms + self.sizes.ramp_ms;
+        let ages = (self.age_ms..=most_ms).step_by(OPENS_STEP_MS);
+        let fits = |age_ms: &u64| share.spendable(share.aged(*age_ms, &self.sizes)) >= most;
+        let age_ms = ages.chain([most_ms]).find(fits)?;
+        Some(age_ms.saturating_sub(self.age_ms))
+    }
+
+    /// Returns the witnesses of this process.
+    pub fn attests(&mut self) -> &mut Attests {
+        &mut self.attests
+    }
+
+    /// Composes what the witnesses are told, but for their last receipts.
+    ///
+    /// While the service answers nothing beyond the open parts is asked for.
+    pub fn report(&self, now_ms: u64, now: Stamp) -> Report {
+        let sent = self.last_sent.map_or(now.since_boot, |s| s.since_boot);
+        let soon = now.since_boot.saturating_sub(sent) >= self.sizes.seal_ms / 2;
+        let asking = self.accounts.iter().filter(|(_, a)| soon && a.has_base);
+        let level = |a: &AccountShare| a.level(now_ms, &self.sizes);
+        Report {
+            holder: self.id.clone(),
+            process: self.process,
+            levels: asking.map(|(name, a)| (name.clone(), level(a))).collect(),
+            last: None,
+        }
+    }
+
+    /// Takes on a witness that answered this process's first report, sent at `sent`.
+    pub fn meet(&mut self, id: WitnessId, receipt: Receipt, sent: Stamp) {
+        self.attests.meet(id, receipt, sent.since_boot);
+    }
+}
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -47,7 +47,7 @@
     pub(super) report_due: Notify,
     /// Until when addresses are passed over where no witness answered.
     pub(super) away: RefCell<HashMap<SocketAddr, Instant>>,
-    /// Process whose witnesses were asked with success.
+    /// Process whose witnesses were asked.
     pub(super) asked: Cell<Option<u64>>,
     /// Whether the losses of predecessors are logged.
     pub(super) has_told: Cell<bool>,
--- a/wisteriapass_gateway/src/bank/reporting.rs
+++ b/wisteriapass_gateway/src/bank/reporting.rs
@@ -7,7 +7,9 @@
 use futures_util::future::join_all;
 use tokio::time::{Instant, sleep, timeout_at};
 use twox_hash::XxHash64;
-use wisteriapass_coord::prepaid::{Receipt, Report, ShareRecord, Testimony, WITNESSES, WitnessId};
+use wisteriapass_coord::prepaid::{
+    Inquiry, Receipt, Report, ShareRecord, Testimony, WITNESSES, WitnessId,
+};
 
 use super::Bank;
 use super::group::Group;
@@ -133,30 +135,40 @@
         answer.ok()
     }
 
-    /// Asks the witnesses of a predecessor that a record names, once.
+    /// Asks the witnesses of a predecessor that a record names, once: callers wait meanwhile.
     pub(super) async fn inquire(&self, group: &Group, record: &ShareRecord) {
+        let inquiries = group.holder.borrow().inquiries(record);
+        let Some(before) = inquiries.first().map(|(_, inquiry)| inquiry.process) else {
+            return;
+        };
+        if group.asked.replace(Some(before)) == Some(before) {
+            return;
+        }
+        let mut is_known = false;
         for _ in 0..INQUIRIES {
-            let inquiries = group.holder.borrow().inquiries(record);
-            let before = inquiries.first().map(|(_, inquiry)| inquiry.process);
-            if before.is_none() || group.asked.get() == before {
-                return;
-            }
-            let asked = self.clock.stamp();
-            let patience = Duration::from_millis(INQUIRY_MS);
-            let asking = inquiries.iter().map(|(id, inquiry)| {
-                call::<_, Option<Testimony>>(id.at, INQUIRY, inquiry, patience)
-            });
-            let testimonies = join_all(asking).await.into_iter().flatten().flatten();
-            let mut is_known = false;
-            for testimony in testimonies {
-                let process = before.unwrap_or_default();
-                let mut holder = group.holder.borrow_mut();
-                is_known |= holder.testify(process, testimony, asked);
-            }
-            log::info!(target: "money", "Witnesses asked. named={} believed={is_known}", inquiries.len());
-            if is_known {
-                group.asked.set(before);
+            if !is_known {
+                is_known = self.ask_all(group, &inquiries).await;
             }
         }
+        let named = inquiries.len();
+        log::info!(target: "money", "Witnesses asked. named={named} believed={is_known}");
+    }
+
+    /// Asks all witnesses of a predecessor; returns whether one of them is believed.
+    async fn ask_all(&self, group: &Group, inquiries: &[(WitnessId, Inquiry)]) -> bool {
+        let asked = self.clock.stamp();
+        let patience = Duration::from_millis(INQUIRY_MS);
+        let asking = inquiries.iter().map(async |(id, inquiry)| {
+            let answer = call::<_, Option<Testimony>>(id.at, INQUIRY, inquiry, patience).await;
+            answer
+                .flatten()
+                .map(|testimony| (inquiry.process, testimony))
+        });
+        let mut is_known = false;
+        for (process, testimony) in join_all(asking).await.into_iter().flatten() {
+            let mut holder = group.holder.borrow_mut();
+            is_known |= holder.testify(process, testimony, asked);
+        }
+        is_known
     }
 }
