--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -55,12 +55,8 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let work = facts.work;
-    if let Some(drain) = gw.drain.get() {
-        let expected_ms = gw.speed.expected_ms(plan.route.aim_ms, work);
-        if !drain.takes(gw.time(), expected_ms) {
-            return Err(Refusal::Stopping);
-        }
+    if !ends_in_time(gw, facts, plan) {
+        return Err(Refusal::Stopping);
     }
     let body = read_body(body, plan).await?;
     let reservation = match &plan.account {
@@ -82,6 +78,16 @@
     job.run(reservation).await
 }
 
+/// Returns whether a request ends before this router does, going by the output of late.
+fn ends_in_time(gw: &Gateway, facts: &RequestFacts, plan: &Plan) -> bool {
+    let Some(drain) = gw.drain.get() else {
+        return true;
+    };
+    let most = facts.work.map_or(0, |w| w.max_output);
+    let expected_ms = gw.speed.borrow().expected_ms(plan.route.aim_ms, most);
+    drain.takes(gw.time(), expected_ms)
+}
+
 /// Reads a body whole, so that it can be sent again.
 async fn read_body(body: Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, plan.limits.body_bytes);
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use tokio::sync::watch;
-use wisteriapass_policy::Time;
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::{OutputSpeed, Time};
 
 use crate::bank::Bank;
 use crate::catalogue::Catalogue;
@@ -13,7 +13,6 @@
 use crate::prelude::*;
 use crate::retries::Retries;
 use crate::settings::GatewaySettings;
-use crate::speed::Speed;
 use crate::targets::Targets;
 use crate::touch::Touch;
 
@@ -44,7 +43,7 @@
     /// When a connection was taken last.
     pub(crate) taken_at: Cell<Time>,
     /// How long output takes of late.
-    pub(crate) speed: Speed,
+    pub(crate) speed: RefCell<OutputSpeed>,
     /// Which connections have to close.
     pub(crate) closing: watch::Sender<Closing>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
@@ -67,7 +66,7 @@
             metrics,
             drain: Cell::new(None),
             taken_at: Cell::default(),
-            speed: Speed::default(),
+            speed: RefCell::default(),
             closing: watch::Sender::new(Closing::None),
             catalogue: RefCell::default(),
             retries: RefCell::default(),
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -28,7 +28,6 @@
 mod route;
 mod run;
 mod settings;
-mod speed;
 mod target;
 mod targets;
 mod touch;
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/relay.rs
@@ -175,7 +175,7 @@
         if let Some(first_at) = self.first_at {
             let tokens = self.events * plan.tokens_per_event;
             let ms = first_at.elapsed().as_millis() as u64;
-            self.job.gw.speed.learn(tokens, ms);
+            self.job.gw.speed.borrow_mut().learn(tokens, ms);
         }
     }
 
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -1,7 +1,7 @@
 //! Stopping routers: a roll leaves no moment without one that takes callers.
 
-use wisteriapass_policy::Time;
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::{OutputSpeed, Time};
 
 /// Time between the stop signal and the kill, in milliseconds.
 const GRACE_MS: u64 = 8_000;
@@ -106,3 +106,23 @@
     assert!(!drain.closes(at(5_000), at(1_000), false));
     assert!(drain.closes(at(5_000), at(1_000), true));
 }
+
+#[test]
+fn work_is_expected_to_take_as_long_as_output_did_of_late() {
+    let mut speed = OutputSpeed::default();
+    let unseen = speed.expected_ms(500, 100);
+    for _ in 0..50 {
+        speed.learn(300, 2_400);
+    }
+    assert!((1_290..=1_310).contains(&speed.expected_ms(500, 100)));
+    assert!(unseen > 1_310, "what was never seen is not trusted");
+    speed.learn(2, 2_000);
+    assert!(speed.expected_ms(500, 100) <= 1_310, "a pause is no speed");
+    for _ in 0..50 {
+        speed.learn(300, 9_000);
+    }
+    assert!(
+        speed.expected_ms(500, 100) > 3_400,
+        "engines that slow down"
+    );
+}
