--- a/wisteriapass_coord/src/prepaid/holder/reach.rs
+++ b/wisteriapass_coord/src/prepaid/holder/reach.rs
@@ -5,10 +5,6 @@
 use crate::prepaid::attests::Attests;
 use crate::prepaid::{Receipt, Report, Stamp, WitnessId};
 
-/// Steps in which the time is looked for after which a sealed part is open far enough, in
-/// milliseconds: callers are told no more precisely.
-const OPENS_STEP_MS: usize = 100;
-
 impl ShareHolder {
     /// Opens the sealed parts by the age of the last write that may have reached the service, and
     /// as far as no witness binds this process.
@@ -23,7 +19,7 @@
         let age_ms = now.since_boot.saturating_sub(sent.since_boot);
         self.age_ms = self.age_ms.max(age_ms);
         self.attests.advance(now.since_boot, self.sizes.silence_ms);
-        self.age_ms >= self.sizes.seal_ms + self.sizes.ramp_ms && !self.attests.bind()
+        self.age_ms >= self.sizes.seal_ms && !self.attests.bind()
     }
 
     /// Returns up to which level an account's share may be spent now, in tokens.
@@ -48,11 +44,8 @@
     /// the service stays away.
     pub fn opens_in(&self, account: &str, most: u64) -> Option<u64> {
         let share = self.accounts.get(account)?;
-        let most_ms = self.sizes.seal_ms + self.sizes.ramp_ms;
-        let ages = (self.age_ms..=most_ms).step_by(OPENS_STEP_MS);
-        let fits = |age_ms: &u64| share.spendable(share.aged(*age_ms, &self.sizes)) >= most;
-        let age_ms = ages.chain([most_ms]).find(fits)?;
-        Some(age_ms.saturating_sub(self.age_ms))
+        let fits = share.spendable(share.share.granted) >= most;
+        fits.then(|| self.sizes.seal_ms.saturating_sub(self.age_ms))
     }
 
     /// Returns the witnesses of this process.
--- a/wisteriapass_coord/src/prepaid/sizes.rs
+++ b/wisteriapass_coord/src/prepaid/sizes.rs
@@ -8,11 +8,8 @@
     /// Draw that the sealed part covers, in milliseconds: what is left of a long cut.
     pub sealed_ms: u64,
     /// Time since the last write that may have reached the service after which the sealed part
-    /// begins to open, in milliseconds.
+    /// opens, in milliseconds.
     pub seal_ms: u64,
-    /// Time in which it opens, evenly, in milliseconds; 0 is at once. A successor loses what can
-    /// have been open.
-    pub ramp_ms: u64,
     /// Time since the last report to a witness after which it binds no more, in milliseconds:
     /// longer than a VM is down for, or nothing is saved; no longer than callers can go without.
     pub silence_ms: u64,
@@ -28,12 +25,9 @@
     /// Returns what of a sealed part is open at an age of the last write that may have reached the
     /// service, in tokens.
     pub fn opened(&self, sealed: u64, age_ms: u64) -> u64 {
-        let Some(ms) = age_ms.checked_sub(self.seal_ms) else {
+        if age_ms < self.seal_ms {
             return 0;
-        };
-        if ms >= self.ramp_ms {
-            return sealed;
         }
-        (u128::from(sealed) * u128::from(ms) / u128::from(self.ramp_ms)) as u64
+        sealed
     }
 }
--- a/wisteriapass_coord/tests/prepaid/support.rs
+++ b/wisteriapass_coord/tests/prepaid/support.rs
@@ -7,7 +7,6 @@
     open_ms: 4_000,
     sealed_ms: 6_000,
     seal_ms: 2_000,
-    ramp_ms: 0,
     silence_ms: 4_000,
     held: 0.6,
     floor: 0.05,
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -34,9 +34,6 @@
 /// killed and restarted at once proves within it that the seal was whole.
 const SEAL_MS: u64 = 2_200;
 
-/// Time in which the sealed part opens from then on, in milliseconds.
-const RAMP_MS: u64 = 0;
-
 /// Time since the last report to a witness after which it binds no more, in milliseconds: some
 /// more than VMs are down for.
 const SILENCE_MS: u64 = 5_000;
@@ -95,7 +92,6 @@
             open_ms: OPEN_MS,
             sealed_ms: SEALED_MS,
             seal_ms: SEAL_MS,
-            ramp_ms: RAMP_MS,
             silence_ms: SILENCE_MS,
             held: HELD,
             floor: FLOOR,
