Witnesses: plain names

Renames only, and a comment: the router's side of its witnesses is `Witnesses`, its calls say what they do (`reachable`, `usable`, `may_be_named`, `set_named`, `any_binds`, `all_answer`).

--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -9,7 +9,6 @@
 //! with it at the last write and again at the successor's.
 
 mod account_share;
-mod attests;
 mod clock_check;
 mod holder;
 mod lenders;
@@ -28,8 +27,8 @@
 mod testimony;
 mod witness_book;
 mod witness_id;
+mod witnesses;
 
-pub use attests::{Attests, Named, WITNESSES};
 pub use holder::{ShareHolder, Shortfall};
 pub use lenders::Lenders;
 pub use loans::LoansAsked;
@@ -47,3 +46,4 @@
 pub use testimony::{Inquiry, Testimony};
 pub use witness_book::WitnessBook;
 pub use witness_id::WitnessId;
+pub use witnesses::{Named, WITNESSES, Witnesses};
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 
 use crate::prepaid::account_share::{AccountShare, Scene};
-use crate::prepaid::attests::Attests;
 use crate::prepaid::clock_check::ClockCheck;
+use crate::prepaid::witnesses::Witnesses;
 use crate::prepaid::{
     HolderId, Proof, ShareRecord, ShareSizes, Stamp, Standing, Tenure, WitnessId,
 };
@@ -34,7 +34,7 @@
     last_sent: Option<Stamp>,
     /// Age of that write by the boot clock as of the last look at it, in milliseconds.
     age_ms: u64,
-    attests: Attests,
+    witnesses: Witnesses,
     /// What a witness knows of a predecessor's process, as far as it can be believed.
     testimony: Option<(u64, BTreeMap<String, u64>)>,
     /// What the last succession rests on.
@@ -60,7 +60,7 @@
             accounts: BTreeMap::new(),
             last_sent: None,
             age_ms: 0,
-            attests: Attests::default(),
+            witnesses: Witnesses::default(),
             testimony: None,
             proof: None,
             closed: false,
@@ -218,9 +218,9 @@
             stamp: now,
             agreed,
             lends_at: self.lends_at.filter(|_| !self.closed),
-            witnesses: self.attests.fit(),
+            witnesses: self.witnesses.usable(),
         };
-        self.attests.name(tenure.witnesses);
+        self.witnesses.may_be_named(tenure.witnesses);
         record.sign(&self.id, tenure);
     }
 
@@ -252,7 +252,7 @@
             .flat_map(|t| t.witnesses)
             .flatten()
             .collect();
-        self.attests.settle(&named);
+        self.witnesses.set_named(&named);
         // An account that became known while the write was under way has no part in it yet.
         for (name, a) in self.accounts.iter_mut().filter(|(_, a)| a.has_base) {
             a.adopt(
--- a/wisteriapass_coord/src/prepaid/holder/reach.rs
+++ b/wisteriapass_coord/src/prepaid/holder/reach.rs
@@ -2,7 +2,7 @@
 
 use super::ShareHolder;
 use crate::prepaid::account_share::AccountShare;
-use crate::prepaid::attests::Attests;
+use crate::prepaid::witnesses::Witnesses;
 use crate::prepaid::{Receipt, Report, Stamp, WitnessId};
 
 impl ShareHolder {
@@ -18,25 +18,26 @@
         // believe: a successor believes neither, so nothing is lost by waiting.
         let age_ms = now.since_boot.saturating_sub(sent.since_boot);
         self.age_ms = self.age_ms.max(age_ms);
-        self.attests.advance(now.since_boot, self.sizes.silence_ms);
-        self.age_ms >= self.sizes.seal_ms && !self.attests.bind()
+        self.witnesses
+            .advance(now.since_boot, self.sizes.silence_ms);
+        self.age_ms >= self.sizes.seal_ms && !self.witnesses.any_binds()
     }
 
     /// Returns up to which level an account's share may be spent now, in tokens.
     pub(super) fn level(&self, account: &str) -> u64 {
         let share = self.accounts.get(account).copied().unwrap_or_default();
         let aged = share.aged(self.age_ms, &self.sizes);
-        if !self.attests.bind() {
+        if !self.witnesses.any_binds() {
             return aged;
         }
-        share.open.max(aged.min(self.attests.level(account)))
+        share.open.max(aged.min(self.witnesses.level(account)))
     }
 
     /// Returns whether a report to the witnesses may make room for `most` tokens.
     pub fn awaits_witnesses(&self, account: &str, most: u64) -> bool {
         let share = self.accounts.get(account).copied().unwrap_or_default();
         let aged = share.aged(self.age_ms, &self.sizes);
-        let is_bound = self.level(account) < aged && self.attests.answer();
+        let is_bound = self.level(account) < aged && self.witnesses.all_answer();
         is_bound && share.spendable(aged) >= most
     }
 
@@ -49,8 +50,8 @@
     }
 
     /// Returns the witnesses of this process.
-    pub fn attests(&mut self) -> &mut Attests {
-        &mut self.attests
+    pub fn witnesses(&mut self) -> &mut Witnesses {
+        &mut self.witnesses
     }
 
     /// Composes what the witnesses are told, but for their last receipts.
@@ -70,7 +71,7 @@
     }
 
     /// Takes on a witness that answered this process's first report, sent at `sent`.
-    pub fn meet(&mut self, id: WitnessId, receipt: Receipt, sent: Stamp) {
-        self.attests.meet(id, receipt, sent.since_boot);
+    pub fn add_witness(&mut self, id: WitnessId, receipt: Receipt, sent: Stamp) {
+        self.witnesses.add(id, receipt, sent.since_boot);
     }
 }
--- a/wisteriapass_coord/src/prepaid/attests.rs
+++ b/wisteriapass_coord/src/prepaid/witnesses.rs
@@ -21,7 +21,7 @@
 
 /// One witness of this router.
 #[derive(Clone, Debug)]
-struct Attest {
+struct WitnessState {
     id: WitnessId,
     /// Levels that it acknowledged, by account, in tokens.
     levels: BTreeMap<String, u64>,
@@ -42,26 +42,26 @@
 
 /// The witnesses of this router.
 #[derive(Clone, Debug, Default)]
-pub struct Attests {
-    all: SmallVec<[Attest; 4]>,
+pub struct Witnesses {
+    all: SmallVec<[WitnessState; 4]>,
 }
 
-impl Attests {
+impl Witnesses {
     /// Returns whom to report to, with the last receipt of each.
-    pub fn addressees(&self) -> SmallVec<[(WitnessId, Receipt); 4]> {
-        let spoken = self.all.iter().filter(|a| !a.quiet);
-        spoken.map(|a| (a.id, a.last)).collect()
+    pub fn reachable(&self) -> SmallVec<[(WitnessId, Receipt); 4]> {
+        let spoken = self.all.iter().filter(|w| !w.quiet);
+        spoken.map(|w| (w.id, w.last)).collect()
     }
 
     /// Returns all witnesses that are reported to or may bind.
     pub fn known(&self) -> SmallVec<[WitnessId; 4]> {
-        self.all.iter().map(|a| a.id).collect()
+        self.all.iter().map(|w| w.id).collect()
     }
 
     /// Notes that a report leaves at `now_ms` of the boot clock.
     pub fn sent(&mut self, id: WitnessId, now_ms: u64) {
-        if let Some(attest) = self.find(id) {
-            attest.sent_ms = now_ms;
+        if let Some(witness) = self.find(id) {
+            witness.sent_ms = now_ms;
         }
     }
 
@@ -76,24 +76,24 @@
         if receipt.witness != id.process {
             return;
         }
-        let Some(attest) = self.find(id) else {
+        let Some(witness) = self.find(id) else {
             return;
         };
-        attest.bound = true;
-        attest.heard_ms = now_ms;
-        attest.last = receipt;
+        witness.bound = true;
+        witness.heard_ms = now_ms;
+        witness.last = receipt;
         for (account, level) in levels {
-            let known = attest.levels.entry(account.clone()).or_default();
+            let known = witness.levels.entry(account.clone()).or_default();
             *known = (*level).max(*known);
         }
     }
 
     /// Takes on a witness that answered a first report, sent at `sent_ms` of the boot clock.
-    pub fn meet(&mut self, id: WitnessId, receipt: Receipt, sent_ms: u64) {
+    pub fn add(&mut self, id: WitnessId, receipt: Receipt, sent_ms: u64) {
         if self.find(id).is_some() {
             return;
         }
-        self.all.push(Attest {
+        self.all.push(WitnessState {
             id,
             levels: BTreeMap::new(),
             sent_ms,
@@ -107,63 +107,63 @@
     }
 
     /// Returns the witnesses that can be named in the next write.
-    pub fn fit(&self) -> Named {
-        let mut fit = self.all.iter().filter(|a| a.bound && !a.quiet);
-        std::array::from_fn(|_| fit.next().map(|a| a.id))
+    pub fn usable(&self) -> Named {
+        let mut fit = self.all.iter().filter(|w| w.bound && !w.quiet);
+        std::array::from_fn(|_| fit.next().map(|w| w.id))
     }
 
     /// Notes that a record that names these may come in force, beside the one before.
-    pub fn name(&mut self, names: Named) {
-        for attest in &mut self.all {
-            attest.named |= names.contains(&Some(attest.id));
+    pub fn may_be_named(&mut self, names: Named) {
+        for witness in &mut self.all {
+            witness.named |= names.contains(&Some(witness.id));
         }
     }
 
     /// Notes that just these are named in the record in force.
-    pub fn settle(&mut self, names: &[WitnessId]) {
-        for attest in &mut self.all {
-            attest.named = names.contains(&attest.id);
+    pub fn set_named(&mut self, names: &[WitnessId]) {
+        for witness in &mut self.all {
+            witness.named = names.contains(&witness.id);
         }
-        self.all.retain(|a| a.named || !a.quiet);
+        self.all.retain(|w| w.named || !w.quiet);
     }
 
-    /// Gives up witnesses that do not answer, and those up whose knowledge is too old.
+    /// Gives up witnesses that do not answer, and frees this router of those whose word is too old.
     ///
     /// One whose last report left `silence_ms` ago cannot be believed by a successor, so it binds
     /// no more. It is never reported to again before another record names it.
     pub fn advance(&mut self, now_ms: u64, silence_ms: u64) {
-        for attest in &mut self.all {
-            attest.quiet |= now_ms.saturating_sub(attest.heard_ms) >= QUIET_MS;
-            let silent = now_ms.saturating_sub(attest.sent_ms) >= silence_ms;
-            attest.expired |= silent;
-            attest.quiet |= silent;
+        for witness in &mut self.all {
+            witness.quiet |= now_ms.saturating_sub(witness.heard_ms) >= QUIET_MS;
+            let silent = now_ms.saturating_sub(witness.sent_ms) >= silence_ms;
+            witness.expired |= silent;
+            witness.quiet |= silent;
         }
-        self.all.retain(|a| a.named || !a.quiet);
+        self.all.retain(|w| w.named || !w.quiet);
     }
 
     /// Returns whether any witness binds this router.
-    pub fn bind(&self) -> bool {
-        self.all.iter().any(Attest::binds)
+    pub fn any_binds(&self) -> bool {
+        self.all.iter().any(WitnessState::binds)
     }
 
     /// Returns the level that all binding witnesses acknowledged, in tokens.
     pub fn level(&self, account: &str) -> u64 {
-        let binding = self.all.iter().filter(|a| a.binds());
-        let levels = binding.map(|a| a.levels.get(account).copied().unwrap_or_default());
+        let binding = self.all.iter().filter(|w| w.binds());
+        let levels = binding.map(|w| w.levels.get(account).copied().unwrap_or_default());
         levels.min().unwrap_or_default()
     }
 
     /// Returns whether reports leave and are answered.
-    pub fn answer(&self) -> bool {
-        self.all.iter().filter(|a| a.binds()).all(|a| !a.quiet)
+    pub fn all_answer(&self) -> bool {
+        self.all.iter().filter(|w| w.binds()).all(|w| !w.quiet)
     }
 
-    fn find(&mut self, id: WitnessId) -> Option<&mut Attest> {
-        self.all.iter_mut().find(|a| a.id == id)
+    fn find(&mut self, id: WitnessId) -> Option<&mut WitnessState> {
+        self.all.iter_mut().find(|w| w.id == id)
     }
 }
 
-impl Attest {
+impl WitnessState {
     fn binds(&self) -> bool {
         self.named && !self.expired
     }
--- a/wisteriapass_coord/tests/prepaid/witnesses.rs
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -46,16 +46,16 @@
 /// Reports to one witness.
 fn report(h: &mut ShareHolder, witness: &mut Witness, now: u64, fate: Fate) {
     let report = h.report(now, at(now));
-    let known = h.attests().addressees();
+    let known = h.witnesses().reachable();
     let last = known.iter().find(|(id, _)| *id == witness.id);
     let Some((id, last)) = last.copied() else {
         let receipt = witness.book.hear(now, report);
         if fate == Fate::Answered {
-            h.meet(witness.id, receipt, at(now));
+            h.add_witness(witness.id, receipt, at(now));
         }
         return;
     };
-    h.attests().sent(id, at(now).since_boot);
+    h.witnesses().sent(id, at(now).since_boot);
     if fate == Fate::Unread {
         return;
     }
@@ -66,7 +66,8 @@
     };
     let receipt = witness.book.hear(now, report);
     if fate == Fate::Answered {
-        h.attests().heard(id, receipt, &levels, at(now).since_boot);
+        h.witnesses()
+            .heard(id, receipt, &levels, at(now).since_boot);
     }
 }
 
@@ -172,12 +173,12 @@
 fn a_report_that_was_long_on_its_way_proves_no_life() {
     let (mut all, mut record) = (witnesses(), ShareRecord::default());
     let mut h = in_touch(&mut all, &mut record, 3_000);
-    let (id, last) = h.attests().addressees()[0];
+    let (id, last) = h.witnesses().reachable()[0];
     let late = Report {
         last: Some(last),
         ..h.report(3_000, at(3_000))
     };
-    h.attests().sent(id, at(3_000).since_boot);
+    h.witnesses().sent(id, at(3_000).since_boot);
     assert!(h.unseal(at(3_000 + SIZES.silence_ms)));
     // It is read only now, after its sender opened its share.
     let now = 3_000 + SIZES.silence_ms + 100;
@@ -363,9 +364,9 @@
         }
         let h = &mut self.holders[me];
         let id = self.witnesses[place].id;
-        let known = h.attests().addressees();
+        let known = h.witnesses().reachable();
         let last: Option<Receipt> = known.iter().find(|(k, _)| *k == id).map(|(_, last)| *last);
-        h.attests().sent(id, at(self.now).since_boot);
+        h.witnesses().sent(id, at(self.now).since_boot);
         let report = Report {
             last,
             ..h.report(self.now, at(self.now))
--- a/wisteriapass_gateway/src/bank/reporting.rs
+++ b/wisteriapass_gateway/src/bank/reporting.rs
@@ -48,15 +48,15 @@
             let _ = timeout_at(next, group.report_due.notified()).await;
             group.holder.borrow_mut().unseal(self.clock.stamp());
             self.report(group).await;
-            self.meet(group).await;
+            self.find_witness(group).await;
             sleep(Duration::from_millis(LEAST_MS)).await;
         }
     }
 
     /// Reports to all witnesses that answer.
     async fn report(&self, group: &Group) {
-        let addressees = group.holder.borrow_mut().attests().addressees();
-        let reports = addressees.into_iter();
+        let reachable = group.holder.borrow_mut().witnesses().reachable();
+        let reports = reachable.into_iter();
         let reports = reports.map(|(id, last)| self.report_to(group, id, last));
         join_all(reports).await;
         group.done.notify_waiters();
@@ -65,13 +65,15 @@
     async fn report_to(&self, group: &Group, id: WitnessId, last: Receipt) {
         let report = self.compose_report(group, Some(last));
         let sent_ms = self.clock.stamp().since_boot;
-        group.holder.borrow_mut().attests().sent(id, sent_ms);
+        group.holder.borrow_mut().witnesses().sent(id, sent_ms);
         let patience = Duration::from_millis(PATIENCE_MS);
         let receipt = call::<_, Receipt>(id.at, REPORT, &report, patience).await;
         if let Some(receipt) = receipt {
             let now_ms = self.clock.stamp().since_boot;
             let mut holder = group.holder.borrow_mut();
-            holder.attests().heard(id, receipt, &report.levels, now_ms);
+            holder
+                .witnesses()
+                .heard(id, receipt, &report.levels, now_ms);
         }
     }
 
@@ -82,7 +84,7 @@
     }
 
     /// Looks for another witness if there are too few.
-    async fn meet(&self, group: &Group) {
+    async fn find_witness(&self, group: &Group) {
         let Some(at) = self.next_witness(group) else {
             return;
         };
@@ -96,16 +98,16 @@
         };
         let process = receipt.witness;
         let id = WitnessId { at, process };
-        group.holder.borrow_mut().meet(id, receipt, sent);
+        group.holder.borrow_mut().add_witness(id, receipt, sent);
     }
 
     /// Returns another router that wrote of late and may be a witness; each router prefers others.
     fn next_witness(&self, group: &Group) -> Option<SocketAddr> {
         let mut holder = group.holder.borrow_mut();
-        if holder.attests().addressees().len() >= WITNESSES {
+        if holder.witnesses().reachable().len() >= WITNESSES {
             return None;
         }
-        let known = holder.attests().known();
+        let known = holder.witnesses().known();
         let is_known = |at: &SocketAddr| known.iter().any(|id| id.at == *at);
         let now = Instant::now();
         group.away.borrow_mut().retain(|_, until| *until > now);
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -12,8 +12,8 @@
 /// once a second and needs two answers to stop sending callers.
 const LINGER_MS: u64 = 2_300;
 
-/// Time without a new connection after which nobody depends on this router, in milliseconds: twice
-/// the pause between two questions of the balancer, rounded down to its rhythm.
+/// Time without a new connection after which nobody depends on this router, in milliseconds: the
+/// balancer asks once a second, and sends callers at once where others fail.
 const QUIET_MS: u64 = 1_000;
 
 /// Time before the kill at which callers are turned away, in milliseconds: nothing but the shortest
