--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -10,6 +10,9 @@
 /// Time behind a stop after which the balancer knows of it; no bound of the product.
 const AFTER_LINGER: Duration = Duration::from_millis(2_600);
 
+/// Time after which a watch that is not answered has failed; no bound of the product.
+const A_WATCH: Duration = Duration::from_millis(5_500);
+
 /// Sends requests until one target got none of several in a row.
 fn wait_until_left(scene: &Scene, router: &Router, left: usize) {
     let mut n = 0;
@@ -129,6 +132,41 @@
     }
 }
 
+/// Reads of whole topics that the store answered, as the router counts them.
+fn whole_reads(router: &Router) -> u64 {
+    let metrics = router.metrics();
+    let mut lines = metrics.lines();
+    let counted = lines.find(|l| {
+        let is_call = l.starts_with("wisteriapass_store_calls_total") && l.contains("answered");
+        is_call && l.contains("call=\"read\"")
+    });
+    let count = counted.and_then(|l| l.rsplit(' ').next());
+    count.map_or(0, |n| n.parse::<f64>().unwrap() as u64)
+}
+
+#[test]
+fn behind_a_cut_the_newest_configuration_is_read_alone() {
+    let scene = Scene::new(10_000);
+    let router = Router::start("r", &scene.store);
+    let before = whole_reads(&router);
+    scene.store.set_fault(StoreFault::Silent);
+    std::thread::sleep(A_WATCH);
+    for version in 2..6 {
+        scene.configure(&configuration(version, &["other"], 10_000));
+    }
+    scene.store.set_fault(StoreFault::None);
+    let mut n = 0;
+    wait_for("the newest configuration", || {
+        n += 1;
+        let request = Request::new(&format!("c{n}"), "/safe/x").with_key("other");
+        router.send(&request).is_some_and(|a| a.status == 200)
+    });
+    assert!(
+        whole_reads(&router) > before,
+        "each version in between was followed"
+    );
+}
+
 #[test]
 fn a_stop_cuts_no_stream() {
     let scene = Scene::new(10_000);
