Calls to the store end by silence, not by the time of a whole answer

Cause: a call had 0.7 s beside the wait that it asked for, whole answer included. 1.1 MB of configuration take 0.9 s at 10 Mbit/s, so a router whose watch had broken or ran out read the document, gave it up with two thirds received, and began again, without end. Why it holds: an answer is given up once nothing of it came for 0.7 s. What makes progress is never begun anew, however slow or full the link; a connection that falls silent, also within an answer, is left as soon as before (a test of its own).

--- a/wisteriapass_daemon/tests/on_platform/slow_links.rs
+++ b/wisteriapass_daemon/tests/on_platform/slow_links.rs
@@ -24,6 +24,9 @@
 /// is more than the silence that ends a call and less than a watch takes.
 const MANY: usize = 1_900;
 
+/// Bytes that only an answer with the large document brings, in less than all of it.
+const A_PART: u64 = 100 << 10;
+
 /// A configuration with many routes that nobody asks for.
 fn large(version: u64, key: &str) -> Value {
     let mut large = configuration(version, &[key], 10_000);
@@ -72,3 +75,18 @@
     router.wait_until_ready();
     wait_until_taken(&router, KEY);
 }
+
+#[test]
+fn a_connection_that_falls_silent_within_an_answer_is_given_up() {
+    let scene = Scene::new(10_000);
+    let link = Link::start(scene.store.addr()).unwrap();
+    let mut router = Router::prepared_at("r", link.addr());
+    router.spawn();
+    router.wait_until_ready();
+    link.set_faults(LinkFaults::paced(PACE));
+    let before = link.bytes();
+    scene.configure(&large(2, "other"));
+    wait_for("a part of the answer", || link.bytes() > before + A_PART);
+    link.silence_open();
+    wait_until_taken(&router, "other");
+}
