--- a/wisteriapass_daemon/tests/on_platform/slow_links.rs
+++ b/wisteriapass_daemon/tests/on_platform/slow_links.rs
@@ -90,3 +90,39 @@
     link.silence_open();
     wait_until_taken(&router, "other");
 }
+
+/// Versions that are accepted while a router still takes an earlier one in.
+const MEANWHILE: u64 = 8;
+
+/// Documents that a router may move to come to the newest: the one that is under way, the newest,
+/// and one to spare. Slow links take a second for one, and three are allowed.
+const MOST_DOCUMENTS: u64 = 3;
+
+// A document that takes a second leaves time for others to be accepted meanwhile. Followed version
+// by version, each of these takes its second as well, and more of them than an answer may hold are
+// thrown away and asked for again.
+#[test]
+fn versions_accepted_while_one_is_on_its_way_are_passed_over() {
+    let scene = Scene::new(10_000);
+    scene.configure(&large(2, KEY));
+    let link = Link::start(scene.store.addr()).unwrap();
+    let mut router = Router::prepared_at("r", link.addr());
+    router.spawn();
+    router.wait_until_ready();
+    link.set_faults(LinkFaults::paced(PACE));
+    let before = link.bytes();
+    scene.configure(&large(3, KEY));
+    wait_for("a part of the answer", || link.bytes() > before + A_PART);
+    for version in 4..4 + MEANWHILE {
+        scene.configure(&large(version, "other"));
+    }
+    wait_until_taken(&router, "other");
+    let moved = link.bytes() - before;
+    let most = MOST_DOCUMENTS * on_the_wire(&large(3, KEY));
+    assert!(moved <= most, "{moved} bytes of at most {most} were moved");
+}
+
+/// Returns the bytes of a configuration in an answer of the store, which sends it in base64.
+fn on_the_wire(configuration: &Value) -> u64 {
+    configuration.to_string().len() as u64 * 4 / 3
+}
