Test that fails: a long history hides that a target leaves

The same cause as the test before, for the targets' entries: a history of more than 4 MB is thrown away and asked for again from the same revision, until the service drops it. At the size of two years (1,900 targets, an entry each 1.2 s, 0.35 KB) that is a cut of 8 s (worked out, not measured).

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -13,6 +13,9 @@
 /// Time after which a watch that is not answered has failed; no bound of the product.
 const A_WATCH: Duration = Duration::from_millis(5_500);
 
+/// Requests of which one of two targets in use gets some.
+const MANY: usize = 40;
+
 /// Sends requests until one target got none of several in a row.
 fn wait_until_left(scene: &Scene, router: &Router, left: usize) {
     let mut n = 0;
@@ -167,6 +170,35 @@
     );
 }
 
+// 1,900 targets write 0.6 MB of entries a second: a history behind a cut of 8 s is more than an
+// answer may hold. Asked for again and again, it hid that a target left until it was dropped.
+#[test]
+fn a_history_of_more_than_an_answer_may_hold_hides_no_leaving_target() {
+    let scene = Scene::new(10_000);
+    let router = Router::start("r", &scene.store);
+    let target = &scene.plain[0];
+    scene.store.set_fault(StoreFault::Silent);
+    std::thread::sleep(A_WATCH);
+    let padded = format!(r#"{{"padding":"{}"}}"#, "p".repeat(100 << 10));
+    for _ in 0..60 {
+        scene.store.put("servers/another", padded.clone());
+    }
+    scene.store.put("servers/another", "{}");
+    scene
+        .store
+        .put(&target.key(), target.entry("plain", "draining"));
+    scene.store.set_fault(StoreFault::None);
+    let mut n = 0;
+    wait_for("no work for the target that left", || {
+        let before = target.seen().len();
+        for _ in 0..MANY {
+            n += 1;
+            router.send(&Request::new(&format!("h{n}"), "/safe/x"));
+        }
+        target.seen().len() == before
+    });
+}
+
 #[test]
 fn a_stop_cuts_no_stream() {
     let scene = Scene::new(10_000);
