A history longer than its state and a half is passed over: the state is read alone

What callers saw, or would have: a change that comes while a router on a slow link still takes an earlier one in is in force only after all versions in between; a target that leaves behind a long history gets new work. Cause: a watch brings each version since the revision that it names, however many, and an answer of more than 4 MB was thrown away and asked for again from the same revision. Why it holds: a watch names the largest answer that it takes, a state and a half (64 KiB at least for targets). Beyond that the state is read, which has one document and one entry a target, at whatever time. Ruled out: reading the whole document behind each that took its time costs a second one where nothing else came.

--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -3,7 +3,7 @@
 use tokio::time::sleep;
 
 use crate::metrics::{StoreCall, StoreOutcome};
-use crate::platform::{Change, Feed, StoreError, Topic};
+use crate::platform::{Change, Feed, StoreError, Topic, Watch};
 use crate::prelude::*;
 
 /// Time that one watch waits, in milliseconds: a connection that went silent is noticed soon
@@ -17,31 +17,46 @@
 /// Pause after a call without answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 100;
 
+/// Bytes of changes of targets that are no matter on any link: 50 ms at 10 Mbit/s.
+const SMALL: usize = 64 << 10;
+
 /// Follows a topic for ever.
 pub async fn follow(gw: Rc<Gateway>, topic: Topic) {
     loop {
         let read = gw.platform.read(topic).await;
         count(&gw, StoreCall::Read, &read);
-        let after = match read {
+        match read {
             Ok(feed) => {
                 gw.touch.answered(Instant::now());
                 take_all(&gw, topic, &feed);
-                feed.at
-            }
-            Err(e) => {
-                note_failure(&gw, topic, e).await;
-                continue;
+                watch_from(&gw, topic, first_watch(topic, &feed)).await;
             }
-        };
-        watch_from(&gw, topic, after).await;
+            Err(e) => note_failure(&gw, topic, e).await,
+        }
+    }
+}
+
+/// Returns the watch that goes on from a whole state.
+///
+/// Behind a cut, or while a document takes its time, a history grows that is longer than the state
+/// that it leads to; then that is read alone. Else a link that carries a document in 1.9 s takes
+/// 17 s to come to the newest of nine.
+fn first_watch(topic: Topic, state: &Feed) -> Watch {
+    let state_and_half = state.bytes + state.bytes / 2;
+    Watch {
+        after: state.at,
+        wait: Duration::from_millis(WAIT_MS),
+        largest: match topic {
+            Topic::Configuration => state_and_half,
+            Topic::Targets => SMALL.max(state_and_half),
+        },
     }
 }
 
 /// Follows changes until the whole state has to be read again.
-async fn watch_from(gw: &Gateway, topic: Topic, mut after: u64) {
-    let wait = Duration::from_millis(WAIT_MS);
+async fn watch_from(gw: &Gateway, topic: Topic, mut watch: Watch) {
     loop {
-        let watched = gw.platform.watch(topic, after, wait).await;
+        let watched = gw.platform.watch(topic, watch).await;
         count(gw, watch_of(topic), &watched);
         match watched {
             Ok(feed) => {
@@ -49,11 +64,11 @@
                 // An empty answer may come from a service that hears nothing just now; going on
                 // from the last change seen misses none.
                 if !feed.changes.is_empty() {
-                    after = feed.at;
+                    watch.after = feed.at;
                 }
                 take(gw, &feed);
             }
-            Err(StoreError::Compacted) => return,
+            Err(StoreError::Compacted | StoreError::TooLarge) => return,
             Err(e) => {
                 note_failure(gw, topic, e).await;
                 // Behind a cut the newest document is read alone: with each version in between, a
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use facts::{AnswerFacts, DispatchFacts, PrefixPart, RequestFacts, TokenWork};
 pub use gateway::Gateway;
 pub use platform::{
-    Change, Feed, LocalFuture, Platform, Recorded, StoreError, Swap, Topic, Versioned,
+    Change, Feed, LocalFuture, Platform, Recorded, StoreError, Swap, Topic, Versioned, Watch,
 };
 pub use refusal::Refusal;
 pub use retries::Retries;
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -95,6 +95,9 @@
     /// The history asked for is gone.
     #[display("history_gone")]
     HistoryGone,
+    /// The answer was larger than asked for.
+    #[display("too_large")]
+    TooLarge,
 }
 
 impl StoreOutcome {
@@ -103,6 +106,7 @@
         match error {
             StoreError::Refused => Self::Refused,
             StoreError::Compacted => Self::HistoryGone,
+            StoreError::TooLarge => Self::TooLarge,
             StoreError::Unknown | StoreError::Malformed => Self::NoAnswer,
         }
     }
--- a/wisteriapass_gateway/src/platform.rs
+++ b/wisteriapass_gateway/src/platform.rs
@@ -27,6 +27,9 @@
     /// No answer; a write may have taken effect, or may yet.
     #[display("no answer of the service; the state is read again")]
     Unknown,
+    /// The answer is larger than asked for.
+    #[display("the answer is larger than asked for; the whole state is read")]
+    TooLarge,
     /// Changes since that revision are no longer there.
     #[display("the history is gone; the whole state is read again")]
     Compacted,
@@ -59,11 +62,24 @@
     Unusable(TargetId),
 }
 
+/// Which changes of a topic are waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    /// Revision after which they came.
+    pub after: u64,
+    /// Longest time that the service waits for one.
+    pub wait: Duration,
+    /// Largest answer that is taken, in bytes.
+    pub largest: usize,
+}
+
 /// Changes up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Feed {
     /// Revision from which to go on.
     pub at: u64,
+    /// Bytes of the answers that brought them.
+    pub bytes: usize,
     /// The changes in order.
     pub changes: Vec<Change>,
 }
@@ -113,8 +129,8 @@
     /// Reads all of a topic.
     fn read(&self, topic: Topic) -> LocalFuture<'_, Result<Feed>>;
 
-    /// Waits for changes of a topic after a revision.
-    fn watch(&self, topic: Topic, after: u64, wait: Duration) -> LocalFuture<'_, Result<Feed>>;
+    /// Waits for changes of a topic.
+    fn watch(&self, topic: Topic, watch: Watch) -> LocalFuture<'_, Result<Feed>>;
 
     /// Reads a record.
     fn load(&self, name: Recorded) -> LocalFuture<'_, Result<Versioned>>;
