--- a/wisteriapass_daemon/tests/on_platform/slow_links.rs
+++ b/wisteriapass_daemon/tests/on_platform/slow_links.rs
@@ -13,7 +13,12 @@
 //! ```
 
 use serde_json::{Value, json};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
 use wisteriapass_bench::link::{Link, LinkFaults};
+use wisteriapass_bench::standin::users::UsersStore;
+use wisteriapass_gateway::{Platform, Recorded, Swap};
+use wisteriapass_platform::UsersPlatform;
 
 use crate::support::{KEY, Request, Router, Scene, configuration, wait_for};
 
@@ -157,3 +162,23 @@
         "{moved} bytes were moved, a document has {document}"
     );
 }
+
+/// Pace of a link of 10 Mbit/s, in bytes a millisecond.
+const TEN_MBIT: u64 = 1_250;
+
+/// Size of a record that is near the largest of the store, in bytes.
+const LARGE_RECORD: usize = 900 << 10;
+
+// A call had 0.7 s for its own bytes as well as for the answer's: a record that a link takes longer
+// to send was sent again and again, and never known to be written.
+#[test]
+fn a_record_that_takes_longer_to_send_than_a_silence_is_written() {
+    let store = UsersStore::start().unwrap();
+    let link = Link::start(store.addr()).unwrap();
+    link.set_faults(LinkFaults::paced(TEN_MBIT));
+    let platform = UsersPlatform::new(link.addr());
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    let swap = platform.swap(Recorded::Shares(0), 0, vec![7; LARGE_RECORD]);
+    let swap = LocalSet::new().block_on(&runtime, swap);
+    assert!(matches!(swap, Ok(Swap::Done(_))), "{swap:?}");
+}
