--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -66,16 +66,16 @@
                 if !feed.changes.is_empty() {
                     watch.after = feed.at;
                 }
+                watch.wait = Duration::from_millis(WAIT_MS);
                 take(gw, &feed);
             }
             Err(StoreError::Compacted | StoreError::TooLarge) => return,
             Err(e) => {
                 note_failure(gw, topic, e).await;
-                // Behind a cut the newest document is read alone: with each version in between, a
-                // router of a fleet of 29 took 3.7 s to catch up, where 3 s were allowed.
-                if topic == Topic::Configuration {
-                    return;
-                }
+                // A call that waits for nothing ends soon, so that the end of a cut is noticed; it
+                // moves no document that is in force already, as reading the state would: 1.1 MB
+                // at each of 17 routers behind a reset, a second of a link of 10 Mbit/s.
+                watch.wait = Duration::ZERO;
             }
         }
         if topic == Topic::Targets {
