The client of the key-value service ends calls by silence, not by a whole answer's time

What callers would have seen: a daemon of the product's own deployment that never comes to serve, or keeps an old configuration, on a link that takes over a second for its document. Cause: that of the configuration that slow links never took in. minreq bounds the whole exchange, in whole seconds: 1.5 s were one. Why it holds: ureq, which calls the plain services already, has a timeout for each read. A call ends after 1.5 s without a byte; an answer that comes is read to its end. A connection that could not be made is told from one that broke, so the made-up 503 of minreq needs no sorting out any more. Ruled out: a longer bound for documents alone, which delays leaving a silent connection by as much. HttpStore loses with_call_timeout, which nothing used.

--- a/wisteriapass_coord/src/store/http.rs
+++ b/wisteriapass_coord/src/store/http.rs
@@ -1,14 +1,23 @@
 //! The key-value service over HTTP, one fresh connection per call.
 
+use std::fmt::Display;
+use std::io::Read;
 use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use ureq::{Agent, AgentBuilder, ErrorKind};
 
 use crate::store::{Entry, LeaseId, Result, Revision, Store, StoreError, Swap, wire};
 
-/// Longest time for a call besides a watch, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 1_500;
+/// Longest silence of the service in a call, besides the wait of a watch, in milliseconds.
+///
+/// It is no bound for a whole answer: with one of a second a document that a link takes longer for
+/// is never read.
+const SILENCE_MS: u64 = 1_500;
+
+/// Largest answer, in bytes: some values of at most a megabyte.
+const LARGEST: u64 = 16 << 20;
 
 /// HTTP status with which the service says that it is overloaded or down, without effect.
 const UNAVAILABLE: u16 = 503;
@@ -17,7 +26,6 @@
 #[derive(Clone, Debug)]
 pub struct HttpStore {
     address: String,
-    call_timeout: Duration,
 }
 
 impl HttpStore {
@@ -25,52 +33,32 @@
     pub fn new(address: impl Into<String>) -> Self {
         Self {
             address: address.into(),
-            call_timeout: Duration::from_millis(CALL_TIMEOUT_MS),
         }
     }
 
-    /// Sets the longest time for a call, besides the wait of a watch.
-    pub fn with_call_timeout(mut self, timeout: Duration) -> Self {
-        self.call_timeout = timeout;
-        self
-    }
-
     fn call<Q: Serialize, A: DeserializeOwned>(&self, path: &str, req: &Q) -> Result<A> {
-        self.call_within(path, req, self.call_timeout)
+        self.call_and_wait(path, req, Duration::ZERO)
     }
 
-    fn call_within<Q: Serialize, A: DeserializeOwned>(
+    /// Makes a call that the service may wait with.
+    fn call_and_wait<Q: Serialize, A: DeserializeOwned>(
         &self,
         path: &str,
         req: &Q,
-        timeout: Duration,
+        wait: Duration,
     ) -> Result<A> {
-        let body = serde_json::to_string(req).map_err(|e| StoreError::Refused {
+        let body = serde_json::to_vec(req).map_err(|e| StoreError::Refused {
             cause: e.to_string(),
         })?;
-        let answer = minreq::post(format!("http://{}/v1/{path}", self.address))
-            .with_header("connection", "close")
-            .with_body(body)
-            .with_timeout_ms(timeout)
-            .send()
-            .map_err(lost)?;
-        if answer.headers.is_empty() {
-            // minreq makes up a 503 when the connection closes before a status line.
-            return Err(StoreError::Unknown {
-                cause: answer.reason_phrase,
-            });
-        }
-        match answer.status_code {
-            200 => serde_json::from_slice(answer.as_bytes()).map_err(|e| StoreError::Unknown {
-                cause: e.to_string(),
-            }),
-            UNAVAILABLE => Err(StoreError::Unreachable {
-                cause: "status 503".into(),
-            }),
-            status => Err(StoreError::Refused {
-                cause: format!("status {status}"),
-            }),
-        }
+        let answer = agent(wait)
+            .post(&format!("http://{}/v1/{path}", self.address))
+            .set("connection", "close")
+            .send_bytes(&body)
+            .map_err(failed)?;
+        let mut whole = Vec::new();
+        let read = answer.into_reader().take(LARGEST).read_to_end(&mut whole);
+        read.map_err(unknown)?;
+        serde_json::from_slice(&whole).map_err(unknown)
     }
 
     fn swap_call(&self, call: &wire::SwapCall) -> Result<Swap> {
@@ -82,25 +70,34 @@
     }
 }
 
-/// Sorts a transport error by whether the call may have taken effect.
-fn lost(e: minreq::Error) -> StoreError {
-    let cause = e.to_string();
-    match e {
-        minreq::Error::IoError(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            StoreError::Unreachable { cause }
-        }
-        _ => StoreError::Unknown { cause },
-    }
+/// Returns an agent of its own, whose connections nobody used before.
+fn agent(wait: Duration) -> Agent {
+    let silence = Duration::from_millis(SILENCE_MS);
+    AgentBuilder::new()
+        .redirects(0)
+        .timeout_connect(silence)
+        .timeout_write(silence)
+        .timeout_read(wait + silence)
+        .build()
 }
 
-/// Gives a request a timeout in milliseconds.
-trait WithTimeoutMs {
-    fn with_timeout_ms(self, timeout: Duration) -> Self;
+/// Says of a call that it may have taken effect.
+fn unknown(e: impl Display) -> StoreError {
+    StoreError::Unknown {
+        cause: e.to_string(),
+    }
 }
 
-impl WithTimeoutMs for minreq::Request {
-    fn with_timeout_ms(self, timeout: Duration) -> Self {
-        self.with_timeout(timeout.as_secs().max(1))
+/// Sorts a failed call by whether it may have taken effect.
+fn failed(e: ureq::Error) -> StoreError {
+    let cause = e.to_string();
+    match e {
+        ureq::Error::Status(UNAVAILABLE, _) => StoreError::Unreachable { cause },
+        ureq::Error::Status(..) => StoreError::Refused { cause },
+        ureq::Error::Transport(e) if e.kind() == ErrorKind::ConnectionFailed => {
+            StoreError::Unreachable { cause }
+        }
+        ureq::Error::Transport(e) => unknown(e),
     }
 }
 
@@ -156,7 +153,7 @@
             after,
             wait_ms,
         };
-        let listed: wire::Listed = self.call_within("watch", &call, wait + self.call_timeout)?;
+        let listed: wire::Listed = self.call_and_wait("watch", &call, wait)?;
         Ok((listed.revision, listed.entries))
     }
 
