A quiet time is no outage of the store

What callers saw: a request at a target 2,009 ms after its entry was removed. Cause: entries that go within two seconds of the store's return may come back and stay in use so long. A return was any answer behind 1.5 s without one, from a time when watches waited one second; they wait 1.8 s since, so that each quiet time ended in a return. Why it holds: a return needs a call that failed, and 2.4 s without an answer, which is more than a watch takes and no more than an outage in which entries lapse. One reset connection in a quiet time is no return either. The users' own play with 1,500 ms to leave, a request after 1,546 ms, may be the same; suspected, as it was not traced.

--- a/wisteriapass_gateway/src/touch.rs
+++ b/wisteriapass_gateway/src/touch.rs
@@ -5,9 +5,10 @@
 
 use tokio::time::Instant;
 
-/// Silence after which an answer counts as the service's return, in milliseconds: watches are
-/// answered at least once a second, and entries need longer than that to lapse.
-const SILENT_MS: u64 = 1_500;
+/// Silence after which an answer counts as the service's return, in milliseconds: more than the
+/// 1.8 s in which a watch is answered where nothing changes, and no more than an outage takes in
+/// which entries lapse, two of the three heartbeats of 1.2 s that a target may miss.
+const SILENT_MS: u64 = 2_400;
 
 /// Times of the last answers of the service.
 #[derive(Debug, Default)]
@@ -24,11 +25,14 @@
     pub fn answered(&self, now: Instant) {
         let silent = Duration::from_millis(SILENT_MS);
         let last = self.last.replace(Some(now));
-        if last.is_some_and(|last| now.saturating_duration_since(last) >= silent) {
+        let was_silent = last.is_some_and(|last| now.saturating_duration_since(last) >= silent);
+        let has_failed = self.failed.replace(false);
+        // A quiet time is no outage: a target that left within it would get work for two seconds.
+        if was_silent && has_failed {
             self.regained.set(Some(now));
         }
-        if self.failed.replace(false) {
-            log::info!(target: "store", "Service answers again.");
+        if has_failed {
+            log::info!(target: "store", "Service answers again. after_silence={was_silent}");
         }
     }
 
