Documents between processes go apart from heartbeats, with time for a slow link

What callers would have seen: an edit in force a minute late at a process of the product's own deployment whose link takes over a second for the document: its partners' were given up, and it reads the store once a minute. Cause: that of the configuration that slow links never took in: a control call has one second for its whole answer. Why it holds: calls that carry a document have 8 s, which lets a megabyte through at 1 Mbit/s. They are made by a thread of their own, so that heartbeats don't wait for them, and one of several partners that are ahead is asked, as the others bring the same. JSON-RPC shows no progress of an answer, so this is a bound still, and slower links than that stay out. Ruled out: 8 s within the heartbeats' thread, which would make a process suspect that only waits for a document.

--- a/wisteriapass_daemon/src/fleet.rs
+++ b/wisteriapass_daemon/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The fleet as this process sees it: members, the configuration in force, orders to the target.
 
+mod catch_up;
 mod config;
 mod follow;
 mod heard_load;
@@ -9,6 +10,7 @@
 mod partners;
 mod service;
 
+pub use catch_up::CatchUp;
 pub use config::InForce;
 pub use follow::{StartRule, follow};
 pub use heard_load::HeardLoad;
--- a/wisteriapass_daemon/src/fleet/follow.rs
+++ b/wisteriapass_daemon/src/fleet/follow.rs
@@ -1,5 +1,6 @@
 //! Following the platform: the configuration in the key-value service and the VM list; starting.
 
+use std::io;
 use std::net::SocketAddr;
 use std::thread::sleep;
 
@@ -8,10 +9,11 @@
 use wisteriapass_coord::revision::{Bootstrap, CONFIG_KEY, ConfigRevision, Readiness};
 use wisteriapass_coord::store::{HttpStore, Revision, Store, StoreError};
 
+use crate::fleet::catch_up::fetch;
 use crate::fleet::heartbeat::{beat, keep_beating};
-use crate::fleet::{Fleet, InForce};
+use crate::fleet::{CatchUp, Fleet, InForce};
 use crate::prelude::*;
-use crate::rpc::Caller;
+use crate::rpc::{Caller, HeartbeatAnswer};
 
 /// Longest wait of one watch call, in seconds. A watch that went silent is noticed one call later,
 /// which keeps an edit within 10 s also where all watches went silent.
@@ -82,14 +84,10 @@
         // Learn of a predecessor with a faster clock before serving.
         self.fleet.plan();
         let partners = self.fleet.partners().addresses();
-        beat(&self.fleet, &self.caller, &self.config, &partners);
+        self.beat_and_fetch(&partners);
         self.config.set_ready();
         log::info!(target: "fleet", "Ready. rule={rule:?} revision={}", self.config.revision());
-        let (fleet, caller) = (self.fleet.clone(), self.caller.clone());
-        let config = self.config.clone();
-        let beats = std::thread::Builder::new().name("heartbeat".into());
-        let beats = beats.spawn(move || keep_beating(&fleet, &caller, &config));
-        if let Err(e) = beats {
+        if let Err(e) = self.start_beating() {
             log::error!(target: "fleet", "Cannot start a thread. cause={e:?}");
         }
         loop {
@@ -108,6 +106,29 @@
         }
     }
 
+    /// Starts the threads of heartbeats and of what they lead to.
+    fn start_beating(&self) -> io::Result<()> {
+        let (fleet, caller) = (self.fleet.clone(), self.caller.clone());
+        let catch_up = CatchUp::start(fleet.clone(), caller.clone(), self.config.clone())?;
+        let beats = std::thread::Builder::new().name("heartbeat".into());
+        beats.spawn(move || keep_beating(&fleet, &caller, &catch_up))?;
+        Ok(())
+    }
+
+    /// Exchanges heartbeats and fetches what is newer, before this process serves.
+    fn beat_and_fetch(&self, addresses: &[SocketAddr]) -> Vec<(SocketAddr, HeartbeatAnswer)> {
+        let answers = beat(&self.fleet, &self.caller, addresses);
+        for (address, answer) in &answers {
+            if answer.from.revision <= ConfigRevision(self.config.revision()) {
+                continue;
+            }
+            if let Err(e) = fetch(&self.caller, &self.config, *address) {
+                log::warn!(target: "fleet", "Cannot catch up. address={address} cause={e:?}");
+            }
+        }
+        answers
+    }
+
     /// Waits until this process may serve; returns the revision of the key that it read.
     fn start(&self, store: &dyn Store) -> (Revision, StartRule) {
         loop {
@@ -129,7 +150,7 @@
     fn ask_peers(&self) -> bool {
         let peers = self.known_peers();
         let revision = self.config.revision();
-        let answers = beat(&self.fleet, &self.caller, &self.config, &peers);
+        let answers = self.beat_and_fetch(&peers);
         // A newer document may name other routers: ask those.
         if self.config.revision() != revision {
             return self.ask_peers();
--- a/wisteriapass_daemon/src/rpc/caller.rs
+++ b/wisteriapass_daemon/src/rpc/caller.rs
@@ -17,6 +17,30 @@
 /// Longest time of one control call, in milliseconds.
 const CALL_MS: u64 = 1_000;
 
+/// The same for one that carries a configuration document, in milliseconds: JSON-RPC doesn't show
+/// how much of an answer has come, so this lets a megabyte through at 1 Mbit/s, and still leaves
+/// time of the 10 s in which an edit has to be in force.
+const DOCUMENT_MS: u64 = 8_000;
+
+/// What a control call carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Load {
+    /// A short message.
+    Message,
+    /// A configuration document.
+    Document,
+}
+
+impl Load {
+    /// Returns the longest time of such a call.
+    fn limit(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Message => CALL_MS,
+            Self::Document => DOCUMENT_MS,
+        })
+    }
+}
+
 /// Why a control call has no answer.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum CallError {
@@ -39,7 +63,7 @@
 /// Connections are kept while they answer; one that did not is never used again.
 pub struct Caller {
     runtime: Runtime,
-    clients: Mutex<HashMap<SocketAddr, HttpClient>>,
+    clients: Mutex<HashMap<(SocketAddr, Load), HttpClient>>,
 }
 
 impl Service for Caller {
@@ -74,9 +98,30 @@
         F: FnOnce(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
-        let client = self.client(address)?;
+        self.call_with(address, Load::Message, call)
+    }
+
+    /// Makes one call that carries a configuration document; it may take seconds.
+    ///
+    /// # Errors
+    ///
+    /// As [`Caller::call`].
+    pub fn call_for_document<T, F, Fut>(&self, address: SocketAddr, call: F) -> Result<T, CallError>
+    where
+        F: FnOnce(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        self.call_with(address, Load::Document, call)
+    }
+
+    fn call_with<T, F, Fut>(&self, address: SocketAddr, load: Load, call: F) -> Result<T, CallError>
+    where
+        F: FnOnce(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        let client = self.client(address, load)?;
         let result = self.runtime.block_on(call(client));
-        self.judge(address, result)
+        self.judge(address, load, result)
     }
 
     /// Makes the same call to each address at once; `done` gets the answers as they come.
@@ -93,7 +138,7 @@
         let _entered = self.runtime.enter();
         let mut calls = JoinSet::new();
         for &address in addresses {
-            match self.client(address) {
+            match self.client(address, Load::Message) {
                 Ok(client) => {
                     let answer = call(client);
                     calls.spawn(async move { (address, answer.await) });
@@ -103,7 +148,7 @@
         }
         while let Some(joined) = self.runtime.block_on(calls.join_next()) {
             if let Ok((address, result)) = joined {
-                done(address, self.judge(address, result));
+                done(address, self.judge(address, Load::Message, result));
             }
         }
     }
@@ -112,6 +157,7 @@
     fn judge<T>(
         &self,
         address: SocketAddr,
+        load: Load,
         result: Result<T, ClientError>,
     ) -> Result<T, CallError> {
         match result {
@@ -120,7 +166,7 @@
                 cause: e.to_string(),
             }),
             Err(e) => {
-                self.clients.lock().remove(&address);
+                self.clients.lock().remove(&(address, load));
                 Err(CallError::Lost {
                     cause: e.to_string(),
                 })
@@ -128,18 +174,18 @@
         }
     }
 
-    fn client(&self, address: SocketAddr) -> Result<HttpClient, CallError> {
+    fn client(&self, address: SocketAddr, load: Load) -> Result<HttpClient, CallError> {
         let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&address) {
+        if let Some(client) = clients.get(&(address, load)) {
             return Ok(client.clone());
         }
         let client = HttpClientBuilder::default()
-            .request_timeout(Duration::from_millis(CALL_MS))
+            .request_timeout(load.limit())
             .build(format!("http://{address}"))
             .map_err(|e| CallError::Refused {
                 cause: e.to_string(),
             })?;
-        clients.insert(address, client.clone());
+        clients.insert((address, load), client.clone());
         Ok(client)
     }
 }
--- a/wisteriapass_daemon/src/start.rs
+++ b/wisteriapass_daemon/src/start.rs
@@ -162,8 +162,8 @@
 
 /// Tells everybody who may send work that this process takes none.
 fn announce_leaving(fleet: &Arc<Fleet>, kernel: &Kernel) -> Result<()> {
-    let (caller, config) = (kernel.find::<Caller>()?, kernel.find::<InForce>()?);
-    fleet::beat(fleet, &caller, &config, &fleet.listeners());
+    let caller = kernel.find::<Caller>()?;
+    fleet::beat(fleet, &caller, &fleet.listeners());
     Ok(())
 }
 
--- a/wisteriapass_daemon/tests/documents.rs
+++ b/wisteriapass_daemon/tests/documents.rs
@@ -25,9 +25,10 @@
     let link = Link::start(partner.address()).unwrap();
     link.set_faults(LinkFaults::paced(PACE));
     let caller = Caller::new().unwrap();
-    let fetched = caller.call(
-        link.addr(),
-        |c| async move { ControlClient::document(&c).await },
-    );
+    let fetched =
+        caller.call_for_document(
+            link.addr(),
+            |c| async move { ControlClient::document(&c).await },
+        );
     assert_eq!(fetched.unwrap().unwrap().len(), LARGE);
 }
