Test that fails: a router of the tests whose port another took seems neither ready nor ended

The red test of last time ('its router was not ready within 20 s and had not ended') brought about: with a listener that answers nobody at the router's port, the first probe takes all the time there is, and the end of the router, which could not bind, is not looked at again.

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -247,3 +247,16 @@
         200
     );
 }
+
+// A port is chosen before a router binds it, and another test's stand-in may take it meanwhile. A
+// probe that such a stand-in held without an answer used all the time in which the router had to be
+// ready, and nobody saw that the router had ended: 'not ready within 20 s', and as it seemed, not
+// ended.
+#[test]
+fn a_router_whose_port_another_took_is_seen_to_end() {
+    let scene = Scene::new(10_000);
+    let mut router = Router::prepared("r", &scene.store);
+    let _silent = router.take_ready_port();
+    router.spawn();
+    assert!(!router.comes_up());
+}
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -125,9 +125,14 @@
         self.child = Some(child);
     }
 
+    /// Takes the port at which this router would say whether it is ready, and answers nobody.
+    pub fn take_ready_port(&self) -> TcpListener {
+        TcpListener::bind(("127.0.0.1", self.ports[1])).unwrap()
+    }
+
     /// Waits until the balancer would send callers here; `false` if the process ended, which it
     /// does at once when another test took one of its ports.
-    fn comes_up(&mut self) -> bool {
+    pub fn comes_up(&mut self) -> bool {
         let mut ended = false;
         wait_for("readiness", || {
             let child = self.child.as_mut().unwrap();
