--- /dev/null
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -0,0 +1,114 @@
+//! Callers' requests and their answers.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use super::{KEY, PATIENCE};
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: String,
+    pub path: String,
+    pub key: String,
+    pub tokens: Option<(u64, u64)>,
+    pub extra: String,
+}
+
+impl Request {
+    /// Creates a request to a path with the usual key.
+    pub fn new(id: &str, path: &str) -> Self {
+        Self {
+            id: id.into(),
+            path: path.into(),
+            key: KEY.into(),
+            tokens: None,
+            extra: String::new(),
+        }
+    }
+
+    /// Makes it a model request of this many tokens.
+    pub fn with_tokens(mut self, prompt: u64, max_output: u64) -> Self {
+        self.tokens = Some((prompt, max_output));
+        self
+    }
+
+    /// Adds header lines.
+    pub fn with_headers(mut self, lines: &[&str]) -> Self {
+        self.extra = lines.iter().map(|line| format!("{line}\r\n")).collect();
+        self
+    }
+
+    /// Sets another key.
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = key.into();
+        self
+    }
+
+    pub fn text(&self) -> String {
+        let tokens = self.tokens.map_or(String::new(), |(prompt, output)| {
+            format!("X-Model-Name: m\r\nX-Token-Counts: {prompt},{output}\r\n")
+        });
+        format!(
+            "POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\n\
+             X-Deadline-Remaining: 6000\r\nAuthorization: Bearer {}\r\n{tokens}{}\
+             Connection: close\r\nContent-Length: 4\r\n\r\nbody",
+            self.path, self.id, self.key, self.extra
+        )
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns the ids of the events in its body.
+    pub fn events(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+/// Sends a request; `None` if no whole answer came.
+pub fn exchange(port: u16, request: &str) -> Option<Answer> {
+    exchange_within(port, request, PATIENCE)
+}
+
+/// Sends a request; `None` if no whole answer came, or nothing of it for `silence`.
+pub fn exchange_within(port: u16, request: &str, silence: Duration) -> Option<Answer> {
+    let mut stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
+    stream.set_read_timeout(Some(silence)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).ok()?;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let head = head.to_ascii_lowercase();
+    let body = if head.contains("transfer-encoding: chunked") {
+        dechunk(rest)?
+    } else {
+        rest.to_owned()
+    };
+    Some(Answer { status, head, body })
+}
+
+/// Returns a chunked body; `None` if it ended early.
+fn dechunk(mut rest: &str) -> Option<String> {
+    let mut body = String::new();
+    loop {
+        let (size, after) = rest.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.push_str(after.get(..size)?);
+        rest = after.get(size + 2..)?;
+    }
+}
