--- a/wisteriapass_coord/src/store/http.rs
+++ b/wisteriapass_coord/src/store/http.rs
@@ -16,6 +16,10 @@
 /// is never read.
 const SILENCE_MS: u64 = 1_500;
 
+/// Bytes of a call that a link sends in a millisecond, or more: half of one of 10 Mbit/s. They count
+/// towards silence, as the service says nothing before it has them all.
+const SENT_PER_MS: u64 = 600;
+
 /// Largest answer, in bytes: some values of at most a megabyte.
 const LARGEST: u64 = 16 << 20;
 
@@ -50,7 +54,8 @@
         let body = serde_json::to_vec(req).map_err(|e| StoreError::Refused {
             cause: e.to_string(),
         })?;
-        let answer = agent(wait)
+        let sending = Duration::from_millis(body.len() as u64 / SENT_PER_MS);
+        let answer = agent(wait + sending)
             .post(&format!("http://{}/v1/{path}", self.address))
             .set("connection", "close")
             .send_bytes(&body)
--- a/wisteriapass_daemon/src/rpc/caller.rs
+++ b/wisteriapass_daemon/src/rpc/caller.rs
@@ -24,14 +24,14 @@
 
 /// What a control call carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Load {
+enum Payload {
     /// A short message.
     Message,
     /// A configuration document.
     Document,
 }
 
-impl Load {
+impl Payload {
     /// Returns the longest time of such a call.
     fn limit(self) -> Duration {
         Duration::from_millis(match self {
@@ -63,7 +63,7 @@
 /// Connections are kept while they answer; one that did not is never used again.
 pub struct Caller {
     runtime: Runtime,
-    clients: Mutex<HashMap<(SocketAddr, Load), HttpClient>>,
+    clients: Mutex<HashMap<(SocketAddr, Payload), HttpClient>>,
 }
 
 impl Service for Caller {
@@ -98,7 +98,7 @@
         F: FnOnce(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
-        self.call_with(address, Load::Message, call)
+        self.call_with(address, Payload::Message, call)
     }
 
     /// Makes one call that carries a configuration document; it may take seconds.
@@ -111,17 +111,22 @@
         F: FnOnce(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
-        self.call_with(address, Load::Document, call)
+        self.call_with(address, Payload::Document, call)
     }
 
-    fn call_with<T, F, Fut>(&self, address: SocketAddr, load: Load, call: F) -> Result<T, CallError>
+    fn call_with<T, F, Fut>(
+        &self,
+        address: SocketAddr,
+        payload: Payload,
+        call: F,
+    ) -> Result<T, CallError>
     where
         F: FnOnce(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
-        let client = self.client(address, load)?;
+        let client = self.client(address, payload)?;
         let result = self.runtime.block_on(call(client));
-        self.judge(address, load, result)
+        self.judge(address, payload, result)
     }
 
     /// Makes the same call to each address at once; `done` gets the answers as they come.
@@ -138,7 +143,7 @@
         let _entered = self.runtime.enter();
         let mut calls = JoinSet::new();
         for &address in addresses {
-            match self.client(address, Load::Message) {
+            match self.client(address, Payload::Message) {
                 Ok(client) => {
                     let answer = call(client);
                     calls.spawn(async move { (address, answer.await) });
@@ -148,7 +153,7 @@
         }
         while let Some(joined) = self.runtime.block_on(calls.join_next()) {
             if let Ok((address, result)) = joined {
-                done(address, self.judge(address, Load::Message, result));
+                done(address, self.judge(address, Payload::Message, result));
             }
         }
     }
@@ -157,7 +162,7 @@
     fn judge<T>(
         &self,
         address: SocketAddr,
-        load: Load,
+        payload: Payload,
         result: Result<T, ClientError>,
     ) -> Result<T, CallError> {
         match result {
@@ -166,7 +171,7 @@
                 cause: e.to_string(),
             }),
             Err(e) => {
-                self.clients.lock().remove(&(address, load));
+                self.clients.lock().remove(&(address, payload));
                 Err(CallError::Lost {
                     cause: e.to_string(),
                 })
@@ -174,18 +179,18 @@
         }
     }
 
-    fn client(&self, address: SocketAddr, load: Load) -> Result<HttpClient, CallError> {
+    fn client(&self, address: SocketAddr, payload: Payload) -> Result<HttpClient, CallError> {
         let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&(address, load)) {
+        if let Some(client) = clients.get(&(address, payload)) {
             return Ok(client.clone());
         }
         let client = HttpClientBuilder::default()
-            .request_timeout(load.limit())
+            .request_timeout(payload.limit())
             .build(format!("http://{address}"))
             .map_err(|e| CallError::Refused {
                 cause: e.to_string(),
             })?;
-        clients.insert((address, load), client.clone());
+        clients.insert((address, payload), client.clone());
         Ok(client)
     }
 }
--- a/wisteriapass_gateway/src/touch.rs
+++ b/wisteriapass_gateway/src/touch.rs
@@ -21,13 +21,14 @@
 impl Touch {
     /// Notes an answer to any call.
     ///
-    /// One call's failure does not make the next answer a return: others may have been answered.
+    /// It is the service's return if a call failed and none was answered for long. Either alone is
+    /// not: one connection may have been reset, or nothing may have changed for a while.
     pub fn answered(&self, now: Instant) {
         let silent = Duration::from_millis(SILENT_MS);
         let last = self.last.replace(Some(now));
         let was_silent = last.is_some_and(|last| now.saturating_duration_since(last) >= silent);
         let has_failed = self.failed.replace(false);
-        // A quiet time is no outage: a target that left within it would get work for two seconds.
+        // Behind a false return, a target that left gets work for two seconds more.
         if was_silent && has_failed {
             self.regained.set(Some(now));
         }
