--- a/wisteriapass_bench/tests/slow_links.rs
+++ b/wisteriapass_bench/tests/slow_links.rs
@@ -10,34 +10,47 @@
 /// Bytes of a document that takes 2.4 s at that pace.
 const LARGE: usize = 720_000;
 
+/// A service with a document, and a client of it behind the slow link.
+struct Scene {
+    _platform: Platform,
+    link: Link,
+    store: HttpStore,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let platform = Platform::start(&PlatformSettings::default()).unwrap();
+        let direct = HttpStore::new(platform.addr().to_string());
+        let document = "x".repeat(LARGE);
+        direct.swap("d", Revision::ABSENT, &document, None).unwrap();
+        let link = Link::start(platform.addr()).unwrap();
+        link.set_faults(LinkFaults::paced(PACE));
+        let store = HttpStore::new(link.addr().to_string());
+        Self {
+            _platform: platform,
+            link,
+            store,
+        }
+    }
+}
+
 // A call had one second for its whole answer: a document that a link takes longer for was given up
 // and asked for again without end, and the daemon never came to serve.
 #[test]
 fn a_document_that_takes_longer_than_a_silence_is_read() {
-    let platform = Platform::start(&PlatformSettings::default()).unwrap();
-    let direct = HttpStore::new(platform.addr().to_string());
-    let document = "x".repeat(LARGE);
-    direct.swap("d", Revision::ABSENT, &document, None).unwrap();
-    let link = Link::start(platform.addr()).unwrap();
-    link.set_faults(LinkFaults::paced(PACE));
-    let store = HttpStore::new(link.addr().to_string());
-    let entry = store.get("d").unwrap().unwrap();
+    let scene = Scene::new();
+    let entry = scene.store.get("d").unwrap().unwrap();
     assert_eq!(entry.value.len(), LARGE);
 }
 
 #[test]
 fn a_service_that_falls_silent_within_an_answer_is_given_up() {
-    let platform = Platform::start(&PlatformSettings::default()).unwrap();
-    let direct = HttpStore::new(platform.addr().to_string());
-    let document = "x".repeat(LARGE);
-    direct.swap("d", Revision::ABSENT, &document, None).unwrap();
-    let link = Link::start(platform.addr()).unwrap();
-    link.set_faults(LinkFaults::paced(PACE));
-    let store = HttpStore::new(link.addr().to_string());
+    let scene = Scene::new();
+    let store = scene.store.clone();
     let reader = std::thread::spawn(move || store.get("d"));
-    while link.bytes() < LARGE as u64 / 4 {
+    while scene.link.bytes() < LARGE as u64 / 4 {
         std::thread::yield_now();
     }
-    link.set_faults(LinkFaults::silent());
+    scene.link.set_faults(LinkFaults::silent());
     assert!(reader.join().unwrap().is_err());
 }
