What did not run is no unknown outcome at the next router

Cause of the red test, its first half: a router whose attempt was not sent or refused said "not run" and left its claim at the homes (and for saves in the service). The caller's repeat at another router found a claim for a process that had ended, could not tell whether it ran, and any refusal of it became "outcome unknown": the words of the red test.

Ruled out: homes that miss runs (a side process is ready only once its index is whole), kept connections (each dispatch takes a fresh one), the client of the store and documents apart from heartbeats (the fault is older).

Now the attempt takes its claim back: in the service if it is still its own, at a home if no other operation was told of it. The model of two homes plays releases at any later moment; at most one run is firm, as before.

--- a/wisteriapass_bench/tests/once.rs
+++ b/wisteriapass_bench/tests/once.rs
@@ -177,6 +177,7 @@
         std::thread::sleep(Duration::from_millis(700));
         let mut side = fleet.daemon("service-1").unwrap();
         side.kill();
+        std::thread::sleep(Duration::from_millis(300));
         side.start().unwrap();
         drop(side);
         fleet.wait_ready().unwrap();
@@ -227,6 +228,7 @@
     for name in fleet.side_names() {
         let mut side = fleet.daemon(&name).unwrap();
         side.kill();
+        std::thread::sleep(Duration::from_millis(300));
         side.start().unwrap();
     }
     fleet.wait_ready().unwrap();
@@ -273,3 +275,59 @@
     assert_eq!(refusal.ran, Ran::NotRun, "{refusal}");
     assert_eq!(runs(&fleet), 0);
 }
+
+/// Returns a fleet whose targets are homes and take no work, but for one, which has just ended
+/// without a word; `warm` asks a router for something that ran there.
+fn fleet_without_a_target(plan: FleetPlan, gone: &str, warm: impl Fn(SocketAddr)) -> Fleet {
+    // A link would take a dispatch that the ended process cannot.
+    let plan = FleetPlan {
+        linked: false,
+        ..plan
+    };
+    let fleet = Fleet::start(plan).unwrap();
+    let mut document = fleet.document();
+    for target in &mut document.inventory.target {
+        target.draining = target.name != gone;
+    }
+    fleet.apply(document).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.router_addrs().into_iter().for_each(warm);
+    fleet.daemon(gone).unwrap().kill();
+    fleet
+}
+
+/// Asks one router after the other for the same, and returns what each says of the run.
+fn refusals(fleet: &Fleet, request: impl Fn(SocketAddr) -> minreq::Request) -> Vec<String> {
+    let ask = |router| {
+        let (status, got) = answer(request(router));
+        assert_eq!(status, 503, "{got}");
+        got["error"]["ran"].as_str().unwrap_or_default().to_owned()
+    };
+    fleet.router_addrs().into_iter().map(ask).collect()
+}
+
+#[test]
+fn what_one_router_did_not_run_is_no_unknown_outcome_at_the_next() {
+    let chat = |router, key: &str| chat(router, "page tokens=5", key);
+    let warm = |router| assert_eq!(answer(chat(router, &format!("warm-{router}"))).0, 200);
+    let fleet = fleet_without_a_target(plan(), "engine-2", warm);
+    assert_eq!(
+        refusals(&fleet, |router| chat(router, "k9")),
+        ["not_run"; 2]
+    );
+}
+
+#[test]
+fn a_save_that_one_router_did_not_run_is_no_unknown_outcome_at_the_next() {
+    let plan = FleetPlan {
+        services: 2,
+        ..plan()
+    };
+    let warm = |router| {
+        let sent = save(router, "cert", &format!("warm-{router}")).send();
+        assert!(is_answered(sent));
+    };
+    let fleet = fleet_without_a_target(plan, "service-2", warm);
+    let save = |router| save(router, "cert", "k9");
+    assert_eq!(refusals(&fleet, save), ["not_run"; 2]);
+}
--- a/wisteriapass_coord/src/once/claims.rs
+++ b/wisteriapass_coord/src/once/claims.rs
@@ -1,7 +1,7 @@
 //! Claims in the service.
 
 use crate::Millis;
-use crate::once::{Claim, OnceError, Result, RunId};
+use crate::once::{Claim, ClaimOp, OnceError, Result, RunId};
 use crate::store::{Entry, Revision, Store, StoreError, Swap};
 
 /// Tries of one write whose answers are lost.
@@ -57,6 +57,23 @@
         self.write(run, claim, held_at)
     }
 
+    /// Takes an operation's claim back whose run never began and never will; one that another
+    /// operation took over stays.
+    ///
+    /// # Errors
+    ///
+    /// [`OnceError`] if the service gave no answer; the claim may stand.
+    pub fn release(&self, run: &RunId, op: &ClaimOp) -> Result<()> {
+        let key = run.claim_key().ok_or(OnceError::NoKey)?;
+        let Some(entry) = self.store.get(&key)? else {
+            return Ok(());
+        };
+        if parse(&entry)?.op == *op {
+            self.store.delete(&key, entry.revision)?;
+        }
+        Ok(())
+    }
+
     /// Reads a run's claim.
     ///
     /// # Errors
--- a/wisteriapass_coord/src/once/directory.rs
+++ b/wisteriapass_coord/src/once/directory.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
-use crate::once::{Place, RunId};
+use crate::once::{ClaimOp, Place, RunId};
 
 /// Where a run is, as far as a home knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,13 +29,22 @@
     Held(Held),
 }
 
+/// Where a run is, and who may take that back.
+#[derive(Clone, Debug)]
+struct Entry {
+    held: Held,
+    /// The one operation that claimed it; none once its owner published it, or another operation
+    /// was told of it and may have begun it.
+    sole_claim: Option<ClaimOp>,
+}
+
 /// Index of the runs that have this side process for a home.
 ///
 /// It is an index and no store: the runs themselves are the truth, and their owners publish them
 /// again when this process starts anew.
 #[derive(Debug, Default)]
 pub struct Directory {
-    entries: HashMap<RunId, Held>,
+    entries: HashMap<RunId, Entry>,
     heard: BTreeSet<String>,
 }
 
@@ -45,24 +54,22 @@
         Self::default()
     }
 
-    /// Enters a run for `place` unless it is held already; `members` are the side processes that
-    /// may own runs.
+    /// Enters a run as `held` by an operation unless it is held already; `members` are the side
+    /// processes that may own runs.
     pub fn claim<'a>(
         &mut self,
         run: &RunId,
-        place: &Place,
-        until: Millis,
+        held: Held,
+        by: &ClaimOp,
         now: Millis,
         members: impl IntoIterator<Item = &'a str>,
     ) -> HomeAnswer {
-        if let Some(held) = self.find(run, now) {
-            return HomeAnswer::Held(held.clone());
+        let known = self.entries.get_mut(run).filter(|e| e.held.until > now);
+        if let Some(entry) = known {
+            entry.sole_claim.take_if(|op| op != by);
+            return HomeAnswer::Held(entry.held.clone());
         }
-        let held = Held {
-            place: place.clone(),
-            until,
-        };
-        self.entries.insert(run.clone(), held);
+        self.entries.insert(run.clone(), Entry::new(held, by));
         HomeAnswer::Fresh {
             is_complete: self.is_complete(members),
         }
@@ -70,12 +77,14 @@
 
     /// Returns where a run is, if this home knows.
     pub fn find(&self, run: &RunId, now: Millis) -> Option<&Held> {
-        self.entries.get(run).filter(|h| h.until > now)
+        let held = self.entries.get(run).map(|e| &e.held);
+        held.filter(|h| h.until > now)
     }
 
     /// Enters a run as its owner says; the owner knows better than any claim.
     pub fn publish(&mut self, run: RunId, held: Held) {
-        self.entries.insert(run, held);
+        let sole_claim = None;
+        self.entries.insert(run, Entry { held, sole_claim });
     }
 
     /// Notes that a side process has published all its runs to this home.
@@ -83,25 +92,30 @@
         self.heard.insert(side.into());
     }
 
-    /// Takes a claim back whose run never began at `place`.
-    pub fn release(&mut self, run: &RunId, place: &Place) {
-        if self.entries.get(run).is_some_and(|h| h.place == *place) {
+    /// Takes an operation's claim back whose run never began and never will.
+    ///
+    /// One that another operation was told of stays: the run may have begun under that one. Left
+    /// behind, a claim of what did not run makes each repeat of it an unknown outcome.
+    pub fn release(&mut self, run: &RunId, by: &ClaimOp) {
+        let entry = self.entries.get(run);
+        if entry.is_some_and(|e| e.sole_claim.as_ref() == Some(by)) {
             self.entries.remove(run);
         }
     }
 
     /// Moves an entry from a place that has gone; returns whether it still pointed there.
-    pub fn move_from(&mut self, run: &RunId, gone: &Place, held: Held) -> bool {
-        let points_there = self.entries.get(run).is_none_or(|h| h.place == *gone);
+    pub fn move_from(&mut self, run: &RunId, gone: &Place, held: Held, by: &ClaimOp) -> bool {
+        let known = self.entries.get(run);
+        let points_there = known.is_none_or(|e| e.held.place == *gone);
         if points_there {
-            self.entries.insert(run.clone(), held);
+            self.entries.insert(run.clone(), Entry::new(held, by));
         }
         points_there
     }
 
     /// Forgets what lapsed.
     pub fn expire(&mut self, now: Millis) {
-        self.entries.retain(|_, h| h.until > now);
+        self.entries.retain(|_, e| e.held.until > now);
     }
 
     /// Returns whether every member has published its runs since this process started.
@@ -119,3 +133,12 @@
         self.entries.is_empty()
     }
 }
+
+impl Entry {
+    fn new(held: Held, by: &ClaimOp) -> Self {
+        Self {
+            held,
+            sole_claim: Some(by.clone()),
+        }
+    }
+}
--- a/wisteriapass_coord/tests/once_directory.rs
+++ b/wisteriapass_coord/tests/once_directory.rs
@@ -7,7 +7,7 @@
 use wisteriapass_coord::Millis;
 use wisteriapass_coord::budget::{BudgetId, Origin, Part, Payment, PaymentId, Tokens};
 use wisteriapass_coord::once::{
-    Attempt, Begun, Bill, BillBook, BillLedger, Directory, Found, Held, Home, HomeAnswer,
+    Attempt, Begun, Bill, BillBook, BillLedger, ClaimOp, Directory, Found, Held, Home, HomeAnswer,
     OrderRefused, Place, RunId, RunOrder, RunTable, homes,
 };
 
@@ -73,6 +73,8 @@
     reaches_first: bool,
     reaches_second: bool,
     restarts: Option<bool>,
+    /// Whether it does not run, and takes its claim back after so many further tries.
+    unrun: Option<usize>,
 }
 
 impl Arbitrary for Try {
@@ -81,10 +83,22 @@
             reaches_first: u8::arbitrary(g) % 4 != 0,
             reaches_second: u8::arbitrary(g) % 4 != 0,
             restarts: (u8::arbitrary(g) % 8 == 0).then(|| bool::arbitrary(g)),
+            unrun: (u8::arbitrary(g) % 3 == 0).then(|| usize::arbitrary(g) % 3),
         }
     }
 }
 
+fn op(n: usize) -> ClaimOp {
+    ClaimOp(n.to_string())
+}
+
+fn held_at(place: Place) -> Held {
+    Held {
+        place,
+        until: FOREVER,
+    }
+}
+
 fn home(knows_all: bool) -> Directory {
     let mut directory = Directory::new();
     if knows_all {
@@ -99,6 +113,11 @@
     let mut directories = [home(true), home(true)];
     let mut firm = 0;
     for (n, attempt) in tries.iter().enumerate() {
+        for (before, unrun) in tries[..n].iter().enumerate() {
+            if unrun.unrun == Some(n - before - 1) {
+                release(&mut directories, unrun, &run, &op(before));
+            }
+        }
         if let Some(first) = attempt.restarts {
             directories[usize::from(!first)] = home(false);
         }
@@ -108,12 +127,12 @@
             .into_iter()
             .zip(&mut directories)
         {
-            let answer =
-                reaches.then(|| directory.claim(&run, &own, FOREVER, Millis(0), ["owner"]));
+            let held = held_at(own.clone());
+            let answer = reaches.then(|| directory.claim(&run, held, &op(n), Millis(0), ["owner"]));
             answers.push(answer);
         }
         let is_firm = match Found::judge(&answers, &own) {
-            Found::Nobody => true,
+            Found::Nobody => attempt.unrun.is_none(),
             Found::Unsure => trusts_any_answer,
             Found::At(_) => false,
         };
@@ -122,6 +141,16 @@
     firm
 }
 
+/// Takes the claim of a try back at the homes that it reaches.
+fn release(directories: &mut [Directory; 2], unrun: &Try, run: &RunId, by: &ClaimOp) {
+    if unrun.reaches_first {
+        directories[0].release(run, by);
+    }
+    if unrun.reaches_second {
+        directories[1].release(run, by);
+    }
+}
+
 #[test]
 fn at_most_one_run_is_firm() {
     fn holds(tries: Vec<Try>) -> bool {
@@ -146,20 +175,43 @@
 fn an_owner_that_publishes_again_overrides_a_claim() {
     let mut directory = Directory::new();
     let (run, owner) = (run_named(1), Place::new("e1", "i1"));
-    let claimed = directory.claim(&run, &Place::new("e2", "i1"), FOREVER, Millis(0), ["e1"]);
+    let claim = held_at(Place::new("e2", "i1"));
+    let claimed = directory.claim(&run, claim, &op(1), Millis(0), ["e1"]);
     assert_eq!(claimed, HomeAnswer::Fresh { is_complete: false });
     let held = Held {
         place: owner,
         until: Millis(100),
     };
     directory.publish(run.clone(), held.clone());
-    let place = Place::new("e3", "i1");
-    let again = directory.claim(&run, &place, FOREVER, Millis(50), ["e1"]);
+    directory.release(&run, &op(1));
+    let claim = held_at(Place::new("e3", "i1"));
+    let again = directory.claim(&run, claim, &op(2), Millis(50), ["e1"]);
     assert_eq!(again, HomeAnswer::Held(held));
     directory.expire(Millis(100));
     assert!(directory.is_empty());
 }
 
+#[test]
+fn a_claim_is_taken_back_by_the_one_that_made_it_while_nobody_else_knows_of_it() {
+    let run = run_named(1);
+    let claim = |directory: &mut Directory, n| {
+        let held = held_at(Place::new("e1", "i1"));
+        directory.claim(&run, held, &op(n), Millis(0), []);
+    };
+    let mut alone = home(true);
+    claim(&mut alone, 1);
+    alone.release(&run, &op(2));
+    assert_eq!(alone.len(), 1);
+    alone.release(&run, &op(1));
+    assert!(alone.is_empty());
+    let mut shared = home(true);
+    claim(&mut shared, 1);
+    claim(&mut shared, 2);
+    shared.release(&run, &op(1));
+    shared.release(&run, &op(2));
+    assert_eq!(shared.len(), 1);
+}
+
 fn bill(n: u32, is_provisional: bool) -> Bill {
     Bill {
         run: run_named(n),
--- a/wisteriapass_daemon/src/router/carry.rs
+++ b/wisteriapass_daemon/src/router/carry.rs
@@ -4,7 +4,7 @@
 
 use wisteriapass_config::{Document, Target};
 use wisteriapass_coord::budget::Reservation;
-use wisteriapass_coord::once::{Place, RunId};
+use wisteriapass_coord::once::{ClaimOp, Place, RunId};
 use wisteriapass_policy::FailureKind;
 
 use crate::api::Ran;
@@ -29,8 +29,9 @@
     run: RunId,
     /// Whether an attempt, here or at another router, may have run.
     may_have_run: bool,
-    /// Whether its homes, and for what may not be repeated the service, have its claim.
-    is_claimed: bool,
+    /// The operation under which its homes, and for what may not be repeated the service, have its
+    /// claim.
+    claim: Option<ClaimOp>,
     /// A place where it was or may have been, and which has gone.
     gone: Option<Place>,
 }
@@ -59,7 +60,7 @@
             asked,
             run: RunId::from_text(run),
             may_have_run: false,
-            is_claimed: false,
+            claim: None,
             gone: None,
         }
     }
@@ -82,7 +83,10 @@
         if self.may_have_run {
             return refusal.with_unknown_outcome();
         }
-        if self.is_claimed {
+        if let Some(claim) = &self.claim {
+            // A repeat that finds the claim could not tell that nothing ran under it.
+            let document = self.pipeline.config.document();
+            self.pipeline.locator.release(&document, &self.run, claim);
             return refusal;
         }
         self.pipeline.refuse_unseen(self.asked, refusal)
@@ -237,15 +241,17 @@
         if self.asked.key.is_none() {
             return Ok((document, Some(Located::new(place, attempt))));
         }
+        let (run, gone) = (&self.run, self.gone.as_ref());
+        let claim = locator.new_op();
         let located = if self.asked.idempotent {
-            locator.find(&document, &self.run, &place, self.gone.as_ref())
+            locator.find(&document, run, &place, gone, &claim)
         } else {
-            let located = locator.claim_once(&document, &self.run, &place)?;
+            let located = locator.claim_once(&document, run, &place, &claim)?;
             // The claim decides; the homes only hear of it, for those who look later.
-            locator.find(&document, &self.run, &located.place, self.gone.as_ref());
+            locator.find(&document, run, &located.place, gone, &claim);
             located
         };
-        self.is_claimed = true;
+        self.claim = Some(claim);
         Ok((document, Some(located)))
     }
 
@@ -295,6 +301,7 @@
                 self.pipeline.incarnations.forget(&sent.located.place);
                 self.gone = Some(sent.located.place);
                 self.release(sent.reservation);
+                self.release_once();
                 if refusal.reason == Reason::MoneyFenced {
                     let _ = self.pipeline.money.learn_fences();
                 }
@@ -354,6 +361,15 @@
         }
     }
 
+    /// Takes the claim in the service back of an attempt that did not run and will not: the next
+    /// one, here or at another router, is free to claim.
+    fn release_once(&self) {
+        let claim = self.claim.as_ref().filter(|_| !self.asked.idempotent);
+        if let Some(claim) = claim {
+            self.pipeline.locator.release_once(&self.run, claim);
+        }
+    }
+
     /// Settles a run whose answer is lost, at once or when its side process can be asked.
     fn settle_unknown(&mut self, sent: Sent, bill: Option<RunBill>) {
         self.lose(sent.located.place.clone());
--- a/wisteriapass_daemon/src/router/locate.rs
+++ b/wisteriapass_daemon/src/router/locate.rs
@@ -140,11 +140,18 @@
         run: &RunId,
         place: &Place,
         gone: Option<&Place>,
+        by: &ClaimOp,
     ) -> Located {
         let mut answers = Vec::new();
         // One home after the other: claims of two routers for two places cannot cross.
         for home in homes_in(document, run) {
-            let answer = self.claim_at(document, &home, run, place, gone);
+            let claim = HomeClaim {
+                run: run.clone(),
+                place: place.clone(),
+                gone: gone.cloned(),
+                by: by.clone(),
+            };
+            let answer = self.claim_at(document, &home, claim);
             let is_elsewhere =
                 matches!(&answer, Some(HomeAnswer::Held(held)) if held.place != *place);
             answers.push(answer);
@@ -166,7 +173,38 @@
         }
     }
 
-    /// Claims a request that may not be repeated, for `place`; or finds where it ran.
+    /// Returns a new operation that claims.
+    pub fn new_op(&self) -> ClaimOp {
+        let n = self.next_op.fetch_add(1, Ordering::Relaxed);
+        ClaimOp(format!("{}/{n}", self.router.incarnation))
+    }
+
+    /// Takes a claim back at the homes of a request that did not run and will not.
+    pub fn release(&self, document: &Document, run: &RunId, by: &ClaimOp) {
+        for home in homes_in(document, run) {
+            let Some(target) = document.inventory.target_named(&home) else {
+                continue;
+            };
+            let (run, by) = (run.clone(), by.clone());
+            let released =
+                self.caller.call(
+                    target.side_control,
+                    |c| async move { c.release(run, by).await },
+                );
+            if let Err(e) = released {
+                log::info!(target: "router", "Claim not taken back. home={home} cause={e:?}");
+            }
+        }
+    }
+
+    /// Takes back the claim of a request that may not be repeated, did not run and will not.
+    pub fn release_once(&self, run: &RunId, by: &ClaimOp) {
+        if let Err(e) = Claims::new(self.store.as_ref()).release(run, by) {
+            log::info!(target: "router", "Claim not taken back. run={run} cause={e}");
+        }
+    }
+
+    /// Claims a request that may not be repeated, for `place` by `op`; or finds where it ran.
     ///
     /// # Errors
     ///
@@ -176,12 +214,13 @@
         document: &Document,
         run: &RunId,
         place: &Place,
+        op: &ClaimOp,
     ) -> Result<Located, Refusal> {
         let claims = Claims::new(self.store.as_ref());
         let mut attempt = Attempt::FIRST;
         let mut held_at = Revision::ABSENT;
         for _ in 0..MOST_STEPS {
-            let claim = self.new_claim(place, attempt);
+            let claim = new_claim(place, attempt, op.clone());
             let claimed = claims.take_over(run, &claim, held_at);
             let claimed =
                 claimed.map_err(|e| Refusal::not_run(Reason::ClaimUnavailable, e.to_string()))?;
@@ -254,7 +293,7 @@
         if !run.is_keyed() {
             return Some(true);
         }
-        let claim = self.new_claim(place, Attempt::FIRST);
+        let claim = new_claim(place, Attempt::FIRST, self.new_op());
         match Claims::new(self.store.as_ref()).claim(run, &claim) {
             Ok(Claimed::Mine) => Some(true),
             Ok(Claimed::Held { claim, .. }) => Some(claim.place == *place),
@@ -328,30 +367,8 @@
         }
     }
 
-    fn new_claim(&self, place: &Place, attempt: Attempt) -> Claim {
-        let n = self.next_op.fetch_add(1, Ordering::Relaxed);
-        Claim {
-            place: place.clone(),
-            attempt,
-            op: ClaimOp(format!("{}/{n}", self.router.incarnation)),
-            until: clock::now().plus(CLAIM_MS),
-        }
-    }
-
-    fn claim_at(
-        &self,
-        document: &Document,
-        home: &str,
-        run: &RunId,
-        place: &Place,
-        gone: Option<&Place>,
-    ) -> Option<HomeAnswer> {
+    fn claim_at(&self, document: &Document, home: &str, claim: HomeClaim) -> Option<HomeAnswer> {
         let control = document.inventory.target_named(home)?.side_control;
-        let claim = HomeClaim {
-            run: run.clone(),
-            place: place.clone(),
-            gone: gone.cloned(),
-        };
         let answer = self
             .caller
             .call(control, |c| async move { c.claim(claim).await });
@@ -379,3 +396,12 @@
         HeldClaim::judge(held, Some((&answer.incarnation, says)))
     }
 }
+
+fn new_claim(place: &Place, attempt: Attempt, op: ClaimOp) -> Claim {
+    Claim {
+        place: place.clone(),
+        attempt,
+        op,
+        until: clock::now().plus(CLAIM_MS),
+    }
+}
--- a/wisteriapass_daemon/src/rpc/side.rs
+++ b/wisteriapass_daemon/src/rpc/side.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::fence::SideAck;
-use wisteriapass_coord::once::{Bill, Held, HomeAnswer, Place, RunId};
+use wisteriapass_coord::once::{Bill, ClaimOp, Held, HomeAnswer, Place, RunId};
 
 use crate::run_wire::RunBill;
 
@@ -62,6 +62,8 @@
     pub place: Place,
     /// A place known to have gone, whose entry is replaced.
     pub gone: Option<Place>,
+    /// Who claims it.
+    pub by: ClaimOp,
 }
 
 /// What a home knows of a run.
@@ -95,6 +97,10 @@
     #[method(name = "claim")]
     fn claim(&self, claim: HomeClaim) -> RpcResult<HomeAnswer>;
 
+    /// Takes a claim at this home back whose run never began and never will.
+    #[method(name = "release")]
+    fn release(&self, run: RunId, by: ClaimOp) -> RpcResult<()>;
+
     /// Tells where a run is, as far as this home knows.
     #[method(name = "lookup")]
     fn lookup(&self, run: RunId) -> RpcResult<Looked>;
--- a/wisteriapass_daemon/src/side/control.rs
+++ b/wisteriapass_daemon/src/side/control.rs
@@ -3,7 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use wisteriapass_coord::budget::Origin;
 use wisteriapass_coord::fence::SideAck;
-use wisteriapass_coord::once::{Bill, HomeAnswer, RunId};
+use wisteriapass_coord::once::{Bill, ClaimOp, HomeAnswer, RunId};
 
 use crate::prelude::*;
 use crate::router::InForce;
@@ -63,6 +63,11 @@
         Ok(self.index.claim(&claim))
     }
 
+    fn release(&self, run: RunId, by: ClaimOp) -> RpcResult<()> {
+        self.index.release(&run, &by);
+        Ok(())
+    }
+
     fn lookup(&self, run: RunId) -> RpcResult<Looked> {
         Ok(self.index.lookup(&run))
     }
--- a/wisteriapass_daemon/src/side/index.rs
+++ b/wisteriapass_daemon/src/side/index.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use wisteriapass_config::{Document, Target};
 use wisteriapass_coord::Millis;
-use wisteriapass_coord::once::{Directory, Held, Home, HomeAnswer, Place, RunId, homes};
+use wisteriapass_coord::once::{ClaimOp, Directory, Held, Home, HomeAnswer, Place, RunId, homes};
 
 use crate::clock;
 use crate::prelude::*;
@@ -87,14 +87,19 @@
         let document = self.config.document();
         let members = document.inventory.target.iter().map(|t| t.name.as_str());
         let directory = &mut self.state.lock().directory;
+        let held = Held {
+            place: claim.place.clone(),
+            until,
+        };
         if let Some(gone) = &claim.gone {
-            let held = Held {
-                place: claim.place.clone(),
-                until,
-            };
-            directory.move_from(&claim.run, gone, held);
+            directory.move_from(&claim.run, gone, held.clone(), &claim.by);
         }
-        directory.claim(&claim.run, &claim.place, until, now, members)
+        directory.claim(&claim.run, held, &claim.by, now, members)
+    }
+
+    /// Takes a claim back whose run never began and never will.
+    pub fn release(&self, run: &RunId, by: &ClaimOp) {
+        self.state.lock().directory.release(run, by);
     }
 
     /// Tells where a run is, as far as this home knows.
