A side process that started anew is not held to its predecessor's failures

While a side process stops and starts, a router avoids its target for 2 s, and for 4 s if it is not back at its re-entry. When the other one stops next, no target is left: "every target that holds it is avoided for now". The router now hears with each load which start of the process said so, and begins its health anew.

Before, the policy's test: Refuse TargetsUnwell; now it runs there.

--- a/wisteriapass_daemon/src/fleet/heard_load.rs
+++ b/wisteriapass_daemon/src/fleet/heard_load.rs
@@ -1,5 +1,7 @@
 //! A target's load as a router heard it.
 
+use wisteriapass_coord::membership::{Announcement, Incarnation};
+
 use crate::prelude::*;
 use crate::rpc::TargetLoad;
 
@@ -8,6 +10,8 @@
 pub struct HeardLoad {
     /// Name of the target.
     pub target: String,
+    /// Which start of its side process said so.
+    pub incarnation: Incarnation,
     /// When it was taken.
     pub taken_at: Instant,
     /// The load.
@@ -18,10 +22,11 @@
     /// Creates it from what a side process answered just now.
     ///
     /// The way back counts as no time, and clocks need not agree.
-    pub fn new(target: &str, load: TargetLoad, now: Instant) -> Self {
+    pub fn new(from: &Announcement, load: TargetLoad, now: Instant) -> Self {
         let age = Duration::from_millis(load.age_ms.into());
         Self {
-            target: target.into(),
+            target: from.name.clone(),
+            incarnation: from.incarnation,
             taken_at: now.checked_sub(age).unwrap_or(now),
             load,
         }
--- a/wisteriapass_daemon/src/fleet/service.rs
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -154,7 +154,7 @@
     pub fn answered(&self, answer: &HeartbeatAnswer, now: Instant) {
         self.hear(&answer.from, &answer.marks, now);
         if let Some(load) = answer.load {
-            let heard = HeardLoad::new(&answer.from.name, load, now);
+            let heard = HeardLoad::new(&answer.from, load, now);
             let _ = self.hear_load.try_send(heard);
         }
         let Some(newer) = answer.superseded else {
--- a/wisteriapass_daemon/src/router/scheduling.rs
+++ b/wisteriapass_daemon/src/router/scheduling.rs
@@ -6,6 +6,7 @@
 use flume::{Receiver, Sender};
 use parking_lot::Mutex;
 use wisteriapass_config::{Document, Target};
+use wisteriapass_coord::membership::Incarnation;
 use wisteriapass_policy::{
     AccountFacts, Decision, Held, LoadReport, Nearness, PolicyConfig, RequestFacts, Scheduler,
     TargetFacts, TargetRole, Ticket, Time, Wants,
@@ -26,6 +27,8 @@
     started: Instant,
     scheduler: Mutex<Scheduler>,
     waiting: Mutex<HashMap<Ticket, Sender<Decision>>>,
+    /// Which start of each target's side process was heard last.
+    incarnations: Mutex<HashMap<String, Incarnation>>,
     wake: Sender<()>,
     woken: Receiver<()>,
 }
@@ -45,6 +48,7 @@
             started: Instant::now(),
             scheduler: Mutex::new(Scheduler::new(cfg)),
             waiting: Mutex::default(),
+            incarnations: Mutex::default(),
             wake,
             woken,
         }
@@ -107,13 +111,29 @@
             interactive: heard.load.interactive,
             of_receiver: heard.load.of_receiver,
         };
+        let is_renewed = self.is_renewed(heard);
         self.with(|s, now| {
-            if let Some(target) = s.target(&heard.target) {
-                s.load_report(now, target, report);
+            let Some(target) = s.target(&heard.target) else {
+                return;
+            };
+            if is_renewed {
+                s.renewed(now, target);
             }
+            s.load_report(now, target, report);
         });
     }
 
+    /// Returns whether another start of a side process was heard before this one.
+    fn is_renewed(&self, heard: &HeardLoad) -> bool {
+        let mut incarnations = self.incarnations.lock();
+        let before = incarnations.insert(heard.target.clone(), heard.incarnation);
+        let is_renewed = before.is_some_and(|before| before < heard.incarnation);
+        if is_renewed {
+            log::info!(target: "fleet", "Target's side process renewed. name={}", heard.target);
+        }
+        is_renewed
+    }
+
     /// Uses the scheduler, then has it polled.
     pub fn with<T>(&self, work: impl FnOnce(&mut Scheduler, Time) -> T) -> T {
         let now = self.now();
--- a/wisteriapass_policy/src/scheduler/feedback.rs
+++ b/wisteriapass_policy/src/scheduler/feedback.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 
 use super::Scheduler;
+use crate::health::Health;
 use crate::job::Run;
 use crate::{Decision, FailureKind, Outcome, Priority, Refusal, TargetKey, Ticket, Time};
 
@@ -113,6 +114,18 @@
         self.retry(now, ticket)
     }
 
+    /// Takes in that a target's side process started anew: failures of the one before say nothing
+    /// of it, and held against it they leave a pool of two without a target while the other stops.
+    pub fn renewed(&mut self, now: Time, target: TargetKey) {
+        let Some(target) = self.targets.get_mut(target) else {
+            return;
+        };
+        let mut health = Health::new(&self.cfg);
+        health.speed = target.health.speed;
+        health.last_sign = now;
+        target.health = health;
+    }
+
     /// Takes in that one copy of a request was cancelled; the others go on.
     pub fn cancel_run(&mut self, ticket: Ticket, target: TargetKey) {
         let Some(job) = self.jobs.get_mut(ticket) else {
--- a/wisteriapass_policy/tests/decisions.rs
+++ b/wisteriapass_policy/tests/decisions.rs
@@ -329,3 +329,34 @@
         assert!(come_back > now);
     }
 }
+
+#[test]
+fn a_target_that_started_anew_takes_the_work_of_one_that_stops() {
+    let cfg = PolicyConfig::default();
+    let failures = cfg.failures_to_avoid + 1;
+    let mut s = scheduler(cfg, 2);
+    let [first, second] = [0, 1].map(|n| s.target(&format!("engine-{n}")).expect("it is set"));
+    // The first stops: it is avoided, and for longer as it is not back at its re-entry.
+    let mut now = Time::default();
+    let mut failed = 0;
+    while failed < failures {
+        now = now.plus_secs(0.1);
+        let asked = request(&s, true);
+        let (ticket, decision) = s.offer(now, asked);
+        let target = run_target(decision);
+        if target == second {
+            s.finished(now, ticket, target, Outcome { output_tokens: 10 });
+            continue;
+        }
+        s.failed(now, ticket, target, FailureKind::Unreachable);
+        s.cancel(now, ticket);
+        failed += 1;
+    }
+    s.renewed(now, first);
+    let mut facts = [target(0, "model"), target(1, "model")];
+    facts[1].leaving = true;
+    s.set_targets(now, &facts);
+    let asked = request(&s, true);
+    let (_, decision) = s.offer(now, asked);
+    assert_eq!(run_target(decision), first);
+}
