--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -13,8 +13,8 @@
 use crate::dispatch::{Answer, Outgoing, Sent, send};
 use crate::metrics::RetryReason;
 use crate::prelude::*;
-use crate::relay::Relay;
 use crate::reservation::Reservation;
+use crate::stream::Forwarding;
 use crate::target::{Target, TargetKey};
 
 /// Targets that may be tried without reaching any of them: beyond that the caller is told.
@@ -66,7 +66,7 @@
         loop {
             let answer = self.next_answer(&mut tries, &mut reservation, None).await?;
             if answer.facts.events && answer.status.is_success() {
-                return Ok(Relay::start(self, answer, tries, reservation));
+                return Ok(Forwarding::start(self, answer, tries, reservation));
             }
             if let Some(response) = self.finish(answer, &mut tries, &mut reservation).await? {
                 return Ok(response);
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -12,7 +12,7 @@
 use super::plan::Plan;
 use crate::dispatch::strip_hop_headers;
 use crate::prelude::*;
-use crate::relay::Broken;
+use crate::stream::Broken;
 
 /// Bytes of a stream as they come.
 pub type Pieces = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Broken>>>>;
--- a/wisteriapass_gateway/src/relay.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -1,4 +1,4 @@
-//! Relaying a stream of events, and going on at another target when it breaks.
+//! Forwarding a stream of events, and going on at another target when it breaks.
 
 use std::collections::VecDeque;
 
@@ -28,7 +28,7 @@
 }
 
 /// One stream under way.
-pub struct Relay {
+pub struct Forwarding {
     job: Job,
     answer: Option<Answer>,
     tries: Tries,
@@ -42,8 +42,8 @@
     events: u64,
 }
 
-impl Relay {
-    /// Returns the answer to the caller; its body is relayed as it comes.
+impl Forwarding {
+    /// Returns the answer to the caller; its body is forwarded as it comes.
     pub fn start(
         job: Job,
         answer: Answer,
@@ -53,7 +53,7 @@
         let status = answer.status;
         let headers = answer.headers.clone();
         let last = job.facts.last_event;
-        let relay = Self {
+        let forwarding = Self {
             job,
             answer: Some(answer),
             tries,
@@ -64,13 +64,13 @@
             first_at: None,
             events: 0,
         };
-        let pieces: Pieces = Box::pin(unfold(Some(relay), |relay| async move {
-            let mut relay = relay?;
-            match relay.next_piece().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+        let pieces: Pieces = Box::pin(unfold(Some(forwarding), |state| async move {
+            let mut state = state?;
+            match state.next_piece().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(state))),
                 Ok(None) => None,
                 Err(broken) => {
-                    relay.note_broken(broken);
+                    state.note_broken(broken);
                     Some((Err(broken), None))
                 }
             }
