Relays, decisions: roles, and grants out of a relay's share

What is new has no I/O and is not used yet. Credit (follower) and GrantBook (relay): a grant is a reservation of the relay's share; all figures are sums over a line and only grow. Roster, Candidacy, Retirement: whom a router follows, when it becomes a relay, when it gives that up. Tenures say failure domain, strength and followers; earlier forms of the record are read.

--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod once;
 pub mod order;
 pub mod prepaid;
+pub mod relay;
 pub mod revision;
 pub mod store;
 mod time;
--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -10,6 +10,9 @@
 
 mod account_share;
 mod clock_check;
+mod credit;
+mod grant_book;
+mod grant_call;
 mod holder;
 mod lenders;
 mod loans;
@@ -29,6 +32,9 @@
 mod witness_id;
 mod witnesses;
 
+pub use credit::{Credit, LineKey};
+pub use grant_book::{GrantBook, Settlement};
+pub use grant_call::{AccountCall, AccountGrant, GrantAnswer, GrantCall, LineId};
 pub use holder::{ShareHolder, Shortfall};
 pub use lenders::Lenders;
 pub use loans::LoansAsked;
@@ -42,7 +48,7 @@
 pub use sizes::ShareSizes;
 pub use stamp::Stamp;
 pub use standing::Standing;
-pub use tenure::{HolderId, Tenure};
+pub use tenure::{DomainId, HolderId, Tenure};
 pub use testimony::{Inquiry, Testimony};
 pub use witness_book::WitnessBook;
 pub use witness_id::WitnessId;
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -10,7 +10,7 @@
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witnesses::Witnesses;
 use crate::prepaid::{
-    HolderId, Proof, ShareRecord, ShareSizes, Stamp, Standing, Tenure, WitnessId,
+    DomainId, HolderId, Proof, ShareRecord, ShareSizes, Stamp, Standing, Tenure, WitnessId,
 };
 
 /// Why a reservation was not made.
@@ -44,6 +44,9 @@
     /// When this process started: no predecessor lived later.
     started: Stamp,
     lends_at: Option<SocketAddr>,
+    domain: DomainId,
+    is_strong: bool,
+    followers: u32,
     clock: ClockCheck,
     /// Sealed parts of the predecessor that are whole if the time of day is right, by account.
     claims: BTreeMap<String, u64>,
@@ -66,6 +69,9 @@
             closed: false,
             started,
             lends_at: None,
+            domain: DomainId::default(),
+            is_strong: false,
+            followers: 0,
             clock: ClockCheck::default(),
             claims: BTreeMap::new(),
         }
@@ -77,6 +83,18 @@
         self
     }
 
+    /// Says in which failure domain this process runs, and whether on a strong VM.
+    pub fn with_place(mut self, domain: DomainId, is_strong: bool) -> Self {
+        self.domain = domain;
+        self.is_strong = is_strong;
+        self
+    }
+
+    /// Says for how many routers besides itself this process carries shares.
+    pub fn set_followers(&mut self, followers: u32) {
+        self.followers = followers;
+    }
+
     /// Lends from this router's share, in tokens: what is asked for or half of what is at hand, if
     /// that is at least `least`, or all that is needed for `least`; else nothing.
     ///
@@ -111,6 +129,11 @@
         a.loan(now_ms, most, self.level(account), &self.sizes)
     }
 
+    /// Returns the mark of the process.
+    pub fn process(&self) -> u64 {
+        self.process
+    }
+
     /// Returns the name under which shares are held.
     pub fn id(&self) -> &HolderId {
         &self.id
@@ -169,6 +192,11 @@
         a.used += used.min(most);
     }
 
+    /// Returns whether nothing is reserved.
+    pub fn is_idle(&self) -> bool {
+        self.accounts.values().all(|a| a.reserved == 0)
+    }
+
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
         self.accounts.values().any(AccountShare::is_due)
@@ -219,6 +247,9 @@
             agreed,
             lends_at: self.lends_at.filter(|_| !self.closed),
             witnesses: self.witnesses.usable(),
+            domain: self.domain,
+            followers: self.followers,
+            is_strong: self.is_strong,
         };
         self.witnesses.may_be_named(tenure.witnesses);
         record.sign(&self.id, tenure);
--- a/wisteriapass_coord/src/prepaid/packed.rs
+++ b/wisteriapass_coord/src/prepaid/packed.rs
@@ -8,14 +8,18 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::{HolderId, Share, ShareRecord, Stamp, Tenure};
+use crate::prepaid::{HolderId, Named, Share, ShareRecord, Stamp, Tenure};
 
 /// First byte of the form below.
-const PACKED: u8 = 2;
+const PACKED: u8 = 3;
 
-/// First byte of the form before, whose tenures name no witnesses.
+/// First byte of the form before, whose tenures name no failure domain.
+const PLACELESS: u8 = 2;
+
+/// First byte of the form before that, whose tenures name no witnesses.
 const UNWITNESSED: u8 = 1;
 
 /// First byte of the oldest form.
@@ -42,7 +46,18 @@
     accounts: Vec<PackedAccount>,
 }
 
-/// A tenure as the form before had it.
+/// A tenure that names no failure domain.
+#[derive(Deserialize)]
+struct PlacelessTenure {
+    process: u64,
+    write: u64,
+    stamp: Stamp,
+    agreed: bool,
+    lends_at: Option<SocketAddr>,
+    witnesses: Named,
+}
+
+/// A tenure that names no witnesses either.
 #[derive(Deserialize)]
 struct UnwitnessedTenure {
     process: u64,
@@ -76,18 +91,10 @@
     ///
     /// [`UnpackError`] if the bytes are none.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, UnpackError> {
-        let damaged = |cause: String| UnpackError::Damaged { cause };
         match bytes.split_first() {
-            Some((&PACKED, rest)) => {
-                let packed: Packed =
-                    postcard::from_bytes(rest).map_err(|e| damaged(e.to_string()))?;
-                packed.unpack()
-            }
-            Some((&UNWITNESSED, rest)) => {
-                let packed: Packed<UnwitnessedTenure> =
-                    postcard::from_bytes(rest).map_err(|e| damaged(e.to_string()))?;
-                packed.unpack()
-            }
+            Some((&PACKED, rest)) => unpack::<Tenure>(rest),
+            Some((&PLACELESS, rest)) => unpack::<PlacelessTenure>(rest),
+            Some((&UNWITNESSED, rest)) => unpack::<UnwitnessedTenure>(rest),
             Some((&JSON, _)) => serde_json::from_slice(bytes).map_err(|e| damaged(e.to_string())),
             Some(_) => Err(UnpackError::UnknownForm),
             None => Err(damaged("empty".to_owned())),
@@ -103,6 +110,30 @@
     }
 }
 
+fn damaged(cause: String) -> UnpackError {
+    UnpackError::Damaged { cause }
+}
+
+/// Reads a packed record whose tenures have this form.
+fn unpack<T: DeserializeOwned + Into<Tenure>>(bytes: &[u8]) -> Result<ShareRecord, UnpackError> {
+    let packed: Packed<T> = postcard::from_bytes(bytes).map_err(|e| damaged(e.to_string()))?;
+    packed.unpack()
+}
+
+impl From<PlacelessTenure> for Tenure {
+    fn from(tenure: PlacelessTenure) -> Self {
+        Self {
+            process: tenure.process,
+            write: tenure.write,
+            stamp: tenure.stamp,
+            agreed: tenure.agreed,
+            lends_at: tenure.lends_at,
+            witnesses: tenure.witnesses,
+            ..Self::default()
+        }
+    }
+}
+
 impl From<UnwitnessedTenure> for Tenure {
     fn from(tenure: UnwitnessedTenure) -> Self {
         Self {
@@ -111,7 +142,7 @@
             stamp: tenure.stamp,
             agreed: tenure.agreed,
             lends_at: tenure.lends_at,
-            witnesses: Default::default(),
+            ..Self::default()
         }
     }
 }
--- a/wisteriapass_coord/src/prepaid/tenure.rs
+++ b/wisteriapass_coord/src/prepaid/tenure.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
 
 use crate::prepaid::{Named, Stamp};
 
@@ -25,6 +26,18 @@
 #[serde(transparent)]
 pub struct HolderId(pub String);
 
+/// Identifies a failure domain in records and messages; made from its name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DomainId(u64);
+
+impl DomainId {
+    /// Identifies the domain of this name.
+    pub fn new(name: &str) -> Self {
+        Self(XxHash64::oneshot(0, name.as_bytes()))
+    }
+}
+
 /// Which process holds a VM's shares, and when it last wrote.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenure {
@@ -43,4 +56,13 @@
     /// Who knows how far the process may spend while it is out of touch.
     #[serde(default)]
     pub witnesses: Named,
+    /// Failure domain of the VM.
+    #[serde(default)]
+    pub domain: DomainId,
+    /// Routers that it carries shares for, besides itself.
+    #[serde(default)]
+    pub followers: u32,
+    /// Whether its VM is one of those that carry others' shares with ease.
+    #[serde(default)]
+    pub is_strong: bool,
 }
--- a/wisteriapass_coord/tests/prepaid/main.rs
+++ b/wisteriapass_coord/tests/prepaid/main.rs
@@ -1,5 +1,6 @@
 //! Shares of prepaid totals: never more than the total, over cuts, kills and late writes.
 
+mod grants;
 mod loans;
 mod shares;
 mod support;
--- a/wisteriapass_coord/tests/prepaid_packed.rs
+++ b/wisteriapass_coord/tests/prepaid_packed.rs
@@ -1,7 +1,9 @@
 //! Records of shares as bytes: whole after a round trip, small, and never a panic.
 
 use quickcheck_macros::quickcheck;
-use wisteriapass_coord::prepaid::{HolderId, Share, ShareRecord, Stamp, Tenure, UnpackError};
+use wisteriapass_coord::prepaid::{
+    DomainId, HolderId, Named, Share, ShareRecord, Stamp, Tenure, UnpackError,
+};
 
 fn tenure(n: u64) -> Tenure {
     Tenure {
@@ -14,6 +16,9 @@
         agreed: n.is_multiple_of(2),
         lends_at: "10.0.0.1:8421".parse().ok(),
         witnesses: Default::default(),
+        domain: DomainId::default(),
+        followers: 0,
+        is_strong: false,
     }
 }
 
@@ -84,7 +89,7 @@
 
 /// A tenure as it was before witnesses were named.
 #[derive(serde::Serialize)]
-struct TenureBefore {
+struct Unwitnessed {
     process: u64,
     write: u64,
     stamp: Stamp,
@@ -92,20 +97,31 @@
     lends_at: Option<std::net::SocketAddr>,
 }
 
-#[test]
-fn a_packed_record_without_witnesses_is_read() {
-    let record = record(2, 3);
-    let mut holders = Vec::new();
-    for (id, tenure) in record.tenures() {
-        let before = TenureBefore {
-            process: tenure.process,
-            write: tenure.write,
-            stamp: tenure.stamp,
-            agreed: tenure.agreed,
-            lends_at: tenure.lends_at,
-        };
-        holders.push((id.clone(), before));
+/// A tenure as it was before failure domains were named.
+#[derive(serde::Serialize)]
+struct Placeless {
+    before: Unwitnessed,
+    witnesses: Named,
+}
+
+fn unwitnessed(tenure: &Tenure) -> Unwitnessed {
+    Unwitnessed {
+        process: tenure.process,
+        write: tenure.write,
+        stamp: tenure.stamp,
+        agreed: tenure.agreed,
+        lends_at: tenure.lends_at,
     }
+}
+
+/// Packs a record of three holders and two accounts as an earlier version did.
+fn packed_before<T: serde::Serialize>(
+    record: &ShareRecord,
+    form: u8,
+    before: impl Fn(&Tenure) -> T,
+) -> Vec<u8> {
+    let tenures = record.tenures();
+    let holders: Vec<(HolderId, T)> = tenures.map(|(id, t)| (id.clone(), before(t))).collect();
     let shares = |account: &str| -> Vec<Share> {
         let ids = record.tenures().map(|(id, _)| id);
         ids.map(|id| record.share(account, id)).collect()
@@ -114,6 +130,17 @@
         .iter()
         .map(|name| (*name, shares(name)))
         .collect();
-    let bytes = postcard::to_extend(&(holders, accounts), vec![1]).unwrap();
-    assert_eq!(ShareRecord::from_bytes(&bytes), Ok(record));
+    postcard::to_extend(&(holders, accounts), vec![form]).unwrap()
+}
+
+#[test]
+fn packed_records_of_earlier_versions_are_read() {
+    let record = record(2, 3);
+    let first = packed_before(&record, 1, unwitnessed);
+    assert_eq!(ShareRecord::from_bytes(&first), Ok(record.clone()));
+    let second = packed_before(&record, 2, |tenure| Placeless {
+        before: unwitnessed(tenure),
+        witnesses: tenure.witnesses,
+    });
+    assert_eq!(ShareRecord::from_bytes(&second), Ok(record));
 }
--- /dev/null
+++ b/wisteriapass_coord/tests/relay.rs
@@ -0,0 +1,256 @@
+//! Which relay a router follows, when it becomes one, and when it gives that up.
+
+use std::net::SocketAddr;
+
+use wisteriapass_coord::prepaid::{DomainId, HolderId, Tenure};
+use wisteriapass_coord::relay::{Attempt, Candidacy, Listed, Need, Retirement, Roster, Word};
+
+fn id(name: &str) -> HolderId {
+    HolderId(name.into())
+}
+
+fn domain(name: &str) -> DomainId {
+    DomainId::new(name)
+}
+
+fn listed(name: &str, place: u16, of: &str) -> Listed {
+    Listed {
+        id: id(name),
+        at: SocketAddr::from(([127, 0, 0, 1], 7_000 + place)),
+        domain: domain(of),
+        is_live: true,
+    }
+}
+
+fn word(heard_ms: u64, age_ms: u64) -> Word {
+    Word {
+        heard_ms,
+        age_ms,
+        is_leaving: false,
+    }
+}
+
+/// A router of domain `a`, which has two relays; `b` and `c` have two each.
+fn roster() -> Roster {
+    let mut roster = Roster::new(id("me"), domain("a"));
+    let relays = ["a1", "a2", "b1", "b2", "c1", "c2"];
+    let of = |name: &str| name[..1].to_owned();
+    let all = relays.iter().zip(0..).map(|(n, i)| listed(n, i, &of(n)));
+    roster.learn(0, all);
+    roster
+}
+
+/// Asks the relay that is to be asked; `age` says how old its news are, if it answers.
+fn ask(roster: &mut Roster, now: u64, age: impl Fn(&str) -> Option<u64>) -> String {
+    let sight = roster.choose(now).unwrap();
+    match age(&sight.id.0) {
+        Some(age) => roster.heard(&sight.id, word(now, age)),
+        None => roster.silent(&sight.id, now),
+    }
+    sight.id.0
+}
+
+#[test]
+fn a_relay_of_the_own_domain_is_followed_while_its_news_are_fresh() {
+    let mut roster = roster();
+    assert_eq!(roster.need(0), Need::Unclear);
+    let first = ask(&mut roster, 0, |_| Some(300));
+    assert!(first.starts_with('a'));
+    for now in (150..3_000).step_by(150) {
+        assert_eq!(ask(&mut roster, now, |_| Some(300)), first);
+        assert_eq!(roster.need(now), Need::None);
+    }
+}
+
+#[test]
+fn another_relay_of_the_domain_takes_over_when_one_is_cut_off() {
+    let mut roster = roster();
+    let first = ask(&mut roster, 0, |_| Some(300));
+    // It answers, and its news grow old.
+    let is_first = |name: &str| name == first;
+    let mut now = 0;
+    let mut last = first.clone();
+    while is_first(&last) && now < 5_000 {
+        now += 150;
+        last = ask(&mut roster, now, |name| {
+            Some(if is_first(name) { 300 + now } else { 200 })
+        });
+    }
+    assert!(
+        last.starts_with('a') && last != first,
+        "{last} behind {first}"
+    );
+    assert!(now <= 1_200, "after {now} ms");
+}
+
+#[test]
+fn a_relay_of_another_domain_is_followed_when_none_is_left_and_the_own_ones_are_tried_again() {
+    let mut roster = roster();
+    let dead = |name: &str| (!name.starts_with('a')).then_some(200);
+    let asked: Vec<String> = (0..10).map(|n| ask(&mut roster, n * 50, dead)).collect();
+    assert!(asked[0].starts_with('a') && asked[1].starts_with('a'));
+    assert!(asked[2..].iter().all(|name| !name.starts_with('a')));
+    assert_eq!(roster.need(500), Need::One);
+    assert_eq!(roster.need(9_000), Need::Any);
+    let back = (0..40).map(|n| ask(&mut roster, 500 + n * 50, |_| Some(200)));
+    assert!(back.last().unwrap().starts_with('a'));
+}
+
+#[test]
+fn one_relay_that_is_left_is_found_among_many_that_are_silent() {
+    let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    for left in names {
+        let mut roster = Roster::new(id("me"), domain("a"));
+        let all = names.iter().zip(0..);
+        roster.learn(0, all.map(|(name, n)| listed(name, n, "a")));
+        // A silent one takes its time.
+        let asked =
+            (0..12).map(|n| ask(&mut roster, n * 280, |name| (name == left).then_some(200)));
+        assert!(asked.last().unwrap() == left);
+    }
+}
+
+#[test]
+fn grants_are_asked_of_whoever_answers() {
+    let mut roster = roster();
+    let first = ask(&mut roster, 0, |_| Some(300));
+    let at = |roster: &mut Roster, now| roster.granters(now)[0];
+    let before = at(&mut roster, 10);
+    assert_eq!(before, roster.choose(10).unwrap().at);
+    roster.silent(&id(&first), 20);
+    assert_ne!(at(&mut roster, 30), before);
+    // A relay that is cut off from the service may grant all the same.
+    roster.heard(&id(&first), word(40, 9_000));
+    assert_eq!(at(&mut roster, 50), before);
+}
+
+#[test]
+fn relays_that_are_dead_stay_so_though_a_record_names_them() {
+    let mut roster = roster();
+    for n in 0..6 {
+        ask(&mut roster, n * 50, |_| None);
+    }
+    let names = [("a1", 0), ("a2", 1), ("b1", 2), ("b2", 3)];
+    let named = names.map(|(name, n)| listed(name, n, &name[..1]));
+    roster.learn_record(600, named);
+    assert_eq!(roster.need(600), Need::Any);
+    assert!(roster.wants_me(600));
+}
+
+#[test]
+fn few_relays_are_a_need() {
+    let mut roster = Roster::new(id("me"), domain("a"));
+    let few = [listed("a1", 1, "a"), listed("b1", 2, "b")];
+    roster.learn(0, few);
+    ask(&mut roster, 0, |_| Some(100));
+    assert_eq!(roster.need(10), Need::Another);
+}
+
+/// Returns when a candidate does something, and what.
+fn next(
+    candidacy: &mut Candidacy,
+    from: u64,
+    need: Need,
+    routers: usize,
+    draw: f64,
+) -> (u64, Attempt) {
+    let mut times = (from..from + 20_000).step_by(10);
+    let due = times.find_map(|now| match candidacy.next(now, need, routers, draw) {
+        Attempt::None => None,
+        attempt => Some((now - from, attempt)),
+    });
+    due.unwrap()
+}
+
+#[test]
+fn strong_vms_join_before_weak_ones_and_those_one_after_the_other() {
+    let first = next(&mut Candidacy::new(true), 0, Need::Any, 1, 0.9);
+    assert_eq!(first, (0, Attempt::Join));
+    let weak = |draw| next(&mut Candidacy::new(false), 0, Need::Any, 1, draw).0;
+    assert!(weak(0.0) >= 200);
+    assert!(weak(0.9) > weak(0.1) + 100);
+}
+
+#[test]
+fn a_need_has_to_last_in_a_fleet_that_runs() {
+    let mut candidacy = Candidacy::new(true);
+    candidacy.next(0, Need::None, 100, 0.5);
+    let (ms, attempt) = next(&mut candidacy, 0, Need::Another, 100, 0.0);
+    assert!(ms >= 5_000 && attempt == Attempt::Join);
+    candidacy.next(9_000, Need::None, 100, 0.5);
+    let (ms, attempt) = next(&mut candidacy, 9_000, Need::One, 100, 0.0);
+    assert!((300..1_000).contains(&ms), "{ms}");
+    assert_eq!(attempt, Attempt::Ask);
+}
+
+#[test]
+fn who_is_answered_in_a_cut_waits_whether_others_are_too() {
+    let mut candidacy = Candidacy::new(false);
+    candidacy.next(0, Need::None, 100, 0.5);
+    let (ms, attempt) = next(&mut candidacy, 0, Need::One, 100, 0.5);
+    assert_eq!(attempt, Attempt::Ask);
+    candidacy.answered(ms);
+    assert_eq!(
+        candidacy.next(ms + 1_000, Need::One, 100, 0.5),
+        Attempt::None
+    );
+    assert_eq!(
+        candidacy.next(ms + 2_000, Need::One, 100, 0.5),
+        Attempt::Join
+    );
+    candidacy.next(ms + 2_000, Need::None, 100, 0.5);
+    let (_, attempt) = next(&mut candidacy, 9_000, Need::One, 100, 0.5);
+    assert_eq!(attempt, Attempt::Ask);
+}
+
+#[test]
+fn all_routers_of_a_small_fleet_become_relays_soon() {
+    let mut candidacy = Candidacy::new(true);
+    assert_eq!(candidacy.next(0, Need::Unclear, 3, 0.5), Attempt::None);
+    let (ms, attempt) = next(&mut candidacy, 10, Need::Another, 3, 0.5);
+    assert_eq!(attempt, Attempt::Join);
+    assert!(ms <= 1_000, "{ms}");
+}
+
+#[test]
+fn tries_without_an_answer_grow_rare() {
+    let mut candidacy = Candidacy::new(false);
+    candidacy.next(0, Need::None, 100, 0.5);
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        waits.push(next(&mut candidacy, 0, Need::Any, 100, 0.5).0);
+        candidacy.failed();
+    }
+    assert!(waits.is_sorted(), "{waits:?}");
+    assert!(waits[4] >= 4_000, "{waits:?}");
+    candidacy.withdraw();
+    let wait = next(&mut candidacy, 0, Need::Any, 100, 0.5).0;
+    assert_eq!(wait, waits[0]);
+}
+
+#[test]
+fn the_weakest_of_too_many_retires_after_a_while() {
+    let tenure = |of: &str, is_strong| Tenure {
+        domain: domain(of),
+        is_strong,
+        ..Tenure::default()
+    };
+    let mut live = vec![
+        (id("a1"), tenure("a", true)),
+        (id("a2"), tenure("a", true)),
+        (id("a3"), tenure("a", false)),
+    ];
+    live.extend(["b1", "b2", "c1", "c2"].map(|n| (id(n), tenure(&n[..1], true))));
+    let is_due = |me: &str, live: &[(HolderId, Tenure)]| {
+        let mut retirement = Retirement::default();
+        let look = |now| {
+            let live = live.iter().map(|(id, t)| (id, t));
+            retirement.is_due(now, &id(me), domain("a"), live)
+        };
+        [0, 5_000, 12_000].map(look)
+    };
+    assert_eq!(is_due("a3", &live), [false, false, true]);
+    assert_eq!(is_due("a1", &live), [false; 3]);
+    assert_eq!(is_due("a3", &live[1..]), [false; 3]);
+    assert_eq!(is_due("a3", &live[..4]), [false; 3]);
+}
