--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod changes;
 mod money;
+mod relays;
 mod slow_links;
 mod support;
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -184,6 +184,12 @@
     ShareRecord::from_bytes(&store.get("wisteriapass/shares/0")?).ok()
 }
 
+/// Returns whether a router holds shares for itself and others.
+pub fn is_relay(store: &UsersStore, name: &str) -> bool {
+    let tenure = record(store).and_then(|r| r.tenure(&HolderId(name.to_owned())));
+    tenure.is_some_and(|t| t.lends_at.is_some())
+}
+
 /// Returns whether a router's last write names a witness.
 pub fn has_witness(store: &UsersStore, name: &str) -> bool {
     let tenure = record(store).and_then(|r| r.tenure(&HolderId(name.to_owned())));
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -1,30 +1,43 @@
-//! The money of this router: reserve and settle in memory, exchange with the service.
+//! The money of this router: reserve and settle in memory, exchange with the service or a relay.
 
+mod crediting;
 mod exchange;
+mod granting;
 mod group;
 mod lending;
 mod reporting;
+mod source;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, timeout_at};
+use derive_more::Display;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout_at};
 use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall, WitnessBook,
+    Credit, DomainId, GrantBook, HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall,
+    WitnessBook,
 };
+use wisteriapass_coord::relay::{Listed, Retirement, Roster};
 
 use self::group::Group;
+use crate::call::Caller;
 use crate::catalogue::{Account, Catalogue};
 use crate::clock::Clock;
 use crate::facts::RequestFacts;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
 use crate::reservation::Reservation;
+use crate::settings::GatewaySettings;
+
+pub use crediting::GRANT;
+pub use exchange::Known;
+pub use lending::LEND;
+pub use reporting::{INQUIRY, REPORT};
+pub use source::Source;
 
 /// Records over which accounts are spread: one costs one call for each exchange, and holds some
 /// hundred accounts of some tens of routers.
@@ -62,17 +75,43 @@
 /// cut.
 const FRESH_MS: u64 = 1_000;
 
+/// Who carries this router's shares.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Role {
+    /// A relay.
+    #[display("follower")]
+    Follower,
+    /// The router itself, and those of its followers.
+    #[display("relay")]
+    Relay,
+    /// A relay, for what comes; what it granted is still its own.
+    #[display("retiring")]
+    Retiring,
+}
+
 /// Money of one router process.
 pub struct Bank {
     clock: Clock,
+    role: Cell<Role>,
     groups: Vec<Group>,
     /// Until when a first exchange is waited for.
     fresh_until: Instant,
-    /// Routers that wrote of late, this one included.
+    /// Relays that wrote of late, this router included if it is one.
+    writers: Cell<usize>,
+    /// All routers of the fleet.
     routers: Cell<usize>,
+    /// Version of the configuration that totals are known by.
+    version: Cell<u64>,
     seen: RefCell<HashMap<HolderId, Seen>>,
-    /// What other routers reported to this one.
+    /// What other relays reported to this one.
     book: RefCell<WitnessBook>,
+    /// What this relay granted.
+    grants: RefCell<GrantBook>,
+    /// What relays granted to this router.
+    credit: RefCell<Credit>,
+    /// The relays that this router knows of.
+    pub(crate) roster: RefCell<Roster>,
+    caller: Rc<Caller>,
 }
 
 /// A router's last write and when it was seen.
@@ -82,43 +121,59 @@
     at: Instant,
 }
 
+/// Time between two looks whether shares are idle, in milliseconds.
+const LOOK_MS: u64 = 50;
+
 /// Time without a write after which a router counts as gone, in milliseconds: six exchanges.
 const GONE_MS: u64 = 6_000;
 
 impl Bank {
     /// Creates a bank without shares.
-    pub fn new(clock: Clock, name: &str, lends_at: SocketAddr) -> Self {
-        let sizes = ShareSizes {
-            open_ms: OPEN_MS,
-            sealed_ms: SEALED_MS,
-            seal_ms: SEAL_MS,
-            silence_ms: SILENCE_MS,
-            held: HELD,
-            floor: FLOOR,
-        };
+    pub fn new(clock: Clock, settings: &GatewaySettings, caller: Rc<Caller>) -> Self {
         let process = rand::random();
-        let started = clock.stamp();
-        let holder = || {
-            ShareHolder::new(HolderId(name.to_owned()), process, started, sizes)
-                .with_lending(lends_at)
-        };
+        let id = HolderId(settings.name.clone());
+        let domain = DomainId::new(&settings.domain);
+        let holder = || new_holder(clock, settings, process);
         Self {
             clock,
+            role: Cell::new(Role::Follower),
             groups: (0..GROUPS).map(|_| Group::new(holder())).collect(),
             fresh_until: Instant::now() + Duration::from_millis(FRESH_MS),
+            writers: Cell::new(1),
             routers: Cell::new(1),
+            version: Cell::new(0),
             seen: RefCell::default(),
             book: RefCell::new(WitnessBook::new(process)),
+            grants: RefCell::new(GrantBook::new(process)),
+            credit: RefCell::new(Credit::new(id.clone())),
+            roster: RefCell::new(Roster::new(id, domain)),
+            caller,
+        }
+    }
+
+    /// Starts the tasks that keep a relay's shares, which goes on from these states of the records.
+    pub fn start(gw: &Rc<Gateway>, tasks: &mut JoinSet<()>, known: Vec<Known>) {
+        for (index, known) in (0..).zip(known) {
+            tasks.spawn_local(gw.bank.clone().keep(gw.clone(), index, known));
+            tasks.spawn_local(gw.bank.clone().keep_witnesses(index));
         }
+        tasks.spawn_local(gw.bank.clone().keep_grants());
+    }
+
+    /// Returns who carries this router's shares.
+    pub fn role(&self) -> Role {
+        self.role.get()
     }
 
-    /// Starts a task for each record that keeps this router's shares.
-    pub fn start(gw: &Rc<Gateway>) -> Vec<JoinHandle<()>> {
-        let keep = |index| spawn_local(gw.bank.clone().keep(gw.clone(), index));
-        let report = |index| spawn_local(gw.bank.clone().keep_witnesses(index));
-        (0..GROUPS)
-            .flat_map(|index| [keep(index), report(index)])
-            .collect()
+    /// Sets who carries this router's shares from now on.
+    pub fn set_role(&self, role: Role) {
+        log::info!(target: "relay", "Role. role={role}");
+        self.role.set(role);
+    }
+
+    /// Returns this router's name among holders.
+    pub fn id(&self) -> HolderId {
+        self.groups[0].holder.borrow().id().clone()
     }
 
     /// Takes the totals of a configuration over.
@@ -130,14 +185,20 @@
             let group = self.group(&account.name);
             group.holder.borrow_mut().set_total(&account.name, total);
         }
+        self.version.set(catalogue.version);
         self.groups.iter().for_each(|g| g.needed.notify_one());
     }
 
-    /// Returns how many routers wrote of late, this one included.
+    /// Returns how many routers the fleet has, this one included.
     pub fn routers(&self) -> usize {
         self.routers.get()
     }
 
+    /// Takes over how many routers the fleet has, from a relay.
+    pub fn set_routers(&self, routers: usize) {
+        self.routers.set(routers.max(1));
+    }
+
     /// Sets the most that a request can cost aside.
     ///
     /// # Errors
@@ -154,23 +215,68 @@
             return Ok(None);
         };
         let most = work.most();
-        let group = self.group(&account.name);
+        let reserved = self.reserve_any(&account.name, most, Some(deadline)).await;
+        match reserved {
+            Ok(source) => {
+                let me = self.clone();
+                let name = account.name.clone();
+                Ok(Some(Reservation::new(me, name, work, per_event, source)))
+            }
+            Err(refusal) => {
+                self.tell_short(request, &account.name, most, refusal);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Reserves more for a request under way: another run of it.
+    pub async fn reserve_more(self: &Rc<Self>, account: &str, tokens: u64) -> Option<Source> {
+        let until = Instant::now() + Duration::from_millis(WAIT_MS);
+        self.reserve_any(account, tokens, Some(until)).await.ok()
+    }
+
+    async fn reserve_any(
+        self: &Rc<Self>,
+        account: &str,
+        most: u64,
+        deadline: Option<Instant>,
+    ) -> Result<Source, Refusal> {
+        match self.role.get() {
+            Role::Relay => self
+                .obtain(account, most, deadline)
+                .await
+                .map(|()| Source::Share),
+            Role::Follower | Role::Retiring => {
+                let until = deadline.unwrap_or(self.fresh_until);
+                self.draw(account, most, until).await.map(Source::Credit)
+            }
+        }
+    }
+
+    /// Reserves out of this router's own share, which may take an exchange or a loan.
+    async fn obtain(
+        self: &Rc<Self>,
+        account: &str,
+        most: u64,
+        deadline: Option<Instant>,
+    ) -> Result<(), Refusal> {
+        let group = self.group(account);
         let wait = Instant::now() + Duration::from_millis(WAIT_MS);
-        let is_first = group.is_new(&account.name) && Instant::now() < self.fresh_until;
-        let until = deadline.min(if is_first { self.fresh_until } else { wait });
+        let is_first = group.is_new(account) && Instant::now() < self.fresh_until;
+        let longest = if is_first { self.fresh_until } else { wait };
+        let until = deadline.map_or(longest, |deadline| deadline.min(longest));
         let mut missed = false;
         loop {
             let done = group.done.notified();
-            let name = &account.name;
             let now_ms = self.clock.now_ms();
-            let reserved = group.holder.borrow_mut().reserve(now_ms, name, most);
+            let reserved = group.holder.borrow_mut().reserve(now_ms, account, most);
             match reserved {
-                Ok(()) => break,
+                Ok(()) => return Ok(()),
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
                 // In a cut the same callers come again and again; no exchange serves them sooner.
                 Err(Shortfall::Short) if missed || !group.in_touch.get() => {}
                 Err(Shortfall::Short) => {
-                    group.holder.borrow_mut().miss(name, most);
+                    group.holder.borrow_mut().miss(account, most);
                     missed = true;
                 }
             }
@@ -178,33 +284,54 @@
             if may_come {
                 group.needed.notify_one();
             }
-            let level_comes = group.holder.borrow().awaits_witnesses(name, most);
+            let level_comes = group.holder.borrow().awaits_witnesses(account, most);
             if level_comes {
                 group.report_due.notify_one();
             }
-            let first_comes = is_first && group.is_new(name) && Instant::now() < until;
+            let first_comes = is_first && group.is_new(account) && Instant::now() < until;
             let comes = may_come || first_comes || level_comes;
-            let comes = comes || group.loans.borrow().is_under_way(name);
+            let comes = comes || group.loans.borrow().is_under_way(account);
             if comes && timeout_at(until, done).await.is_ok() {
                 continue;
             }
-            if Instant::now() >= until || !self.borrow(group, name, most).await {
-                return Err(group.short(request, account, most));
+            if Instant::now() >= until || !self.borrow(group, account, most).await {
+                return Err(group.short(account, most));
             }
         }
-        let me = self.clone();
-        let name = account.name.clone();
-        Ok(Some(Reservation::new(me, name, work, per_event)))
     }
 
-    /// Sets more aside for a request under way, if there is as much at hand.
-    pub fn reserve_more(&self, account: &str, tokens: u64) -> bool {
-        let mut holder = self.group(account).holder.borrow_mut();
-        holder.reserve(self.clock.now_ms(), account, tokens).is_ok()
+    fn tell_short(&self, request: &RequestFacts, account: &str, most: u64, refusal: Refusal) {
+        let (id, role) = (request.id_text(), self.role.get());
+        if role != Role::Relay {
+            let at_hand = self.credit.borrow().at_hand(account);
+            log::info!(
+                target: "money",
+                "Credit short. request={id} account={account} most={most} at_hand={at_hand} \
+                 reason={refusal}"
+            );
+            return;
+        }
+        let group = self.group(account);
+        log::info!(
+            target: "money",
+            "Share short. request={id} account={account} most={most} {} in_touch={}",
+            group.standing(account),
+            group.in_touch.get()
+        );
     }
 
     /// Replaces a reservation by what it cost.
-    pub fn settle(&self, account: &str, most: u64, used: u64) {
+    pub fn settle(&self, source: Source, account: &str, most: u64, used: u64) {
+        match source {
+            Source::Share => self.settle_share(account, most, used),
+            Source::Credit(line) => {
+                let mut credit = self.credit.borrow_mut();
+                credit.settle(line, account, most, used);
+            }
+        }
+    }
+
+    fn settle_share(&self, account: &str, most: u64, used: u64) {
         let group = self.group(account);
         group.holder.borrow_mut().settle(account, most, used);
         if group.holder.borrow().is_due() {
@@ -217,7 +344,7 @@
         &self.groups[(hash % u64::from(GROUPS)) as usize]
     }
 
-    /// Counts the routers that signed a record of late.
+    /// Counts the relays that signed a record of late, and the routers of the fleet.
     fn count_routers(&self, record: &ShareRecord) {
         let now = Instant::now();
         let mut seen = self.seen.borrow_mut();
@@ -232,10 +359,90 @@
                 seen.insert(id.clone(), fresh);
             }
         }
+        drop(seen);
+        let live = || record.tenures().filter(|(id, _)| self.is_live(id));
+        self.writers.set(live().count().max(1));
+        let routers: usize = live().map(|(_, t)| 1 + t.followers as usize).sum();
+        self.routers.set(routers.max(1));
+    }
+
+    /// Returns whether a relay wrote of late.
+    fn is_live(&self, id: &HolderId) -> bool {
         let gone = Duration::from_millis(GONE_MS);
-        let live = seen.values().filter(|s| now - s.at < gone).count();
-        self.routers.set(live.max(1));
+        let seen = self.seen.borrow();
+        seen.get(id).is_some_and(|s| s.at.elapsed() < gone)
+    }
+
+    /// Returns the relays by a record.
+    pub(crate) fn listed(&self, record: &ShareRecord) -> Vec<Listed> {
+        let relays = record.tenures().filter_map(|(id, tenure)| {
+            Some(Listed {
+                id: id.clone(),
+                at: tenure.lends_at?,
+                domain: tenure.domain,
+                is_live: self.is_live(id),
+            })
+        });
+        relays.collect()
     }
+
+    /// Returns the relays by the record as of the last exchange.
+    pub(crate) fn relays(&self) -> Vec<Listed> {
+        self.listed(&self.groups[0].record.borrow())
+    }
+
+    /// Takes over who else is a relay, by the record as of the last exchange.
+    pub(crate) fn learn_relays(&self) {
+        let relays = self.relays();
+        let now_ms = self.clock.now_ms();
+        self.roster.borrow_mut().learn(now_ms, relays);
+    }
+
+    /// Waits until nothing of this router's own shares is under way, at most until a deadline.
+    pub(crate) async fn share_ends(&self, until: Instant) {
+        self.grants_end(until).await;
+        while !self.groups.iter().all(Group::is_idle) && Instant::now() < until {
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    /// Begins anew without shares, once they were given back.
+    pub(crate) fn renew_share(&self, settings: &GatewaySettings) {
+        let process = rand::random();
+        for group in &self.groups {
+            group.renew(new_holder(self.clock, settings, process));
+        }
+        self.grants.replace(GrantBook::new(process));
+        self.book.replace(WitnessBook::new(process));
+    }
+
+    /// Returns whether this relay is one too many, by the record as of the last exchange.
+    pub(crate) fn is_surplus(&self, retirement: &mut Retirement) -> bool {
+        let group = &self.groups[0];
+        let record = group.record.borrow();
+        let me = self.id();
+        let Some(mine) = record.tenure(&me).filter(|_| group.in_touch.get()) else {
+            return false;
+        };
+        let live = record.tenures().filter(|(id, _)| self.is_live(id));
+        retirement.is_due(self.clock.now_ms(), &me, mine.domain, live)
+    }
+}
+
+/// Creates the holder of a router's shares.
+fn new_holder(clock: Clock, settings: &GatewaySettings, process: u64) -> ShareHolder {
+    let sizes = ShareSizes {
+        open_ms: OPEN_MS,
+        sealed_ms: SEALED_MS,
+        seal_ms: SEAL_MS,
+        silence_ms: SILENCE_MS,
+        held: HELD,
+        floor: FLOOR,
+    };
+    let id = HolderId(settings.name.clone());
+    ShareHolder::new(id, process, clock.stamp(), sizes)
+        .with_lending(settings.inner)
+        .with_place(DomainId::new(&settings.domain), settings.size.is_strong())
 }
 
 impl std::fmt::Debug for Bank {
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -7,7 +7,7 @@
 use wisteriapass_coord::prepaid::{Pace, ShareRecord};
 
 use super::group::Group;
-use super::{Bank, GROUPS};
+use super::{Bank, GROUPS, Role};
 use crate::gateway::Gateway;
 use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{Recorded, StoreError, Swap, Versioned};
@@ -16,33 +16,90 @@
 const PROBE_MS: u64 = 200;
 
 /// What is known of a record.
-enum Known {
+#[derive(Clone, Debug)]
+pub enum Known {
     /// Nothing: the last write may have taken effect or not.
     Nothing,
     /// That it held this router's last write; others wrote since then.
     Past,
     /// Its state at a revision.
     State(u64, ShareRecord),
+    /// The state that this router has just written.
+    Written(u64, ShareRecord),
 }
 
 impl Bank {
     /// Keeps this router's shares of one record; never ends.
-    pub async fn keep(self: Rc<Self>, gw: Rc<Gateway>, index: u32) {
+    pub async fn keep(self: Rc<Self>, gw: Rc<Gateway>, index: u32, mut known: Known) {
         let group = &self.groups[index as usize];
-        let mut known = Known::Nothing;
         loop {
             known = match known {
                 Known::Nothing => self.read(&gw, index).await,
                 Known::Past => self.load(&gw, index).await,
                 Known::State(revision, record) => self.write(&gw, index, revision, record).await,
+                Known::Written(revision, record) => {
+                    self.rest(group).await;
+                    if self.writers.get() > 1 {
+                        Known::Past
+                    } else {
+                        Known::State(revision, record)
+                    }
+                }
             };
             let stamp = self.clock.stamp();
             group.holder.borrow_mut().unseal(stamp);
         }
     }
 
+    /// Returns that nothing is known of the records.
+    pub fn unknown(&self) -> Vec<Known> {
+        self.groups.iter().map(|_| Known::Nothing).collect()
+    }
+
+    /// Reads the record that says who is a relay; `None` without an answer of the service.
+    pub async fn read_relays(&self, gw: &Gateway) -> Option<ShareRecord> {
+        match self.load(gw, 0).await {
+            Known::State(_, record) => Some(record),
+            Known::Nothing | Known::Past | Known::Written(..) => None,
+        }
+    }
+
+    /// Writes this router into the records as a relay, as long as `is_wanted` of the state that it
+    /// writes over; returns what is known of the records if it did.
+    pub async fn join(
+        &self,
+        gw: &Gateway,
+        is_wanted: impl Fn(&ShareRecord) -> bool,
+    ) -> Option<Vec<Known>> {
+        let mut all = Vec::new();
+        for index in 0..GROUPS {
+            let group = &self.groups[index as usize];
+            let mut known = self.load(gw, index).await;
+            while let Known::State(revision, record) = known {
+                if index == 0 && !is_wanted(&record) {
+                    return None;
+                }
+                known = self.write(gw, index, revision, record).await;
+            }
+            if !group.in_touch.get() {
+                return None;
+            }
+            all.push(known);
+        }
+        Some(all)
+    }
+
     /// Gives back what is not spent, as often as it takes; for a process that ends in good order.
-    pub async fn give_back(&self, gw: &Gateway) {
+    pub async fn give_back(&self, gw: &Gateway, until: Instant) {
+        self.return_credit(until).await;
+        if self.role() == Role::Relay {
+            self.grants_end(until).await;
+            self.give_back_shares(gw).await;
+        }
+    }
+
+    /// Gives back what is not spent of this router's own shares, as often as it takes.
+    pub async fn give_back_shares(&self, gw: &Gateway) {
         for index in 0..GROUPS {
             while !self.try_give_back(gw, index).await {}
             log::info!(target: "money", "Shares given back. record={index}");
@@ -118,11 +175,7 @@
         match swapped {
             Ok(Swap::Done(revision)) => {
                 self.adopt(group, index, &next);
-                self.rest(group).await;
-                if self.routers() > 1 {
-                    return Known::Past;
-                }
-                Known::State(revision, next)
+                Known::Written(revision, next)
             }
             Ok(Swap::Conflict(versioned)) => {
                 group.holder.borrow_mut().not_done(before);
@@ -174,7 +227,7 @@
 
     fn pace(&self, group: &Group) -> Pace {
         let took_ms = u64::try_from(group.took.get().as_millis()).unwrap_or(u64::MAX);
-        Pace::new(self.routers(), took_ms)
+        Pace::new(self.writers.get(), took_ms)
     }
 
     fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -7,11 +7,9 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wisteriapass_coord::prepaid::{Lenders, LoansAsked, ShareHolder, ShareRecord};
+use wisteriapass_coord::prepaid::{Lenders, LoansAsked, ShareHolder, ShareRecord, Standing};
 
 use super::WAIT_MS;
-use crate::catalogue::Account;
-use crate::facts::RequestFacts;
 use crate::refusal::Refusal;
 
 /// When to come back if others hold what is left, in milliseconds: they give back at their next
@@ -73,6 +71,19 @@
         }
     }
 
+    /// Begins anew with a holder without shares.
+    pub(super) fn renew(&self, holder: ShareHolder) {
+        self.holder.replace(holder);
+        self.in_touch.set(false);
+        self.asked.set(None);
+        self.has_told.set(false);
+    }
+
+    /// Returns whether no request under way draws on the shares.
+    pub(super) fn is_idle(&self) -> bool {
+        self.holder.borrow().is_idle()
+    }
+
     /// Returns whether no exchange brought anything of an account yet.
     pub(super) fn is_new(&self, account: &str) -> bool {
         self.holder.borrow().standing(account).granted == 0
@@ -85,18 +96,15 @@
         self.in_touch.get() && wait + self.took.get() < quick
     }
 
-    /// Says why a share is short.
-    pub(super) fn short(&self, request: &RequestFacts, account: &Account, most: u64) -> Refusal {
-        log::info!(
-            target: "money",
-            "Share short. request={} account={} most={most} {} in_touch={}",
-            request.id_text(),
-            account.name,
-            self.holder.borrow().standing(&account.name),
-            self.in_touch.get()
-        );
+    /// Returns what is known of an account, for logs.
+    pub(super) fn standing(&self, account: &str) -> Standing {
+        self.holder.borrow().standing(account)
+    }
+
+    /// Returns the refusal of a request for which the share is short.
+    pub(super) fn short(&self, account: &str, most: u64) -> Refusal {
         Refusal::ShareShort {
-            back_ms: self.back_ms(&account.name, most),
+            back_ms: self.back_ms(account, most),
         }
     }
 
--- a/wisteriapass_gateway/src/bank/lending.rs
+++ b/wisteriapass_gateway/src/bank/lending.rs
@@ -4,18 +4,15 @@
 //! that run low. The lender counts a loan as spent before it answers: a lost answer strands the
 //! loan and doubles nothing.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use super::Bank;
 use super::group::Group;
-use crate::call::{call, serve_calls};
-
 /// Path of the call.
-const PATH: &str = "/shares/lend";
+pub const LEND: &str = "/shares/lend";
 
 /// Shortest wait for one router's answer, in milliseconds: many round trips within a region.
 const ASK_MS: u64 = 40;
@@ -32,7 +29,6 @@
     /// Tokens below which a loan is of no use.
     least: u64,
     /// Whether the lender is to take more at its next exchange for loans to come.
-    #[serde(default)]
     ahead: bool,
 }
 
@@ -78,7 +74,10 @@
                 least,
                 ahead: n == 0,
             };
-            let loan = call::<_, Loan>(lender, PATH, &ask, patience).await;
+            let loan: Option<Loan> = self
+                .caller
+                .call(lender, LEND, &ask, Instant::now() + patience)
+                .await;
             let lent = loan.unwrap_or_default().tokens;
             if lent == 0 {
                 let mut lenders = group.lenders.borrow_mut();
@@ -92,16 +91,10 @@
         false
     }
 
-    /// Lends to other routers and is their witness, until the process ends.
-    pub async fn serve_lending(self: Rc<Self>, listener: TcpListener) {
-        serve_calls(listener, move |path, message| {
-            if path != PATH {
-                return self.bear_witness(path, message);
-            }
-            let ask = serde_json::from_slice::<Ask>(message).ok()?;
-            serde_json::to_vec(&self.lend(&ask)).ok()
-        })
-        .await;
+    /// Answers another relay that asks for a loan; `None` for what is no such call.
+    pub(crate) fn answer_borrower(&self, message: &[u8]) -> Option<Vec<u8>> {
+        let ask = postcard::from_bytes::<Ask>(message).ok()?;
+        postcard::to_stdvec(&self.lend(&ask)).ok()
     }
 
     fn lend(&self, ask: &Ask) -> Loan {
--- a/wisteriapass_gateway/src/bank/reporting.rs
+++ b/wisteriapass_gateway/src/bank/reporting.rs
@@ -13,13 +13,13 @@
 
 use super::Bank;
 use super::group::Group;
-use crate::call::call;
+use crate::call::within;
 
-/// Path of a router's report.
-const REPORT: &str = "/witness/report";
+/// Path of a relay's report.
+pub const REPORT: &str = "/witness/report";
 
 /// Path of a successor's question.
-const INQUIRY: &str = "/witness/inquiry";
+pub const INQUIRY: &str = "/witness/inquiry";
 
 /// Time between two reports, in milliseconds: as old is what a witness knows of a router's life.
 const REPORT_MS: u64 = 200;
@@ -66,8 +66,8 @@
         let report = self.compose_report(group, Some(last));
         let sent_ms = self.clock.stamp().since_boot;
         group.holder.borrow_mut().witnesses().sent(id, sent_ms);
-        let patience = Duration::from_millis(PATIENCE_MS);
-        let receipt = call::<_, Receipt>(id.at, REPORT, &report, patience).await;
+        let until = within(PATIENCE_MS);
+        let receipt: Option<Receipt> = self.caller.call(id.at, REPORT, &report, until).await;
         if let Some(receipt) = receipt {
             let now_ms = self.clock.stamp().since_boot;
             let mut holder = group.holder.borrow_mut();
@@ -90,8 +90,9 @@
         };
         let report = self.compose_report(group, None);
         let sent = self.clock.stamp();
-        let patience = Duration::from_millis(PATIENCE_MS);
-        let Some(receipt) = call::<_, Receipt>(at, REPORT, &report, patience).await else {
+        let until = within(PATIENCE_MS);
+        let receipt: Option<Receipt> = self.caller.call(at, REPORT, &report, until).await;
+        let Some(receipt) = receipt else {
             let until = Instant::now() + Duration::from_millis(AWAY_MS);
             group.away.borrow_mut().insert(at, until);
             return;
@@ -123,18 +124,18 @@
         best.map(|(_, at)| at)
     }
 
-    /// Answers another router as its witness; `None` for what is no call to one.
-    pub(super) fn bear_witness(&self, path: &str, message: &[u8]) -> Option<Vec<u8>> {
+    /// Answers another relay that reports to its witness; `None` for what is no report.
+    pub(crate) fn answer_report(&self, message: &[u8]) -> Option<Vec<u8>> {
+        let report = postcard::from_bytes(message).ok()?;
         let now_ms = self.clock.stamp().since_boot;
-        let mut book = self.book.borrow_mut();
-        let answer = match path {
-            REPORT => serde_json::to_vec(&book.hear(now_ms, serde_json::from_slice(message).ok()?)),
-            INQUIRY => {
-                serde_json::to_vec(&book.testify(now_ms, &serde_json::from_slice(message).ok()?))
-            }
-            _ => return None,
-        };
-        answer.ok()
+        postcard::to_stdvec(&self.book.borrow_mut().hear(now_ms, report)).ok()
+    }
+
+    /// Answers a successor that asks the witness of its predecessor.
+    pub(crate) fn answer_inquiry(&self, message: &[u8]) -> Option<Vec<u8>> {
+        let inquiry: Inquiry = postcard::from_bytes(message).ok()?;
+        let now_ms = self.clock.stamp().since_boot;
+        postcard::to_stdvec(&self.book.borrow().testify(now_ms, &inquiry)).ok()
     }
 
     /// Asks the witnesses of a predecessor that a record names, once: callers wait meanwhile.
@@ -159,9 +160,10 @@
     /// Asks all witnesses of a predecessor; returns whether one of them is believed.
     async fn ask_all(&self, group: &Group, inquiries: &[(WitnessId, Inquiry)]) -> bool {
         let asked = self.clock.stamp();
-        let patience = Duration::from_millis(INQUIRY_MS);
+        let until = within(INQUIRY_MS);
         let asking = inquiries.iter().map(async |(id, inquiry)| {
-            let answer = call::<_, Option<Testimony>>(id.at, INQUIRY, inquiry, patience).await;
+            let call = self.caller.call(id.at, INQUIRY, inquiry, until);
+            let answer: Option<Option<Testimony>> = call.await;
             answer
                 .flatten()
                 .map(|testimony| (inquiry.process, testimony))
--- /dev/null
+++ b/wisteriapass_gateway/src/bank/source.rs
@@ -0,0 +1,12 @@
+//! Where the tokens of a reservation come from.
+
+use wisteriapass_coord::prepaid::LineKey;
+
+/// Where tokens are reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This router's own share.
+    Share,
+    /// What a relay granted on a line.
+    Credit(LineKey),
+}
--- a/wisteriapass_gateway/src/call.rs
+++ b/wisteriapass_gateway/src/call.rs
@@ -1,8 +1,11 @@
-//! Calls between the system's own processes: one small JSON message each way over HTTP.
+//! Calls between the system's own processes: one small message each way over HTTP, on connections
+//! that are kept.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 
+use bytes::BytesMut;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
@@ -15,57 +18,156 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at};
 
+use crate::platform::LocalFuture;
 use crate::prelude::*;
 
-/// Largest message, in bytes: some hundred accounts.
-const LARGEST: usize = 64 << 10;
+/// Largest call, in bytes: what is spent of some thousand accounts.
+const LARGEST_CALL: usize = 256 << 10;
+
+/// Largest answer, in bytes: a whole configuration.
+const LARGEST_ANSWER: usize = 8 << 20;
+
+/// Longest time for a new connection, in milliseconds: hundreds of round trips within a region, and
+/// shorter than the first repeat of a lost opening packet.
+const CONNECT_MS: u64 = 150;
+
+/// Longest silence within an answer that has begun, in milliseconds: whole answers take as long as
+/// their link takes.
+const SILENCE_MS: u64 = 700;
+
+/// Time for which a connection is kept that nobody uses, in milliseconds.
+const IDLE_MS: u64 = 5_000;
 
 /// Pause after a connection could not be taken, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 20;
 
-/// Calls another process; `None` without a right answer in time.
-pub async fn call<A: Serialize, B: DeserializeOwned>(
-    to: SocketAddr,
-    path: &str,
-    message: &A,
-    patience: Duration,
-) -> Option<B> {
-    let body = serde_json::to_vec(message).ok()?;
-    let answer = timeout(patience, post(to, path, body)).await.ok()??;
-    serde_json::from_slice(&answer).ok()
+type Sender = client::SendRequest<Full<Bytes>>;
+
+/// A kept connection.
+struct Idle {
+    sender: Sender,
+    until: Instant,
+}
+
+/// Calls other processes.
+#[derive(Default)]
+pub struct Caller {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
-async fn post(to: SocketAddr, path: &str, body: Vec<u8>) -> Option<Bytes> {
-    let stream = TcpStream::connect(to).await.ok()?;
+impl Caller {
+    /// Calls another process; `None` without a right answer that begins in time.
+    pub async fn call<A: Serialize, B: DeserializeOwned>(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        message: &A,
+        begins_by: Instant,
+    ) -> Option<B> {
+        let body = Bytes::from(postcard::to_stdvec(message).ok()?);
+        let begun = timeout_at(begins_by, self.begin(to, path, body)).await;
+        let (sender, answer) = begun.ok()??;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let answer = whole(answer.into_body(), begins_by).await?;
+        self.keep(to, sender);
+        postcard::from_bytes(&answer).ok()
+    }
+
+    /// Sends a message and waits for the head of its answer.
+    async fn begin(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Option<(Sender, Response<Incoming>)> {
+        // A kept connection may have ended as the message crossed its close: it was not read then.
+        while let Some(mut sender) = self.take(to) {
+            match sender
+                .try_send_request(request(to, path, body.clone())?)
+                .await
+            {
+                Ok(answer) => return Some((sender, answer)),
+                Err(mut e) => e.take_message()?,
+            };
+        }
+        let mut sender = connect(to).await?;
+        let answer = sender.send_request(request(to, path, body)?).await.ok()?;
+        Some((sender, answer))
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Sender> {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(&to)?;
+        let now = Instant::now();
+        idle.retain(|c| !c.sender.is_closed() && now < c.until);
+        let ready = idle.iter().rposition(|c| c.sender.is_ready())?;
+        Some(idle.remove(ready).sender)
+    }
+
+    fn keep(&self, to: SocketAddr, sender: Sender) {
+        let until = Instant::now() + Duration::from_millis(IDLE_MS);
+        let mut all = self.idle.borrow_mut();
+        all.entry(to).or_default().push(Idle { sender, until });
+    }
+}
+
+impl std::fmt::Debug for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Caller").finish_non_exhaustive()
+    }
+}
+
+/// Returns the time in so many milliseconds.
+pub fn within(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
+fn request(to: SocketAddr, path: &str, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    let request = Request::post(path).header(HOST, to.to_string());
+    request.body(Full::new(body)).ok()
+}
+
+async fn connect(to: SocketAddr) -> Option<Sender> {
+    let stream = timeout_at(within(CONNECT_MS), TcpStream::connect(to)).await;
+    let stream = stream.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (mut sender, line) = client::handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, line) = client::handshake(TokioIo::new(stream)).await.ok()?;
     spawn_local(line);
-    let request = Request::post(path)
-        .header(HOST, to.to_string())
-        .body(Full::new(Bytes::from(body)))
-        .ok()?;
-    let answer = sender.send_request(request).await.ok()?;
-    if !answer.status().is_success() {
-        return None;
+    Some(sender)
+}
+
+/// Reads an answer's body to its end, as long as bytes come.
+async fn whole(mut body: Incoming, begins_by: Instant) -> Option<Bytes> {
+    let mut bytes = BytesMut::new();
+    let mut due = begins_by.max(within(SILENCE_MS));
+    while let Some(frame) = timeout_at(due, body.frame()).await.ok()? {
+        let frame = frame.ok()?;
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        if bytes.len() > LARGEST_ANSWER {
+            return None;
+        }
+        due = within(SILENCE_MS);
     }
-    let body = Limited::new(answer.into_body(), LARGEST).collect().await;
-    Some(body.ok()?.to_bytes())
+    Some(bytes.freeze())
 }
 
-/// Answers calls until the process ends; `answer` gets path and message, and returns `None` for
-/// what is no call of its.
-pub async fn serve_calls(
-    listener: TcpListener,
-    answer: impl Fn(&str, &[u8]) -> Option<Vec<u8>> + 'static,
-) {
-    let answer = Rc::new(answer);
+/// Answers calls: gets path and message, and returns `None` for what is no call of its.
+pub type Answer = dyn Fn(String, Bytes) -> LocalFuture<'static, Option<Vec<u8>>>;
+
+/// Answers calls until the process ends.
+pub async fn serve_calls(listener: TcpListener, answer: Rc<Answer>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(REFUSED_PAUSE_MS)).await;
             continue;
         };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
         let answer = answer.clone();
         spawn_local(async move {
             let service = service_fn(|request| respond(&*answer, request));
@@ -77,17 +179,22 @@
 }
 
 async fn respond(
-    answer: &impl Fn(&str, &[u8]) -> Option<Vec<u8>>,
+    answer: &Answer,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let is_post = request.method() == Method::POST;
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), LARGEST).collect().await;
+    let body = Limited::new(request.into_body(), LARGEST_CALL)
+        .collect()
+        .await;
     let body = body.ok().filter(|_| is_post).map(|b| b.to_bytes());
-    let text = body.and_then(|body| answer(&path, &body));
+    let bytes = match body {
+        Some(body) => answer(path, body).await,
+        None => None,
+    };
     let mut response = Response::default();
-    match text {
-        Some(text) => *response.body_mut() = Full::new(Bytes::from(text)),
+    match bytes {
+        Some(bytes) => *response.body_mut() = Full::new(Bytes::from(bytes)),
         None => *response.status_mut() = StatusCode::BAD_REQUEST,
     }
     Ok(response)
--- a/wisteriapass_gateway/src/catalogue.rs
+++ b/wisteriapass_gateway/src/catalogue.rs
@@ -1,12 +1,18 @@
 //! The configuration in force: routes, services, accounts and limits of one version.
 
-use std::collections::HashMap;
+mod change;
+
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::route::Route;
 
+pub use change::CatalogueChange;
+
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// Name, as targets know it.
     pub name: String,
@@ -17,7 +23,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Most connections that one of its targets takes from all routers.
     pub connections: Option<u32>,
@@ -28,7 +34,7 @@
 }
 
 /// What a caller may send, and how long it may stay idle.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest header block, in bytes.
     pub header_bytes: usize,
@@ -75,14 +81,22 @@
         }
     }
 
-    /// Adds routes.
+    /// Adds routes; of several at one place the first counts.
     pub fn with_routes(mut self, routes: Vec<Route>) -> Self {
+        let mut hosts = HashSet::new();
         for route in routes {
             let of_host = self.routes.entry(route.host.clone()).or_default();
+            hosts.insert(route.host.clone());
             of_host.push(Rc::new(route));
         }
-        for of_host in self.routes.values_mut() {
-            of_host.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        for host in hosts {
+            if let Some(of_host) = self.routes.get_mut(&host) {
+                of_host.sort_by(|a, b| {
+                    let longest = b.prefix.len().cmp(&a.prefix.len());
+                    longest.then_with(|| a.prefix.cmp(&b.prefix))
+                });
+                of_host.dedup_by(|later, first| later.prefix == first.prefix);
+            }
         }
         self
     }
--- /dev/null
+++ b/wisteriapass_gateway/src/catalogue/change.rs
@@ -0,0 +1,144 @@
+//! What makes one configuration of another: what a relay tells its followers.
+
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Account, Catalogue, Limits, Service};
+use crate::route::Route;
+
+/// An account and its keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountKeys {
+    /// The account.
+    pub account: Account,
+    /// Its keys, in order.
+    pub keys: Vec<String>,
+}
+
+/// Host and path prefix of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RoutePlace {
+    /// Host, in lower case.
+    pub host: String,
+    /// Path prefix.
+    pub prefix: String,
+}
+
+/// A change from one version of the configuration to a later one; from version 0 it is the whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogueChange {
+    /// Version that it changes.
+    pub from: u64,
+    /// Version that it leads to.
+    pub to: u64,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Routes that are new or changed.
+    pub routes: Vec<Route>,
+    /// Routes that are gone.
+    pub gone_routes: Vec<RoutePlace>,
+    /// Services, all of them.
+    pub services: BTreeMap<String, Service>,
+    /// Accounts that are new or changed.
+    pub accounts: Vec<AccountKeys>,
+    /// Accounts that are gone.
+    pub gone_accounts: Vec<String>,
+}
+
+impl Catalogue {
+    /// Returns the change that leads here from another version.
+    pub fn change_from(&self, before: &Self) -> CatalogueChange {
+        let (mine, theirs) = (self.account_keys(), before.account_keys());
+        let is_gone = |name: &&String| !mine.contains_key(*name);
+        let accounts = mine
+            .iter()
+            .filter(|(name, a)| theirs.get(*name) != Some(*a));
+        CatalogueChange {
+            from: before.version,
+            to: self.version,
+            limits: self.limits,
+            routes: self.routes_unlike(before).cloned().collect(),
+            gone_routes: before.routes_gone_in(self),
+            services: self.services.clone().into_iter().collect(),
+            accounts: accounts.map(|(_, a)| a.clone()).collect(),
+            gone_accounts: theirs.keys().filter(is_gone).cloned().collect(),
+        }
+    }
+
+    /// Returns the version that a change leads to; `None` if it changes another one.
+    pub fn changed_by(&self, change: &CatalogueChange) -> Option<Self> {
+        if change.from != self.version {
+            return None;
+        }
+        let mut next = Self::new(change.to, change.limits);
+        next.services = change.services.clone().into_iter().collect();
+        next.routes = self.routes.clone();
+        next.drop_routes(change);
+        next = next.with_routes(change.routes.clone());
+        let mut accounts = self.account_keys();
+        accounts.retain(|name, _| !change.gone_accounts.contains(name));
+        for account in &change.accounts {
+            accounts.insert(account.account.name.clone(), account.clone());
+        }
+        for AccountKeys { account, keys } in accounts.into_values() {
+            next = next.with_account(account, keys);
+        }
+        Some(next)
+    }
+
+    /// Removes the routes that a change replaces or drops.
+    fn drop_routes(&mut self, change: &CatalogueChange) {
+        let gone = change.gone_routes.iter();
+        let gone = gone.map(|place| (&place.host, &place.prefix));
+        let set = change.routes.iter().map(|r| (&r.host, &r.prefix));
+        let dropped: HashSet<(&String, &String)> = gone.chain(set).collect();
+        let hosts: HashSet<&String> = dropped.iter().map(|(host, _)| *host).collect();
+        for host in hosts {
+            if let Some(routes) = self.routes.get_mut(host) {
+                routes.retain(|r| !dropped.contains(&(&r.host, &r.prefix)));
+            }
+        }
+        self.routes.retain(|_, routes| !routes.is_empty());
+    }
+
+    fn routes_unlike<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = &'a Route> {
+        let all = self.routes.values().flatten().map(Rc::as_ref);
+        all.filter(|route| other.route_at(&route.host, &route.prefix) != Some(*route))
+    }
+
+    fn routes_gone_in(&self, other: &Self) -> Vec<RoutePlace> {
+        let all = self.routes.values().flatten();
+        let gone = all.filter(|r| other.route_at(&r.host, &r.prefix).is_none());
+        gone.map(|r| RoutePlace {
+            host: r.host.clone(),
+            prefix: r.prefix.clone(),
+        })
+        .collect()
+    }
+
+    fn route_at(&self, host: &str, prefix: &str) -> Option<&Route> {
+        let of_host = self.routes.get(host)?;
+        of_host.iter().map(Rc::as_ref).find(|r| r.prefix == prefix)
+    }
+
+    fn account_keys(&self) -> BTreeMap<String, AccountKeys> {
+        let mut all: Vec<AccountKeys> = self
+            .accounts
+            .iter()
+            .map(|account| AccountKeys {
+                account: account.as_ref().clone(),
+                keys: Vec::new(),
+            })
+            .collect();
+        for (key, place) in &self.keys {
+            all[*place].keys.push(key.clone());
+        }
+        for account in &mut all {
+            account.keys.sort();
+        }
+        let named = all.into_iter();
+        named.map(|a| (a.account.name.clone(), a)).collect()
+    }
+}
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -101,9 +101,9 @@
                     Verdict::NotRun => {
                         tries.sent += 1;
                         self.note_not_run(tries, reservation);
-                        self.again(tries, reservation, RetryReason::NotRun)?;
+                        self.again(tries, reservation, RetryReason::NotRun).await?;
                     }
-                    Verdict::Wrong => self.lost(key, tries, reservation)?,
+                    Verdict::Wrong => self.lost(key, tries, reservation).await?,
                 },
                 Sent::Unsent => {
                     self.fault(key, Fault::NotSent);
@@ -114,7 +114,7 @@
                     }
                     self.gw.metrics.retried(RetryReason::NotSent);
                 }
-                Sent::Lost => self.lost(key, tries, reservation)?,
+                Sent::Lost => self.lost(key, tries, reservation).await?,
             }
         }
     }
@@ -220,7 +220,7 @@
         let body = match timeout_at(self.plan.deadline, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
-                self.lost(key, tries, reservation)?;
+                self.lost(key, tries, reservation).await?;
                 return Ok(None);
             }
             Err(_) => return Err(tries.late()),
@@ -228,8 +228,9 @@
         line.finish(&facts);
         if status.is_server_error() {
             self.fault(key, Fault::Failed);
-            let again = self.plan.route.kind.repeatable();
-            if again && self.again(tries, reservation, RetryReason::Failed).is_ok() {
+            let repeatable = self.plan.route.kind.repeatable();
+            let again = RetryReason::Failed;
+            if repeatable && self.again(tries, reservation, again).await.is_ok() {
                 return Ok(None);
             }
         } else {
@@ -244,7 +245,7 @@
     }
 
     /// Notes an answer that was lost or wrong; goes on if the request may run again.
-    fn lost(
+    async fn lost(
         &self,
         key: TargetKey,
         tries: &mut Tries,
@@ -259,11 +260,11 @@
         if !self.plan.route.kind.repeatable() {
             return Err(Refusal::OutcomeUnknown);
         }
-        self.again(tries, reservation, RetryReason::Lost)
+        self.again(tries, reservation, RetryReason::Lost).await
     }
 
     /// Takes a repeat, if one is left.
-    pub fn again(
+    pub async fn again(
         &self,
         tries: &Tries,
         reservation: &mut Option<Reservation>,
@@ -272,8 +273,9 @@
         if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
             return Err(tries.given_up());
         }
-        let unpaid = tries.may_have_run && reservation.as_mut().is_some_and(|r| !r.renew());
-        if unpaid {
+        if let Some(r) = reservation.as_mut().filter(|_| tries.may_have_run)
+            && !r.renew().await
+        {
             return Err(tries.given_up());
         }
         self.gw.metrics.retried(reason);
--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -3,12 +3,17 @@
 use tokio::time::sleep;
 
 use crate::metrics::{StoreCall, StoreOutcome};
+use crate::news::Cursor;
 use crate::platform::{Change, Feed, StoreError, Topic, Watch};
 use crate::prelude::*;
 
-/// Time that one watch waits, in milliseconds: a connection that went silent is noticed soon
-/// after, within the time in which a change has to be in force.
-const WAIT_MS: u64 = 1_800;
+/// Time that a watch of the configuration waits, in milliseconds: a connection that went silent is
+/// noticed soon after, within the time in which a change has to be in force.
+const CONFIGURATION_WAIT_MS: u64 = 1_800;
+
+/// Time that a watch of the targets waits, in milliseconds: by its answers followers know that the
+/// service is in touch, also where few entries change.
+const TARGETS_WAIT_MS: u64 = 300;
 
 /// Pause between two watches of the targets, in milliseconds: their entries change all the time,
 /// and one answer then carries many changes.
@@ -20,16 +25,23 @@
 /// Bytes of changes of targets that are no matter on any link: 50 ms at 10 Mbit/s.
 const SMALL: usize = 64 << 10;
 
-/// Follows a topic for ever.
+/// Follows a topic for ever, from where a relay or this router itself left off.
 pub async fn follow(gw: Rc<Gateway>, topic: Topic) {
+    let cursor = gw.cursor(topic);
+    if cursor.at > 0 {
+        let mut watch = first_watch(topic, cursor);
+        watch.wait = Duration::ZERO;
+        watch_from(&gw, topic, watch).await;
+    }
     loop {
         let read = gw.platform.read(topic).await;
         count(&gw, StoreCall::Read, &read);
         match read {
             Ok(feed) => {
-                gw.touch.answered(Instant::now());
-                take_all(&gw, topic, &feed);
-                watch_from(&gw, topic, first_watch(topic, &feed)).await;
+                gw.touch.followed(topic, Instant::now());
+                let cursor = feed.cursor(feed.bytes);
+                take(&gw, topic, &feed, cursor, true);
+                watch_from(&gw, topic, first_watch(topic, cursor)).await;
             }
             Err(e) => note_failure(&gw, topic, e).await,
         }
@@ -39,13 +51,13 @@
 /// Returns the watch that goes on from a whole state.
 ///
 /// Behind a cut, or while a document takes its time, a history grows that is longer than the state
-/// that it leads to; then that is read alone. Else a link that carries a document in 1.9 s takes
-/// 18 s to come to the newest of nine (bytes moved over a link with a pace).
-fn first_watch(topic: Topic, state: &Feed) -> Watch {
+/// that it leads to; then that is read alone, or a slow link comes to the newest of some versions by
+/// all of them.
+fn first_watch(topic: Topic, state: Cursor) -> Watch {
     let state_and_half = state.bytes + state.bytes / 2;
     Watch {
         after: state.at,
-        wait: Duration::from_millis(WAIT_MS),
+        wait: longest_wait(topic),
         largest: match topic {
             Topic::Configuration => state_and_half,
             Topic::Targets => SMALL.max(state_and_half),
@@ -53,6 +65,14 @@
     }
 }
 
+/// Returns how long a watch waits for a change.
+fn longest_wait(topic: Topic) -> Duration {
+    Duration::from_millis(match topic {
+        Topic::Configuration => CONFIGURATION_WAIT_MS,
+        Topic::Targets => TARGETS_WAIT_MS,
+    })
+}
+
 /// Follows changes until the whole state has to be read again.
 async fn watch_from(gw: &Gateway, topic: Topic, mut watch: Watch) {
     loop {
@@ -60,21 +80,24 @@
         count(gw, watch_of(topic), &watched);
         match watched {
             Ok(feed) => {
-                gw.touch.answered(Instant::now());
+                gw.touch.followed(topic, Instant::now());
                 // An empty answer may come from a service that hears nothing just now; going on
                 // from the last change seen misses none.
                 if !feed.changes.is_empty() {
                     watch.after = feed.at;
                 }
-                watch.wait = Duration::from_millis(WAIT_MS);
-                take(gw, &feed);
+                watch.wait = longest_wait(topic);
+                let cursor = Cursor {
+                    at: watch.after,
+                    bytes: gw.cursor(topic).bytes,
+                };
+                take(gw, topic, &feed, cursor, false);
             }
             Err(StoreError::Compacted | StoreError::TooLarge) => return,
             Err(e) => {
                 note_failure(gw, topic, e).await;
                 // A call that waits for nothing ends soon, so that the end of a cut is noticed; it
-                // moves no document that is in force already, as reading the state would: three
-                // resets moved three of 0.57 MB (bytes of a link in a test), and none so.
+                // moves no document that is in force already, as reading the state would.
                 watch.wait = Duration::ZERO;
             }
         }
@@ -105,26 +128,17 @@
     sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
 }
 
-fn take_all(gw: &Gateway, topic: Topic, feed: &Feed) {
-    if topic == Topic::Targets {
-        let regained = gw.touch.regained();
-        let mut targets = gw.targets.borrow_mut();
-        targets.replace(&feed.changes, Instant::now(), regained);
-        gw.set_knows_targets();
-    }
-    take(gw, feed);
-}
-
-fn take(gw: &Gateway, feed: &Feed) {
-    let now = Instant::now();
-    for change in &feed.changes {
-        match change {
-            Change::Configuration(catalogue) => gw.set_catalogue(catalogue.clone()),
-            _ => {
-                let regained = gw.touch.regained();
-                gw.targets.borrow_mut().apply(change, now, regained);
+/// Takes changes of a topic in, and up to where they lead.
+fn take(gw: &Gateway, topic: Topic, feed: &Feed, cursor: Cursor, is_whole: bool) {
+    match topic {
+        Topic::Configuration => {
+            for revised in &feed.changes {
+                if let Change::Configuration(catalogue) = &revised.change {
+                    gw.set_catalogue(catalogue.clone());
+                }
             }
+            gw.configurations.borrow_mut().follow(cursor);
         }
+        Topic::Targets => gw.take_targets(cursor, &feed.changes, is_whole),
     }
-    gw.targets.borrow_mut().sweep(now);
 }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -7,9 +7,11 @@
 use wisteriapass_policy::{OutputSpeed, Time};
 
 use crate::bank::Bank;
-use crate::catalogue::Catalogue;
+use crate::call::Caller;
+use crate::catalogue::{Catalogue, CatalogueChange};
 use crate::metrics::Metrics;
-use crate::platform::Platform;
+use crate::news::{ConfigurationLog, Cursor, TargetLog};
+use crate::platform::{Platform, Revised, Topic};
 use crate::prelude::*;
 use crate::retries::Retries;
 use crate::settings::GatewaySettings;
@@ -34,6 +36,7 @@
     /// Edge to the platform.
     pub platform: Rc<dyn Platform>,
     pub(crate) clock: Clock,
+    pub(crate) caller: Rc<Caller>,
     pub(crate) bank: Rc<Bank>,
     pub(crate) targets: RefCell<Targets>,
     pub(crate) touch: Touch,
@@ -46,6 +49,10 @@
     pub(crate) speed: RefCell<OutputSpeed>,
     /// Which connections have to close.
     pub(crate) closing: watch::Sender<Closing>,
+    /// The configurations of late.
+    pub(crate) configurations: RefCell<ConfigurationLog>,
+    /// The targets' entries and when each changed.
+    pub(crate) target_log: RefCell<TargetLog>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
     retries: RefCell<HashMap<String, Retries>>,
     knows_targets: Cell<bool>,
@@ -55,11 +62,13 @@
     /// Creates a router that knows no configuration and no targets.
     pub fn new(settings: GatewaySettings, platform: Rc<dyn Platform>, metrics: Metrics) -> Self {
         let clock = Clock::new();
-        let bank = Rc::new(Bank::new(clock, &settings.name, settings.lending));
+        let caller = Rc::new(Caller::default());
+        let bank = Rc::new(Bank::new(clock, &settings, caller.clone()));
         Self {
             settings,
             platform,
             clock,
+            caller,
             bank,
             targets: RefCell::default(),
             touch: Touch::default(),
@@ -68,6 +77,8 @@
             taken_at: Cell::default(),
             speed: RefCell::default(),
             closing: watch::Sender::new(Closing::None),
+            configurations: RefCell::default(),
+            target_log: RefCell::default(),
             catalogue: RefCell::default(),
             retries: RefCell::default(),
             knows_targets: Cell::new(false),
@@ -92,12 +103,44 @@
             next.routes_len()
         );
         self.bank.set_totals(&next);
+        self.configurations.borrow_mut().set(next.clone());
         *self.catalogue.borrow_mut() = Some(next);
     }
 
-    /// Notes that the targets were read once.
-    pub(crate) fn set_knows_targets(&self) {
-        self.knows_targets.set(true);
+    /// Puts the configuration in force that a change leads to, if it changes the one that is.
+    pub(crate) fn change_catalogue(&self, change: &CatalogueChange) {
+        let whole = || Catalogue::default().changed_by(change);
+        let next = self.catalogue().and_then(|now| now.changed_by(change));
+        if let Some(next) = next.or_else(whole) {
+            self.set_catalogue(Rc::new(next));
+        }
+    }
+
+    /// Returns up to where a topic is known.
+    pub(crate) fn cursor(&self, topic: Topic) -> Cursor {
+        match topic {
+            Topic::Configuration => self.configurations.borrow().cursor(),
+            Topic::Targets => self.target_log.borrow().cursor(),
+        }
+    }
+
+    /// Takes changes of targets in, and up to where they lead; `is_whole` if no other entry is
+    /// there.
+    pub(crate) fn take_targets(&self, cursor: Cursor, changes: &[Revised], is_whole: bool) {
+        let now = Instant::now();
+        let regained = self.touch.regained();
+        let mut log = self.target_log.borrow_mut();
+        log.take(cursor, changes, is_whole);
+        let mut targets = self.targets.borrow_mut();
+        if is_whole {
+            targets.replace(changes.iter().map(|c| &c.change), now, regained);
+            self.knows_targets.set(true);
+        } else {
+            for revised in changes {
+                targets.apply(&revised.change, now, regained);
+            }
+        }
+        targets.sweep(now);
     }
 
     /// Returns whether callers may be sent here.
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -18,10 +18,12 @@
 mod kept_parts;
 mod listener;
 mod metrics;
+mod news;
 mod platform;
 mod pool;
 mod prelude;
 mod refusal;
+mod relays;
 mod reservation;
 mod retries;
 mod route;
@@ -32,18 +34,20 @@
 mod targets;
 mod touch;
 
-pub use catalogue::{Account, Catalogue, Limits, Service};
+pub use catalogue::{Account, Catalogue, CatalogueChange, Limits, Service};
 pub use events::{Event, EventReader};
 pub use facts::{AnswerFacts, DispatchFacts, PrefixPart, RequestFacts, TokenWork};
 pub use gateway::Gateway;
+pub use news::{ConfigurationLog, Cursor, TargetLog, TargetNews, TargetsNews};
 pub use platform::{
-    Change, Feed, LocalFuture, Platform, Recorded, StoreError, Swap, Topic, Versioned, Watch,
+    Change, Feed, LocalFuture, Platform, Recorded, Revised, StoreError, Swap, Topic, Versioned,
+    Watch,
 };
 pub use refusal::Refusal;
 pub use retries::Retries;
 pub use route::{Kind, Route, Split};
 pub use run::{RunError, run};
-pub use settings::{Bounds, GatewaySettings};
+pub use settings::{Bounds, GatewaySettings, VmSize};
 pub use target::{Standing, Target, TargetEntry, TargetId, TargetKey};
 pub use targets::Targets;
 pub use touch::Touch;
--- /dev/null
+++ b/wisteriapass_gateway/src/news/target_log.rs
@@ -0,0 +1,148 @@
+//! The targets' entries and when each changed in a way that matters.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::Cursor;
+use crate::platform::{Change, Revised};
+use crate::target::{TargetEntry, TargetId};
+
+/// Entries that went and are remembered, before the oldest are forgotten.
+const MOST_GONE: usize = 1_024;
+
+/// What is told of one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetNews {
+    /// Its entry.
+    Entry(TargetEntry),
+    /// That it may get no more work.
+    Gone(TargetId),
+    /// That its entry is missing and may come back.
+    Missing {
+        /// The target.
+        id: TargetId,
+        /// Time for which it may get work meanwhile, in milliseconds.
+        left_ms: u64,
+    },
+}
+
+/// What is told of the targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetsNews {
+    /// From where to go on.
+    pub cursor: Cursor,
+    /// Revision behind which these changes came; none if this is the whole state.
+    pub since: Option<u64>,
+    /// The changes.
+    pub changes: Vec<(u64, TargetNews)>,
+}
+
+/// A target's entry, none if it went, and the revision at which that came about.
+#[derive(Clone, Debug)]
+struct Noted {
+    revision: u64,
+    entry: Option<TargetEntry>,
+}
+
+/// The targets' entries.
+#[derive(Debug, Default)]
+pub struct TargetLog {
+    cursor: Cursor,
+    /// Revision since which each entry that went is remembered.
+    complete_since: u64,
+    known: HashMap<TargetId, Noted>,
+}
+
+impl TargetLog {
+    /// Takes changes in, and up to where they lead; `is_whole` if no other entry is there.
+    pub fn take(&mut self, cursor: Cursor, changes: &[Revised], is_whole: bool) {
+        if is_whole {
+            self.forget_missing(cursor, changes);
+        }
+        for revised in changes {
+            let (id, entry) = match &revised.change {
+                Change::Target(entry) => (&entry.id, Some(entry.clone())),
+                Change::Gone(id) | Change::Unusable(id) | Change::Missing(id, _) => (id, None),
+                Change::Configuration(_) => continue,
+            };
+            self.note(id, revised.revision, entry);
+        }
+        if cursor.at >= self.cursor.at {
+            self.cursor = cursor;
+        }
+        self.prune();
+    }
+
+    /// Returns up to where the service was followed.
+    pub fn cursor(&self) -> Cursor {
+        self.cursor
+    }
+
+    /// Returns what changed behind a revision; `missing` says until when an entry that went may
+    /// come back.
+    pub fn since(
+        &self,
+        revision: u64,
+        now: Instant,
+        missing: impl Fn(&TargetId) -> Option<Instant>,
+    ) -> Option<TargetsNews> {
+        if self.cursor.at <= revision {
+            return None;
+        }
+        let since = (revision > 0 && revision >= self.complete_since).then_some(revision);
+        let is_news = |noted: &Noted| since.is_none_or(|since| noted.revision > since);
+        let news = self.known.iter().filter(|(_, noted)| is_news(noted));
+        let changes = news.map(|(id, noted)| {
+            let until = missing(id).map(|until| until.saturating_duration_since(now));
+            let news = match (&noted.entry, until) {
+                (Some(entry), _) => TargetNews::Entry(entry.clone()),
+                (None, Some(left)) => TargetNews::Missing {
+                    id: id.clone(),
+                    left_ms: left.as_millis() as u64,
+                },
+                (None, None) => TargetNews::Gone(id.clone()),
+            };
+            (noted.revision, news)
+        });
+        Some(TargetsNews {
+            cursor: self.cursor,
+            since,
+            changes: changes.collect(),
+        })
+    }
+
+    /// Notes an entry, unless it says nothing new.
+    fn note(&mut self, id: &TargetId, revision: u64, entry: Option<TargetEntry>) {
+        let known = self.known.get(id);
+        if known.is_some_and(|k| k.revision >= revision || k.entry == entry) {
+            return;
+        }
+        self.known.insert(id.clone(), Noted { revision, entry });
+    }
+
+    /// Notes all entries as gone that are not in a whole state.
+    fn forget_missing(&mut self, cursor: Cursor, whole: &[Revised]) {
+        let mut missing: Vec<TargetId> = self.known.keys().cloned().collect();
+        missing.retain(|id| !whole.iter().any(|r| r.change.target() == Some(id)));
+        for id in missing {
+            self.note(&id, cursor.at, None);
+        }
+    }
+
+    /// Forgets the oldest of too many entries that went.
+    fn prune(&mut self) {
+        let gone = self.known.values().filter(|n| n.entry.is_none());
+        let mut revisions: Vec<u64> = gone.map(|n| n.revision).collect();
+        if revisions.len() <= MOST_GONE {
+            return;
+        }
+        let middle = revisions.len() / 2;
+        let (_, oldest, _) = revisions.select_nth_unstable(middle);
+        let oldest = *oldest;
+        self.complete_since = self.complete_since.max(oldest);
+        self.known
+            .retain(|_, n| n.entry.is_some() || n.revision > oldest);
+    }
+}
--- a/wisteriapass_gateway/src/platform.rs
+++ b/wisteriapass_gateway/src/platform.rs
@@ -7,9 +7,11 @@
 
 use derive_more::{Display, Error};
 use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
 
 use crate::catalogue::Catalogue;
 use crate::facts::{AnswerFacts, DispatchFacts, RequestFacts};
+use crate::news::Cursor;
 use crate::target::{TargetEntry, TargetId};
 
 /// A future of this thread.
@@ -60,6 +62,19 @@
     Gone(TargetId),
     /// An entry that cannot be read, or names a state that is not known.
     Unusable(TargetId),
+    /// An entry that is not there and may come back until then.
+    Missing(TargetId, Instant),
+}
+
+impl Change {
+    /// Returns the target that it is about.
+    pub fn target(&self) -> Option<&TargetId> {
+        match self {
+            Self::Target(entry) => Some(&entry.id),
+            Self::Gone(id) | Self::Unusable(id) | Self::Missing(id, _) => Some(id),
+            Self::Configuration(_) => None,
+        }
+    }
 }
 
 /// Which changes of a topic are waited for.
@@ -73,6 +88,15 @@
     pub largest: usize,
 }
 
+/// A change and the revision of the service at which it was made.
+#[derive(Clone, Debug)]
+pub struct Revised {
+    /// Revision.
+    pub revision: u64,
+    /// The change.
+    pub change: Change,
+}
+
 /// Changes up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Feed {
@@ -81,7 +105,14 @@
     /// Bytes of the answers that brought them.
     pub bytes: usize,
     /// The changes in order.
-    pub changes: Vec<Change>,
+    pub changes: Vec<Revised>,
+}
+
+impl Feed {
+    /// Returns from where to go on behind it, where the whole state has so many bytes.
+    pub fn cursor(&self, bytes: usize) -> Cursor {
+        Cursor { at: self.at, bytes }
+    }
 }
 
 /// A record and its revision; 0 is none.
--- /dev/null
+++ b/wisteriapass_gateway/src/relays.rs
@@ -0,0 +1,13 @@
+//! Following a relay, or being one for the routers of the own failure domain.
+//!
+//! A follower asks its relay for news some times a second and for grants as it needs them; it calls
+//! the key-value service just to find relays. A relay follows the service and writes shares.
+
+mod follower;
+mod messages;
+mod relay;
+mod role;
+mod service;
+
+pub use role::keep_role;
+pub use service::answer_calls;
--- /dev/null
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -0,0 +1,178 @@
+//! Being a follower: asking a relay for news, and becoming one where none is left.
+
+use tokio::time::sleep;
+use wisteriapass_coord::prepaid::ShareRecord;
+use wisteriapass_coord::relay::{Attempt, Candidacy, Sight, Word};
+
+use super::messages::{NEWS, NewsAnswer, NewsCall};
+use crate::bank::Known;
+use crate::call::within;
+use crate::news::{TargetNews, TargetsNews};
+use crate::platform::{Change, Revised};
+use crate::prelude::*;
+
+/// Time between two questions for news, in milliseconds: a target that leaves is known that soon
+/// behind the relay, well within the time that it has.
+const ASK_MS: u64 = 150;
+
+/// The same while no relay with fresh news is known, in milliseconds: each is tried in turn.
+const SEARCH_MS: u64 = 30;
+
+/// Longest wait for an answer to begin, in milliseconds: many round trips within a region, also of a
+/// relay on a busy VM.
+const PATIENCE_MS: u64 = 250;
+
+/// Time between two tries to read who is a relay at the start, in milliseconds.
+const START_MS: u64 = 200;
+
+/// Longest time between them.
+const MOST_START_MS: u64 = 1_000;
+
+/// Finds out who is a relay; returns whether this router's VM held shares, so that it is one.
+pub async fn find_relays(gw: &Gateway) -> bool {
+    let mut pause = START_MS;
+    loop {
+        if let Some(record) = gw.bank.read_relays(gw).await {
+            return learn(gw, &record);
+        }
+        sleep(Duration::from_millis(pause)).await;
+        pause = (pause * 2).min(MOST_START_MS);
+    }
+}
+
+/// Takes over who is a relay by a record; returns whether this router's VM is.
+fn learn(gw: &Gateway, record: &ShareRecord) -> bool {
+    let now_ms = gw.clock.now_ms();
+    let listed = gw.bank.listed(record);
+    gw.bank.roster.borrow_mut().learn_record(now_ms, listed);
+    let mine = record.tenure(&gw.bank.id());
+    mine.is_some_and(|tenure| tenure.lends_at.is_some())
+}
+
+/// Follows relays until this router has become one; returns what is known of the records then.
+pub async fn follow_relays(gw: &Rc<Gateway>) -> Vec<Known> {
+    let mut candidacy = Candidacy::new(gw.settings.size.is_strong());
+    loop {
+        let is_fresh = ask(gw).await;
+        if let Some(known) = try_to_join(gw, &mut candidacy).await {
+            return known;
+        }
+        let pause = if is_fresh { ASK_MS } else { SEARCH_MS };
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// Asks the relay that is followed for news; returns whether they are fresh.
+async fn ask(gw: &Gateway) -> bool {
+    let relay = gw.bank.roster.borrow_mut().choose(gw.clock.now_ms());
+    let Some(relay) = relay else {
+        return false;
+    };
+    let call = NewsCall {
+        follower: gw.bank.id(),
+        version: gw.catalogue().map_or(0, |c| c.version),
+        targets_at: gw.target_log.borrow().cursor().at,
+    };
+    let until = within(PATIENCE_MS);
+    let asked_ms = gw.clock.now_ms();
+    let answer: Option<NewsAnswer> = gw.caller.call(relay.at, NEWS, &call, until).await;
+    match answer {
+        Some(answer) => take(gw, &relay, asked_ms, answer),
+        None => {
+            log::info!(target: "relay", "No answer of a relay. relay={} at={}", relay.id, relay.at);
+            let mut roster = gw.bank.roster.borrow_mut();
+            roster.silent(&relay.id, gw.clock.now_ms());
+        }
+    }
+    gw.bank.roster.borrow().is_fresh(gw.clock.now_ms())
+}
+
+/// Takes a relay's answer in.
+fn take(gw: &Gateway, relay: &Sight, asked_ms: u64, answer: NewsAnswer) {
+    // News are as old as they were when they were asked for, however long the answer took.
+    let word = Word {
+        heard_ms: asked_ms,
+        age_ms: answer.age_ms,
+        is_leaving: answer.is_leaving,
+    };
+    let now_ms = gw.clock.now_ms();
+    let relays = answer.relays.into_iter().map(Into::into);
+    let mut roster = gw.bank.roster.borrow_mut();
+    if !answer.is_leaving {
+        roster.learn(now_ms, relays);
+    }
+    roster.heard(&relay.id, word);
+    drop(roster);
+    gw.bank.set_routers(answer.routers as usize);
+    for change in &answer.configuration {
+        gw.change_catalogue(change);
+    }
+    let mut log = gw.configurations.borrow_mut();
+    log.follow(answer.configuration_cursor);
+    drop(log);
+    if let Some(news) = answer.targets {
+        take_targets(gw, news);
+    }
+}
+
+/// Takes changes of targets in, unless what is known is newer.
+fn take_targets(gw: &Gateway, news: TargetsNews) {
+    let at = gw.target_log.borrow().cursor().at;
+    if news.cursor.at < at || news.since.is_some_and(|since| since > at) {
+        return;
+    }
+    let now = Instant::now();
+    let changes: Vec<Revised> = news
+        .changes
+        .into_iter()
+        .map(|(revision, news)| Revised {
+            revision,
+            change: change(news, now),
+        })
+        .collect();
+    gw.take_targets(news.cursor, &changes, news.since.is_none());
+}
+
+fn change(news: TargetNews, now: Instant) -> Change {
+    match news {
+        TargetNews::Entry(entry) => Change::Target(entry),
+        TargetNews::Gone(id) => Change::Gone(id),
+        TargetNews::Missing { id, left_ms } => {
+            Change::Missing(id, now + Duration::from_millis(left_ms))
+        }
+    }
+}
+
+/// Becomes a relay if there are too few and it is this router's turn.
+async fn try_to_join(gw: &Rc<Gateway>, candidacy: &mut Candidacy) -> Option<Vec<Known>> {
+    let now_ms = gw.clock.now_ms();
+    let need = gw.bank.roster.borrow().need(now_ms);
+    let routers = gw.bank.routers();
+    match candidacy.next(now_ms, need, routers, rand::random()) {
+        Attempt::None => None,
+        Attempt::Ask => {
+            let record = gw.bank.read_relays(gw).await;
+            match record {
+                Some(record) => {
+                    learn(gw, &record);
+                    candidacy.answered(gw.clock.now_ms());
+                }
+                None => candidacy.failed(),
+            }
+            None
+        }
+        Attempt::Join => {
+            log::info!(target: "relay", "Joining the relays. need={need:?}");
+            let joined = gw.bank.join(gw, |record| is_wanted(gw, record)).await;
+            if joined.is_none() {
+                candidacy.withdraw();
+            }
+            joined
+        }
+    }
+}
+
+/// Returns whether the record that this router would write over leaves it wanted.
+fn is_wanted(gw: &Gateway, record: &ShareRecord) -> bool {
+    learn(gw, record) || gw.bank.roster.borrow().wants_me(gw.clock.now_ms())
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/relays/service.rs
@@ -0,0 +1,40 @@
+//! Answering the calls of other routers.
+
+use tokio::net::TcpListener;
+
+use super::messages::NEWS;
+use crate::bank::{GRANT, INQUIRY, LEND, REPORT, Role};
+use crate::call::serve_calls;
+use crate::prelude::*;
+
+/// Answers calls of other routers until the process ends.
+pub async fn answer_calls(gw: Rc<Gateway>, listener: TcpListener) {
+    let answer = move |path: String, message: Bytes| {
+        let gw = gw.clone();
+        let answered: crate::platform::LocalFuture<'static, _> =
+            Box::pin(async move { answer(&gw, &path, &message).await });
+        answered
+    };
+    serve_calls(listener, Rc::new(answer)).await;
+}
+
+/// Answers one call; `None` for what is no call to this router in its role.
+async fn answer(gw: &Rc<Gateway>, path: &str, message: &[u8]) -> Option<Vec<u8>> {
+    match path {
+        LEND => gw.bank.answer_borrower(message),
+        REPORT => gw.bank.answer_report(message),
+        INQUIRY => gw.bank.answer_inquiry(message),
+        _ if gw.bank.role() == Role::Follower => None,
+        NEWS => {
+            let call = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&super::relay::tell_news(gw, &call)).ok()
+        }
+        GRANT => {
+            let call = postcard::from_bytes(message).ok()?;
+            let version = gw.catalogue().map_or(0, |c| c.version);
+            let granted = gw.bank.grant(&call, version).await;
+            postcard::to_stdvec(&granted).ok()
+        }
+        _ => None,
+    }
+}
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use smallvec::{SmallVec, smallvec};
 use tokio::time::Instant;
 
-use crate::bank::Bank;
+use crate::bank::{Bank, Source};
 use crate::facts::TokenWork;
 
 /// Time since the last event within which a target is sure to see that its stream was closed, in
@@ -25,7 +26,8 @@
     account: String,
     work: TokenWork,
     per_event: u64,
-    most: u64,
+    /// What is set aside, and where.
+    parts: SmallVec<[(Source, u64); 1]>,
     /// Output of runs before, whose end is not known.
     lost: u64,
     sent: bool,
@@ -36,13 +38,19 @@
 
 impl Reservation {
     /// Creates one for work whose most the bank has set aside.
-    pub fn new(bank: Rc<Bank>, account: String, work: TokenWork, per_event: u64) -> Self {
+    pub fn new(
+        bank: Rc<Bank>,
+        account: String,
+        work: TokenWork,
+        per_event: u64,
+        source: Source,
+    ) -> Self {
         Self {
             bank,
             account,
             work,
             per_event,
-            most: work.most(),
+            parts: smallvec![(source, work.most())],
             lost: 0,
             sent: false,
             events: 0,
@@ -64,12 +72,12 @@
     /// Sets the output of another run aside, after one whose end is not known.
     ///
     /// Returns whether there is money for it.
-    pub fn renew(&mut self) -> bool {
+    pub async fn renew(&mut self) -> bool {
         let output = self.work.max_output;
-        if !self.bank.reserve_more(&self.account, output) {
+        let Some(source) = self.bank.reserve_more(&self.account, output).await else {
             return false;
-        }
-        self.most += output;
+        };
+        self.parts.push((source, output));
         self.lost += output;
         self.events = 0;
         self.last_event = None;
@@ -111,7 +119,11 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let used = self.used();
-        self.bank.settle(&self.account, self.most, used);
+        let mut left = self.used();
+        for (source, most) in self.parts.drain(..) {
+            let used = left.min(most);
+            left -= used;
+            self.bank.settle(source, &self.account, most, used);
+        }
     }
 }
--- a/wisteriapass_gateway/src/route.rs
+++ b/wisteriapass_gateway/src/route.rs
@@ -1,10 +1,11 @@
 //! A route: which requests go to which service, and what is promised about them.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May run more than once.
     #[display("idempotent")]
@@ -28,7 +29,7 @@
 }
 
 /// A service and its weight in a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Split {
     /// Name of the service.
     pub service: String,
@@ -37,7 +38,7 @@
 }
 
 /// A route of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name, for logs.
     pub name: String,
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -7,18 +7,20 @@
 use tokio::time::{sleep, timeout_at};
 use wisteriapass_policy::drain::Drain;
 
-use crate::bank::Bank;
-use crate::follow::follow;
 use crate::gateway::Closing;
 use crate::listener::{listen, serve_callers, serve_readiness};
 use crate::metrics::{Metrics, MetricsError};
-use crate::platform::{Platform, Topic};
+use crate::platform::Platform;
 use crate::prelude::*;
+use crate::relays::{answer_calls, keep_role};
 use crate::settings::GatewaySettings;
 
 /// Time before the kill at which the process ends in any case, in milliseconds.
 const END_MS: u64 = 50;
 
+/// Time that is left for the last write of shares.
+const WRITE_TIME: Duration = Duration::from_millis(350);
+
 /// Time between two looks at what is still under way, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -53,14 +55,13 @@
     spawn_local(ignore(signal(SignalKind::hangup())?));
     let callers = listen(gw.settings.listen)?;
     let ready = listen(gw.settings.ready)?;
-    let lending = listen(gw.settings.lending)?;
+    let inner = listen(gw.settings.inner)?;
     let open = Rc::new(Cell::new(0));
-    spawn_local(gw.bank.clone().serve_lending(lending));
+    spawn_local(answer_calls(gw.clone(), inner));
     spawn_local(serve_readiness(gw.clone(), ready));
     spawn_local(serve_callers(gw.clone(), callers, open.clone()));
-    spawn_local(follow(gw.clone(), Topic::Configuration));
-    spawn_local(follow(gw.clone(), Topic::Targets));
-    let keepers = Bank::start(&gw);
+    spawn_local(gw.bank.clone().keep_credit());
+    let role = spawn_local(keep_role(gw.clone()));
     let stamp = gw.clock.stamp();
     log::info!(
         target: "start",
@@ -71,8 +72,8 @@
     let grace_ms = gw.settings.bounds.grace_ms;
     let last = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MS));
     leave(&gw, &open).await;
-    keepers.iter().for_each(tokio::task::JoinHandle::abort);
-    let done = timeout_at(last, gw.bank.give_back(&gw)).await;
+    role.abort();
+    let done = timeout_at(last, gw.bank.give_back(&gw, last - WRITE_TIME)).await;
     log::info!(target: "start", "Stopped. cut={} given_back={}", open.get(), done.is_ok());
     Ok(())
 }
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -27,6 +27,30 @@
     }
 }
 
+/// Part of a core from which on a VM carries others' shares with ease: a follower costs it a
+/// thousandth.
+const STRONG_CORES: f64 = 0.15;
+
+/// The same for its link, in megabits a second: news of some thousand routes to all followers at once.
+const STRONG_LINK_MBPS: f64 = 100.0;
+
+/// What a VM has for its router; what is not told counts as plenty.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct VmSize {
+    /// Part of a core, or cores.
+    pub cores: Option<f64>,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: Option<f64>,
+}
+
+impl VmSize {
+    /// Returns whether it carries others' shares with ease.
+    pub fn is_strong(&self) -> bool {
+        let is_plenty = |has: Option<f64>, least| has.is_none_or(|has| has >= least);
+        is_plenty(self.cores, STRONG_CORES) && is_plenty(self.link_mbps, STRONG_LINK_MBPS)
+    }
+}
+
 /// Settings of one router.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -38,8 +62,10 @@
     pub listen: SocketAddr,
     /// Address where readiness is asked for.
     pub ready: SocketAddr,
-    /// Address where other routers borrow shares.
-    pub lending: SocketAddr,
+    /// Address where other routers call.
+    pub inner: SocketAddr,
+    /// What its VM has.
+    pub size: VmSize,
     /// Bounds.
     pub bounds: Bounds,
 }
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -194,7 +194,7 @@
             let again = self
                 .job
                 .again(&self.tries, &mut self.reservation, RetryReason::Resumed);
-            again.map_err(|_| Broken::Lost)?;
+            again.await.map_err(|_| Broken::Lost)?;
             let answer = self
                 .job
                 .next_answer(&mut self.tries, &mut self.reservation, self.last)
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use tokio::time::Instant;
 use wisteriapass_policy::placement::Trouble;
@@ -17,11 +18,14 @@
 }
 
 /// Id of a target; a target that starts anew may keep it.
-#[derive(Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct TargetId(pub String);
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Its id.
     pub id: TargetId,
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this router knows, by service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -43,13 +43,28 @@
                 log::warn!(target: "targets", "Entry unusable. target={id}");
                 self.close(id);
             }
+            Change::Missing(id, until) => self.miss(id, *until),
             Change::Configuration(_) => {}
         }
     }
 
+    /// Returns until when a target may get work though its entry is missing.
+    pub fn missing_until(&self, id: &TargetId) -> Option<Instant> {
+        let target = self.ids.get(id).and_then(|key| self.arena.get(*key))?;
+        match target.standing {
+            Standing::Missing(until) => Some(until),
+            Standing::Open | Standing::Closed => None,
+        }
+    }
+
     /// Takes the whole state in: entries that are not in it are gone.
-    pub fn replace(&mut self, changes: &[Change], now: Instant, regained: Option<Instant>) {
-        let named: Vec<&TargetId> = changes.iter().filter_map(named).collect();
+    pub fn replace<'a>(
+        &mut self,
+        changes: impl Iterator<Item = &'a Change> + Clone,
+        now: Instant,
+        regained: Option<Instant>,
+    ) {
+        let named: HashSet<&TargetId> = changes.clone().filter_map(Change::target).collect();
         let is_missing = |id: &&TargetId| !named.contains(id);
         let gone: Vec<TargetId> = self.ids.keys().filter(is_missing).cloned().collect();
         for id in gone {
@@ -99,6 +114,14 @@
         log::info!(target: "targets", "Entry gone. target={id} lapsed={}", until.is_some());
     }
 
+    /// Lets a target have work until a time though its entry is missing.
+    fn miss(&mut self, id: &TargetId, until: Instant) {
+        let target = self.ids.get(id).and_then(|key| self.arena.get_mut(*key));
+        if let Some(target) = target.filter(|t| t.standing == Standing::Open) {
+            target.standing = Standing::Missing(until);
+        }
+    }
+
     fn close(&mut self, id: &TargetId) {
         let target = self.ids.get(id).and_then(|key| self.arena.get_mut(*key));
         if let Some(target) = target {
@@ -106,11 +129,3 @@
         }
     }
 }
-
-fn named(change: &Change) -> Option<&TargetId> {
-    match change {
-        Change::Target(entry) => Some(&entry.id),
-        Change::Unusable(id) | Change::Gone(id) => Some(id),
-        Change::Configuration(_) => None,
-    }
-}
--- a/wisteriapass_gateway/src/touch.rs
+++ b/wisteriapass_gateway/src/touch.rs
@@ -5,6 +5,8 @@
 
 use tokio::time::Instant;
 
+use crate::platform::Topic;
+
 /// Silence after which an answer counts as the service's return, in milliseconds: more than the
 /// 1.8 s in which a watch is answered where nothing changes, and no more than an outage takes in
 /// which entries lapse, two of the three heartbeats of 1.2 s that a target may miss.
@@ -16,8 +18,17 @@
     last: Cell<Option<Instant>>,
     regained: Cell<Option<Instant>>,
     failed: Cell<bool>,
+    /// When each topic was answered last: configuration and targets.
+    topics: [Cell<Option<Instant>>; 2],
 }
 
+/// Age of news that are older than any.
+const NEVER_MS: u64 = u64::MAX / 2;
+
+/// Time that the configuration may go without an answer beyond the targets, in milliseconds: where
+/// nothing changes, its watch is answered so much more seldom.
+const CONFIGURATION_SLACK_MS: u64 = 1_800;
+
 impl Touch {
     /// Notes an answer to any call.
     ///
@@ -37,6 +48,24 @@
         }
     }
 
+    /// Notes an answer to a call that follows a topic.
+    pub fn followed(&self, topic: Topic, now: Instant) {
+        self.topics[topic as usize].set(Some(now));
+        self.answered(now);
+    }
+
+    /// Returns how old what is followed is, in milliseconds.
+    pub fn news_age_ms(&self, now: Instant) -> u64 {
+        let age = |topic: Topic| {
+            let at = self.topics[topic as usize].get();
+            at.map_or(NEVER_MS, |at| {
+                now.saturating_duration_since(at).as_millis() as u64
+            })
+        };
+        let configuration = age(Topic::Configuration).saturating_sub(CONFIGURATION_SLACK_MS);
+        configuration.max(age(Topic::Targets))
+    }
+
     /// Notes a call without answer.
     pub fn failed(&self) {
         if !self.failed.replace(true) {
--- /dev/null
+++ b/wisteriapass_gateway/tests/news.rs
@@ -0,0 +1,200 @@
+//! What a relay tells its followers: what changed since they heard, and the whole where it must.
+
+use std::rc::Rc;
+
+use quickcheck_macros::quickcheck;
+use smallvec::smallvec;
+use tokio::time::Instant;
+use wisteriapass_gateway::{
+    Account, Catalogue, CatalogueChange, Change, ConfigurationLog, Cursor, Kind, Limits, Revised,
+    Route, Service, Split, TargetEntry, TargetId, TargetLog, TargetNews,
+};
+
+fn route(n: u8, variant: u8) -> Route {
+    Route {
+        name: format!("r{n}"),
+        host: format!("h{}", n % 5),
+        prefix: format!("/p{}/", n / 5),
+        splits: smallvec![Split {
+            service: format!("s{variant}"),
+            weight: 1
+        }],
+        kind: Kind::Idempotent,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        gap_ms: None,
+        attempts: 1,
+        priority: 1,
+        public: false,
+    }
+}
+
+/// A configuration whose routes and accounts are drawn.
+fn catalogue(version: u64, draws: &[(u8, u8)]) -> Catalogue {
+    let routes = draws.iter().map(|(n, variant)| route(*n, variant % 3));
+    let mut next = Catalogue::new(version, Limits::default()).with_routes(routes.collect());
+    let mut names: Vec<u8> = draws.iter().map(|(n, _)| n % 7).collect();
+    names.sort_unstable();
+    names.dedup();
+    for n in names {
+        let account = Account {
+            name: format!("a{n}"),
+            priority: None,
+            prepaid: Some(u64::from(draws[0].1)),
+        };
+        next = next.with_account(account, vec![format!("key-{n}-{}", draws[0].0 % 2)]);
+        next = next.with_service(format!("s{n}"), Service::default());
+    }
+    next
+}
+
+/// Everything that a configuration says, in an order of its own.
+fn all_of(catalogue: &Catalogue) -> CatalogueChange {
+    let mut whole = catalogue.change_from(&Catalogue::default());
+    let place = |r: &Route| (r.host.clone(), r.prefix.clone());
+    whole.routes.sort_by_key(place);
+    whole
+}
+
+#[quickcheck]
+fn a_change_leads_from_one_configuration_to_the_next(
+    before: Vec<(u8, u8)>,
+    after: Vec<(u8, u8)>,
+) -> bool {
+    let (before, after) = (catalogue(1, &before), catalogue(2, &after));
+    let change = after.change_from(&before);
+    let bytes = postcard::to_stdvec(&change).unwrap();
+    let read: CatalogueChange = postcard::from_bytes(&bytes).unwrap();
+    let next = before.changed_by(&read).unwrap();
+    all_of(&next) == all_of(&after)
+}
+
+#[quickcheck]
+fn the_whole_is_a_change_of_nothing(draws: Vec<(u8, u8)>) -> bool {
+    let catalogue = catalogue(7, &draws);
+    let whole = catalogue.change_from(&Catalogue::default());
+    let next = Catalogue::default().changed_by(&whole).unwrap();
+    next.version == 7 && all_of(&next) == all_of(&catalogue)
+}
+
+#[test]
+fn a_change_of_another_version_changes_nothing() {
+    let (first, second) = (catalogue(1, &[(1, 1)]), catalogue(2, &[(2, 2)]));
+    let change = second.change_from(&first);
+    assert!(second.changed_by(&change).is_none());
+}
+
+#[test]
+fn a_follower_is_told_the_changes_that_it_missed() {
+    let mut log = ConfigurationLog::default();
+    let many: Vec<(u8, u8)> = (0..250).map(|n| (n, 0)).collect();
+    for version in 1..=5 {
+        let mut draws = many.clone();
+        draws.truncate(240 + version as usize);
+        log.set(Rc::new(catalogue(version, &draws)));
+    }
+    assert!(log.since(5).is_empty());
+    let missed = log.since(2);
+    let steps: Vec<(u64, u64)> = missed.iter().map(|c| (c.from, c.to)).collect();
+    assert_eq!(steps, [(2, 3), (3, 4), (4, 5)]);
+    assert!(missed.iter().all(|c| c.routes.len() <= 1));
+    let whole = log.since(0);
+    assert_eq!((whole[0].from, whole[0].to), (0, 5));
+    assert!(whole[0].routes.len() > 200);
+}
+
+fn entry(id: &str, slots: u32) -> TargetEntry {
+    TargetEntry {
+        id: TargetId(id.into()),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "z".into(),
+        slots,
+        leaving: false,
+        born: Some(1),
+    }
+}
+
+fn at(revision: u64) -> Cursor {
+    Cursor {
+        at: revision,
+        bytes: 100,
+    }
+}
+
+fn revised(revision: u64, change: Change) -> Revised {
+    Revised { revision, change }
+}
+
+/// Ids that are told to a follower that knows all up to a revision.
+fn told(log: &TargetLog, revision: u64) -> Vec<String> {
+    let news = log.since(revision, Instant::now(), |_| None);
+    let changes = news.map_or(Vec::new(), |n| n.changes);
+    let mut ids: Vec<String> = changes
+        .iter()
+        .map(|(_, news)| match news {
+            TargetNews::Entry(entry) => format!("+{}", entry.id),
+            TargetNews::Gone(id) | TargetNews::Missing { id, .. } => format!("-{id}"),
+        })
+        .collect();
+    ids.sort();
+    ids
+}
+
+fn log_of_three() -> TargetLog {
+    let mut log = TargetLog::default();
+    let names = ["a", "b", "c"].iter().zip(1..);
+    let whole: Vec<Revised> = names
+        .map(|(id, n)| revised(n, Change::Target(entry(id, 4))))
+        .collect();
+    log.take(at(10), &whole, true);
+    log
+}
+
+#[test]
+fn a_fresh_follower_is_told_all_targets_and_one_that_knows_them_none() {
+    let log = log_of_three();
+    assert_eq!(told(&log, 0), ["+a", "+b", "+c"]);
+    assert!(told(&log, 10).is_empty());
+    // A follower that knows more than its relay is told nothing old.
+    assert!(told(&log, 11).is_empty());
+}
+
+#[test]
+fn entries_that_change_in_nothing_that_matters_are_not_told() {
+    let mut log = log_of_three();
+    log.take(at(20), &[revised(20, Change::Target(entry("a", 4)))], false);
+    assert!(told(&log, 10).is_empty());
+    log.take(at(30), &[revised(30, Change::Target(entry("a", 5)))], false);
+    assert_eq!(told(&log, 10), ["+a"]);
+}
+
+#[test]
+fn a_target_that_went_is_told_as_gone_or_missing() {
+    let mut log = log_of_three();
+    let gone = Change::Gone(TargetId("b".into()));
+    log.take(at(20), &[revised(20, gone)], false);
+    assert_eq!(told(&log, 10), ["-b"]);
+    let now = Instant::now();
+    let until = now + std::time::Duration::from_millis(900);
+    let news = log.since(10, now, |_| Some(until)).unwrap();
+    let missing = TargetNews::Missing {
+        id: TargetId("b".into()),
+        left_ms: 900,
+    };
+    assert_eq!(news.changes, [(20, missing)]);
+    // A whole state in which another one is missing.
+    let rest = [revised(1, Change::Target(entry("a", 4)))];
+    log.take(at(30), &rest, true);
+    assert_eq!(told(&log, 20), ["-c"]);
+}
+
+#[test]
+fn what_comes_late_is_not_taken_for_new() {
+    let mut log = log_of_three();
+    let gone = Change::Gone(TargetId("b".into()));
+    log.take(at(20), &[revised(20, gone)], false);
+    log.take(at(20), &[revised(15, Change::Target(entry("b", 4)))], false);
+    assert_eq!(told(&log, 10), ["-b"]);
+    assert_eq!(log.cursor(), at(20));
+}
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -129,6 +129,6 @@
         Change::Target(entry("a")),
         Change::Unusable(TargetId("b".into())),
     ];
-    targets.replace(&state, now, None);
+    targets.replace(state.iter(), now, None);
     assert_eq!(open(&targets, now), ["a"]);
 }
