A router that is behind takes no new callers

The quickest of three round trips of small calls to several routers says how long messages wait. From 150 ms on the router says it is not ready, closes its callers' connections behind their answers, and takes that wait off the time of requests; below 60 ms it has caught up. Ruled out: a dead peer or a lost packet (the quickest of three counts).

--- a/wisteriapass_gateway/src/bank/reporting.rs
+++ b/wisteriapass_gateway/src/bank/reporting.rs
@@ -28,7 +28,7 @@
 const LEAST_MS: u64 = 15;
 
 /// Longest wait for a receipt, in milliseconds: many round trips within a region.
-const PATIENCE_MS: u64 = 120;
+const PATIENCE_MS: u64 = 180;
 
 /// Longest wait for a testimony, in milliseconds; a successor can serve little before it.
 const INQUIRY_MS: u64 = 200;
@@ -67,7 +67,10 @@
         let sent_ms = self.clock.stamp().since_boot;
         group.holder.borrow_mut().witnesses().sent(id, sent_ms);
         let until = within(PATIENCE_MS);
-        let receipt: Option<Receipt> = self.caller.call(id.at, REPORT, &report, until).await;
+        let receipt: Option<Receipt> = self
+            .caller
+            .call_measured(id.at, REPORT, &report, until)
+            .await;
         if let Some(receipt) = receipt {
             let now_ms = self.clock.stamp().since_boot;
             let mut holder = group.holder.borrow_mut();
--- a/wisteriapass_gateway/src/call.rs
+++ b/wisteriapass_gateway/src/call.rs
@@ -19,6 +19,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at};
+use wisteriapass_policy::Time;
+use wisteriapass_policy::backlog::Backlog;
 
 use crate::platform::LocalFuture;
 use crate::prelude::*;
@@ -51,13 +53,52 @@
     until: Instant,
 }
 
+/// Shortest time without an answer that says something of this router's own link and processor, in
+/// milliseconds: an address without a process refuses sooner.
+const VAIN_MS: u64 = 120;
+
 /// Calls other processes.
-#[derive(Default)]
 pub struct Caller {
+    clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// How long small calls took of late.
+    backlog: RefCell<Backlog>,
 }
 
 impl Caller {
+    /// Creates one that has made no call yet.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: RefCell::default(),
+            backlog: RefCell::default(),
+        }
+    }
+
+    /// Makes a call that is answered at once, and takes its time as a measure of this router's own
+    /// backlog.
+    pub async fn call_measured<A: Serialize, B: DeserializeOwned>(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        message: &A,
+        begins_by: Instant,
+    ) -> Option<B> {
+        let began = Instant::now();
+        let answer = self.call(to, path, message, begins_by).await;
+        let took_ms = began.elapsed().as_millis() as u64;
+        if answer.is_some() || took_ms >= VAIN_MS {
+            let now = Time::from_millis(self.clock.now_ms());
+            self.backlog.borrow_mut().add(now, took_ms);
+        }
+        answer
+    }
+
+    /// Returns what is known of this router's backlog.
+    pub fn backlog(&self) -> Backlog {
+        *self.backlog.borrow()
+    }
+
     /// Calls another process; `None` without a right answer that begins in time.
     pub async fn call<A: Serialize, B: DeserializeOwned>(
         &self,
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -41,7 +41,8 @@
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &facts, Some(&plan), refusal, arrived),
     };
-    if gw.is_stopping() {
+    // A caller whose connection ends comes again by another router.
+    if gw.is_stopping() || gw.is_behind() {
         reply::close(&mut response);
     }
     Ok(response)
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -62,7 +62,8 @@
             tokens_per_event: tokens_per_event(&catalogue, &service),
             limits: catalogue.limits,
             arrived,
-            deadline: arrived + Duration::from_millis(wait),
+            // What waited on its way here counts: its caller does not wait longer for it.
+            deadline: arrived + Duration::from_millis(wait).saturating_sub(gw.waited()),
             body_by: arrived + body_ms,
             account,
             service,
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -62,7 +62,7 @@
     /// Creates a router that knows no configuration and no targets.
     pub fn new(settings: GatewaySettings, platform: Rc<dyn Platform>, metrics: Metrics) -> Self {
         let clock = Clock::new();
-        let caller = Rc::new(Caller::default());
+        let caller = Rc::new(Caller::new(clock));
         let bank = Rc::new(Bank::new(clock, &settings, caller.clone()));
         Self {
             settings,
@@ -145,7 +145,18 @@
 
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.knows_targets.get() && self.catalogue.borrow().is_some()
+        let knows_all = self.knows_targets.get() && self.catalogue.borrow().is_some();
+        knows_all && !self.is_stopping() && !self.is_behind()
+    }
+
+    /// Returns whether more comes than this router carries.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.caller.backlog().is_behind(self.time())
+    }
+
+    /// Returns how long what comes has waited on its way, as far as is known.
+    pub(crate) fn waited(&self) -> Duration {
+        Duration::from_millis(self.caller.backlog().wait_ms(self.time()))
     }
 
     /// Returns whether this router was told to stop.
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -75,7 +75,7 @@
     };
     let until = within(PATIENCE_MS);
     let asked_ms = gw.clock.now_ms();
-    let answer: Option<NewsAnswer> = gw.caller.call(relay.at, NEWS, &call, until).await;
+    let answer: Option<NewsAnswer> = gw.caller.call_measured(relay.at, NEWS, &call, until).await;
     match answer {
         Some(answer) => take(gw, &relay, asked_ms, answer),
         None => {
--- /dev/null
+++ b/wisteriapass_policy/src/backlog.rs
@@ -0,0 +1,62 @@
+//! Whether a router keeps up with what comes to it.
+//!
+//! Answers callers that press on one router beyond what its link or its processor carries: one
+//! client account that sends most of its requests by one connection address, or a small VM among
+//! large ones. What it reads has waited for long by then, and so will its answers: requests end
+//! late at a router while others are idle. How long is seen by the round trips of small calls
+//! to other routers, which wait in the same queues. A router behind takes no new callers, gives its
+//! kept ones up, and counts the wait into the time that requests have.
+//!
+//! One call that takes long says little: its peer may be dead or slow. So the quickest of some
+//! calls in a row counts, which go to several routers.
+
+use crate::Time;
+
+/// Round trips that are looked at.
+const SAMPLES: usize = 3;
+
+/// Round trip from which on a router is behind, in milliseconds: of the order of the shortest times
+/// in which answers are on time.
+const BEHIND_MS: u64 = 150;
+
+/// Round trip below which it has caught up, in milliseconds.
+const CAUGHT_UP_MS: u64 = 60;
+
+/// Age of a round trip that says nothing any more, in milliseconds.
+const OLD_MS: u64 = 3_000;
+
+/// Round trips of a router's small calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backlog {
+    samples: [Option<(Time, u64)>; SAMPLES],
+    next: usize,
+    is_behind: bool,
+}
+
+impl Backlog {
+    /// Takes a round trip in; one without an answer counts as the time that was waited.
+    pub fn add(&mut self, now: Time, took_ms: u64) {
+        self.samples[self.next] = Some((now, took_ms));
+        self.next = (self.next + 1) % SAMPLES;
+        let quickest = self.wait_ms(now);
+        let bound = if self.is_behind {
+            CAUGHT_UP_MS
+        } else {
+            BEHIND_MS
+        };
+        self.is_behind = quickest >= bound;
+    }
+
+    /// Returns how long a small message waits on its way, in milliseconds: the quickest round trip
+    /// of late; none while too few are known.
+    pub fn wait_ms(&self, now: Time) -> u64 {
+        let fresh = |(at, ms): (Time, u64)| (now.millis_since(at) < OLD_MS).then_some(ms);
+        let all = self.samples.iter().map(|s| s.and_then(fresh));
+        all.min().flatten().unwrap_or_default()
+    }
+
+    /// Returns whether what comes is more than this router carries.
+    pub fn is_behind(&self, now: Time) -> bool {
+        self.is_behind && self.wait_ms(now) > 0
+    }
+}
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod account_facts;
 mod admission;
 mod affinity;
+pub mod backlog;
 mod caution;
 mod choice;
 mod config;
