--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -86,7 +86,17 @@
     };
     let most = facts.work.map_or(0, |w| w.max_output);
     let expected_ms = gw.speed.borrow().expected_ms(plan.route.aim_ms, most);
-    drain.takes(gw.time(), expected_ms)
+    let now = gw.time();
+    let takes = drain.takes(now, expected_ms);
+    if takes && drain.ends_idle(now) {
+        log::info!(
+            target: "exchange",
+            "Taken while stopping. request={} expected_ms={expected_ms} left_ms={}",
+            facts.id_text(),
+            drain.end().millis_since(now)
+        );
+    }
+    takes
 }
 
 /// Reads a body whole, so that it can be sent again.
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -207,6 +207,20 @@
         }
     }
 
+    /// Notes a stream that ends with this router.
+    fn note_cut(&self) {
+        let first_ms = |at: Instant| (at - self.job.plan.arrived).as_millis();
+        log::info!(
+            target: "exchange",
+            "Stream cut by the end of this router. request={} first_event_after_ms={:?} \
+             last_event={:?} after_ms={}",
+            self.job.facts.id_text(),
+            self.first_at.map(first_ms),
+            self.last,
+            self.job.plan.arrived.elapsed().as_millis()
+        );
+    }
+
     fn note_broken(&self, broken: Broken) {
         self.job.gw.metrics.broke();
         log::info!(
@@ -219,3 +233,11 @@
         );
     }
 }
+
+impl Drop for Forwarding {
+    fn drop(&mut self) {
+        if self.answer.is_some() && self.job.gw.is_stopping() {
+            self.note_cut();
+        }
+    }
+}
