--- a/wisteriapass_bench/src/standin/users/target.rs
+++ b/wisteriapass_bench/src/standin/users/target.rs
@@ -35,6 +35,17 @@
     Garbage,
     /// Runs it, and its stream takes this many times as long.
     Slow(u32),
+    /// Has no free slot for it until its time is up, and says then that it did not run it.
+    Queue,
+    /// Runs it without a word until its time is up.
+    Hang,
+}
+
+impl Behaviour {
+    /// Returns whether the request begins to run.
+    fn runs(self) -> bool {
+        !matches!(self, Self::Shed | Self::Queue)
+    }
 }
 
 /// A request as it arrived.
@@ -53,6 +64,12 @@
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", String::as_str)
     }
+
+    /// Returns the time that the target was given for it.
+    fn remaining(&self) -> Duration {
+        let ms = self.header("x-deadline-remaining").parse().unwrap_or(0);
+        Duration::from_millis(ms)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -112,6 +129,11 @@
         self.state.lock().next.extend(next);
     }
 
+    /// Sets what it does with its next requests, and forgets what was set before.
+    pub fn will_only(&self, next: &[Behaviour]) {
+        self.state.lock().next = next.iter().copied().collect();
+    }
+
     /// Returns all requests that arrived.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.state.lock().seen.clone()
@@ -132,7 +154,7 @@
         let behaviour = {
             let mut state = state.lock();
             let next = state.next.pop_front().unwrap_or_default();
-            seen.ran = next != Behaviour::Shed;
+            seen.ran = next.runs();
             state.seen.push(seen.clone());
             next
         };
@@ -164,11 +186,19 @@
     let id = seen.header("x-attempt-id");
     let broken = || io::Error::from(io::ErrorKind::ConnectionAborted);
     match behaviour {
-        Behaviour::Shed => write!(
-            out,
-            "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
-             Content-Length: 0\r\n\r\n"
-        ),
+        Behaviour::Shed => not_run(out, id),
+        Behaviour::Queue => {
+            sleep(seen.remaining());
+            not_run(out, id)
+        }
+        Behaviour::Hang => {
+            sleep(seen.remaining());
+            write!(
+                out,
+                "HTTP/1.1 504 Late\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
+                 Content-Length: 4\r\n\r\nlate"
+            )
+        }
         Behaviour::Fail => write!(
             out,
             "HTTP/1.1 500 Failed\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
@@ -197,6 +227,14 @@
     }
 }
 
+fn not_run(out: &mut TcpStream, id: &str) -> io::Result<()> {
+    write!(
+        out,
+        "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
 fn whole(out: &mut TcpStream, id: &str) -> io::Result<()> {
     write!(
         out,
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -5,4 +5,5 @@
 mod money;
 mod relays;
 mod slow_links;
+mod stops;
 mod support;
--- a/wisteriapass_daemon/tests/on_platform/support/request.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -13,6 +13,7 @@
     pub path: String,
     pub key: String,
     pub tokens: Option<(u64, u64)>,
+    pub remaining_ms: u64,
     pub extra: String,
 }
 
@@ -24,6 +25,7 @@
             path: path.into(),
             key: KEY.into(),
             tokens: None,
+            remaining_ms: 6_000,
             extra: String::new(),
         }
     }
@@ -34,6 +36,12 @@
         self
     }
 
+    /// Sets how long its caller waits.
+    pub fn with_remaining(mut self, ms: u64) -> Self {
+        self.remaining_ms = ms;
+        self
+    }
+
     /// Adds header lines.
     pub fn with_headers(mut self, lines: &[&str]) -> Self {
         self.extra = lines.iter().map(|line| format!("{line}\r\n")).collect();
@@ -52,9 +60,9 @@
         });
         format!(
             "POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\n\
-             X-Deadline-Remaining: 6000\r\nAuthorization: Bearer {}\r\n{tokens}{}\
+             X-Deadline-Remaining: {}\r\nAuthorization: Bearer {}\r\n{tokens}{}\
              Connection: close\r\nContent-Length: 4\r\n\r\nbody",
-            self.path, self.id, self.key, self.extra
+            self.path, self.id, self.remaining_ms, self.key, self.extra
         )
     }
 }
