--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -103,6 +103,12 @@
         Some("outcome_unknown") => {
             "its target's answer was lost or wrong, and it may not be sent again"
         }
+        Some("cut_short") => {
+            "its router was stopped and ended before the answer was whole; it may have run"
+        }
+        _ if has("this router ended") => {
+            "its stream was cut as its router was stopped: the target took longer than expected"
+        }
         _ if has("Stream broken") => "its stream broke, and could not go on at another target",
         _ => "it was sent again, and then answered by a target",
     }
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -56,6 +56,8 @@
     Unsent,
     /// It may have reached the target, and no right answer came.
     Lost,
+    /// This router ended before an answer came; it may have reached the target.
+    CutShort,
 }
 
 /// An answer whose body is yet to come.
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -56,7 +56,7 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    if !ends_in_time(gw, facts, plan) {
+    if !plan.ends_in_time(gw, facts) {
         return Err(Refusal::Stopping);
     }
     let body = read_body(body, plan).await?;
@@ -79,26 +79,6 @@
     job.run(reservation).await
 }
 
-/// Returns whether a request ends before this router does, going by the output of late.
-fn ends_in_time(gw: &Gateway, facts: &RequestFacts, plan: &Plan) -> bool {
-    let Some(drain) = gw.drain.get() else {
-        return true;
-    };
-    let most = facts.work.map_or(0, |w| w.max_output);
-    let expected_ms = gw.speed.borrow().expected_ms(plan.route.aim_ms, most);
-    let now = gw.time();
-    let takes = drain.takes(now, expected_ms);
-    if takes && drain.ends_idle(now) {
-        log::info!(
-            target: "exchange",
-            "Taken while stopping. request={} expected_ms={expected_ms} left_ms={}",
-            facts.id_text(),
-            drain.end().millis_since(now)
-        );
-    }
-    takes
-}
-
 /// Reads a body whole, so that it can be sent again.
 async fn read_body(body: Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, plan.limits.body_bytes);
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -3,7 +3,6 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use smallvec::SmallVec;
-use tokio::time::timeout_at;
 use wisteriapass_policy::Time;
 use wisteriapass_policy::placement::{self, Candidate};
 
@@ -11,6 +10,7 @@
 use super::plan::Plan;
 use super::reply::{self, AnswerBody};
 use crate::dispatch::{Answer, Outgoing, Sent, send};
+use crate::gateway::Overdue;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
@@ -85,6 +85,9 @@
             if Instant::now() >= self.plan.deadline {
                 return Err(tries.late());
             }
+            if !self.ends_in_time() {
+                return Err(tries.stopping());
+            }
             let place = self.place(tries).ok_or_else(|| self.unplaced(tries))?;
             let key = place.key;
             tries.tried.push(key);
@@ -115,6 +118,7 @@
                     self.gw.metrics.retried(RetryReason::NotSent);
                 }
                 Sent::Lost => self.lost(key, tries, reservation).await?,
+                Sent::CutShort => return Err(Refusal::CutShort),
             }
         }
     }
@@ -125,16 +129,33 @@
             return Sent::Unsent;
         };
         let sending = send(&self.gw, place.key, &self.out, headers, place.unread);
-        timeout_at(self.patience(tries), sending)
-            .await
-            .unwrap_or(Sent::Lost)
+        match self.gw.wait(self.patience(tries), sending).await {
+            Ok(sent) => sent,
+            Err(Overdue::Deadline) => {
+                self.learn_begin();
+                Sent::Lost
+            }
+            Err(Overdue::Stopping) => Sent::CutShort,
+        }
+    }
+
+    /// Returns whether it ends before this router does if it is sent now.
+    fn ends_in_time(&self) -> bool {
+        self.plan.ends_in_time(&self.gw, &self.facts)
+    }
+
+    /// Learns how long its service took to begin the answer, or has not begun it for.
+    pub fn learn_begin(&self) {
+        let ms = self.plan.arrived.elapsed().as_millis() as u64;
+        self.gw
+            .learn(&self.plan.service, |times| times.learn_begin(ms));
     }
 
     fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
         let targets = self.gw.targets.borrow();
         let target = targets.get(key)?;
         let facts = DispatchFacts {
-            remaining_ms: self.plan.remaining_ms(),
+            remaining_ms: self.plan.remaining_ms(&self.gw),
             target: &target.entry.id,
             account: self.plan.account_name(),
             priority: self.plan.priority,
@@ -217,13 +238,14 @@
             line,
         } = answer;
         let key = tries.tried.last().copied().unwrap_or_default();
-        let body = match timeout_at(self.plan.deadline, body.collect()).await {
+        let body = match self.gw.wait(self.plan.deadline, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
                 self.lost(key, tries, reservation).await?;
                 return Ok(None);
             }
-            Err(_) => return Err(tries.late()),
+            Err(Overdue::Deadline) => return Err(tries.late()),
+            Err(Overdue::Stopping) => return Err(Refusal::CutShort),
         };
         line.finish(&facts);
         if status.is_server_error() {
@@ -239,6 +261,7 @@
         if let Some(r) = reservation {
             r.ended();
         }
+        self.learn_begin();
         let took = self.plan.arrived.elapsed();
         self.gw.metrics.answered(self.plan.route.kind, took);
         Ok(Some(reply::whole(status, headers, body)))
@@ -270,6 +293,9 @@
         reservation: &mut Option<Reservation>,
         reason: RetryReason,
     ) -> Result<(), Refusal> {
+        if !self.ends_in_time() {
+            return Err(tries.stopping());
+        }
         if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
             return Err(tries.given_up());
         }
@@ -344,6 +370,14 @@
         Refusal::LateNotRun
     }
 
+    /// Returns what to say when this router stops before an answer would be whole.
+    fn stopping(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::OutcomeUnknown;
+        }
+        Refusal::Stopping
+    }
+
     fn given_up(&self) -> Refusal {
         if self.may_have_run {
             return Refusal::OutcomeUnknown;
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -76,10 +76,33 @@
         self.account.as_ref().map(|a| a.name.as_str())
     }
 
-    /// Returns the milliseconds that are left.
-    pub fn remaining_ms(&self) -> u64 {
+    /// Returns the milliseconds that a target has for it.
+    pub fn remaining_ms(&self, gw: &Gateway) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        left.as_millis() as u64
+        let left_ms = left.as_millis() as u64;
+        let drain_ms = gw.drain.get().map(|drain| drain.target_ms(gw.time()));
+        left_ms.min(drain_ms.unwrap_or(left_ms))
+    }
+
+    /// Returns whether it ends before this router does if it is sent now, going by what its service
+    /// took of late.
+    pub fn ends_in_time(&self, gw: &Gateway, facts: &RequestFacts) -> bool {
+        let Some(drain) = gw.drain.get() else {
+            return true;
+        };
+        let most = facts.work.map_or(0, |w| w.max_output);
+        let expected_ms = gw.expected_ms(&self.service, self.route.aim_ms, most);
+        let now = gw.time();
+        let takes = drain.takes(now, expected_ms);
+        if takes && drain.ends_idle(now) {
+            log::info!(
+                target: "exchange",
+                "Taken while stopping. request={} expected_ms={expected_ms} left_ms={}",
+                facts.id_text(),
+                drain.end().millis_since(now)
+            );
+        }
+        takes
     }
 }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -1,10 +1,12 @@
 //! What the services of one router share.
 
 use std::collections::HashMap;
+use std::future::Future;
 
 use tokio::sync::watch;
+use tokio::time::sleep_until;
 use wisteriapass_policy::drain::Drain;
-use wisteriapass_policy::{OutputSpeed, Time};
+use wisteriapass_policy::{ServiceTimes, Time};
 
 use crate::bank::Bank;
 use crate::call::Caller;
@@ -27,6 +29,17 @@
     Kept,
     /// All, and no more are taken.
     All,
+    /// All, and what is under way on them is given up.
+    Work,
+}
+
+/// Why a wait ended without what was waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Overdue {
+    /// Its deadline passed.
+    Deadline,
+    /// This router ends.
+    Stopping,
 }
 
 /// One router.
@@ -45,8 +58,8 @@
     pub(crate) drain: Cell<Option<Drain>>,
     /// When a connection was taken last.
     pub(crate) taken_at: Cell<Time>,
-    /// How long output takes of late.
-    pub(crate) speed: RefCell<OutputSpeed>,
+    /// How long requests take of late, by service.
+    times: RefCell<HashMap<String, ServiceTimes>>,
     /// Which connections have to close.
     pub(crate) closing: watch::Sender<Closing>,
     /// The configurations of late.
@@ -75,7 +88,7 @@
             metrics,
             drain: Cell::new(None),
             taken_at: Cell::default(),
-            speed: RefCell::default(),
+            times: RefCell::default(),
             closing: watch::Sender::new(Closing::None),
             configurations: RefCell::default(),
             target_log: RefCell::default(),
@@ -164,6 +177,40 @@
         self.drain.get().is_some()
     }
 
+    /// Waits for something until a deadline, or until this router gives up what is under way.
+    pub(crate) async fn wait<T>(
+        &self,
+        deadline: Instant,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Overdue> {
+        let mut closing = self.closing.subscribe();
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            () = sleep_until(deadline) => Err(Overdue::Deadline),
+            () = closes(&mut closing, Closing::Work) => Err(Overdue::Stopping),
+        }
+    }
+
+    /// Learns how long a service's request took.
+    pub(crate) fn learn(&self, service: &str, learn: impl FnOnce(&mut ServiceTimes)) {
+        let mut times = self.times.borrow_mut();
+        match times.get_mut(service) {
+            Some(known) => learn(known),
+            None => learn(times.entry(service.to_owned()).or_default()),
+        }
+    }
+
+    /// Returns how long a request of a service may take, in milliseconds.
+    pub(crate) fn expected_ms(&self, service: &str, aim_ms: u64, most: u64) -> u64 {
+        let times = self.times.borrow();
+        let unseen = ServiceTimes::default();
+        times
+            .get(service)
+            .unwrap_or(&unseen)
+            .expected_ms(aim_ms, most)
+    }
+
     /// Returns the time as decisions count it.
     pub(crate) fn time(&self) -> Time {
         Time::from_millis(self.clock.now_ms())
@@ -191,6 +238,14 @@
     }
 }
 
+/// Waits until connections of a kind have to close.
+///
+/// The state is not held borrowed behind that: who changes it next would wait for ever.
+pub(crate) async fn closes(closing: &mut watch::Receiver<Closing>, at: Closing) {
+    // An error is the end of the router.
+    let _ = closing.wait_for(|closing| *closing >= at).await;
+}
+
 impl std::fmt::Debug for Gateway {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Gateway").finish_non_exhaustive()
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -10,12 +10,11 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::exchange;
-use crate::gateway::Closing;
+use crate::gateway::{Closing, closes};
 use crate::prelude::*;
 
 /// Connections that wait to be taken.
@@ -66,14 +65,6 @@
     }
 }
 
-/// Waits until connections of a kind have to close.
-///
-/// The state is not held borrowed behind that: who changes it next would wait for ever.
-async fn closes(closing: &mut watch::Receiver<Closing>, at: Closing) {
-    // An error is the end of the router.
-    let _ = closing.wait_for(|closing| *closing >= at).await;
-}
-
 /// Serves one caller's connection to its end.
 async fn serve_caller(gw: Rc<Gateway>, stream: TcpStream, open: Rc<Cell<usize>>) {
     if stream.set_nodelay(true).is_err() {
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -48,6 +48,9 @@
     /// The time is up, and it may have run.
     #[display("late")]
     Late,
+    /// This router ended before the answer was whole, and it may have run.
+    #[display("cut_short")]
+    CutShort,
     /// The target's answer was lost or wrong, and it may have run.
     #[display("outcome_unknown")]
     OutcomeUnknown,
@@ -70,7 +73,7 @@
             | Self::NotTaken
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::CutShort | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
     }
 
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -71,17 +71,18 @@
     stop.recv().await;
     let grace_ms = gw.settings.bounds.grace_ms;
     let last = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MS));
-    leave(&gw, &open).await;
+    let drain = Drain::new(gw.time(), grace_ms);
+    leave(&gw, &open, drain).await;
     role.abort();
-    let done = timeout_at(last, gw.bank.give_back(&gw, last - WRITE_TIME)).await;
-    log::info!(target: "start", "Stopped. cut={} given_back={}", open.get(), done.is_ok());
+    let giving_back = timeout_at(last, gw.bank.give_back(&gw, last - WRITE_TIME));
+    let (done, cut) = tokio::join!(giving_back, end_work(&gw, &open, drain, last));
+    log::info!(target: "start", "Stopped. cut={cut} given_back={}", done.is_ok());
     Ok(())
 }
 
 /// Lets callers go elsewhere and what is under way end.
-async fn leave(gw: &Gateway, open: &Cell<usize>) {
+async fn leave(gw: &Gateway, open: &Cell<usize>, drain: Drain) {
     log::info!(target: "start", "Stopping. connections={}", open.get());
-    let drain = Drain::new(gw.time(), gw.settings.bounds.grace_ms);
     gw.drain.set(Some(drain));
     let look = Duration::from_millis(LOOK_MS);
     while !drain.closes(gw.time(), gw.taken_at.get(), open.get() == 0) {
@@ -97,6 +98,21 @@
     }
 }
 
+/// Lets work that took longer than expected end, and gives up what is left in time to say so;
+/// returns on how many connections that was.
+async fn end_work(gw: &Gateway, open: &Cell<usize>, drain: Drain, last: Instant) -> usize {
+    let look = Duration::from_millis(LOOK_MS);
+    while open.get() > 0 && gw.time() < drain.cut() {
+        sleep(look).await;
+    }
+    let cut = open.get();
+    gw.closing.send_replace(Closing::Work);
+    while open.get() > 0 && Instant::now() < last {
+        sleep(look).await;
+    }
+    cut
+}
+
 /// Keeps a signal from ending the process: settings that change here need no action.
 async fn ignore(mut signal: Signal) {
     while signal.recv().await.is_some() {
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -7,11 +7,12 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
-use tokio::time::timeout_at;
+use wisteriapass_policy::ServiceTimes;
 
 use crate::dispatch::Answer;
 use crate::events::{Event, EventReader};
 use crate::exchange::{AnswerBody, Fault, Job, Pieces, Tries, streamed};
+use crate::gateway::Overdue;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
@@ -22,11 +23,23 @@
     /// The time is up.
     #[display("the time is up")]
     Late,
+    /// This router ends.
+    #[display("this router ended")]
+    CutShort,
     /// The target broke off, or sent what is no next event.
     #[display("the target broke off")]
     Lost,
 }
 
+impl From<Overdue> for Broken {
+    fn from(overdue: Overdue) -> Self {
+        match overdue {
+            Overdue::Deadline => Self::Late,
+            Overdue::Stopping => Self::CutShort,
+        }
+    }
+}
+
 /// One stream under way.
 pub struct Forwarding {
     job: Job,
@@ -87,8 +100,8 @@
             let Some(answer) = &mut self.answer else {
                 return Ok(None);
             };
-            let frame = timeout_at(self.job.plan.deadline, answer.body.frame()).await;
-            let frame = frame.map_err(|_| Broken::Late)?;
+            let (gw, deadline) = (&self.job.gw, self.job.plan.deadline);
+            let frame = gw.wait(deadline, answer.body.frame()).await?;
             let is_sound = match frame {
                 Some(Ok(frame)) => self.take(frame),
                 Some(Err(_)) => false,
@@ -150,6 +163,7 @@
             let plan = &self.job.plan;
             let took = plan.arrived.elapsed();
             self.job.gw.metrics.began(plan.route.kind, took);
+            self.job.learn_begin();
         }
     }
 
@@ -175,7 +189,8 @@
         if let Some(first_at) = self.first_at {
             let tokens = self.events * plan.tokens_per_event;
             let ms = first_at.elapsed().as_millis() as u64;
-            self.job.gw.speed.borrow_mut().learn(tokens, ms);
+            let learn = |times: &mut ServiceTimes| times.learn_output(tokens, ms);
+            self.job.gw.learn(&plan.service, learn);
         }
     }
 
@@ -207,37 +222,17 @@
         }
     }
 
-    /// Notes a stream that ends with this router.
-    fn note_cut(&self) {
-        let first_ms = |at: Instant| (at - self.job.plan.arrived).as_millis();
-        log::info!(
-            target: "exchange",
-            "Stream cut by the end of this router. request={} first_event_after_ms={:?} \
-             last_event={:?} after_ms={}",
-            self.job.facts.id_text(),
-            self.first_at.map(first_ms),
-            self.last,
-            self.job.plan.arrived.elapsed().as_millis()
-        );
-    }
-
     fn note_broken(&self, broken: Broken) {
         self.job.gw.metrics.broke();
         log::info!(
             target: "exchange",
-            "Stream broken. request={} cause=\"{broken}\" last_event={:?} sent={} after_ms={}",
+            "Stream broken. request={} cause=\"{broken}\" first_event_after_ms={:?} \
+             last_event={:?} sent={} after_ms={}",
             self.job.facts.id_text(),
+            self.first_at.map(|at| (at - self.job.plan.arrived).as_millis()),
             self.last,
             self.tries.sent,
             self.job.plan.arrived.elapsed().as_millis()
         );
     }
 }
-
-impl Drop for Forwarding {
-    fn drop(&mut self) {
-        if self.answer.is_some() && self.job.gw.is_stopping() {
-            self.note_cut();
-        }
-    }
-}
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -20,9 +20,18 @@
 /// work would end in it.
 const LAST_CALL_MS: u64 = 1_200;
 
-/// Time before the kill at which all work has to have ended, in milliseconds: to give shares back.
+/// Time before the kill at which work is expected to have ended, in milliseconds: shares are given
+/// back from then on.
 const SPARE_MS: u64 = 400;
 
+/// Time before the kill at which targets end their work, in milliseconds: what they say of it then
+/// still reaches callers.
+const TARGETS_MS: u64 = 250;
+
+/// Time before the kill at which work under way is given up, in milliseconds: the answers that say
+/// so have to leave.
+const CUT_MS: u64 = 150;
+
 /// How much longer than expected work may take, as a factor: speeds vary with the load, and a
 /// stream that is cut is lost, one that is refused goes elsewhere.
 const DOUBT: f64 = 1.3;
@@ -33,6 +42,8 @@
     linger_until: Time,
     last_call: Time,
     end: Time,
+    targets_end: Time,
+    cut: Time,
 }
 
 impl Drain {
@@ -43,6 +54,8 @@
             linger_until: now.plus_millis(LINGER_MS),
             last_call: before_kill(LAST_CALL_MS),
             end: before_kill(SPARE_MS),
+            targets_end: before_kill(TARGETS_MS),
+            cut: before_kill(CUT_MS),
         }
     }
 
@@ -69,8 +82,21 @@
         now < self.linger_until || now.plus_millis(ms) <= self.end
     }
 
-    /// Returns when all work has to have ended.
+    /// Returns when work is expected to have ended.
     pub fn end(&self) -> Time {
         self.end
     }
+
+    /// Returns how long targets may still work for this router, in milliseconds.
+    ///
+    /// An estimate may fail. A target that knows the router's end says in time that a request did
+    /// not run, and works on nothing that nobody can get.
+    pub fn target_ms(&self, now: Time) -> u64 {
+        self.targets_end.millis_since(now)
+    }
+
+    /// Returns when work that is still under way is given up.
+    pub fn cut(&self) -> Time {
+        self.cut
+    }
 }
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -1,7 +1,7 @@
 //! Stopping routers: a roll leaves no moment without one that takes callers.
 
 use wisteriapass_policy::drain::Drain;
-use wisteriapass_policy::{OutputSpeed, Time};
+use wisteriapass_policy::{ServiceTimes, Time};
 
 /// Time between the stop signal and the kill, in milliseconds.
 const GRACE_MS: u64 = 8_000;
@@ -108,21 +108,50 @@
 }
 
 #[test]
-fn work_is_expected_to_take_as_long_as_output_did_of_late() {
-    let mut speed = OutputSpeed::default();
-    let unseen = speed.expected_ms(500, 100);
+fn work_is_expected_to_take_as_long_as_it_did_of_late() {
+    let mut times = ServiceTimes::default();
+    let unseen = times.expected_ms(500, 100);
     for _ in 0..50 {
-        speed.learn(300, 2_400);
+        times.learn_output(300, 2_400);
     }
-    assert!((1_290..=1_310).contains(&speed.expected_ms(500, 100)));
+    assert!((1_290..=1_310).contains(&times.expected_ms(500, 100)));
     assert!(unseen > 1_310, "what was never seen is not trusted");
-    speed.learn(2, 2_000);
-    assert!(speed.expected_ms(500, 100) <= 1_310, "a pause is no speed");
+    times.learn_output(2, 2_000);
+    assert!(times.expected_ms(500, 100) <= 1_310, "a pause is no pace");
     for _ in 0..50 {
-        speed.learn(300, 9_000);
+        times.learn_output(300, 9_000);
     }
     assert!(
-        speed.expected_ms(500, 100) > 3_400,
+        times.expected_ms(500, 100) > 3_400,
         "engines that slow down"
     );
 }
+
+#[test]
+fn work_that_would_wait_for_a_slot_past_the_end_is_not_taken() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    let mut times = ServiceTimes::default();
+    for _ in 0..50 {
+        times.learn_begin(150);
+        times.learn_output(50, 500);
+    }
+    assert!(drain.takes(at(3_400), times.expected_ms(800, 120)));
+    // A queue builds up: a few requests wait long before all do.
+    for n in 0..32 {
+        times.learn_begin(if n % 6 == 0 { 2_600 } else { 150 });
+    }
+    assert!(!drain.takes(at(3_400), times.expected_ms(800, 120)));
+    for _ in 0..32 {
+        times.learn_begin(150);
+    }
+    assert!(drain.takes(at(3_400), times.expected_ms(800, 120)));
+}
+
+#[test]
+fn targets_end_before_work_is_given_up_and_both_before_the_kill() {
+    let drain = Drain::new(at(1_000), GRACE_MS);
+    let kill = at(1_000 + GRACE_MS);
+    let targets_end = at(3_000).plus_millis(drain.target_ms(at(3_000)));
+    assert!(drain.end() < targets_end && targets_end < drain.cut() && drain.cut() < kill);
+    assert_eq!(drain.target_ms(kill), 0);
+}
