--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -56,7 +56,7 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    if !plan.ends_in_time(gw, facts) {
+    if !plan.ends_in_time_somewhere(gw, facts) {
         return Err(Refusal::Stopping);
     }
     let body = read_body(body, plan).await?;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -3,8 +3,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use smallvec::SmallVec;
-use wisteriapass_policy::Time;
 use wisteriapass_policy::placement::{self, Candidate};
+use wisteriapass_policy::{ServiceTimes, Time};
 
 use super::fault::Fault;
 use super::plan::Plan;
@@ -85,10 +85,7 @@
             if Instant::now() >= self.plan.deadline {
                 return Err(tries.late());
             }
-            if !self.ends_in_time() {
-                return Err(tries.stopping());
-            }
-            let place = self.place(tries).ok_or_else(|| self.unplaced(tries))?;
+            let place = self.place(tries)?;
             let key = place.key;
             tries.tried.push(key);
             if let Some(r) = reservation {
@@ -132,23 +129,18 @@
         match self.gw.wait(self.patience(tries), sending).await {
             Ok(sent) => sent,
             Err(Overdue::Deadline) => {
-                self.learn_begin();
+                self.learn_begin(place.key);
                 Sent::Lost
             }
             Err(Overdue::Stopping) => Sent::CutShort,
         }
     }
 
-    /// Returns whether it ends before this router does if it is sent now.
-    fn ends_in_time(&self) -> bool {
-        self.plan.ends_in_time(&self.gw, &self.facts)
-    }
-
-    /// Learns how long its service took to begin the answer, or has not begun it for.
-    pub fn learn_begin(&self) {
+    /// Learns how long a target took to begin the answer, or has not begun it for.
+    pub fn learn_begin(&self, key: TargetKey) {
         let ms = self.plan.arrived.elapsed().as_millis() as u64;
-        self.gw
-            .learn(&self.plan.service, |times| times.learn_begin(ms));
+        let learn = |times: &mut ServiceTimes, now| times.learn_begin(now, ms);
+        self.gw.learn(&self.plan.service, key, learn);
     }
 
     fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
@@ -175,16 +167,21 @@
         self.plan.deadline.min(Instant::now() + patience)
     }
 
-    /// Chooses a target that was not tried.
-    fn place(&self, tries: &Tries) -> Option<Place> {
+    /// Chooses a target that was not tried, and at which the request ends before this router does.
+    fn place(&self, tries: &Tries) -> Result<Place, Refusal> {
         let now = Instant::now();
         let time = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
         let open = targets.open(&self.plan.service, now);
         let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
+        if untried.clone().next().is_none() {
+            return Err(self.unplaced(tries));
+        }
+        let ends_in_time = |target: &Target| self.plan.ends_in_time(&self.gw, &self.facts, target);
         let domain = &self.gw.settings.domain;
         let prompt = self.facts.prompt();
         let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
+            .filter(|(_, target)| ends_in_time(target))
             .map(|(key, target)| Candidate {
                 kept: prompt
                     .part
@@ -193,10 +190,12 @@
             })
             .collect();
         let routers = self.gw.bank.routers();
-        let key = placement::choose(&candidates, prompt, routers, rand::random())?;
+        let key = placement::choose(&candidates, prompt, routers, rand::random());
+        let key = key.ok_or_else(|| tries.stopping())?;
+        self.note_late(targets.get(key));
         let kept = candidates.iter().any(|c| c.key == key && c.kept);
         if let Some(part) = prompt.part {
-            let target = targets.get(key)?;
+            let target = targets.get(key).ok_or_else(|| self.unplaced(tries))?;
             target.kept.borrow_mut().add(part, now);
         }
         let unread = if kept {
@@ -204,7 +203,25 @@
         } else {
             prompt.tokens
         };
-        Some(Place { key, unread })
+        Ok(Place { key, unread })
+    }
+
+    /// Logs a request that is taken though this router stops.
+    fn note_late(&self, target: Option<&Target>) {
+        let now = self.gw.time();
+        let drain = self.gw.drain.get().filter(|drain| drain.ends_idle(now));
+        let (Some(drain), Some(target)) = (drain, target) else {
+            return;
+        };
+        let most = self.facts.work.map_or(0, |w| w.max_output);
+        log::info!(
+            target: "exchange",
+            "Taken while stopping. request={} target={} expected_ms={} left_ms={}",
+            self.facts.id_text(),
+            target.entry.id,
+            self.gw.expected_ms(target, &self.plan.route, most),
+            drain.end().millis_since(now)
+        );
     }
 
     /// Decides whether an answer is one to this request.
@@ -261,7 +278,7 @@
         if let Some(r) = reservation {
             r.ended();
         }
-        self.learn_begin();
+        self.learn_begin(key);
         let took = self.plan.arrived.elapsed();
         self.gw.metrics.answered(self.plan.route.kind, took);
         Ok(Some(reply::whole(status, headers, body)))
@@ -293,7 +310,7 @@
         reservation: &mut Option<Reservation>,
         reason: RetryReason,
     ) -> Result<(), Refusal> {
-        if !self.ends_in_time() {
+        if !self.plan.ends_in_time_somewhere(&self.gw, &self.facts) {
             return Err(tries.stopping());
         }
         if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::catalogue::{Account, Catalogue, Limits};
 use crate::prelude::*;
+use crate::target::Target;
 
 /// Longest time for a caller's body, as a multiple of the limit on its headers: a body has more
 /// bytes.
@@ -84,25 +85,26 @@
         left_ms.min(drain_ms.unwrap_or(left_ms))
     }
 
-    /// Returns whether it ends before this router does if it is sent now, going by what its service
-    /// took of late.
-    pub fn ends_in_time(&self, gw: &Gateway, facts: &RequestFacts) -> bool {
+    /// Returns whether it ends before this router does if it is sent to a target now, going by what
+    /// requests took there of late.
+    pub fn ends_in_time(&self, gw: &Gateway, facts: &RequestFacts, target: &Target) -> bool {
         let Some(drain) = gw.drain.get() else {
             return true;
         };
         let most = facts.work.map_or(0, |w| w.max_output);
-        let expected_ms = gw.expected_ms(&self.service, self.route.aim_ms, most);
-        let now = gw.time();
-        let takes = drain.takes(now, expected_ms);
-        if takes && drain.ends_idle(now) {
-            log::info!(
-                target: "exchange",
-                "Taken while stopping. request={} expected_ms={expected_ms} left_ms={}",
-                facts.id_text(),
-                drain.end().millis_since(now)
-            );
+        let expected_ms = gw.expected_ms(target, &self.route, most);
+        drain.takes(gw.time(), expected_ms)
+    }
+
+    /// Returns whether that holds for any target that it may be sent to.
+    pub fn ends_in_time_somewhere(&self, gw: &Gateway, facts: &RequestFacts) -> bool {
+        if !gw.is_stopping() {
+            return true;
         }
-        takes
+        let targets = gw.targets.borrow();
+        let open = targets.open(&self.service, Instant::now());
+        let mut open = open.into_iter();
+        open.any(|(_, target)| self.ends_in_time(gw, facts, target))
     }
 }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::prelude::*;
 use crate::retries::Retries;
 use crate::settings::GatewaySettings;
+use crate::target::{Target, TargetKey};
 use crate::targets::Targets;
 use crate::touch::Touch;
 
@@ -192,23 +193,32 @@
         }
     }
 
-    /// Learns how long a service's request took.
-    pub(crate) fn learn(&self, service: &str, learn: impl FnOnce(&mut ServiceTimes)) {
+    /// Learns how long a service's request took at a target.
+    pub(crate) fn learn(
+        &self,
+        service: &str,
+        target: TargetKey,
+        learn: impl Fn(&mut ServiceTimes, Time),
+    ) {
+        let now = self.time();
+        if let Some(target) = self.targets.borrow().get(target) {
+            learn(&mut target.times.borrow_mut(), now);
+        }
         let mut times = self.times.borrow_mut();
         match times.get_mut(service) {
-            Some(known) => learn(known),
-            None => learn(times.entry(service.to_owned()).or_default()),
+            Some(known) => learn(known, now),
+            None => learn(times.entry(service.to_owned()).or_default(), now),
         }
     }
 
-    /// Returns how long a request of a service may take, in milliseconds.
-    pub(crate) fn expected_ms(&self, service: &str, aim_ms: u64, most: u64) -> u64 {
+    /// Returns how long a request of a route may take at a target, in milliseconds, whose output
+    /// has `most` tokens at the most.
+    pub(crate) fn expected_ms(&self, target: &Target, route: &Route, most: u64) -> u64 {
         let times = self.times.borrow();
         let unseen = ServiceTimes::default();
-        times
-            .get(service)
-            .unwrap_or(&unseen)
-            .expected_ms(aim_ms, most)
+        let all = times.get(&target.entry.service).unwrap_or(&unseen);
+        let here = target.times.borrow();
+        here.expected_ms(all, self.time(), route.aim_ms, most)
     }
 
     /// Returns the time as decisions count it.
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -163,7 +163,9 @@
             let plan = &self.job.plan;
             let took = plan.arrived.elapsed();
             self.job.gw.metrics.began(plan.route.kind, took);
-            self.job.learn_begin();
+            if let Some(key) = self.tries.tried.last() {
+                self.job.learn_begin(*key);
+            }
         }
     }
 
@@ -176,9 +178,8 @@
         let Some(answer) = self.answer.take() else {
             return;
         };
-        if let Some(key) = self.tries.tried.last() {
-            self.job.ease(*key);
-        }
+        let key = self.tries.tried.last().copied().unwrap_or_default();
+        self.job.ease(key);
         answer.line.finish(&answer.facts);
         if let Some(mut r) = self.reservation.take() {
             r.ended();
@@ -189,8 +190,8 @@
         if let Some(first_at) = self.first_at {
             let tokens = self.events * plan.tokens_per_event;
             let ms = first_at.elapsed().as_millis() as u64;
-            let learn = |times: &mut ServiceTimes| times.learn_output(tokens, ms);
-            self.job.gw.learn(&plan.service, learn);
+            let learn = |times: &mut ServiceTimes, now| times.learn_output(now, tokens, ms);
+            self.job.gw.learn(&plan.service, key, learn);
         }
     }
 
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use tokio::time::Instant;
+use wisteriapass_policy::ServiceTimes;
 use wisteriapass_policy::placement::Trouble;
 
 use crate::kept_parts::KeptParts;
@@ -69,6 +70,8 @@
     pub heard: Cell<Instant>,
     /// Failures of late.
     pub trouble: RefCell<Trouble>,
+    /// How long its requests took of late.
+    pub times: RefCell<ServiceTimes>,
     /// Prompt parts that this router had it read of late.
     pub kept: RefCell<KeptParts>,
     /// Idle connections.
@@ -86,6 +89,7 @@
             unread: Cell::new(0),
             heard: Cell::new(now),
             trouble: RefCell::default(),
+            times: RefCell::default(),
             kept: RefCell::default(),
             pool: RefCell::default(),
         }
--- a/wisteriapass_policy/src/service_times.rs
+++ b/wisteriapass_policy/src/service_times.rs
@@ -1,11 +1,14 @@
-//! How long requests of a service take of late, to say whether one ends in time.
+//! How long requests take of late, at one target and at all of a service, to say whether one ends
+//! in time.
 //!
-//! Answers targets whose queues and speed change with their load: a request waits for a slot, and
+//! Answers targets whose queues and pace change with their load: a request waits for a slot, and
 //! with many requests running each token takes several times as long as with few. Going by the
 //! time in which answers should begin, or by the average, a router promises what it cannot keep.
 
 use smallvec::SmallVec;
 
+use crate::Time;
+
 /// Requests that are looked at.
 const SAMPLES: usize = 32;
 
@@ -18,7 +21,13 @@
 /// Fewest tokens of a stream from which its pace is learnt: a pause weighs little in so many.
 const LEAST_TOKENS: u64 = 10;
 
-/// Times of a service's requests, as one router sees them.
+/// Requests of one target that say enough of it.
+const KNOWN: usize = 4;
+
+/// Age from which on a target's request says nothing of it any more, in milliseconds.
+const OLD_MS: u64 = 10_000;
+
+/// Times of requests, as one router sees them.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTimes {
     /// From a request's arrival to its first event, or to its whole answer.
@@ -29,48 +38,64 @@
 impl ServiceTimes {
     /// Learns from a request whose answer began `ms` milliseconds after it came, or did not within
     /// that time.
-    pub fn learn_begin(&mut self, ms: u64) {
-        self.begin_ms.add(ms as f64);
+    pub fn learn_begin(&mut self, now: Time, ms: u64) {
+        self.begin_ms.add(now, ms as f64);
     }
 
     /// Learns from a stream that made `tokens` in `ms` milliseconds.
-    pub fn learn_output(&mut self, tokens: u64, ms: u64) {
+    pub fn learn_output(&mut self, now: Time, tokens: u64, ms: u64) {
         if tokens >= LEAST_TOKENS {
-            self.token_ms.add(ms as f64 / tokens as f64);
+            self.token_ms.add(now, ms as f64 / tokens as f64);
         }
     }
 
-    /// Returns how long a request may take, in milliseconds, whose answer is on time if it begins
-    /// within `aim_ms`, and whose output has `most` tokens at the most.
-    pub fn expected_ms(&self, aim_ms: u64, most: u64) -> u64 {
-        let begin_ms = self.begin_ms.high().unwrap_or_default();
-        let token_ms = self.token_ms.high().unwrap_or(UNSEEN_TOKEN_MS);
-        begin_ms.max(aim_ms as f64) as u64 + (token_ms * most as f64) as u64
+    /// Returns how long a request may take at the target that these are the times of, in
+    /// milliseconds; `all` are those of its service, and count where too little is known here.
+    ///
+    /// Its answer is on time if it begins within `aim_ms`, and its output has `most` tokens at the
+    /// most.
+    pub fn expected_ms(&self, all: &Self, now: Time, aim_ms: u64, most: u64) -> u64 {
+        let begin_ms = self.begin_ms.high_of_late(now).or(all.begin_ms.high());
+        let token_ms = self.token_ms.high_of_late(now).or(all.token_ms.high());
+        let begin_ms = begin_ms.unwrap_or_default().max(aim_ms as f64);
+        let output_ms = token_ms.unwrap_or(UNSEEN_TOKEN_MS) * most as f64;
+        (begin_ms + output_ms) as u64
     }
 }
 
 /// The newest values of something.
 #[derive(Clone, Debug, Default)]
 struct Recent {
-    values: SmallVec<[f64; SAMPLES]>,
+    values: Vec<(Time, f64)>,
     oldest: usize,
 }
 
 impl Recent {
-    fn add(&mut self, value: f64) {
+    fn add(&mut self, now: Time, value: f64) {
         if self.values.len() < SAMPLES {
-            self.values.push(value);
+            self.values.push((now, value));
             return;
         }
-        self.values[self.oldest] = value;
+        self.values[self.oldest] = (now, value);
         self.oldest = (self.oldest + 1) % SAMPLES;
     }
 
     /// Returns a value that few exceed; none before the first.
     fn high(&self) -> Option<f64> {
-        let mut sorted = self.values.clone();
-        sorted.sort_by(f64::total_cmp);
-        let place = (QUANTILE * sorted.len() as f64) as usize;
-        sorted.get(place).copied()
+        high(self.values.iter().map(|(_, value)| *value).collect())
     }
+
+    /// Returns the same of those of late, if they are enough.
+    fn high_of_late(&self, now: Time) -> Option<f64> {
+        let is_late = |(at, _): &&(Time, f64)| now.millis_since(*at) < OLD_MS;
+        let late = self.values.iter().filter(is_late);
+        let late: SmallVec<[f64; SAMPLES]> = late.map(|(_, value)| *value).collect();
+        high(late.clone()).filter(|_| late.len() >= KNOWN)
+    }
+}
+
+fn high(mut values: SmallVec<[f64; SAMPLES]>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    let place = (QUANTILE * values.len() as f64) as usize;
+    values.get(place).copied()
 }
