LOST: what went to a target since counts for what is expected there

Times are those of the load that they were seen with, so what is expected of a target grows with what this router has under way there beyond the usual.

--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -139,7 +139,10 @@
     /// Learns how long a target took to begin the answer, or has not begun it for.
     pub fn learn_begin(&self, key: TargetKey) {
         let ms = self.plan.arrived.elapsed().as_millis() as u64;
-        let learn = |times: &mut ServiceTimes, now| times.learn_begin(now, ms);
+        let targets = self.gw.targets.borrow();
+        let running = targets.get(key).map_or(1, |t| t.running.get());
+        drop(targets);
+        let learn = |times: &mut ServiceTimes, now| times.learn_begin(now, ms, running);
         self.gw.learn(&self.plan.service, key, learn);
     }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 use wisteriapass_policy::drain::Drain;
-use wisteriapass_policy::{ServiceTimes, Time};
+use wisteriapass_policy::{ServiceTimes, Time, Work};
 
 use crate::bank::Bank;
 use crate::call::Caller;
@@ -218,7 +218,12 @@
         let unseen = ServiceTimes::default();
         let all = times.get(&target.entry.service).unwrap_or(&unseen);
         let here = target.times.borrow();
-        here.expected_ms(all, self.time(), route.aim_ms, most)
+        let work = Work {
+            aim_ms: route.aim_ms,
+            most_tokens: most,
+            running: target.running.get(),
+        };
+        here.expected_ms(all, self.time(), work)
     }
 
     /// Returns the time as decisions count it.
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -59,7 +59,7 @@
 pub use refusal::Refusal;
 pub use request_facts::RequestFacts;
 pub use scheduler::Scheduler;
-pub use service_times::ServiceTimes;
+pub use service_times::{ServiceTimes, Work};
 pub use target_facts::{Held, Nearness, TargetFacts, TargetRole};
 pub use time::Time;
 pub use wants::Wants;
--- a/wisteriapass_policy/src/service_times.rs
+++ b/wisteriapass_policy/src/service_times.rs
@@ -27,19 +27,33 @@
 /// Age from which on a target's request says nothing of it any more, in milliseconds.
 const OLD_MS: u64 = 10_000;
 
+/// A request that is about to be sent to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Time within which its answer should begin, in milliseconds.
+    pub aim_ms: u64,
+    /// Most tokens of its output.
+    pub most_tokens: u64,
+    /// This router's requests under way at the target.
+    pub running: u32,
+}
+
 /// Times of requests, as one router sees them.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTimes {
     /// From a request's arrival to its first event, or to its whole answer.
     begin_ms: Recent,
     token_ms: Recent,
+    /// Requests of this router that were under way at the target, itself included.
+    running: Recent,
 }
 
 impl ServiceTimes {
     /// Learns from a request whose answer began `ms` milliseconds after it came, or did not within
-    /// that time.
-    pub fn learn_begin(&mut self, now: Time, ms: u64) {
+    /// that time; `running` requests of this router were under way at its target, itself included.
+    pub fn learn_begin(&mut self, now: Time, ms: u64, running: u32) {
         self.begin_ms.add(now, ms as f64);
+        self.running.add(now, f64::from(running));
     }
 
     /// Learns from a stream that made `tokens` in `ms` milliseconds.
@@ -51,15 +65,16 @@
 
     /// Returns how long a request may take at the target that these are the times of, in
     /// milliseconds; `all` are those of its service, and count where too little is known here.
-    ///
-    /// Its answer is on time if it begins within `aim_ms`, and its output has `most` tokens at the
-    /// most.
-    pub fn expected_ms(&self, all: &Self, now: Time, aim_ms: u64, most: u64) -> u64 {
+    pub fn expected_ms(&self, all: &Self, now: Time, work: Work) -> u64 {
         let begin_ms = self.begin_ms.high_of_late(now).or(all.begin_ms.high());
         let token_ms = self.token_ms.high_of_late(now).or(all.token_ms.high());
-        let begin_ms = begin_ms.unwrap_or_default().max(aim_ms as f64);
-        let output_ms = token_ms.unwrap_or(UNSEEN_TOKEN_MS) * most as f64;
-        (begin_ms + output_ms) as u64
+        let begin_ms = begin_ms.unwrap_or_default().max(work.aim_ms as f64);
+        let output_ms = token_ms.unwrap_or(UNSEEN_TOKEN_MS) * work.most_tokens as f64;
+        // Times are those of the load that they were seen with: without this, all go to the target
+        // that was quickest, and make it the slowest.
+        let usual = self.running.high_of_late(now).or(all.running.high());
+        let crowding = f64::from(work.running + 1) / usual.unwrap_or(1.0).max(1.0);
+        ((begin_ms + output_ms) * crowding.max(1.0)) as u64
     }
 }
 
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -1,7 +1,7 @@
 //! Stopping routers: a roll leaves no moment without one that takes callers.
 
 use wisteriapass_policy::drain::Drain;
-use wisteriapass_policy::{ServiceTimes, Time};
+use wisteriapass_policy::{ServiceTimes, Time, Work};
 
 /// Time between the stop signal and the kill, in milliseconds.
 const GRACE_MS: u64 = 8_000;
@@ -111,7 +111,7 @@
 fn times(now: u64, begin_ms: u64, token_ms: u64) -> ServiceTimes {
     let mut times = ServiceTimes::default();
     for _ in 0..32 {
-        times.learn_begin(at(now), begin_ms);
+        times.learn_begin(at(now), begin_ms, 2);
         times.learn_output(at(now), 100, 100 * token_ms);
     }
     times
@@ -119,7 +119,17 @@
 
 /// Returns what is expected of a request with an aim of half a second and 100 tokens.
 fn expected(here: &ServiceTimes, all: &ServiceTimes, now: u64) -> u64 {
-    here.expected_ms(all, at(now), 500, 100)
+    expected_beside(here, all, now, 1)
+}
+
+/// The same with other requests of the router under way there.
+fn expected_beside(here: &ServiceTimes, all: &ServiceTimes, now: u64, running: u32) -> u64 {
+    let work = Work {
+        aim_ms: 500,
+        most_tokens: 100,
+        running,
+    };
+    here.expected_ms(all, at(now), work)
 }
 
 #[test]
@@ -145,7 +155,7 @@
     assert!(drain.takes(at(3_400), expected(&none, &all, 3_400)));
     // A queue builds up: a few requests wait long before all do.
     for n in 0..32 {
-        all.learn_begin(at(3_000), if n % 6 == 0 { 2_600 } else { 150 });
+        all.learn_begin(at(3_000), if n % 6 == 0 { 2_600 } else { 150 }, 2);
     }
     assert!(!drain.takes(at(3_400), expected(&none, &all, 3_400)));
 }
@@ -164,6 +174,20 @@
     );
 }
 
+// Fifteen streams went to the one target whose times fitted, and were cut together.
+#[test]
+fn late_work_does_not_all_go_to_the_quickest_target() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    let (quick, slow) = (times(3_000, 150, 15), times(3_000, 2_600, 30));
+    let takes = |running| {
+        let expected_ms = expected_beside(&quick, &slow, 3_400, running);
+        drain.takes(at(3_400), expected_ms)
+    };
+    assert!(takes(1), "as many as it had of late");
+    let taken = (1..15).filter(|running| takes(*running)).count();
+    assert!(taken < 4, "{taken} beside each other");
+}
+
 #[test]
 fn targets_end_before_work_is_given_up_and_both_before_the_kill() {
     let drain = Drain::new(at(1_000), GRACE_MS);
