Stand-in targets crash, and start anew under another id

A target crashes on a call, or when it begins to run a request that a predicate picks: the request counts as run, a stream has had its head, the target stops listening, closes all its connections and listens again at the same address after a settable time, under another id. A request for another id than its own gets 421, as from the platform's targets. What goes over the wire moves to a file of its own.

--- a/wisteriapass_bench/src/standin/users.rs
+++ b/wisteriapass_bench/src/standin/users.rs
@@ -4,4 +4,4 @@
 mod target;
 
 pub use store::{StoreFault, UsersStore};
-pub use target::{Behaviour, SeenRequest, UsersTarget};
+pub use target::{Behaviour, Poison, SeenRequest, UsersTarget};
--- a/wisteriapass_bench/src/standin/users/target.rs
+++ b/wisteriapass_bench/src/standin/users/target.rs
@@ -1,19 +1,23 @@
 //! A target of the users' platform: streams events or answers whole, and can go wrong.
 
+mod wire;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{self, BufReader};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 
-/// Events of a stream.
-const EVENTS: u64 = 5;
+pub use self::wire::SeenRequest;
+
+/// Time from a crash to the next start, unless it is set.
+const AWAY: Duration = Duration::from_secs(1);
 
-/// Time between two events.
-const GAP: Duration = Duration::from_millis(20);
+/// Time between two tries to listen again.
+const RETRY: Duration = Duration::from_millis(10);
 
 /// What a target does with its next request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,6 +33,8 @@
     Lose,
     /// Runs it and breaks its stream off in the middle of the event behind this one.
     BreakAfter(u64),
+    /// Says that it is not the target that was meant and did not run it.
+    Misdirected,
     /// Runs it and answers with another request's id.
     Cross,
     /// Runs it and sends bytes that are no answer.
@@ -44,46 +50,37 @@
 impl Behaviour {
     /// Returns whether the request begins to run.
     fn runs(self) -> bool {
-        !matches!(self, Self::Shed | Self::Queue)
+        !matches!(self, Self::Shed | Self::Misdirected | Self::Queue)
     }
 }
 
-/// A request as it arrived.
-#[derive(Clone, Debug, Default)]
-pub struct SeenRequest {
-    /// First line.
-    pub line: String,
-    /// Headers, names in lower case.
-    pub headers: BTreeMap<String, String>,
-    /// Whether it ran.
-    pub ran: bool,
-}
-
-impl SeenRequest {
-    /// Returns a header, or nothing.
-    pub fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
-    }
-
-    /// Returns the time that the target was given for it.
-    fn remaining(&self) -> Duration {
-        let ms = self.header("x-deadline-remaining").parse().unwrap_or(0);
-        Duration::from_millis(ms)
-    }
-}
+/// Says whether a target crashes when it begins to run a request.
+pub type Poison = fn(&SeenRequest) -> bool;
 
 #[derive(Debug, Default)]
 struct State {
     next: VecDeque<Behaviour>,
     seen: Vec<SeenRequest>,
+    poison: Option<Poison>,
+    away: Option<Duration>,
+    /// Number of the start; each has an id of its own.
+    start: u32,
+    is_down: bool,
+    /// Open connections, by the caller's address.
+    open: BTreeMap<SocketAddr, TcpStream>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    addr: SocketAddr,
+    state: Mutex<State>,
 }
 
 /// A running stand-in; its threads end with the test's process.
 #[derive(Debug)]
 pub struct UsersTarget {
-    id: String,
-    addr: SocketAddr,
-    state: Arc<Mutex<State>>,
+    shared: Arc<Shared>,
 }
 
 impl UsersTarget {
@@ -92,170 +89,216 @@
     /// # Errors
     ///
     /// Those of the system.
-    pub fn start(id: &str) -> io::Result<Self> {
+    pub fn start(name: &str) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        let addr = listener.local_addr()?;
-        let state = Arc::new(Mutex::new(State::default()));
-        let served = Arc::clone(&state);
-        spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let state = Arc::clone(&served);
-                // The caller's end of a connection ends it here.
-                spawn(move || serve(stream, &state).ok());
-            }
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            addr: listener.local_addr()?,
+            state: Mutex::new(State::default()),
         });
-        Ok(Self {
-            id: id.into(),
-            addr,
-            state,
-        })
+        let served = Arc::clone(&shared);
+        spawn(move || served.live(listener));
+        Ok(Self { shared })
     }
 
     /// Returns its entry in the service.
     pub fn entry(&self, service: &str, state: &str) -> String {
         format!(
             r#"{{"service":"{service}","address":"{}","zone":"z","version":"v1","slots":4,"state":"{state}","cold_remaining_ms":0,"sequence":1}}"#,
-            self.addr
+            self.shared.addr
         )
     }
 
-    /// Returns the key of that entry.
+    /// Returns the key of that entry; each start has another.
     pub fn key(&self) -> String {
-        format!("servers/{}", self.id)
+        format!("servers/{}", self.shared.id(&self.shared.state.lock()))
     }
 
     /// Sets what it does with its next requests.
     pub fn will(&self, next: &[Behaviour]) {
-        self.state.lock().next.extend(next);
+        self.shared.state.lock().next.extend(next);
     }
 
     /// Sets what it does with its next requests, and forgets what was set before.
     pub fn will_only(&self, next: &[Behaviour]) {
-        self.state.lock().next = next.iter().copied().collect();
+        self.shared.state.lock().next = next.iter().copied().collect();
+    }
+
+    /// Drops what it would do with its next requests; it answers them as it should.
+    pub fn behave(&self) {
+        self.shared.state.lock().next.clear();
+    }
+
+    /// Sets which requests crash it, and how long it is away after a crash.
+    pub fn crashes_on(&self, poison: Poison, away: Duration) {
+        let mut state = self.shared.state.lock();
+        state.poison = Some(poison);
+        state.away = Some(away);
+    }
+
+    /// Ends it now: it takes no more connections and closes all that it has.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Returns how often it crashed.
+    pub fn crashes(&self) -> u32 {
+        let state = self.shared.state.lock();
+        state.start + u32::from(state.is_down)
+    }
+
+    /// Returns whether it crashed and is not back yet.
+    pub fn is_down(&self) -> bool {
+        self.shared.state.lock().is_down
     }
 
     /// Returns all requests that arrived.
     pub fn seen(&self) -> Vec<SeenRequest> {
-        self.state.lock().seen.clone()
+        self.shared.state.lock().seen.clone()
     }
 
     /// Returns how many requests ran.
     pub fn runs(&self) -> usize {
-        self.state.lock().seen.iter().filter(|s| s.ran).count()
+        let state = self.shared.state.lock();
+        state.seen.iter().filter(|s| s.ran).count()
     }
 }
 
-fn serve(stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let mut out = stream;
-    loop {
-        let mut seen = read(&mut reader)?;
-        let behaviour = {
-            let mut state = state.lock();
-            let next = state.next.pop_front().unwrap_or_default();
-            seen.ran = next.runs();
-            state.seen.push(seen.clone());
-            next
-        };
-        answer(&mut out, &seen, behaviour)?;
+impl Shared {
+    fn id(&self, state: &State) -> String {
+        match state.start {
+            0 => self.name.clone(),
+            start => format!("{}-{start}", self.name),
+        }
     }
-}
 
-fn read(reader: &mut BufReader<TcpStream>) -> io::Result<SeenRequest> {
-    let mut seen = SeenRequest::default();
-    if reader.read_line(&mut seen.line)? == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    }
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line)?;
-        let Some((name, value)) = line.trim_end().split_once(": ") else {
-            break;
-        };
-        let name = name.to_ascii_lowercase();
-        seen.headers.insert(name, value.into());
+    /// Serves one start after the other.
+    fn live(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
+            self.accept(&listener);
+            drop(listener);
+            let away = self.close_all();
+            sleep(away);
+            listener = self.listen();
+            let mut state = self.state.lock();
+            state.start += 1;
+            state.is_down = false;
+        }
     }
-    let length = seen.header("content-length").parse().unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
-    Ok(seen)
-}
 
-fn answer(out: &mut TcpStream, seen: &SeenRequest, behaviour: Behaviour) -> io::Result<()> {
-    let id = seen.header("x-attempt-id");
-    let broken = || io::Error::from(io::ErrorKind::ConnectionAborted);
-    match behaviour {
-        Behaviour::Shed => not_run(out, id),
-        Behaviour::Queue => {
-            sleep(seen.remaining());
-            not_run(out, id)
+    /// Takes connections until it crashes.
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+        for stream in listener.incoming().flatten() {
+            // A caller that has gone already needs no service.
+            let Ok(caller) = stream.peer_addr() else {
+                continue;
+            };
+            let Ok(start) = self.admit(&stream, caller) else {
+                return;
+            };
+            let shared = Arc::clone(self);
+            spawn(move || {
+                // The caller's end of a connection ends it here.
+                shared.serve(&stream, start).ok();
+                shared.close(&stream, caller);
+            });
         }
-        Behaviour::Hang => {
-            sleep(seen.remaining());
-            write!(
-                out,
-                "HTTP/1.1 504 Late\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
-                 Content-Length: 4\r\n\r\nlate"
-            )
+    }
+
+    /// Returns the start that a connection belongs to.
+    fn admit(&self, stream: &TcpStream, caller: SocketAddr) -> io::Result<u32> {
+        let mut state = self.state.lock();
+        if state.is_down {
+            return Err(gone());
         }
-        Behaviour::Fail => write!(
-            out,
-            "HTTP/1.1 500 Failed\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
-             Content-Length: 4\r\n\r\nfail"
-        ),
-        Behaviour::Lose => Err(broken()),
-        Behaviour::Garbage => {
-            out.write_all(b"\x00\xff no answer \r\n\r\n")?;
-            Err(broken())
+        state.open.insert(caller, stream.try_clone()?);
+        Ok(state.start)
+    }
+
+    fn close(&self, stream: &TcpStream, caller: SocketAddr) {
+        self.state.lock().open.remove(&caller);
+        // It may be closed already.
+        stream.shutdown(Shutdown::Both).ok();
+    }
+
+    fn crash(&self) {
+        let was_down = std::mem::replace(&mut self.state.lock().is_down, true);
+        if !was_down {
+            // Wakes the thread that takes connections; whether this one is taken is no matter.
+            TcpStream::connect(self.addr).ok();
         }
-        Behaviour::Cross => whole(out, "another"),
-        Behaviour::BreakAfter(events) => {
-            stream(out, seen, events, 1)?;
-            out.write_all(b"10\r\nid: 99\nda")?;
-            Err(broken())
+    }
+
+    /// Closes all connections; returns how long it is away.
+    fn close_all(&self) -> Duration {
+        let mut state = self.state.lock();
+        for stream in state.open.values() {
+            // It may be closed already.
+            stream.shutdown(Shutdown::Both).ok();
         }
-        Behaviour::Slow(times) => {
-            stream(out, seen, u64::MAX, times)?;
-            out.write_all(b"0\r\n\r\n")
+        state.open.clear();
+        state.away.unwrap_or(AWAY)
+    }
+
+    /// Listens at the same address as before.
+    fn listen(&self) -> TcpListener {
+        loop {
+            match TcpListener::bind(self.addr) {
+                Ok(listener) => return listener,
+                // Another socket may have the port for a moment.
+                Err(_) => sleep(RETRY),
+            }
         }
-        Behaviour::Answer if seen.header("x-token-counts").is_empty() => whole(out, id),
-        Behaviour::Answer => {
-            stream(out, seen, u64::MAX, 1)?;
-            out.write_all(b"0\r\n\r\n")
+    }
+
+    fn serve(&self, stream: &TcpStream, start: u32) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut out = stream.try_clone()?;
+        loop {
+            let seen = wire::read(&mut reader)?;
+            match self.decide(&seen, start)? {
+                Decision::Answer(behaviour) => wire::answer(&mut out, &seen, behaviour)?,
+                Decision::Crash => {
+                    wire::begin(&mut out, &seen)?;
+                    self.crash();
+                    // This connection is closed together with all others.
+                    io::copy(&mut reader, &mut io::sink())?;
+                }
+            }
         }
     }
-}
 
-fn not_run(out: &mut TcpStream, id: &str) -> io::Result<()> {
-    write!(
-        out,
-        "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
-         Content-Length: 0\r\n\r\n"
-    )
+    /// Notes a request that arrived, and decides what becomes of it.
+    fn decide(&self, seen: &SeenRequest, start: u32) -> io::Result<Decision> {
+        let mut state = self.state.lock();
+        if state.is_down || state.start != start {
+            return Err(gone());
+        }
+        let meant = seen.header("x-expected-instance");
+        let behaviour = if meant.is_empty() || meant == self.id(&state) {
+            state.next.pop_front().unwrap_or_default()
+        } else {
+            Behaviour::Misdirected
+        };
+        let ran = behaviour.runs();
+        state.seen.push(SeenRequest {
+            ran,
+            ..seen.clone()
+        });
+        if ran && state.poison.is_some_and(|is_poison| is_poison(seen)) {
+            return Ok(Decision::Crash);
+        }
+        Ok(Decision::Answer(behaviour))
+    }
 }
 
-fn whole(out: &mut TcpStream, id: &str) -> io::Result<()> {
-    write!(
-        out,
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
-         Content-Length: 5\r\n\r\nwhole"
-    )
+/// What becomes of a request that arrived.
+enum Decision {
+    Answer(Behaviour),
+    Crash,
 }
 
-/// Sends the events behind the one that the caller has, up to `last`, without the end.
-fn stream(out: &mut TcpStream, seen: &SeenRequest, last: u64, times: u32) -> io::Result<()> {
-    let from = seen.header("last-event-id").parse().unwrap_or(0);
-    write!(
-        out,
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: s\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        seen.header("x-attempt-id")
-    )?;
-    for event in from + 1..=EVENTS.min(last) {
-        sleep(GAP * times);
-        let text = format!("id: {event}\ndata: {event}\n\n");
-        write!(out, "{:x}\r\n{text}\r\n", text.len())?;
-    }
-    Ok(())
+fn gone() -> io::Error {
+    io::ErrorKind::ConnectionAborted.into()
 }
