Requests that crash targets: tests, two of them red

a_request_that_crashes_targets_stops_reaching_them: three routers, six engines. The request ends three targets, one by each router; 3 s later five copies are sent to each router. At most three may arrive at a target, the rest get 503, Retry-After and the reason "quarantined", at last all of them; another body, and the same body from another account, are served. a_router_started_anew_knows_the_requests_that_crash_targets: the same at a router that was killed and started behind the third end.

--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod changes;
 mod money;
+mod quarantine;
 mod relays;
 mod slow_links;
 mod stops;
--- a/wisteriapass_daemon/tests/on_platform/support/request.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -15,6 +15,7 @@
     pub tokens: Option<(u64, u64)>,
     pub remaining_ms: u64,
     pub extra: String,
+    pub body: String,
 }
 
 impl Request {
@@ -27,6 +28,7 @@
             tokens: None,
             remaining_ms: 6_000,
             extra: String::new(),
+            body: "body".into(),
         }
     }
 
@@ -54,6 +56,12 @@
         self
     }
 
+    /// Sets another body.
+    pub fn with_body(mut self, body: &str) -> Self {
+        self.body = body.into();
+        self
+    }
+
     pub fn text(&self) -> String {
         let tokens = self.tokens.map_or(String::new(), |(prompt, output)| {
             format!("X-Model-Name: m\r\nX-Token-Counts: {prompt},{output}\r\n")
@@ -61,8 +69,14 @@
         format!(
             "POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\n\
              X-Deadline-Remaining: {}\r\nAuthorization: Bearer {}\r\n{tokens}{}\
-             Connection: close\r\nContent-Length: 4\r\n\r\nbody",
-            self.path, self.id, self.remaining_ms, self.key, self.extra
+             Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+            self.path,
+            self.id,
+            self.remaining_ms,
+            self.key,
+            self.extra,
+            self.body.len(),
+            self.body
         )
     }
 }
--- a/wisteriapass_daemon/tests/on_platform/support/scene.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/scene.rs
@@ -1,5 +1,6 @@
 //! A store with a configuration, and targets that it knows.
 
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use wisteriapass_bench::standin::users::{UsersStore, UsersTarget};
 
@@ -35,28 +36,32 @@
     pub store: UsersStore,
     pub plain: Vec<UsersTarget>,
     pub engines: Vec<UsersTarget>,
+    /// Keys of the engines that the store knows.
+    known: Mutex<Vec<String>>,
 }
 
 impl Scene {
     /// Creates a scene with two targets of each service.
     pub fn new(prepaid: u64) -> Self {
+        Self::with_engines(prepaid, 2)
+    }
+
+    /// Creates a scene with this many engines.
+    pub fn with_engines(prepaid: u64, count: usize) -> Self {
         let store = UsersStore::start().unwrap();
-        let start = |name: &str| UsersTarget::start(name).unwrap();
+        let start = |kind: &str, n: usize| UsersTarget::start(&format!("{kind}{n}")).unwrap();
         let scene = Self {
             store,
-            plain: ["p1", "p2"].map(start).into(),
-            engines: ["e1", "e2"].map(start).into(),
+            plain: (1..=2).map(|n| start("p", n)).collect(),
+            engines: (1..=count).map(|n| start("e", n)).collect(),
+            known: Mutex::default(),
         };
         for target in &scene.plain {
             scene
                 .store
                 .put(&target.key(), target.entry("plain", "ready"));
         }
-        for target in &scene.engines {
-            scene
-                .store
-                .put(&target.key(), target.entry("engines", "ready"));
-        }
+        scene.renew_entries();
         scene.configure(&configuration(1, &[KEY], prepaid));
         scene
     }
@@ -66,6 +71,21 @@
         self.store.put("op/config", configuration.to_string());
     }
 
+    /// Replaces the entries of engines that started anew, as the platform does after a while.
+    pub fn renew_entries(&self) {
+        let mut known = self.known.lock();
+        let now: Vec<String> = self.engines.iter().map(UsersTarget::key).collect();
+        for gone in known.iter().filter(|key| !now.contains(key)) {
+            self.store.remove(gone);
+        }
+        for (key, target) in now.iter().zip(&self.engines) {
+            if !known.contains(key) {
+                self.store.put(key, target.entry("engines", "ready"));
+            }
+        }
+        *known = now;
+    }
+
     /// Returns how many requests ran at both targets of the plain service.
     pub fn plain_runs(&self) -> usize {
         self.plain.iter().map(UsersTarget::runs).sum()
