A line of a target's failure says which request comes again

The logs of BUDGET show which requests were under way at an end, each under an id of its own, and not whether it was the same one each time. "Target failed it" has the route and, as copy=, a hash of what is equal in all copies: account, path and body. No decision changes.

A line with the library's error was tried beside it and left out: it says where the bytes ended, not whether the target did.

--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -1,5 +1,7 @@
 //! Sending a request to targets until one answers or no more may be asked.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use http_body_util::BodyExt;
 use hyper::Response;
 use smallvec::SmallVec;
@@ -353,14 +355,26 @@
         target.trouble.borrow_mut().add(now, fault.weight());
         log::info!(
             target: "exchange",
-            "Target failed it. request={} target={} fault={fault} running={} after_ms={}",
+            "Target failed it. request={} target={} fault={fault} running={} after_ms={} route={} \
+             copy={:016x}",
             self.facts.id_text(),
             target.entry.id,
             target.running.get(),
-            self.plan.arrived.elapsed().as_millis()
+            self.plan.arrived.elapsed().as_millis(),
+            self.plan.route.name,
+            self.copy()
         );
     }
 
+    /// Returns what is equal in all copies of a request, under whatever id and at any router.
+    fn copy(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.plan.account_name().hash(&mut hasher);
+        self.out.uri.hash(&mut hasher);
+        self.out.body.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Counts a success of a target.
     pub fn ease(&self, key: TargetKey) {
         let now = Time::from_millis(self.gw.clock.now_ms());
