Quarantine, decisions: which requests crash the targets that run them

Cause: a request that crashes each target that begins to run it comes again at any router; 19 targets ended in 10 s, as no router knew of it.

A book per process notes each request that was under way at a target that ended. Three targets ban it, unless at least four others ended within half a second without it, or it has run to a whole answer since. A ban ends; one more death then bans for twice as long. Books merge by a join over deaths of targets; only ages travel, the earliest time wins, and what is nearly forgotten is not taken over.

Ruled out: a counter for each request (doubled news count twice); the time of the last success in messages (it grows younger on each way, and would clear deaths that came behind it); targets that ended under another poison as evidence of a mass failure (two poisons at once would excuse each other).

--- a/wisteriapass_coord/src/lib.rs
+++ b/wisteriapass_coord/src/lib.rs
@@ -1,4 +1,5 @@
-//! Embeddable coordination parts: escrowed budgets, once-only runs, membership and revisions.
+//! Embeddable coordination parts: escrowed budgets, once-only runs, membership, revisions and
+//! quarantine.
 
 pub mod budget;
 pub mod fence;
@@ -6,6 +7,7 @@
 pub mod once;
 pub mod order;
 pub mod prepaid;
+pub mod quarantine;
 pub mod relay;
 pub mod revision;
 pub mod store;
--- /dev/null
+++ b/wisteriapass_coord/src/quarantine/book.rs
@@ -0,0 +1,249 @@
+//! The book of requests that were under way at targets that ended.
+
+use std::collections::{BTreeMap, HashSet};
+
+use smallvec::SmallVec;
+
+use super::death::Death;
+use super::suspicion::Suspicion;
+use super::{
+    Cursor, DEATHS_TO_BAN, Fingerprint, Incarnation, MOST_REQUESTS, MOST_TOLD, News, Told, Verdict,
+};
+
+/// Time around a death in which others count as of the same cause, in milliseconds: a rack or a
+/// failure domain goes at once, and two requests that crash a target in a third of a second each
+/// are no mass failure together.
+const AT_ONCE_MS: i64 = 500;
+
+/// Other targets that end at once without the request, from which on its death counts as theirs.
+const MASS: usize = 4;
+
+/// Age from which on it is settled whether a death was part of a mass failure, in milliseconds: news
+/// of all routers are there by then.
+const SETTLED_MS: i64 = 10_000;
+
+/// Shortest time between two looks for what is old, in milliseconds.
+const TIDY_MS: u64 = 500;
+
+/// Deaths that are settled in one look.
+const MOST_SETTLED: usize = 64;
+
+/// The requests that were under way at targets that ended, as one process knows it.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    process: u64,
+    seq: u64,
+    tidied_at: u64,
+    requests: BTreeMap<Fingerprint, Suspicion>,
+}
+
+impl Quarantine {
+    /// Creates the empty book of a process; each start of one has another number.
+    pub fn new(process: u64) -> Self {
+        Self {
+            process,
+            seq: 0,
+            tidied_at: 0,
+            requests: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether nothing is held against any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns how many requests are in the book.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns up to where this book has come.
+    pub fn cursor(&self) -> Cursor {
+        Cursor {
+            process: self.process,
+            seq: self.seq,
+        }
+    }
+
+    /// Notes that a target ended with the request under way; returns whether that is news.
+    pub fn died(&mut self, now: u64, fingerprint: Fingerprint, incarnation: Incarnation) -> bool {
+        self.tidy(now);
+        let death = Death {
+            at: now as i64,
+            incarnation,
+            excused: false,
+            settled: false,
+        };
+        let is_news = self.requests.entry(fingerprint).or_default().add(death);
+        if is_news {
+            self.note_change(fingerprint);
+        }
+        self.evict(now);
+        is_news
+    }
+
+    /// Notes that a request ran to a whole answer; returns whether that changes anything.
+    pub fn ran_whole(&mut self, now: u64, fingerprint: Fingerprint) -> bool {
+        let known = self.requests.get_mut(&fingerprint);
+        let is_news = known.is_some_and(|s| s.ran_whole(now as i64));
+        if is_news {
+            self.note_change(fingerprint);
+        }
+        is_news
+    }
+
+    /// Returns what is to be done with a request.
+    pub fn verdict(&self, now: u64, fingerprint: &Fingerprint) -> Verdict {
+        let Some(suspicion) = self.requests.get(fingerprint) else {
+            return Verdict::Clear;
+        };
+        let mut sentence = suspicion.sentence(|_| true);
+        if sentence.deaths >= DEATHS_TO_BAN {
+            sentence =
+                suspicion.sentence(|d| d.settled || !self.is_mass(fingerprint, suspicion, d));
+        }
+        let until = sentence.until.filter(|until| (now as i64) < *until);
+        match (sentence.deaths, until) {
+            (0, _) => Verdict::Clear,
+            (deaths, Some(until)) => Verdict::Banned {
+                deaths,
+                until: until as u64,
+            },
+            (deaths, None) => Verdict::Suspect { deaths },
+        }
+    }
+
+    /// Returns the requests that are banned now.
+    pub fn banned(&self, now: u64) -> Vec<Fingerprint> {
+        let is_banned = |f: &&Fingerprint| self.verdict(now, f).banned_until().is_some();
+        self.requests.keys().filter(is_banned).copied().collect()
+    }
+
+    /// Returns the targets that ended with a request under way, the first one first.
+    pub fn targets(&self, fingerprint: &Fingerprint) -> SmallVec<[Incarnation; 4]> {
+        let known = self.requests.get(fingerprint).into_iter();
+        known
+            .flat_map(|s| s.deaths().map(|d| d.incarnation))
+            .collect()
+    }
+
+    /// Returns the changes behind a cursor; all of them if it is of another book.
+    pub fn since(&self, cursor: Cursor, now: u64) -> News {
+        let is_mine = cursor.process == self.process;
+        let seq = if is_mine { cursor.seq } else { 0 };
+        let changed = self.requests.iter().filter(|(_, s)| s.seq > seq);
+        let mut changed: Vec<_> = changed.collect();
+        changed.sort_by_key(|(_, s)| s.seq);
+        let has_more = changed.len() > MOST_TOLD;
+        changed.truncate(MOST_TOLD);
+        let last = changed.last().map_or(self.seq, |(_, s)| s.seq);
+        let told = changed.into_iter().map(|(fingerprint, s)| Told {
+            fingerprint: *fingerprint,
+            deaths: s.told(now as i64),
+        });
+        News {
+            told: told.collect(),
+            cursor: Cursor {
+                process: self.process,
+                seq: if has_more { last } else { self.seq },
+            },
+            has_more,
+        }
+    }
+
+    /// Takes over what another book tells; returns whether that changes anything.
+    pub fn merge(&mut self, now: u64, news: &News) -> bool {
+        self.tidy(now);
+        let mut is_news = false;
+        for told in news.told.iter().take(MOST_TOLD) {
+            is_news |= self.merge_one(now, told);
+        }
+        self.evict(now);
+        is_news
+    }
+
+    fn merge_one(&mut self, now: u64, told: &Told) -> bool {
+        let known = self.requests.get(&told.fingerprint);
+        let mut suspicion = known.cloned().unwrap_or_default();
+        if !suspicion.merge(now as i64, told) {
+            return false;
+        }
+        self.requests.insert(told.fingerprint, suspicion);
+        self.note_change(told.fingerprint);
+        true
+    }
+
+    fn note_change(&mut self, fingerprint: Fingerprint) {
+        self.seq += 1;
+        if let Some(suspicion) = self.requests.get_mut(&fingerprint) {
+            suspicion.seq = self.seq;
+        }
+    }
+
+    /// Returns whether a death has a cause that took other targets too.
+    ///
+    /// Targets that ended under one other request that crashes them are no mass failure: two such
+    /// requests may come at once. A sound one that is under way everywhere does not stand for that,
+    /// as it runs to whole answers elsewhere.
+    fn is_mass(&self, fingerprint: &Fingerprint, suspicion: &Suspicion, death: &Death) -> bool {
+        let mut others = HashSet::new();
+        let mut most_of_one = 0;
+        for (other, theirs) in &self.requests {
+            if other == fingerprint {
+                continue;
+            }
+            let near = |d: &&Death| (d.at - death.at).abs() < AT_ONCE_MS;
+            let apart = |d: &&Death| !suspicion.names(d.incarnation);
+            let near = || theirs.deaths().filter(near).filter(apart);
+            others.extend(near().map(|d| d.incarnation));
+            most_of_one = most_of_one.max(near().filter(|d| !d.excused).count());
+        }
+        let is_poison = most_of_one >= DEATHS_TO_BAN;
+        let of_another = if is_poison { most_of_one } else { 0 };
+        others.len() - of_another >= MASS
+    }
+
+    /// Settles which deaths were part of a mass failure, and forgets what is old.
+    fn tidy(&mut self, now: u64) {
+        if now < self.tidied_at + TIDY_MS {
+            return;
+        }
+        self.tidied_at = now;
+        for (fingerprint, incarnation, is_mass) in self.settled(now as i64) {
+            let known = self.requests.get_mut(&fingerprint);
+            if known.is_some_and(|s| s.settle(incarnation, is_mass)) {
+                self.note_change(fingerprint);
+            }
+        }
+        self.requests.retain(|_, s| s.forget(now as i64));
+    }
+
+    /// Returns which deaths turned out as part of a mass failure or not, where that matters.
+    fn settled(&self, now: i64) -> Vec<(Fingerprint, Incarnation, bool)> {
+        let is_due = |d: &&Death| !d.excused && !d.settled && now - d.at >= SETTLED_MS;
+        let matters = |s: &Suspicion| s.sentence(|_| true).deaths >= DEATHS_TO_BAN;
+        let accused = self.requests.iter().filter(|(_, s)| matters(s));
+        let due = accused.flat_map(|(f, s)| s.deaths().filter(is_due).map(move |d| (f, s, d)));
+        let due = due.take(MOST_SETTLED);
+        due.map(|(f, s, d)| (*f, d.incarnation, self.is_mass(f, s, d)))
+            .collect()
+    }
+
+    /// Makes room: of too many requests those go first that ended the fewest targets, then the
+    /// oldest.
+    fn evict(&mut self, now: u64) {
+        let worth = |s: &Suspicion| {
+            let sentence = s.sentence(|_| true);
+            let is_banned = sentence.until.is_some_and(|until| (now as i64) < until);
+            (is_banned, sentence.deaths, s.deaths().map(|d| d.at).max())
+        };
+        while self.requests.len() > MOST_REQUESTS {
+            let least = self.requests.iter().min_by_key(|(_, s)| worth(s));
+            let Some(fingerprint) = least.map(|(f, _)| *f) else {
+                return;
+            };
+            self.requests.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/src/quarantine/fingerprint.rs
@@ -0,0 +1,44 @@
+//! What makes two requests the same.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Names all requests with the same method, host, path, account and body.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request; `path` includes the query.
+    pub fn new(method: &str, host: &str, path: &str, account: Option<&str>, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        add(&mut hash, method.as_bytes());
+        add(&mut hash, host.as_bytes());
+        add(&mut hash, path.as_bytes());
+        hash.update([u8::from(account.is_some())]);
+        add(&mut hash, account.unwrap_or_default().as_bytes());
+        add(&mut hash, body);
+        Self(hash.finalize().into())
+    }
+}
+
+/// Adds a field and its length, so that no other fields give the same bytes.
+fn add(hash: &mut Sha256, field: &[u8]) {
+    hash.update((field.len() as u64).to_le_bytes());
+    hash.update(field);
+}
+
+impl fmt::Display for Fingerprint {
+    /// Writes the first bytes, which are enough to find it in logs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0[..6].iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Fingerprint({self})")
+    }
+}
--- /dev/null
+++ b/wisteriapass_coord/tests/quarantine.rs
@@ -0,0 +1,510 @@
+//! Which requests are banned for crashing targets, as books of several routers learn it.
+
+use quickcheck::{Arbitrary, Gen};
+use quickcheck_macros::quickcheck;
+use wisteriapass_coord::quarantine::{
+    Cursor, Fingerprint, Incarnation, MOST_REQUESTS, MOST_TOLD, News, Quarantine, Verdict,
+};
+
+const SECOND: u64 = 1_000;
+const MINUTE: u64 = 60 * SECOND;
+
+fn request(n: u32) -> Fingerprint {
+    Fingerprint::new("POST", "api", "/v1", Some("acme"), &n.to_le_bytes())
+}
+
+fn target(n: u64) -> Incarnation {
+    Incarnation::new("target", Some(n))
+}
+
+fn is_banned(book: &Quarantine, now: u64, request: &Fingerprint) -> bool {
+    matches!(book.verdict(now, request), Verdict::Banned { .. })
+}
+
+/// Notes that targets ended one after the other under a request.
+fn kill(book: &mut Quarantine, request: Fingerprint, deaths: &[(u64, u64)]) {
+    for (at, n) in deaths {
+        book.died(*at, request, target(*n));
+    }
+}
+
+/// Tells one book all of another, as a message under way for a time.
+fn tell(to: &mut Quarantine, from: &Quarantine, sent: u64, took: u64) -> bool {
+    to.merge(sent + took, &from.since(Cursor::default(), sent))
+}
+
+/// A request that crashes whatever runs it.
+const POISON: u32 = 1;
+
+#[test]
+fn fields_of_a_fingerprint_do_not_run_into_each_other() {
+    let of = |account, path, body: &[u8]| Fingerprint::new("POST", "h", path, account, body);
+    let one = of(Some("ab"), "/c", b"d");
+    assert_eq!(one, of(Some("ab"), "/c", b"d"));
+    let others = [
+        of(Some("a"), "/c", b"d"),
+        of(Some("a"), "b/c", b"d"),
+        of(Some("ab"), "/cd", b""),
+        of(Some("abd"), "/c", b""),
+        of(None, "/c", b"d"),
+        Fingerprint::new("PUT", "h", "/c", Some("ab"), b"d"),
+        Fingerprint::new("POST", "h2", "/c", Some("ab"), b"d"),
+    ];
+    assert!(others.iter().all(|other| *other != one));
+    assert_ne!(of(None, "/", b""), of(Some(""), "/", b""));
+}
+
+#[test]
+fn the_third_target_that_ends_bans() {
+    let mut book = Quarantine::new(1);
+    assert_eq!(book.verdict(0, &request(POISON)), Verdict::Clear);
+    kill(&mut book, request(POISON), &[(0, 1), (900, 2)]);
+    let suspect = Verdict::Suspect { deaths: 2 };
+    assert_eq!(book.verdict(900, &request(POISON)), suspect);
+    kill(&mut book, request(POISON), &[(1_800, 3)]);
+    let banned = Verdict::Banned {
+        deaths: 3,
+        until: 1_800 + 5 * MINUTE,
+    };
+    assert_eq!(book.verdict(1_800, &request(POISON)), banned);
+    assert_eq!(book.verdict(1_800, &request(2)), Verdict::Clear);
+}
+
+#[test]
+fn one_target_that_ends_counts_once_whoever_notes_it() {
+    let mut books = [Quarantine::new(1), Quarantine::new(2)];
+    for book in &mut books {
+        kill(book, request(POISON), &[(0, 1), (5, 1), (100, 2)]);
+    }
+    let [a, b] = &mut books;
+    assert!(!tell(a, b, 200, 30));
+    assert_eq!(
+        a.verdict(300, &request(POISON)),
+        Verdict::Suspect { deaths: 2 }
+    );
+}
+
+#[test]
+fn three_crashes_at_routers_that_hear_of_each_other_late_ban_at_all_of_them() {
+    let mut books = [1, 2, 3].map(Quarantine::new);
+    for (n, book) in (0..).zip(&mut books) {
+        kill(book, request(POISON), &[(n * 700, n)]);
+    }
+    let told: Vec<Quarantine> = books.to_vec();
+    for (to, book) in books.iter_mut().enumerate() {
+        for (from, other) in told.iter().enumerate().filter(|(from, _)| *from != to) {
+            tell(book, other, 1_500, 400 * from as u64);
+        }
+        assert!(is_banned(book, 2_500, &request(POISON)));
+    }
+}
+
+#[test]
+fn copies_under_way_at_once_ban_for_no_longer_than_one_after_the_other() {
+    let mut book = Quarantine::new(1);
+    let copies: Vec<(u64, u64)> = (0..9).map(|n| (n * 3, n)).collect();
+    kill(&mut book, request(POISON), &copies);
+    let verdict = book.verdict(100, &request(POISON));
+    assert_eq!(verdict.deaths(), 9);
+    assert_eq!(verdict.banned_until(), Some(24 + 5 * MINUTE));
+}
+
+#[test]
+fn two_poisons_at_once_are_both_banned() {
+    let mut book = Quarantine::new(1);
+    for n in 0..3 {
+        kill(&mut book, request(1), &[(n * 333, n)]);
+        kill(&mut book, request(2), &[(n * 333 + 100, 100 + n)]);
+    }
+    assert!(is_banned(&book, 1_000, &request(1)));
+    assert!(is_banned(&book, 1_000, &request(2)));
+}
+
+#[test]
+fn two_poisons_whose_copies_end_many_targets_at_once_are_both_banned() {
+    let mut book = Quarantine::new(1);
+    for n in 0..6 {
+        kill(&mut book, request(1), &[(n * 10, n)]);
+        kill(&mut book, request(2), &[(n * 10 + 5, 100 + n)]);
+    }
+    assert!(is_banned(&book, 100, &request(1)));
+    assert!(is_banned(&book, 100, &request(2)));
+}
+
+#[test]
+fn bystanders_of_a_poison_are_not_banned() {
+    let mut book = Quarantine::new(1);
+    for n in 0..3 {
+        kill(&mut book, request(POISON), &[(n * 500, n)]);
+        for bystander in 0..20 {
+            kill(
+                &mut book,
+                request(100 + 20 * n as u32 + bystander),
+                &[(n * 500, n)],
+            );
+        }
+    }
+    assert_eq!(book.banned(2_000), [request(POISON)]);
+}
+
+#[test]
+fn a_mass_failure_that_hits_a_sound_request_three_times_bans_nothing() {
+    let mut book = Quarantine::new(1);
+    for n in 0..12 {
+        kill(&mut book, request(100 + n), &[(u64::from(n) * 9, n.into())]);
+    }
+    kill(&mut book, request(7), &[(10, 0), (60, 5), (90, 11)]);
+    assert_eq!(book.verdict(200, &request(7)), Verdict::Clear);
+    // Nor later, when what showed it is forgotten.
+    for now in [SECOND, 11 * SECOND, 9 * MINUTE, 10 * MINUTE, 11 * MINUTE] {
+        book.died(now, request(now as u32), target(1_000 + now));
+        assert!(book.banned(now).is_empty(), "at {now}");
+    }
+}
+
+#[test]
+fn a_poison_before_and_behind_a_mass_failure_is_banned() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(POISON), &[(0, 50)]);
+    for n in 0..12 {
+        kill(&mut book, request(100 + n), &[(2_000, n.into())]);
+    }
+    kill(&mut book, request(POISON), &[(2_000, 3), (3_000, 51)]);
+    assert_eq!(book.verdict(3_000, &request(POISON)).deaths(), 2);
+    kill(&mut book, request(POISON), &[(4_000, 52)]);
+    assert!(is_banned(&book, 4_000, &request(POISON)));
+}
+
+#[test]
+fn a_popular_sound_request_under_way_at_all_that_crash_is_not_banned() {
+    let mut book = Quarantine::new(1);
+    for n in 0..30 {
+        let at = u64::from(n) * 400;
+        kill(&mut book, request(POISON + n / 3), &[(at, n.into())]);
+        kill(&mut book, request(99), &[(at, n.into())]);
+        assert!(!is_banned(&book, at, &request(99)));
+        book.ran_whole(at + 50, request(99));
+    }
+    assert!(is_banned(&book, 12_000, &request(POISON)));
+    assert_eq!(book.verdict(12_000, &request(99)), Verdict::Clear);
+}
+
+#[test]
+fn a_whole_answer_at_one_router_clears_a_ban_at_all() {
+    let (mut a, mut b) = (Quarantine::new(1), Quarantine::new(2));
+    kill(&mut a, request(1), &[(0, 1), (10, 2), (20, 3)]);
+    tell(&mut b, &a, 30, 20);
+    assert!(is_banned(&b, 60, &request(1)));
+    assert!(b.ran_whole(100, request(1)));
+    assert!(!b.ran_whole(200, request(1)));
+    assert!(tell(&mut a, &b, 210, 20));
+    for book in [&a, &b] {
+        assert_eq!(book.verdict(300, &request(1)), Verdict::Clear);
+    }
+    // A late word of the same deaths does not count either.
+    let mut c = Quarantine::new(3);
+    kill(&mut c, request(1), &[(0, 1), (10, 2), (20, 3)]);
+    tell(&mut a, &c, 310, 20);
+    assert_eq!(a.verdict(400, &request(1)), Verdict::Clear);
+}
+
+#[test]
+fn a_whole_answer_of_a_request_without_deaths_is_not_kept() {
+    let mut book = Quarantine::new(1);
+    assert!(!book.ran_whole(0, request(1)));
+    assert!(book.is_empty());
+}
+
+#[test]
+fn a_ban_ends_and_one_more_death_doubles_it() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(POISON), &[(0, 1), (10, 2), (20, 3)]);
+    let mut until = 20 + 5 * MINUTE;
+    for (n, minutes) in [(4, 10), (5, 20), (6, 40), (7, 60), (8, 60)] {
+        assert!(is_banned(&book, until - 1, &request(POISON)));
+        assert!(!is_banned(&book, until, &request(POISON)));
+        let at = until + 30 * SECOND;
+        kill(&mut book, request(POISON), &[(at, n)]);
+        until = at + minutes * MINUTE;
+        let verdict = book.verdict(at, &request(POISON));
+        assert_eq!(verdict.banned_until(), Some(until));
+    }
+}
+
+#[test]
+fn a_request_that_did_no_harm_on_probation_begins_anew() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(POISON), &[(0, 1), (10, 2), (20, 3)]);
+    let at = 66 * MINUTE;
+    kill(&mut book, request(POISON), &[(at, 4)]);
+    assert_eq!(book.verdict(at, &request(POISON)).deaths(), 1);
+}
+
+#[test]
+fn single_deaths_are_forgotten() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(1), &[(0, 1), (8 * MINUTE, 2)]);
+    kill(&mut book, request(1), &[(11 * MINUTE, 3)]);
+    assert_eq!(book.verdict(11 * MINUTE, &request(1)).deaths(), 2);
+    kill(&mut book, request(2), &[(22 * MINUTE, 9)]);
+    assert_eq!(book.len(), 1);
+}
+
+#[test]
+fn a_flood_of_requests_leaves_bans_and_is_bounded() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(POISON), &[(0, 1), (10, 2), (20, 3)]);
+    kill(&mut book, request(2), &[(0, 1), (600, 2)]);
+    for n in 0..3 * MOST_REQUESTS as u32 {
+        kill(&mut book, request(10 + n), &[(1_000 + u64::from(n), 7)]);
+    }
+    assert_eq!(book.len(), MOST_REQUESTS);
+    assert!(is_banned(&book, 5_000, &request(POISON)));
+    assert_eq!(book.verdict(5_000, &request(2)).deaths(), 2);
+    assert_eq!(book.verdict(5_000, &request(10)), Verdict::Clear);
+}
+
+#[test]
+fn a_full_book_is_told_in_messages_of_bounded_size() {
+    let mut from = Quarantine::new(1);
+    for n in 0..MOST_REQUESTS as u32 {
+        for death in 0..20_u64 {
+            kill(
+                &mut from,
+                request(n),
+                &[(death * 700, u64::from(n) * 100 + death)],
+            );
+        }
+    }
+    let mut to = Quarantine::new(2);
+    let mut cursor = Cursor::default();
+    for round in 1.. {
+        let news = from.since(cursor, 20_000);
+        assert!(news.told.len() <= MOST_TOLD);
+        assert!(postcard::to_stdvec(&news).unwrap().len() < 128 << 10);
+        cursor = news.cursor;
+        to.merge(20_000, &news);
+        if !news.has_more {
+            assert_eq!(round, MOST_REQUESTS / MOST_TOLD);
+            break;
+        }
+    }
+    assert_eq!(to.len(), MOST_REQUESTS);
+    assert!(from.since(cursor, 20_000).told.is_empty());
+}
+
+#[test]
+fn only_what_changed_is_told_and_all_of_it_to_a_process_that_is_new() {
+    let mut book = Quarantine::new(1);
+    kill(&mut book, request(1), &[(0, 1)]);
+    let first = book.since(Cursor::default(), 5);
+    kill(&mut book, request(2), &[(10, 2)]);
+    let news = book.since(first.cursor, 20);
+    assert_eq!(news.told.len(), 1);
+    assert_eq!(news.told[0].fingerprint, request(2));
+    let other = Cursor { process: 9, seq: 2 };
+    assert_eq!(book.since(other, 20).told.len(), 2);
+}
+
+/// Messages that cross each other for hours, each some time under way, keep nothing alive.
+#[test]
+fn a_ban_does_not_live_on_by_being_told() {
+    let mut books = [Quarantine::new(1), Quarantine::new(2)];
+    kill(&mut books[0], request(1), &[(0, 1), (10, 2), (20, 3)]);
+    kill(&mut books[0], request(2), &[(30, 1)]);
+    for now in (100..70 * MINUTE).step_by(2_000) {
+        let [a, b] = &mut books;
+        let (to_a, to_b) = (
+            b.since(Cursor::default(), now),
+            a.since(Cursor::default(), now),
+        );
+        a.merge(now + 700, &to_a);
+        b.merge(now + 700, &to_b);
+        let is_due = now > 5 * MINUTE + 2 * SECOND;
+        assert!(!is_due || !is_banned(a, now, &request(1)) && !is_banned(b, now, &request(1)));
+        let is_forgotten = now > 10 * MINUTE + 5 * SECOND;
+        assert!(!is_forgotten || a.len() < 2 && b.len() < 2);
+    }
+    for book in &mut books {
+        book.merge(70 * MINUTE, &News::default());
+        assert!(book.is_empty());
+    }
+}
+
+#[test]
+fn a_router_that_starts_learns_of_old_bans_and_of_no_old_deaths() {
+    let mut old = Quarantine::new(1);
+    kill(&mut old, request(1), &[(0, 1), (10, 2), (20, 3)]);
+    kill(&mut old, request(1), &[(6 * MINUTE, 4)]);
+    kill(&mut old, request(2), &[(6 * MINUTE, 9)]);
+    let now = 15 * MINUTE + 30 * SECOND;
+    let mut new = Quarantine::new(2);
+    // Its clock has just begun.
+    assert!(new.merge(1_500, &old.since(Cursor::default(), now)));
+    assert!(is_banned(&new, 1_500, &request(1)));
+    assert!(!is_banned(&new, 1_500 + MINUTE, &request(1)));
+    assert_eq!(new.len(), 1);
+}
+
+#[test]
+fn ages_of_any_size_are_taken() {
+    let mut from = Quarantine::new(1);
+    kill(&mut from, request(1), &[(0, 1), (1, 2), (2, 3)]);
+    let mut news = from.since(Cursor::default(), 10);
+    for death in &mut news.told[0].deaths {
+        death.age_ms = u64::MAX;
+    }
+    let mut to = Quarantine::new(2);
+    assert!(!to.merge(5, &news));
+    assert!(to.is_empty());
+}
+
+/// One step of a history of three books.
+#[derive(Clone, Debug)]
+enum Step {
+    Died {
+        book: usize,
+        request: u32,
+        target: u64,
+    },
+    RanWhole {
+        book: usize,
+        request: u32,
+    },
+    Send {
+        from: usize,
+        to: usize,
+    },
+    /// The message that is at this place arrives; it may arrive again.
+    Arrive {
+        message: usize,
+    },
+    Wait {
+        ms: u64,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut below = |n: u64| u64::arbitrary(g) % n;
+        let book = below(3) as usize;
+        match below(10) {
+            0..=2 => Self::Died {
+                book,
+                request: below(3) as u32,
+                target: below(6),
+            },
+            3 => Self::RanWhole {
+                book,
+                request: below(3) as u32,
+            },
+            4 | 5 => Self::Send {
+                from: book,
+                to: below(3) as usize,
+            },
+            6 | 7 => Self::Arrive {
+                message: below(20) as usize,
+            },
+            _ => Self::Wait { ms: below(400) },
+        }
+    }
+}
+
+/// Plays a history; returns the books and the time at its end.
+fn play(steps: &[Step]) -> (Vec<Quarantine>, u64) {
+    let mut books: Vec<Quarantine> = (1..4).map(Quarantine::new).collect();
+    let mut messages: Vec<(usize, News)> = Vec::new();
+    let mut now = 0;
+    for step in steps {
+        match step {
+            Step::Died {
+                book,
+                request: r,
+                target: t,
+            } => {
+                books[*book].died(now, request(*r), target(*t));
+            }
+            Step::RanWhole { book, request: r } => {
+                books[*book].ran_whole(now, request(*r));
+            }
+            Step::Send { from, to } => {
+                messages.push((*to, books[*from].since(Cursor::default(), now)));
+            }
+            Step::Arrive { message } => {
+                if let Some((to, news)) = messages.get(*message) {
+                    books[*to].merge(now, news);
+                }
+            }
+            Step::Wait { ms } => now += ms,
+        }
+    }
+    (books, now)
+}
+
+fn verdicts(book: &Quarantine, now: u64) -> Vec<(usize, bool)> {
+    let verdicts = (0..3).map(|n| book.verdict(now, &request(n)));
+    verdicts
+        .map(|v| (v.deaths(), v.banned_until().is_some()))
+        .collect()
+}
+
+#[quickcheck]
+fn books_that_told_each_other_all_agree_whatever_came_before(steps: Vec<Step>) -> bool {
+    let (mut books, now) = play(&steps);
+    for _ in 0..2 {
+        for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (2, 1), (0, 2)] {
+            let news = books[from].since(Cursor::default(), now);
+            books[to].merge(now, &news);
+        }
+    }
+    let first = verdicts(&books[0], now);
+    books.iter().all(|book| verdicts(book, now) == first)
+}
+
+#[quickcheck]
+fn merging_is_idempotent_and_its_order_does_not_matter(steps: Vec<Step>) -> bool {
+    let (books, now) = play(&steps);
+    let news: Vec<News> = books
+        .iter()
+        .map(|b| b.since(Cursor::default(), now))
+        .collect();
+    let merged = |order: &[usize]| {
+        let mut book = Quarantine::new(9);
+        for n in order {
+            book.merge(now, &news[*n]);
+        }
+        book
+    };
+    let once = merged(&[0, 1, 2]);
+    let mut twice = once.clone();
+    let is_same = news.iter().all(|news| !twice.merge(now, news));
+    let others = [[2, 1, 0], [1, 0, 2], [2, 0, 1]].map(|order| merged(&order));
+    is_same
+        && others
+            .iter()
+            .all(|o| verdicts(o, now) == verdicts(&once, now))
+}
+
+#[quickcheck]
+fn a_merge_makes_no_death_younger(steps: Vec<Step>, late: u16) -> bool {
+    let (books, now) = play(&steps);
+    let (mut a, b) = (books[0].clone(), &books[1]);
+    let oldest = |book: &Quarantine, at: u64| {
+        let told = book.since(Cursor::default(), at).told;
+        let deaths = told.into_iter().flat_map(|t| {
+            let of = t.fingerprint;
+            t.deaths
+                .into_iter()
+                .map(move |d| (of, d.incarnation, d.age_ms))
+        });
+        deaths.collect::<Vec<_>>()
+    };
+    let later = now + u64::from(late);
+    let before = oldest(&a, later);
+    a.merge(later, &b.since(Cursor::default(), now));
+    let after = oldest(&a, later);
+    before.iter().all(|(of, target, age)| {
+        let same = |d: &&(Fingerprint, Incarnation, u64)| d.0 == *of && d.1 == *target;
+        after.iter().find(same).is_none_or(|d| d.2 >= *age)
+    })
+}
