--- a/wisteriapass_coord/src/quarantine/book.rs
+++ b/wisteriapass_coord/src/quarantine/book.rs
@@ -163,6 +163,22 @@
         is_news
     }
 
+    /// Settles which deaths were part of a mass failure, and forgets what is old; to be called now and
+    /// then, also where nothing happens.
+    pub fn tidy(&mut self, now: u64) {
+        if now < self.tidied_at + TIDY_MS {
+            return;
+        }
+        self.tidied_at = now;
+        for (fingerprint, incarnation, is_mass) in self.settled(now as i64) {
+            let known = self.requests.get_mut(&fingerprint);
+            if known.is_some_and(|s| s.settle(incarnation, is_mass)) {
+                self.note_change(fingerprint);
+            }
+        }
+        self.requests.retain(|_, s| s.forget(now as i64));
+    }
+
     fn merge_one(&mut self, now: u64, told: &Told) -> bool {
         let known = self.requests.get(&told.fingerprint);
         let mut suspicion = known.cloned().unwrap_or_default();
@@ -204,21 +220,6 @@
         others.len() - of_another >= MASS
     }
 
-    /// Settles which deaths were part of a mass failure, and forgets what is old.
-    fn tidy(&mut self, now: u64) {
-        if now < self.tidied_at + TIDY_MS {
-            return;
-        }
-        self.tidied_at = now;
-        for (fingerprint, incarnation, is_mass) in self.settled(now as i64) {
-            let known = self.requests.get_mut(&fingerprint);
-            if known.is_some_and(|s| s.settle(incarnation, is_mass)) {
-                self.note_change(fingerprint);
-            }
-        }
-        self.requests.retain(|_, s| s.forget(now as i64));
-    }
-
     /// Returns which deaths turned out as part of a mass failure or not, where that matters.
     fn settled(&self, now: i64) -> Vec<(Fingerprint, Incarnation, bool)> {
         let is_due = |d: &&Death| !d.excused && !d.settled && now - d.at >= SETTLED_MS;
--- a/wisteriapass_coord/tests/quarantine.rs
+++ b/wisteriapass_coord/tests/quarantine.rs
@@ -326,7 +326,7 @@
         assert!(!is_forgotten || a.len() < 2 && b.len() < 2);
     }
     for book in &mut books {
-        book.merge(70 * MINUTE, &News::default());
+        book.tidy(70 * MINUTE);
         assert!(book.is_empty());
     }
 }
--- a/wisteriapass_daemon/src/logging.rs
+++ b/wisteriapass_daemon/src/logging.rs
@@ -57,6 +57,7 @@
         .level_for("relay", filter)
         .level_for("start", filter)
         .level_for("exchange", filter)
+        .level_for("quarantine", filter)
         .level_for("targets", filter)
         .level_for("config", filter)
         .level_for("store", filter)
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sending one request to one target.
 
+use std::io;
 use std::net::SocketAddr;
 
 use http_body_util::Full;
@@ -19,7 +20,7 @@
 
 /// Longest time for a new connection, in milliseconds: hundreds of round trips within a region,
 /// and shorter than the first repeat of a lost opening packet.
-const CONNECT_MS: u64 = 350;
+pub const CONNECT_MS: u64 = 350;
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the library
 /// sets itself.
@@ -58,6 +59,10 @@
     Lost,
     /// This router ended before an answer came; it may have reached the target.
     CutShort,
+    /// The same, as the connection ended.
+    Broken,
+    /// It was held back when the connection was there.
+    Withheld,
 }
 
 /// An answer whose body is yet to come.
@@ -152,27 +157,37 @@
 
 /// Sends a request and waits for the head of its answer.
 ///
-/// Dropped before it ends, it closes the connection.
+/// It is held back if it may not go any more once there is a connection. Dropped before it ends, it
+/// closes the connection.
 pub async fn send(
     gw: &Rc<Gateway>,
     target: TargetKey,
     out: &Outgoing,
     headers: HeaderMap,
     unread: u64,
+    may_go: impl Fn() -> bool,
 ) -> Sent {
     let mut line = Line::new(gw.clone(), target, unread);
     let Some((mut sender, is_fresh)) = connect(gw, target).await else {
         return Sent::Unsent;
     };
     line.is_fresh = is_fresh;
+    if !may_go() {
+        return Sent::Withheld;
+    }
     let answer = match sender.try_send_request(request(out, headers)).await {
         Ok(answer) => answer,
         Err(mut e) => {
             if e.take_message().is_some() {
                 return Sent::Unsent;
             }
-            log::debug!(target: "dispatch", "No answer. cause={}", e.into_error());
-            return Sent::Lost;
+            let e = e.into_error();
+            log::debug!(target: "dispatch", "No answer. cause={e}");
+            return if is_break(&e) {
+                Sent::Broken
+            } else {
+                Sent::Lost
+            };
         }
     };
     line.sender = Some(sender);
@@ -212,16 +227,27 @@
         t.entry.address
     };
     let sender = timeout(Duration::from_millis(CONNECT_MS), open(address)).await;
-    Some((sender.ok()??, true))
+    Some((sender.ok()?.ok()?, true))
 }
 
-async fn open(address: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (mut sender, line) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Those of the system.
+pub async fn open(address: SocketAddr) -> io::Result<Sender> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, line) = shaken.map_err(io::Error::other)?;
     spawn_local(line);
-    sender.ready().await.ok()?;
-    Some(sender)
+    sender.ready().await.map_err(io::Error::other)?;
+    Ok(sender)
+}
+
+/// Returns whether a failure is the end of a connection, not what came on it.
+pub fn is_break(e: &hyper::Error) -> bool {
+    !e.is_parse() && !e.is_user() && !e.is_timeout()
 }
 
 /// Removes the headers that concern one connection only.
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod fault;
 mod plan;
+mod quarantined;
 mod reply;
 
 use std::convert::Infallible;
@@ -18,6 +19,7 @@
 
 pub use attempt::{Job, Tries};
 pub use fault::Fault;
+pub use quarantined::Noted;
 pub use reply::{AnswerBody, Pieces, streamed};
 
 /// Serves one request.
@@ -60,6 +62,13 @@
         return Err(Refusal::Stopping);
     }
     let body = read_body(body, plan).await?;
+    let job = Job::new(
+        gw.clone(),
+        outgoing(parts, body),
+        facts.clone(),
+        plan.clone(),
+    );
+    job.admit(&Tries::default())?;
     let reservation = match &plan.account {
         Some(account) => {
             let per_event = plan.tokens_per_event;
@@ -70,12 +79,6 @@
         None => None,
     };
     gw.earn_retry(&plan.service);
-    let job = Job {
-        gw: gw.clone(),
-        out: outgoing(parts, body),
-        facts: facts.clone(),
-        plan: plan.clone(),
-    };
     job.run(reservation).await
 }
 
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -1,17 +1,19 @@
 //! Sending a request to targets until one answers or no more may be asked.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::cell::OnceCell;
 
 use http_body_util::BodyExt;
 use hyper::Response;
 use smallvec::SmallVec;
+use wisteriapass_coord::quarantine::Fingerprint;
 use wisteriapass_policy::placement::{self, Candidate};
 use wisteriapass_policy::{ServiceTimes, Time};
 
 use super::fault::Fault;
 use super::plan::Plan;
+use super::quarantined::Noted;
 use super::reply::{self, AnswerBody};
-use crate::dispatch::{Answer, Outgoing, Sent, send};
+use crate::dispatch::{Answer, Outgoing, Sent, is_break, send};
 use crate::gateway::Overdue;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
@@ -37,6 +39,8 @@
     pub facts: RequestFacts,
     /// What was decided.
     pub plan: Plan,
+    /// What makes it the same as another, once it is asked for.
+    pub(super) fingerprint: OnceCell<Fingerprint>,
 }
 
 /// Where a request goes.
@@ -55,10 +59,21 @@
     /// Targets that the request was sent to.
     pub sent: u32,
     unsent: usize,
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
 }
 
 impl Job {
+    /// Creates one that was not sent yet.
+    pub fn new(gw: Rc<Gateway>, out: Outgoing, facts: RequestFacts, plan: Plan) -> Self {
+        Self {
+            gw,
+            out,
+            facts,
+            plan,
+            fingerprint: OnceCell::new(),
+        }
+    }
+
     /// Runs the request; the reservation is settled when the answer is whole or given up.
     pub async fn run(
         self,
@@ -87,6 +102,7 @@
             if Instant::now() >= self.plan.deadline {
                 return Err(tries.late());
             }
+            self.admit(tries)?;
             let place = self.place(tries)?;
             let key = place.key;
             tries.tried.push(key);
@@ -105,7 +121,7 @@
                         self.note_not_run(tries, reservation);
                         self.again(tries, reservation, RetryReason::NotRun).await?;
                     }
-                    Verdict::Wrong => self.lost(key, tries, reservation).await?,
+                    Verdict::Wrong => self.lost(key, None, tries, reservation).await?,
                 },
                 Sent::Unsent => {
                     self.fault(key, Fault::NotSent);
@@ -116,8 +132,13 @@
                     }
                     self.gw.metrics.retried(RetryReason::NotSent);
                 }
-                Sent::Lost => self.lost(key, tries, reservation).await?,
+                Sent::Lost => self.lost(key, None, tries, reservation).await?,
                 Sent::CutShort => return Err(Refusal::CutShort),
+                Sent::Broken => {
+                    let noted = Some(self.note_break(key));
+                    self.lost(key, noted, tries, reservation).await?;
+                }
+                Sent::Withheld => self.note_not_run(tries, reservation),
             }
         }
     }
@@ -127,7 +148,15 @@
         let Some(headers) = self.headers_for(place.key, last_event) else {
             return Sent::Unsent;
         };
-        let sending = send(&self.gw, place.key, &self.out, headers, place.unread);
+        let may_go = || self.banned_for_ms().is_none();
+        let sending = send(
+            &self.gw,
+            place.key,
+            &self.out,
+            headers,
+            place.unread,
+            may_go,
+        );
         match self.gw.wait(self.patience(tries), sending).await {
             Ok(sent) => sent,
             Err(Overdue::Deadline) => {
@@ -262,14 +291,16 @@
         let key = tries.tried.last().copied().unwrap_or_default();
         let body = match self.gw.wait(self.plan.deadline, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
-                self.lost(key, tries, reservation).await?;
+            Ok(Err(e)) => {
+                let noted = is_break(&e).then(|| self.note_break(key));
+                self.lost(key, noted, tries, reservation).await?;
                 return Ok(None);
             }
             Err(Overdue::Deadline) => return Err(tries.late()),
             Err(Overdue::Stopping) => return Err(Refusal::CutShort),
         };
         line.finish(&facts);
+        self.note_whole(status, &facts);
         if status.is_server_error() {
             self.fault(key, Fault::Failed);
             let repeatable = self.plan.route.kind.repeatable();
@@ -293,6 +324,7 @@
     async fn lost(
         &self,
         key: TargetKey,
+        noted: Option<Noted>,
         tries: &mut Tries,
         reservation: &mut Option<Reservation>,
     ) -> Result<(), Refusal> {
@@ -305,6 +337,8 @@
         if !self.plan.route.kind.repeatable() {
             return Err(Refusal::OutcomeUnknown);
         }
+        self.await_note(noted).await;
+        self.admit(tries)?;
         self.again(tries, reservation, RetryReason::Lost).await
     }
 
@@ -356,25 +390,16 @@
         log::info!(
             target: "exchange",
             "Target failed it. request={} target={} fault={fault} running={} after_ms={} route={} \
-             copy={:016x}",
+             fingerprint={}",
             self.facts.id_text(),
             target.entry.id,
             target.running.get(),
             self.plan.arrived.elapsed().as_millis(),
             self.plan.route.name,
-            self.copy()
+            self.fingerprint()
         );
     }
 
-    /// Returns what is equal in all copies of a request, under whatever id and at any router.
-    fn copy(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.plan.account_name().hash(&mut hasher);
-        self.out.uri.hash(&mut hasher);
-        self.out.body.hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// Counts a success of a target.
     pub fn ease(&self, key: TargetKey) {
         let now = Time::from_millis(self.gw.clock.now_ms());
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -1,5 +1,6 @@
 //! What is decided about a request before it goes anywhere: route, account, deadline, rank.
 
+use hyper::Uri;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 
@@ -47,7 +48,7 @@
         arrived: Instant,
     ) -> Result<Self, Refusal> {
         let catalogue = gw.catalogue().ok_or(Refusal::NotConfigured)?;
-        let host = host(parts);
+        let host = host(&parts.headers, &parts.uri);
         let route = catalogue.route(&host, parts.uri.path());
         let route = route.ok_or(Refusal::NoRoute)?;
         let account = account(&catalogue, &route, facts)?;
@@ -128,9 +129,9 @@
 }
 
 /// Returns the host that a request names, in lower case and without a port.
-fn host(parts: &Parts) -> String {
-    let named = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
-    let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
+pub fn host(headers: &HeaderMap, uri: &Uri) -> String {
+    let named = headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = named.or_else(|| uri.host()).unwrap_or_default();
     let bare = host.split(':').next().unwrap_or_default();
     bare.to_ascii_lowercase()
 }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::news::{ConfigurationLog, Cursor, TargetLog};
 use crate::platform::{Platform, Revised, Topic};
 use crate::prelude::*;
+use crate::quarantine::{Probes, SharedQuarantine};
 use crate::retries::Retries;
 use crate::settings::GatewaySettings;
 use crate::target::{Target, TargetKey};
@@ -55,6 +56,9 @@
     pub(crate) targets: RefCell<Targets>,
     pub(crate) touch: Touch,
     pub(crate) metrics: Metrics,
+    pub(crate) probes: Probes,
+    /// Requests that crash targets.
+    pub(crate) quarantine: SharedQuarantine,
     /// How this router ends, once it is told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When a connection was taken last.
@@ -87,6 +91,8 @@
             targets: RefCell::default(),
             touch: Touch::default(),
             metrics,
+            probes: Probes::default(),
+            quarantine: SharedQuarantine::new(clock),
             drain: Cell::new(None),
             taken_at: Cell::default(),
             times: RefCell::default(),
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod pool;
 mod prelude;
+mod quarantine;
 mod refusal;
 mod relays;
 mod reservation;
@@ -35,6 +36,7 @@
 mod touch;
 
 pub use catalogue::{Account, Catalogue, CatalogueChange, Limits, Service};
+pub use clock::Clock;
 pub use events::{Event, EventReader};
 pub use facts::{AnswerFacts, DispatchFacts, PrefixPart, RequestFacts, TokenWork};
 pub use gateway::Gateway;
@@ -43,6 +45,7 @@
     Change, Feed, LocalFuture, Platform, Recorded, Revised, StoreError, Swap, Topic, Versioned,
     Watch,
 };
+pub use quarantine::{QuarantineCall, SharedQuarantine};
 pub use refusal::Refusal;
 pub use retries::Retries;
 pub use route::{Kind, Route, Split};
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -120,6 +120,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     broken: Counter<u64>,
+    target_deaths: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
@@ -146,6 +147,7 @@
             refusals: meter.u64_counter("wisteriapass_refusals").build(),
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken: meter.u64_counter("wisteriapass_broken_streams").build(),
+            target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
@@ -191,6 +193,11 @@
         self.broken.add(1, &[]);
     }
 
+    /// Counts a target that ended with requests under way.
+    pub fn target_died(&self) {
+        self.target_deaths.add(1, &[]);
+    }
+
     /// Returns all counters as text.
     pub fn text(&self) -> String {
         let families = self.registry.gather();
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -39,6 +39,12 @@
     /// All targets are full.
     #[display("full")]
     Full,
+    /// It crashes the targets that run it, and did not run.
+    #[display("quarantined")]
+    Quarantined {
+        /// When the ban ends, in milliseconds.
+        back_ms: u64,
+    },
     /// Targets that were asked did not run it, and it may not be sent on.
     #[display("not_taken")]
     NotTaken,
@@ -70,6 +76,7 @@
             | Self::ShareShort { .. }
             | Self::NoTarget
             | Self::Full
+            | Self::Quarantined { .. }
             | Self::NotTaken
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -82,7 +89,7 @@
         match self {
             // A configuration is there within a second of the service's return.
             Self::NotConfigured => Some(1_000),
-            Self::ShareShort { back_ms } => Some(back_ms),
+            Self::ShareShort { back_ms } | Self::Quarantined { back_ms } => Some(back_ms),
             Self::NoTarget => Some(1_000),
             // Another router takes it at once.
             Self::Stopping => Some(100),
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -9,9 +9,9 @@
 use hyper::body::Frame;
 use wisteriapass_policy::ServiceTimes;
 
-use crate::dispatch::Answer;
+use crate::dispatch::{Answer, is_break};
 use crate::events::{Event, EventReader};
-use crate::exchange::{AnswerBody, Fault, Job, Pieces, Tries, streamed};
+use crate::exchange::{AnswerBody, Fault, Job, Noted, Pieces, Tries, streamed};
 use crate::gateway::Overdue;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
@@ -53,6 +53,8 @@
     /// When the first event came, and how many did.
     first_at: Option<Instant>,
     events: u64,
+    /// The end of the connection, while it is looked into.
+    noted: Option<Noted>,
 }
 
 impl Forwarding {
@@ -76,6 +78,7 @@
             last,
             first_at: None,
             events: 0,
+            noted: None,
         };
         let pieces: Pieces = Box::pin(unfold(Some(forwarding), |state| async move {
             let mut state = state?;
@@ -104,7 +107,10 @@
             let frame = gw.wait(deadline, answer.body.frame()).await?;
             let is_sound = match frame {
                 Some(Ok(frame)) => self.take(frame),
-                Some(Err(_)) => false,
+                Some(Err(e)) => {
+                    self.note_break(&e);
+                    false
+                }
                 None => {
                     self.finish();
                     continue;
@@ -180,6 +186,7 @@
         };
         let key = self.tries.tried.last().copied().unwrap_or_default();
         self.job.ease(key);
+        self.job.note_whole(answer.status, &answer.facts);
         answer.line.finish(&answer.facts);
         if let Some(mut r) = self.reservation.take() {
             r.ended();
@@ -195,6 +202,12 @@
         }
     }
 
+    /// Has the end of the target's connection looked into.
+    fn note_break(&mut self, e: &hyper::Error) {
+        let key = self.tries.tried.last().filter(|_| is_break(e));
+        self.noted = key.map(|key| self.job.note_break(*key));
+    }
+
     /// Goes on behind the last event at another target, where that is allowed.
     async fn resume(&mut self) -> Result<(), Broken> {
         // The run before must not go on beside the next one.
@@ -206,6 +219,8 @@
         if !self.job.plan.route.kind.repeatable() {
             return Err(Broken::Lost);
         }
+        self.job.await_note(self.noted.take()).await;
+        self.job.admit(&self.tries).map_err(|_| Broken::Lost)?;
         loop {
             let again = self
                 .job
