Quarantine, propagation: all routers learn within a moment which requests are banned

Cause: three deaths at three routers are three first deaths, unless they tell each other.

A router tells what is new in its book as soon as it is: a relay all other relays, a follower two of its relays, which pass it on. Who does not answer is told again for 4 s. Each second a relay exchanges news with one other in turn, so that what was lost comes again; a new relay tells all. Followers also tell and hear with each question for news. Both ways only changes travel, by cursors that name the process.

Ruled out: the store (away when it matters, and a call for each death); passing on what relays tell relays (each tells all itself); a cursor without its process (one that starts anew at the address would miss all).

--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -189,6 +189,11 @@
         order.iter().map(|s| s.at).collect()
     }
 
+    /// Returns where the relays listen that this router knows of.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.relays.values().map(|s| s.at)
+    }
+
     /// Returns the age of the news that this router has, in milliseconds; none if no relay answers.
     pub fn news_age_ms(&self, now_ms: u64) -> Option<u64> {
         let words = self.relays.values().filter_map(|s| s.word);
--- a/wisteriapass_gateway/src/quarantine/shared.rs
+++ b/wisteriapass_gateway/src/quarantine/shared.rs
@@ -106,20 +106,24 @@
         }
     }
 
-    /// Takes another router's answer in.
-    pub fn take(&self, at: SocketAddr, told: Cursor, answer: &News) {
+    /// Takes another router's answer to a call in.
+    pub fn take(&self, at: SocketAddr, call: &QuarantineCall, answer: &News) {
         let mut peers = self.peers.borrow_mut();
         if peers.len() >= MOST_PEERS {
             peers.clear();
         }
         let peer = peers.entry(at).or_default();
-        if peer.known.process == answer.cursor.process || peer.told == 0 {
-            peer.told = peer.told.max(told.seq);
+        let process = answer.cursor.process;
+        let is_first = call.known == Cursor::default();
+        if !is_first && call.known.process != process {
+            // Another process is there now: it is told all, and asked for all.
+            *peer = Peer::default();
         } else {
-            // Another process is there now, which knows nothing of this one.
-            peer.told = 0;
+            let is_same = peer.known.process == process;
+            let told = if is_same { peer.told } else { 0 };
+            peer.told = told.max(call.news.cursor.seq);
+            peer.known = answer.cursor;
         }
-        peer.known = answer.cursor;
         drop(peers);
         self.merge(answer);
     }
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -5,9 +5,11 @@
 
 mod follower;
 mod messages;
+mod quarantine;
 mod relay;
 mod role;
 mod service;
 
+pub use quarantine::keep_quarantine;
 pub use role::keep_role;
 pub use service::answer_calls;
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -72,12 +72,17 @@
         follower: gw.bank.id(),
         version: gw.catalogue().map_or(0, |c| c.version),
         targets_at: gw.target_log.borrow().cursor().at,
+        quarantine: gw.quarantine.call_for(relay.at, false),
     };
     let until = within(PATIENCE_MS);
     let asked_ms = gw.clock.now_ms();
     let answer: Option<NewsAnswer> = gw.caller.call_measured(relay.at, NEWS, &call, until).await;
     match answer {
-        Some(answer) => take(gw, &relay, asked_ms, answer),
+        Some(answer) => {
+            let (told, news) = (&call.quarantine, &answer.quarantine);
+            gw.quarantine.take(relay.at, told, news);
+            take(gw, &relay, asked_ms, answer);
+        }
         None => {
             log::info!(target: "relay", "No answer of a relay. relay={} at={}", relay.id, relay.at);
             let mut roster = gw.bank.roster.borrow_mut();
--- a/wisteriapass_gateway/src/relays/messages.rs
+++ b/wisteriapass_gateway/src/relays/messages.rs
@@ -5,10 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 use wisteriapass_coord::prepaid::{DomainId, HolderId};
+use wisteriapass_coord::quarantine::News;
 use wisteriapass_coord::relay::Listed;
 
 use crate::catalogue::CatalogueChange;
 use crate::news::{Cursor, TargetsNews};
+use crate::quarantine::QuarantineCall;
 
 /// Path of a follower's question for news.
 pub const NEWS: &str = "/relay/news";
@@ -22,6 +24,8 @@
     pub version: u64,
     /// Revision up to which it knows the targets; 0 is none.
     pub targets_at: u64,
+    /// What it has to tell of requests that crash targets.
+    pub quarantine: QuarantineCall,
 }
 
 /// A relay as a relay names it.
@@ -50,6 +54,8 @@
     pub configuration_cursor: Cursor,
     /// Changes of the targets.
     pub targets: Option<TargetsNews>,
+    /// Requests that crash targets.
+    pub quarantine: News,
 }
 
 impl From<Listed> for RelayEntry {
--- /dev/null
+++ b/wisteriapass_gateway/src/relays/quarantine.rs
@@ -0,0 +1,106 @@
+//! Telling other routers which requests crash targets.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout_at};
+use wisteriapass_coord::quarantine::News;
+
+use crate::bank::Role;
+use crate::call::within;
+use crate::prelude::*;
+
+/// Path of a router's word on its quarantine.
+pub const QUARANTINE: &str = "/relay/quarantine";
+
+/// Time between two exchanges with one relay in turn where nothing changes, in milliseconds: what
+/// was lost on its way comes again by them.
+const TURN_MS: u64 = 1_000;
+
+/// Longest wait for an answer to begin, in milliseconds: many round trips within a region.
+const PATIENCE_MS: u64 = 200;
+
+/// Time for which a relay that does not answer is told again, in milliseconds.
+const GIVE_UP_MS: u64 = 4_000;
+
+/// Relays that a follower tells: one may be gone.
+const FOLLOWED: usize = 2;
+
+/// Routers that are being told.
+type Telling = Rc<RefCell<HashSet<SocketAddr>>>;
+
+/// Tells relays what changes here; never ends.
+pub async fn keep_quarantine(gw: Rc<Gateway>) {
+    let telling = Telling::default();
+    let mut turn = 0;
+    let mut next = within(TURN_MS);
+    loop {
+        let changed = timeout_at(next, gw.quarantine.changed.notified()).await;
+        let told = peers(&gw);
+        if changed.is_ok() {
+            told.iter().for_each(|at| start(&gw, &telling, *at));
+            continue;
+        }
+        next = within(TURN_MS);
+        gw.quarantine.tidy();
+        turn += 1;
+        // A follower hears the news of its relay.
+        if is_relay(&gw) && !told.is_empty() {
+            start(&gw, &telling, told[turn % told.len()]);
+        }
+    }
+}
+
+fn is_relay(gw: &Gateway) -> bool {
+    gw.bank.role() != Role::Follower
+}
+
+/// Returns whom this router tells.
+fn peers(gw: &Gateway) -> Vec<SocketAddr> {
+    let roster = gw.bank.roster.borrow();
+    if !is_relay(gw) {
+        let followed = roster.granters(gw.clock.now_ms()).into_iter();
+        return followed.take(FOLLOWED).collect();
+    }
+    let me = gw.bank.id();
+    let recorded = gw.bank.relays().into_iter().filter(|r| r.id != me);
+    let mut all: Vec<SocketAddr> = recorded.map(|r| r.at).chain(roster.addresses()).collect();
+    all.sort_unstable();
+    all.dedup();
+    all
+}
+
+/// Begins to tell a router, unless that is under way.
+fn start(gw: &Rc<Gateway>, telling: &Telling, at: SocketAddr) {
+    if !telling.borrow_mut().insert(at) {
+        return;
+    }
+    let (gw, telling) = (gw.clone(), telling.clone());
+    spawn_local(async move {
+        tell(&gw, at).await;
+        telling.borrow_mut().remove(&at);
+    });
+}
+
+/// Tells a router all that it does not have, and takes its news in.
+async fn tell(gw: &Gateway, at: SocketAddr) {
+    let until = within(GIVE_UP_MS);
+    while Instant::now() < until {
+        let next = within(PATIENCE_MS);
+        match exchange(gw, at).await {
+            Some(answer) if !answer.has_more && !gw.quarantine.is_behind(at) => return,
+            Some(_) => {}
+            None => sleep_until(next).await,
+        }
+    }
+    log::info!(target: "quarantine", "Not told. relay={at}");
+}
+
+async fn exchange(gw: &Gateway, at: SocketAddr) -> Option<News> {
+    let call = gw.quarantine.call_for(at, is_relay(gw));
+    let until = within(PATIENCE_MS);
+    let answer: News = gw.caller.call(at, QUARANTINE, &call, until).await?;
+    gw.quarantine.take(at, &call, &answer);
+    Some(answer)
+}
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -32,12 +32,14 @@
         configuration: log.since(call.version),
         configuration_cursor: log.cursor(),
         targets: gw.target_log.borrow().since(call.targets_at, now, missing),
+        quarantine: gw.quarantine.answer(&call.quarantine),
     }
 }
 
 /// Is a relay until there are too many.
 pub async fn be_relay(gw: &Rc<Gateway>, known: Vec<Known>) {
     gw.bank.set_role(Role::Relay);
+    gw.quarantine.changed.notify_one();
     let mut tasks = JoinSet::new();
     Bank::start(gw, &mut tasks, known);
     tasks.spawn_local(follow(gw.clone(), Topic::Configuration));
--- a/wisteriapass_gateway/src/relays/service.rs
+++ b/wisteriapass_gateway/src/relays/service.rs
@@ -3,6 +3,7 @@
 use tokio::net::TcpListener;
 
 use super::messages::NEWS;
+use super::quarantine::QUARANTINE;
 use crate::bank::{GRANT, INQUIRY, LEND, REPORT, Role};
 use crate::call::serve_calls;
 use crate::prelude::*;
@@ -24,6 +25,10 @@
         LEND => gw.bank.answer_borrower(message),
         REPORT => gw.bank.answer_report(message),
         INQUIRY => gw.bank.answer_inquiry(message),
+        QUARANTINE => {
+            let call = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&gw.quarantine.answer(&call)).ok()
+        }
         _ if gw.bank.role() == Role::Follower => None,
         NEWS => {
             let call = postcard::from_bytes(message).ok()?;
