A request that ran to a whole answer just before is not banned by a rack's end

Cause, by a trial of three routers and fourteen targets, seven of which ended at once: a request whose copies were under way at all of them had three deaths within a moment, and no other target ended without it.

Whole answers are remembered for a second, also of requests against which nothing is held; deaths within it do not count. A router that hears so in an answer tells all.

The fingerprint of each request that ran is needed for that; what hashing costs was not measured.

Ruled out: banning later (the next copy ends a target meanwhile).

--- a/wisteriapass_coord/src/quarantine.rs
+++ b/wisteriapass_coord/src/quarantine.rs
@@ -3,7 +3,7 @@
 //! Answers a request that ends each target that begins to run it and comes again and again, at any
 //! router: without this, each copy and each repeat costs another target. Every request that was under
 //! way at a target that ended is noted. One that was under way at three of them is banned, unless
-//! their ends have another cause, or it has run to a whole answer since.
+//! their ends have another cause, or it has run to a whole answer since or just before.
 //!
 //! A book is pure: callers pass in the time, and only ages travel between processes. Merging books
 //! is a join; news may be lost, doubled, late and in any order.
@@ -13,6 +13,7 @@
 mod fingerprint;
 mod incarnation;
 mod news;
+mod sound;
 mod suspicion;
 mod verdict;
 
--- a/wisteriapass_coord/src/quarantine/book.rs
+++ b/wisteriapass_coord/src/quarantine/book.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use super::death::Death;
+use super::sound::Sound;
 use super::suspicion::Suspicion;
 use super::{
     Cursor, DEATHS_TO_BAN, Fingerprint, Incarnation, MOST_REQUESTS, MOST_TOLD, News, Told, Verdict,
@@ -35,6 +36,7 @@
     seq: u64,
     tidied_at: u64,
     requests: BTreeMap<Fingerprint, Suspicion>,
+    sound: Sound,
 }
 
 impl Quarantine {
@@ -45,6 +47,7 @@
             seq: 0,
             tidied_at: 0,
             requests: BTreeMap::new(),
+            sound: Sound::default(),
         }
     }
 
@@ -75,7 +78,10 @@
             excused: false,
             settled: false,
         };
-        let is_news = self.requests.entry(fingerprint).or_default().add(death);
+        let sound_at = self.sound.at(&fingerprint);
+        let known = self.requests.entry(fingerprint);
+        let suspicion = known.or_insert_with(|| Suspicion::new(sound_at));
+        let is_news = suspicion.add(death);
         if is_news {
             self.note_change(fingerprint);
         }
@@ -83,8 +89,10 @@
         is_news
     }
 
-    /// Notes that a request ran to a whole answer; returns whether that changes anything.
+    /// Notes that a request ran to a whole answer; returns whether that changes what is held against
+    /// it.
     pub fn ran_whole(&mut self, now: u64, fingerprint: Fingerprint) -> bool {
+        self.sound.note(now as i64, fingerprint);
         let known = self.requests.get_mut(&fingerprint);
         let is_news = known.is_some_and(|s| s.ran_whole(now as i64));
         if is_news {
@@ -181,7 +189,8 @@
 
     fn merge_one(&mut self, now: u64, told: &Told) -> bool {
         let known = self.requests.get(&told.fingerprint);
-        let mut suspicion = known.cloned().unwrap_or_default();
+        let sound_at = self.sound.at(&told.fingerprint);
+        let mut suspicion = known.cloned().unwrap_or_else(|| Suspicion::new(sound_at));
         if !suspicion.merge(now as i64, told) {
             return false;
         }
--- a/wisteriapass_coord/src/quarantine/suspicion.rs
+++ b/wisteriapass_coord/src/quarantine/suspicion.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 
 use super::death::Death;
+use super::sound::SOUND_MS;
 use super::{
     DEATHS_TO_BAN, FIRST_BAN_MS, FORGOTTEN_MS, Incarnation, LONGEST_BAN_MS, MOST_DEATHS,
     PROBATION_MS, Told, ToldDeath,
@@ -36,6 +37,14 @@
 }
 
 impl Suspicion {
+    /// Creates that of a request that ran to a whole answer last at a time, as far as is known.
+    pub fn new(sound_at: Option<i64>) -> Self {
+        Self {
+            sound_at,
+            ..Self::default()
+        }
+    }
+
     /// Returns its deaths, the oldest first.
     pub fn deaths(&self) -> impl Iterator<Item = &Death> {
         self.deaths.iter()
@@ -48,7 +57,7 @@
 
     /// Adds a death, or what is new of one; returns whether that is news.
     pub fn add(&mut self, mut death: Death) -> bool {
-        death.excused |= self.sound_at.is_some_and(|sound| death.at <= sound);
+        death.excused |= self.sound_at.is_some_and(|at| death.at <= at + SOUND_MS);
         let same = |d: &&mut Death| d.incarnation == death.incarnation;
         let is_news = match self.deaths.iter_mut().find(same) {
             Some(known) => known.join(&death),
--- a/wisteriapass_coord/tests/quarantine.rs
+++ b/wisteriapass_coord/tests/quarantine.rs
@@ -208,6 +208,32 @@
     assert_eq!(a.verdict(400, &request(1)), Verdict::Clear);
 }
 
+#[test]
+fn deaths_behind_the_last_whole_answer_count_again() {
+    let mut book = Quarantine::new(1);
+    book.ran_whole(0, request(1));
+    kill(&mut book, request(1), &[(500, 1), (2_000, 2), (2_500, 3)]);
+    assert_eq!(book.verdict(2_500, &request(1)).deaths(), 2);
+    kill(&mut book, request(1), &[(3_000, 4)]);
+    assert!(is_banned(&book, 3_000, &request(1)));
+}
+
+/// One refused a request 17 times whose copies were under way at all targets of a rack.
+#[test]
+fn a_popular_request_under_way_at_all_targets_of_a_rack_is_not_banned() {
+    let (mut a, mut b) = (Quarantine::new(1), Quarantine::new(2));
+    a.ran_whole(0, request(1));
+    for n in 0..4 {
+        kill(&mut a, request(1), &[(60 + n, n)]);
+        kill(&mut b, request(1), &[(60 + n, 10 + n)]);
+    }
+    assert!(!is_banned(&a, 70, &request(1)));
+    assert!(is_banned(&b, 70, &request(1)));
+    tell(&mut a, &b, 70, 1);
+    tell(&mut b, &a, 71, 1);
+    assert_eq!(b.verdict(72, &request(1)), Verdict::Clear);
+}
+
 #[test]
 fn a_whole_answer_of_a_request_without_deaths_is_not_kept() {
     let mut book = Quarantine::new(1);
--- a/wisteriapass_gateway/src/exchange/quarantined.rs
+++ b/wisteriapass_gateway/src/exchange/quarantined.rs
@@ -105,8 +105,7 @@
 
     /// Notes an answer that came whole.
     pub fn note_whole(&self, status: StatusCode, facts: &AnswerFacts) {
-        let ran = facts.signed || status.is_success();
-        if ran && !self.gw.quarantine.is_empty() {
+        if facts.signed || status.is_success() {
             self.gw.quarantine.ran_whole(self.fingerprint());
         }
     }
--- a/wisteriapass_gateway/src/quarantine/shared.rs
+++ b/wisteriapass_gateway/src/quarantine/shared.rs
@@ -125,7 +125,10 @@
             peer.known = answer.cursor;
         }
         drop(peers);
-        self.merge(answer);
+        // An answer may excuse what this router has told all relays.
+        if self.merge(answer) && call.is_relay {
+            self.changed.notify_one();
+        }
     }
 
     /// Answers another router that tells its news.
--- a/wisteriapass_gateway/tests/quarantine.rs
+++ b/wisteriapass_gateway/tests/quarantine.rs
@@ -121,6 +121,17 @@
     assert!(!has_changed(&relay));
 }
 
+#[test]
+fn a_relay_that_hears_in_an_answer_that_its_news_do_not_count_tells_all() {
+    let (a, b) = (router(), router());
+    b.ran_whole(request(1));
+    die(&a, request(1), 0..3);
+    assert!(has_changed(&a));
+    tell(&a, &b, 1, true);
+    assert_eq!(a.verdict(&request(1)), Verdict::Clear);
+    assert!(has_changed(&a));
+}
+
 #[test]
 fn a_whole_answer_is_told_like_a_death() {
     let (a, b) = (router(), router());
