--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -100,6 +100,13 @@
         Some("not_taken") => "refused: the targets that were asked could not be reached",
         Some("late") => "given up at its deadline or its route's timeout: its target was silent",
         Some("late_not_run") => "given up at its deadline before any target ran it",
+        Some("quarantined") => {
+            "refused before it ran: requests like it crashed the targets that ran them; look for its \
+             fingerprint in part=quarantine"
+        }
+        Some("outcome_unknown") if has("Target died under it") => {
+            "its target's process ended while it ran, and it may not be sent again"
+        }
         Some("outcome_unknown") => {
             "its target's answer was lost or wrong, and it may not be sent again"
         }
@@ -109,6 +116,9 @@
         _ if has("this router ended") => {
             "its stream was cut as its router was stopped: the target took longer than expected"
         }
+        _ if has("Stream broken") && has("Target died under it") => {
+            "its target's process ended while its stream ran, and it could not go on at another"
+        }
         _ if has("Stream broken") => "its stream broke, and could not go on at another target",
         _ => "it was sent again, and then answered by a target",
     }
--- a/wisteriapass/tests/explain.rs
+++ b/wisteriapass/tests/explain.rs
@@ -48,6 +48,18 @@
     assert!(cause.contains("sent again"), "{cause}");
 }
 
+#[test]
+fn a_request_that_crashes_targets() {
+    let (_, cause) = explain("p5");
+    assert!(cause.contains("refused before it ran"), "{cause}");
+}
+
+#[test]
+fn a_request_whose_target_ended() {
+    let (_, cause) = explain("p1");
+    assert!(cause.contains("process ended while it ran"), "{cause}");
+}
+
 #[test]
 fn an_id_that_no_line_names() {
     let (lines, cause) = explain("24b10fe");
--- a/wisteriapass_coord/src/quarantine.rs
+++ b/wisteriapass_coord/src/quarantine.rs
@@ -45,5 +45,5 @@
 /// Deaths that are kept of one request, the latest of them.
 pub const MOST_DEATHS: usize = 16;
 
-/// Requests in one message: some 15 KB where each has one death.
+/// Requests in one message: some 12 KB where each has one death.
 pub const MOST_TOLD: usize = 256;
