--- a/wisteriapass_coord/src/quarantine/book.rs
+++ b/wisteriapass_coord/src/quarantine/book.rs
@@ -19,6 +19,13 @@
 /// Other targets that end at once without the request, from which on its death counts as theirs.
 const MASS: usize = 4;
 
+/// Targets that end at one moment, with the request or without, from which on that is a single event:
+/// whatever ends many targets does so beneath a sound request that is under way at some, too.
+const MANY_AT_ONCE: usize = 6;
+
+/// Deaths of a request that count of such an event: one that brings about another is banned.
+const COUNT_OF_MANY: usize = 2;
+
 /// Age from which on it is settled whether a death was part of a mass failure, in milliseconds: news
 /// of all routers are there by then.
 const SETTLED_MS: i64 = 10_000;
@@ -191,12 +198,16 @@
         let known = self.requests.get(&told.fingerprint);
         let sound_at = self.sound.at(&told.fingerprint);
         let mut suspicion = known.cloned().unwrap_or_else(|| Suspicion::new(sound_at));
-        if !suspicion.merge(now as i64, told) {
+        let is_news = suspicion.merge(now as i64, told);
+        if known.is_none() && !is_news {
             return false;
         }
+        // Also without news: an earlier time of a death that is known counts.
         self.requests.insert(told.fingerprint, suspicion);
-        self.note_change(told.fingerprint);
-        true
+        if is_news {
+            self.note_change(told.fingerprint);
+        }
+        is_news
     }
 
     fn note_change(&mut self, fingerprint: Fingerprint) {
@@ -208,6 +219,9 @@
 
     /// Returns whether a death has a cause that took other targets too.
     ///
+    /// Of many at one moment two count all the same, as copies of one request may be under way at
+    /// once.
+    ///
     /// Targets that ended under one other request that crashes them are no mass failure: two such
     /// requests may come at once. A sound one that is under way everywhere does not stand for that,
     /// as it runs to whole answers elsewhere.
@@ -226,7 +240,11 @@
         }
         let is_poison = most_of_one >= DEATHS_TO_BAN;
         let of_another = if is_poison { most_of_one } else { 0 };
-        others.len() - of_another >= MASS
+        if others.len() - of_another >= MASS {
+            return true;
+        }
+        let moment = suspicion.moment(death, AT_ONCE_MS);
+        moment.deaths + others.len() >= MANY_AT_ONCE && moment.before >= COUNT_OF_MANY
     }
 
     /// Returns which deaths turned out as part of a mass failure or not, where that matters.
--- a/wisteriapass_coord/src/quarantine/suspicion.rs
+++ b/wisteriapass_coord/src/quarantine/suspicion.rs
@@ -36,6 +36,15 @@
     pub until: Option<i64>,
 }
 
+/// Deaths of one request at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Moment {
+    /// All of them.
+    pub deaths: usize,
+    /// Those before the one in question.
+    pub before: usize,
+}
+
 impl Suspicion {
     /// Creates that of a request that ran to a whole answer last at a time, as far as is known.
     pub fn new(sound_at: Option<i64>) -> Self {
@@ -50,6 +59,29 @@
         self.deaths.iter()
     }
 
+    /// Returns how many of its deaths came at one moment with this one, and how many of them before.
+    ///
+    /// A moment begins with the first death that is of no earlier one, so a fast train of deaths is
+    /// several moments.
+    pub fn moment(&self, death: &Death, length_ms: i64) -> Moment {
+        let mut moment: SmallVec<[&Death; MOST_DEATHS]> = SmallVec::new();
+        for next in &self.deaths {
+            let is_over = moment.first().is_some_and(|d| next.at - d.at >= length_ms);
+            if is_over && moment.iter().any(|d| d.incarnation == death.incarnation) {
+                break;
+            }
+            if is_over {
+                moment.clear();
+            }
+            moment.push(next);
+        }
+        let before = |d: &&&Death| d.incarnation != death.incarnation;
+        Moment {
+            deaths: moment.len(),
+            before: moment.iter().take_while(before).count(),
+        }
+    }
+
     /// Returns whether it was under way at a target that ended.
     pub fn names(&self, incarnation: Incarnation) -> bool {
         self.deaths.iter().any(|d| d.incarnation == incarnation)
