--- a/wisteriapass_bench/src/standin/users/target.rs
+++ b/wisteriapass_bench/src/standin/users/target.rs
@@ -45,6 +45,8 @@
     Queue,
     /// Runs it without a word until its time is up.
     Hang,
+    /// Runs it and sends a stream's head and this many events, and nothing more whatever its time.
+    Stall(u64),
 }
 
 impl Behaviour {
--- a/wisteriapass_bench/src/standin/users/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users/target/wire.rs
@@ -11,6 +11,9 @@
 /// Events of a stream.
 const EVENTS: u64 = 5;
 
+/// Longer than any router waits.
+const FOREVER: Duration = Duration::from_secs(60);
+
 /// Time between two events.
 const GAP: Duration = Duration::from_millis(20);
 
@@ -101,6 +104,11 @@
             out.write_all(b"10\r\nid: 99\nda")?;
             Err(broken())
         }
+        Behaviour::Stall(events) => {
+            stream(out, seen, events, 1)?;
+            sleep(FOREVER);
+            Err(broken())
+        }
         Behaviour::Slow(times) => {
             stream(out, seen, u64::MAX, times)?;
             out.write_all(b"0\r\n\r\n")
--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -65,6 +65,24 @@
     assert_eq!(scene.plain_runs(), 1);
 }
 
+// Its target sent a stream's head and no event, and its connection was closed behind the head.
+#[test]
+fn a_stream_taken_late_that_never_begins_is_answered_before_the_router_ends() {
+    let scene = Scene::new(10_000);
+    let late = Request::new("late", "/draft/x").with_tokens(100, 10);
+    let answer = answer_of_a_late_request(&scene, &scene.engines, Behaviour::Stall(0), &late);
+    assert_eq!(answer.map(|a| a.status), Some(502));
+}
+
+// Its target went on beyond the time that it was told.
+#[test]
+fn a_target_that_does_not_end_in_time_is_answered_for() {
+    let scene = Scene::new(10_000);
+    let late = Request::new("late", "/once/x").with_remaining(60_000);
+    let answer = answer_of_a_late_request(&scene, &scene.plain, Behaviour::Stall(0), &late);
+    assert_eq!(answer.map(|a| a.status), Some(502));
+}
+
 // A stop told no target, so work went on there that nobody could get.
 #[test]
 fn targets_are_told_when_a_stopping_router_ends() {
@@ -75,6 +93,6 @@
     let told: Vec<u64> = seen
         .filter_map(|s| s.header("x-deadline-remaining").parse().ok())
         .collect();
-    // 8 s from the signal to the kill, of which 2.6 s are over.
-    assert!(matches!(told[..], [ms] if ms < 5_400), "{told:?}");
+    // 8 s from the signal to the kill, of which 2.6 s are over and 0.35 s are kept.
+    assert!(matches!(told[..], [ms] if ms <= 5_050), "{told:?}");
 }
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -58,10 +58,11 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    if !plan.ends_in_time_somewhere(gw, facts) {
+    if !plan.ends_in_time_somewhere(gw, facts, &[]) {
         return Err(Refusal::Stopping);
     }
-    let body = read_body(body, plan).await?;
+    let body = gw.unless_cut(read_body(body, plan)).await;
+    let body = body.ok_or(Refusal::Stopping)??;
     let job = Job::new(
         gw.clone(),
         outgoing(parts, body),
@@ -72,9 +73,9 @@
     let reservation = match &plan.account {
         Some(account) => {
             let per_event = plan.tokens_per_event;
-            gw.bank
-                .reserve(account, facts, per_event, plan.deadline)
-                .await?
+            let reserving = gw.bank.reserve(account, facts, per_event, plan.deadline);
+            let reserved = gw.unless_cut(reserving).await;
+            reserved.ok_or(Refusal::Stopping)??
         }
         None => None,
     };
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -43,6 +43,15 @@
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
 
+/// A request's way to its last target.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    key: TargetKey,
+    at: Instant,
+    /// Requests of this router under way there, itself included.
+    running: u32,
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -59,6 +68,7 @@
     /// Targets that the request was sent to.
     pub sent: u32,
     unsent: usize,
+    sending: Option<Sending>,
     pub(super) may_have_run: bool,
 }
 
@@ -83,7 +93,7 @@
         loop {
             let answer = self.next_answer(&mut tries, &mut reservation, None).await?;
             if answer.facts.events && answer.status.is_success() {
-                return Ok(Forwarding::start(self, answer, tries, reservation));
+                return Forwarding::start(self, answer, tries, reservation).await;
             }
             if let Some(response) = self.finish(answer, &mut tries, &mut reservation).await? {
                 return Ok(response);
@@ -106,6 +116,7 @@
             let place = self.place(tries)?;
             let key = place.key;
             tries.tried.push(key);
+            tries.sending = Some(self.sending(key));
             if let Some(r) = reservation {
                 r.sent();
             }
@@ -160,21 +171,38 @@
         match self.gw.wait(self.patience(tries), sending).await {
             Ok(sent) => sent,
             Err(Overdue::Deadline) => {
-                self.learn_begin(place.key);
+                self.learn_begin(tries);
                 Sent::Lost
             }
             Err(Overdue::Stopping) => Sent::CutShort,
         }
     }
 
-    /// Learns how long a target took to begin the answer, or has not begun it for.
-    pub fn learn_begin(&self, key: TargetKey) {
-        let ms = self.plan.arrived.elapsed().as_millis() as u64;
+    fn sending(&self, key: TargetKey) -> Sending {
         let targets = self.gw.targets.borrow();
-        let running = targets.get(key).map_or(1, |t| t.running.get());
-        drop(targets);
+        let before = targets.get(key).map_or(0, |t| t.running.get());
+        Sending {
+            key,
+            at: Instant::now(),
+            running: before + 1,
+        }
+    }
+
+    /// Learns how long the last target took to begin the answer, or has not begun it for.
+    pub fn learn_begin(&self, tries: &Tries) {
+        let Some(sending) = tries.sending else {
+            return;
+        };
+        let ms = sending.at.elapsed().as_millis() as u64;
+        let running = sending.running;
         let learn = |times: &mut ServiceTimes, now| times.learn_begin(now, ms, running);
-        self.gw.learn(&self.plan.service, key, learn);
+        self.gw.learn(&self.plan.service, sending.key, learn);
+    }
+
+    /// Returns whether it ends before this router does at a target that was not tried.
+    fn ends_in_time_elsewhere(&self, tries: &Tries) -> bool {
+        let (gw, facts) = (&self.gw, &self.facts);
+        self.plan.ends_in_time_somewhere(gw, facts, &tries.tried)
     }
 
     fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
@@ -194,6 +222,7 @@
     fn patience(&self, tries: &Tries) -> Instant {
         let route = &self.plan.route;
         let is_last = tries.sent + 1 >= route.attempts;
+        let is_last = is_last || !self.ends_in_time_elsewhere(tries);
         if route.kind != Kind::Idempotent || is_last {
             return self.plan.deadline;
         }
@@ -314,7 +343,7 @@
         if let Some(r) = reservation {
             r.ended();
         }
-        self.learn_begin(key);
+        self.learn_begin(tries);
         let took = self.plan.arrived.elapsed();
         self.gw.metrics.answered(self.plan.route.kind, took);
         Ok(Some(reply::whole(status, headers, body)))
@@ -349,7 +378,7 @@
         reservation: &mut Option<Reservation>,
         reason: RetryReason,
     ) -> Result<(), Refusal> {
-        if !self.plan.ends_in_time_somewhere(&self.gw, &self.facts) {
+        if !self.ends_in_time_elsewhere(tries) {
             return Err(tries.stopping());
         }
         if tries.sent >= self.plan.route.attempts || !self.gw.take_retry(&self.plan.service) {
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -6,7 +6,7 @@
 
 use crate::catalogue::{Account, Catalogue, Limits};
 use crate::prelude::*;
-use crate::target::Target;
+use crate::target::{Target, TargetKey};
 
 /// Longest time for a caller's body, as a multiple of the limit on its headers: a body has more
 /// bytes.
@@ -97,15 +97,22 @@
         drain.takes(gw.time(), expected_ms)
     }
 
-    /// Returns whether that holds for any target that it may be sent to.
-    pub fn ends_in_time_somewhere(&self, gw: &Gateway, facts: &RequestFacts) -> bool {
+    /// Returns whether that holds for any target besides those that were tried; where there is none,
+    /// this router's end is not what it fails for.
+    pub fn ends_in_time_somewhere(
+        &self,
+        gw: &Gateway,
+        facts: &RequestFacts,
+        tried: &[TargetKey],
+    ) -> bool {
         if !gw.is_stopping() {
             return true;
         }
         let targets = gw.targets.borrow();
-        let open = targets.open(&self.service, Instant::now());
-        let mut open = open.into_iter();
-        open.any(|(_, target)| self.ends_in_time(gw, facts, target))
+        let mut open = targets.open(&self.service, Instant::now());
+        open.retain(|(key, _)| !tried.contains(key));
+        let mut ends = open.iter().map(|(_, t)| self.ends_in_time(gw, facts, t));
+        open.is_empty() || ends.any(|in_time| in_time)
     }
 }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -199,6 +199,24 @@
         }
     }
 
+    /// Waits for something, unless this router gives up what is under way before.
+    pub(crate) async fn unless_cut<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut closing = self.closing.subscribe();
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = closes(&mut closing, Closing::Work) => None,
+        }
+    }
+
+    /// Returns whether targets were told to end what they do for this router by now.
+    pub(crate) fn targets_have_ended(&self) -> bool {
+        let now = self.time();
+        self.drain
+            .get()
+            .is_some_and(|drain| drain.target_ms(now) == 0)
+    }
+
     /// Learns how long a service's request took at a target.
     pub(crate) fn learn(
         &self,
@@ -224,10 +242,17 @@
         let unseen = ServiceTimes::default();
         let all = times.get(&target.entry.service).unwrap_or(&unseen);
         let here = target.times.borrow();
+        let running = target.running.get();
+        let silent = target.heard.get().elapsed();
         let work = Work {
             aim_ms: route.aim_ms,
             most_tokens: most,
-            running: target.running.get(),
+            running,
+            silent_ms: if running > 0 {
+                silent.as_millis() as u64
+            } else {
+                0
+            },
         };
         here.expected_ms(all, self.time(), work)
     }
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -17,6 +17,9 @@
 use crate::prelude::*;
 use crate::reservation::Reservation;
 
+/// Output of a stream from which its target's pace is learnt while it runs, in tokens.
+const LEARNT_TOKENS: u64 = 40;
+
 /// Why a stream ended early; the caller's connection is broken off with it.
 #[derive(Clone, Copy, Debug, Display, Error)]
 pub enum Broken {
@@ -31,6 +34,17 @@
     Lost,
 }
 
+impl Broken {
+    /// Returns what to say to a caller that has nothing of the stream.
+    fn refusal(self) -> Refusal {
+        match self {
+            Self::Late => Refusal::Late,
+            Self::CutShort => Refusal::CutShort,
+            Self::Lost => Refusal::OutcomeUnknown,
+        }
+    }
+}
+
 impl From<Overdue> for Broken {
     fn from(overdue: Overdue) -> Self {
         match overdue {
@@ -50,25 +64,33 @@
     ready: VecDeque<Bytes>,
     /// Id of the last event passed on.
     last: Option<u64>,
-    /// When the first event came, and how many did.
+    /// When the first event came.
     first_at: Option<Instant>,
+    /// When the output that was not learnt from yet began, and how many events it has.
+    output_at: Option<Instant>,
     events: u64,
     /// The end of the connection, while it is looked into.
     noted: Option<Noted>,
 }
 
 impl Forwarding {
-    /// Returns the answer to the caller; its body is forwarded as it comes.
-    pub fn start(
+    /// Returns the answer to the caller once its first event is there; the rest is forwarded as it
+    /// comes.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the stream broke before: a caller that has nothing yet gets an answer that says
+    /// so, and not the end of its connection.
+    pub async fn start(
         job: Job,
         answer: Answer,
         tries: Tries,
         reservation: Option<Reservation>,
-    ) -> Response<AnswerBody> {
+    ) -> Result<Response<AnswerBody>, Refusal> {
         let status = answer.status;
         let headers = answer.headers.clone();
         let last = job.facts.last_event;
-        let forwarding = Self {
+        let mut forwarding = Self {
             job,
             answer: Some(answer),
             tries,
@@ -77,9 +99,17 @@
             ready: VecDeque::new(),
             last,
             first_at: None,
+            output_at: None,
             events: 0,
             noted: None,
         };
+        match forwarding.next_piece().await {
+            Ok(first) => forwarding.ready.extend(first),
+            Err(broken) => {
+                forwarding.note_broken(broken);
+                return Err(broken.refusal());
+            }
+        }
         let pieces: Pieces = Box::pin(unfold(Some(forwarding), |state| async move {
             let mut state = state?;
             match state.next_piece().await {
@@ -91,7 +121,7 @@
                 }
             }
         }));
-        streamed(status, headers, pieces)
+        Ok(streamed(status, headers, pieces))
     }
 
     /// Returns the next bytes for the caller; `None` after the last.
@@ -152,7 +182,7 @@
         }
         if event.id.is_some() {
             self.note_first();
-            self.events += 1;
+            self.note_output();
             self.last = event.id;
             if let Some(r) = &mut self.reservation {
                 r.event();
@@ -169,12 +199,35 @@
             let plan = &self.job.plan;
             let took = plan.arrived.elapsed();
             self.job.gw.metrics.began(plan.route.kind, took);
-            if let Some(key) = self.tries.tried.last() {
-                self.job.learn_begin(*key);
-            }
+            self.job.learn_begin(&self.tries);
+        }
+    }
+
+    /// Counts an event, and learns from the output since the last time.
+    fn note_output(&mut self) {
+        let Some(at) = self.output_at else {
+            self.output_at = Some(Instant::now());
+            self.events = 0;
+            return;
+        };
+        self.events += 1;
+        let tokens = self.events * self.job.plan.tokens_per_event;
+        if tokens >= LEARNT_TOKENS {
+            self.learn_output(at);
+            self.output_at = Some(Instant::now());
+            self.events = 0;
         }
     }
 
+    fn learn_output(&self, since: Instant) {
+        let plan = &self.job.plan;
+        let tokens = self.events * plan.tokens_per_event;
+        let ms = since.elapsed().as_millis() as u64;
+        let learn = |times: &mut ServiceTimes, now| times.learn_output(now, tokens, ms);
+        let key = self.tries.tried.last().copied().unwrap_or_default();
+        self.job.gw.learn(&plan.service, key, learn);
+    }
+
     /// Ends a stream that the target ended.
     fn finish(&mut self) {
         let rest = self.reader.rest();
@@ -194,17 +247,15 @@
         let plan = &self.job.plan;
         let took = plan.arrived.elapsed();
         self.job.gw.metrics.answered(plan.route.kind, took);
-        if let Some(first_at) = self.first_at {
-            let tokens = self.events * plan.tokens_per_event;
-            let ms = first_at.elapsed().as_millis() as u64;
-            let learn = |times: &mut ServiceTimes, now| times.learn_output(now, tokens, ms);
-            self.job.gw.learn(&plan.service, key, learn);
+        if let Some(at) = self.output_at {
+            self.learn_output(at);
         }
     }
 
     /// Has the end of the target's connection looked into.
     fn note_break(&mut self, e: &hyper::Error) {
-        let key = self.tries.tried.last().filter(|_| is_break(e));
+        let is_told = self.job.gw.targets_have_ended();
+        let key = self.tries.tried.last().filter(|_| is_break(e) && !is_told);
         self.noted = key.map(|key| self.job.note_break(*key));
     }
 
@@ -213,6 +264,10 @@
         // The run before must not go on beside the next one.
         self.answer = None;
         self.reader = EventReader::default();
+        self.output_at = None;
+        if self.job.gw.targets_have_ended() {
+            return Err(Broken::CutShort);
+        }
         if let Some(key) = self.tries.tried.last() {
             self.job.fault(*key, Fault::Broken);
         }
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -26,11 +26,11 @@
 
 /// Time before the kill at which targets end their work, in milliseconds: what they say of it then
 /// still reaches callers.
-const TARGETS_MS: u64 = 250;
+const TARGETS_MS: u64 = 350;
 
 /// Time before the kill at which work under way is given up, in milliseconds: the answers that say
 /// so have to leave.
-const CUT_MS: u64 = 150;
+const CUT_MS: u64 = 200;
 
 /// How much longer than expected work may take, as a factor: speeds vary with the load, and a
 /// stream that is cut is lost, one that is refused goes elsewhere.
--- a/wisteriapass_policy/src/service_times.rs
+++ b/wisteriapass_policy/src/service_times.rs
@@ -36,6 +36,8 @@
     pub most_tokens: u64,
     /// This router's requests under way at the target.
     pub running: u32,
+    /// Time since the target sent anything, while requests are under way there, in milliseconds.
+    pub silent_ms: u64,
 }
 
 /// Times of requests, as one router sees them.
@@ -68,7 +70,9 @@
     pub fn expected_ms(&self, all: &Self, now: Time, work: Work) -> u64 {
         let begin_ms = self.begin_ms.high_of_late(now).or(all.begin_ms.high());
         let token_ms = self.token_ms.high_of_late(now).or(all.token_ms.high());
-        let begin_ms = begin_ms.unwrap_or_default().max(work.aim_ms as f64);
+        // A target that fell silent says so by nothing that ended.
+        let least_ms = work.aim_ms.max(work.silent_ms) as f64;
+        let begin_ms = begin_ms.unwrap_or_default().max(least_ms);
         let output_ms = token_ms.unwrap_or(UNSEEN_TOKEN_MS) * work.most_tokens as f64;
         // Times are those of the load that they were seen with: without this, all go to the target
         // that was quickest, and make it the slowest.
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -128,6 +128,7 @@
         aim_ms: 500,
         most_tokens: 100,
         running,
+        silent_ms: 0,
     };
     here.expected_ms(all, at(now), work)
 }
@@ -139,7 +140,9 @@
     let mut all = times(0, 100, 8);
     assert!((1_290..=1_310).contains(&expected(&none, &all, 0)));
     assert!(unseen > 1_310, "what was never seen is not trusted");
-    all.learn_output(at(0), 2, 2_000);
+    for _ in 0..8 {
+        all.learn_output(at(0), 2, 2_000);
+    }
     assert!(expected(&none, &all, 0) <= 1_310, "a pause is no pace");
     for _ in 0..32 {
         all.learn_output(at(0), 300, 9_000);
@@ -158,6 +161,10 @@
         all.learn_begin(at(3_000), if n % 6 == 0 { 2_600 } else { 150 }, 2);
     }
     assert!(!drain.takes(at(3_400), expected(&none, &all, 3_400)));
+    for _ in 0..32 {
+        all.learn_begin(at(3_000), 150, 2);
+    }
+    assert!(drain.takes(at(3_400), expected(&none, &all, 3_400)));
 }
 
 #[test]
@@ -167,11 +174,43 @@
     let all = slow.clone();
     assert!(drain.takes(at(3_400), expected(&quick, &all, 3_400)));
     assert!(!drain.takes(at(3_400), expected(&slow, &all, 3_400)));
-    let old = times(0, 150, 10);
-    assert!(
-        !drain.takes(at(10_100), expected(&old, &all, 10_100)),
-        "what it did long ago says little"
-    );
+}
+
+#[test]
+fn what_a_target_did_long_ago_says_little() {
+    let drain = Drain::new(at(10_000), GRACE_MS);
+    let all = times(13_000, 2_600, 30);
+    let (old, fresh) = (times(0, 150, 10), times(13_000, 150, 10));
+    assert!(drain.takes(at(13_400), expected(&fresh, &all, 13_400)));
+    assert!(!drain.takes(at(13_400), expected(&old, &all, 13_400)));
+}
+
+#[test]
+fn few_requests_do_not_speak_for_a_target() {
+    let all = times(0, 2_600, 30);
+    let mut here = ServiceTimes::default();
+    for _ in 0..3 {
+        here.learn_begin(at(0), 150, 2);
+        here.learn_output(at(0), 100, 1_000);
+    }
+    assert_eq!(expected(&here, &all, 0), expected(&all, &all, 0));
+}
+
+#[test]
+fn a_target_that_fell_silent_gets_no_late_work() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    let quick = times(3_000, 150, 10);
+    let takes = |silent_ms| {
+        let work = Work {
+            aim_ms: 500,
+            most_tokens: 100,
+            running: 1,
+            silent_ms,
+        };
+        drain.takes(at(3_400), quick.expected_ms(&quick, at(3_400), work))
+    };
+    assert!(takes(100));
+    assert!(!takes(2_500));
 }
 
 // Fifteen streams went to the one target whose times fitted, and were cut together.
