--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -15,10 +15,10 @@
 use crate::target::{TargetEntry, TargetKey};
 
 /// Time for which a new connection has to stay open, in milliseconds: a process that ends may
-/// still have one taken, and resets it a moment later.
+/// still have one taken, and resets it a moment later. So does a target that has enough of them.
 const STAYS_MS: u64 = 10;
 
-/// Times that a connection is opened where it does not stay open.
+/// Times that a connection is opened where it does not stay open, or is reset.
 const MOST_OPENED: u32 = 3;
 
 /// Time for which it is remembered that a target is gone, in milliseconds: requests that broke with
@@ -34,7 +34,7 @@
     /// It takes connections.
     #[display("lives")]
     Lives,
-    /// It is silent: cut off, or its VM has no power.
+    /// It is silent (cut off, or its VM has no power), or takes no more connections.
     #[display("silent")]
     Silent,
 }
@@ -95,20 +95,14 @@
                     return Probed::Lives;
                 }
             }
-            Ok(Err(e)) if is_refusal(e.kind()) => return Probed::Gone,
-            Ok(Err(_)) | Err(_) => return Probed::Silent,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Probed::Gone,
+            Ok(Err(_)) => sleep(Duration::from_millis(STAYS_MS)).await,
+            Err(_) => return Probed::Silent,
         }
     }
     Probed::Silent
 }
 
-fn is_refusal(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-    )
-}
-
 fn keep(gw: &Gateway, key: TargetKey, sender: Sender) {
     if let Some(target) = gw.targets.borrow().get(key) {
         target.pool.borrow_mut().put(sender, Instant::now(), None);
