BUDGET, review: three and more requests that crash targets no longer excuse each other

Targets that ended under a request that crashes them elsewhere are explained by it now; many_poisons_at_once_are_all_banned failed before.

Known red: copies in bursts of six or more at one moment count as one event each time, so the second burst is sent whole. It cannot be told from a rack's end by what is known; one copy at a time on trial would, which isn't built.

--- a/wisteriapass_coord/src/quarantine.rs
+++ b/wisteriapass_coord/src/quarantine.rs
@@ -37,7 +37,7 @@
 pub const PROBATION_MS: i64 = 60 * 60 * 1_000;
 
 /// Age at which a death of a request that was never banned is forgotten, in milliseconds.
-pub const FORGOTTEN_MS: i64 = 10 * 60 * 1_000;
+pub const FORGOTTEN_MS: i64 = 60 * 60 * 1_000;
 
 /// Requests in a book.
 pub const MOST_REQUESTS: usize = 1_024;
--- a/wisteriapass_coord/src/quarantine/book.rs
+++ b/wisteriapass_coord/src/quarantine/book.rs
@@ -46,6 +46,13 @@
     sound: Sound,
 }
 
+/// Targets that ended at once with one, under other requests.
+struct Others {
+    all: usize,
+    /// Those that no other request crashed.
+    unexplained: usize,
+}
+
 impl Quarantine {
     /// Creates the empty book of a process; each start of one has another number.
     pub fn new(process: u64) -> Self {
@@ -221,30 +228,50 @@
     ///
     /// Of many at one moment two count all the same, as copies of one request may be under way at
     /// once.
-    ///
-    /// Targets that ended under one other request that crashes them are no mass failure: two such
-    /// requests may come at once. A sound one that is under way everywhere does not stand for that,
-    /// as it runs to whole answers elsewhere.
     fn is_mass(&self, fingerprint: &Fingerprint, suspicion: &Suspicion, death: &Death) -> bool {
-        let mut others = HashSet::new();
-        let mut most_of_one = 0;
+        let others = self.others_at_once(fingerprint, suspicion, death);
+        if others.unexplained >= MASS {
+            return true;
+        }
+        let moment = suspicion.moment(death, AT_ONCE_MS);
+        moment.deaths + others.all >= MANY_AT_ONCE && moment.before >= COUNT_OF_MANY
+    }
+
+    /// Counts the targets that ended at once with a death, without its request under way.
+    ///
+    /// Targets that ended under another request that crashes them are explained by it: several such
+    /// requests may come at once. One that is under way everywhere does not stand for that, as it runs
+    /// to whole answers elsewhere.
+    fn others_at_once(
+        &self,
+        fingerprint: &Fingerprint,
+        suspicion: &Suspicion,
+        death: &Death,
+    ) -> Others {
+        let is_near = |d: &Death| (d.at - death.at).abs() < AT_ONCE_MS;
+        let mut all = HashSet::new();
+        let mut explained = HashSet::new();
         for (other, theirs) in &self.requests {
-            if other == fingerprint {
+            if other == fingerprint || !theirs.deaths().any(is_near) {
                 continue;
             }
-            let near = |d: &&Death| (d.at - death.at).abs() < AT_ONCE_MS;
-            let apart = |d: &&Death| !suspicion.names(d.incarnation);
-            let near = || theirs.deaths().filter(near).filter(apart);
-            others.extend(near().map(|d| d.incarnation));
-            most_of_one = most_of_one.max(near().filter(|d| !d.excused).count());
+            let near = theirs.deaths().filter(|d| is_near(d));
+            let apart = near.filter(|d| !suspicion.names(d.incarnation));
+            let apart: SmallVec<[&Death; 4]> = apart.collect();
+            let at_once = apart.iter().filter(|d| !d.excused).count();
+            let before = theirs
+                .deaths()
+                .filter(|d| !d.excused && !is_near(d))
+                .count();
+            if at_once >= DEATHS_TO_BAN || before + 1 >= DEATHS_TO_BAN {
+                explained.extend(apart.iter().map(|d| d.incarnation));
+            }
+            all.extend(apart.iter().map(|d| d.incarnation));
         }
-        let is_poison = most_of_one >= DEATHS_TO_BAN;
-        let of_another = if is_poison { most_of_one } else { 0 };
-        if others.len() - of_another >= MASS {
-            return true;
+        Others {
+            all: all.len(),
+            unexplained: all.difference(&explained).count(),
         }
-        let moment = suspicion.moment(death, AT_ONCE_MS);
-        moment.deaths + others.len() >= MANY_AT_ONCE && moment.before >= COUNT_OF_MANY
     }
 
     /// Returns which deaths turned out as part of a mass failure or not, where that matters.
