BUDGET, review: what is no evidence for or against a request

- A target's own failure (500, 504) and an answer whose end is its connection's cleared a request of all deaths; only a whole framed answer that is no failure does.
- A target that leaves ends with work under way by nobody's doing; its end is held against no request.

--- a/wisteriapass_gateway/src/exchange/quarantined.rs
+++ b/wisteriapass_gateway/src/exchange/quarantined.rs
@@ -83,9 +83,15 @@
         })
     }
 
+    /// Returns what to note if its target ended; nothing for one that leaves, which ends without
+    /// anybody's doing.
     fn break_at(&self, key: TargetKey) -> Option<Break> {
         let targets = self.gw.targets.borrow();
-        let entry = &targets.get(key)?.entry;
+        let target = targets.get(key)?;
+        let entry = &target.entry;
+        if !target.is_open(Instant::now()) {
+            return None;
+        }
         Some(Break {
             at_ms: self.gw.clock.now_ms(),
             request: self.facts.id_text().to_owned(),
@@ -103,9 +109,9 @@
         }
     }
 
-    /// Notes an answer that came whole.
+    /// Notes an answer that came whole; a failure of the target's own says nothing of the request.
     pub fn note_whole(&self, status: StatusCode, facts: &AnswerFacts) {
-        if facts.signed || status.is_success() {
+        if facts.signed && facts.is_framed && !status.is_server_error() {
             self.gw.quarantine.ran_whole(self.fingerprint());
         }
     }
@@ -120,6 +126,5 @@
             "Target died under it. request={} fingerprint={} target={} incarnation={} deaths={}",
             self.request, self.fingerprint, self.target, self.incarnation, verdict.deaths()
         );
-        quarantine.log_bans();
     }
 }
--- a/wisteriapass_gateway/src/facts.rs
+++ b/wisteriapass_gateway/src/facts.rs
@@ -97,6 +97,8 @@
     pub closes: bool,
     /// Whether the body is a stream of events.
     pub events: bool,
+    /// Whether the body's end can be told from the connection's.
+    pub is_framed: bool,
     /// Whether the body is encoded, which nobody asked for.
     pub encoded: bool,
 }
