--- a/wisteriapass_gateway/src/quarantine/shared.rs
+++ b/wisteriapass_gateway/src/quarantine/shared.rs
@@ -151,11 +151,7 @@
             return false;
         }
         let now_ms = self.clock.now_ms();
-        let is_news = self.book.borrow_mut().merge(now_ms, news);
-        if is_news {
-            self.log_bans();
-        }
-        is_news
+        self.book.borrow_mut().merge(now_ms, news)
     }
 
     /// Logs bans that are new here, with what speaks for them, and those that are over.
--- a/wisteriapass_gateway/src/relays/quarantine.rs
+++ b/wisteriapass_gateway/src/relays/quarantine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout_at};
 use wisteriapass_coord::quarantine::News;
 
 use crate::bank::Role;
@@ -18,6 +18,9 @@
 /// was lost on its way comes again by them.
 const TURN_MS: u64 = 1_000;
 
+/// Time in which changes are gathered behind one that was told, in milliseconds.
+const TOGETHER_MS: u64 = 50;
+
 /// Longest wait for an answer to begin, in milliseconds: many round trips within a region.
 const PATIENCE_MS: u64 = 200;
 
@@ -40,6 +43,9 @@
         let told = peers(&gw);
         if changed.is_ok() {
             told.iter().for_each(|at| start(&gw, &telling, *at));
+            // What ends at once is told and looked at together.
+            sleep(Duration::from_millis(TOGETHER_MS)).await;
+            gw.quarantine.log_bans();
             continue;
         }
         next = within(TURN_MS);
