--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -83,6 +83,21 @@
     assert_eq!(answer.map(|a| a.status), Some(502));
 }
 
+// It waited behind others that could wait, and was cut.
+#[test]
+fn a_stream_taken_late_goes_first_at_its_target() {
+    let scene = Scene::new(10_000);
+    let late = Request::new("late", "/draft/x").with_tokens(100, 10);
+    answer_of_a_late_request(&scene, &scene.engines, Behaviour::Answer, &late);
+    let seen: Vec<_> = scene.engines.iter().flat_map(|t| t.seen()).collect();
+    let rank = |id: &str| {
+        let of = seen.iter().find(|s| s.header("x-attempt-id") == id);
+        of.map(|s| s.header("x-request-priority").to_owned())
+    };
+    assert_eq!(rank("long").as_deref(), Some("1"));
+    assert_eq!(rank("late").as_deref(), Some("0"));
+}
+
 // A stop told no target, so work went on there that nobody could get.
 #[test]
 fn targets_are_told_when_a_stopping_router_ends() {
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -28,6 +28,9 @@
 /// which its answer is on time: half of what then is late may still be saved.
 const PATIENCE_TIMES: f64 = 1.5;
 
+/// Rank of what goes first.
+const FIRST: u8 = 0;
+
 /// A request with all that it takes to send it, also again.
 #[derive(Debug)]
 pub struct Job {
@@ -212,12 +215,19 @@
             remaining_ms: self.plan.remaining_ms(&self.gw),
             target: &target.entry.id,
             account: self.plan.account_name(),
-            priority: self.plan.priority,
+            priority: self.priority(),
             last_event,
         };
         Some(self.gw.platform.dispatch_headers(&self.out.headers, &facts))
     }
 
+    /// Returns its rank: one that a stopping router took cannot wait, and others can.
+    fn priority(&self) -> u8 {
+        let drain = self.gw.drain.get();
+        let is_late = drain.is_some_and(|drain| drain.ends_idle(self.gw.time()));
+        if is_late { FIRST } else { self.plan.priority }
+    }
+
     /// Returns until when a target may keep its answer to itself.
     fn patience(&self, tries: &Tries) -> Instant {
         let route = &self.plan.route;
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -34,7 +34,7 @@
 
 /// How much longer than expected work may take, as a factor: speeds vary with the load, and a
 /// stream that is cut is lost, one that is refused goes elsewhere.
-const DOUBT: f64 = 1.3;
+const DOUBT: f64 = 1.5;
 
 /// The end of one router.
 #[derive(Clone, Copy, Debug)]
--- a/wisteriapass_policy/src/service_times.rs
+++ b/wisteriapass_policy/src/service_times.rs
@@ -68,8 +68,10 @@
     /// Returns how long a request may take at the target that these are the times of, in
     /// milliseconds; `all` are those of its service, and count where too little is known here.
     pub fn expected_ms(&self, all: &Self, now: Time, work: Work) -> u64 {
-        let begin_ms = self.begin_ms.high_of_late(now).or(all.begin_ms.high());
-        let token_ms = self.token_ms.high_of_late(now).or(all.token_ms.high());
+        let begin_ms = self.begin_ms.high_of_late(now);
+        let begin_ms = begin_ms.or(all.begin_ms.highest());
+        let token_ms = self.token_ms.high_of_late(now);
+        let token_ms = token_ms.or(all.token_ms.highest());
         // A target that fell silent says so by nothing that ended.
         let least_ms = work.aim_ms.max(work.silent_ms) as f64;
         let begin_ms = begin_ms.unwrap_or_default().max(least_ms);
@@ -99,6 +101,11 @@
         self.oldest = (self.oldest + 1) % SAMPLES;
     }
 
+    /// Returns the highest value; none before the first.
+    fn highest(&self) -> Option<f64> {
+        self.values.iter().map(|(_, value)| *value).reduce(f64::max)
+    }
+
     /// Returns a value that few exceed; none before the first.
     fn high(&self) -> Option<f64> {
         high(self.values.iter().map(|(_, value)| *value).collect())
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -196,6 +196,16 @@
     assert_eq!(expected(&here, &all, 0), expected(&all, &all, 0));
 }
 
+// A target that had just started, and was slow yet, was taken for one like all others.
+#[test]
+fn of_a_target_that_is_not_known_the_worst_is_expected() {
+    let mut all = times(0, 150, 10);
+    all.learn_output(at(0), 100, 2_300);
+    let none = ServiceTimes::default();
+    assert!(expected(&none, &all, 0) >= 500 + 2_300);
+    assert!(expected(&all, &all, 0) < 500 + 2_300);
+}
+
 #[test]
 fn a_target_that_fell_silent_gets_no_late_work() {
     let drain = Drain::new(at(0), GRACE_MS);
