--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -2,9 +2,11 @@
 
 mod attempt;
 mod fault;
+mod placing;
 mod plan;
 mod quarantined;
 mod reply;
+mod tries;
 
 use std::convert::Infallible;
 
@@ -17,10 +19,11 @@
 use crate::prelude::*;
 use plan::Plan;
 
-pub use attempt::{Job, Tries};
+pub use attempt::Job;
 pub use fault::Fault;
 pub use quarantined::Noted;
 pub use reply::{AnswerBody, Pieces, streamed};
+pub use tries::Tries;
 
 /// Serves one request.
 ///
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -4,22 +4,22 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
-use smallvec::SmallVec;
 use wisteriapass_coord::quarantine::Fingerprint;
-use wisteriapass_policy::placement::{self, Candidate};
 use wisteriapass_policy::{ServiceTimes, Time};
 
 use super::fault::Fault;
+use super::placing::Place;
 use super::plan::Plan;
 use super::quarantined::Noted;
 use super::reply::{self, AnswerBody};
+use super::tries::Tries;
 use crate::dispatch::{Answer, Outgoing, Sent, is_break, send};
 use crate::gateway::Overdue;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
 use crate::stream::Forwarding;
-use crate::target::{Target, TargetKey};
+use crate::target::TargetKey;
 
 /// Targets that may be tried without reaching any of them: beyond that the caller is told.
 const MOST_UNSENT: usize = 4;
@@ -28,9 +28,6 @@
 /// which its answer is on time: half of what then is late may still be saved.
 const PATIENCE_TIMES: f64 = 1.5;
 
-/// Rank of what goes first.
-const FIRST: u8 = 0;
-
 /// A request with all that it takes to send it, also again.
 #[derive(Debug)]
 pub struct Job {
@@ -46,35 +43,6 @@
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
 
-/// A request's way to its last target.
-#[derive(Clone, Copy, Debug)]
-struct Sending {
-    key: TargetKey,
-    at: Instant,
-    /// Requests of this router under way there, itself included.
-    running: u32,
-}
-
-/// Where a request goes.
-#[derive(Clone, Copy, Debug)]
-struct Place {
-    key: TargetKey,
-    /// Prompt tokens that the target has to read.
-    unread: u64,
-}
-
-/// What the tries so far have come to.
-#[derive(Debug, Default)]
-pub struct Tries {
-    /// Targets that were asked or could not be reached.
-    pub tried: SmallVec<[TargetKey; 4]>,
-    /// Targets that the request was sent to.
-    pub sent: u32,
-    unsent: usize,
-    sending: Option<Sending>,
-    pub(super) may_have_run: bool,
-}
-
 impl Job {
     /// Creates one that was not sent yet.
     pub fn new(gw: Rc<Gateway>, out: Outgoing, facts: RequestFacts, plan: Plan) -> Self {
@@ -181,16 +149,6 @@
         }
     }
 
-    fn sending(&self, key: TargetKey) -> Sending {
-        let targets = self.gw.targets.borrow();
-        let before = targets.get(key).map_or(0, |t| t.running.get());
-        Sending {
-            key,
-            at: Instant::now(),
-            running: before + 1,
-        }
-    }
-
     /// Learns how long the last target took to begin the answer, or has not begun it for.
     pub fn learn_begin(&self, tries: &Tries) {
         let Some(sending) = tries.sending else {
@@ -202,12 +160,6 @@
         self.gw.learn(&self.plan.service, sending.key, learn);
     }
 
-    /// Returns whether it ends before this router does at a target that was not tried.
-    fn ends_in_time_elsewhere(&self, tries: &Tries) -> bool {
-        let (gw, facts) = (&self.gw, &self.facts);
-        self.plan.ends_in_time_somewhere(gw, facts, &tries.tried)
-    }
-
     fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
         let targets = self.gw.targets.borrow();
         let target = targets.get(key)?;
@@ -221,13 +173,6 @@
         Some(self.gw.platform.dispatch_headers(&self.out.headers, &facts))
     }
 
-    /// Returns its rank: one that a stopping router took cannot wait, and others can.
-    fn priority(&self) -> u8 {
-        let drain = self.gw.drain.get();
-        let is_late = drain.is_some_and(|drain| drain.ends_idle(self.gw.time()));
-        if is_late { FIRST } else { self.plan.priority }
-    }
-
     /// Returns until when a target may keep its answer to itself.
     fn patience(&self, tries: &Tries) -> Instant {
         let route = &self.plan.route;
@@ -240,63 +185,6 @@
         self.plan.deadline.min(Instant::now() + patience)
     }
 
-    /// Chooses a target that was not tried, and at which the request ends before this router does.
-    fn place(&self, tries: &Tries) -> Result<Place, Refusal> {
-        let now = Instant::now();
-        let time = Time::from_millis(self.gw.clock.now_ms());
-        let targets = self.gw.targets.borrow();
-        let open = targets.open(&self.plan.service, now);
-        let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
-        if untried.clone().next().is_none() {
-            return Err(self.unplaced(tries));
-        }
-        let ends_in_time = |target: &Target| self.plan.ends_in_time(&self.gw, &self.facts, target);
-        let domain = &self.gw.settings.domain;
-        let prompt = self.facts.prompt();
-        let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
-            .filter(|(_, target)| ends_in_time(target))
-            .map(|(key, target)| Candidate {
-                kept: prompt
-                    .part
-                    .is_some_and(|part| target.kept.borrow().has(part, now)),
-                ..candidate(*key, target, domain, time)
-            })
-            .collect();
-        let routers = self.gw.bank.routers();
-        let key = placement::choose(&candidates, prompt, routers, rand::random());
-        let key = key.ok_or_else(|| tries.stopping())?;
-        self.note_late(targets.get(key));
-        let kept = candidates.iter().any(|c| c.key == key && c.kept);
-        if let Some(part) = prompt.part {
-            let target = targets.get(key).ok_or_else(|| self.unplaced(tries))?;
-            target.kept.borrow_mut().add(part, now);
-        }
-        let unread = if kept {
-            prompt.tokens.saturating_sub(prompt.shared)
-        } else {
-            prompt.tokens
-        };
-        Ok(Place { key, unread })
-    }
-
-    /// Logs a request that is taken though this router stops.
-    fn note_late(&self, target: Option<&Target>) {
-        let now = self.gw.time();
-        let drain = self.gw.drain.get().filter(|drain| drain.ends_idle(now));
-        let (Some(drain), Some(target)) = (drain, target) else {
-            return;
-        };
-        let most = self.facts.work.map_or(0, |w| w.max_output);
-        log::info!(
-            target: "exchange",
-            "Taken while stopping. request={} target={} expected_ms={} left_ms={}",
-            self.facts.id_text(),
-            target.entry.id,
-            self.gw.expected_ms(target, &self.plan.route, most),
-            drain.end().millis_since(now)
-        );
-    }
-
     /// Decides whether an answer is one to this request.
     fn judge(&self, key: TargetKey, answer: Box<Answer>) -> Verdict {
         let facts = &answer.facts;
@@ -447,41 +335,6 @@
             target.trouble.borrow_mut().ease(now);
         }
     }
-
-    fn unplaced(&self, tries: &Tries) -> Refusal {
-        if tries.may_have_run {
-            return Refusal::OutcomeUnknown;
-        }
-        if tries.tried.is_empty() {
-            return Refusal::NoTarget;
-        }
-        Refusal::NotTaken
-    }
-}
-
-impl Tries {
-    /// Returns what to say when the time is up.
-    pub fn late(&self) -> Refusal {
-        if self.may_have_run {
-            return Refusal::Late;
-        }
-        Refusal::LateNotRun
-    }
-
-    /// Returns what to say when this router stops before an answer would be whole.
-    fn stopping(&self) -> Refusal {
-        if self.may_have_run {
-            return Refusal::OutcomeUnknown;
-        }
-        Refusal::Stopping
-    }
-
-    fn given_up(&self) -> Refusal {
-        if self.may_have_run {
-            return Refusal::OutcomeUnknown;
-        }
-        Refusal::NotTaken
-    }
 }
 
 /// What an answer's head says.
@@ -490,16 +343,3 @@
     NotRun,
     Wrong,
 }
-
-fn candidate(key: TargetKey, target: &Target, domain: &str, now: Time) -> Candidate<TargetKey> {
-    Candidate {
-        key,
-        hash: placement::hash(&target.entry.id.0),
-        slots: target.entry.slots,
-        running: target.running.get(),
-        unread: target.unread.get(),
-        kept: false,
-        near: target.entry.domain == domain,
-        trouble: target.trouble.borrow().now(now),
-    }
-}
--- /dev/null
+++ b/wisteriapass_gateway/src/exchange/placing.rs
@@ -0,0 +1,129 @@
+//! Choosing the target that a request is sent to.
+
+use smallvec::SmallVec;
+use wisteriapass_policy::Time;
+use wisteriapass_policy::placement::{self, Candidate};
+
+use super::attempt::Job;
+use super::tries::{Sending, Tries};
+use crate::prelude::*;
+use crate::target::{Target, TargetKey};
+
+/// Rank of what goes first.
+const FIRST: u8 = 0;
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// The target.
+    pub key: TargetKey,
+    /// Prompt tokens that the target has to read.
+    pub unread: u64,
+}
+
+impl Job {
+    /// Chooses a target that was not tried, and at which the request ends before this router does.
+    pub(super) fn place(&self, tries: &Tries) -> Result<Place, Refusal> {
+        let now = Instant::now();
+        let time = Time::from_millis(self.gw.clock.now_ms());
+        let targets = self.gw.targets.borrow();
+        let open = targets.open(&self.plan.service, now);
+        let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
+        if untried.clone().next().is_none() {
+            return Err(self.unplaced(tries));
+        }
+        let ends_in_time = |target: &Target| self.plan.ends_in_time(&self.gw, &self.facts, target);
+        let domain = &self.gw.settings.domain;
+        let prompt = self.facts.prompt();
+        let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
+            .filter(|(_, target)| ends_in_time(target))
+            .map(|(key, target)| Candidate {
+                kept: prompt
+                    .part
+                    .is_some_and(|part| target.kept.borrow().has(part, now)),
+                ..candidate(*key, target, domain, time)
+            })
+            .collect();
+        let routers = self.gw.bank.routers();
+        let key = placement::choose(&candidates, prompt, routers, rand::random());
+        let key = key.ok_or_else(|| tries.stopping())?;
+        self.note_late(targets.get(key));
+        let kept = candidates.iter().any(|c| c.key == key && c.kept);
+        if let Some(part) = prompt.part {
+            let target = targets.get(key).ok_or_else(|| self.unplaced(tries))?;
+            target.kept.borrow_mut().add(part, now);
+        }
+        let unread = if kept {
+            prompt.tokens.saturating_sub(prompt.shared)
+        } else {
+            prompt.tokens
+        };
+        Ok(Place { key, unread })
+    }
+
+    /// Logs a request that is taken though this router stops.
+    fn note_late(&self, target: Option<&Target>) {
+        let now = self.gw.time();
+        let drain = self.gw.drain.get().filter(|drain| drain.ends_idle(now));
+        let (Some(drain), Some(target)) = (drain, target) else {
+            return;
+        };
+        let most = self.facts.work.map_or(0, |w| w.max_output);
+        log::info!(
+            target: "exchange",
+            "Taken while stopping. request={} target={} expected_ms={} left_ms={}",
+            self.facts.id_text(),
+            target.entry.id,
+            self.gw.expected_ms(target, &self.plan.route, most),
+            drain.end().millis_since(now)
+        );
+    }
+
+    /// Returns the way to a target that begins now.
+    pub(super) fn sending(&self, key: TargetKey) -> Sending {
+        let targets = self.gw.targets.borrow();
+        let before = targets.get(key).map_or(0, |t| t.running.get());
+        Sending {
+            key,
+            at: Instant::now(),
+            running: before + 1,
+        }
+    }
+
+    /// Returns whether it ends before this router does at a target that was not tried.
+    pub(super) fn ends_in_time_elsewhere(&self, tries: &Tries) -> bool {
+        let (gw, facts) = (&self.gw, &self.facts);
+        self.plan.ends_in_time_somewhere(gw, facts, &tries.tried)
+    }
+
+    /// Returns its rank: one that a stopping router took cannot wait, and others can.
+    pub(super) fn priority(&self) -> u8 {
+        let drain = self.gw.drain.get();
+        let is_late = drain.is_some_and(|drain| drain.ends_idle(self.gw.time()));
+        if is_late { FIRST } else { self.plan.priority }
+    }
+
+    /// Returns what to say where no target is left.
+    pub(super) fn unplaced(&self, tries: &Tries) -> Refusal {
+        if tries.may_have_run {
+            return Refusal::OutcomeUnknown;
+        }
+        if tries.tried.is_empty() {
+            return Refusal::NoTarget;
+        }
+        Refusal::NotTaken
+    }
+}
+
+fn candidate(key: TargetKey, target: &Target, domain: &str, now: Time) -> Candidate<TargetKey> {
+    Candidate {
+        key,
+        hash: placement::hash(&target.entry.id.0),
+        slots: target.entry.slots,
+        running: target.running.get(),
+        unread: target.unread.get(),
+        kept: false,
+        near: target.entry.domain == domain,
+        trouble: target.trouble.borrow().now(now),
+    }
+}
--- a/wisteriapass_gateway/src/exchange/quarantined.rs
+++ b/wisteriapass_gateway/src/exchange/quarantined.rs
@@ -4,8 +4,9 @@
 use tokio::time::timeout_at;
 use wisteriapass_coord::quarantine::{Fingerprint, Incarnation};
 
-use super::attempt::{Job, Tries};
+use super::attempt::Job;
 use super::plan::host;
+use super::tries::Tries;
 use crate::call::within;
 use crate::prelude::*;
 use crate::quarantine::Probed;
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -1,10 +1,10 @@
-//! How long a stopping router goes on taking callers.
+//! How long a stopping router goes on taking callers, which work, and when it gives up the rest.
 //!
 //! Answers a roll that stops one router after the other faster than each of them drains. A router
 //! that takes nobody while its longest streams end leaves its callers to routers that are stopping
-//! as well: with three routers stopped two seconds apart and drains of seven seconds nobody took
-//! connections for four, and 263 of 583 requests failed. So a stopping router goes on taking
-//! callers as long as they still come, but only work that ends before it is killed.
+//! as well, and for seconds nobody takes connections. So a stopping router goes on taking callers
+//! as long as they still come, but only work that is expected to end before it is killed; as what
+//! is expected may fail, targets and callers are told of the end in time.
 
 use crate::Time;
 
