A refusal of a body that is too large arrives

What is left of a body is read and thrown away for a second. Not changed: the gateway, which refuses before it reads a body, too.

--- a/wisteriapass_daemon/src/http/server.rs
+++ b/wisteriapass_daemon/src/http/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, timeout_at};
 
 use super::handlers::Handlers;
 use super::listener::Phase;
@@ -32,6 +33,9 @@
 /// Pause after a connection could not be taken, in milliseconds: descriptors come free meanwhile.
 const REFUSED_PAUSE_MS: u64 = 20;
 
+/// Longest time in which the rest of a body is read that nobody takes, in seconds.
+const DISCARD_S: u64 = 1;
+
 /// Pieces of a request's body read ahead of its handler.
 const BODY_AHEAD: usize = 4;
 
@@ -124,15 +128,20 @@
     let (pieces, body_rx) = flume::bounded(BODY_AHEAD);
     let (reply, mut answer) = oneshot::channel();
     handlers.hand_over(Request::new(head, body_rx, reply));
-    // What has not come of the body when its handler answers is not wanted any more.
+    let mut reading = Box::pin(read_ahead(body, pieces));
     let reply = tokio::select! {
-        reply = &mut answer => reply,
-        () = read_ahead(body, pieces) => answer.await,
+        reply = &mut answer => {
+            // A connection that closes with a body unread is reset, and the answer lost.
+            let until = Instant::now() + Duration::from_secs(DISCARD_S);
+            spawn_local(timeout_at(until, reading));
+            reply
+        }
+        () = &mut reading => answer.await,
     };
     reply.map_err(|_| stream_writer::Cut)
 }
 
-/// Reads a body as far as its handler takes it.
+/// Reads a body to its end, and hands on what its handler takes.
 async fn read_ahead(mut body: Incoming, pieces: Sender<BodyPiece>) {
     while let Some(frame) = body.frame().await {
         let piece: BodyPiece = match frame {
@@ -141,7 +150,9 @@
             Err(_) => Err(stream_writer::Cut),
         };
         let is_cut = piece.is_err();
-        if pieces.send_async(piece).await.is_err() || is_cut {
+        // A handler that has answered takes no more.
+        let _ = pieces.send_async(piece).await;
+        if is_cut {
             return;
         }
     }
--- a/wisteriapass_daemon/tests/listener.rs
+++ b/wisteriapass_daemon/tests/listener.rs
@@ -125,6 +125,30 @@
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
 }
 
+/// Size of a body that is refused by its stated length, in bytes.
+const LARGE: usize = 1 << 20;
+
+// Its connection was closed with the body unread, which resets it, and the refusal was lost.
+#[test]
+fn the_refusal_of_a_body_that_is_too_large_arrives() {
+    let listener = listen();
+    let addr = listener.address();
+    http::serve(&listener, "test", |req| {
+        let deadline = Instant::now() + Duration::from_secs(STUCK_S);
+        let refused = http::read_body(&req, 1_000, deadline).unwrap_err();
+        http::respond_json(req, 413, refused.to_string(), &[]);
+    });
+    let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {LARGE}\r\n\r\n");
+    for _ in 0..ROUNDS {
+        let mut caller = begin(addr, &head);
+        caller.write_all(&vec![b'x'; LARGE]).unwrap();
+        caller.shutdown(std::net::Shutdown::Write).unwrap();
+        let answer = end(caller);
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        assert!(answer.ends_with("send a smaller one"), "{answer}");
+    }
+}
+
 #[test]
 fn a_closed_listener_refuses_and_finishes_what_it_began() {
     let listener = listen();
