--- a/wisteriapass_coord/src/prepaid/pace.rs
+++ b/wisteriapass_coord/src/prepaid/pace.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers many routers that write one record over links of unequal speed. A write takes effect
 //! only if nobody wrote since its writer read; if all write as often as they like, those behind
-//! slow links never do (5,402 of 5,996 writes of 27 routers came too late). So each leaves the
-//! others their time, and the time between two exchanges grows with the routers.
+//! slow links never do. So each leaves the others their time, and the time between two exchanges
+//! grows with the routers.
 
 /// Shortest time between two exchanges, in milliseconds: requests that come meanwhile share one,
 /// and wait little beside the time in which an answer is on time.
