Policy: how many requests a cold target gets, over all routers

Cause: a target that has just started has the least under way, so all routers send to it at once, and nothing bounds the sum. A decision without I/O: a cold target has a few owners among the relays, by rendezvous hashing, and each owner a ration; all owners by one view use a third of what the target bears, which leaves room for two views of the relays and for requests that are held up.

--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod backlog;
 mod caution;
 mod choice;
+pub mod cold;
 mod config;
 mod decision;
 pub mod drain;
