Evacuated failure domains, cold targets, regions

A target of such a domain gets nothing new: placing, retries, resumed streams, and requests that wait for a connection. Targets are cold by their own word, or may be behind an evacuation, a silence, a new start or a refused connection; their owners send to them within their ration. Routes and accounts may name regions; where no target may serve, the request is refused before its body is read.

--- a/wisteriapass_bench/src/standin/users/target.rs
+++ b/wisteriapass_bench/src/standin/users/target.rs
@@ -105,8 +105,13 @@
 
     /// Returns its entry in the service.
     pub fn entry(&self, service: &str, state: &str) -> String {
+        self.entry_in("z", service, state, 0)
+    }
+
+    /// Returns its entry in a failure domain while it stays cold for `cold_ms`.
+    pub fn entry_in(&self, domain: &str, service: &str, state: &str, cold_ms: u64) -> String {
         format!(
-            r#"{{"service":"{service}","address":"{}","zone":"z","version":"v1","slots":4,"state":"{state}","cold_remaining_ms":0,"sequence":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{domain}","version":"v1","slots":4,"state":"{state}","cold_remaining_ms":{cold_ms},"sequence":1}}"#,
             self.shared.addr
         )
     }
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -2,8 +2,11 @@
 
 mod answers;
 mod changes;
+mod cold;
+mod evacuations;
 mod money;
 mod quarantine;
+mod regions;
 mod relays;
 mod slow_links;
 mod stops;
--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -4,7 +4,7 @@
 use wisteriapass_bench::link::{Link, LinkFaults};
 use wisteriapass_bench::standin::users::StoreFault;
 
-use crate::support::{KEY, Request, Router, Scene, configuration, is_relay, wait_for};
+use crate::support::{KEY, Request, Router, Scene, configuration, has_witness, is_relay, wait_for};
 
 /// Routers of a fleet that are relays at the least.
 const RELAYS: usize = 6;
@@ -27,7 +27,10 @@
 
 impl Relayed {
     fn start(prepaid: u64) -> Self {
-        let scene = Scene::new(prepaid);
+        Self::start_with(Scene::new(prepaid))
+    }
+
+    fn start_with(scene: Scene) -> Self {
         let link = |_| Link::start(scene.store.addr()).unwrap();
         let links: Vec<Link> = (0..RELAYS + FOLLOWERS).map(link).collect();
         let start = |n: usize| Router::ready_at(&format!("r{n}"), links[n].addr());
@@ -237,3 +240,32 @@
     assert!(fleet.ran() <= 60);
     assert!(fleet.ran() >= 52, "{} of 60 ran", fleet.ran());
 }
+
+#[test]
+fn an_evacuation_reaches_followers_and_relays_that_the_store_does_not_answer() {
+    let scene = Scene::new(1_000_000);
+    for (target, domain) in scene.plain.iter().zip(["north", "south"]) {
+        let entry = target.entry_in(domain, "plain", "ready", 0);
+        scene.store.put(&target.key(), entry);
+    }
+    let fleet = Relayed::start_with(scene);
+    let target = &fleet.scene.plain[0];
+    wait_for("relays that know each other", || {
+        has_witness(&fleet.scene.store, "r0")
+    });
+    // One relay hears of it by another one only.
+    fleet.links[0].set_faults(LinkFaults::silent());
+    fleet.scene.store.put("op/evacuate/north", "{}");
+    for router in fleet.relays.iter().chain(&fleet.followers) {
+        let mut n = 0;
+        wait_for("no work in the domain", || {
+            n += 1;
+            let before = target.seen().len();
+            for i in 0..20 {
+                let id = format!("e{}-{n}-{i}", router.port());
+                router.send(&Request::new(&id, "/safe/x"));
+            }
+            target.seen().len() == before
+        });
+    }
+}
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -78,7 +78,9 @@
             "node_name = \"{}\"\nzone = \"z\"\nip = \"127.0.0.1\"\n\
              internal_port_range = [{inner}, {inner}]\nnew_field = true\n\
              [listen]\nfrontend = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
+             [zones]\nz = \"here\"\nnorth = \"here\"\nfar = \"there\"\n\
              [bounds]\ngrace_period_s = 8\nretry_budget_ratio = 0.2\nretry_budget_slack = 100\n\
+             cold_overshoot = 1.5\ncold_slack = 5\n\
              [platform]\naddress = \"{}\"\n",
             self.name, self.store
         );
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use smallvec::SmallVec;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 use twox_hash::XxHash64;
@@ -22,6 +23,7 @@
     WitnessBook,
 };
 use wisteriapass_coord::relay::{Listed, Retirement, Roster};
+use wisteriapass_policy::placement::hash;
 
 use self::group::Group;
 use crate::call::Caller;
@@ -391,6 +393,17 @@
         self.listed(&self.groups[0].record.borrow())
     }
 
+    /// Returns the hashes of the relays' names by the record as of the last exchange; none unless
+    /// this router is one, as only then it is kept up to date.
+    pub(crate) fn relay_hashes(&self) -> SmallVec<[u64; 8]> {
+        if self.role.get() != Role::Relay {
+            return SmallVec::new();
+        }
+        let record = self.groups[0].record.borrow();
+        let relays = record.tenures().filter(|(_, t)| t.lends_at.is_some());
+        relays.map(|(id, _)| hash(&id.0)).collect()
+    }
+
     /// Takes over who else is a relay, by the record as of the last exchange.
     pub(crate) fn learn_relays(&self) {
         let relays = self.relays();
--- a/wisteriapass_gateway/src/catalogue.rs
+++ b/wisteriapass_gateway/src/catalogue.rs
@@ -20,6 +20,17 @@
     pub priority: Option<u8>,
     /// Total that may be consumed, in tokens; none is no bound.
     pub prepaid: Option<u64>,
+    /// Regions in which its requests may run; none named is no bound.
+    pub regions: Vec<String>,
+}
+
+/// What targets of a service bear when they have just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which a target is cold behind its start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests that a cold target bears in 1,000 s.
+    pub per_1000_s: u64,
 }
 
 /// A service.
@@ -31,6 +42,8 @@
     pub tokens_per_event: Option<u64>,
     /// Whether its targets are model engines.
     pub engine: bool,
+    /// What its targets bear while they are cold; none if they need no care.
+    pub cold: Option<ColdStart>,
 }
 
 /// What a caller may send, and how long it may stay idle.
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -118,6 +118,22 @@
         }
     }
 
+    /// Notes that a request is sent now.
+    fn note_sent(&self) {
+        let targets = self.gw.targets.borrow();
+        if let Some(t) = targets.get(self.target) {
+            t.sent.borrow_mut().note(self.gw.time());
+        }
+    }
+
+    /// Takes the target's word on how long it stays cold.
+    fn note_cold(&self, cold_ms: u64) {
+        let targets = self.gw.targets.borrow();
+        if let Some(t) = targets.get(self.target) {
+            t.set_cold(cold_ms, Instant::now());
+        }
+    }
+
     /// Notes that the target sent something.
     pub fn heard(&mut self) {
         let targets = self.gw.targets.borrow();
@@ -175,6 +191,7 @@
     if !may_go() {
         return Sent::Withheld;
     }
+    line.note_sent();
     let answer = match sender.try_send_request(request(out, headers)).await {
         Ok(answer) => answer,
         Err(mut e) => {
@@ -198,6 +215,9 @@
 fn read_head(gw: &Gateway, answer: Response<Incoming>, line: Line) -> Sent {
     let (parts, body) = answer.into_parts();
     let facts = gw.platform.answer_facts(&parts.headers);
+    if let Some(cold_ms) = facts.cold_ms {
+        line.note_cold(cold_ms);
+    }
     Sent::Answer(Box::new(Answer {
         status: parts.status,
         headers: parts.headers,
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -61,6 +61,7 @@
     facts: &RequestFacts,
     plan: &Plan,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    plan.check_targets(gw)?;
     if !plan.ends_in_time_somewhere(gw, facts, &[]) {
         return Err(Refusal::Stopping);
     }
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -130,7 +130,7 @@
         let Some(headers) = self.headers_for(place.key, last_event) else {
             return Sent::Unsent;
         };
-        let may_go = || self.banned_for_ms().is_none();
+        let may_go = || self.banned_for_ms().is_none() && self.gw.may_go(place.key, self.plan.cold);
         let sending = send(
             &self.gw,
             place.key,
@@ -314,6 +314,9 @@
             return;
         };
         target.trouble.borrow_mut().add(now, fault.weight());
+        if fault == Fault::NotSent {
+            target.suspect_restart(Instant::now());
+        }
         log::info!(
             target: "exchange",
             "Target failed it. request={} target={} fault={fault} running={} after_ms={} route={} \
--- a/wisteriapass_gateway/src/exchange/placing.rs
+++ b/wisteriapass_gateway/src/exchange/placing.rs
@@ -27,15 +27,20 @@
         let now = Instant::now();
         let time = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
-        let open = targets.open(&self.plan.service, now);
-        let untried = open.iter().filter(|(key, _)| !tries.tried.contains(key));
-        if untried.clone().next().is_none() {
+        let mut open = targets.open(&self.plan.service, now);
+        open.retain(|(key, t)| !tries.tried.contains(key) && self.plan.allows(&self.gw, t));
+        if open.is_empty() {
             return Err(self.unplaced(tries));
         }
+        open.retain(|(_, t)| self.gw.bears(t, self.plan.cold, now));
+        if open.is_empty() {
+            return Err(tries.cold());
+        }
         let ends_in_time = |target: &Target| self.plan.ends_in_time(&self.gw, &self.facts, target);
         let domain = &self.gw.settings.domain;
         let prompt = self.facts.prompt();
-        let candidates: SmallVec<[Candidate<TargetKey>; 32]> = untried
+        let candidates: SmallVec<[Candidate<TargetKey>; 32]> = open
+            .iter()
             .filter(|(_, target)| ends_in_time(target))
             .map(|(key, target)| Candidate {
                 kept: prompt
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -4,7 +4,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 
-use crate::catalogue::{Account, Catalogue, Limits};
+use crate::catalogue::{Account, Catalogue, ColdStart, Limits};
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
 
@@ -33,6 +33,8 @@
     pub priority: u8,
     /// Tokens in an event of the service's streams.
     pub tokens_per_event: u64,
+    /// What the service's targets bear while they are cold.
+    pub cold: Option<ColdStart>,
 }
 
 impl Plan {
@@ -57,11 +59,14 @@
             .remaining_ms
             .unwrap_or(route.timeout_ms)
             .min(route.timeout_ms);
+        let known = catalogue.service(&service);
         let of_account = account.as_ref().and_then(|a| a.priority);
         let body_ms = Duration::from_millis(catalogue.limits.header_ms) * BODY_TIMES;
         Ok(Self {
             priority: of_account.unwrap_or(route.priority),
-            tokens_per_event: tokens_per_event(&catalogue, &service),
+            // One that is not stated is taken for one token.
+            tokens_per_event: known.tokens_per_event.unwrap_or(1),
+            cold: known.cold,
             limits: catalogue.limits,
             arrived,
             // What waited on its way here counts: its caller does not wait longer for it.
@@ -78,6 +83,29 @@
         self.account.as_ref().map(|a| a.name.as_str())
     }
 
+    /// Returns whether route and account let it run in a target's region.
+    pub fn allows(&self, gw: &Gateway, target: &Target) -> bool {
+        let domain = &target.entry.domain;
+        let is_within = |regions: &[String]| gw.settings.is_within(domain, regions);
+        let of_account = self.account.as_ref().map_or(&[][..], |a| &a.regions);
+        is_within(&self.route.regions) && is_within(of_account)
+    }
+
+    /// Refuses it where no target may serve it, whatever becomes of it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoTarget`] or [`Refusal::NoRegion`].
+    pub fn check_targets(&self, gw: &Gateway) -> Result<(), Refusal> {
+        let targets = gw.targets.borrow();
+        let open = targets.open(&self.service, Instant::now());
+        if open.is_empty() {
+            return Err(Refusal::NoTarget);
+        }
+        let is_allowed = open.iter().any(|(_, t)| self.allows(gw, t));
+        is_allowed.then_some(()).ok_or(Refusal::NoRegion)
+    }
+
     /// Returns the milliseconds that a target has for it.
     pub fn remaining_ms(&self, gw: &Gateway) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -110,7 +138,7 @@
         }
         let targets = gw.targets.borrow();
         let mut open = targets.open(&self.service, Instant::now());
-        open.retain(|(key, _)| !tried.contains(key));
+        open.retain(|(key, t)| !tried.contains(key) && self.allows(gw, t));
         let mut ends = open.iter().map(|(_, t)| self.ends_in_time(gw, facts, t));
         open.is_empty() || ends.any(|in_time| in_time)
     }
@@ -130,11 +158,6 @@
     Ok(Some(account))
 }
 
-/// Returns the tokens in an event; one that is not stated is taken for one token.
-fn tokens_per_event(catalogue: &Catalogue, service: &str) -> u64 {
-    catalogue.service(service).tokens_per_event.unwrap_or(1)
-}
-
 /// Returns the host that a request names, in lower case and without a port.
 pub fn host(headers: &HeaderMap, uri: &Uri) -> String {
     let named = headers.get(HOST).and_then(|h| h.to_str().ok());
--- a/wisteriapass_gateway/src/exchange/tries.rs
+++ b/wisteriapass_gateway/src/exchange/tries.rs
@@ -45,6 +45,14 @@
         Refusal::Stopping
     }
 
+    /// Returns what to say when all targets that are left are cold.
+    pub(super) fn cold(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::OutcomeUnknown;
+        }
+        Refusal::Cold
+    }
+
     /// Returns what to say when it is sent to no other target.
     pub(super) fn given_up(&self) -> Refusal {
         if self.may_have_run {
--- a/wisteriapass_gateway/src/facts.rs
+++ b/wisteriapass_gateway/src/facts.rs
@@ -101,4 +101,6 @@
     pub is_framed: bool,
     /// Whether the body is encoded, which nobody asked for.
     pub encoded: bool,
+    /// Time for which the target stays cold, in milliseconds, if it says so.
+    pub cold_ms: Option<u64>,
 }
--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -138,6 +138,10 @@
                 }
             }
             gw.configurations.borrow_mut().follow(cursor);
+            let known = gw.evacuations.borrow();
+            let next = known.after(cursor.at, &feed.changes, is_whole);
+            drop(known);
+            gw.set_evacuations(next);
         }
         Topic::Targets => gw.take_targets(cursor, &feed.changes, is_whole),
     }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -5,12 +5,15 @@
 
 use tokio::sync::watch;
 use tokio::time::sleep_until;
+use wisteriapass_policy::cold::{Ration, is_owner};
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::placement::hash;
 use wisteriapass_policy::{ServiceTimes, Time, Work};
 
 use crate::bank::Bank;
 use crate::call::Caller;
-use crate::catalogue::{Catalogue, CatalogueChange};
+use crate::catalogue::{Catalogue, CatalogueChange, ColdStart};
+use crate::evacuations::Evacuations;
 use crate::metrics::Metrics;
 use crate::news::{ConfigurationLog, Cursor, TargetLog};
 use crate::platform::{Platform, Revised, Topic};
@@ -71,6 +74,8 @@
     pub(crate) configurations: RefCell<ConfigurationLog>,
     /// The targets' entries and when each changed.
     pub(crate) target_log: RefCell<TargetLog>,
+    /// The failure domains that are evacuated.
+    pub(crate) evacuations: RefCell<Evacuations>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
     retries: RefCell<HashMap<String, Retries>>,
     knows_targets: Cell<bool>,
@@ -99,6 +104,7 @@
             closing: watch::Sender::new(Closing::None),
             configurations: RefCell::default(),
             target_log: RefCell::default(),
+            evacuations: RefCell::default(),
             catalogue: RefCell::default(),
             retries: RefCell::default(),
             knows_targets: Cell::new(false),
@@ -163,6 +169,50 @@
         targets.sweep(now);
     }
 
+    /// Takes over which failure domains are evacuated, unless what is known is later.
+    pub(crate) fn set_evacuations(&self, next: Evacuations) {
+        let mut known = self.evacuations.borrow_mut();
+        if !next.is_later_than(&known) {
+            return;
+        }
+        let (before, after) = (known.domains(), next.domains());
+        for domain in after.difference(before) {
+            self.metrics.evacuated();
+            log::warn!(target: "targets", "Failure domain evacuated. domain={domain}");
+        }
+        for domain in before.difference(after) {
+            log::info!(target: "targets", "Failure domain back. domain={domain}");
+        }
+        let mut targets = self.targets.borrow_mut();
+        targets.set_evacuated(after, Instant::now());
+        *known = next;
+    }
+
+    /// Returns whether a target bears one more request of this router now; one that is cold has few
+    /// routers that send to it.
+    pub(crate) fn bears(&self, target: &Target, cold: Option<ColdStart>, now: Instant) -> bool {
+        let Some(cold) = cold.filter(|cold| target.is_cold(cold.start_ms, now)) else {
+            return true;
+        };
+        let bounds = &self.settings.bounds;
+        let per_s = cold.per_1000_s as f64 / 1_000.0;
+        let most_per_s = per_s * bounds.cold_overshoot + bounds.cold_slack;
+        let relays = self.bank.relay_hashes();
+        let ration = Ration::new(most_per_s, relays.len());
+        let me = hash(&self.settings.name);
+        let target_hash = hash(&target.entry.id.0);
+        let may_send = target.sent.borrow().may_send(self.time(), ration.each);
+        may_send && is_owner(target_hash, me, &relays, ration.owners)
+    }
+
+    /// Returns whether a request may go to a target now.
+    pub(crate) fn may_go(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
+        let now = Instant::now();
+        let targets = self.targets.borrow();
+        let target = targets.get(key);
+        target.is_some_and(|t| targets.takes_work(t, now) && self.bears(t, cold, now))
+    }
+
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let knows_all = self.knows_targets.get() && self.catalogue.borrow().is_some();
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalogue;
 mod clock;
 mod dispatch;
+mod evacuations;
 mod events;
 mod exchange;
 mod facts;
@@ -35,8 +36,9 @@
 mod targets;
 mod touch;
 
-pub use catalogue::{Account, Catalogue, CatalogueChange, Limits, Service};
+pub use catalogue::{Account, Catalogue, CatalogueChange, ColdStart, Limits, Service};
 pub use clock::Clock;
+pub use evacuations::Evacuations;
 pub use events::{Event, EventReader};
 pub use facts::{AnswerFacts, DispatchFacts, PrefixPart, RequestFacts, TokenWork};
 pub use gateway::Gateway;
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -121,6 +121,7 @@
     retries: Counter<u64>,
     broken: Counter<u64>,
     target_deaths: Counter<u64>,
+    evacuations: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
@@ -148,6 +149,7 @@
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken: meter.u64_counter("wisteriapass_broken_streams").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
+            evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
@@ -198,6 +200,11 @@
         self.target_deaths.add(1, &[]);
     }
 
+    /// Counts a failure domain that is evacuated.
+    pub fn evacuated(&self) {
+        self.evacuations.add(1, &[]);
+    }
+
     /// Returns all counters as text.
     pub fn text(&self) -> String {
         let families = self.registry.gather();
--- a/wisteriapass_gateway/src/news/target_log.rs
+++ b/wisteriapass_gateway/src/news/target_log.rs
@@ -65,7 +65,7 @@
             let (id, entry) = match &revised.change {
                 Change::Target(entry) => (&entry.id, Some(entry.clone())),
                 Change::Gone(id) | Change::Unusable(id) | Change::Missing(id, _) => (id, None),
-                Change::Configuration(_) => continue,
+                Change::Configuration(_) | Change::Evacuated(_) | Change::Restored(_) => continue,
             };
             self.note(id, revised.revision, entry);
         }
--- a/wisteriapass_gateway/src/platform.rs
+++ b/wisteriapass_gateway/src/platform.rs
@@ -43,7 +43,7 @@
 /// What a router follows.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Topic {
-    /// The configuration.
+    /// The configuration, and which failure domains are evacuated.
     #[display("configuration")]
     Configuration,
     /// The targets.
@@ -64,6 +64,10 @@
     Unusable(TargetId),
     /// An entry that is not there and may come back until then.
     Missing(TargetId, Instant),
+    /// A failure domain to whose targets nothing new goes.
+    Evacuated(String),
+    /// A failure domain that is not evacuated any more.
+    Restored(String),
 }
 
 impl Change {
@@ -72,7 +76,7 @@
         match self {
             Self::Target(entry) => Some(&entry.id),
             Self::Gone(id) | Self::Unusable(id) | Self::Missing(id, _) => Some(id),
-            Self::Configuration(_) => None,
+            Self::Configuration(_) | Self::Evacuated(_) | Self::Restored(_) => None,
         }
     }
 }
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -79,6 +79,9 @@
     let probed = open_anew(gw, key, entry.address).await;
     if probed == Probed::Gone {
         gw.metrics.target_died();
+        if let Some(target) = gw.targets.borrow().get(key) {
+            target.suspect_restart(Instant::now());
+        }
     }
     log::info!(target: "quarantine", "Connection broke. target={} found={probed}", entry.id);
     probed
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -36,6 +36,12 @@
     /// No target of the service is open.
     #[display("no_target")]
     NoTarget,
+    /// No region in which both route and account let it run has a target of the service.
+    #[display("no_region")]
+    NoRegion,
+    /// All targets that are left are cold and get no more from this router now.
+    #[display("cold")]
+    Cold,
     /// All targets are full.
     #[display("full")]
     Full,
@@ -75,6 +81,8 @@
             | Self::Stopping
             | Self::ShareShort { .. }
             | Self::NoTarget
+            | Self::NoRegion
+            | Self::Cold
             | Self::Full
             | Self::Quarantined { .. }
             | Self::NotTaken
@@ -91,6 +99,8 @@
             Self::NotConfigured => Some(1_000),
             Self::ShareShort { back_ms } | Self::Quarantined { back_ms } => Some(back_ms),
             Self::NoTarget => Some(1_000),
+            // Another router may send to them, and in a second this one.
+            Self::Cold => Some(400),
             // Another router takes it at once.
             Self::Stopping => Some(100),
             // The time of a few short requests at a full target.
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -3,6 +3,7 @@
 //! A follower asks its relay for news some times a second and for grants as it needs them; it calls
 //! the key-value service just to find relays. A relay follows the service and writes shares.
 
+mod evacuations;
 mod follower;
 mod messages;
 mod quarantine;
@@ -10,6 +11,7 @@
 mod role;
 mod service;
 
+pub use evacuations::keep_evacuations;
 pub use quarantine::keep_quarantine;
 pub use role::keep_role;
 pub use service::answer_calls;
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -115,6 +115,7 @@
     let mut log = gw.configurations.borrow_mut();
     log.follow(answer.configuration_cursor);
     drop(log);
+    gw.set_evacuations(answer.evacuations);
     if let Some(news) = answer.targets {
         take_targets(gw, news);
     }
--- a/wisteriapass_gateway/src/relays/messages.rs
+++ b/wisteriapass_gateway/src/relays/messages.rs
@@ -9,6 +9,7 @@
 use wisteriapass_coord::relay::Listed;
 
 use crate::catalogue::CatalogueChange;
+use crate::evacuations::Evacuations;
 use crate::news::{Cursor, TargetsNews};
 use crate::quarantine::QuarantineCall;
 
@@ -52,6 +53,8 @@
     pub configuration: Vec<Rc<CatalogueChange>>,
     /// From where to go on following the configuration at the service.
     pub configuration_cursor: Cursor,
+    /// Failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// Changes of the targets.
     pub targets: Option<TargetsNews>,
     /// Requests that crash targets.
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -31,6 +31,7 @@
         relays: listed.map(Into::into).collect(),
         configuration: log.since(call.version),
         configuration_cursor: log.cursor(),
+        evacuations: gw.evacuations.borrow().clone(),
         targets: gw.target_log.borrow().since(call.targets_at, now, missing),
         quarantine: gw.quarantine.answer(&call.quarantine),
     }
--- a/wisteriapass_gateway/src/relays/service.rs
+++ b/wisteriapass_gateway/src/relays/service.rs
@@ -2,6 +2,7 @@
 
 use tokio::net::TcpListener;
 
+use super::evacuations::EVACUATIONS;
 use super::messages::NEWS;
 use super::quarantine::QUARANTINE;
 use crate::bank::{GRANT, INQUIRY, LEND, REPORT, Role};
@@ -29,6 +30,7 @@
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&gw.quarantine.answer(&call)).ok()
         }
+        EVACUATIONS => postcard::to_stdvec(&*gw.evacuations.borrow()).ok(),
         _ if gw.bank.role() == Role::Follower => None,
         NEWS => {
             let call = postcard::from_bytes(message).ok()?;
--- a/wisteriapass_gateway/src/route.rs
+++ b/wisteriapass_gateway/src/route.rs
@@ -62,6 +62,8 @@
     pub priority: u8,
     /// Whether it serves callers without an account.
     pub public: bool,
+    /// Regions in which its requests may run; none named is no bound.
+    pub regions: Vec<String>,
 }
 
 impl Route {
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -12,7 +12,7 @@
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
 use crate::prelude::*;
-use crate::relays::{answer_calls, keep_quarantine, keep_role};
+use crate::relays::{answer_calls, keep_evacuations, keep_quarantine, keep_role};
 use crate::settings::GatewaySettings;
 
 /// Time before the kill at which the process ends in any case, in milliseconds.
@@ -62,6 +62,7 @@
     spawn_local(serve_callers(gw.clone(), callers, open.clone()));
     spawn_local(gw.bank.clone().keep_credit());
     spawn_local(keep_quarantine(gw.clone()));
+    spawn_local(keep_evacuations(gw.clone()));
     let role = spawn_local(keep_role(gw.clone()));
     let stamp = gw.clock.stamp();
     log::info!(
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a router process is told at its start.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Bounds that the platform's operators set.
@@ -13,6 +14,10 @@
     pub retry_slack: f64,
     /// Length of that window, in milliseconds.
     pub retry_window_ms: u64,
+    /// What a cold target gets at most, as a multiple of what it bears.
+    pub cold_overshoot: f64,
+    /// Requests a second that it may get beside that.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -23,6 +28,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window_ms: 10_000,
+            cold_overshoot: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
@@ -58,6 +65,8 @@
     pub name: String,
     /// Failure domain.
     pub domain: String,
+    /// Regions of the failure domains.
+    pub regions: BTreeMap<String, String>,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address where readiness is asked for.
@@ -69,3 +78,11 @@
     /// Bounds.
     pub bounds: Bounds,
 }
+
+impl GatewaySettings {
+    /// Returns whether a failure domain lies in one of some regions; none named is any.
+    pub fn is_within(&self, domain: &str, regions: &[String]) -> bool {
+        let region = self.regions.get(domain);
+        regions.is_empty() || region.is_some_and(|region| regions.contains(region))
+    }
+}
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -2,17 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use tokio::time::Instant;
 use wisteriapass_policy::ServiceTimes;
+use wisteriapass_policy::cold::SendLog;
 use wisteriapass_policy::placement::Trouble;
 
 use crate::kept_parts::KeptParts;
 use crate::pool::Pool;
 
+/// Longest time for which a target is taken for cold by one word of it, in milliseconds.
+const MOST_COLD_MS: u64 = 60_000;
+
 new_key_type! {
     /// Names a target in the arena.
     pub struct TargetKey;
@@ -42,6 +47,8 @@
     pub leaving: bool,
     /// Unix milliseconds of its start, if it tells.
     pub born: Option<u64>,
+    /// Time for which it stays cold, in milliseconds from when it said so.
+    pub cold_ms: u64,
 }
 
 /// Whether a target may get new work.
@@ -76,12 +83,19 @@
     pub kept: RefCell<KeptParts>,
     /// Idle connections.
     pub pool: RefCell<Pool>,
+    /// When this router sent its last requests there.
+    pub sent: RefCell<SendLog>,
+    /// Until when it is cold, by its own word.
+    cold_until: Cell<Instant>,
+    /// Since when it may be cold without having said so.
+    restarted_at: Cell<Option<Instant>>,
 }
 
 impl Target {
     /// Creates a target that is open unless its entry says that it leaves.
     pub fn new(entry: TargetEntry, now: Instant) -> Self {
         let standing = standing(&entry);
+        let cold_until = cold_until(&entry, now);
         Self {
             entry,
             standing,
@@ -92,15 +106,40 @@
             times: RefCell::default(),
             kept: RefCell::default(),
             pool: RefCell::default(),
+            sent: RefCell::default(),
+            cold_until: Cell::new(cold_until),
+            restarted_at: Cell::new(None),
         }
     }
 
     /// Takes a newer entry of the same start of the target in.
-    pub fn set_entry(&mut self, entry: TargetEntry) {
+    pub fn set_entry(&mut self, entry: TargetEntry, now: Instant) {
+        if self.standing != Standing::Open {
+            self.suspect_restart(now);
+        }
         self.standing = standing(&entry);
+        self.cold_until.set(cold_until(&entry, now));
         self.entry = entry;
     }
 
+    /// Notes that it may have become cold without a word of it.
+    pub fn suspect_restart(&self, now: Instant) {
+        self.restarted_at.set(Some(now));
+    }
+
+    /// Notes its word that it stays cold for this long.
+    pub fn set_cold(&self, cold_ms: u64, now: Instant) {
+        self.cold_until
+            .set(now + Duration::from_millis(cold_ms.min(MOST_COLD_MS)));
+    }
+
+    /// Returns whether it is cold, or may be, where targets are for `start_ms` after a start.
+    pub fn is_cold(&self, start_ms: u64, now: Instant) -> bool {
+        let restarted = self.restarted_at.get();
+        let may_be = restarted.is_some_and(|at| now < at + Duration::from_millis(start_ms));
+        may_be || now < self.cold_until.get()
+    }
+
     /// Returns whether it may get new work at `now`.
     pub fn is_open(&self, now: Instant) -> bool {
         match self.standing {
@@ -117,6 +156,10 @@
     }
 }
 
+fn cold_until(entry: &TargetEntry, now: Instant) -> Instant {
+    now + Duration::from_millis(entry.cold_ms.min(MOST_COLD_MS))
+}
+
 fn standing(entry: &TargetEntry) -> Standing {
     if entry.leaving {
         return Standing::Closed;
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this router knows, by service.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -20,6 +20,10 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     ids: HashMap<TargetId, TargetKey>,
+    /// Failure domains to whose targets nothing new goes.
+    evacuated: BTreeSet<String>,
+    /// Whether a whole state was taken in.
+    is_complete: bool,
 }
 
 impl Targets {
@@ -30,10 +34,25 @@
 
     /// Returns the targets of a service that may get new work.
     pub fn open(&self, service: &str, now: Instant) -> SmallVec<[(TargetKey, &Target); 32]> {
-        let fits = |t: &Target| t.entry.service == service && t.is_open(now);
+        let fits = |t: &Target| t.entry.service == service && self.takes_work(t, now);
         self.arena.iter().filter(|(_, t)| fits(t)).collect()
     }
 
+    /// Returns whether a target may get new work.
+    pub fn takes_work(&self, target: &Target, now: Instant) -> bool {
+        target.is_open(now) && !self.evacuated.contains(&target.entry.domain)
+    }
+
+    /// Sets which failure domains are evacuated; targets of one that is not any more may be cold.
+    pub fn set_evacuated(&mut self, evacuated: &BTreeSet<String>, now: Instant) {
+        let before = std::mem::replace(&mut self.evacuated, evacuated.clone());
+        let is_restored = |t: &Target| {
+            before.contains(&t.entry.domain) && !self.evacuated.contains(&t.entry.domain)
+        };
+        let restored = self.arena.values().filter(|t| is_restored(t));
+        restored.for_each(|t| t.suspect_restart(now));
+    }
+
     /// Takes a change in; entries that go within `LAPSE_MS` of `regained` may come back.
     pub fn apply(&mut self, change: &Change, now: Instant, regained: Option<Instant>) {
         match change {
@@ -44,7 +63,7 @@
                 self.close(id);
             }
             Change::Missing(id, until) => self.miss(id, *until),
-            Change::Configuration(_) => {}
+            Change::Configuration(_) | Change::Evacuated(_) | Change::Restored(_) => {}
         }
     }
 
@@ -73,6 +92,7 @@
         for change in changes {
             self.apply(change, now, regained);
         }
+        self.is_complete = true;
     }
 
     /// Forgets targets that are closed and have nothing of this router under way.
@@ -86,7 +106,7 @@
         let known = self.ids.get(&entry.id).copied();
         if let Some(target) = known.and_then(|key| self.arena.get_mut(key)) {
             if !target.is_other(entry) {
-                target.set_entry(entry.clone());
+                target.set_entry(entry.clone(), now);
                 return;
             }
             log::info!(target: "targets", "Target started anew. target={}", entry.id);
@@ -97,7 +117,11 @@
             "Target known. target={} service={} address={} leaving={}",
             entry.id, entry.service, entry.address, entry.leaving
         );
-        let key = self.arena.insert(Target::new(entry.clone(), now));
+        let target = Target::new(entry.clone(), now);
+        if self.is_complete {
+            target.suspect_restart(now);
+        }
+        let key = self.arena.insert(target);
         self.ids.insert(entry.id.clone(), key);
     }
 
--- /dev/null
+++ b/wisteriapass_gateway/tests/evacuations.rs
@@ -0,0 +1,162 @@
+//! Which failure domains are evacuated, and what that means for their targets.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wisteriapass_gateway::{Change, Evacuations, Revised, TargetEntry, TargetId, Targets};
+
+const SERVICE: &str = "s";
+
+/// Time for which targets are cold behind a start, in milliseconds.
+const START_MS: u64 = 3_000;
+
+fn evacuated(revision: u64, domain: &str) -> Revised {
+    Revised {
+        revision,
+        change: Change::Evacuated(domain.into()),
+    }
+}
+
+fn restored(revision: u64, domain: &str) -> Revised {
+    Revised {
+        revision,
+        change: Change::Restored(domain.into()),
+    }
+}
+
+fn domains(evacuations: &Evacuations) -> Vec<&str> {
+    evacuations.domains().iter().map(String::as_str).collect()
+}
+
+fn entry(id: &str, domain: &str) -> TargetEntry {
+    TargetEntry {
+        id: TargetId(id.into()),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: domain.into(),
+        slots: 4,
+        leaving: false,
+        born: None,
+        cold_ms: 0,
+    }
+}
+
+fn open(targets: &Targets, now: Instant) -> Vec<String> {
+    let open = targets.open(SERVICE, now);
+    let mut names: Vec<String> = open.iter().map(|(_, t)| t.entry.id.0.clone()).collect();
+    names.sort();
+    names
+}
+
+fn is_cold(targets: &Targets, id: &str, now: Instant) -> bool {
+    let open = targets.open(SERVICE, now);
+    let target = open.iter().find(|(_, t)| t.entry.id.0 == id);
+    target.is_some_and(|(_, t)| t.is_cold(START_MS, now))
+}
+
+fn later(now: Instant, ms: u64) -> Instant {
+    now + Duration::from_millis(ms)
+}
+
+fn two_domains(now: Instant) -> Targets {
+    let mut targets = Targets::default();
+    let changes = [
+        Change::Target(entry("a", "x")),
+        Change::Target(entry("b", "y")),
+    ];
+    targets.replace(changes.iter(), now, None);
+    targets
+}
+
+#[test]
+fn domains_are_evacuated_taken_back_and_ordered_again() {
+    let state = Evacuations::default().after(5, &[evacuated(3, "x"), evacuated(5, "y")], false);
+    assert_eq!(domains(&state), ["x", "y"]);
+    let state = state.after(7, &[restored(7, "x")], false);
+    assert_eq!(domains(&state), ["y"]);
+    let state = state.after(9, &[restored(8, "y"), evacuated(9, "x")], false);
+    assert_eq!(domains(&state), ["x"]);
+}
+
+#[test]
+fn a_whole_state_takes_back_what_it_does_not_name() {
+    let state = Evacuations::default().after(5, &[evacuated(5, "x")], false);
+    let state = state.after(20, &[evacuated(12, "y")], true);
+    assert_eq!(domains(&state), ["y"]);
+}
+
+#[test]
+fn an_older_state_is_not_taken_over() {
+    let old = Evacuations::default().after(5, &[evacuated(5, "x")], false);
+    let new = old.after(6, &[restored(6, "x")], false);
+    assert!(new.is_later_than(&old));
+    assert!(!old.is_later_than(&new) && !new.is_later_than(&new));
+}
+
+#[test]
+fn changes_that_come_again_lead_to_the_same_state() {
+    let changes = [evacuated(5, "x"), restored(6, "x"), evacuated(8, "y")];
+    let state = Evacuations::default().after(8, &changes, false);
+    assert_eq!(state.after(9, &changes, false).domains(), state.domains());
+}
+
+#[test]
+fn a_target_of_an_evacuated_domain_gets_no_new_work() {
+    let now = Instant::now();
+    let mut targets = two_domains(now);
+    let state = Evacuations::default().after(1, &[evacuated(1, "x")], false);
+    targets.set_evacuated(state.domains(), now);
+    assert_eq!(open(&targets, now), ["b"]);
+    // Nor does one that comes later.
+    targets.apply(&Change::Target(entry("c", "x")), now, None);
+    assert_eq!(open(&targets, now), ["b"]);
+    let state = state.after(2, &[evacuated(2, "y")], false);
+    targets.set_evacuated(state.domains(), now);
+    assert!(open(&targets, now).is_empty());
+    targets.set_evacuated(Evacuations::default().domains(), now);
+    assert_eq!(open(&targets, now), ["a", "b", "c"]);
+}
+
+#[test]
+fn targets_may_be_cold_behind_an_evacuation() {
+    let now = Instant::now();
+    let mut targets = two_domains(now);
+    assert!(!is_cold(&targets, "a", now));
+    let state = Evacuations::default().after(1, &[evacuated(1, "x")], false);
+    targets.set_evacuated(state.domains(), now);
+    let back = later(now, 9_000);
+    targets.set_evacuated(Evacuations::default().domains(), back);
+    assert!(is_cold(&targets, "a", later(back, START_MS - 1)));
+    assert!(!is_cold(&targets, "a", later(back, START_MS)));
+    assert!(!is_cold(&targets, "b", back));
+}
+
+#[test]
+fn a_target_is_cold_by_its_own_word() {
+    let now = Instant::now();
+    let mut targets = two_domains(now);
+    let says = |cold_ms| {
+        Change::Target(TargetEntry {
+            cold_ms,
+            ..entry("a", "x")
+        })
+    };
+    targets.apply(&says(2_000), now, None);
+    assert!(is_cold(&targets, "a", later(now, 1_999)));
+    assert!(!is_cold(&targets, "a", later(now, 2_000)));
+    targets.apply(&says(0), later(now, 1_000), None);
+    assert!(!is_cold(&targets, "a", later(now, 1_000)));
+}
+
+#[test]
+fn a_target_that_comes_back_from_silence_or_starts_anew_may_be_cold() {
+    let now = Instant::now();
+    let mut targets = two_domains(now);
+    targets.apply(&Change::Gone(TargetId("a".into())), now, None);
+    let back = later(now, 4_000);
+    targets.apply(&Change::Target(entry("a", "x")), back, None);
+    assert!(is_cold(&targets, "a", back));
+    targets.apply(&Change::Target(entry("new", "x")), back, None);
+    assert!(is_cold(&targets, "new", later(back, START_MS - 1)));
+    assert!(!is_cold(&targets, "new", later(back, START_MS)));
+}
--- a/wisteriapass_gateway/tests/news.rs
+++ b/wisteriapass_gateway/tests/news.rs
@@ -26,6 +26,7 @@
         attempts: 1,
         priority: 1,
         public: false,
+        regions: Vec::new(),
     }
 }
 
@@ -41,6 +42,7 @@
             name: format!("a{n}"),
             priority: None,
             prepaid: Some(u64::from(draws[0].1)),
+            regions: Vec::new(),
         };
         next = next.with_account(account, vec![format!("key-{n}-{}", draws[0].0 % 2)]);
         next = next.with_service(format!("s{n}"), Service::default());
@@ -112,6 +114,7 @@
         slots,
         leaving: false,
         born: Some(1),
+        cold_ms: 0,
     }
 }
 
--- a/wisteriapass_gateway/tests/retries.rs
+++ b/wisteriapass_gateway/tests/retries.rs
@@ -11,6 +11,8 @@
     retry_ratio: 0.2,
     retry_slack: 50.0,
     retry_window_ms: 10_000,
+    cold_overshoot: 1.0,
+    cold_slack: 0.0,
 };
 
 /// Plays requests that all want a repeat; returns the times of requests and of repeats.
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -16,6 +16,7 @@
         slots: 4,
         leaving: false,
         born: Some(1),
+        cold_ms: 0,
     }
 }
 
