A failure domain is evacuated in the product's own deployment

`wisteriapass evacuate DOMAIN` and `--back` are edits of the inventory: the domain's targets are emptied as by a drain, and single drains beside it stay.

--- a/extra/completions/wisteriapass.bash
+++ b/extra/completions/wisteriapass.bash
@@ -2,7 +2,7 @@
 
 _wisteriapass() {
     local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD-1]} command="" word
-    local commands="check diff apply show topup drain undrain digest export explain"
+    local commands="check diff apply show topup drain undrain evacuate digest export explain"
     for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
         if [[ " $commands " == *" $word "* ]]; then
             command=$word
@@ -21,6 +21,7 @@
         show) words="targets budgets grants refusals retries revision --help --inventory" ;;
         topup) words="--help --id" ;;
         drain | undrain) words="--help --op" ;;
+        evacuate) words="--help --back --op" ;;
         digest | export | explain) words="--help" ;;
     esac
     mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
--- a/extra/completions/wisteriapass.fish
+++ b/extra/completions/wisteriapass.fish
@@ -1,6 +1,6 @@
 # Completions of wisteriapass for fish.
 
-set -l commands check diff apply show topup drain undrain digest export explain
+set -l commands check diff apply show topup drain undrain evacuate digest export explain
 set -l none "not __fish_seen_subcommand_from $commands"
 
 complete -c wisteriapass -f
@@ -14,12 +14,14 @@
 complete -c wisteriapass -n $none -a topup -d "add prepaid tokens to a budget"
 complete -c wisteriapass -n $none -a drain -d "give a target or VM no new work"
 complete -c wisteriapass -n $none -a undrain -d "give a target or VM work again"
+complete -c wisteriapass -n $none -a evacuate -d "give no target of a failure domain new work"
+complete -c wisteriapass -n "__fish_seen_subcommand_from evacuate" -l back -d "give its targets work again"
 complete -c wisteriapass -n $none -a digest -d "print the digest of a key"
 complete -c wisteriapass -n $none -a export -d "write the configuration to files"
 complete -c wisteriapass -n $none -a explain -d "say what became of a request"
 complete -c wisteriapass -n "__fish_seen_subcommand_from check diff apply export explain" -F
 complete -c wisteriapass -n "__fish_seen_subcommand_from apply" -l from -x -d "revision edited from"
-complete -c wisteriapass -n "__fish_seen_subcommand_from apply drain undrain" -l op -x -d "operation id"
+complete -c wisteriapass -n "__fish_seen_subcommand_from apply drain undrain evacuate" -l op -x -d "operation id"
 complete -c wisteriapass -n "__fish_seen_subcommand_from topup" -l id -x -d "id of the top-up"
 complete -c wisteriapass -n "__fish_seen_subcommand_from show" -l inventory -r -F -d "inventory file"
 complete -c wisteriapass -n "__fish_seen_subcommand_from show" \
--- a/wisteriapass/src/args.rs
+++ b/wisteriapass/src/args.rs
@@ -47,6 +47,9 @@
     /// Take a target or VM back into service.
     #[options(help = "give a target, or all targets of a VM, work again")]
     Undrain(Named),
+    /// Empty a failure domain.
+    #[options(help = "give no target of a failure domain new work, or take it back with --back")]
+    Evacuate(Evacuate),
     /// Make a key digest.
     #[options(help = "print the digest of the key on standard input")]
     Digest(Digest),
@@ -155,6 +158,23 @@
     pub op: Option<String>,
 }
 
+/// A failure domain to empty, or to take back.
+#[derive(Clone, Debug, Options)]
+pub struct Evacuate {
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of a failure domain.
+    #[options(free, required, help = "name of a failure domain")]
+    pub domain: String,
+    /// Whether its targets get work again.
+    #[options(no_short, help = "give its targets work again")]
+    pub back: bool,
+    /// Operation id, to repeat an edit whose answer was lost.
+    #[options(no_short, help = "operation id, to repeat an edit safely", meta = "ID")]
+    pub op: Option<String>,
+}
+
 /// Options of `digest`.
 #[derive(Clone, Debug, Options)]
 pub struct Digest {
--- a/wisteriapass/src/commands.rs
+++ b/wisteriapass/src/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod digest;
 mod drain;
+mod evacuate;
 mod explain;
 mod export;
 mod files;
@@ -29,6 +30,7 @@
         Command::Topup(opts) => topup::topup(cx, opts),
         Command::Drain(opts) => drain::drain(cx, opts, true),
         Command::Undrain(opts) => drain::drain(cx, opts, false),
+        Command::Evacuate(opts) => evacuate::evacuate(cx, opts),
         Command::Digest(_) => digest::digest(cx),
         Command::Export(opts) => export::export(cx, opts),
         Command::Explain(opts) => explain::explain(cx, opts),
--- /dev/null
+++ b/wisteriapass/src/commands/evacuate.rs
@@ -0,0 +1,36 @@
+//! `evacuate`: whether the targets of a failure domain get new work.
+
+use error_stack::Report;
+use wisteriapass_config::Document;
+
+use crate::args::Evacuate;
+use crate::commands::apply;
+use crate::{Context, Exit, Result, ToolError, edit};
+
+/// What to do when no failure domain has the name that was given.
+const REMEDY: &str = "see the [[failure_domain]] entries of `export`";
+
+/// Evacuates a failure domain, or takes it back.
+pub(super) fn evacuate(cx: &mut Context<'_>, opts: &Evacuate) -> Result<Exit> {
+    let change = |document: &mut Document| set_evacuated(document, &opts.domain, !opts.back);
+    let applied = edit::amend(cx.store()?, opts.op.as_deref(), change)?;
+    apply::print(cx, &applied)?;
+    Ok(Exit::Done)
+}
+
+/// Edits the inventory and returns whether anything changed.
+fn set_evacuated(document: &mut Document, name: &str, evacuated: bool) -> Result<bool> {
+    if document.revision == 0 {
+        return Err(Report::new(ToolError::Nothing));
+    }
+    let mut domains = document.inventory.failure_domain.iter_mut();
+    let Some(domain) = domains.find(|d| d.name == name) else {
+        return Err(Report::new(ToolError::NoSuch {
+            what: "failure domain",
+            name: name.into(),
+            remedy: REMEDY,
+        }));
+    };
+    let before = std::mem::replace(&mut domain.evacuated, evacuated);
+    Ok(before != evacuated)
+}
--- a/wisteriapass/src/commands/show/targets.rs
+++ b/wisteriapass/src/commands/show/targets.rs
@@ -36,12 +36,12 @@
 }
 
 impl Row {
-    fn new(target: &Target, answer: &Result<Status, CallError>) -> Self {
+    fn new(target: &Target, draining: bool, answer: &Result<Status, CallError>) -> Self {
         let status = answer.as_ref().ok().filter(|s| s.name == target.name);
         let state = match status {
             None => State::NoAnswer,
             Some(s) if s.stopping => State::Stopping,
-            Some(_) if target.draining => State::Draining,
+            Some(_) if draining => State::Draining,
             Some(_) => State::InService,
         };
         let models = target.model.iter().map(|m| m.name.clone());
@@ -54,7 +54,7 @@
             offers: models.chain(target.services.iter().cloned()).collect(),
             slots: target.slots,
             working: status.map(|s| s.working),
-            draining: target.draining,
+            draining,
             state,
         }
     }
@@ -92,7 +92,9 @@
     let control = cx.control;
     let answers = fleet::ask_all(&sides, |p| control.status(p.control));
     let pairs = targets.iter().zip(&answers);
-    let rows: Vec<Row> = pairs.map(|(t, a)| Row::new(t, a)).collect();
+    let rows: Vec<Row> = pairs
+        .map(|(t, a)| Row::new(t, known.inventory.is_emptied(t), a))
+        .collect();
     let mut table = Table::new([
         "TARGET", "KIND", "VM", "DOMAIN", "SIDE", "OFFERS", "SLOTS", "WORKING", "STATE",
     ]);
--- a/wisteriapass/tests/edits.rs
+++ b/wisteriapass/tests/edits.rs
@@ -151,6 +151,34 @@
     assert!(current.inventory.target.iter().all(|t| !t.draining));
 }
 
+#[test]
+fn a_domain_is_evacuated_and_taken_back_and_single_drains_stay() {
+    let store = MemoryStore::new();
+    seed(&store);
+    let emptied = || {
+        let inventory = edit::current(&store).unwrap().inventory;
+        let targets = inventory.target.iter();
+        let emptied = targets.filter(|t| inventory.is_emptied(t));
+        emptied.map(|t| t.name.clone()).collect::<Vec<_>>()
+    };
+    json(&store, &["drain", "lm-b1"]);
+    let domain = document()
+        .inventory
+        .target_named("lm-a1")
+        .unwrap()
+        .failure_domain
+        .clone();
+    let (exit, said) = json(&store, &["evacuate", &domain]);
+    assert_eq!(exit, Exit::Done);
+    assert_eq!(said["changes"].as_array().unwrap().len(), 1);
+    assert!(emptied().contains(&"lm-a1".to_owned()) && emptied().contains(&"lm-b1".to_owned()));
+    json(&store, &["evacuate", &domain, "--back"]);
+    assert_eq!(emptied(), ["lm-b1"]);
+    let (exit, said) = json(&store, &["evacuate", "nowhere"]);
+    assert_eq!(exit, Exit::Refused);
+    assert!(said["error"].as_str().unwrap().contains("nowhere"));
+}
+
 #[test]
 fn an_empty_inventory_is_refused() {
     let store = MemoryStore::new();
--- a/wisteriapass/tests/extra.rs
+++ b/wisteriapass/tests/extra.rs
@@ -40,7 +40,7 @@
 #[test]
 fn every_command_is_in_man_page_and_completions() {
     let commands = commands();
-    assert_eq!(commands.len(), 10);
+    assert_eq!(commands.len(), 11);
     for file in FILES {
         let text = read(file);
         for command in &commands {
--- a/wisteriapass_bench/src/fleet/plan.rs
+++ b/wisteriapass_bench/src/fleet/plan.rs
@@ -133,6 +133,7 @@
             .map(|n| FailureDomain {
                 name: domain(n),
                 region: REGION.into(),
+                evacuated: false,
             })
             .collect();
         let router = (0..self.routers)
--- a/wisteriapass_config/examples/size.rs
+++ b/wisteriapass_config/examples/size.rs
@@ -102,6 +102,7 @@
     FailureDomain {
         name: format!("region-{}-{n}", n % 7),
         region: format!("region-{}", n % 7),
+        evacuated: false,
     }
 }
 
--- a/wisteriapass_config/src/inventory.rs
+++ b/wisteriapass_config/src/inventory.rs
@@ -27,6 +27,9 @@
     pub name: String,
     /// Region the failure domain lies in.
     pub region: String,
+    /// Whether operators want it emptied: none of its targets gets new work.
+    #[serde(default)]
+    pub evacuated: bool,
 }
 
 /// A router on an entry VM.
@@ -133,6 +136,13 @@
         Ok(inventory)
     }
 
+    /// Returns whether operators want a target emptied, alone or with its failure domain.
+    pub fn is_emptied(&self, target: &Target) -> bool {
+        let mut domains = self.failure_domain.iter();
+        let domain = domains.find(|d| d.name == target.failure_domain);
+        target.draining || domain.is_some_and(|d| d.evacuated)
+    }
+
     /// Returns the target of this name.
     pub fn target_named(&self, name: &str) -> Option<&Target> {
         self.target.iter().find(|t| t.name == name)
--- a/wisteriapass_config/src/notice.rs
+++ b/wisteriapass_config/src/notice.rs
@@ -12,7 +12,7 @@
     let inventory = &document.inventory;
     let mut notes = BTreeSet::new();
     for (offer, targets) in offers(inventory) {
-        notes.extend(all_draining(offer, &targets));
+        notes.extend(all_draining(inventory, offer, &targets));
         notes.extend(one_domain(inventory, offer, &targets));
     }
     for account in &document.rules.account {
@@ -33,9 +33,9 @@
     offers
 }
 
-fn all_draining(offer: &str, targets: &[&Target]) -> Option<Note> {
+fn all_draining(inventory: &Inventory, offer: &str, targets: &[&Target]) -> Option<Note> {
     let offer = offer.into();
-    let is_gone = targets.iter().all(|t| t.draining);
+    let is_gone = targets.iter().all(|t| inventory.is_emptied(t));
     is_gone.then_some(Note::AllDraining { offer })
 }
 
--- a/wisteriapass_config/tests/document.rs
+++ b/wisteriapass_config/tests/document.rs
@@ -50,6 +50,7 @@
     let domain = |n| FailureDomain {
         name: format!("d{n}"),
         region: "r".into(),
+        evacuated: false,
     };
     (0..3).map(domain).collect()
 }
--- a/wisteriapass_daemon/src/fleet/service.rs
+++ b/wisteriapass_daemon/src/fleet/service.rs
@@ -269,7 +269,7 @@
         let own = self.announcement();
         let document = self.config.document();
         let planned = document.inventory.target_named(&own.name);
-        if planned.is_some_and(|t| t.draining) {
+        if planned.is_some_and(|t| document.inventory.is_emptied(t)) {
             return Some(LeavingCause::Inventory);
         }
         self.state
@@ -304,7 +304,7 @@
     });
     let targets = document.inventory.target.iter().map(|t| Planned {
         name: &t.name,
-        draining: t.draining,
+        draining: document.inventory.is_emptied(t),
     });
     routers.chain(targets)
 }
--- a/wisteriapass_daemon/src/router/scheduling.rs
+++ b/wisteriapass_daemon/src/router/scheduling.rs
@@ -79,7 +79,11 @@
             .target
             .iter()
             .map(|t| {
-                let mut facts = target_facts(t, nearness(document, t, failure_domain, &region));
+                let mut facts = target_facts(
+                    t,
+                    document.inventory.is_emptied(t),
+                    nearness(document, t, failure_domain, &region),
+                );
                 facts.leaving |= leaving.contains(&t.name);
                 facts
             })
@@ -243,7 +247,7 @@
     Nearness::OtherRegion
 }
 
-fn target_facts(target: &Target, nearness: Nearness) -> TargetFacts {
+fn target_facts(target: &Target, leaving: bool, nearness: Nearness) -> TargetFacts {
     let models = target.model.iter().map(|m| Held::Model {
         name: m.name.clone(),
         version: m.version.clone(),
@@ -260,6 +264,6 @@
         holds: models.chain(services).collect(),
         slots: target.slots,
         tokens_per_s: target.tokens_per_second,
-        leaving: target.draining,
+        leaving,
     }
 }
