A target whose address has another target gets nothing more

Cause: behind a return of many targets under new ids at their old addresses, the old entries stay for some seconds; each request to one is answered 421, and costs one of the targets that it may be sent to. Ruled out: a weight of trouble, which fades within seconds.

--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -191,6 +191,9 @@
         let echoed = facts.id == self.facts.id;
         let unnamed = facts.id.is_none() && answer.line.is_fresh;
         if facts.not_run && (echoed || unnamed) {
+            if answer.status == StatusCode::MISDIRECTED_REQUEST {
+                self.gw.targets.borrow_mut().replaced(key);
+            }
             self.fault(key, Fault::Shed);
             return Verdict::NotRun;
         }
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Notes that another target is at a target's address: this one is gone.
+    pub fn replaced(&mut self, key: TargetKey) {
+        if let Some(target) = self.arena.get_mut(key) {
+            log::info!(target: "targets", "Address has another target. target={}", target.entry.id);
+            target.standing = Standing::Closed;
+        }
+    }
+
     /// Returns until when a target may get work though its entry is missing.
     pub fn missing_until(&self, id: &TargetId) -> Option<Instant> {
         let target = self.ids.get(id).and_then(|key| self.arena.get(*key))?;
