A router whose relays are all cut off looks at the service itself

Now they ask 0.1 to 0.4 s behind the last fresh news and, while the service answers them and no relay does, take changes of targets and configuration in by themselves.

Ruled out: joining at once, which makes a relay of each router at the end of a cut of all. A test of the candidacy failed first.

--- a/wisteriapass_coord/src/relay/candidacy.rs
+++ b/wisteriapass_coord/src/relay/candidacy.rs
@@ -42,13 +42,19 @@
 /// The same while no relay is there: some tries of each that is known.
 const ONE_MS: u64 = 400;
 
-/// The same while no relay anywhere has fresh news, in milliseconds: most likely all routers are
-/// cut off alike, and each call is paid for.
-const ANY_MS: u64 = 1_500;
+/// Wait behind a try without an answer of the service, in milliseconds, before it is doubled.
+const VAIN_MS: u64 = 1_500;
 
 /// How much longer weak VMs wait, in milliseconds: the exchange of a strong one.
 const WEAK_MS: u64 = 300;
 
+/// Wait with the question whether the service answers, in milliseconds, while no relay anywhere has
+/// fresh news: a target that leaves has to be known within a second or two.
+const ASK_MS: u64 = 100;
+
+/// Longest spread of that wait, in milliseconds.
+const ASK_SPREAD_MS: u64 = 300;
+
 /// Spread of the wait, in milliseconds for each router of the failure domain that may try: two
 /// calls of the service.
 const SPREAD_MS: u64 = 20;
@@ -114,7 +120,7 @@
         self.vain = 0;
         self.is_answered = true;
         if let Some((_, at)) = &mut self.due {
-            *at = now_ms + CONFIRM_MS;
+            *at = now_ms + CONFIRM_MS + if self.is_strong { 0 } else { WEAK_MS };
         }
     }
 
@@ -124,6 +130,11 @@
         self.due = None;
     }
 
+    /// Returns whether the service answers this router while no relay does.
+    pub fn is_answered(&self) -> bool {
+        self.is_answered && self.due.is_some()
+    }
+
     /// Gives this try up: others were there already.
     pub fn withdraw(&mut self) {
         self.vain = 0;
@@ -137,18 +148,21 @@
         } else {
             UNKNOWN_ROUTERS
         };
-        let spread = (draw * (others as u64 * SPREAD_MS) as f64) as u64;
+        let most_spread = others as u64 * SPREAD_MS;
+        let spread = (draw * most_spread as f64) as u64;
+        let backoff = (VAIN_MS << self.vain.min(8)).min(MOST_MS);
+        let vain = if self.vain > 0 { backoff + spread } else { 0 };
+        if need == Need::Any && self.has_followed {
+            return ASK_MS + (draw * most_spread.min(ASK_SPREAD_MS) as f64) as u64 + vain;
+        }
         let weak = if self.is_strong { 0 } else { WEAK_MS + spread };
         let is_small = self.has_followed && routers <= IN_A_FLEET;
         let lasting = match need {
             Need::Another if is_small => SMALL_MS,
             Need::Another if self.has_followed => ANOTHER_MS + spread,
             Need::One if self.has_followed => ONE_MS + spread,
-            Need::Any if self.has_followed => ANY_MS + spread,
             _ => 0,
         };
-        let backoff = (ANY_MS << self.vain.min(8)).min(MOST_MS);
-        let vain = if self.vain > 0 { backoff + spread } else { 0 };
         lasting + weak + vain
     }
 }
--- a/wisteriapass_coord/tests/relay.rs
+++ b/wisteriapass_coord/tests/relay.rs
@@ -203,6 +203,29 @@
     assert_eq!(attempt, Attempt::Ask);
 }
 
+// Routers whose relays were all cut off sent to a target for 4.3 s behind its leaving.
+#[test]
+fn a_router_whose_relays_are_all_silent_asks_the_service_at_once() {
+    for (is_strong, routers) in [(true, 21), (false, 21), (false, 103)] {
+        let mut candidacy = Candidacy::new(is_strong);
+        candidacy.next(0, Need::None, routers, 0.5);
+        let (ms, attempt) = next(&mut candidacy, 0, Need::Any, routers, 1.0);
+        assert_eq!(attempt, Attempt::Ask);
+        assert!(ms <= 500, "{ms}");
+        assert!(!candidacy.is_answered());
+        candidacy.answered(ms);
+        assert!(candidacy.is_answered());
+        let later = ms + 1_000;
+        assert_eq!(
+            candidacy.next(later, Need::Any, routers, 1.0),
+            Attempt::None
+        );
+        assert!(candidacy.is_answered());
+        candidacy.next(later, Need::None, routers, 1.0);
+        assert!(!candidacy.is_answered());
+    }
+}
+
 #[test]
 fn all_routers_of_a_small_fleet_become_relays_soon() {
     let mut candidacy = Candidacy::new(true);
--- a/wisteriapass_gateway/src/follow.rs
+++ b/wisteriapass_gateway/src/follow.rs
@@ -48,6 +48,33 @@
     }
 }
 
+/// Takes in once what changed behind what is known.
+pub async fn catch_up(gw: &Gateway, topic: Topic) {
+    let mut cursor = gw.cursor(topic);
+    let mut watch = first_watch(topic, cursor);
+    watch.wait = Duration::ZERO;
+    let watched = gw.platform.watch(topic, watch).await;
+    count(gw, watch_of(topic), &watched);
+    let is_whole = matches!(watched, Err(StoreError::Compacted | StoreError::TooLarge));
+    let caught_up = if is_whole {
+        let read = gw.platform.read(topic).await;
+        count(gw, StoreCall::Read, &read);
+        read
+    } else {
+        watched
+    };
+    let Ok(feed) = caught_up else {
+        return;
+    };
+    gw.touch.followed(topic, Instant::now());
+    if is_whole {
+        cursor = feed.cursor(feed.bytes);
+    } else if !feed.changes.is_empty() {
+        cursor.at = feed.at;
+    }
+    take(gw, topic, &feed, cursor, is_whole);
+}
+
 /// Returns the watch that goes on from a whole state.
 ///
 /// Behind a cut, or while a document takes its time, a history grows that is longer than the state
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -7,8 +7,9 @@
 use super::messages::{NEWS, NewsAnswer, NewsCall};
 use crate::bank::Known;
 use crate::call::within;
+use crate::follow::catch_up;
 use crate::news::{TargetNews, TargetsNews};
-use crate::platform::{Change, Revised};
+use crate::platform::{Change, Revised, Topic};
 use crate::prelude::*;
 
 /// Time between two questions for news, in milliseconds: a target that leaves is known that soon
@@ -18,6 +19,9 @@
 /// The same while no relay with fresh news is known, in milliseconds: each is tried in turn.
 const SEARCH_MS: u64 = 30;
 
+/// Time between two looks at the service itself while it answers and no relay does, in milliseconds.
+const CATCH_UP_MS: u64 = 400;
+
 /// Longest wait for an answer to begin, in milliseconds: many round trips within a region, also of a
 /// relay on a busy VM.
 const PATIENCE_MS: u64 = 250;
@@ -52,8 +56,14 @@
 /// Follows relays until this router has become one; returns what is known of the records then.
 pub async fn follow_relays(gw: &Rc<Gateway>) -> Vec<Known> {
     let mut candidacy = Candidacy::new(gw.settings.size.is_strong());
+    let mut catch_up_at = Instant::now();
     loop {
         let is_fresh = ask(gw).await;
+        if candidacy.is_answered() && Instant::now() >= catch_up_at {
+            catch_up_at = within(CATCH_UP_MS);
+            catch_up(gw, Topic::Targets).await;
+            catch_up(gw, Topic::Configuration).await;
+        }
         if let Some(known) = try_to_join(gw, &mut candidacy).await {
             return known;
         }
