--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -10,7 +10,8 @@
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witnesses::Witnesses;
 use crate::prepaid::{
-    DomainId, HolderId, Proof, ShareRecord, ShareSizes, Stamp, Standing, Tenure, WitnessId,
+    DomainId, HolderId, Proof, Scarcity, ShareRecord, ShareSizes, Stamp, Standing, Tenure,
+    WitnessId,
 };
 
 /// Why a reservation was not made.
@@ -152,12 +153,27 @@
     ///
     /// [`Shortfall`] if the share does not cover it.
     pub fn reserve(&mut self, now_ms: u64, account: &str, most: u64) -> Result<(), Shortfall> {
+        self.reserve_beside(now_ms, account, most, 0)
+    }
+
+    /// Reserves the most that a request can cost, in tokens, if `kept` tokens stay at hand for others.
+    ///
+    /// # Errors
+    ///
+    /// [`Shortfall`] if the share does not cover both.
+    pub fn reserve_beside(
+        &mut self,
+        now_ms: u64,
+        account: &str,
+        most: u64,
+        kept: u64,
+    ) -> Result<(), Shortfall> {
         if self.closed {
             return Err(Shortfall::Short);
         }
         let level = self.level(account);
         let a = self.accounts.entry(account.to_owned()).or_default();
-        if a.spendable(level) >= most {
+        if a.spendable(level) >= most.saturating_add(kept) {
             a.reserved += most;
             a.draw.add(now_ms, most);
             return Ok(());
@@ -318,6 +334,20 @@
         a.standing(self.level(account))
     }
 
+    /// Returns how scarce an account is, by a record that was adopted.
+    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Scarcity {
+        let a = self.accounts.get(account).copied().unwrap_or_default();
+        let lost = a.lost + a.others_lost;
+        let gone = a.known_used() + lost;
+        let wish = record.share(account, &self.id).wish as f64;
+        Scarcity {
+            total: a.total,
+            left: a.total.saturating_sub(gone),
+            lost,
+            part: wish / record.wishes(account).max(1) as f64,
+        }
+    }
+
     /// Returns what this process has settled of an account, in tokens.
     pub fn used(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |a| a.used)
--- /dev/null
+++ b/wisteriapass_coord/src/prepaid/savings.rs
@@ -0,0 +1,133 @@
+//! What an account saves after money of it died with routers.
+//!
+//! What is lost is missing at the end of a total: there every caller of the account is refused,
+//! whatever its rank, for as long as callers count on the total. Answers that load: from the loss on,
+//! the part of the draw that the rest of the total cannot cover is refused, the least urgent first, so
+//! that the urgent are served for as long as callers count on it. What was refused pays the loss off.
+
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use crate::prepaid::DrawMeter;
+
+/// Part of a total that callers count on.
+const COUNTED_ON: f64 = 0.97;
+
+/// Time for which what is left has to last at the least, in milliseconds of the draw, for nothing to
+/// be saved.
+const HORIZON_MS: f64 = 12_000.0;
+
+/// Smallest part of an account's draw that one relay is taken to have.
+const LEAST_PART: f64 = 0.02;
+
+/// A request that wants tokens of an account.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Account.
+    pub account: &'a str,
+    /// Rank of the request, 0 first.
+    pub rank: u8,
+    /// The most that it can cost, in tokens.
+    pub most: u64,
+}
+
+/// How an account stands, as one relay sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Scarcity {
+    /// Total, in tokens.
+    pub total: u64,
+    /// What is neither known to be spent nor lost, in tokens.
+    pub left: u64,
+    /// What died with routers, in tokens.
+    pub lost: u64,
+    /// Part of the account's draw that this relay has.
+    pub part: f64,
+}
+
+/// Draw by rank, and what was saved.
+#[derive(Clone, Debug, Default)]
+struct Saving {
+    draws: SmallVec<[(u8, DrawMeter); 4]>,
+    saved: u64,
+}
+
+/// What one relay saves, by account.
+#[derive(Clone, Debug, Default)]
+pub struct Savings {
+    accounts: BTreeMap<String, Saving>,
+}
+
+impl Savings {
+    /// Returns whether a request is refused for more urgent ones; `draw` is drawn from 0 to 1.
+    ///
+    /// To be asked once for each request, as the draw by rank is learnt from it.
+    pub fn refuses(
+        &mut self,
+        now_ms: u64,
+        asked: Asked<'_>,
+        scarcity: Scarcity,
+        draw: f64,
+    ) -> bool {
+        let saving = self.accounts.entry(asked.account.to_owned()).or_default();
+        saving.add(now_ms, asked);
+        let is_refused = draw < saving.refused_part(now_ms, asked.rank, scarcity);
+        if is_refused {
+            saving.saved += asked.most;
+        }
+        is_refused
+    }
+
+    /// Returns what the more urgent requests of an account will draw in so many milliseconds, in
+    /// tokens.
+    pub fn kept(&self, now_ms: u64, account: &str, rank: u8, ms: u64) -> u64 {
+        let saving = self.accounts.get(account);
+        saving.map_or(0, |s| s.kept(now_ms, rank, ms))
+    }
+}
+
+impl Saving {
+    fn kept(&self, now_ms: u64, rank: u8, ms: u64) -> u64 {
+        let draws = self.draws.iter().filter(|(r, _)| *r < rank);
+        let sum: f64 = draws.map(|(_, draw)| draw.per_second(now_ms)).sum();
+        (sum * ms as f64 / 1_000.0) as u64
+    }
+
+    fn add(&mut self, now_ms: u64, asked: Asked<'_>) {
+        let known = self.draws.iter().position(|(rank, _)| *rank == asked.rank);
+        let at = known.unwrap_or_else(|| {
+            self.draws.push((asked.rank, DrawMeter::default()));
+            self.draws.len() - 1
+        });
+        self.draws[at].1.add(now_ms, asked.most);
+    }
+
+    /// Returns the part of the requests of a rank that are refused.
+    fn refused_part(&self, now_ms: u64, rank: u8, scarcity: Scarcity) -> f64 {
+        let short = self.short_part(scarcity);
+        let all = self.draw(now_ms, |_| true);
+        let lasts_ms = scarcity.left as f64 * scarcity.part.max(LEAST_PART) / all * 1_000.0;
+        if short <= 0.0 || lasts_ms >= HORIZON_MS {
+            return 0.0;
+        }
+        let less_urgent = self.draw(now_ms, |r| r > rank) / all;
+        let same = self.draw(now_ms, |r| r == rank) / all;
+        ((short - less_urgent) / same).clamp(0.0, 1.0)
+    }
+
+    /// Returns the draw of some ranks, in tokens a second.
+    fn draw(&self, now_ms: u64, fits: impl Fn(u8) -> bool) -> f64 {
+        let draws = self.draws.iter().filter(|(rank, _)| fits(*rank));
+        let sum: f64 = draws.map(|(_, draw)| draw.per_second(now_ms)).sum();
+        sum.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the part of the draw that is not covered until callers count on no more.
+    fn short_part(&self, scarcity: Scarcity) -> f64 {
+        let Scarcity { total, lost, .. } = scarcity;
+        let unnoticed = total as f64 * (1.0 - COUNTED_ON);
+        let saved = self.saved as f64 / scarcity.part.max(LEAST_PART);
+        let missing = (lost as f64 - unnoticed - saved).max(0.0);
+        missing / (missing + scarcity.left as f64).max(1.0)
+    }
+}
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -19,8 +19,8 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    Credit, DomainId, GrantBook, HolderId, ShareHolder, ShareRecord, ShareSizes, Shortfall,
-    WitnessBook,
+    Asked, Credit, DomainId, GrantBook, HolderId, Savings, ShareHolder, ShareRecord, ShareSizes,
+    Shortfall, WitnessBook,
 };
 use wisteriapass_coord::relay::{Listed, Retirement, Roster};
 use wisteriapass_policy::placement::hash;
@@ -53,6 +53,9 @@
 /// more than VMs are down for.
 const SILENCE_MS: u64 = 5_000;
 
+/// Time by which an exchange may come later than usual before it is overdue, in milliseconds.
+const OVERDUE_MS: u64 = 250;
+
 /// Draw that the open part covers, in milliseconds: lasts over the seal and the time between two
 /// exchanges.
 const OPEN_MS: u64 = 2_900;
@@ -109,6 +112,8 @@
     book: RefCell<WitnessBook>,
     /// What this relay granted.
     grants: RefCell<GrantBook>,
+    /// What this relay saves of accounts that lost money.
+    savings: RefCell<Savings>,
     /// What relays granted to this router.
     credit: RefCell<Credit>,
     /// The relays that this router knows of.
@@ -147,6 +152,7 @@
             seen: RefCell::default(),
             book: RefCell::new(WitnessBook::new(process)),
             grants: RefCell::new(GrantBook::new(process)),
+            savings: RefCell::default(),
             credit: RefCell::new(Credit::new(id.clone())),
             roster: RefCell::new(Roster::new(id, domain)),
             caller,
@@ -205,11 +211,12 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::Exhausted`] or [`Refusal::ShareShort`].
+    /// [`Refusal::Exhausted`], [`Refusal::ShareShort`] or [`Refusal::Saved`].
     pub async fn reserve(
         self: &Rc<Self>,
         account: &Account,
         request: &RequestFacts,
+        rank: u8,
         per_event: u64,
         deadline: Instant,
     ) -> Result<Option<Reservation>, Refusal> {
@@ -217,7 +224,12 @@
             return Ok(None);
         };
         let most = work.most();
-        let reserved = self.reserve_any(&account.name, most, Some(deadline)).await;
+        let asked = Asked {
+            account: &account.name,
+            rank,
+            most,
+        };
+        let reserved = self.reserve_any(asked, Some(deadline)).await;
         match reserved {
             Ok(source) => {
                 let me = self.clone();
@@ -234,23 +246,48 @@
     /// Reserves more for a request under way: another run of it.
     pub async fn reserve_more(self: &Rc<Self>, account: &str, tokens: u64) -> Option<Source> {
         let until = Instant::now() + Duration::from_millis(WAIT_MS);
-        self.reserve_any(account, tokens, Some(until)).await.ok()
+        let asked = Asked {
+            account,
+            rank: 0,
+            most: tokens,
+        };
+        self.reserve_any(asked, Some(until)).await.ok()
+    }
+
+    /// Returns what has to stay at hand for more urgent requests of its account, in tokens, while the
+    /// next exchange is overdue and sealed parts are not open yet.
+    fn kept(&self, asked: Asked<'_>) -> u64 {
+        let group = self.group(asked.account);
+        let due_ms = self.pace(group).tick_ms() + OVERDUE_MS;
+        let silent_ms = group.wrote_at.get().elapsed().as_millis() as u64;
+        if silent_ms < due_ms || silent_ms >= SEAL_MS {
+            return 0;
+        }
+        let savings = self.savings.borrow();
+        let (now_ms, left_ms) = (self.clock.now_ms(), SEAL_MS - silent_ms);
+        savings.kept(now_ms, asked.account, asked.rank, left_ms)
+    }
+
+    /// Returns whether a request is refused for more urgent ones of its account.
+    fn saves(&self, asked: Asked<'_>) -> bool {
+        let group = self.group(asked.account);
+        let record = group.record.borrow();
+        let scarcity = group.holder.borrow().scarcity(asked.account, &record);
+        let mut savings = self.savings.borrow_mut();
+        savings.refuses(self.clock.now_ms(), asked, scarcity, rand::random())
     }
 
     async fn reserve_any(
         self: &Rc<Self>,
-        account: &str,
-        most: u64,
+        asked: Asked<'_>,
         deadline: Option<Instant>,
     ) -> Result<Source, Refusal> {
         match self.role.get() {
-            Role::Relay => self
-                .obtain(account, most, deadline)
-                .await
-                .map(|()| Source::Share),
+            Role::Relay if self.saves(asked) => Err(Refusal::Saved),
+            Role::Relay => self.obtain(asked, deadline).await.map(|()| Source::Share),
             Role::Follower | Role::Retiring => {
                 let until = deadline.unwrap_or(self.fresh_until);
-                self.draw(account, most, until).await.map(Source::Credit)
+                self.draw(asked, until).await.map(Source::Credit)
             }
         }
     }
@@ -258,10 +295,10 @@
     /// Reserves out of this router's own share, which may take an exchange or a loan.
     async fn obtain(
         self: &Rc<Self>,
-        account: &str,
-        most: u64,
+        asked: Asked<'_>,
         deadline: Option<Instant>,
     ) -> Result<(), Refusal> {
+        let Asked { account, most, .. } = asked;
         let group = self.group(account);
         let wait = Instant::now() + Duration::from_millis(WAIT_MS);
         let is_first = group.is_new(account) && Instant::now() < self.fresh_until;
@@ -271,7 +308,10 @@
         loop {
             let done = group.done.notified();
             let now_ms = self.clock.now_ms();
-            let reserved = group.holder.borrow_mut().reserve(now_ms, account, most);
+            let kept = self.kept(asked);
+            let mut holder = group.holder.borrow_mut();
+            let reserved = holder.reserve_beside(now_ms, account, most, kept);
+            drop(holder);
             match reserved {
                 Ok(()) => return Ok(()),
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
--- a/wisteriapass_gateway/src/bank/crediting.rs
+++ b/wisteriapass_gateway/src/bank/crediting.rs
@@ -6,10 +6,10 @@
 
 use futures_util::future::join_all;
 use tokio::time::{Instant, sleep, timeout_at};
-use wisteriapass_coord::prepaid::{GrantCall, LineKey};
+use wisteriapass_coord::prepaid::{Asked, LineKey};
 
 use super::Bank;
-use super::granting::{Denial, Granted};
+use super::granting::{CreditCall, Denial, Granted};
 use crate::call::within;
 use crate::refusal::Refusal;
 
@@ -51,10 +51,10 @@
     /// Reserves on a line of credit, with a call to a relay unless there is enough at hand.
     pub(super) async fn draw(
         &self,
-        account: &str,
-        most: u64,
+        asked: Asked<'_>,
         deadline: Instant,
     ) -> Result<LineKey, Refusal> {
+        let Asked { account, most, .. } = asked;
         if let Some(line) = self.credit.borrow_mut().reserve(account, most) {
             return Ok(line);
         }
@@ -64,12 +64,13 @@
         let now_ms = self.clock.now_ms();
         let relays = self.roster.borrow().granters(now_ms);
         for at in relays.into_iter().take(MOST_ASKED) {
-            match self.ask(at, account, most, deadline).await {
+            match self.ask(at, asked, deadline).await {
                 Ok(line) => return Ok(line),
                 Err(Some(denied)) => refusal = denied,
                 Err(None) => {}
             }
-            if refusal == Refusal::Exhausted || Instant::now() >= deadline {
+            let is_final = matches!(refusal, Refusal::Exhausted | Refusal::Saved);
+            if is_final || Instant::now() >= deadline {
                 break;
             }
         }
@@ -80,10 +81,10 @@
     async fn ask(
         &self,
         at: SocketAddr,
-        account: &str,
-        most: u64,
+        asked: Asked<'_>,
         deadline: Instant,
     ) -> Result<LineKey, Option<Refusal>> {
+        let Asked { account, most, .. } = asked;
         // A relay that started anew says so first, and is asked on another line.
         for _ in 0..2 {
             let line = self.credit.borrow_mut().line(at, rand::random());
@@ -96,6 +97,10 @@
             };
             let call = self.credit.borrow_mut().ask(line, account).ok_or(None)?;
             let until = deadline.min(within(PATIENCE_MS));
+            let call = CreditCall {
+                grant: call,
+                asked: Some((asked.rank, most)),
+            };
             let granted = self.tell(line, at, &call, until).await;
             drop(waiting);
             let granted = granted.ok_or(None)?;
@@ -114,11 +119,13 @@
         &self,
         line: LineKey,
         at: SocketAddr,
-        call: &GrantCall,
+        call: &CreditCall,
         until: Instant,
     ) -> Option<Granted> {
         let granted: Granted = self.caller.call(at, GRANT, call, until).await?;
-        self.credit.borrow_mut().take(line, call, &granted.grants);
+        let mut credit = self.credit.borrow_mut();
+        credit.take(line, &call.grant, &granted.grants);
+        drop(credit);
         Some(granted)
     }
 
@@ -130,6 +137,7 @@
                 back_ms: BACK_NO_RELAY_MS,
             },
             Denial::Short { back_ms } => Refusal::ShareShort { back_ms },
+            Denial::Saved => Refusal::Saved,
         }
     }
 
@@ -146,7 +154,8 @@
         let lines = self.credit.borrow().open_lines();
         let reports = lines.into_iter().map(async |(line, at)| {
             let call = self.credit.borrow_mut().report(line, |_| 0);
-            if let Some(call) = call {
+            if let Some(grant) = call {
+                let call = CreditCall { grant, asked: None };
                 self.tell(line, at, &call, within(REPORT_PATIENCE_MS)).await;
             }
         });
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -225,7 +225,7 @@
         }
     }
 
-    fn pace(&self, group: &Group) -> Pace {
+    pub(super) fn pace(&self, group: &Group) -> Pace {
         let took_ms = u64::try_from(group.took.get().as_millis()).unwrap_or(u64::MAX);
         Pace::new(self.writers.get(), took_ms)
     }
@@ -233,7 +233,9 @@
     fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
         let is_mine = group.holder.borrow_mut().adopt(record);
         group.in_touch.set(is_mine);
-        if !is_mine {
+        if is_mine {
+            group.wrote_at.set(Instant::now());
+        } else {
             group.needed.notify_one();
         }
         if index == 0 {
--- a/wisteriapass_gateway/src/bank/granting.rs
+++ b/wisteriapass_gateway/src/bank/granting.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
-use wisteriapass_coord::prepaid::{AccountCall, GrantAnswer, GrantCall, LineId, Settlement};
+use wisteriapass_coord::prepaid::{AccountCall, Asked, GrantAnswer, GrantCall, LineId, Settlement};
 
 use super::{Bank, Role};
 use crate::refusal::Refusal;
@@ -13,6 +13,15 @@
 /// Time between two looks for followers that fell silent, in milliseconds.
 const LOOK_MS: u64 = 1_000;
 
+/// A follower's word on its credit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CreditCall {
+    /// What was spent and is wanted.
+    pub grant: GrantCall,
+    /// Rank of the request that asks, and the most that it can cost, in tokens; none if none does.
+    pub asked: Option<(u8, u64)>,
+}
+
 /// Why a relay granted less than was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Denial {
@@ -23,6 +32,8 @@
         /// When, in milliseconds.
         back_ms: u64,
     },
+    /// What is left is saved for more urgent requests.
+    Saved,
 }
 
 /// A relay's answer to a follower's word on its credit.
@@ -58,12 +69,20 @@
 
 impl Bank {
     /// Takes a follower's word on its credit in, and grants what it asks for as far as there is.
-    pub(crate) async fn grant(self: &Rc<Self>, call: &GrantCall, version: u64) -> Granted {
+    pub(crate) async fn grant(self: &Rc<Self>, call: &CreditCall, version: u64) -> Granted {
+        let asked = call.asked;
+        let call = &call.grant;
         let settled = self.grants.borrow_mut().hear(self.clock.now_ms(), call);
         self.settle_all(settled);
         let mut denial = None;
         for wanted in &call.accounts {
-            denial = self.grant_one(call, wanted).await.err().or(denial);
+            denial = match asked {
+                Some(asked) if self.saves_for(wanted, asked) => Some(Denial::Saved),
+                _ => {
+                    let rank = asked.map_or(0, |(rank, _)| rank);
+                    self.grant_one(call, wanted, rank).await.err().or(denial)
+                }
+            };
         }
         Granted {
             grants: self.grants.borrow().answer(call),
@@ -72,10 +91,21 @@
         }
     }
 
+    /// Returns whether a follower's request is refused for more urgent ones of its account.
+    fn saves_for(&self, wanted: &AccountCall, (rank, most): (u8, u64)) -> bool {
+        let asked = Asked {
+            account: &wanted.name,
+            rank,
+            most,
+        };
+        self.role() == Role::Relay && self.saves(asked)
+    }
+
     async fn grant_one(
         self: &Rc<Self>,
         call: &GrantCall,
         wanted: &AccountCall,
+        rank: u8,
     ) -> Result<(), Denial> {
         if self.role() != Role::Relay {
             return Err(Denial::Short { back_ms: 0 });
@@ -91,7 +121,12 @@
             tokens,
             is_reserved: false,
         };
-        match self.obtain(&wanted.name, tokens, None).await {
+        let asked = Asked {
+            account: &wanted.name,
+            rank,
+            most: tokens,
+        };
+        match self.obtain(asked, None).await {
             Ok(()) => {
                 coming.is_reserved = true;
                 Ok(())
@@ -146,6 +181,7 @@
 fn denial(refusal: Refusal) -> Denial {
     match refusal {
         Refusal::Exhausted => Denial::Exhausted,
+        Refusal::Saved => Denial::Saved,
         other => Denial::Short {
             back_ms: other.retry_after_ms().unwrap_or_default(),
         },
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -31,6 +31,8 @@
     pub(super) done: Notify,
     /// Whether the record is known and this process signed it.
     pub(super) in_touch: Cell<bool>,
+    /// When this process's last write was known to have taken effect.
+    pub(super) wrote_at: Cell<Instant>,
     /// Time that the last exchange took.
     pub(super) took: Cell<Duration>,
     /// Earliest time of the next exchange.
@@ -59,6 +61,7 @@
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
+            wrote_at: Cell::new(Instant::now()),
             took: Cell::new(Duration::ZERO),
             next_at: Cell::new(Instant::now()),
             record: RefCell::default(),
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -77,7 +77,13 @@
     let reservation = match &plan.account {
         Some(account) => {
             let per_event = plan.tokens_per_event;
-            let reserving = gw.bank.reserve(account, facts, per_event, plan.deadline);
+            let reserving = gw.bank.reserve(
+                account,
+                facts,
+                plan.route.priority,
+                per_event,
+                plan.deadline,
+            );
             let reserved = gw.unless_cut(reserving).await;
             reserved.ok_or(Refusal::Stopping)??
         }
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -33,6 +33,9 @@
         /// When there may be more, in milliseconds.
         back_ms: u64,
     },
+    /// What is left of the account is saved for more urgent requests, as money of it was lost.
+    #[display("saved")]
+    Saved,
     /// No target of the service is open.
     #[display("no_target")]
     NoTarget,
@@ -80,6 +83,7 @@
             Self::NotConfigured
             | Self::Stopping
             | Self::ShareShort { .. }
+            | Self::Saved
             | Self::NoTarget
             | Self::NoRegion
             | Self::Cold
