A target that takes no connection is given up within 0.1 s

Now 100 ms, and three times what calls wait on their way to this router, so that a full link is not taken for silent targets.

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -18,9 +18,13 @@
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
 
-/// Longest time for a new connection, in milliseconds: hundreds of round trips within a region,
-/// and shorter than the first repeat of a lost opening packet.
-pub const CONNECT_MS: u64 = 350;
+/// Longest time for a new connection, in milliseconds: many round trips within a region, so that
+/// another target still answers in time.
+const CONNECT_MS: u64 = 100;
+
+/// How often what waits on its way to this router fits into that, beyond it: a full link delays
+/// connections to all targets alike.
+const WAITS_IN_CONNECT: u32 = 3;
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the library
 /// sets itself.
@@ -246,10 +250,15 @@
         }
         t.entry.address
     };
-    let sender = timeout(Duration::from_millis(CONNECT_MS), open(address)).await;
+    let sender = timeout(connect_time(gw), open(address)).await;
     Some((sender.ok()?.ok()?, true))
 }
 
+/// Returns the longest time for a new connection.
+pub fn connect_time(gw: &Gateway) -> Duration {
+    Duration::from_millis(CONNECT_MS) + gw.waited() * WAITS_IN_CONNECT
+}
+
 /// Opens a connection.
 ///
 /// # Errors
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::dispatch::{CONNECT_MS, open};
+use crate::dispatch::{connect_time, open};
 use crate::pool::Sender;
 use crate::prelude::*;
 use crate::target::{TargetEntry, TargetKey};
@@ -89,7 +89,7 @@
 
 async fn open_anew(gw: &Gateway, key: TargetKey, address: SocketAddr) -> Probed {
     for _ in 0..MOST_OPENED {
-        let opened = timeout(Duration::from_millis(CONNECT_MS), open(address)).await;
+        let opened = timeout(connect_time(gw), open(address)).await;
         match opened {
             Ok(Ok(sender)) => {
                 sleep(Duration::from_millis(STAYS_MS)).await;
