One write of the record carries the shares of all relays

A relay whose exchange is due has the others compose their next shares on top of its own, one after the other, sends the one write, and tells them what became of it. Each takes the outcome as that of a write of its own, so nothing changes in what a lost, late or refused write means; who does not hear of it reads the record. Relays take turns 25 ms apart, so that the first carries the others.

Ruled out: reads that may be old, tried before.

--- /dev/null
+++ b/wisteriapass_coord/tests/prepaid/carried.rs
@@ -0,0 +1,161 @@
+//! Writes that carry the shares of several routers: any history of them keeps the total.
+
+use quickcheck_macros::quickcheck;
+use wisteriapass_coord::prepaid::{ShareHolder, ShareRecord, Stamp};
+
+use crate::support::{ACCOUNT, at, holder, holder_at};
+
+const TOTAL: u64 = 20_000;
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+/// A write under way: the record, the revision that it expects, and whom it carries.
+struct Write {
+    expects: u64,
+    record: ShareRecord,
+    carried: Vec<(usize, Option<Stamp>)>,
+}
+
+struct Router {
+    holder: ShareHolder,
+    /// Whether a write that holds its share has no outcome yet.
+    is_writing: bool,
+    /// Reserved by requests under way.
+    reserved: u64,
+}
+
+/// The service, routers, and writes that come late.
+struct World {
+    revision: u64,
+    record: ShareRecord,
+    routers: Vec<Router>,
+    late: Vec<Write>,
+    processes: u64,
+    /// Settled or reserved by all processes, also those that were killed.
+    spent: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let router = |(name, process): (&&str, u64)| Router {
+            holder: holder(name, process, TOTAL),
+            is_writing: false,
+            reserved: 0,
+        };
+        Self {
+            revision: 0,
+            record: ShareRecord::default(),
+            routers: NAMES.iter().zip(1..).map(router).collect(),
+            late: Vec::new(),
+            processes: 3,
+            spent: 0,
+        }
+    }
+
+    fn reserve(&mut self, who: usize, now: u64, most: u64) {
+        let router = &mut self.routers[who];
+        if router.holder.reserve(now, ACCOUNT, most).is_ok() {
+            router.reserved += most;
+            self.spent += most;
+        }
+    }
+
+    fn settle(&mut self, who: usize, part: u64) {
+        let router = &mut self.routers[who];
+        let (most, used) = (router.reserved, router.reserved * part / 255);
+        router.holder.settle(ACCOUNT, most, used);
+        router.reserved = 0;
+        self.spent -= most - used;
+    }
+
+    /// Composes one write that carries the shares of a router and of those that are free.
+    fn compose(&mut self, first: usize, others: u8, now: u64) -> Option<Write> {
+        if self.routers[first].is_writing {
+            return None;
+        }
+        let mut write = Write {
+            expects: self.revision,
+            record: self.record.clone(),
+            carried: Vec::new(),
+        };
+        let joins = (0..NAMES.len()).filter(|i| *i != first && others & (1 << i) != 0);
+        for i in std::iter::once(first).chain(joins) {
+            let router = &mut self.routers[i];
+            let tenure = write.record.tenure(router.holder.id());
+            let is_known = tenure.is_some_and(|t| t.process == router.holder.process());
+            if router.is_writing || i != first && !is_known {
+                continue;
+            }
+            write.record = router.holder.compose(now, at(now), &write.record);
+            write.carried.push((i, router.holder.sent(at(now))));
+            router.is_writing = true;
+        }
+        Some(write)
+    }
+
+    fn swap(&mut self, write: &Write) -> bool {
+        if self.revision != write.expects {
+            return false;
+        }
+        self.revision += 1;
+        self.record = write.record.clone();
+        true
+    }
+
+    /// Plays the end of a write; `deaf` is the one that does not hear of it.
+    fn end(&mut self, write: Write, is_late: bool, deaf: usize) {
+        let is_done = !is_late && self.swap(&write);
+        for (i, before) in &write.carried {
+            let router = &mut self.routers[*i];
+            if is_late || *i == deaf {
+                // Who does not know reads the record before its next write.
+                router.holder.adopt(&self.record);
+            } else if is_done {
+                assert!(router.holder.adopt(&self.record));
+            } else {
+                router.holder.not_done(*before);
+            }
+            router.is_writing = false;
+        }
+        if is_late {
+            self.late.push(write);
+        }
+    }
+
+    fn kill(&mut self, who: usize, now: u64) {
+        self.processes += 1;
+        self.routers[who] = Router {
+            holder: holder_at(NAMES[who], self.processes, TOTAL, at(now)),
+            is_writing: false,
+            reserved: 0,
+        };
+    }
+}
+
+#[quickcheck]
+fn no_history_of_carried_writes_spends_more_than_the_total(steps: Vec<(u8, u8, u8, u8)>) {
+    let mut world = World::new();
+    let mut now = 0;
+    for (what, who, x, gap) in steps {
+        now += u64::from(gap) * 8;
+        let who = usize::from(who) % NAMES.len();
+        world.routers[who].holder.unseal(at(now));
+        match what % 8 {
+            0..=2 => world.reserve(who, now, 1 + u64::from(x) * 4),
+            3 => world.settle(who, u64::from(x)),
+            4..=5 => {
+                if let Some(write) = world.compose(who, x, now) {
+                    let deaf = usize::from(x >> 4) % 6;
+                    world.end(write, x & 8 != 0, deaf);
+                }
+            }
+            6 => {
+                if let Some(write) = world.late.pop() {
+                    world.swap(&write);
+                }
+            }
+            _ => world.kill(who, now),
+        }
+        assert!(world.spent <= TOTAL, "{} of {TOTAL}", world.spent);
+        assert!(world.record.granted(ACCOUNT) <= TOTAL);
+    }
+}
--- a/wisteriapass_coord/tests/prepaid/main.rs
+++ b/wisteriapass_coord/tests/prepaid/main.rs
@@ -1,5 +1,6 @@
 //! Shares of prepaid totals: never more than the total, over cuts, kills and late writes.
 
+mod carried;
 mod grants;
 mod loans;
 mod shares;
--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -4,7 +4,9 @@
 use wisteriapass_bench::link::{Link, LinkFaults};
 use wisteriapass_bench::standin::users::StoreFault;
 
-use crate::support::{KEY, Request, Router, Scene, configuration, has_witness, is_relay, wait_for};
+use crate::support::{
+    KEY, Request, Router, Scene, configuration, has_witness, is_relay, wait_for, writes_of,
+};
 
 /// Routers of a fleet that are relays at the least.
 const RELAYS: usize = 6;
@@ -269,3 +271,22 @@
         });
     }
 }
+
+// Each relay wrote the record by itself: twelve calls a second and relay, where one write holds all.
+#[test]
+fn one_write_carries_the_shares_of_all_relays() {
+    let fleet = Relayed::start(1_000_000);
+    let composed = || -> u64 {
+        let names = (0..RELAYS).map(|n| format!("r{n}"));
+        names.map(|name| writes_of(&fleet.scene.store, &name)).sum()
+    };
+    let written = || -> u64 {
+        let relays = fleet.relays.iter();
+        relays.map(|r| r.answered_calls("write_shares")).sum()
+    };
+    wait_for("shares that other relays carry", || composed() > 120);
+    let before = (composed(), written());
+    wait_for("many writes", || composed() >= before.0 + 120);
+    let (next, calls) = (composed() - before.0, written() - before.1);
+    assert!(2 * calls <= next, "{calls} calls for {next} shares");
+}
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 pub use request::{Answer, Request, exchange, exchange_within};
-pub use router::{Router, has_witness, is_relay};
+pub use router::{Router, has_witness, is_relay, writes_of};
 pub use scene::{Scene, configuration};
 
 /// Longest wait for anything that has to come; no bound of the product.
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -198,6 +198,12 @@
     tenure.is_some_and(|t| t.witnesses.iter().any(Option::is_some))
 }
 
+/// Returns how often a router has composed its share, in writes of its own or of others.
+pub fn writes_of(store: &UsersStore, name: &str) -> u64 {
+    let tenure = record(store).and_then(|r| r.tenure(&HolderId(name.to_owned())));
+    tenure.map_or(0, |t| t.write)
+}
+
 /// Returns the number of a router's last write, if that holds a share.
 fn write_with_share(store: &UsersStore, name: &str) -> Option<u64> {
     let record = record(store)?;
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -1,5 +1,6 @@
 //! The money of this router: reserve and settle in memory, exchange with the service or a relay.
 
+mod carrying;
 mod crediting;
 mod exchange;
 mod granting;
@@ -35,6 +36,7 @@
 use crate::reservation::Reservation;
 use crate::settings::GatewaySettings;
 
+pub use carrying::{CARRIED, CARRY};
 pub use crediting::GRANT;
 pub use exchange::Known;
 pub use lending::LEND;
@@ -309,9 +311,9 @@
             let done = group.done.notified();
             let now_ms = self.clock.now_ms();
             let kept = self.kept(asked);
-            let mut holder = group.holder.borrow_mut();
-            let reserved = holder.reserve_beside(now_ms, account, most, kept);
-            drop(holder);
+            let reserve =
+                |holder: &mut ShareHolder| holder.reserve_beside(now_ms, account, most, kept);
+            let reserved = reserve(&mut group.holder.borrow_mut());
             match reserved {
                 Ok(()) => return Ok(()),
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
--- a/wisteriapass_gateway/src/bank/exchange.rs
+++ b/wisteriapass_gateway/src/bank/exchange.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, timeout_at};
-use wisteriapass_coord::prepaid::{Pace, ShareRecord};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use wisteriapass_coord::prepaid::{Pace, ShareRecord, Stamp};
 
+use super::carrying::Outcome;
 use super::group::Group;
 use super::{Bank, GROUPS, Role};
 use crate::gateway::Gateway;
@@ -15,6 +16,13 @@
 /// Time between two reads while the service does not answer, in milliseconds.
 const PROBE_MS: u64 = 200;
 
+/// Time between the exchanges of two relays, in milliseconds: one has begun to gather the others'
+/// shares by then.
+const TURN_MS: u64 = 25;
+
+/// Longest time by which one is later for that, in milliseconds.
+const MOST_TURN_MS: u64 = 300;
+
 /// What is known of a record.
 #[derive(Clone, Debug)]
 pub enum Known {
@@ -39,7 +47,10 @@
                 Known::State(revision, record) => self.write(&gw, index, revision, record).await,
                 Known::Written(revision, record) => {
                     self.rest(group).await;
-                    if self.writers.get() > 1 {
+                    self.until_free(group).await;
+                    if group.is_unsure.take() {
+                        Known::Nothing
+                    } else if self.writers.get() > 1 {
                         Known::Past
                     } else {
                         Known::State(revision, record)
@@ -108,6 +119,9 @@
 
     /// Returns whether there is nothing left to give back.
     async fn try_give_back(&self, gw: &Gateway, index: u32) -> bool {
+        let group = &self.groups[index as usize];
+        self.until_free(group).await;
+        group.is_writing.set(true);
         let Known::State(revision, record) = self.read(gw, index).await else {
             return false;
         };
@@ -158,14 +172,49 @@
     async fn write(&self, gw: &Gateway, index: u32, revision: u64, record: ShareRecord) -> Known {
         let group = &self.groups[index as usize];
         self.inquire(group, &record).await;
+        self.until_free(group).await;
+        if group.is_unsure.take() {
+            return Known::Nothing;
+        }
+        if group.wrote_at.get() != group.rested_at.get() {
+            return Known::Written(revision, record);
+        }
+        group.is_writing.set(true);
         let stamp = self.clock.stamp();
         let now_ms = self.clock.now_ms();
-        let next = group.holder.borrow_mut().compose(now_ms, stamp, &record);
+        let mine = group.holder.borrow_mut().compose(now_ms, stamp, &record);
         let before = group.holder.borrow_mut().sent(stamp);
+        let mut next = mine;
+        let carrier = self.gather(group, &mut next).await;
         let began = Instant::now();
         let name = Recorded::Shares(index);
         let swapped = gw.platform.swap(name, revision, next.to_bytes()).await;
         group.took.set(began.elapsed());
+        let (told, pause_ms) = match &swapped {
+            Ok(Swap::Done(_)) => (Outcome::Done, 0),
+            Ok(Swap::Conflict(_)) => (Outcome::NotDone, self.pace(group).apart_ms(rand::random())),
+            Err(StoreError::Refused) => (Outcome::NotDone, PROBE_MS),
+            Err(_) => (Outcome::Unknown, 0),
+        };
+        let state = (revision, record);
+        let known = self.take_outcome(gw, index, swapped, state, next, before);
+        group.is_writing.set(false);
+        let pause = sleep(Duration::from_millis(pause_ms));
+        tokio::join!(self.tell_carried(carrier, told), pause);
+        known
+    }
+
+    /// Takes in what became of a write of `next` over a state.
+    fn take_outcome(
+        &self,
+        gw: &Gateway,
+        index: u32,
+        swapped: Result<Swap, StoreError>,
+        (revision, record): (u64, ShareRecord),
+        next: ShareRecord,
+        before: Option<Stamp>,
+    ) -> Known {
+        let group = &self.groups[index as usize];
         let outcome = match &swapped {
             Ok(Swap::Done(_)) => StoreOutcome::Answered,
             Ok(Swap::Conflict(_)) => StoreOutcome::Conflict,
@@ -180,14 +229,11 @@
             Ok(Swap::Conflict(versioned)) => {
                 group.holder.borrow_mut().not_done(before);
                 group.needed.notify_one();
-                let apart = self.pace(group).apart_ms(rand::random());
-                sleep(Duration::from_millis(apart)).await;
                 decode(&versioned)
             }
             Err(StoreError::Refused) => {
                 group.holder.borrow_mut().not_done(before);
                 group.in_touch.set(false);
-                sleep(Duration::from_millis(PROBE_MS)).await;
                 Known::State(revision, record)
             }
             Err(e) => {
@@ -203,11 +249,31 @@
         let pace = self.pace(group);
         let pause = Duration::from_millis(pace.pause_ms());
         let tick = Duration::from_millis(pace.tick_ms());
-        let began = Instant::now();
-        group.next_at.set(began + pause);
-        sleep(pause).await;
-        // Either way an exchange is made: it is needed, or the proof grows old.
-        let _ = timeout_at(began + tick, group.needed.notified()).await;
+        let apart = Duration::from_millis(self.turn_ms(group));
+        loop {
+            let began = group.wrote_at.get();
+            group.next_at.set(began + pause + apart);
+            sleep_until(began + pause + apart).await;
+            // Either way an exchange is made: it is needed, or the proof grows old.
+            let due = began + tick + apart;
+            let _ = timeout_at(due, group.needed.notified()).await;
+            // Unless another relay's write carried this one's share meanwhile.
+            if group.wrote_at.get() == began {
+                group.rested_at.set(began);
+                return;
+            }
+        }
+    }
+
+    /// Returns how much later than the first of the relays this one exchanges, in milliseconds: the
+    /// first one's write carries the others.
+    fn turn_ms(&self, group: &Group) -> u64 {
+        let me = self.id();
+        let record = group.record.borrow();
+        let before = record
+            .tenures()
+            .filter(|(id, _)| **id < me && self.is_live(id));
+        (before.count() as u64 * TURN_MS).min(MOST_TURN_MS)
     }
 
     /// Logs what a predecessor held that is lost with it.
@@ -230,7 +296,7 @@
         Pace::new(self.writers.get(), took_ms)
     }
 
-    fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
+    pub(super) fn adopt(&self, group: &Group, index: u32, record: &ShareRecord) {
         let is_mine = group.holder.borrow_mut().adopt(record);
         group.in_touch.set(is_mine);
         if is_mine {
--- a/wisteriapass_gateway/src/bank/group.rs
+++ b/wisteriapass_gateway/src/bank/group.rs
@@ -10,6 +10,7 @@
 use wisteriapass_coord::prepaid::{Lenders, LoansAsked, ShareHolder, ShareRecord, Standing};
 
 use super::WAIT_MS;
+use super::carrying::Carried;
 use crate::refusal::Refusal;
 
 /// When to come back if others hold what is left, in milliseconds: they give back at their next
@@ -33,6 +34,8 @@
     pub(super) in_touch: Cell<bool>,
     /// When this process's last write was known to have taken effect.
     pub(super) wrote_at: Cell<Instant>,
+    /// The same as of the end of the last pause.
+    pub(super) rested_at: Cell<Instant>,
     /// Time that the last exchange took.
     pub(super) took: Cell<Duration>,
     /// Earliest time of the next exchange.
@@ -49,6 +52,14 @@
     pub(super) away: RefCell<HashMap<SocketAddr, Instant>>,
     /// Process whose witnesses were asked.
     pub(super) asked: Cell<Option<u64>>,
+    /// Whether a write of this relay's own is under way.
+    pub(super) is_writing: Cell<bool>,
+    /// This relay's share that another one's write carries.
+    pub(super) carried: RefCell<Option<Carried>>,
+    /// Whether the outcome of such a write is not known.
+    pub(super) is_unsure: Cell<bool>,
+    /// Until when relays are not asked for their shares that did not answer.
+    pub(super) not_carried: RefCell<HashMap<SocketAddr, Instant>>,
     /// Whether the losses of predecessors are logged.
     pub(super) has_told: Cell<bool>,
 }
@@ -56,12 +67,14 @@
 impl Group {
     /// Creates a record's shares of a process that was not in touch yet.
     pub(super) fn new(holder: ShareHolder) -> Self {
+        let now = Instant::now();
         Self {
             holder: RefCell::new(holder),
             needed: Notify::new(),
             done: Notify::new(),
             in_touch: Cell::new(false),
-            wrote_at: Cell::new(Instant::now()),
+            wrote_at: Cell::new(now),
+            rested_at: Cell::new(now),
             took: Cell::new(Duration::ZERO),
             next_at: Cell::new(Instant::now()),
             record: RefCell::default(),
@@ -70,6 +83,10 @@
             report_due: Notify::new(),
             away: RefCell::default(),
             asked: Cell::new(None),
+            is_writing: Cell::new(false),
+            carried: RefCell::default(),
+            is_unsure: Cell::new(false),
+            not_carried: RefCell::default(),
             has_told: Cell::new(false),
         }
     }
@@ -80,6 +97,10 @@
         self.in_touch.set(false);
         self.asked.set(None);
         self.has_told.set(false);
+        self.rested_at.set(self.wrote_at.get());
+        self.is_writing.set(false);
+        self.carried.replace(None);
+        self.is_unsure.set(false);
     }
 
     /// Returns whether no request under way draws on the shares.
--- a/wisteriapass_gateway/src/relays/service.rs
+++ b/wisteriapass_gateway/src/relays/service.rs
@@ -5,7 +5,7 @@
 use super::evacuations::EVACUATIONS;
 use super::messages::NEWS;
 use super::quarantine::QUARANTINE;
-use crate::bank::{GRANT, INQUIRY, LEND, REPORT, Role};
+use crate::bank::{CARRIED, CARRY, GRANT, INQUIRY, LEND, REPORT, Role};
 use crate::call::serve_calls;
 use crate::prelude::*;
 
@@ -24,6 +24,8 @@
 async fn answer(gw: &Rc<Gateway>, path: &str, message: &[u8]) -> Option<Vec<u8>> {
     match path {
         LEND => gw.bank.answer_borrower(message),
+        CARRY => gw.bank.answer_carry(message),
+        CARRIED => gw.bank.answer_carried(message),
         REPORT => gw.bank.answer_report(message),
         INQUIRY => gw.bank.answer_inquiry(message),
         QUARANTINE => {
