--- a/wisteriapass_gateway/src/exchange/placing.rs
+++ b/wisteriapass_gateway/src/exchange/placing.rs
@@ -130,5 +130,6 @@
         kept: false,
         near: target.entry.domain == domain,
         trouble: target.trouble.borrow().now(now),
+        silent_ms: target.silent_ms(),
     }
 }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -292,17 +292,11 @@
         let unseen = ServiceTimes::default();
         let all = times.get(&target.entry.service).unwrap_or(&unseen);
         let here = target.times.borrow();
-        let running = target.running.get();
-        let silent = target.heard.get().elapsed();
         let work = Work {
             aim_ms: route.aim_ms,
             most_tokens: most,
-            running,
-            silent_ms: if running > 0 {
-                silent.as_millis() as u64
-            } else {
-                0
-            },
+            running: target.running.get(),
+            silent_ms: target.silent_ms(),
         };
         here.expected_ms(all, self.time(), work)
     }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -140,6 +140,13 @@
         may_be || now < self.cold_until.get()
     }
 
+    /// Returns the time since it sent anything, while requests of this router are under way there, in
+    /// milliseconds.
+    pub fn silent_ms(&self) -> u64 {
+        let silent = self.heard.get().elapsed().as_millis() as u64;
+        if self.running.get() > 0 { silent } else { 0 }
+    }
+
     /// Returns whether it may get new work at `now`.
     pub fn is_open(&self, now: Instant) -> bool {
         match self.standing {
--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -48,6 +48,10 @@
 /// Failures from which on a target is asked only when no other is left.
 const SUSPECT: f64 = 2.0;
 
+/// Silence of a target with requests under way from which on it is asked only when no other is left,
+/// in milliseconds: a domain that goes dark takes what is sent there without a word.
+const SILENT_MS: u64 = 400;
+
 /// What a router knows of one target when it places a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<K> {
@@ -67,6 +71,16 @@
     pub near: bool,
     /// Failures of late, by [`Trouble::now`].
     pub trouble: f64,
+    /// Time since it sent anything, while requests of this router are under way there, in
+    /// milliseconds.
+    pub silent_ms: u64,
+}
+
+impl<K> Candidate<K> {
+    /// Returns whether it is asked first.
+    fn is_sound(&self) -> bool {
+        self.trouble < SUSPECT && self.silent_ms < SILENT_MS
+    }
 }
 
 /// The prompt of a request, as far as it decides about its place.
@@ -114,8 +128,8 @@
     draw: u64,
 ) -> Option<K> {
     let scene = Scene::new(candidates, prompt, routers);
-    let sound = candidates.iter().any(|c| c.trouble < SUSPECT);
-    let ranked = candidates.iter().filter(|c| !sound || c.trouble < SUSPECT);
+    let sound = candidates.iter().any(Candidate::is_sound);
+    let ranked = candidates.iter().filter(|c| !sound || c.is_sound());
     let ranked = ranked.map(|c| (scene.rank(c), tie(c.hash, draw), c.key));
     let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     best.map(|(_, _, key)| key)
--- a/wisteriapass_policy/tests/placement.rs
+++ b/wisteriapass_policy/tests/placement.rs
@@ -85,6 +85,7 @@
                     kept: kept.contains_key(&(router, t, arrival.part)),
                     near: t % 3 == router % 3,
                     trouble: 0.0,
+                    silent_ms: 0,
                 }
             })
             .collect();
@@ -194,6 +195,7 @@
         kept: false,
         near: false,
         trouble: 0.0,
+        silent_ms: 0,
     }
 }
 
@@ -246,3 +248,19 @@
     (a.trouble, b.trouble) = (8.0, 3.0);
     assert_eq!(choose(&[a, b], Prompt::default(), 1, 1), Some(1));
 }
+
+// A domain that went dark took requests for as long as each router had little under way there.
+#[test]
+fn a_target_that_fell_silent_gets_nothing_while_another_speaks() {
+    let candidates: Vec<Candidate<usize>> = (0..4)
+        .map(|key| Candidate {
+            silent_ms: if key < 3 { 500 } else { 50 },
+            running: if key < 3 { 1 } else { 5 },
+            ..idle(key)
+        })
+        .collect();
+    for draw in 0..20 {
+        assert_eq!(choose(&candidates, Prompt::default(), 5, draw), Some(3));
+    }
+    assert!(choose(&candidates[..3], Prompt::default(), 5, 1).is_some());
+}
