--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -28,10 +28,6 @@
 /// which its answer is on time: half of what then is late may still be saved.
 const PATIENCE_TIMES: f64 = 1.5;
 
-/// The same with a stream that may run again, at a target that sends nothing at all: what goes
-/// elsewhere then still begins in time.
-const SILENCE_TIMES: f64 = 0.6;
-
 /// A request with all that it takes to send it, also again.
 #[derive(Debug)]
 pub struct Job {
@@ -143,14 +139,7 @@
             place.unread,
             may_go,
         );
-        tokio::pin!(sending);
-        let began = Instant::now();
-        let mut sent = self.gw.wait(self.patience(tries), &mut sending).await;
-        let is_early = Instant::now() < self.plan.deadline;
-        if is_early && sent.is_err() && self.has_heard(place.key, began) {
-            sent = self.gw.wait(self.plan.deadline, sending).await;
-        }
-        match sent {
+        match self.gw.wait(self.patience(tries), sending).await {
             Ok(sent) => sent,
             Err(Overdue::Deadline) => {
                 self.learn_begin(tries);
@@ -189,27 +178,13 @@
         let route = &self.plan.route;
         let is_last = tries.sent + 1 >= route.attempts;
         let is_last = is_last || !self.ends_in_time_elsewhere(tries);
-        let times = match route.kind {
-            Kind::Idempotent => PATIENCE_TIMES,
-            Kind::Stream { resumable: true } => SILENCE_TIMES,
-            Kind::NonIdempotent | Kind::Stream { .. } => return self.plan.deadline,
-        };
-        if is_last {
+        if route.kind != Kind::Idempotent || is_last {
             return self.plan.deadline;
         }
-        let patience = Duration::from_millis(route.aim_ms).mul_f64(times) + self.gw.waited();
+        let patience = Duration::from_millis(route.aim_ms).mul_f64(PATIENCE_TIMES);
         self.plan.deadline.min(Instant::now() + patience)
     }
 
-    /// Returns whether a stream that has not begun is waited for beyond that: its target sent
-    /// something of late, if not of this request.
-    fn has_heard(&self, key: TargetKey, since: Instant) -> bool {
-        let is_stream = matches!(self.plan.route.kind, Kind::Stream { .. });
-        let targets = self.gw.targets.borrow();
-        let target = targets.get(key);
-        is_stream && target.is_some_and(|t| 2 * t.heard.get().elapsed() < since.elapsed())
-    }
-
     /// Decides whether an answer is one to this request.
     fn judge(&self, key: TargetKey, answer: Box<Answer>) -> Verdict {
         let facts = &answer.facts;
--- a/wisteriapass_gateway/src/exchange/placing.rs
+++ b/wisteriapass_gateway/src/exchange/placing.rs
@@ -39,6 +39,7 @@
         let ends_in_time = |target: &Target| self.plan.ends_in_time(&self.gw, &self.facts, target);
         let domain = &self.gw.settings.domain;
         let prompt = self.facts.prompt();
+        let silence_ms = self.gw.silence_ms(&self.plan.service, &self.plan.route);
         let candidates: SmallVec<[Candidate<TargetKey>; 32]> = open
             .iter()
             .filter(|(_, target)| ends_in_time(target))
@@ -46,6 +47,7 @@
                 kept: prompt
                     .part
                     .is_some_and(|part| target.kept.borrow().has(part, now)),
+                silent: target.silent_ms() > silence_ms,
                 ..candidate(*key, target, domain, time)
             })
             .collect();
@@ -130,6 +132,6 @@
         kept: false,
         near: target.entry.domain == domain,
         trouble: target.trouble.borrow().now(now),
-        silent_ms: target.silent_ms(),
+        silent: false,
     }
 }
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -301,6 +301,15 @@
         here.expected_ms(all, self.time(), work)
     }
 
+    /// Returns the silence from which on a target of a service is suspect to requests of a route, in
+    /// milliseconds.
+    pub(crate) fn silence_ms(&self, service: &str, route: &Route) -> u64 {
+        let times = self.times.borrow();
+        let unseen = ServiceTimes::default();
+        let all = times.get(service).unwrap_or(&unseen);
+        all.silence_ms(route.aim_ms) + self.waited().as_millis() as u64
+    }
+
     /// Returns the time as decisions count it.
     pub(crate) fn time(&self) -> Time {
         Time::from_millis(self.clock.now_ms())
--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -48,10 +48,6 @@
 /// Failures from which on a target is asked only when no other is left.
 const SUSPECT: f64 = 2.0;
 
-/// Silence of a target with requests under way from which on it is asked only when no other is left,
-/// in milliseconds: a domain that goes dark takes what is sent there without a word.
-const SILENT_MS: u64 = 400;
-
 /// What a router knows of one target when it places a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<K> {
@@ -71,15 +67,15 @@
     pub near: bool,
     /// Failures of late, by [`Trouble::now`].
     pub trouble: f64,
-    /// Time since it sent anything, while requests of this router are under way there, in
-    /// milliseconds.
-    pub silent_ms: u64,
+    /// Whether it has requests of this router under way and sent nothing for longer than is usual.
+    pub silent: bool,
 }
 
 impl<K> Candidate<K> {
-    /// Returns whether it is asked first.
+    /// Returns whether it is asked before others: a domain that goes dark takes what is sent there
+    /// without a word.
     fn is_sound(&self) -> bool {
-        self.trouble < SUSPECT && self.silent_ms < SILENT_MS
+        self.trouble < SUSPECT && !self.silent
     }
 }
 
--- a/wisteriapass_policy/src/service_times.rs
+++ b/wisteriapass_policy/src/service_times.rs
@@ -27,6 +27,13 @@
 /// Age from which on a target's request says nothing of it any more, in milliseconds.
 const OLD_MS: u64 = 10_000;
 
+/// Silence that is suspect, as a multiple of the time in which most answers begin.
+const BEYOND_USUAL: f64 = 1.5;
+
+/// The least such silence, as a part of the time in which an answer should begin: what goes elsewhere
+/// then may still begin in time.
+const PART_OF_AIM: f64 = 0.6;
+
 /// A request that is about to be sent to a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -84,6 +91,17 @@
     }
 }
 
+impl ServiceTimes {
+    /// Returns the silence from which on a target is suspect, in milliseconds, for requests whose
+    /// answers should begin within `aim_ms`.
+    ///
+    /// Most answers begin sooner, so what goes elsewhere then is seldom run twice in vain.
+    pub fn silence_ms(&self, aim_ms: u64) -> u64 {
+        let usual = self.begin_ms.high().unwrap_or_default() * BEYOND_USUAL;
+        usual.max(aim_ms as f64 * PART_OF_AIM) as u64
+    }
+}
+
 /// The newest values of something.
 #[derive(Clone, Debug, Default)]
 struct Recent {
