--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -153,27 +153,12 @@
     ///
     /// [`Shortfall`] if the share does not cover it.
     pub fn reserve(&mut self, now_ms: u64, account: &str, most: u64) -> Result<(), Shortfall> {
-        self.reserve_beside(now_ms, account, most, 0)
-    }
-
-    /// Reserves the most that a request can cost, in tokens, if `kept` tokens stay at hand for others.
-    ///
-    /// # Errors
-    ///
-    /// [`Shortfall`] if the share does not cover both.
-    pub fn reserve_beside(
-        &mut self,
-        now_ms: u64,
-        account: &str,
-        most: u64,
-        kept: u64,
-    ) -> Result<(), Shortfall> {
         if self.closed {
             return Err(Shortfall::Short);
         }
         let level = self.level(account);
         let a = self.accounts.entry(account.to_owned()).or_default();
-        if a.spendable(level) >= most.saturating_add(kept) {
+        if a.spendable(level) >= most {
             a.reserved += most;
             a.draw.add(now_ms, most);
             return Ok(());
--- a/wisteriapass_coord/src/prepaid/savings.rs
+++ b/wisteriapass_coord/src/prepaid/savings.rs
@@ -80,22 +80,9 @@
         }
         is_refused
     }
-
-    /// Returns what the more urgent requests of an account will draw in so many milliseconds, in
-    /// tokens.
-    pub fn kept(&self, now_ms: u64, account: &str, rank: u8, ms: u64) -> u64 {
-        let saving = self.accounts.get(account);
-        saving.map_or(0, |s| s.kept(now_ms, rank, ms))
-    }
 }
 
 impl Saving {
-    fn kept(&self, now_ms: u64, rank: u8, ms: u64) -> u64 {
-        let draws = self.draws.iter().filter(|(r, _)| *r < rank);
-        let sum: f64 = draws.map(|(_, draw)| draw.per_second(now_ms)).sum();
-        (sum * ms as f64 / 1_000.0) as u64
-    }
-
     fn add(&mut self, now_ms: u64, asked: Asked<'_>) {
         let known = self.draws.iter().position(|(rank, _)| *rank == asked.rank);
         let at = known.unwrap_or_else(|| {
--- a/wisteriapass_gateway/src/bank.rs
+++ b/wisteriapass_gateway/src/bank.rs
@@ -7,6 +7,7 @@
 mod group;
 mod lending;
 mod reporting;
+mod saving;
 mod source;
 
 use std::cell::{Cell, RefCell};
@@ -55,9 +56,6 @@
 /// more than VMs are down for.
 const SILENCE_MS: u64 = 5_000;
 
-/// Time by which an exchange may come later than usual before it is overdue, in milliseconds.
-const OVERDUE_MS: u64 = 250;
-
 /// Draw that the open part covers, in milliseconds: lasts over the seal and the time between two
 /// exchanges.
 const OPEN_MS: u64 = 2_900;
@@ -256,29 +254,6 @@
         self.reserve_any(asked, Some(until)).await.ok()
     }
 
-    /// Returns what has to stay at hand for more urgent requests of its account, in tokens, while the
-    /// next exchange is overdue and sealed parts are not open yet.
-    fn kept(&self, asked: Asked<'_>) -> u64 {
-        let group = self.group(asked.account);
-        let due_ms = self.pace(group).tick_ms() + OVERDUE_MS;
-        let silent_ms = group.wrote_at.get().elapsed().as_millis() as u64;
-        if silent_ms < due_ms || silent_ms >= SEAL_MS {
-            return 0;
-        }
-        let savings = self.savings.borrow();
-        let (now_ms, left_ms) = (self.clock.now_ms(), SEAL_MS - silent_ms);
-        savings.kept(now_ms, asked.account, asked.rank, left_ms)
-    }
-
-    /// Returns whether a request is refused for more urgent ones of its account.
-    fn saves(&self, asked: Asked<'_>) -> bool {
-        let group = self.group(asked.account);
-        let record = group.record.borrow();
-        let scarcity = group.holder.borrow().scarcity(asked.account, &record);
-        let mut savings = self.savings.borrow_mut();
-        savings.refuses(self.clock.now_ms(), asked, scarcity, rand::random())
-    }
-
     async fn reserve_any(
         self: &Rc<Self>,
         asked: Asked<'_>,
@@ -286,7 +261,10 @@
     ) -> Result<Source, Refusal> {
         match self.role.get() {
             Role::Relay if self.saves(asked) => Err(Refusal::Saved),
-            Role::Relay => self.obtain(asked, deadline).await.map(|()| Source::Share),
+            Role::Relay => self
+                .obtain(asked.account, asked.most, deadline)
+                .await
+                .map(|()| Source::Share),
             Role::Follower | Role::Retiring => {
                 let until = deadline.unwrap_or(self.fresh_until);
                 self.draw(asked, until).await.map(Source::Credit)
@@ -297,10 +275,10 @@
     /// Reserves out of this router's own share, which may take an exchange or a loan.
     async fn obtain(
         self: &Rc<Self>,
-        asked: Asked<'_>,
+        account: &str,
+        most: u64,
         deadline: Option<Instant>,
     ) -> Result<(), Refusal> {
-        let Asked { account, most, .. } = asked;
         let group = self.group(account);
         let wait = Instant::now() + Duration::from_millis(WAIT_MS);
         let is_first = group.is_new(account) && Instant::now() < self.fresh_until;
@@ -310,10 +288,7 @@
         loop {
             let done = group.done.notified();
             let now_ms = self.clock.now_ms();
-            let kept = self.kept(asked);
-            let reserve =
-                |holder: &mut ShareHolder| holder.reserve_beside(now_ms, account, most, kept);
-            let reserved = reserve(&mut group.holder.borrow_mut());
+            let reserved = group.holder.borrow_mut().reserve(now_ms, account, most);
             match reserved {
                 Ok(()) => return Ok(()),
                 Err(Shortfall::Exhausted) => return Err(Refusal::Exhausted),
--- a/wisteriapass_gateway/src/bank/granting.rs
+++ b/wisteriapass_gateway/src/bank/granting.rs
@@ -78,10 +78,7 @@
         for wanted in &call.accounts {
             denial = match asked {
                 Some(asked) if self.saves_for(wanted, asked) => Some(Denial::Saved),
-                _ => {
-                    let rank = asked.map_or(0, |(rank, _)| rank);
-                    self.grant_one(call, wanted, rank).await.err().or(denial)
-                }
+                _ => self.grant_one(call, wanted).await.err().or(denial),
             };
         }
         Granted {
@@ -105,7 +102,6 @@
         self: &Rc<Self>,
         call: &GrantCall,
         wanted: &AccountCall,
-        rank: u8,
     ) -> Result<(), Denial> {
         if self.role() != Role::Relay {
             return Err(Denial::Short { back_ms: 0 });
@@ -121,12 +117,7 @@
             tokens,
             is_reserved: false,
         };
-        let asked = Asked {
-            account: &wanted.name,
-            rank,
-            most: tokens,
-        };
-        match self.obtain(asked, None).await {
+        match self.obtain(&wanted.name, tokens, None).await {
             Ok(()) => {
                 coming.is_reserved = true;
                 Ok(())
