--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -95,6 +95,12 @@
             "refused: no route of the configuration in force fits its host and path"
         }
         Some("not_configured") => "refused: the router had just started and knew no configuration",
+        Some("saved") => {
+            "refused for more urgent requests: its account lost money with dead routers, and little \
+             is left"
+        }
+        Some("cold") => "refused: the targets that are left have just started and bear no more",
+        Some("no_region") => "refused: its route and account name regions without a target",
         Some("no_target") => "refused: no target of its service took work",
         Some("not_taken") if has("fault=shed") => "refused: the targets that were asked were full",
         Some("not_taken") => "refused: the targets that were asked could not be reached",
--- a/wisteriapass_coord/src/prepaid/savings.rs
+++ b/wisteriapass_coord/src/prepaid/savings.rs
@@ -97,7 +97,8 @@
         let short = self.short_part(scarcity);
         let all = self.draw(now_ms, |_| true);
         let lasts_ms = scarcity.left as f64 * scarcity.part.max(LEAST_PART) / all * 1_000.0;
-        if short <= 0.0 || lasts_ms >= HORIZON_MS {
+        let is_most_urgent = self.draws.iter().all(|(r, _)| *r >= rank);
+        if short <= 0.0 || lasts_ms >= HORIZON_MS || is_most_urgent {
             return 0.0;
         }
         let less_urgent = self.draw(now_ms, |r| r > rank) / all;
--- a/wisteriapass_coord/tests/prepaid/savings.rs
+++ b/wisteriapass_coord/tests/prepaid/savings.rs
@@ -123,3 +123,22 @@
     let paid = refused / 2;
     assert!((LOST / 2..=LOST).contains(&paid), "{paid}");
 }
+
+#[test]
+fn the_most_urgent_requests_of_an_account_are_never_refused() {
+    let mut savings = Savings::default();
+    let scarcity = Scarcity {
+        total: TOTAL,
+        left: 1_000,
+        lost: LOST,
+        part: 1.0,
+    };
+    for n in 0..100 {
+        let asked = Asked {
+            account: ACCOUNT,
+            rank: 1,
+            most: 2_000,
+        };
+        assert!(!savings.refuses(n * 20, asked, scarcity, 0.0));
+    }
+}
