--- a/wisteriapass_coord/tests/prepaid/shares.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -235,6 +235,20 @@
     assert!(in_time * 3 < late * 2, "{in_time} of {late}");
 }
 
+/// Guards against losing what routers hold when all of them are down longer than the seal holds.
+#[test]
+fn an_outage_just_longer_than_the_seal_loses_little_of_the_sealed_parts() {
+    let lost = |outage_ms| lost_by_power(outage_ms, &|_| 0);
+    let open = lost(1_000);
+    let sealed = lost(60_000) - open;
+    let over_half_a_second = lost(SHARE_CONFIG.seal_ms + 300) - open;
+    // Routers that are cut off draw on the sealed parts for seconds.
+    assert!(
+        5 * over_half_a_second <= sealed,
+        "{over_half_a_second} of {sealed}"
+    );
+}
+
 #[test]
 fn a_clock_that_agreed_agrees_until_it_is_set() {
     let mut record = ShareRecord::default();
