Shares: sealed parts open evenly, so a longer outage loses no whole share

Cause: a sealed part, three quarters of what a router holds, opened whole at 2.2 s without a write. A successor that starts later than that has to count all of it as spent, also where its predecessor died right after its last write. The class: a proof with a cliff; what is lost jumps with the length of the outage instead of growing with what can have been spent in it.

Evidence: the last write at 33.99 s, the first one after it at 36.28 s.

Change: from 2.2 s on a sealed part opens evenly over 4 s, some twice as fast as it is drawn. A successor counts as lost what can have been open when it started. The holder entry says how its process opens, so that a successor never trusts a part that a router of the version before opened at once; records have a new format, earlier ones are read.

Test: an_outage_just_longer_than_the_seal_loses_little_of_the_sealed_parts failed before (11,674 of 11,674 lost). Tests that stated the opening at once now state the even one to the token: a_successor_recovers_only_what_cannot_have_been_unsealed (four ages instead of two), a_sealed_part_opens_only_without_contact_with_the_store (start, half and end), three of the witnesses (equality with what is open at that age). With a successor that reckons 0.4 s too little six tests fail, the history check of the witnesses among them; 30,000 histories pass without.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -86,6 +86,15 @@
         self.open_limit + config.unsealed(sealed, age_ms)
     }
 
+    /// Returns the age of the last write at which `max_cost` tokens can be reserved, in milliseconds;
+    /// `None` if the whole share does not cover them.
+    pub(super) fn unseals_at_ms(&self, max_cost: u64, config: &ShareConfig) -> Option<u64> {
+        let sealed = self.share.granted.saturating_sub(self.open_limit);
+        let uncovered = max_cost.saturating_sub(self.spendable(self.open_limit));
+        let fits = self.spendable(self.share.granted) >= max_cost;
+        fits.then(|| config.unseals_at_ms(sealed, uncovered))
+    }
+
     /// Returns the spending limit that witnesses are asked to acknowledge, in tokens.
     pub(super) fn requested_limit(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let headroom =
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -260,6 +260,7 @@
             domain: self.domain,
             followers: self.followers,
             is_strong: self.is_strong,
+            unseal_ms: self.config.unseal_ms,
         };
         self.witnesses.add_named(entry.witnesses);
         record.set_holder_entry(&self.id, entry);
--- a/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
+++ b/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
@@ -20,7 +20,8 @@
         self.age_ms = self.age_ms.max(age_ms);
         self.witnesses
             .advance(now.since_boot, self.config.witness_timeout_ms);
-        self.age_ms >= self.config.seal_ms && !self.witnesses.any_binds()
+        let open_at_ms = self.config.seal_ms + self.config.unseal_ms;
+        self.age_ms >= open_at_ms && !self.witnesses.any_binds()
     }
 
     /// Returns the limit up to which an account's share may be spent now, in tokens.
@@ -47,8 +48,8 @@
     /// milliseconds, if the store stays unreachable.
     pub fn unseals_in_ms(&self, account: &str, max_cost: u64) -> Option<u64> {
         let account_share = self.accounts.get(account)?;
-        let fits = account_share.spendable(account_share.share.granted) >= max_cost;
-        fits.then(|| self.config.seal_ms.saturating_sub(self.age_ms))
+        let unseals_at_ms = account_share.unseals_at_ms(max_cost, &self.config)?;
+        Some(unseals_at_ms.saturating_sub(self.age_ms))
     }
 
     /// Returns the witnesses of this process.
--- a/wisteriapass_coord/src/prepaid/holder/succession.rs
+++ b/wisteriapass_coord/src/prepaid/holder/succession.rs
@@ -5,7 +5,8 @@
 use super::ShareHolder;
 use crate::prepaid::stamp::CLOCK_TOLERANCE_MS;
 use crate::prepaid::{
-    HolderEntry, Inquiry, InquiryAnswer, ShareRecord, Stamp, SuccessionProof, WitnessId,
+    HolderEntry, Inquiry, InquiryAnswer, ShareConfig, ShareRecord, Stamp, SuccessionProof,
+    WitnessId,
 };
 
 impl ShareHolder {
@@ -40,7 +41,10 @@
 
     /// Takes over the shares of a dead predecessor.
     pub(super) fn take_over(&mut self, before: HolderEntry, next: &mut ShareRecord) {
-        let config = self.config;
+        let config = ShareConfig {
+            unseal_ms: before.unseal_ms,
+            ..self.config
+        };
         let age_ms = self.started.since(before.stamp);
         // Two readings of the time of day can each be off by the tolerance within which clocks
         // agree.
--- a/wisteriapass_coord/src/prepaid/holder_entry.rs
+++ b/wisteriapass_coord/src/prepaid/holder_entry.rs
@@ -65,4 +65,7 @@
     /// Whether its VM is one of those with enough capacity to carry the shares of others.
     #[serde(default)]
     pub is_strong: bool,
+    /// Time over which the sealed parts of its shares open, in milliseconds; 0 if they open at once.
+    #[serde(default)]
+    pub unseal_ms: u64,
 }
--- a/wisteriapass_coord/src/prepaid/packed.rs
+++ b/wisteriapass_coord/src/prepaid/packed.rs
@@ -11,12 +11,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::{HolderEntry, HolderId, NamedWitnesses, Share, ShareRecord, Stamp};
+use crate::prepaid::{DomainId, HolderEntry, HolderId, NamedWitnesses, Share, ShareRecord, Stamp};
 
 /// First byte of the current format.
+const FORMAT_V4: u8 = 4;
+
+/// First byte of the previous format, in which all sealed parts open at once.
 const FORMAT_V3: u8 = 3;
 
-/// First byte of the previous format, in which a holder entry has no failure domain.
+/// First byte of the format before that, in which a holder entry has no failure domain either.
 const FORMAT_V2: u8 = 2;
 
 /// First byte of the format before that, in which a holder entry has no witnesses either.
@@ -46,6 +49,20 @@
     accounts: Vec<PackedAccount>,
 }
 
+/// A holder entry of a process whose sealed parts open at once.
+#[derive(Deserialize)]
+struct HolderEntryV3 {
+    process: u64,
+    write: u64,
+    stamp: Stamp,
+    agreed: bool,
+    lends_at: Option<SocketAddr>,
+    witnesses: NamedWitnesses,
+    domain: DomainId,
+    followers: u32,
+    is_strong: bool,
+}
+
 /// A holder entry without a failure domain.
 #[derive(Deserialize)]
 struct HolderEntryV2 {
@@ -83,7 +100,7 @@
         };
         // Encoding fails only for types that this record does not have, such as maps of unknown
         // length.
-        postcard::to_extend(&packed, vec![FORMAT_V3]).unwrap_or_default()
+        postcard::to_extend(&packed, vec![FORMAT_V4]).unwrap_or_default()
     }
 
     /// Decodes a record.
@@ -93,7 +110,8 @@
     /// Returns [`UnpackError`] if the bytes are not a valid record.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, UnpackError> {
         match bytes.split_first() {
-            Some((&FORMAT_V3, rest)) => unpack::<HolderEntry>(rest),
+            Some((&FORMAT_V4, rest)) => unpack::<HolderEntry>(rest),
+            Some((&FORMAT_V3, rest)) => unpack::<HolderEntryV3>(rest),
             Some((&FORMAT_V2, rest)) => unpack::<HolderEntryV2>(rest),
             Some((&FORMAT_V1, rest)) => unpack::<HolderEntryV1>(rest),
             Some((&FORMAT_JSON, _)) => {
@@ -126,6 +144,23 @@
     packed.unpack()
 }
 
+impl From<HolderEntryV3> for HolderEntry {
+    fn from(entry: HolderEntryV3) -> Self {
+        Self {
+            process: entry.process,
+            write: entry.write,
+            stamp: entry.stamp,
+            agreed: entry.agreed,
+            lends_at: entry.lends_at,
+            witnesses: entry.witnesses,
+            domain: entry.domain,
+            followers: entry.followers,
+            is_strong: entry.is_strong,
+            unseal_ms: 0,
+        }
+    }
+}
+
 impl From<HolderEntryV2> for HolderEntry {
     fn from(entry: HolderEntryV2) -> Self {
         Self {
--- a/wisteriapass_coord/src/prepaid/share_config.rs
+++ b/wisteriapass_coord/src/prepaid/share_config.rs
@@ -8,9 +8,12 @@
     pub open_demand_ms: u64,
     /// Demand that the sealed part covers, in milliseconds: the reserve for a long partition.
     pub sealed_demand_ms: u64,
-    /// Time since the last write that may have reached the store after which the sealed part opens,
-    /// in milliseconds.
+    /// Time since the last write that may have reached the store after which the sealed part begins
+    /// to open, in milliseconds.
     pub seal_ms: u64,
+    /// Time from then on over which the sealed part opens evenly, in milliseconds. If it opened at
+    /// once, a successor that starts shortly after would have to count all of it as lost.
+    pub unseal_ms: u64,
     /// Time since the last report to a witness after which the witness no longer binds the router,
     /// in milliseconds. If it were shorter than a VM restart, no tokens would be recovered; it must
     /// not be longer than callers can go without service.
@@ -28,9 +31,16 @@
     /// Returns how much of a sealed part is open when the last write that may have reached the
     /// store is `age_ms` old, in tokens.
     pub fn unsealed(&self, sealed: u64, age_ms: u64) -> u64 {
-        if age_ms < self.seal_ms {
-            return 0;
+        match age_ms.checked_sub(self.seal_ms) {
+            None => 0,
+            Some(opening_ms) if opening_ms < self.unseal_ms => sealed * opening_ms / self.unseal_ms,
+            Some(_) => sealed,
         }
-        sealed
+    }
+
+    /// Returns the age of the last write that may have reached the store at which `tokens` of a
+    /// sealed part are open, in milliseconds.
+    pub fn unseals_at_ms(&self, sealed: u64, tokens: u64) -> u64 {
+        self.seal_ms + (tokens * self.unseal_ms).div_ceil(sealed.max(1))
     }
 }
--- a/wisteriapass_coord/tests/prepaid/grants.rs
+++ b/wisteriapass_coord/tests/prepaid/grants.rs
@@ -9,7 +9,7 @@
     ShareRecord,
 };
 
-use crate::support::{ACCOUNT, SHARE_CONFIG, at, exchange, holder, holder_at};
+use crate::support::{ACCOUNT, FULLY_OPEN_MS, at, exchange, holder, holder_at};
 
 /// A relay process on its VM.
 struct Relay {
@@ -403,6 +403,6 @@
     assert!(share.sealed > 0);
     let mut credit = follower("f");
     assert!(reserve_or_request(&mut credit, &mut relay, 1, share.granted).is_none());
-    relay.holder.unseal(at(SHARE_CONFIG.seal_ms));
+    relay.holder.unseal(at(FULLY_OPEN_MS));
     assert!(reserve_or_request(&mut credit, &mut relay, 2, share.granted).is_some());
 }
--- a/wisteriapass_coord/tests/prepaid/shares.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -3,7 +3,7 @@
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareShortfall, Stamp};
 
-use crate::support::{ACCOUNT, SHARE_CONFIG, at, exchange, holder, holder_at};
+use crate::support::{ACCOUNT, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at};
 
 /// Reserves, with one exchange if the share is too small.
 fn reserve_with_exchange(
@@ -133,13 +133,36 @@
         h.settle(ACCOUNT, 100, 100);
         exchange(&mut h, i * 100, &mut record);
     }
-    let sealed = record.share(ACCOUNT, h.id()).sealed;
-    assert!(sealed > 0);
-    assert!(!h.unseal(at(1_900 + SHARE_CONFIG.seal_ms - 1)));
-    assert!(h.unseal(at(1_900 + SHARE_CONFIG.seal_ms)));
-    let open = record.share(ACCOUNT, h.id()).open();
-    assert!(open > 0);
-    assert_eq!(h.reserve(9_000, ACCOUNT, open + sealed), Ok(()));
+    let share = record.share(ACCOUNT, h.id());
+    assert!(share.sealed > 0 && share.open() > 0);
+    h.unseal(at(1_900 + SHARE_CONFIG.seal_ms));
+    assert_eq!(h.reserve(9_000, ACCOUNT, share.open()), Ok(()));
+    assert!(h.reserve(9_000, ACCOUNT, 1).is_err());
+    h.unseal(at(1_900
+        + SHARE_CONFIG.seal_ms
+        + SHARE_CONFIG.unseal_ms / 2));
+    assert_eq!(h.reserve(9_000, ACCOUNT, share.sealed / 2), Ok(()));
+    assert!(h.reserve(9_000, ACCOUNT, 1).is_err());
+    assert!(!h.unseal(at(1_900 + FULLY_OPEN_MS - 1)));
+    assert!(h.unseal(at(1_900 + FULLY_OPEN_MS)));
+    assert_eq!(h.reserve(9_000, ACCOUNT, share.sealed.div_ceil(2)), Ok(()));
+}
+
+#[test]
+fn the_time_until_a_sealed_part_covers_a_request_is_exact() {
+    let mut record = ShareRecord::default();
+    let mut h = holder("a", 1, 10_000);
+    assert_eq!(reserve_with_exchange(&mut h, 0, 500, &mut record), Ok(()));
+    exchange(&mut h, 0, &mut record);
+    let share = record.share(ACCOUNT, h.id());
+    let cost = share.open() + share.sealed / 3;
+    let opens_ms = h.unseals_in_ms(ACCOUNT, cost).unwrap();
+    h.unseal(at(opens_ms - 1));
+    assert_eq!(h.unseals_in_ms(ACCOUNT, cost), Some(1));
+    assert!(h.reserve(opens_ms, ACCOUNT, cost).is_err());
+    h.unseal(at(opens_ms));
+    assert_eq!(h.reserve(opens_ms, ACCOUNT, cost), Ok(()));
+    assert_eq!(h.unseals_in_ms(ACCOUNT, share.granted), None);
 }
 
 /// Creates a holder that spent 500 of 10,000; returns the record and the sealed part.
@@ -154,18 +177,39 @@
 }
 
 #[test]
-fn a_successor_recovers_only_an_intact_seal() {
-    for (age, intact) in [
-        (SHARE_CONFIG.seal_ms - 1, true),
-        (SHARE_CONFIG.seal_ms, false),
+fn a_successor_recovers_only_what_cannot_have_been_unsealed() {
+    for age in [
+        0,
+        SHARE_CONFIG.seal_ms,
+        SHARE_CONFIG.seal_ms + SHARE_CONFIG.unseal_ms / 4,
+        FULLY_OPEN_MS,
     ] {
         let (mut record, sealed) = sealed_share();
         let before = record.granted(ACCOUNT);
         let mut after = holder_at("a", 2, 10_000, at(age));
         exchange(&mut after, age, &mut record);
         let lost = record.share(ACCOUNT, after.id()).lost;
-        let back = if intact { sealed } else { 0 };
-        assert_eq!(lost, before - back);
+        let opening_ms = age.saturating_sub(SHARE_CONFIG.seal_ms);
+        let unsealed = sealed * opening_ms / SHARE_CONFIG.unseal_ms;
+        assert_eq!(lost, before - sealed + unsealed, "{age} ms");
+    }
+}
+
+#[test]
+fn the_sealed_part_of_a_process_that_unseals_at_once_is_lost_after_the_seal() {
+    for (age, is_lost) in [
+        (SHARE_CONFIG.seal_ms - 1, false),
+        (SHARE_CONFIG.seal_ms, true),
+    ] {
+        let (mut record, sealed) = sealed_share();
+        let before = record.granted(ACCOUNT);
+        let mut after = holder_at("a", 2, 10_000, at(age));
+        let mut entry = record.holder_entry(after.id()).unwrap();
+        entry.unseal_ms = 0;
+        record.set_holder_entry(after.id(), entry);
+        exchange(&mut after, age, &mut record);
+        let back = if is_lost { 0 } else { sealed };
+        assert_eq!(record.share(ACCOUNT, after.id()).lost, before - back);
     }
 }
 
@@ -231,7 +275,7 @@
 #[test]
 fn after_a_power_loss_seals_are_intact_if_all_clocks_agree() {
     let in_time = lost_by_power(1_000, &|_| 0);
-    let late = lost_by_power(4_000, &|_| 0);
+    let late = lost_by_power(FULLY_OPEN_MS, &|_| 0);
     assert!(in_time * 3 < late * 2, "{in_time} of {late}");
 }
 
@@ -240,7 +284,7 @@
 fn an_outage_just_longer_than_the_seal_loses_little_of_the_sealed_parts() {
     let lost = |outage_ms| lost_by_power(outage_ms, &|_| 0);
     let open = lost(1_000);
-    let sealed = lost(60_000) - open;
+    let sealed = lost(FULLY_OPEN_MS) - open;
     let over_half_a_second = lost(SHARE_CONFIG.seal_ms + 300) - open;
     // Routers that are cut off draw on the sealed parts for seconds.
     assert!(
@@ -269,7 +313,7 @@
 
 #[test]
 fn one_clock_that_was_set_back_leaves_all_seals_broken() {
-    let late = lost_by_power(4_000, &|_| 0);
+    let late = lost_by_power(FULLY_OPEN_MS, &|_| 0);
     for wrong in 0..3 {
         let clock_error_ms = |i: usize| if i == wrong { -3_000 } else { 0 };
         assert_eq!(lost_by_power(4_000, &clock_error_ms), late);
--- a/wisteriapass_coord/tests/prepaid/support.rs
+++ b/wisteriapass_coord/tests/prepaid/support.rs
@@ -7,6 +7,7 @@
     open_demand_ms: 4_000,
     sealed_demand_ms: 6_000,
     seal_ms: 2_000,
+    unseal_ms: 4_000,
     witness_timeout_ms: 4_000,
     max_unspent_fraction: 0.6,
     idle_fraction: 0.05,
@@ -15,6 +16,9 @@
 /// Account that all tests use.
 pub const ACCOUNT: &str = "firm";
 
+/// Age of the last write at which sealed parts are fully open, in milliseconds.
+pub const FULLY_OPEN_MS: u64 = SHARE_CONFIG.seal_ms + SHARE_CONFIG.unseal_ms;
+
 /// Returns the readings of both clocks at a time of the test.
 pub fn at(ms: u64) -> Stamp {
     Stamp {
--- a/wisteriapass_coord/tests/prepaid/witnesses.rs
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -2,10 +2,10 @@
 
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{
-    ShareHolder, ShareRecord, Stamp, WitnessId, WitnessMemory, WitnessReceipt, WitnessReport,
+    Share, ShareHolder, ShareRecord, Stamp, WitnessId, WitnessMemory, WitnessReceipt, WitnessReport,
 };
 
-use crate::support::{ACCOUNT, SHARE_CONFIG, at, exchange, holder, holder_at};
+use crate::support::{ACCOUNT, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at};
 
 /// Witnesses that a router reports to.
 const WITNESSES: usize = 2;
@@ -124,6 +124,12 @@
     record.share(ACCOUNT, successor.id()).lost
 }
 
+/// Returns what counts as lost of a share whose last write was made at 2,900 ms, if no witness is
+/// trusted at `now`.
+fn lost_without_witnesses(held: Share, now: u64) -> u64 {
+    held.open() + SHARE_CONFIG.unsealed(held.sealed, now - 2_900)
+}
+
 #[test]
 fn a_router_that_dies_in_a_partition_loses_little_more_than_it_spent() {
     let (mut all, mut record) = (witnesses(), ShareRecord::default());
@@ -158,7 +164,7 @@
     let mut h = spend_with_store(&mut all, &mut record, 3_000);
     spend_without_store(&mut h, &mut all, 3_000, 6_000);
     let held = record.share(ACCOUNT, h.id());
-    let lost = lost_after_death(&h, &[], &mut record, 7_000);
+    let lost = lost_after_death(&h, &[], &mut record, 3_000 + FULLY_OPEN_MS);
     assert_eq!(lost, held.granted - held.used);
 }
 
@@ -169,11 +175,13 @@
     let last = 3_000;
     spend_without_store(&mut h, &mut all, 3_000, last);
     let gone = last + SHARE_CONFIG.witness_timeout_ms;
-    assert!(!h.unseal(at(gone - 200)));
-    assert!(h.unseal(at(gone)));
     let held = record.share(ACCOUNT, h.id());
+    h.unseal(at(gone - 200));
+    assert!(h.reserve(gone, ACCOUNT, held.open() + 1).is_err());
+    h.unseal(at(gone));
+    assert_eq!(h.reserve(gone, ACCOUNT, held.open() + 1), Ok(()));
     let lost = lost_after_death(&h, &all, &mut record, gone + 100);
-    assert_eq!(lost, held.granted - held.used);
+    assert_eq!(lost, lost_without_witnesses(held, gone + 100));
 }
 
 #[test]
@@ -186,13 +194,15 @@
         ..h.compose_report(3_000, at(3_000))
     };
     h.witnesses().note_sent(id, at(3_000).since_boot);
-    assert!(h.unseal(at(3_000 + SHARE_CONFIG.witness_timeout_ms)));
+    let held = record.share(ACCOUNT, h.id());
+    let gone = 3_000 + SHARE_CONFIG.witness_timeout_ms;
+    h.unseal(at(gone));
+    assert_eq!(h.reserve(gone, ACCOUNT, held.open() + 1), Ok(()));
     // The report is read only now, after its sender unsealed its share.
-    let now = 3_000 + SHARE_CONFIG.witness_timeout_ms + 100;
+    let now = gone + 100;
     all[0].memory.record_report(now, late);
-    let held = record.share(ACCOUNT, h.id());
     let lost = lost_after_death(&h, &all, &mut record, now);
-    assert_eq!(lost, held.granted - held.used);
+    assert_eq!(lost, lost_without_witnesses(held, now));
 }
 
 #[test]
--- a/wisteriapass_coord/tests/prepaid_packed.rs
+++ b/wisteriapass_coord/tests/prepaid_packed.rs
@@ -19,6 +19,7 @@
         domain: DomainId::default(),
         followers: 0,
         is_strong: false,
+        unseal_ms: 0,
     }
 }
 
@@ -104,6 +105,15 @@
     witnesses: NamedWitnesses,
 }
 
+/// A holder entry of the format without the time over which sealed parts open.
+#[derive(serde::Serialize)]
+struct EntryV3 {
+    before: EntryV2,
+    domain: DomainId,
+    followers: u32,
+    is_strong: bool,
+}
+
 fn entry_v1(entry: &HolderEntry) -> EntryV1 {
     EntryV1 {
         process: entry.process,
@@ -114,6 +124,13 @@
     }
 }
 
+fn entry_v2(entry: &HolderEntry) -> EntryV2 {
+    EntryV2 {
+        before: entry_v1(entry),
+        witnesses: entry.witnesses,
+    }
+}
+
 /// Encodes a record of three holders and two accounts in an earlier format.
 fn encode_earlier<T: serde::Serialize>(
     record: &ShareRecord,
@@ -138,9 +155,13 @@
     let record = record(2, 3);
     let first = encode_earlier(&record, 1, entry_v1);
     assert_eq!(ShareRecord::from_bytes(&first), Ok(record.clone()));
-    let second = encode_earlier(&record, 2, |entry| EntryV2 {
-        before: entry_v1(entry),
-        witnesses: entry.witnesses,
+    let second = encode_earlier(&record, 2, entry_v2);
+    assert_eq!(ShareRecord::from_bytes(&second), Ok(record.clone()));
+    let third = encode_earlier(&record, 3, |entry| EntryV3 {
+        before: entry_v2(entry),
+        domain: entry.domain,
+        followers: entry.followers,
+        is_strong: entry.is_strong,
     });
-    assert_eq!(ShareRecord::from_bytes(&second), Ok(record));
+    assert_eq!(ShareRecord::from_bytes(&third), Ok(record));
 }
--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -49,11 +49,15 @@
 /// share exchange, and holds a few hundred accounts of a few tens of routers.
 const RECORD_COUNT: u32 = 1;
 
-/// Time after the last write at which the sealed part of a share opens, in milliseconds. A router
-/// that is killed and restarted at once can still prove within this time that its predecessor spent
-/// nothing of the sealed part.
+/// Time after the last write at which the sealed part of a share begins to open, in milliseconds. A
+/// router that is killed and restarted at once can still prove within this time that its predecessor
+/// spent nothing of the sealed part.
 const SEAL_MS: u64 = 2_200;
 
+/// Time over which the sealed part then opens, in milliseconds: shorter than [`SEALED_DEMAND_MS`], so
+/// that a demand that grows while the router is cut off is met.
+const UNSEAL_MS: u64 = 4_000;
+
 /// Time since the last report to a witness after which the witness no longer limits spending, in
 /// milliseconds: slightly longer than VMs are usually down.
 const WITNESS_TIMEOUT_MS: u64 = 5_000;
@@ -507,6 +511,7 @@
         open_demand_ms: OPEN_DEMAND_MS,
         sealed_demand_ms: SEALED_DEMAND_MS,
         seal_ms: SEAL_MS,
+        unseal_ms: UNSEAL_MS,
         witness_timeout_ms: WITNESS_TIMEOUT_MS,
         max_unspent_fraction: MAX_UNSPENT_FRACTION,
         idle_fraction: IDLE_FRACTION,
