Money: failing tests of what requests without a whole answer cost

Ten answers that targets lose cost half of a total of 20 requests: 10 of 20 are served. Streams that are resumed are paid for the most output of each run: 41 served, 44 are the least.

--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use wisteriapass_bench::standin::users_platform::StoreFault;
+use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget, StoreFault};
 
 use crate::support::{KEY, Request, Router, TestPlatform, configuration, has_witness, wait_for};
 
@@ -161,6 +161,55 @@
     );
 }
 
+/// Guards against totals that are used up by answers that never came.
+#[test]
+fn answers_that_targets_lose_cost_the_account_nothing() {
+    let platform = TestPlatform::new(20 * COST);
+    let router = Router::start("a", &platform.store);
+    for n in 0..10 {
+        let lose =
+            |engine: &SimulatedTarget| engine.replace_behaviours(&[Behaviour::CloseUnanswered]);
+        platform.engines.iter().for_each(lose);
+        assert_eq!(spend(&router, &format!("l{n}")), 502);
+    }
+    platform
+        .engines
+        .iter()
+        .for_each(SimulatedTarget::clear_behaviours);
+    let served = spend_until_exhausted(&[&router], "x");
+    assert!((18..=20).contains(&served), "{served} of 20 were served");
+}
+
+/// Guards against paying for the maximum output of each run of a stream that is resumed.
+#[test]
+fn a_resumed_stream_costs_what_it_delivered() {
+    const TOTAL: u64 = 1_000;
+    const PROMPT: u64 = 10;
+    const MAX_OUTPUT: u64 = 90;
+    // Five events of two tokens are delivered.
+    const COST: u64 = PROMPT + 10;
+    let platform = TestPlatform::new(TOTAL);
+    let router = Router::start("a", &platform.store);
+    let (mut served, mut n) = (0, 0);
+    wait_for("a refusal for the exhausted total", || {
+        n += 1;
+        platform.engines[0].replace_behaviours(&[Behaviour::BreakAfter(2)]);
+        let request = Request::new(&format!("r{n}"), "/ask/x").with_tokens(PROMPT, MAX_OUTPUT);
+        let answer = router.send(&request).unwrap();
+        if answer.status == 200 {
+            assert_eq!(answer.events(), [1, 2, 3, 4, 5]);
+            served += 1;
+        }
+        answer.status == 402
+    });
+    assert!(run_count(&platform) > served, "no stream was resumed");
+    assert!(served * COST <= TOTAL);
+    assert!(
+        served * COST + PROMPT + MAX_OUTPUT >= TOTAL - COST,
+        "{served} were served"
+    );
+}
+
 #[test]
 fn a_stopping_router_returns_unspent_money() {
     let platform = TestPlatform::new(40 * COST);
