Reservation: a log line for what a request without a whole answer costs

The logs told what accounts have spent, and not for what. The line names the request, its prompt, the events that were delivered and the cost.

--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -248,6 +248,7 @@
                 let name = account.name.clone();
                 Ok(Some(Reservation::new(
                     me,
+                    request.id_text().to_owned(),
                     name,
                     work,
                     tokens_per_event,
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub struct Reservation {
     ledger: Rc<TokenLedger>,
+    /// Id of the client's attempt, for logs.
+    id: String,
     account: String,
     work: TokenWork,
     tokens_per_event: u64,
@@ -41,6 +43,7 @@
     /// Creates a reservation for work whose maximum cost is already reserved in the ledger.
     pub fn new(
         ledger: Rc<TokenLedger>,
+        id: String,
         account: String,
         work: TokenWork,
         tokens_per_event: u64,
@@ -48,6 +51,7 @@
     ) -> Self {
         Self {
             ledger,
+            id,
             account,
             work,
             tokens_per_event,
@@ -96,6 +100,22 @@
         self.is_complete = true;
     }
 
+    /// Logs what a request without a complete answer costs.
+    fn log_incomplete(&self, cost: u64) {
+        let has_run = self.is_sent || cost > 0;
+        if self.is_complete || !has_run {
+            return;
+        }
+        log::info!(
+            target: "money",
+            "Settled without a complete answer. request={} account={} prompt={} events={} cost={cost}",
+            self.id,
+            self.account,
+            self.work.prompt,
+            self.event_count
+        );
+    }
+
     /// Returns the cost of the request, in tokens.
     fn cost(&self) -> u64 {
         if !self.is_sent {
@@ -121,6 +141,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut left = self.cost();
+        self.log_incomplete(left);
         for (source, reserved) in self.parts.drain(..) {
             let used = left.min(reserved);
             left -= used;
