--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -161,9 +161,15 @@
     );
 }
 
-/// Guards against totals that are used up by answers that never came.
+/// Guards against totals that are used up by output that never came.
 #[test]
-fn answers_that_targets_lose_cost_the_account_nothing() {
+fn undelivered_output_costs_the_account_nothing() {
+    spend_on_lost_answers();
+    spend_on_resumed_streams();
+}
+
+/// Spends a total of 20 requests after ten answers were lost.
+fn spend_on_lost_answers() {
     let platform = TestPlatform::new(20 * COST);
     let router = Router::start("a", &platform.store);
     for n in 0..10 {
@@ -180,9 +186,8 @@
     assert!((18..=20).contains(&served), "{served} of 20 were served");
 }
 
-/// Guards against paying for the maximum output of each run of a stream that is resumed.
-#[test]
-fn a_resumed_stream_costs_what_it_delivered() {
+/// Spends a total on streams that deliver little of their maximum, some of which are resumed.
+fn spend_on_resumed_streams() {
     const TOTAL: u64 = 1_000;
     const PROMPT: u64 = 10;
     const MAX_OUTPUT: u64 = 90;
