--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -67,6 +67,8 @@
     requests: Vec<ReceivedRequest>,
     crash_condition: Option<CrashCondition>,
     restart_delay: Option<Duration>,
+    /// Value of the header that names the requests per second that the target takes.
+    limit: Option<&'static str>,
     /// Number of restarts so far; the target has a different id after each.
     incarnation: u32,
     is_down: bool,
@@ -151,6 +153,11 @@
         state.restart_delay = Some(restart_delay);
     }
 
+    /// Makes the target name a limit of requests per second in its answers, or no limit.
+    pub fn set_limit(&self, limit: Option<&'static str>) {
+        self.shared.state.lock().limit = limit;
+    }
+
     /// Crashes the target: it stops accepting connections and closes all open ones.
     pub fn crash(&self) {
         self.shared.crash();
@@ -272,7 +279,8 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut out = stream.try_clone()?;
         loop {
-            let request = wire::read(&mut reader)?;
+            let mut request = wire::read(&mut reader)?;
+            request.limit = self.state.lock().limit;
             match self.decide(&request, incarnation)? {
                 Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
                 Decision::Crash => {
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Behaviour;
 
@@ -28,6 +28,10 @@
     pub body: String,
     /// Whether the target ran the request.
     pub ran: bool,
+    /// When it arrived.
+    pub arrived: Option<Instant>,
+    /// Limit that the answer names, in requests per second.
+    pub limit: Option<&'static str>,
 }
 
 impl ReceivedRequest {
@@ -36,6 +40,13 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Returns the header lines that identify the request and name the target's limit.
+    fn answer_headers(&self) -> String {
+        let id = self.header("x-attempt-id");
+        let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+        format!("X-Attempt-Id: {id}\r\n{}", limit.unwrap_or_default())
+    }
+
     /// Returns the time left for the request, according to its header.
     fn remaining_time(&self) -> Duration {
         let ms = self.header("x-deadline-remaining").parse().unwrap_or(0);
@@ -49,6 +60,7 @@
     if reader.read_line(&mut request.request_line)? == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
+    request.arrived = Some(Instant::now());
     loop {
         let mut line = String::new();
         reader.read_line(&mut line)?;
@@ -71,25 +83,25 @@
     request: &ReceivedRequest,
     behaviour: Behaviour,
 ) -> io::Result<()> {
-    let id = request.header("x-attempt-id");
+    let headers = request.answer_headers();
     let connection_aborted = || io::Error::from(io::ErrorKind::ConnectionAborted);
     match behaviour {
-        Behaviour::Shed => refuse(out, id),
+        Behaviour::Shed => refuse(out, &headers),
         Behaviour::QueueTimeout => {
             sleep(request.remaining_time());
-            refuse(out, id)
+            refuse(out, &headers)
         }
         Behaviour::Hang => {
             sleep(request.remaining_time());
             write!(
                 out,
-                "HTTP/1.1 504 Late\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
+                "HTTP/1.1 504 Late\r\n{headers}X-Server-Stamp: s\r\n\
                  Content-Length: 4\r\n\r\nlate"
             )
         }
         Behaviour::ServerError => write!(
             out,
-            "HTTP/1.1 500 Failed\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
+            "HTTP/1.1 500 Failed\r\n{headers}X-Server-Stamp: s\r\n\
              Content-Length: 4\r\n\r\nfail"
         ),
         Behaviour::CloseUnanswered => Err(connection_aborted()),
@@ -97,10 +109,10 @@
             out.write_all(b"\x00\xff no answer \r\n\r\n")?;
             Err(connection_aborted())
         }
-        Behaviour::WrongAttemptId => send_whole(out, "another"),
+        Behaviour::WrongAttemptId => send_whole(out, "X-Attempt-Id: another\r\n"),
         Behaviour::Misdirected => write!(
             out,
-            "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+            "HTTP/1.1 421 Misdirected\r\n{headers}X-Not-Executed: 1\r\n\
              Content-Length: 0\r\n\r\n"
         ),
         Behaviour::BreakAfter(events) => {
@@ -117,7 +129,9 @@
             send_stream(out, request, u64::MAX, slowdown)?;
             out.write_all(b"0\r\n\r\n")
         }
-        Behaviour::Answer if request.header("x-token-counts").is_empty() => send_whole(out, id),
+        Behaviour::Answer if request.header("x-token-counts").is_empty() => {
+            send_whole(out, &headers)
+        }
         Behaviour::Answer => {
             send_stream(out, request, u64::MAX, 1)?;
             out.write_all(b"0\r\n\r\n")
@@ -125,18 +139,18 @@
     }
 }
 
-fn refuse(out: &mut TcpStream, id: &str) -> io::Result<()> {
+fn refuse(out: &mut TcpStream, headers: &str) -> io::Result<()> {
     write!(
         out,
-        "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+        "HTTP/1.1 503 Full\r\n{headers}X-Not-Executed: 1\r\n\
          Content-Length: 0\r\n\r\n"
     )
 }
 
-fn send_whole(out: &mut TcpStream, id: &str) -> io::Result<()> {
+fn send_whole(out: &mut TcpStream, headers: &str) -> io::Result<()> {
     write!(
         out,
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
+        "HTTP/1.1 200 OK\r\n{headers}X-Server-Stamp: s\r\n\
          Content-Length: 5\r\n\r\nwhole"
     )
 }
@@ -152,9 +166,9 @@
     let received = request.header("last-event-id").parse().unwrap_or(0);
     write!(
         out,
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: s\r\n\
+        "HTTP/1.1 200 OK\r\n{}X-Server-Stamp: s\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        request.header("x-attempt-id")
+        request.answer_headers()
     )?;
     for event in received + 1..=EVENT_COUNT.min(last_event) {
         sleep(EVENT_INTERVAL * slowdown);
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod cold;
 mod evacuations;
+mod limits;
 mod money;
 mod quarantine;
 mod regions;
