Limits: a target that names what it takes gets no more, over all routers

Cause: nothing read Server-Limit. The rate at both targets stays at some five a second after they name 1.6 and 1.7.

Change: the requests that a target takes in 4.5 s are divided among the relays in its rendezvous order. A relay without a quota probes rarely; followers learn from their relay what is limited and when that ends. Where only limited targets are left, a request is refused at once (reason limited, to come back after 0.4 s). The rendezvous order and the log of sends move out of cold_start, unchanged.

--- a/wisteriapass_daemon/tests/on_platform/limits.rs
+++ b/wisteriapass_daemon/tests/on_platform/limits.rs
@@ -73,3 +73,29 @@
     let most = most_in_window(limited, from);
     assert!((1..=MOST_IN_WINDOW).contains(&most), "{most} of {n}");
 }
+
+#[test]
+fn excess_requests_are_refused_at_once_while_all_targets_name_limits() {
+    let platform = TestPlatform::new(1_000_000);
+    let routers = [Router::start("a", &platform.store)];
+    let targets: Vec<&SimulatedTarget> = platform.plain.iter().collect();
+    announce_limits(&routers, &targets);
+    let from = Instant::now();
+    let mut n = 0;
+    wait_for("a refusal", || {
+        n += 1;
+        let answer = routers[0].send(&Request::new(&format!("f{n}"), "/safe/x"));
+        answer.is_some_and(|a| {
+            a.status == 503 && a.body.contains("limited") && a.head.contains("retry-after")
+        })
+    });
+    for target in &targets {
+        let most = most_in_window(target, from);
+        assert!(most <= MOST_IN_WINDOW, "{most} of {n}");
+        target.set_limit(None);
+    }
+    wait_for("service without limits", || {
+        n += 1;
+        (0..4 * MOST_IN_WINDOW).all(|i| send(&routers[0], &format!("u{n}-{i}")) == 200)
+    });
+}
--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -1,5 +1,8 @@
 //! Followers get shares and changes from their relays, and from other routers when those fail.
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use wisteriapass_bench::link::{Link, LinkFaults};
 use wisteriapass_bench::standin::users_platform::StoreFault;
@@ -14,6 +17,9 @@
 /// Number of routers that follow the relays.
 const FOLLOWERS: usize = 2;
 
+/// Time in which a follower hears of what its relay knows; several update requests.
+const UPDATE_TIME: Duration = Duration::from_secs(1);
+
 /// Prompt and maximum output tokens of each request.
 const PROMPT: u64 = 90;
 const OUTPUT: u64 = 10;
@@ -305,3 +311,47 @@
         "{calls} calls for {composed_since} shares"
     );
 }
+
+/// Guards against followers that send to a target whose limit their relays use up.
+#[test]
+fn followers_learn_from_their_relays_which_targets_are_limited() {
+    let fleet = RelayFleet::start(1_000_000);
+    let limited = &fleet.platform.plain[0];
+    let send = |router: &Router, id: &str| {
+        let answer = router.send(&Request::new(id, "/safe/x"));
+        answer.map_or(0, |answer| answer.status)
+    };
+    let has_received = |prefix: &str| {
+        let requests = limited.received_requests();
+        requests
+            .iter()
+            .any(|r| r.header("x-attempt-id").starts_with(prefix))
+    };
+    limited.set_limit(Some("1.5"));
+    for (i, relay) in fleet.relays.iter().enumerate() {
+        let mut n = 0;
+        wait_for("a request at the limited target", || {
+            n += 1;
+            send(relay, &format!("relay{i}-{n}"));
+            has_received(&format!("relay{i}-"))
+        });
+    }
+    sleep(UPDATE_TIME);
+    for (i, follower) in fleet.followers.iter().enumerate() {
+        for n in 0..50 {
+            let status = send(follower, &format!("bound{i}-{n}"));
+            assert_eq!(status, 200, "the other target takes what is over the limit");
+        }
+    }
+    assert!(!has_received("bound"));
+    limited.set_limit(None);
+    let mut n = 0;
+    wait_for("a follower's request at the target without a limit", || {
+        n += 1;
+        let all = fleet.relays.iter().chain(&fleet.followers);
+        for (i, router) in all.enumerate() {
+            send(router, &format!("free{i}-{n}"));
+        }
+        has_received(&format!("free{RELAYS}-"))
+    });
+}
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -123,7 +123,7 @@
     fn record_sent(&self) {
         let targets = self.gw.targets.borrow();
         if let Some(t) = targets.get(self.target) {
-            t.send_log.borrow_mut().record(self.gw.time());
+            t.record_sent(self.gw.time());
         }
     }
 
@@ -135,6 +135,19 @@
         }
     }
 
+    /// Records the limit that the target names, or that it names none. Only an answer that is
+    /// certainly its own shows that a limit has ended.
+    fn record_limit(&self, metadata: &ResponseMetadata) {
+        let is_own_answer = metadata.is_signed || metadata.not_run;
+        if metadata.limit_per_s.is_none() && !is_own_answer {
+            return;
+        }
+        let targets = self.gw.targets.borrow();
+        if let Some(t) = targets.get(self.target) {
+            t.set_limit(metadata.limit_per_s, self.gw.time());
+        }
+    }
+
     /// Records that the target sent something.
     pub fn record_received(&mut self) {
         let targets = self.gw.targets.borrow();
@@ -234,6 +247,7 @@
     if let Some(cold_ms) = metadata.cold_ms {
         connection.record_cold(cold_ms);
     }
+    connection.record_limit(&metadata);
     SendOutcome::Answer(Box::new(TargetResponse {
         status: parts.status,
         headers: parts.headers,
--- a/wisteriapass_gateway/src/exchange/history.rs
+++ b/wisteriapass_gateway/src/exchange/history.rs
@@ -44,12 +44,12 @@
         Refusal::Stopping
     }
 
-    /// Returns the refusal for a request for which only cold targets are left.
-    pub(super) fn cold_refusal(&self) -> Refusal {
+    /// Returns a refusal that promises that the request did not run, unless it may have run.
+    pub(super) fn refuse_unless_run(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
             return Refusal::OutcomeUnknown;
         }
-        Refusal::Cold
+        refusal
     }
 
     /// Returns the refusal for a request that is not retried.
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -36,7 +36,11 @@
         }
         available.retain(|(_, t)| self.gw.within_cold_limit(t, self.plan.cold_start, now));
         if available.is_empty() {
-            return Err(history.cold_refusal());
+            return Err(history.refuse_unless_run(Refusal::Cold));
+        }
+        available.retain(|(_, t)| self.gw.within_named_limit(t));
+        if available.is_empty() {
+            return Err(history.refuse_unless_run(Refusal::Limited));
         }
         let ends_in_time =
             |target: &Target| self.plan.ends_in_time(&self.gw, &self.metadata, target);
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::watch;
 use tokio::time::sleep_until;
-use wisteriapass_policy::cold_start::{SendQuota, is_owner};
+use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
 use wisteriapass_policy::drain::Drain;
 use wisteriapass_policy::placement::hash_name;
+use wisteriapass_policy::target_limit::Sender;
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
 use crate::catalogue::{Catalogue, CatalogueChange, ColdStart};
@@ -212,20 +213,38 @@
         let quota = SendQuota::new(most_per_s, relays.len());
         let me = hash_name(&self.settings.name);
         let target_hash = hash_name(&target.entry.id.0);
-        let may_send = target
-            .send_log
-            .borrow()
-            .may_send(self.time(), quota.per_owner);
+        let may_send =
+            target
+                .send_log
+                .borrow()
+                .may_send(self.time(), cold_start::WINDOW_MS, quota.per_owner);
         may_send && is_owner(target_hash, me, &relays, quota.owners)
     }
 
+    /// Returns whether this router may send a target one more request under the limit that the
+    /// target names.
+    pub(crate) fn within_named_limit(&self, target: &Target) -> bool {
+        let Some(named) = target.limit.get() else {
+            return true;
+        };
+        let sender = Sender {
+            target: hash_name(&target.entry.id.0),
+            own_hash: hash_name(&self.settings.name),
+            relays: &self.ledger.relay_hashes(),
+        };
+        let log = target.send_log.borrow();
+        named.limit.may_send(self.time(), &log, sender)
+    }
+
     /// Returns whether a request may be sent to a target now.
     pub(crate) fn may_send(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
         let now = Instant::now();
         let targets = self.targets.borrow();
         let target = targets.get(key);
         target.is_some_and(|t| {
-            targets.accepts_requests(t, now) && self.within_cold_limit(t, cold, now)
+            targets.accepts_requests(t, now)
+                && self.within_cold_limit(t, cold, now)
+                && self.within_named_limit(t)
         })
     }
 
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -103,4 +103,6 @@
     pub is_encoded: bool,
     /// Time for which the target stays cold, in milliseconds, if it states one.
     pub cold_ms: Option<u64>,
+    /// Requests per second that the target takes from all routers together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -46,6 +46,9 @@
     /// All targets that are left are cold and get no more requests from this router for now.
     #[display("cold")]
     Cold,
+    /// All targets that are left name limits and get no more requests from this router for now.
+    #[display("limited")]
+    Limited,
     /// All targets are full.
     #[display("full")]
     Full,
@@ -88,6 +91,7 @@
             | Self::NoTarget
             | Self::NoRegion
             | Self::Cold
+            | Self::Limited
             | Self::Full
             | Self::Quarantined { .. }
             | Self::NotTaken
@@ -108,7 +112,7 @@
             }
             Self::NoTarget => Some(1_000),
             // Another router may be permitted to send to them, and in a second this one is.
-            Self::Cold => Some(400),
+            Self::Cold | Self::Limited => Some(400),
             // Another router accepts the request at once.
             Self::Stopping => Some(100),
             // Duration of a few short requests at a full target.
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -6,6 +6,7 @@
 
 mod evacuations;
 mod follower;
+mod limits;
 mod messages;
 mod peer_calls;
 mod quarantine;
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -4,6 +4,7 @@
 use wisteriapass_coord::prepaid::ShareRecord;
 use wisteriapass_coord::relay::{Candidacy, CandidateAction, KnownRelay, RelayStatus};
 
+use super::limits;
 use super::messages::{UPDATE_PATH, UpdateAnswer, UpdateCall};
 use crate::change_log::{TargetChange, TargetChangeSet};
 use crate::ledger::KnownRecord;
@@ -89,6 +90,7 @@
         follower: gw.ledger.id(),
         version: gw.catalogue().map_or(0, |c| c.version),
         targets_at: gw.target_log.borrow().cursor().revision,
+        limits: limits::recent_limits(gw),
         quarantine: gw.quarantine.call_for(relay.address, false),
     };
     let until = deadline_in(ANSWER_TIMEOUT_MS);
@@ -139,6 +141,7 @@
     if let Some(changes) = answer.targets {
         apply_targets(gw, changes);
     }
+    limits::follow(gw, &answer.limits);
 }
 
 /// Applies changes to targets, unless this router knows newer ones.
--- a/wisteriapass_gateway/src/relays/messages.rs
+++ b/wisteriapass_gateway/src/relays/messages.rs
@@ -12,6 +12,7 @@
 use crate::change_log::{Cursor, TargetChangeSet};
 use crate::evacuations::Evacuations;
 use crate::quarantine::QuarantineCall;
+use crate::target::TargetId;
 
 /// Path of a follower's update request.
 pub const UPDATE_PATH: &str = "/relay/news";
@@ -25,6 +26,8 @@
     pub version: u64,
     /// Revision up to which the follower knows the targets; 0 if it knows none.
     pub targets_at: u64,
+    /// Limits that targets named to the follower of late, in requests per second.
+    pub limits: Vec<(TargetId, f64)>,
     /// The follower's changes of the quarantine.
     pub quarantine: QuarantineCall,
 }
@@ -57,6 +60,8 @@
     pub evacuations: Evacuations,
     /// Changes of the targets.
     pub targets: Option<TargetChangeSet>,
+    /// Limits of targets that the relay knows, in requests per second.
+    pub limits: Vec<(TargetId, f64)>,
     /// The relay's changes of the quarantine.
     pub quarantine: QuarantineDelta,
 }
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -4,6 +4,7 @@
 use tokio::time::sleep;
 use wisteriapass_coord::relay::RelayRetirement;
 
+use super::limits;
 use super::messages::{UpdateAnswer, UpdateCall};
 use crate::ledger::{KnownRecord, Role, TokenLedger};
 use crate::platform::Topic;
@@ -19,6 +20,7 @@
 
 /// Answers a follower's update request.
 pub fn answer_update(gw: &Gateway, call: &UpdateCall) -> UpdateAnswer {
+    limits::add_reported(gw, &call.limits);
     let now = Instant::now();
     let targets = gw.targets.borrow();
     let missing = |id: &_| targets.missing_until(id).filter(|until| *until > now);
@@ -36,6 +38,7 @@
             .target_log
             .borrow()
             .changes_since(call.targets_at, now, missing),
+        limits: limits::known_limits(gw),
         quarantine: gw.quarantine.handle_call(&call.quarantine),
     }
 }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use tokio::time::Instant;
-use wisteriapass_policy::LatencyHistory;
-use wisteriapass_policy::cold_start::SendLog;
 use wisteriapass_policy::placement::FailureScore;
+use wisteriapass_policy::target_limit::TargetLimit;
+use wisteriapass_policy::{LatencyHistory, SendLog, Time};
 
 use crate::cached_parts::CachedParts;
 use crate::pool::Pool;
@@ -62,6 +62,15 @@
     Closed,
 }
 
+/// Limit that a target named.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedLimit {
+    /// The limit.
+    pub limit: TargetLimit,
+    /// When the target last named it to this router itself.
+    pub named_at: Time,
+}
+
 /// This router's state of a target.
 #[derive(Debug)]
 pub struct Target {
@@ -85,6 +94,8 @@
     pub pool: RefCell<Pool>,
     /// When this router recently sent requests there.
     pub send_log: RefCell<SendLog>,
+    /// Limit that it names, if any.
+    pub limit: Cell<Option<NamedLimit>>,
     /// End of the time for which it stated to be cold.
     cold_until: Cell<Instant>,
     /// When it may have restarted, and so be cold without having stated it.
@@ -107,6 +118,7 @@
             cached_parts: RefCell::default(),
             pool: RefCell::default(),
             send_log: RefCell::default(),
+            limit: Cell::new(None),
             cold_until: Cell::new(cold_until),
             possible_restart_at: Cell::new(None),
         }
@@ -127,6 +139,31 @@
         self.possible_restart_at.set(Some(now));
     }
 
+    /// Records that a request is sent to it.
+    pub fn record_sent(&self, now: Time) {
+        self.send_log.borrow_mut().record(now);
+        if let Some(mut named) = self.limit.get() {
+            named.limit.record_sent(now);
+            self.limit.set(Some(named));
+        }
+    }
+
+    /// Sets the limit that it named to this router at `named_at`, or that it names none any more.
+    pub fn set_limit(&self, per_s: Option<f64>, named_at: Time) {
+        let before = self.limit.get().map(|named| named.limit.per_s());
+        if before != per_s {
+            log::info!(
+                target: "targets",
+                "Limit of a target. target={} per_s={per_s:?}",
+                self.entry.id
+            );
+        }
+        self.limit.set(per_s.map(|per_s| NamedLimit {
+            limit: TargetLimit::new(per_s, named_at),
+            named_at,
+        }));
+    }
+
     /// Records the target's statement that it stays cold for this long.
     pub fn set_cold(&self, cold_ms: u64, now: Instant) {
         self.cold_until
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -33,6 +33,11 @@
         self.arena.get(key)
     }
 
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.arena.values()
+    }
+
     /// Returns the targets of a service that may get new requests.
     pub fn available(&self, service: &str, now: Instant) -> SmallVec<[(TargetKey, &Target); 32]> {
         let fits = |t: &Target| t.entry.service == service && self.accepts_requests(t, now);
--- a/wisteriapass_policy/src/cold_start.rs
+++ b/wisteriapass_policy/src/cold_start.rs
@@ -7,11 +7,7 @@
 //! briefly disagree on the list of relays, and requests may be delayed in transit, so the owners
 //! under one view together use a third of the target's rate.
 
-use std::collections::VecDeque;
-
-use twox_hash::XxHash64;
-
-use crate::Time;
+use crate::rendezvous::position;
 
 /// Owner sets that may send within one second: two views of the relay list, and requests delayed in
 /// transit.
@@ -19,7 +15,7 @@
 
 /// Window for one quota of an owner, in milliseconds: one second, plus the amount by which requests
 /// sent one after the other may move closer in transit.
-const WINDOW_MS: u64 = 1_350;
+pub const WINDOW_MS: u64 = 1_350;
 
 /// Number of requests that each owner may send to a cold target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,35 +47,5 @@
 /// All hashes come from [`placement::hash_name`](crate::placement::hash_name). A router that is not
 /// a relay owns no targets.
 pub fn is_owner(target: u64, own_hash: u64, relays: &[u64], owners: usize) -> bool {
-    if !relays.contains(&own_hash) {
-        return false;
-    }
-    let rank = |relay: u64| (XxHash64::oneshot(target, &relay.to_le_bytes()), relay);
-    let own_rank = rank(own_hash);
-    let higher_ranked = relays.iter().filter(|relay| rank(**relay) > own_rank);
-    higher_ranked.count() < owners
-}
-
-/// Times of the latest requests that one router sent to a target.
-#[derive(Clone, Debug, Default)]
-pub struct SendLog {
-    sent: VecDeque<Time>,
-}
-
-impl SendLog {
-    /// Returns whether one more request stays within the quota.
-    pub fn may_send(&self, now: Time, per_owner: usize) -> bool {
-        let recent = self.sent.iter().rev();
-        let recent = recent.take_while(|at| now.millis_since(**at) < WINDOW_MS);
-        recent.count() < per_owner
-    }
-
-    /// Records a request sent now.
-    pub fn record(&mut self, now: Time) {
-        let has_expired = |at: &Time| now.millis_since(*at) >= WINDOW_MS;
-        while self.sent.front().is_some_and(has_expired) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(now);
-    }
+    position(target, own_hash, relays).is_some_and(|at| at < owners)
 }
--- a/wisteriapass_policy/tests/cold.rs
+++ b/wisteriapass_policy/tests/cold.rs
@@ -2,8 +2,8 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use wisteriapass_policy::Time;
-use wisteriapass_policy::cold_start::{SendLog, SendQuota, is_owner};
+use wisteriapass_policy::cold_start::{SendQuota, WINDOW_MS, is_owner};
+use wisteriapass_policy::{SendLog, Time};
 
 /// Length of a simulation, in milliseconds.
 const RUN_MS: u64 = 12_000;
@@ -119,7 +119,8 @@
     move |router, relays, now| {
         let quota = SendQuota::new(max_per_s, relays.len());
         let own_hash = hashes(&[router.name])[0];
-        is_owner(99, own_hash, relays, quota.owners) && router.log.may_send(now, quota.per_owner)
+        is_owner(99, own_hash, relays, quota.owners)
+            && router.log.may_send(now, WINDOW_MS, quota.per_owner)
     }
 }
 
@@ -147,7 +148,8 @@
 
 #[test]
 fn simulation_overloads_target_without_coordination() {
-    let each_on_its_own = |router: &Router, _: &[u64], now: Time| router.log.may_send(now, 29);
+    let each_on_its_own =
+        |router: &Router, _: &[u64], now: Time| router.log.may_send(now, WINDOW_MS, 29);
     let overloaded_runs =
         (0..20).filter(|seed| max_per_second(&simulate(*seed, each_on_its_own)) > 29);
     assert!(overloaded_runs.count() > 10);
