--- a/wisteriapass_gateway/src/ledger/account_group.rs
+++ b/wisteriapass_gateway/src/ledger/account_group.rs
@@ -63,8 +63,8 @@
     /// Relays that did not answer a request for their share, and the time until which they are
     /// skipped.
     pub(super) skipped_relays: RefCell<HashMap<SocketAddr, Instant>>,
-    /// Whether the losses of predecessors were logged.
-    pub(super) has_logged_losses: Cell<bool>,
+    /// Sum of the losses of predecessors that was logged last, in tokens.
+    pub(super) logged_losses: Cell<Option<u64>>,
 }
 
 impl AccountGroup {
@@ -90,7 +90,7 @@
             carried: RefCell::default(),
             is_outcome_unknown: Cell::new(false),
             skipped_relays: RefCell::default(),
-            has_logged_losses: Cell::new(false),
+            logged_losses: Cell::new(None),
         }
     }
 
@@ -99,7 +99,7 @@
         self.holder.replace(holder);
         self.in_contact.set(false);
         self.inquired_process.set(None);
-        self.has_logged_losses.set(false);
+        self.logged_losses.set(None);
         self.confirmed_at_pause_end.set(self.confirmed_at.get());
         self.is_writing.set(false);
         self.carried.replace(None);
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -304,12 +304,16 @@
         (before.count() as u64 * EXCHANGE_OFFSET_MS).min(MAX_EXCHANGE_OFFSET_MS)
     }
 
-    /// Logs the tokens that were lost with predecessors.
+    /// Logs the tokens that were lost with predecessors, again after some were recovered.
     fn log_losses(&self, group: &AccountGroup) {
         let holder = group.holder.borrow();
         let Some(proof) = holder.proof() else {
             return;
         };
+        let sum = Some(holder.losses().map(|(_, lost)| lost).sum());
+        if group.logged_losses.replace(sum) == sum {
+            return;
+        }
         for (account, lost) in holder.losses() {
             log::info!(
                 target: "money",
@@ -335,7 +339,7 @@
         if index == 0 {
             self.count_live_routers(record);
         }
-        if is_mine && !group.has_logged_losses.replace(true) {
+        if is_mine {
             self.log_losses(group);
         }
         *group.record.borrow_mut() = record.clone();
