--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -16,6 +16,10 @@
 /// the product.
 const SEAL_OPENS: Duration = Duration::from_millis(4_000);
 
+/// Time for which routers are down, after which their seals have begun to open; not a limit of the
+/// product.
+const LONGER_THAN_SEAL: Duration = Duration::from_millis(2_400);
+
 /// Sends one model request; returns its status, or 0 without a complete answer.
 fn spend(router: &Router, id: &str) -> u16 {
     let request = Request::new(id, "/draft/x").with_tokens(PROMPT, OUTPUT);
@@ -100,6 +104,33 @@
     );
 }
 
+/// Guards against losing what routers hold when all of them are down longer than the seal holds.
+#[test]
+fn routers_down_for_longer_than_the_seal_lose_little() {
+    let platform = TestPlatform::new(60 * COST);
+    let mut all = [
+        Router::start("a", &platform.store),
+        Router::start("b", &platform.store),
+    ];
+    for i in 0..16 {
+        spend(&all[i % 2], &format!("d{i}"));
+    }
+    for router in &mut all {
+        router.signal(Signal::SIGKILL);
+        router.wait();
+    }
+    std::thread::sleep(LONGER_THAN_SEAL);
+    all.iter_mut().for_each(Router::spawn);
+    all.iter().for_each(Router::wait_until_ready);
+    spend_until_refused(&all.each_ref());
+    assert!(run_count(&platform) <= 60);
+    assert!(
+        run_count(&platform) >= 36,
+        "{} of 60 ran",
+        run_count(&platform)
+    );
+}
+
 #[test]
 fn a_router_killed_during_a_store_outage_loses_little() {
     let platform = TestPlatform::new(60 * COST);
