--- a/wisteriapass_gateway/src/relays/limits.rs
+++ b/wisteriapass_gateway/src/relays/limits.rs
@@ -12,8 +12,8 @@
 
 /// Returns the limits that targets named to this router of late.
 pub fn recent_limits(gw: &Gateway) -> Vec<(TargetId, f64)> {
-    limits(gw, |limit| {
-        gw.time().millis_since(limit.named_at) < REPORT_MS
+    limits(gw, |named| {
+        gw.time().millis_since(named.named_at) < REPORT_MS
     })
 }
 
@@ -26,8 +26,8 @@
     let targets = gw.targets.borrow();
     let limited = targets.iter().filter_map(|t| Some((t, t.limit.get()?)));
     limited
-        .filter(|(_, limit)| includes(limit))
-        .map(|(target, limit)| (target.entry.id.clone(), limit.limit.per_s()))
+        .filter(|(_, named)| includes(named))
+        .map(|(target, named)| (target.entry.id.clone(), named.limit.per_s()))
         .collect()
 }
 
@@ -47,12 +47,14 @@
     let now = gw.time();
     for target in gw.targets.borrow().iter() {
         let per_s = known.iter().find(|(id, _)| *id == target.entry.id);
-        let is_recent = |limit: NamedLimit| now.millis_since(limit.named_at) < REPORT_MS;
+        let per_s = per_s.map(|(_, per_s)| *per_s);
+        let is_recent = |named: NamedLimit| now.millis_since(named.named_at) < REPORT_MS;
         match (per_s, target.limit.get()) {
-            (None, Some(limit)) if is_recent(limit) => {}
             (None, None) => {}
-            (Some((_, per_s)), Some(limit)) if limit.limit.per_s() == *per_s => {}
-            (per_s, _) => target.set_limit(per_s.map(|(_, per_s)| *per_s), Time::default()),
+            (None, Some(named)) if is_recent(named) => {}
+            (Some(per_s), Some(named)) if named.limit.per_s() == per_s => {}
+            // The target named it to others only, so this router does not report it.
+            (per_s, _) => target.set_limit(per_s, Time::default()),
         }
     }
 }
--- a/wisteriapass_policy/src/send_log.rs
+++ b/wisteriapass_policy/src/send_log.rs
@@ -5,7 +5,7 @@
 use crate::Time;
 
 /// Time for which requests are recorded, in milliseconds; no quota has a longer window.
-const MAX_WINDOW_MS: u64 = 10_000;
+pub(crate) const MAX_WINDOW_MS: u64 = 10_000;
 
 /// Times of the latest requests that one router sent to a target.
 #[derive(Clone, Debug, Default)]
@@ -14,8 +14,8 @@
 }
 
 impl SendLog {
-    /// Returns whether one more request stays within a quota for the last `window_ms`, which is at
-    /// most ten seconds.
+    /// Returns whether one more request stays within a quota for the last `window_ms`, at most
+    /// 10,000.
     pub fn may_send(&self, now: Time, window_ms: u64, quota: usize) -> bool {
         let recent = self.sent.iter().rev();
         let recent = recent.take_while(|at| now.millis_since(**at) < window_ms);
--- a/wisteriapass_policy/src/target_limit.rs
+++ b/wisteriapass_policy/src/target_limit.rs
@@ -8,20 +8,20 @@
 
 use crate::Time;
 use crate::rendezvous::position;
-use crate::send_log::SendLog;
+use crate::send_log::{MAX_WINDOW_MS, SendLog};
 
 /// Window for the quotas, in milliseconds. It is longer than the few seconds over which targets
 /// measure their load, by the amount by which requests may move closer in transit.
 const WINDOW_MS: u64 = 4_500;
 
-/// Longest window, in milliseconds, so that a target with a very low limit still gets requests.
-const MAX_WINDOW_MS: u64 = 10_000;
-
-/// Shortest and longest interval between two probes of a relay without a quota, in milliseconds.
+/// Shortest interval between two probes of a relay without a quota, in milliseconds.
 const MIN_PROBE_INTERVAL_MS: u64 = 10_000;
+
+/// Longest interval between two probes, in milliseconds. A target that takes nothing at all is
+/// probed this rarely.
 const MAX_PROBE_INTERVAL_MS: u64 = 600_000;
 
-/// Fraction of a target's limit that the probes of all routers together use.
+/// Fraction of a target's limit that the probes of all relays together use.
 const PROBE_FRACTION: f64 = 0.25;
 
 /// Rate that a target named, as one router knows it.
@@ -79,7 +79,8 @@
         budget / relays + usize::from(position < budget % relays)
     }
 
-    /// Returns the window in which the target takes at least one request, if that is short enough.
+    /// Returns the window for the quotas: longer for a target with a very low limit, so that it still
+    /// gets requests.
     fn window_ms(&self) -> u64 {
         let one_request_ms = (1_000.0 / self.per_s).ceil();
         (one_request_ms as u64).clamp(WINDOW_MS, MAX_WINDOW_MS)
--- a/wisteriapass_policy/tests/target_limit.rs
+++ b/wisteriapass_policy/tests/target_limit.rs
@@ -92,11 +92,12 @@
             // Occasional bursts load the target more than a steady rate.
             let attempts = if rng.random_ratio(1, 20) { 100 } else { 1 };
             for _ in 0..attempts {
-                if may_send(router, time, sender) {
-                    router.log.record(time);
-                    router.limit.record_sent(time);
-                    arrivals.push(now + rng.random_range(0..MAX_TRANSIT_MS));
+                if !may_send(router, time, sender) {
+                    break;
                 }
+                router.log.record(time);
+                router.limit.record_sent(time);
+                arrivals.push(now + rng.random_range(0..MAX_TRANSIT_MS));
             }
         }
     }
