Record: earlier forms of a holder entry contain each other

The three conversions listed the same fields. postcard goes by position, so a nested form is read as the flat one was; the tests of earlier formats pass.

--- a/wisteriapass_coord/src/prepaid/packed.rs
+++ b/wisteriapass_coord/src/prepaid/packed.rs
@@ -52,12 +52,7 @@
 /// A holder entry of a process whose sealed parts open at once.
 #[derive(Deserialize)]
 struct HolderEntryV3 {
-    process: u64,
-    write: u64,
-    stamp: Stamp,
-    agreed: bool,
-    lends_at: Option<SocketAddr>,
-    witnesses: NamedWitnesses,
+    before: HolderEntryV2,
     domain: DomainId,
     followers: u32,
     is_strong: bool,
@@ -66,11 +61,7 @@
 /// A holder entry without a failure domain.
 #[derive(Deserialize)]
 struct HolderEntryV2 {
-    process: u64,
-    write: u64,
-    stamp: Stamp,
-    agreed: bool,
-    lends_at: Option<SocketAddr>,
+    before: HolderEntryV1,
     witnesses: NamedWitnesses,
 }
 
@@ -147,16 +138,10 @@
 impl From<HolderEntryV3> for HolderEntry {
     fn from(entry: HolderEntryV3) -> Self {
         Self {
-            process: entry.process,
-            write: entry.write,
-            stamp: entry.stamp,
-            agreed: entry.agreed,
-            lends_at: entry.lends_at,
-            witnesses: entry.witnesses,
             domain: entry.domain,
             followers: entry.followers,
             is_strong: entry.is_strong,
-            unseal_ms: 0,
+            ..entry.before.into()
         }
     }
 }
@@ -164,13 +149,8 @@
 impl From<HolderEntryV2> for HolderEntry {
     fn from(entry: HolderEntryV2) -> Self {
         Self {
-            process: entry.process,
-            write: entry.write,
-            stamp: entry.stamp,
-            agreed: entry.agreed,
-            lends_at: entry.lends_at,
             witnesses: entry.witnesses,
-            ..Self::default()
+            ..entry.before.into()
         }
     }
 }
