--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -5,30 +5,33 @@
 mod combined_write;
 mod credit;
 mod grants;
+mod live_writers;
 mod loans;
 mod rationing;
+mod role;
 mod share_exchange;
+mod share_sizes;
 mod token_source;
 mod witness_reports;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use derive_more::Display;
 use smallvec::SmallVec;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    Credit, DomainId, GrantLedger, HolderId, Rationing, ShareConfig, ShareHolder, ShareRecord,
-    ShareShortfall, TokenRequest, WitnessMemory,
+    Credit, DomainId, GrantLedger, HolderId, Rationing, ShareRecord, ShareShortfall, TokenRequest,
+    WitnessMemory,
 };
 use wisteriapass_coord::relay::{RelayInfo, RelayRetirement, Roster};
 use wisteriapass_policy::placement::hash_name;
 
 use self::account_group::AccountGroup;
+use self::live_writers::LiveWriters;
+use self::share_sizes::new_holder;
 use crate::catalogue::{Account, Catalogue};
 use crate::clock::Clock;
 use crate::gateway::Gateway;
@@ -41,6 +44,7 @@
 pub use combined_write::{COMPOSE_PATH, OUTCOME_PATH};
 pub use credit::GRANT_PATH;
 pub use loans::LEND_PATH;
+pub use role::Role;
 pub use share_exchange::KnownRecord;
 pub use token_source::TokenSource;
 pub use witness_reports::{INQUIRY_PATH, REPORT_PATH};
@@ -49,36 +53,6 @@
 /// share exchange, and holds a few hundred accounts of a few tens of routers.
 const RECORD_COUNT: u32 = 1;
 
-/// Time after the last write at which the sealed part of a share begins to open, in milliseconds. A
-/// router that is killed and restarted at once can still prove within this time that its predecessor
-/// spent nothing of the sealed part.
-const SEAL_MS: u64 = 2_200;
-
-/// Time over which the sealed part then opens, in milliseconds: shorter than [`SEALED_DEMAND_MS`], so
-/// that a demand that grows while the router is cut off is met.
-const UNSEAL_MS: u64 = 4_000;
-
-/// Time since the last report to a witness after which the witness no longer limits spending, in
-/// milliseconds: slightly longer than VMs are usually down.
-const WITNESS_TIMEOUT_MS: u64 = 5_000;
-
-/// Demand that the open part of a share covers, in milliseconds: longer than [`SEAL_MS`] plus the
-/// time between two exchanges.
-const OPEN_DEMAND_MS: u64 = 2_900;
-
-/// Demand that the sealed part of a share covers, in milliseconds: the rest of a network partition
-/// of about ten seconds.
-const SEALED_DEMAND_MS: u64 = 9_000;
-
-/// Fraction of an account's remaining total that all routers together may hold unspent. It is the
-/// most that is lost when all routers are killed, and the most that can be served when all are cut
-/// off from the store.
-const MAX_UNSPENT_FRACTION: f64 = 0.8;
-
-/// Fraction of an account's remaining total that the routers without demand hold together. It
-/// covers a first request of the usual size and strands little.
-const IDLE_FRACTION: f64 = 0.05;
-
 /// Longest time that a request waits for a share, in milliseconds: a few exchanges with a store
 /// that answers within milliseconds.
 const RESERVE_WAIT_MS: u64 = 250;
@@ -88,20 +62,6 @@
 /// one ran before a configuration was known, unless the router is cut off from the store.
 const FIRST_SHARE_MS: u64 = 1_000;
 
-/// Where this router's shares come from.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Role {
-    /// Uses the share of a relay.
-    #[display("follower")]
-    Follower,
-    /// Holds its own share and grants tokens to its followers out of it.
-    #[display("relay")]
-    Relay,
-    /// New reservations use the share of another relay; this router still owns what it granted.
-    #[display("retiring")]
-    Retiring,
-}
-
 /// Prepaid tokens of one router process.
 pub struct TokenLedger {
     clock: Clock,
@@ -115,7 +75,8 @@
     router_count: Cell<usize>,
     /// Version of the configuration that the totals come from.
     totals_version: Cell<u64>,
-    last_writes: RefCell<HashMap<HolderId, LastWrite>>,
+    /// Relays that wrote of late.
+    live_writers: RefCell<LiveWriters>,
     /// Reports of other relays, for which this relay is a witness.
     witness_memory: RefCell<WitnessMemory>,
     /// Tokens that this relay granted to followers.
@@ -129,19 +90,9 @@
     rpc: Rc<RpcClient>,
 }
 
-/// Identity of a relay's last write and the time at which it was first seen.
-struct LastWrite {
-    process: u64,
-    write: u64,
-    at: Instant,
-}
-
 /// Interval at which shares are polled for open reservations, in milliseconds.
 const POLL_MS: u64 = 50;
 
-/// Time without a new write after which a relay counts as gone, in milliseconds: six exchanges.
-const RELAY_TIMEOUT_MS: u64 = 6_000;
-
 impl TokenLedger {
     /// Creates a ledger without shares.
     pub fn new(clock: Clock, settings: &GatewaySettings, rpc: Rc<RpcClient>) -> Self {
@@ -159,7 +110,7 @@
             live_relays: Cell::new(1),
             router_count: Cell::new(1),
             totals_version: Cell::new(0),
-            last_writes: RefCell::default(),
+            live_writers: RefCell::default(),
             witness_memory: RefCell::new(WitnessMemory::new(process)),
             grants: RefCell::new(GrantLedger::new(process)),
             rationing: RefCell::default(),
@@ -391,22 +342,7 @@
 
     /// Counts the relays with a recent write, and the routers of the fleet.
     fn count_live_routers(&self, record: &ShareRecord) {
-        let now = Instant::now();
-        let mut last_writes = self.last_writes.borrow_mut();
-        for (id, entry) in record.holder_entries() {
-            let current = LastWrite {
-                process: entry.process,
-                write: entry.write,
-                at: now,
-            };
-            let known = last_writes.get(id);
-            if known
-                .is_none_or(|last| (last.process, last.write) != (current.process, current.write))
-            {
-                last_writes.insert(id.clone(), current);
-            }
-        }
-        drop(last_writes);
+        self.live_writers.borrow_mut().record(record);
         let live = || record.holder_entries().filter(|(id, _)| self.is_live(id));
         self.live_relays.set(live().count().max(1));
         let routers: usize = live().map(|(_, entry)| 1 + entry.followers as usize).sum();
@@ -415,11 +351,7 @@
 
     /// Returns whether a relay has a recent write.
     fn is_live(&self, id: &HolderId) -> bool {
-        let timeout = Duration::from_millis(RELAY_TIMEOUT_MS);
-        let last_writes = self.last_writes.borrow();
-        last_writes
-            .get(id)
-            .is_some_and(|last| last.at.elapsed() < timeout)
+        self.live_writers.borrow().contains(id)
     }
 
     /// Returns the relays in a record.
@@ -492,25 +424,6 @@
     }
 }
 
-fn new_holder(clock: Clock, settings: &GatewaySettings, process: u64) -> ShareHolder {
-    let config = ShareConfig {
-        open_demand_ms: OPEN_DEMAND_MS,
-        sealed_demand_ms: SEALED_DEMAND_MS,
-        seal_ms: SEAL_MS,
-        unseal_ms: UNSEAL_MS,
-        witness_timeout_ms: WITNESS_TIMEOUT_MS,
-        max_unspent_fraction: MAX_UNSPENT_FRACTION,
-        idle_fraction: IDLE_FRACTION,
-    };
-    let id = HolderId(settings.name.clone());
-    ShareHolder::new(id, process, clock.stamp(), config)
-        .with_lending_address(settings.peer_listen)
-        .with_placement(
-            DomainId::new(&settings.failure_domain),
-            settings.vm_size.is_strong(),
-        )
-}
-
 impl std::fmt::Debug for TokenLedger {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("TokenLedger")
