Succession: the log says how long the predecessor was silent

On-call could not tell from logs whether tokens were lost because routers were down for longer than seals hold or because no clock proved anything: the line of a loss named the proof and not the time.

--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -40,6 +40,8 @@
     witness_limits: Option<(u64, BTreeMap<String, u64>)>,
     /// Evidence for the last succession.
     proof: Option<SuccessionProof>,
+    /// Time from the predecessor's last write to the start of this process, in milliseconds.
+    silent_ms: Option<u64>,
     /// Whether the shares were returned; nothing can be reserved after that.
     closed: bool,
     /// When this process started; no predecessor was alive later.
@@ -67,6 +69,7 @@
             witnesses: WitnessSet::default(),
             witness_limits: None,
             proof: None,
+            silent_ms: None,
             closed: false,
             started,
             lends_at: None,
--- a/wisteriapass_coord/src/prepaid/holder/succession.rs
+++ b/wisteriapass_coord/src/prepaid/holder/succession.rs
@@ -46,9 +46,10 @@
             ..self.config
         };
         let age_ms = self.started.since(before.stamp);
+        let by_time_of_day = self.started.since_by_time_of_day(before.stamp);
+        self.silent_ms = age_ms.or(by_time_of_day);
         // Two readings of the time of day can each be off by the tolerance within which clocks
         // agree.
-        let by_time_of_day = self.started.since_by_time_of_day(before.stamp);
         let by_time_of_day = by_time_of_day.map(|ms| ms + 2 * CLOCK_TOLERANCE_MS);
         let by_time_of_day = by_time_of_day.filter(|_| before.agreed && age_ms.is_none());
         let unsealed_at = |age: Option<u64>, sealed| {
@@ -95,6 +96,12 @@
         self.proof
     }
 
+    /// Returns the time from the predecessor's last write to the start of this process, in
+    /// milliseconds, as far as a clock tells.
+    pub fn silent_ms(&self) -> Option<u64> {
+        self.silent_ms
+    }
+
     /// Returns what predecessors on this VM may have spent, in tokens, for the accounts where this
     /// is not zero. How much of it they really spent is unknown.
     pub fn losses(&self) -> impl Iterator<Item = (&str, u64)> {
--- a/wisteriapass_coord/tests/prepaid/shares.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -192,6 +192,7 @@
         let opening_ms = age.saturating_sub(SHARE_CONFIG.seal_ms);
         let unsealed = sealed * opening_ms / SHARE_CONFIG.unseal_ms;
         assert_eq!(lost, before - sealed + unsealed, "{age} ms");
+        assert_eq!(after.silent_ms(), Some(age));
     }
 }
 
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -317,7 +317,9 @@
         for (account, lost) in holder.losses() {
             log::info!(
                 target: "money",
-                "Lost with predecessors. account={account} tokens={lost} proof={proof} {}",
+                "Lost with predecessors. account={account} tokens={lost} proof={proof} \
+                 silent_ms={:?} {}",
+                holder.silent_ms(),
                 holder.account_status(account)
             );
         }
