Limits: the log names a router's quota of a limited target

On-call could not tell whether routers heeded a limit each for itself, disagreed on the relays or learned late.

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -144,7 +144,7 @@
         }
         let targets = self.gw.targets.borrow();
         if let Some(t) = targets.get(self.target) {
-            t.set_limit(metadata.limit_per_s, self.gw.time());
+            self.gw.set_limit(t, metadata.limit_per_s, self.gw.time());
         }
     }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
 use wisteriapass_policy::drain::Drain;
 use wisteriapass_policy::placement::hash_name;
-use wisteriapass_policy::target_limit::Sender;
+use wisteriapass_policy::target_limit::{Sender, TargetLimit};
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
 use crate::catalogue::{Catalogue, CatalogueChange, ColdStart};
@@ -23,7 +23,7 @@
 use crate::rpc::RpcClient;
 use crate::settings::GatewaySettings;
 use crate::store_liveness::StoreLiveness;
-use crate::target::{Target, TargetKey};
+use crate::target::{NamedLimit, Target, TargetKey};
 use crate::targets::Targets;
 
 /// Phases of a shutdown: which client connections close once they are idle.
@@ -227,13 +227,40 @@
         let Some(named) = target.limit.get() else {
             return true;
         };
-        let sender = Sender {
+        let relays = self.ledger.relay_hashes();
+        let log = target.send_log.borrow();
+        named
+            .limit
+            .may_send(self.time(), &log, self.sender(target, &relays))
+    }
+
+    /// Sets the limit that a target named to this router at `named_at`, or that it names none any
+    /// more.
+    pub(crate) fn set_limit(&self, target: &Target, per_s: Option<f64>, named_at: Time) {
+        let limit = per_s.map(|per_s| TargetLimit::new(per_s, named_at));
+        let before = target
+            .limit
+            .replace(limit.map(|limit| NamedLimit { limit, named_at }));
+        if before.map(|named| named.limit.per_s()) == per_s {
+            return;
+        }
+        let relays = self.ledger.relay_hashes();
+        let quota = limit.and_then(|limit| limit.quota(self.sender(target, &relays)));
+        log::info!(
+            target: "targets",
+            "Limit of a target. target={} per_s={per_s:?} quota={quota:?} relays={}",
+            target.entry.id,
+            relays.len()
+        );
+    }
+
+    /// Returns this router as a sender to a target.
+    fn sender<'a>(&self, target: &Target, relays: &'a [u64]) -> Sender<'a> {
+        Sender {
             target: hash_name(&target.entry.id.0),
             own_hash: hash_name(&self.settings.name),
-            relays: &self.ledger.relay_hashes(),
-        };
-        let log = target.send_log.borrow();
-        named.limit.may_send(self.time(), &log, sender)
+            relays,
+        }
     }
 
     /// Returns whether a request may be sent to a target now.
--- a/wisteriapass_gateway/src/relays/limits.rs
+++ b/wisteriapass_gateway/src/relays/limits.rs
@@ -37,7 +37,7 @@
     for (id, per_s) in reported {
         let target = targets.iter().find(|t| t.entry.id == *id);
         if let Some(target) = target.filter(|t| t.limit.get().is_none()) {
-            target.set_limit(Some(*per_s), gw.time());
+            gw.set_limit(target, Some(*per_s), gw.time());
         }
     }
 }
@@ -54,7 +54,7 @@
             (None, Some(named)) if is_recent(named) => {}
             (Some(per_s), Some(named)) if named.limit.per_s() == per_s => {}
             // The target named it to others only, so this router does not report it.
-            (per_s, _) => target.set_limit(per_s, Time::default()),
+            (per_s, _) => gw.set_limit(target, per_s, Time::default()),
         }
     }
 }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -148,22 +148,6 @@
         }
     }
 
-    /// Sets the limit that it named to this router at `named_at`, or that it names none any more.
-    pub fn set_limit(&self, per_s: Option<f64>, named_at: Time) {
-        let before = self.limit.get().map(|named| named.limit.per_s());
-        if before != per_s {
-            log::info!(
-                target: "targets",
-                "Limit of a target. target={} per_s={per_s:?}",
-                self.entry.id
-            );
-        }
-        self.limit.set(per_s.map(|per_s| NamedLimit {
-            limit: TargetLimit::new(per_s, named_at),
-            named_at,
-        }));
-    }
-
     /// Records the target's statement that it stays cold for this long.
     pub fn set_cold(&self, cold_ms: u64, now: Instant) {
         self.cold_until
--- a/wisteriapass_policy/src/target_limit.rs
+++ b/wisteriapass_policy/src/target_limit.rs
@@ -64,19 +64,19 @@
 
     /// Returns whether a router may send one more request now.
     pub fn may_send(&self, now: Time, log: &SendLog, sender: Sender<'_>) -> bool {
-        let Some(position) = position(sender.target, sender.own_hash, sender.relays) else {
-            return false;
-        };
-        match self.quota(position, sender.relays.len()) {
-            0 => now.millis_since(self.checked_at) >= self.probe_interval_ms(sender),
-            quota => log.may_send(now, self.window_ms(), quota),
+        match self.quota(sender) {
+            None => false,
+            Some(0) => now.millis_since(self.checked_at) >= self.probe_interval_ms(sender),
+            Some(quota) => log.may_send(now, self.window_ms(), quota),
         }
     }
 
-    /// Returns how many requests the relay at a position in the target's order may send per window.
-    fn quota(&self, position: usize, relays: usize) -> usize {
+    /// Returns how many requests a relay may send per window; `None` for other routers.
+    pub fn quota(&self, sender: Sender<'_>) -> Option<usize> {
+        let position = position(sender.target, sender.own_hash, sender.relays)?;
+        let relays = sender.relays.len();
         let budget = (self.per_s * self.window_ms() as f64 / 1_000.0) as usize;
-        budget / relays + usize::from(position < budget % relays)
+        Some(budget / relays + usize::from(position < budget % relays))
     }
 
     /// Returns the window for the quotas: longer for a target with a very low limit, so that it still
