Targets: one list of what excludes a target, one place that records what it states

Each answer's statements (cold, limit) were recorded by two methods of a connection, and each of them was asked for in two places, when a target is selected and again before a request is sent. A further statement would have been a line in four places, and one of them forgotten.

Gateway::record_statements takes all that an answer states, Gateway::exclusion is the list that selection and the last check before a send both go by. No change of behaviour: the refusal is that of the last reason on the list, as before.

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -127,27 +127,6 @@
         }
     }
 
-    /// Records the remaining time of the target's cold start, as the target reports it.
-    fn record_cold(&self, cold_ms: u64) {
-        let targets = self.gw.targets.borrow();
-        if let Some(t) = targets.get(self.target) {
-            t.set_cold(cold_ms, Instant::now());
-        }
-    }
-
-    /// Records the limit that the target names, or that it names none. Only an answer that is
-    /// certainly its own shows that a limit has ended.
-    fn record_limit(&self, metadata: &ResponseMetadata) {
-        let is_own_answer = metadata.is_signed || metadata.not_run;
-        if metadata.limit_per_s.is_none() && !is_own_answer {
-            return;
-        }
-        let targets = self.gw.targets.borrow();
-        if let Some(t) = targets.get(self.target) {
-            self.gw.set_limit(t, metadata.limit_per_s, self.gw.time());
-        }
-    }
-
     /// Records that the target sent something.
     pub fn record_received(&mut self) {
         let targets = self.gw.targets.borrow();
@@ -244,10 +223,8 @@
 ) -> SendOutcome {
     let (parts, body) = answer.into_parts();
     let metadata = gw.platform.response_metadata(&parts.headers);
-    if let Some(cold_ms) = metadata.cold_ms {
-        connection.record_cold(cold_ms);
-    }
-    connection.record_limit(&metadata);
+    let is_own = metadata.is_signed || metadata.not_run;
+    gw.record_statements(connection.target, &metadata.statements, is_own);
     SendOutcome::Answer(Box::new(TargetResponse {
         status: parts.status,
         headers: parts.headers,
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::ProxiedRequest;
 use super::history::{AttemptHistory, SendRecord};
+use crate::gateway::Exclusion;
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
 
@@ -29,18 +30,16 @@
         let now = Instant::now();
         let time = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
-        let mut available = targets.available(&self.plan.service, now);
+        let mut available = targets.of_service(&self.plan.service);
         available.retain(|(key, t)| !history.tried.contains(key) && self.plan.allows(&self.gw, t));
+        let mut last_exclusion = None;
+        available.retain(|(_, target)| {
+            let exclusion = self.gw.exclusion(&targets, target, self.plan.cold_start);
+            last_exclusion = last_exclusion.max(exclusion);
+            exclusion.is_none()
+        });
         if available.is_empty() {
-            return Err(self.no_target_refusal(history));
-        }
-        available.retain(|(_, t)| self.gw.within_cold_limit(t, self.plan.cold_start, now));
-        if available.is_empty() {
-            return Err(history.refuse_unless_run(Refusal::Cold));
-        }
-        available.retain(|(_, t)| self.gw.within_named_limit(t));
-        if available.is_empty() {
-            return Err(history.refuse_unless_run(Refusal::Limited));
+            return Err(self.exclusion_refusal(history, last_exclusion));
         }
         let ends_in_time =
             |target: &Target| self.plan.ends_in_time(&self.gw, &self.metadata, target);
@@ -133,6 +132,16 @@
         }
     }
 
+    /// Returns the refusal for a request whose targets are all excluded, given the last reason in the
+    /// order of the list.
+    fn exclusion_refusal(&self, history: &AttemptHistory, last: Option<Exclusion>) -> Refusal {
+        match last {
+            None | Some(Exclusion::Closed) => self.no_target_refusal(history),
+            Some(Exclusion::Cold) => history.refuse_unless_run(Refusal::Cold),
+            Some(Exclusion::Limited) => history.refuse_unless_run(Refusal::Limited),
+        }
+    }
+
     /// Returns the refusal for a request that has no target left.
     pub(super) fn no_target_refusal(&self, history: &AttemptHistory) -> Refusal {
         if history.may_have_run {
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -1,17 +1,17 @@
 //! State that the tasks of one router share.
 
+mod exclusion;
+mod statements;
+
 use std::collections::HashMap;
 use std::future::Future;
 
 use tokio::sync::watch;
 use tokio::time::sleep_until;
-use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
 use wisteriapass_policy::drain::Drain;
-use wisteriapass_policy::placement::hash_name;
-use wisteriapass_policy::target_limit::{Sender, TargetLimit};
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
-use crate::catalogue::{Catalogue, CatalogueChange, ColdStart};
+use crate::catalogue::{Catalogue, CatalogueChange};
 use crate::change_log::{ConfigurationLog, Cursor, TargetLog};
 use crate::evacuations::Evacuations;
 use crate::ledger::TokenLedger;
@@ -23,9 +23,11 @@
 use crate::rpc::RpcClient;
 use crate::settings::GatewaySettings;
 use crate::store_liveness::StoreLiveness;
-use crate::target::{NamedLimit, Target, TargetKey};
+use crate::target::{Target, TargetKey};
 use crate::targets::Targets;
 
+pub(crate) use exclusion::Exclusion;
+
 /// Phases of a shutdown: which client connections close once they are idle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ShutdownPhase {
@@ -195,86 +197,6 @@
         *known = next;
     }
 
-    /// Returns whether this router may send a target one more request under the limit for cold
-    /// targets. The limit is divided among few routers, which alone send to a cold target.
-    pub(crate) fn within_cold_limit(
-        &self,
-        target: &Target,
-        cold: Option<ColdStart>,
-        now: Instant,
-    ) -> bool {
-        let Some(cold) = cold.filter(|cold| target.is_cold(cold.start_ms, now)) else {
-            return true;
-        };
-        let bounds = &self.settings.bounds;
-        let per_s = cold.per_1000_s as f64 / 1_000.0;
-        let most_per_s = per_s * bounds.cold_overshoot + bounds.cold_slack;
-        let relays = self.ledger.relay_hashes();
-        let quota = SendQuota::new(most_per_s, relays.len());
-        let me = hash_name(&self.settings.name);
-        let target_hash = hash_name(&target.entry.id.0);
-        let may_send =
-            target
-                .send_log
-                .borrow()
-                .may_send(self.time(), cold_start::WINDOW_MS, quota.per_owner);
-        may_send && is_owner(target_hash, me, &relays, quota.owners)
-    }
-
-    /// Returns whether this router may send a target one more request under the limit that the
-    /// target names.
-    pub(crate) fn within_named_limit(&self, target: &Target) -> bool {
-        let Some(named) = target.limit.get() else {
-            return true;
-        };
-        let relays = self.ledger.relay_hashes();
-        let log = target.send_log.borrow();
-        named
-            .limit
-            .may_send(self.time(), &log, self.sender(target, &relays))
-    }
-
-    /// Sets the limit that a target named to this router at `named_at`, or that it names none any
-    /// more.
-    pub(crate) fn set_limit(&self, target: &Target, per_s: Option<f64>, named_at: Time) {
-        let limit = per_s.map(|per_s| TargetLimit::new(per_s, named_at));
-        let before = target
-            .limit
-            .replace(limit.map(|limit| NamedLimit { limit, named_at }));
-        if before.map(|named| named.limit.per_s()) == per_s {
-            return;
-        }
-        let relays = self.ledger.relay_hashes();
-        let quota = limit.and_then(|limit| limit.quota(self.sender(target, &relays)));
-        log::info!(
-            target: "targets",
-            "Limit of a target. target={} per_s={per_s:?} quota={quota:?} relays={}",
-            target.entry.id,
-            relays.len()
-        );
-    }
-
-    /// Returns this router as a sender to a target.
-    fn sender<'a>(&self, target: &Target, relays: &'a [u64]) -> Sender<'a> {
-        Sender {
-            target: hash_name(&target.entry.id.0),
-            own_hash: hash_name(&self.settings.name),
-            relays,
-        }
-    }
-
-    /// Returns whether a request may be sent to a target now.
-    pub(crate) fn may_send(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
-        let now = Instant::now();
-        let targets = self.targets.borrow();
-        let target = targets.get(key);
-        target.is_some_and(|t| {
-            targets.accepts_requests(t, now)
-                && self.within_cold_limit(t, cold, now)
-                && self.within_named_limit(t)
-        })
-    }
-
     /// Returns whether clients may be sent to this router.
     pub fn is_ready(&self) -> bool {
         let is_initialized = self.targets_known.get() && self.catalogue.borrow().is_some();
--- /dev/null
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -0,0 +1,94 @@
+//! The list of reasons for which a target gets no request now.
+
+use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
+use wisteriapass_policy::placement::hash_name;
+use wisteriapass_policy::target_limit::Sender;
+
+use crate::catalogue::ColdStart;
+use crate::prelude::*;
+use crate::target::{Target, TargetKey};
+use crate::targets::Targets;
+
+/// Why a target gets no request now. Later reasons are checked only if no earlier one applies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Exclusion {
+    /// It may get no new requests at all, or its failure domain is evacuated.
+    Closed,
+    /// It is cold and gets no more requests from this router for now.
+    Cold,
+    /// It names a limit and gets no more requests from this router for now.
+    Limited,
+}
+
+impl Gateway {
+    /// Returns whether a request may be sent to a target now.
+    pub(crate) fn may_send(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
+        let targets = self.targets.borrow();
+        let target = targets.get(key);
+        target.is_some_and(|t| self.exclusion(&targets, t, cold).is_none())
+    }
+
+    /// Returns why a target gets no request now, if so. Everything that may prevent a request from
+    /// being sent to a target is checked here.
+    pub(crate) fn exclusion(
+        &self,
+        targets: &Targets,
+        target: &Target,
+        cold: Option<ColdStart>,
+    ) -> Option<Exclusion> {
+        let now = Instant::now();
+        if !targets.accepts_requests(target, now) {
+            return Some(Exclusion::Closed);
+        }
+        if !self.within_cold_limit(target, cold, now) {
+            return Some(Exclusion::Cold);
+        }
+        if !self.within_named_limit(target) {
+            return Some(Exclusion::Limited);
+        }
+        None
+    }
+
+    /// Returns whether this router may send a target one more request under the limit for cold
+    /// targets. The limit is divided among few routers, which alone send to a cold target.
+    fn within_cold_limit(&self, target: &Target, cold: Option<ColdStart>, now: Instant) -> bool {
+        let Some(cold) = cold.filter(|cold| target.is_cold(cold.start_ms, now)) else {
+            return true;
+        };
+        let bounds = &self.settings.bounds;
+        let per_s = cold.per_1000_s as f64 / 1_000.0;
+        let most_per_s = per_s * bounds.cold_overshoot + bounds.cold_slack;
+        let relays = self.ledger.relay_hashes();
+        let quota = SendQuota::new(most_per_s, relays.len());
+        let me = hash_name(&self.settings.name);
+        let target_hash = hash_name(&target.entry.id.0);
+        let may_send =
+            target
+                .send_log
+                .borrow()
+                .may_send(self.time(), cold_start::WINDOW_MS, quota.per_owner);
+        may_send && is_owner(target_hash, me, &relays, quota.owners)
+    }
+
+    /// Returns whether this router may send a target one more request under the limit that the
+    /// target names.
+    fn within_named_limit(&self, target: &Target) -> bool {
+        let Some(named) = target.limit.get() else {
+            return true;
+        };
+        let relays = self.ledger.relay_hashes();
+        let log = target.send_log.borrow();
+        named
+            .limit
+            .may_send(self.time(), &log, self.sender(target, &relays))
+    }
+
+    /// Returns this router as a sender to a target.
+    pub(super) fn sender<'a>(&self, target: &Target, relays: &'a [u64]) -> Sender<'a> {
+        Sender {
+            target: hash_name(&target.entry.id.0),
+            own_hash: hash_name(&self.settings.name),
+            relays,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriapass_gateway/src/gateway/statements.rs
@@ -0,0 +1,52 @@
+//! Records what targets state about themselves in their responses.
+
+use wisteriapass_policy::Time;
+use wisteriapass_policy::target_limit::TargetLimit;
+
+use crate::metadata::TargetStatements;
+use crate::prelude::*;
+use crate::target::{NamedLimit, Target, TargetKey};
+
+impl Gateway {
+    /// Records what a target states in a response, so that [`Self::exclusion`] takes it into
+    /// account. `is_own` if the response certainly comes from the target itself.
+    pub(crate) fn record_statements(
+        &self,
+        key: TargetKey,
+        statements: &TargetStatements,
+        is_own: bool,
+    ) {
+        let targets = self.targets.borrow();
+        let Some(target) = targets.get(key) else {
+            return;
+        };
+        if let Some(cold_ms) = statements.cold_ms {
+            target.set_cold(cold_ms, Instant::now());
+        }
+        // The end of a limit needs more proof than the limit, as a target without one may be
+        // overloaded.
+        if statements.limit_per_s.is_some() || is_own {
+            self.set_limit(target, statements.limit_per_s, self.time());
+        }
+    }
+
+    /// Sets the limit that a target named to this router at `named_at`, or that it names none any
+    /// more.
+    pub(crate) fn set_limit(&self, target: &Target, per_s: Option<f64>, named_at: Time) {
+        let limit = per_s.map(|per_s| TargetLimit::new(per_s, named_at));
+        let before = target
+            .limit
+            .replace(limit.map(|limit| NamedLimit { limit, named_at }));
+        if before.map(|named| named.limit.per_s()) == per_s {
+            return;
+        }
+        let relays = self.ledger.relay_hashes();
+        let quota = limit.and_then(|limit| limit.quota(self.sender(target, &relays)));
+        log::info!(
+            target: "targets",
+            "Limit of a target. target={} per_s={per_s:?} quota={quota:?} relays={}",
+            target.entry.id,
+            relays.len()
+        );
+    }
+}
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -43,7 +43,9 @@
 pub use evacuations::Evacuations;
 pub use events::{Event, EventReader};
 pub use gateway::Gateway;
-pub use metadata::{DispatchMetadata, PrefixPart, RequestMetadata, ResponseMetadata, TokenWork};
+pub use metadata::{
+    DispatchMetadata, PrefixPart, RequestMetadata, ResponseMetadata, TargetStatements, TokenWork,
+};
 pub use platform::{
     Change, ChangeBatch, LocalFuture, Platform, RecordKey, RevisedChange, StoreError, SwapOutcome,
     Topic, VersionedRecord, WatchRequest,
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -101,8 +101,15 @@
     pub is_framed: bool,
     /// Whether the body has a content encoding, which was not requested.
     pub is_encoded: bool,
-    /// Time for which the target stays cold, in milliseconds, if it states one.
+    /// What the target states about itself.
+    pub statements: TargetStatements,
+}
+
+/// What a target states about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetStatements {
+    /// Time for which it stays cold, in milliseconds, if it states one.
     pub cold_ms: Option<u64>,
-    /// Requests per second that the target takes from all routers together, if it names a limit.
+    /// Requests per second that it takes from all routers together, if it names a limit.
     pub limit_per_s: Option<f64>,
 }
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -38,10 +38,17 @@
         self.arena.values()
     }
 
+    /// Returns the targets of a service.
+    pub fn of_service(&self, service: &str) -> SmallVec<[(TargetKey, &Target); 32]> {
+        let all = self.arena.iter();
+        all.filter(|(_, t)| t.entry.service == service).collect()
+    }
+
     /// Returns the targets of a service that may get new requests.
     pub fn available(&self, service: &str, now: Instant) -> SmallVec<[(TargetKey, &Target); 32]> {
-        let fits = |t: &Target| t.entry.service == service && self.accepts_requests(t, now);
-        self.arena.iter().filter(|(_, t)| fits(t)).collect()
+        let mut available = self.of_service(service);
+        available.retain(|(_, t)| self.accepts_requests(t, now));
+        available
     }
 
     /// Returns whether a target may get new requests.
