Targets: logs say that a target leaves, and whether an answer or its entry said so

The incident's logs could not tell whether routers were never told that a target leaves, lost the word again, or sent what had been chosen before: nothing read Server-Leaving, and an entry that turned to draining left no line. Now 'Target leaves. source=answer' and 'source=entry' stand at each router that was told. Nothing goes by the statement yet.

What an answer states is recorded where it is checked, so that an additional answer, a garbled one or that of another server at the address (421) does not count for it. As a consequence such an answer no longer ends a named limit either, which it did if it bore a signature; one that names a limit still counts, whosoever it is.

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -223,8 +223,6 @@
 ) -> SendOutcome {
     let (parts, body) = answer.into_parts();
     let metadata = gw.platform.response_metadata(&parts.headers);
-    let is_own = metadata.is_signed || metadata.not_run;
-    gw.record_statements(connection.target, &metadata.statements, is_own);
     SendOutcome::Answer(Box::new(TargetResponse {
         status: parts.status,
         headers: parts.headers,
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -208,20 +208,28 @@
         self.plan.deadline.min(Instant::now() + retry_delay)
     }
 
-    /// Checks that a response belongs to this request and is valid.
+    /// Checks that a response belongs to this request and is valid, and records what the target
+    /// states in it.
     fn classify(&self, key: TargetKey, answer: Box<TargetResponse>) -> Verdict {
         let metadata = &answer.metadata;
         let has_same_id = metadata.id == self.metadata.id;
         let lacks_id = metadata.id.is_none() && answer.connection.is_new;
-        if metadata.not_run && (has_same_id || lacks_id) {
-            if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        let is_refusal = metadata.not_run && (has_same_id || lacks_id);
+        let is_answer = has_same_id
+            && !metadata.is_encoded
+            && (metadata.is_signed || !answer.status.is_success());
+        let is_misdirected = answer.status == StatusCode::MISDIRECTED_REQUEST;
+        // A misdirected request reached another target at the same address.
+        let is_own = (is_refusal || is_answer) && !is_misdirected;
+        self.gw.record_statements(key, metadata, is_own);
+        if is_refusal {
+            if is_misdirected {
                 self.gw.targets.borrow_mut().mark_replaced(key);
             }
             self.record_fault(key, Fault::Shed);
             return Verdict::NotRun;
         }
-        if !has_same_id || metadata.is_encoded || answer.status.is_success() && !metadata.is_signed
-        {
+        if !is_answer {
             self.record_fault(key, Fault::WrongAnswer);
             return Verdict::Invalid;
         }
--- a/wisteriapass_gateway/src/gateway/statements.rs
+++ b/wisteriapass_gateway/src/gateway/statements.rs
@@ -3,31 +3,34 @@
 use wisteriapass_policy::Time;
 use wisteriapass_policy::target_limit::TargetLimit;
 
-use crate::metadata::TargetStatements;
 use crate::prelude::*;
 use crate::target::{NamedLimit, Target, TargetKey};
 
 impl Gateway {
     /// Records what a target states in a response, so that [`Self::exclusion`] takes it into
-    /// account. `is_own` if the response certainly comes from the target itself.
+    /// account. `is_own` if the response is to the request that the target was sent: an additional
+    /// or garbled one must not take a target out of service.
     pub(crate) fn record_statements(
         &self,
         key: TargetKey,
-        statements: &TargetStatements,
+        metadata: &ResponseMetadata,
         is_own: bool,
     ) {
         let targets = self.targets.borrow();
         let Some(target) = targets.get(key) else {
             return;
         };
+        let statements = &metadata.statements;
         if let Some(cold_ms) = statements.cold_ms {
             target.set_cold(cold_ms, Instant::now());
         }
-        // The end of a limit needs more proof than the limit, as a target without one may be
-        // overloaded.
-        if statements.limit_per_s.is_some() || is_own {
+        let ends_limit = is_own && (metadata.is_signed || metadata.not_run);
+        if statements.limit_per_s.is_some() || ends_limit {
             self.set_limit(target, statements.limit_per_s, self.time());
         }
+        if statements.is_leaving && is_own {
+            target.set_leaving();
+        }
     }
 
     /// Sets the limit that a target named to this router at `named_at`, or that it names none any
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -112,4 +112,6 @@
     pub cold_ms: Option<u64>,
     /// Requests per second that it takes from all routers together, if it names a limit.
     pub limit_per_s: Option<f64>,
+    /// Whether it leaves: it wants no new requests and is about to stop.
+    pub is_leaving: bool,
 }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -96,6 +96,8 @@
     pub send_log: RefCell<SendLog>,
     /// Limit that it names, if any.
     pub limit: Cell<Option<NamedLimit>>,
+    /// Whether it stated that it leaves, which holds until it ends.
+    is_leaving: Cell<bool>,
     /// End of the time for which it stated to be cold.
     cold_until: Cell<Instant>,
     /// When it may have restarted, and so be cold without having stated it.
@@ -119,6 +121,7 @@
             pool: RefCell::default(),
             send_log: RefCell::default(),
             limit: Cell::new(None),
+            is_leaving: Cell::new(false),
             cold_until: Cell::new(cold_until),
             possible_restart_at: Cell::new(None),
         }
@@ -130,6 +133,9 @@
             self.suspect_restart(now);
         }
         self.availability = availability(&entry);
+        if entry.draining && !self.entry.draining {
+            log::info!(target: "targets", "Target leaves. target={} source=entry", entry.id);
+        }
         self.cold_until.set(cold_until(&entry, now));
         self.entry = entry;
     }
@@ -148,6 +154,13 @@
         }
     }
 
+    /// Records the target's statement that it leaves.
+    pub fn set_leaving(&self) {
+        if !self.is_leaving.replace(true) {
+            log::info!(target: "targets", "Target leaves. target={} source=answer", self.entry.id);
+        }
+    }
+
     /// Records the target's statement that it stays cold for this long.
     pub fn set_cold(&self, cold_ms: u64, now: Instant) {
         self.cold_until
