Tests: targets that said they leave get requests until the store says so (red)

Fails: after an answer with Server-Leaving, sent while the store is away, half of the next 40 requests go to that target (the other one is open); so they do whatever the answer is: whole, refused, failed, a stream, a stream that breaks. The stand-in of the targets now states things in all its answers.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -67,8 +67,8 @@
     requests: Vec<ReceivedRequest>,
     crash_condition: Option<CrashCondition>,
     restart_delay: Option<Duration>,
-    /// Value of the header that names the requests per second that the target takes.
-    limit: Option<&'static str>,
+    /// Headers of its answers by which the target states something about itself.
+    statements: BTreeMap<&'static str, &'static str>,
     /// Number of restarts so far; the target has a different id after each.
     incarnation: u32,
     is_down: bool,
@@ -155,7 +155,13 @@
 
     /// Makes the target name a limit of requests per second in its answers, or no limit.
     pub fn set_limit(&self, limit: Option<&'static str>) {
-        self.shared.state.lock().limit = limit;
+        self.shared.set_statement("Server-Limit", limit);
+    }
+
+    /// Makes the target state in its answers that it leaves, or not.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        let value = is_leaving.then_some("1");
+        self.shared.set_statement("Server-Leaving", value);
     }
 
     /// Crashes the target: it stops accepting connections and closes all open ones.
@@ -195,6 +201,12 @@
         }
     }
 
+    fn set_statement(&self, header: &'static str, value: Option<&'static str>) {
+        let mut state = self.state.lock();
+        state.statements.remove(header);
+        state.statements.extend(value.map(|value| (header, value)));
+    }
+
     /// Serves connections, and restarts after each crash.
     fn run(self: Arc<Self>, mut listener: TcpListener) {
         loop {
@@ -205,6 +217,7 @@
             listener = self.listen();
             let mut state = self.state.lock();
             state.incarnation += 1;
+            state.statements.clear();
             state.is_down = false;
         }
     }
@@ -280,7 +293,7 @@
         let mut out = stream.try_clone()?;
         loop {
             let mut request = wire::read(&mut reader)?;
-            request.limit = self.state.lock().limit;
+            request.statements = self.state.lock().statements.clone();
             match self.decide(&request, incarnation)? {
                 Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
                 Decision::Crash => {
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -30,8 +30,8 @@
     pub ran: bool,
     /// When it arrived.
     pub arrived: Option<Instant>,
-    /// Limit that the answer names, in requests per second.
-    pub limit: Option<&'static str>,
+    /// Headers of the answer by which the target states something about itself.
+    pub statements: BTreeMap<&'static str, &'static str>,
 }
 
 impl ReceivedRequest {
@@ -40,11 +40,16 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
-    /// Returns the header lines that identify the request and name the target's limit.
+    /// Returns the header lines that identify the request and contain the target's statements.
     fn answer_headers(&self) -> String {
-        let id = self.header("x-attempt-id");
-        let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
-        format!("X-Attempt-Id: {id}\r\n{}", limit.unwrap_or_default())
+        self.answer_headers_for(self.header("x-attempt-id"))
+    }
+
+    /// As [`Self::answer_headers`], for an answer to the request with this id.
+    fn answer_headers_for(&self, id: &str) -> String {
+        let statements = self.statements.iter();
+        let lines = statements.map(|(name, value)| format!("{name}: {value}\r\n"));
+        format!("X-Attempt-Id: {id}\r\n{}", lines.collect::<String>())
     }
 
     /// Returns the time left for the request, according to its header.
@@ -109,7 +114,7 @@
             out.write_all(b"\x00\xff no answer \r\n\r\n")?;
             Err(connection_aborted())
         }
-        Behaviour::WrongAttemptId => send_whole(out, "X-Attempt-Id: another\r\n"),
+        Behaviour::WrongAttemptId => send_whole(out, &request.answer_headers_for("another")),
         Behaviour::Misdirected => write!(
             out,
             "HTTP/1.1 421 Misdirected\r\n{headers}X-Not-Executed: 1\r\n\
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod cold;
 mod evacuations;
+mod leaving;
 mod limits;
 mod money;
 mod quarantine;
