Targets: one that says in its answers that it leaves gets no new requests

Cause: nothing read Server-Leaving. Availability went by the store's entry alone, and the store was away.

Change: the word of the target closes it, in Target::is_open, which the list of exclusions, the first check of a request and the look at broken connections all ask. It takes precedence over its entry, is kept for ten minutes after the entry's end (a leaving target whose entry had ended was kept for ever before) and ends with the instance.

--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -18,6 +18,10 @@
 /// Maximum time for which one statement of a target marks it as cold, in milliseconds.
 const MAX_COLD_MS: u64 = 60_000;
 
+/// Time for which a leaving target is remembered after its entry was removed, in milliseconds: longer
+/// than outages after which an entry returns.
+const MEMORY_MS: u64 = 600_000;
+
 new_key_type! {
     /// Key of a target in the arena.
     pub struct TargetKey;
@@ -98,6 +102,8 @@
     pub limit: Cell<Option<NamedLimit>>,
     /// Whether it stated that it leaves, which holds until it ends.
     is_leaving: Cell<bool>,
+    /// When it may be forgotten, after its entry was removed.
+    forget_at: Option<Instant>,
     /// End of the time for which it stated to be cold.
     cold_until: Cell<Instant>,
     /// When it may have restarted, and so be cold without having stated it.
@@ -122,6 +128,7 @@
             send_log: RefCell::default(),
             limit: Cell::new(None),
             is_leaving: Cell::new(false),
+            forget_at: None,
             cold_until: Cell::new(cold_until),
             possible_restart_at: Cell::new(None),
         }
@@ -137,9 +144,22 @@
             log::info!(target: "targets", "Target leaves. target={} source=entry", entry.id);
         }
         self.cold_until.set(cold_until(&entry, now));
+        self.forget_at = None;
         self.entry = entry;
     }
 
+    /// Records that its entry was removed, or replaced by that of another instance.
+    pub fn set_entry_removed(&mut self, now: Instant) {
+        self.forget_at = Some(now + Duration::from_millis(MEMORY_MS));
+    }
+
+    /// Returns whether it has to be remembered because it leaves: an older entry that returns must
+    /// not make it available.
+    pub fn is_remembered(&self, now: Instant) -> bool {
+        let is_leaving = self.is_leaving.get() || self.entry.draining;
+        is_leaving && self.forget_at.is_none_or(|at| now < at)
+    }
+
     /// Records that the target may have restarted, and so be cold without having stated it.
     pub fn suspect_restart(&self, now: Instant) {
         self.possible_restart_at.set(Some(now));
@@ -180,8 +200,12 @@
         if self.running.get() > 0 { silent } else { 0 }
     }
 
-    /// Returns whether it may get new requests at `now`.
+    /// Returns whether it may get new requests at `now`. Its own statement that it leaves takes
+    /// precedence over its entry, which may be older.
     pub fn is_open(&self, now: Instant) -> bool {
+        if self.is_leaving.get() {
+            return false;
+        }
         match self.availability {
             Availability::Open => true,
             Availability::Missing(until) => now < until,
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -122,9 +122,9 @@
         self.is_complete = true;
     }
 
-    /// Removes targets that are closed and run no requests of this router.
+    /// Removes targets that are closed, run no requests of this router and need not be remembered.
     pub fn sweep(&mut self, now: Instant) {
-        let keep = |t: &Target| t.is_open(now) || t.running.get() > 0 || t.entry.draining;
+        let keep = |t: &Target| t.is_open(now) || t.running.get() > 0 || t.is_remembered(now);
         self.arena.retain(|_, t| keep(t));
         self.ids.retain(|_, key| self.arena.contains_key(*key));
     }
@@ -138,6 +138,7 @@
             }
             log::info!(target: "targets", "Target restarted. target={}", entry.id);
             target.availability = Availability::Closed;
+            target.set_entry_removed(now);
         }
         log::info!(
             target: "targets",
@@ -156,6 +157,7 @@
         let Some(target) = self.ids.get(id).and_then(|key| self.arena.get_mut(*key)) else {
             return;
         };
+        target.set_entry_removed(now);
         if target.availability != Availability::Open {
             return;
         }
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -133,3 +133,65 @@
     targets.replace_all(state.iter(), now, None);
     assert_eq!(open(&targets, now), ["a"]);
 }
+
+/// Time after which the entry of a live target does not return, in milliseconds.
+const LONG_MS: u64 = 3_600_000;
+
+fn leave(targets: &Targets, now: Instant) {
+    for (_, target) in targets.available(SERVICE, now) {
+        target.set_leaving();
+    }
+}
+
+/// Guards against an entry that takes back what its target has stated since.
+#[test]
+fn an_older_entry_reopens_a_target_that_said_it_leaves() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    leave(&targets, now);
+    assert!(open(&targets, now).is_empty());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    assert!(open(&targets, now).is_empty(), "a newer entry");
+    targets.replace_all([Change::Target(entry("a"))].iter(), now, None);
+    assert!(open(&targets, now).is_empty(), "a complete state");
+    let gone = Change::Removed(TargetId("a".into()));
+    for recovered_at in [Some(now), None] {
+        targets.apply(&gone, now, recovered_at);
+        assert!(open(&targets, now).is_empty(), "{recovered_at:?}");
+        targets.sweep(later(now, 60_000));
+        targets.apply(&Change::Target(entry("a")), later(now, 60_000), None);
+        let open = open(&targets, later(now, 60_000));
+        assert!(open.is_empty(), "an entry that returned, {recovered_at:?}");
+    }
+    let missing = Change::Missing(TargetId("a".into()), later(now, 2_000));
+    targets.apply(&missing, now, None);
+    assert!(open(&targets, now).is_empty(), "a relay that was not told");
+}
+
+#[test]
+fn a_restarted_target_has_not_said_that_it_leaves() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    leave(&targets, now);
+    let mut restarted = entry("a");
+    restarted.started_ms = Some(2);
+    targets.apply(&Change::Target(restarted), now, None);
+    assert_eq!(open(&targets, now), ["a"]);
+}
+
+#[test]
+fn a_target_that_left_is_forgotten_some_time_after_its_entry_was_removed() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    let mut draining = entry("b");
+    draining.draining = true;
+    targets.apply(&Change::Target(entry("a")), now, None);
+    targets.apply(&Change::Target(draining), now, None);
+    leave(&targets, now);
+    targets.sweep(later(now, LONG_MS));
+    assert_eq!(targets.iter().count(), 2, "entries are there");
+    for id in ["a", "b"] {
+        targets.apply(&Change::Removed(TargetId(id.into())), now, None);
+    }
+    targets.sweep(later(now, LONG_MS));
+    assert_eq!(targets.iter().count(), 0);
+}
