Targets: logs say that a target asked for rest, and for how long

The incident's logs could not tell whether routers never read Retry-After of a target's 503, cut the time short, or sent what had been chosen before: an answer that asks for rest left a line like any other that is full. Now 'Target rests. asked_ms=' stands at the router that was told. Nothing goes by the statement yet.

--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -221,7 +221,8 @@
         let is_misdirected = answer.status == StatusCode::MISDIRECTED_REQUEST;
         // A misdirected request reached another target at the same address.
         let is_own = (is_refusal || is_answer) && !is_misdirected;
-        self.gw.record_statements(key, metadata, is_own);
+        self.gw
+            .record_statements(key, answer.status, metadata, is_own);
         if is_refusal {
             if is_misdirected {
                 self.gw.targets.borrow_mut().mark_replaced(key);
--- a/wisteriapass_gateway/src/gateway/statements.rs
+++ b/wisteriapass_gateway/src/gateway/statements.rs
@@ -13,6 +13,7 @@
     pub(crate) fn record_statements(
         &self,
         key: TargetKey,
+        status: StatusCode,
         metadata: &ResponseMetadata,
         is_own: bool,
     ) {
@@ -31,6 +32,10 @@
         if statements.is_leaving && is_own {
             target.set_leaving();
         }
+        let asked_ms = statements.retry_after_ms.filter(|_| is_own);
+        if let Some(asked_ms) = asked_ms.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+            target.set_resting(asked_ms, Instant::now());
+        }
     }
 
     /// Sets the limit that a target named to this router at `named_at`, or that it names none any
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -114,4 +114,6 @@
     pub limit_per_s: Option<f64>,
     /// Whether it leaves: it wants no new requests and is about to stop.
     pub is_leaving: bool,
+    /// Time after which it wants the next request, in milliseconds, if it states one.
+    pub retry_after_ms: Option<u64>,
 }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -9,6 +9,7 @@
 use slotmap::new_key_type;
 use tokio::time::Instant;
 use wisteriapass_policy::placement::FailureScore;
+use wisteriapass_policy::rest;
 use wisteriapass_policy::target_limit::TargetLimit;
 use wisteriapass_policy::{LatencyHistory, SendLog, Time};
 
@@ -102,6 +103,8 @@
     pub limit: Cell<Option<NamedLimit>>,
     /// Whether it stated that it leaves, which holds until it ends.
     is_leaving: Cell<bool>,
+    /// End of the rest that it asked for.
+    resting_until: Cell<Instant>,
     /// When it may be forgotten, after its entry was removed.
     forget_at: Option<Instant>,
     /// End of the time for which it stated to be cold.
@@ -128,6 +131,7 @@
             send_log: RefCell::default(),
             limit: Cell::new(None),
             is_leaving: Cell::new(false),
+            resting_until: Cell::new(now),
             forget_at: None,
             cold_until: Cell::new(cold_until),
             possible_restart_at: Cell::new(None),
@@ -181,6 +185,22 @@
         }
     }
 
+    /// Records that it asked for no requests for this long. A later end that it asked for before
+    /// remains.
+    pub fn set_resting(&self, asked_ms: u64, now: Instant) {
+        let until = now + Duration::from_millis(rest::rest_ms(asked_ms));
+        if until <= self.resting_until.get() {
+            return;
+        }
+        if self.resting_until.replace(until) <= now {
+            log::info!(
+                target: "targets",
+                "Target rests. target={} asked_ms={asked_ms}",
+                self.entry.id
+            );
+        }
+    }
+
     /// Records the target's statement that it stays cold for this long.
     pub fn set_cold(&self, cold_ms: u64, now: Instant) {
         self.cold_until
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -41,6 +41,7 @@
 mod request_info;
 mod required_resource;
 mod reserve;
+pub mod rest;
 mod retry_budget;
 mod scheduler;
 mod send_log;
