Tests: a target that asked for rest gets requests before its end (red)

Beside an idle second target the test would pass on the untouched code, as its failure score keeps requests away; so it plays a service of one target.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -164,6 +164,12 @@
         self.shared.set_statement("Server-Leaving", value);
     }
 
+    /// Makes the target state in its answers after how many seconds it wants the next request, or
+    /// nothing.
+    pub fn set_retry_after(&self, value: Option<&'static str>) {
+        self.shared.set_statement("Retry-After", value);
+    }
+
     /// Crashes the target: it stops accepting connections and closes all open ones.
     pub fn crash(&self) {
         self.shared.crash();
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -10,6 +10,7 @@
 mod quarantine;
 mod regions;
 mod relays;
+mod rest;
 mod slow_links;
 mod stops;
 mod support;
--- /dev/null
+++ b/wisteriapass_daemon/tests/on_platform/rest.rs
@@ -0,0 +1,85 @@
+//! Targets that turn requests away and ask for rest get none until its end.
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
+
+use crate::support::{Request, Router, TestPlatform, wait_for};
+
+/// Time for which targets ask, in seconds, as in their answers.
+const REST_TEXT: &str = "3";
+
+/// The same.
+const REST: Duration = Duration::from_secs(3);
+
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns a request to a plain target.
+fn plain(id: &str) -> Request {
+    Request::new(id, "/safe/x")
+}
+
+/// Returns a streamed request that is sent to one target only.
+fn stream(id: &str) -> Request {
+    Request::new(id, "/draft/x").with_tokens(10, 10)
+}
+
+/// Sends requests until a target has received one more, and returns when it arrived.
+fn reach(
+    router: &Router,
+    target: &SimulatedTarget,
+    request: fn(&str) -> Request,
+    series: &str,
+) -> Instant {
+    let before = target.received_requests().len();
+    let mut n = 0;
+    wait_for("a request at the target", || {
+        n += 1;
+        router.send(&request(&format!("{series}-{n}")));
+        target.received_requests().len() > before
+    });
+    let received = target.received_requests();
+    received[before].arrived.unwrap()
+}
+
+/// Makes a target turn the next request away and ask for rest; returns when that arrived.
+fn ask_for_rest(
+    router: &Router,
+    target: &SimulatedTarget,
+    request: fn(&str) -> Request,
+) -> Instant {
+    target.set_retry_after(Some(REST_TEXT));
+    target.replace_behaviours(&[Behaviour::Shed]);
+    let asked_at = reach(router, target, request, &target.entry_key());
+    target.set_retry_after(None);
+    asked_at
+}
+
+/// Guards against requests at a target while it rests, of a plain service and of streams.
+#[test]
+fn a_target_that_asked_for_rest_gets_requests_before_its_end() {
+    let platform = TestPlatform::with_engines(1_000_000, 1);
+    platform.store.remove(&platform.plain[1].entry_key());
+    let router = Router::start("r", &platform.store);
+    let cases = [
+        (&platform.plain[0], plain as fn(&str) -> Request),
+        (&platform.engines[0], stream),
+    ];
+    for (target, request) in cases {
+        let asked_at = ask_for_rest(&router, target, request);
+        let before = target.received_requests().len();
+        let mut n = 0;
+        while asked_at.elapsed() < REST {
+            n += 1;
+            router.send(&request(&format!("rest-{}-{n}", target.entry_key())));
+            sleep(PAUSE);
+        }
+        let received = target.received_requests();
+        let received = received[before..].iter().filter_map(|r| r.arrived);
+        let early = received.filter(|at| *at < asked_at + REST).count();
+        assert_eq!(early, 0, "of {n} requests while it rests");
+        reach(&router, target, request, "after");
+    }
+}
