Targets: one that asks for rest gets nothing until its end

Cause: nothing read Retry-After of a target's answer. A 503 counted as half a failure in the target's score, whatever it asked for.

The test, red before: 118 of 118 requests reach the only target of a service while it rests; now none, and it is used again behind the end.

Change: a 503 with Retry-After sets the end of the target's rest at that router; Exclusion::Resting is one more line of the list that selection and the last check before a send go by. The later end holds; an entry that returns does not end it, a new instance does.

--- a/wisteriapass_daemon/tests/on_platform/rest.rs
+++ b/wisteriapass_daemon/tests/on_platform/rest.rs
@@ -7,11 +7,13 @@
 
 use crate::support::{Request, Router, TestPlatform, wait_for};
 
-/// Time for which targets ask, in seconds, as in their answers.
+/// Rest that a target asks for, and its text in answers.
+const REST: Duration = Duration::from_secs(3);
 const REST_TEXT: &str = "3";
 
-/// The same.
-const REST: Duration = Duration::from_secs(3);
+/// Rest that lasts longer than a test, in seconds.
+const LONG_REST_TEXT: &str = "60";
+const LONG_REST_S: f64 = 60.0;
 
 /// Pause between two requests.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -49,8 +51,9 @@
     router: &Router,
     target: &SimulatedTarget,
     request: fn(&str) -> Request,
+    rest: &'static str,
 ) -> Instant {
-    target.set_retry_after(Some(REST_TEXT));
+    target.set_retry_after(Some(rest));
     target.replace_behaviours(&[Behaviour::Shed]);
     let asked_at = reach(router, target, request, &target.entry_key());
     target.set_retry_after(None);
@@ -68,7 +71,7 @@
         (&platform.engines[0], stream),
     ];
     for (target, request) in cases {
-        let asked_at = ask_for_rest(&router, target, request);
+        let asked_at = ask_for_rest(&router, target, request, REST_TEXT);
         let before = target.received_requests().len();
         let mut n = 0;
         while asked_at.elapsed() < REST {
@@ -83,3 +86,37 @@
         reach(&router, target, request, "after");
     }
 }
+
+#[test]
+fn requests_are_refused_at_once_while_all_targets_rest() {
+    let platform = TestPlatform::new(1_000_000);
+    let router = Router::start("r", &platform.store);
+    for target in &platform.plain {
+        ask_for_rest(&router, target, plain, LONG_REST_TEXT);
+    }
+    let answer = router.send(&plain("refused")).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("resting"), "{}", answer.body);
+    let retry_after = answer.head.split("retry-after: ").nth(1).unwrap();
+    let retry_after: f64 = retry_after.lines().next().unwrap().parse().unwrap();
+    assert!((1.0..2.0 * LONG_REST_S).contains(&retry_after));
+}
+
+/// Guards against answers that ask for nothing and take a target out of service.
+#[test]
+fn a_time_to_come_back_in_another_answer_is_taken_for_a_rest() {
+    let platform = TestPlatform::new(1_000_000);
+    platform.store.remove(&platform.plain[1].entry_key());
+    let router = Router::start("r", &platform.store);
+    let target = &platform.plain[0];
+    target.set_retry_after(Some("500"));
+    for behaviour in [
+        Behaviour::Answer,
+        Behaviour::ServerError,
+        Behaviour::WrongAttemptId,
+    ] {
+        target.replace_behaviours(&[behaviour]);
+        reach(&router, target, plain, &format!("{behaviour:?}"));
+        reach(&router, target, plain, &format!("after{behaviour:?}"));
+    }
+}
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -1,8 +1,8 @@
 //! Choice of the target that a request is sent to.
 
 use smallvec::SmallVec;
-use wisteriapass_policy::Time;
 use wisteriapass_policy::placement::{self, Candidate};
+use wisteriapass_policy::{Time, rest};
 
 use super::attempt::ProxiedRequest;
 use super::history::{AttemptHistory, SendRecord};
@@ -32,14 +32,14 @@
         let targets = self.gw.targets.borrow();
         let mut available = targets.of_service(&self.plan.service);
         available.retain(|(key, t)| !history.tried.contains(key) && self.plan.allows(&self.gw, t));
-        let mut last_exclusion = None;
+        let mut exclusions: SmallVec<[Exclusion; 32]> = SmallVec::new();
         available.retain(|(_, target)| {
             let exclusion = self.gw.exclusion(&targets, target, self.plan.cold_start);
-            last_exclusion = last_exclusion.max(exclusion);
+            exclusions.extend(exclusion);
             exclusion.is_none()
         });
         if available.is_empty() {
-            return Err(self.exclusion_refusal(history, last_exclusion));
+            return Err(self.exclusion_refusal(history, &exclusions));
         }
         let ends_in_time =
             |target: &Target| self.plan.ends_in_time(&self.gw, &self.metadata, target);
@@ -132,11 +132,12 @@
         }
     }
 
-    /// Returns the refusal for a request whose targets are all excluded, given the last reason in the
-    /// order of the list.
-    fn exclusion_refusal(&self, history: &AttemptHistory, last: Option<Exclusion>) -> Refusal {
-        match last {
+    /// Returns the refusal for a request whose targets are all excluded: that of the last reason in
+    /// the order of the list.
+    fn exclusion_refusal(&self, history: &AttemptHistory, exclusions: &[Exclusion]) -> Refusal {
+        match exclusions.iter().max() {
             None | Some(Exclusion::Closed) => self.no_target_refusal(history),
+            Some(Exclusion::Resting(_)) => history.refuse_unless_run(resting_refusal(exclusions)),
             Some(Exclusion::Cold) => history.refuse_unless_run(Refusal::Cold),
             Some(Exclusion::Limited) => history.refuse_unless_run(Refusal::Limited),
         }
@@ -154,6 +155,20 @@
     }
 }
 
+/// Returns the refusal while targets rest, with the time to the end of the first rest.
+fn resting_refusal(exclusions: &[Exclusion]) -> Refusal {
+    let ends = exclusions.iter().filter_map(|exclusion| match exclusion {
+        Exclusion::Resting(until) => Some(*until),
+        Exclusion::Closed | Exclusion::Cold | Exclusion::Limited => None,
+    });
+    let first_end = ends.min().unwrap_or_else(Instant::now);
+    let first_back = first_end.saturating_duration_since(Instant::now());
+    let first_back_ms = first_back.as_millis() as u64;
+    Refusal::Resting {
+        retry_after_ms: rest::retry_after_ms(first_back_ms, rand::random()),
+    }
+}
+
 fn candidate(key: TargetKey, target: &Target, domain: &str, now: Time) -> Candidate<TargetKey> {
     Candidate {
         key,
--- a/wisteriapass_gateway/src/gateway/exclusion.rs
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Exclusion {
     /// It may get no new requests at all, or its failure domain is evacuated.
     Closed,
+    /// It asked for no requests until then.
+    Resting(Instant),
     /// It is cold and gets no more requests from this router for now.
     Cold,
     /// It names a limit and gets no more requests from this router for now.
@@ -40,6 +42,10 @@
         if !targets.accepts_requests(target, now) {
             return Some(Exclusion::Closed);
         }
+        let resting_until = target.resting_until();
+        if now < resting_until {
+            return Some(Exclusion::Resting(resting_until));
+        }
         if !self.within_cold_limit(target, cold, now) {
             return Some(Exclusion::Cold);
         }
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -43,6 +43,12 @@
     /// No region that both route and account permit has a target of the service.
     #[display("no_region")]
     NoRegion,
+    /// All targets that are left asked for no requests for a while.
+    #[display("resting")]
+    Resting {
+        /// When the first of them may get requests, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// All targets that are left are cold and get no more requests from this router for now.
     #[display("cold")]
     Cold,
@@ -90,6 +96,7 @@
             | Self::Saved
             | Self::NoTarget
             | Self::NoRegion
+            | Self::Resting { .. }
             | Self::Cold
             | Self::Limited
             | Self::Full
@@ -107,9 +114,9 @@
         match self {
             // A configuration is available within a second after the store recovers.
             Self::NotConfigured => Some(1_000),
-            Self::ShareShort { retry_after_ms } | Self::Quarantined { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::ShareShort { retry_after_ms }
+            | Self::Resting { retry_after_ms }
+            | Self::Quarantined { retry_after_ms } => Some(retry_after_ms),
             Self::NoTarget => Some(1_000),
             // Another router may be permitted to send to them, and in a second this one is.
             Self::Cold | Self::Limited => Some(400),
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -19,8 +19,8 @@
 /// Maximum time for which one statement of a target marks it as cold, in milliseconds.
 const MAX_COLD_MS: u64 = 60_000;
 
-/// Time for which a leaving target is remembered after its entry was removed, in milliseconds: longer
-/// than outages after which an entry returns.
+/// Time for which a target's statements are remembered after its entry was removed, in milliseconds:
+/// longer than outages after which an entry returns.
 const MEMORY_MS: u64 = 600_000;
 
 new_key_type! {
@@ -157,11 +157,17 @@
         self.forget_at = Some(now + Duration::from_millis(MEMORY_MS));
     }
 
-    /// Returns whether it has to be remembered because it leaves: an older entry that returns must
-    /// not make it available.
+    /// Returns whether it has to be remembered because of what it stated: an entry that returns must
+    /// not end it.
     pub fn is_remembered(&self, now: Instant) -> bool {
         let is_leaving = self.is_leaving.get() || self.entry.draining;
-        is_leaving && self.forget_at.is_none_or(|at| now < at)
+        let is_resting = now < self.resting_until();
+        (is_leaving || is_resting) && self.forget_at.is_none_or(|at| now < at)
+    }
+
+    /// Returns the end of the rest that it asked for, which may be past.
+    pub fn resting_until(&self) -> Instant {
+        self.resting_until.get()
     }
 
     /// Records that the target may have restarted, and so be cold without having stated it.
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -195,3 +195,25 @@
     targets.sweep(later(now, LONG_MS));
     assert_eq!(targets.iter().count(), 0);
 }
+
+/// Guards against an answer or an entry that ends a rest before its time.
+#[test]
+fn a_shorter_rest_or_a_returning_entry_ends_the_rest_of_a_target() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.apply(&Change::Target(entry("a")), now, None);
+    for asked_ms in [3_000, 1_000, 0] {
+        targets.available(SERVICE, now)[0]
+            .1
+            .set_resting(asked_ms, now);
+    }
+    let until = later(now, 3_000);
+    assert_eq!(targets.available(SERVICE, now)[0].1.resting_until(), until);
+    targets.apply(&Change::Removed(TargetId("a".into())), now, None);
+    targets.sweep(now);
+    targets.apply(&Change::Target(entry("a")), now, None);
+    assert_eq!(targets.available(SERVICE, now)[0].1.resting_until(), until);
+    let mut restarted = entry("a");
+    restarted.started_ms = Some(2);
+    targets.apply(&Change::Target(restarted), now, None);
+    assert_eq!(targets.available(SERVICE, now)[0].1.resting_until(), now);
+}
