Selection: the clock is read once, not for each target

The list of exclusions read the clock for each target of a service, some hundred times a request on the large deployment.

--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -34,7 +34,8 @@
         available.retain(|(key, t)| !history.tried.contains(key) && self.plan.allows(&self.gw, t));
         let mut exclusions: SmallVec<[Exclusion; 32]> = SmallVec::new();
         available.retain(|(_, target)| {
-            let exclusion = self.gw.exclusion(&targets, target, self.plan.cold_start);
+            let cold_start = self.plan.cold_start;
+            let exclusion = self.gw.exclusion(&targets, target, cold_start, now);
             exclusions.extend(exclusion);
             exclusion.is_none()
         });
--- a/wisteriapass_gateway/src/gateway/exclusion.rs
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -12,7 +12,8 @@
 /// Why a target gets no request now. Later reasons are checked only if no earlier one applies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Exclusion {
-    /// It may get no new requests at all, or its failure domain is evacuated.
+    /// It leaves, by its own statement or its entry, or its entry does not permit requests, or its
+    /// failure domain is evacuated.
     Closed,
     /// It asked for no requests until then.
     Resting(Instant),
@@ -27,7 +28,8 @@
     pub(crate) fn may_send(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
         let targets = self.targets.borrow();
         let target = targets.get(key);
-        target.is_some_and(|t| self.exclusion(&targets, t, cold).is_none())
+        let now = Instant::now();
+        target.is_some_and(|t| self.exclusion(&targets, t, cold, now).is_none())
     }
 
     /// Returns why a target gets no request now, if so. Everything that may prevent a request from
@@ -37,8 +39,8 @@
         targets: &Targets,
         target: &Target,
         cold: Option<ColdStart>,
+        now: Instant,
     ) -> Option<Exclusion> {
-        let now = Instant::now();
         if !targets.accepts_requests(target, now) {
             return Some(Exclusion::Closed);
         }
