Relays: a router that joins them goes on following until it is one

Cause: a router that found no relay awaited its joining write, which loses as long as other writers come first, and followed neither relays nor the store meanwhile. As it heard of no relay, it also never found that it was no longer needed.

Evidence: a_router_that_joins_the_relays_misses_changes_until_it_is_one holds the record under constant writes with all relays suspended; before, the new key was not accepted in 20 s.

Change: polls of relays, and catching up with the store where none answers, go on beside the write. A router that starts without any state now reads the complete one when it catches up: changes since revision 0 were taken for changes, and it was never ready (seen in tests while this was written).

--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -1,6 +1,7 @@
 //! Followers get shares and changes from their relays, and from other routers when those fail.
 
-use std::thread::sleep;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{scope, sleep};
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -20,6 +21,15 @@
 /// Time in which a follower hears of what its relay knows; several update requests.
 const UPDATE_TIME: Duration = Duration::from_secs(1);
 
+/// Key of the record of shares.
+const SHARE_RECORD: &str = "wisteriapass/shares/0";
+
+/// Pause between two writes of the record by others: shorter than a write takes.
+const WRITE_PAUSE: Duration = Duration::from_micros(200);
+
+/// Time in which a follower without a relay begins to join the relays.
+const JOIN_TIME: Duration = Duration::from_secs(4);
+
 /// Prompt and maximum output tokens of each request.
 const PROMPT: u64 = 90;
 const OUTPUT: u64 = 10;
@@ -94,6 +104,15 @@
     }
 }
 
+/// Ends a thread when it goes out of scope, also if the test fails.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Sends one model request; returns its status, or 0 without a complete answer.
 fn spend(router: &Router, id: &str) -> u16 {
     let id = id.replace(' ', "-");
@@ -210,6 +229,35 @@
     }
 }
 
+/// Guards against a router that follows nobody for as long as its attempts to become a relay lose
+/// against other writers of the record.
+#[test]
+fn a_router_that_joins_the_relays_misses_changes_until_it_is_one() {
+    let fleet = RelayFleet::start(1_000_000);
+    for relay in &fleet.relays {
+        relay.signal(Signal::SIGSTOP);
+    }
+    let store = &fleet.platform.store;
+    let record = store.get(SHARE_RECORD).unwrap();
+    let is_done = AtomicBool::new(false);
+    scope(|threads| {
+        threads.spawn(|| {
+            while !is_done.load(Ordering::Relaxed) {
+                store.put(SHARE_RECORD, record.clone());
+                sleep(WRITE_PAUSE);
+            }
+        });
+        let _stop = SetOnDrop(&is_done);
+        sleep(JOIN_TIME);
+        let next = configuration(2, &[KEY, "other"], 1_000_000);
+        fleet.platform.configure(&next);
+        fleet.wait_until_accepted("other");
+    });
+    for relay in &fleet.relays {
+        relay.signal(Signal::SIGCONT);
+    }
+}
+
 #[test]
 fn relays_grant_credit_while_the_store_is_unavailable() {
     let fleet = RelayFleet::start(1_000_000);
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -1,5 +1,8 @@
 //! The follower role: polls a relay for updates, and becomes a relay if none is available.
 
+use std::future::Future;
+use std::pin::pin;
+
 use tokio::time::sleep;
 use wisteriapass_coord::prepaid::ShareRecord;
 use wisteriapass_coord::relay::{Candidacy, CandidateAction, KnownRelay, RelayStatus};
@@ -67,19 +70,52 @@
     let mut catch_up_at = Instant::now();
     loop {
         let is_fresh = poll_relay(gw).await;
-        if candidacy.is_service_reachable() && Instant::now() >= catch_up_at {
-            catch_up_at = deadline_in(CATCH_UP_INTERVAL_MS);
-            catch_up(gw, Topic::Targets).await;
-            catch_up(gw, Topic::Configuration).await;
+        if candidacy.is_service_reachable() {
+            catch_up_if_due(gw, &mut catch_up_at).await;
         }
         if let Some(known) = try_to_join(gw, &mut candidacy).await {
             return known;
         }
-        let pause = if is_fresh { POLL_MS } else { SEARCH_POLL_MS };
-        sleep(Duration::from_millis(pause)).await;
+        sleep(poll_pause(is_fresh)).await;
+    }
+}
+
+/// Follows relays, or the store if no relay answers, until `work` is complete. Joining the relays
+/// takes as long as other routers' writes come first.
+async fn follow_while<T>(gw: &Gateway, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    let mut catch_up_at = deadline_in(CATCH_UP_INTERVAL_MS);
+    loop {
+        let following = async {
+            let is_fresh = poll_relay(gw).await;
+            if !is_fresh {
+                catch_up_if_due(gw, &mut catch_up_at).await;
+            }
+            sleep(poll_pause(is_fresh)).await;
+        };
+        tokio::select! {
+            biased;
+            done = &mut work => return done,
+            () = following => {}
+        }
     }
 }
 
+/// Fetches the changes since the known state from the store, at most once per interval.
+async fn catch_up_if_due(gw: &Gateway, due_at: &mut Instant) {
+    if Instant::now() < *due_at {
+        return;
+    }
+    *due_at = deadline_in(CATCH_UP_INTERVAL_MS);
+    catch_up(gw, Topic::Targets).await;
+    catch_up(gw, Topic::Configuration).await;
+}
+
+/// Returns the pause before the next update request.
+fn poll_pause(is_fresh: bool) -> Duration {
+    Duration::from_millis(if is_fresh { POLL_MS } else { SEARCH_POLL_MS })
+}
+
 /// Requests updates from the current relay; returns whether this router's updates are recent.
 async fn poll_relay(gw: &Gateway) -> bool {
     let relay = gw.ledger.roster.borrow_mut().choose(gw.clock.now_ms());
@@ -192,10 +228,8 @@
         }
         CandidateAction::Join => {
             log::info!(target: "relay", "Joining the relays. need={need:?}");
-            let joined = gw
-                .ledger
-                .join_relays(gw, |record| is_wanted(gw, record))
-                .await;
+            let joining = gw.ledger.join_relays(gw, |record| is_wanted(gw, record));
+            let joined = follow_while(gw, joining).await;
             if joined.is_none() {
                 candidacy.withdraw();
             }
--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -52,10 +52,11 @@
 /// Fetches and applies the changes since the known state, once.
 pub async fn catch_up(gw: &Gateway, topic: Topic) {
     let mut cursor = gw.cursor(topic);
-    let mut watch = first_watch(topic, cursor);
-    watch.max_wait = Duration::ZERO;
-    let watched = gw.platform.watch(topic, watch).await;
-    count_call(gw, store_call(topic), &watched);
+    let watched = match cursor.revision {
+        // Without a known state, the complete one is needed.
+        0 => Err(StoreError::Compacted),
+        _ => watch_without_waiting(gw, topic, cursor).await,
+    };
     let is_snapshot = matches!(watched, Err(StoreError::Compacted | StoreError::TooLarge));
     let result = if is_snapshot {
         let read = gw.platform.read(topic).await;
@@ -76,6 +77,19 @@
     apply_batch(gw, topic, &batch, cursor, is_snapshot);
 }
 
+/// Returns the changes since a state that the store has by now.
+async fn watch_without_waiting(
+    gw: &Gateway,
+    topic: Topic,
+    state: Cursor,
+) -> Result<ChangeBatch, StoreError> {
+    let mut watch = first_watch(topic, state);
+    watch.max_wait = Duration::ZERO;
+    let watched = gw.platform.watch(topic, watch).await;
+    count_call(gw, store_call(topic), &watched);
+    watched
+}
+
 /// Returns the first watch after a complete state.
 ///
 /// After a network partition, or while a large document is being transferred, the history can grow
