--- a/wisteriapass_daemon/tests/on_platform/leaving.rs
+++ b/wisteriapass_daemon/tests/on_platform/leaving.rs
@@ -5,7 +5,7 @@
 
 use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget, StoreFault};
 
-use crate::support::{Answer, Request, Router, TestPlatform, exchange, wait_for};
+use crate::support::{Answer, Request, Router, TestPlatform, exchange, reach, wait_for};
 
 /// Number of requests of which each of two targets in use receives at least one.
 const ENOUGH_REQUESTS: usize = 40;
@@ -26,17 +26,6 @@
     Request::new(id, "/ask/x").with_tokens(10, 10)
 }
 
-/// Sends requests until a target has received one more, which answers as set.
-fn reach(router: &Router, target: &SimulatedTarget, request: fn(&str) -> Request, series: &str) {
-    let before = target.received_requests().len();
-    let mut n = 0;
-    wait_for("a request at the target", || {
-        n += 1;
-        router.send(&request(&format!("{series}-reach{n}")));
-        target.received_requests().len() > before
-    });
-}
-
 /// Sends one streamed request to a target, and returns once its answer has begun.
 fn reach_in_background(router: &Router, target: &SimulatedTarget) -> JoinHandle<Option<Answer>> {
     loop {
--- a/wisteriapass_daemon/tests/on_platform/rest.rs
+++ b/wisteriapass_daemon/tests/on_platform/rest.rs
@@ -5,7 +5,7 @@
 
 use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
 
-use crate::support::{Request, Router, TestPlatform, wait_for};
+use crate::support::{Request, Router, TestPlatform, reach};
 
 /// Rest that a target asks for, and its text in answers.
 const REST: Duration = Duration::from_secs(3);
@@ -28,24 +28,6 @@
     Request::new(id, "/draft/x").with_tokens(10, 10)
 }
 
-/// Sends requests until a target has received one more, and returns when it arrived.
-fn reach(
-    router: &Router,
-    target: &SimulatedTarget,
-    request: fn(&str) -> Request,
-    series: &str,
-) -> Instant {
-    let before = target.received_requests().len();
-    let mut n = 0;
-    wait_for("a request at the target", || {
-        n += 1;
-        router.send(&request(&format!("{series}-{n}")));
-        target.received_requests().len() > before
-    });
-    let received = target.received_requests();
-    received[before].arrived.unwrap()
-}
-
 /// Makes a target turn the next request away and ask for rest; returns when that arrived.
 fn ask_for_rest(
     router: &Router,
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -7,6 +7,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use wisteriapass_bench::standin::users_platform::SimulatedTarget;
+
 pub use request::{Answer, Request, exchange, exchange_within};
 pub use router::{Router, has_witness, is_relay, write_count};
 pub use test_platform::{TestPlatform, configuration};
@@ -25,3 +27,21 @@
         sleep(Duration::from_millis(10));
     }
 }
+
+/// Sends requests until a target has received one more, and returns when it arrived.
+pub fn reach(
+    router: &Router,
+    target: &SimulatedTarget,
+    request: fn(&str) -> Request,
+    series: &str,
+) -> Instant {
+    let before = target.received_requests().len();
+    let mut n = 0;
+    wait_for("a request at the target", || {
+        n += 1;
+        router.send(&request(&format!("{series}-{n}")));
+        target.received_requests().len() > before
+    });
+    let received = target.received_requests();
+    received[before].arrived.unwrap()
+}
--- a/wisteriapass_gateway/src/gateway/exclusion.rs
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -32,8 +32,8 @@
         target.is_some_and(|t| self.exclusion(&targets, t, cold, now).is_none())
     }
 
-    /// Returns why a target gets no request now, if so. Everything that may prevent a request from
-    /// being sent to a target is checked here.
+    /// Returns why a target gets no request now, if so. Both the selection of a target and the check
+    /// before a request is sent go by this.
     pub(crate) fn exclusion(
         &self,
         targets: &Targets,
