--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -108,6 +108,11 @@
         Some("cold") => {
             "refused: the remaining targets have just started and cannot take more requests yet"
         }
+        Some("limited") => {
+            "refused: the remaining targets name limits, and take no more requests from this router"
+        }
+        Some("resting") => "refused: the remaining targets turned requests away and asked for rest",
+        Some("stopping") => "refused: its router was stopping, and the answer would come too late",
         Some("no_region") => "refused: no target is in a region that its route and account allow",
         Some("no_target") => "refused: no target of its service accepted work",
         Some("not_taken") if has("fault=shed") => {
--- a/wisteriapass/tests/explain.rs
+++ b/wisteriapass/tests/explain.rs
@@ -66,3 +66,20 @@
     assert_eq!(lines, 0);
     assert!(cause.contains("no log line has its id"), "{cause}");
 }
+
+/// Guards against a refusal whose cause is reported as a success.
+#[test]
+fn a_refusal_is_explained_as_an_answer() {
+    for reason in [
+        "limited",
+        "resting",
+        "cold",
+        "saved",
+        "stopping",
+        "no_region",
+    ] {
+        let line = format!("time=1.0 process=r part=exchange Refused. request=a reason={reason}\n");
+        let (_, text) = run(&FaultyStore::new(), &["explain", "a"], &line);
+        assert!(text.contains("refused"), "{reason}: {text}");
+    }
+}
