Targets: a target that left is forgotten though complete states go on omitting it

Each complete state without it counted as the end of its entry and began its ten minutes anew, so a follower that often takes in whole states never forgot it. The first end counts. The test of being forgotten failed before with two targets left.

--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -154,7 +154,8 @@
 
     /// Records that its entry was removed, or replaced by that of another instance.
     pub fn set_entry_removed(&mut self, now: Instant) {
-        self.forget_at = Some(now + Duration::from_millis(MEMORY_MS));
+        self.forget_at
+            .get_or_insert(now + Duration::from_millis(MEMORY_MS));
     }
 
     /// Returns whether it has to be remembered because of what it stated: an entry that returns must
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -192,6 +192,8 @@
     for id in ["a", "b"] {
         targets.apply(&Change::Removed(TargetId(id.into())), now, None);
     }
+    // Each complete state that omits them removes them again.
+    targets.replace_all([].iter(), later(now, LONG_MS), None);
     targets.sweep(later(now, LONG_MS));
     assert_eq!(targets.iter().count(), 0);
 }
