--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -24,6 +24,9 @@
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
+/// Label for whether a body had a length or chunks.
+const FRAMED: &str = "framed";
+
 /// Histogram bounds, in seconds: from the overhead of a router to the longest deadlines in use.
 const SECONDS: [f64; 13] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0,
@@ -120,6 +123,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     broken_streams: Counter<u64>,
+    unproven_ends: Counter<u64>,
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
     store_calls: Counter<u64>,
@@ -148,6 +152,7 @@
             refusals: meter.u64_counter("wisteriapass_refusals").build(),
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken_streams: meter.u64_counter("wisteriapass_broken_streams").build(),
+            unproven_ends: meter.u64_counter("wisteriapass_unproven_ends").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
@@ -192,6 +197,12 @@
         self.broken_streams.add(1, &[]);
     }
 
+    /// Counts a stream that ended in order without evidence that it is complete.
+    pub fn count_unproven_end(&self, is_framed: bool) {
+        self.unproven_ends
+            .add(1, &[KeyValue::new(FRAMED, is_framed)]);
+    }
+
     /// Counts a target that ended with requests running.
     pub fn count_target_death(&self) {
         self.target_deaths.add(1, &[]);
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -237,11 +237,14 @@
     fn complete(&mut self) {
         let rest = self.reader.rest();
         if !rest.is_empty() {
-            self.pending.push_back(rest);
+            self.pending.push_back(rest.clone());
         }
         let Some(answer) = self.answer.take() else {
             return;
         };
+        if !rest.is_empty() || !answer.metadata.is_framed {
+            self.log_unproven_end(rest.len(), answer.metadata.is_framed);
+        }
         let key = self.history.tried.last().copied().unwrap_or_default();
         self.request.record_success(key);
         self.request
@@ -306,6 +309,19 @@
         }
     }
 
+    /// Logs a stream that ended in order without evidence that it is complete.
+    fn log_unproven_end(&self, rest_bytes: usize, is_framed: bool) {
+        self.request.gw.metrics.count_unproven_end(is_framed);
+        log::info!(
+            target: "exchange",
+            "Stream ended. request={} framed={is_framed} rest_bytes={rest_bytes} last_event={:?} \
+             after_ms={}",
+            self.request.metadata.id_text(),
+            self.last_event_id,
+            self.request.plan.arrived.elapsed().as_millis()
+        );
+    }
+
     fn log_broken(&self, error: StreamError) {
         self.request.gw.metrics.count_broken_stream();
         log::info!(
