Stand-ins: targets that answer without framing or break off in order, and a strict test client

A simulated target can answer without a length or chunks, and break off such an answer inside an event, between events or within a plain body, by an orderly end, a reset or a crash. The test client takes an answer for complete only if its length or last chunk says so, and tells answers apart that only the end of the connection ends.

--- a/wisteriapass_bench/src/standin/users_platform.rs
+++ b/wisteriapass_bench/src/standin/users_platform.rs
@@ -4,4 +4,6 @@
 mod target;
 
 pub use store::{SimulatedStore, StoreFault};
-pub use target::{Behaviour, CrashCondition, ReceivedRequest, SimulatedTarget};
+pub use target::{
+    Behaviour, BreakOff, BreakPoint, CrashCondition, Framing, ReceivedRequest, SimulatedTarget,
+};
--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -1,6 +1,7 @@
 //! Simulated target of the users' platform, which streams events or answers at once, and injects
 //! faults.
 
+mod broken;
 mod wire;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -11,7 +12,9 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 
+pub use self::broken::{BreakOff, BreakPoint, Framing};
 pub use self::wire::ReceivedRequest;
 
 /// Time from a crash to the restart, unless the test sets one.
@@ -34,6 +37,11 @@
     CloseUnanswered,
     /// Runs the request and closes the connection in the middle of the event after this one.
     BreakAfter(u64),
+    /// Runs the request and breaks off its answer.
+    BreakOff(BreakOff),
+    /// Runs the request and answers correctly, but only the end of the connection marks the end of
+    /// the answer; this text follows the last event of a stream.
+    AnswerUnframed(&'static str),
     /// Refuses the request as meant for another instance, with status 421, without running it.
     Misdirected,
     /// Runs the request and answers with the attempt id of another one.
@@ -67,6 +75,8 @@
     requests: Vec<ReceivedRequest>,
     crash_condition: Option<CrashCondition>,
     restart_delay: Option<Duration>,
+    /// How a crash breaks off the answer to the request that causes it.
+    crash_break: Option<BreakOff>,
     /// Headers of its answers by which the target states something about itself.
     statements: BTreeMap<&'static str, &'static str>,
     /// Number of restarts so far; the target has a different id after each.
@@ -153,6 +163,12 @@
         state.restart_delay = Some(restart_delay);
     }
 
+    /// Sets how much of its answer the request that crashes the target gets, and in what framing;
+    /// without it, it gets the head of a stream, or nothing of a plain answer.
+    pub fn set_crash_break(&self, crash_break: BreakOff) {
+        self.shared.state.lock().crash_break = Some(crash_break);
+    }
+
     /// Makes the target name a limit of requests per second in its answers, or no limit.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.shared.set_statement("Server-Limit", limit);
@@ -259,8 +275,7 @@
 
     fn close(&self, stream: &TcpStream, client: SocketAddr) {
         self.state.lock().connections.remove(&client);
-        // Fails if the connection is already closed.
-        stream.shutdown(Shutdown::Both).ok();
+        end_connection(stream);
     }
 
     fn crash(&self) {
@@ -275,8 +290,7 @@
     fn close_all(&self) -> Duration {
         let mut state = self.state.lock();
         for stream in state.connections.values() {
-            // Fails if the connection is already closed.
-            stream.shutdown(Shutdown::Both).ok();
+            end_connection(stream);
         }
         state.connections.clear();
         state.restart_delay.unwrap_or(DEFAULT_RESTART_DELAY)
@@ -302,8 +316,11 @@
             request.statements = self.state.lock().statements.clone();
             match self.decide(&request, incarnation)? {
                 Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
-                Decision::Crash => {
-                    wire::send_head(&mut out, &request)?;
+                Decision::Crash(crash_break) => {
+                    match crash_break {
+                        Some(crash_break) => crash_break.send(&mut out, &request)?,
+                        None => wire::send_head(&mut out, &request)?,
+                    }
                     self.crash();
                     // The crash closes this connection together with all others.
                     io::copy(&mut reader, &mut io::sink())?;
@@ -334,7 +351,7 @@
                 .crash_condition
                 .is_some_and(|crashes_on| crashes_on(request))
         {
-            return Ok(Decision::Crash);
+            return Ok(Decision::Crash(state.crash_break));
         }
         Ok(Decision::Answer(behaviour))
     }
@@ -343,7 +360,19 @@
 /// What a target does with a received request.
 enum Decision {
     Answer(Behaviour),
-    Crash,
+    Crash(Option<BreakOff>),
+}
+
+/// Ends a connection in order, unless it is to be reset.
+fn end_connection(stream: &TcpStream) {
+    let linger = SockRef::from(stream).linger();
+    // Ending the direction to the client would send it an orderly end before the reset.
+    let direction = match linger {
+        Ok(Some(Duration::ZERO)) => Shutdown::Read,
+        _ => Shutdown::Both,
+    };
+    // Fails if the connection is already closed.
+    stream.shutdown(direction).ok();
 }
 
 fn connection_aborted() -> io::Error {
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -6,11 +6,14 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use super::Behaviour;
+use super::{Behaviour, BreakOff, Framing};
 
 /// Number of events in a stream.
 const EVENT_COUNT: u64 = 5;
 
+/// Body of a plain answer.
+pub const PLAIN_BODY: &str = "whole";
+
 /// Time for which a stalled stream stays open, longer than any router waits.
 const STALL_DURATION: Duration = Duration::from_secs(60);
 
@@ -40,8 +43,13 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Returns whether the answer is a stream of events.
+    pub(super) fn is_stream(&self) -> bool {
+        !self.header("x-token-counts").is_empty()
+    }
+
     /// Returns the header lines that identify the request and contain the target's statements.
-    fn answer_headers(&self) -> String {
+    pub(super) fn answer_headers(&self) -> String {
         self.answer_headers_for(self.header("x-attempt-id"))
     }
 
@@ -121,24 +129,34 @@
              Content-Length: 0\r\n\r\n"
         ),
         Behaviour::BreakAfter(events) => {
-            send_stream(out, request, events, 1)?;
-            out.write_all(b"10\r\nid: 99\nda")?;
+            BreakOff::after(events).send_stream(out, request)?;
+            Err(connection_aborted())
+        }
+        Behaviour::BreakOff(break_off) => {
+            break_off.send(out, request)?;
+            Err(connection_aborted())
+        }
+        Behaviour::AnswerUnframed(rest) => {
+            if request.is_stream() {
+                send_stream(out, request, u64::MAX, 1, Framing::Unframed)?;
+                out.write_all(rest.as_bytes())?;
+            } else {
+                send_plain(out, &headers, Framing::Unframed, PLAIN_BODY)?;
+            }
             Err(connection_aborted())
         }
         Behaviour::Stall(events) => {
-            send_stream(out, request, events, 1)?;
+            send_stream(out, request, events, 1, Framing::Framed)?;
             sleep(STALL_DURATION);
             Err(connection_aborted())
         }
         Behaviour::SlowStream(slowdown) => {
-            send_stream(out, request, u64::MAX, slowdown)?;
+            send_stream(out, request, u64::MAX, slowdown, Framing::Framed)?;
             out.write_all(b"0\r\n\r\n")
         }
-        Behaviour::Answer if request.header("x-token-counts").is_empty() => {
-            send_whole(out, &headers)
-        }
+        Behaviour::Answer if !request.is_stream() => send_whole(out, &headers),
         Behaviour::Answer => {
-            send_stream(out, request, u64::MAX, 1)?;
+            send_stream(out, request, u64::MAX, 1, Framing::Framed)?;
             out.write_all(b"0\r\n\r\n")
         }
     }
@@ -153,32 +171,50 @@
 }
 
 fn send_whole(out: &mut TcpStream, headers: &str) -> io::Result<()> {
+    send_plain(out, headers, Framing::Framed, PLAIN_BODY)
+}
+
+/// Sends the head of a plain answer and this part of its body.
+pub fn send_plain(
+    out: &mut TcpStream,
+    headers: &str,
+    framing: Framing,
+    part: &str,
+) -> io::Result<()> {
+    let length = match framing {
+        Framing::Unframed => String::new(),
+        Framing::Framed | Framing::Ended => format!("Content-Length: {}\r\n", PLAIN_BODY.len()),
+    };
     write!(
         out,
-        "HTTP/1.1 200 OK\r\n{headers}X-Server-Stamp: s\r\n\
-         Content-Length: 5\r\n\r\nwhole"
+        "HTTP/1.1 200 OK\r\n{headers}X-Server-Stamp: s\r\n{length}\r\n{part}"
     )
 }
 
 /// Sends the head of a stream and the events after the client's last one, up to `last_event`, but
 /// not the end of the stream.
-fn send_stream(
+pub fn send_stream(
     out: &mut TcpStream,
     request: &ReceivedRequest,
     last_event: u64,
     slowdown: u32,
+    framing: Framing,
 ) -> io::Result<()> {
     let received = request.header("last-event-id").parse().unwrap_or(0);
+    let encoding = match framing {
+        Framing::Unframed => "",
+        Framing::Framed | Framing::Ended => "Transfer-Encoding: chunked\r\n",
+    };
     write!(
         out,
         "HTTP/1.1 200 OK\r\n{}X-Server-Stamp: s\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+         Content-Type: text/event-stream\r\n{encoding}\r\n",
         request.answer_headers()
     )?;
     for event in received + 1..=EVENT_COUNT.min(last_event) {
         sleep(EVENT_INTERVAL * slowdown);
         let text = format!("id: {event}\ndata: {event}\n\n");
-        write!(out, "{:x}\r\n{text}\r\n", text.len())?;
+        framing.send(out, &text)?;
     }
     Ok(())
 }
@@ -186,8 +222,8 @@
 /// Sends the part of an answer that precedes a crash: the head of a stream, or nothing of a whole
 /// answer.
 pub fn send_head(out: &mut TcpStream, request: &ReceivedRequest) -> io::Result<()> {
-    if !request.header("x-token-counts").is_empty() {
-        send_stream(out, request, 0, 1)?;
+    if request.is_stream() {
+        send_stream(out, request, 0, 1, Framing::Framed)?;
     }
     sleep(EVENT_INTERVAL);
     Ok(())
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -14,3 +14,4 @@
 mod slow_links;
 mod stops;
 mod support;
+mod unframed_answers;
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -1,5 +1,6 @@
 //! Simulated platform, real router processes, and a client for their requests.
 
+pub mod breaks;
 mod request;
 mod router;
 mod test_platform;
@@ -9,7 +10,7 @@
 
 use wisteriapass_bench::standin::users_platform::SimulatedTarget;
 
-pub use request::{Answer, Request, exchange, exchange_within};
+pub use request::{Answer, Received, Request, exchange, exchange_within, receive};
 pub use router::{Router, has_witness, is_relay, write_count};
 pub use test_platform::{TestPlatform, configuration};
 
--- a/wisteriapass_daemon/tests/on_platform/support/request.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -88,6 +88,8 @@
     pub status: u16,
     pub head: String,
     pub body: String,
+    /// Whether a length or a last chunk marks the end, rather than the end of the connection.
+    pub is_framed: bool,
 }
 
 impl Answer {
@@ -98,6 +100,48 @@
     }
 }
 
+/// What arrived at a caller before its connection ended.
+#[derive(Debug)]
+pub struct Received {
+    bytes: Vec<u8>,
+    /// Whether the connection ended in order and in time.
+    ended_in_order: bool,
+}
+
+impl Received {
+    /// Returns everything that arrived.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+
+    /// Returns the answer; `None` if it is incomplete.
+    pub fn answer(&self) -> Option<Answer> {
+        if !self.ended_in_order {
+            return None;
+        }
+        let at = self.bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+        let (head, rest) = (&self.bytes[..at], &self.bytes[at + 4..]);
+        let head = std::str::from_utf8(head).ok()?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let head = head.to_ascii_lowercase();
+        let length = header_value(&head, "content-length");
+        let is_chunked = header_value(&head, "transfer-encoding") == Some("chunked");
+        let body = match length {
+            _ if is_chunked => decode_chunked(rest)?,
+            Some(length) if length.parse() != Ok(rest.len()) => return None,
+            _ => rest.to_vec(),
+        };
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let is_framed = is_chunked || length.is_some();
+        Some(Answer {
+            status,
+            head,
+            body,
+            is_framed,
+        })
+    }
+}
+
 /// Sends a request; returns `None` if no complete answer arrived.
 pub fn exchange(port: u16, request: &str) -> Option<Answer> {
     exchange_within(port, request, WAIT_TIMEOUT)
@@ -106,33 +150,44 @@
 /// Sends a request; returns `None` if no complete answer arrived, or a read took longer than
 /// `read_timeout`.
 pub fn exchange_within(port: u16, request: &str, read_timeout: Duration) -> Option<Answer> {
+    receive_within(port, request, read_timeout)?.answer()
+}
+
+/// Sends a request and returns what arrives; `None` if it could not be sent.
+pub fn receive(port: u16, request: &str) -> Option<Received> {
+    receive_within(port, request, WAIT_TIMEOUT)
+}
+
+fn receive_within(port: u16, request: &str, read_timeout: Duration) -> Option<Received> {
     let mut stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
     stream.set_read_timeout(Some(read_timeout)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     let mut bytes = Vec::new();
-    stream.read_to_end(&mut bytes).ok()?;
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (head, rest) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let head = head.to_ascii_lowercase();
-    let body = if head.contains("transfer-encoding: chunked") {
-        decode_chunked(rest)?
-    } else {
-        rest.to_owned()
-    };
-    Some(Answer { status, head, body })
+    let ended_in_order = stream.read_to_end(&mut bytes).is_ok();
+    Some(Received {
+        bytes,
+        ended_in_order,
+    })
+}
+
+/// Returns the value of a header in a head in lower case.
+fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find_map(|(found, value)| (found == name).then_some(value.trim()))
 }
 
-/// Decodes a chunked body; returns `None` if the body is truncated.
-fn decode_chunked(mut rest: &str) -> Option<String> {
-    let mut body = String::new();
+/// Decodes a chunked body; returns `None` if the body is truncated or malformed.
+fn decode_chunked(mut rest: &[u8]) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
     loop {
-        let (size, after) = rest.split_once("\r\n")?;
+        let at = rest.windows(2).position(|w| w == b"\r\n")?;
+        let size = std::str::from_utf8(&rest[..at]).ok()?;
         let size = usize::from_str_radix(size, 16).ok()?;
+        let data = &rest[at + 2..];
         if size == 0 {
-            return Some(body);
+            return (data == b"\r\n").then_some(body);
         }
-        body.push_str(after.get(..size)?);
-        rest = after.get(size + 2..)?;
+        body.extend_from_slice(data.get(..size)?);
+        rest = data.get(size..)?.strip_prefix(b"\r\n")?;
     }
 }
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -11,7 +11,7 @@
 use wisteriapass_bench::standin::users_platform::SimulatedStore;
 use wisteriapass_coord::prepaid::{HolderId, ShareRecord};
 
-use super::{Answer, Request, exchange, exchange_within, wait_for};
+use super::{Answer, Received, Request, exchange, exchange_within, receive, wait_for};
 
 /// Timeout of one readiness probe. It is short so that the probe is repeated, and the exit of the
 /// router process is noticed in between.
@@ -171,6 +171,11 @@
     pub fn send(&self, request: &Request) -> Option<Answer> {
         exchange(self.port(), &request.text())
     }
+
+    /// Sends a request and returns what arrives, complete or not.
+    pub fn receive(&self, request: &Request) -> Received {
+        receive(self.port(), &request.text()).unwrap()
+    }
 }
 
 impl Drop for Router {
