Tests: answers that end in order although they are broken off (red)

What callers saw: a 200 framed as complete that isn't. The tests play streams that end inside an event (without framing at a target that lives or crashes, and with a last chunk), streams and plain answers without framing whose target crashed, and a body that breaks off. Where a test goes through variants it stops at the first.

--- /dev/null
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -0,0 +1,187 @@
+//! Answers that break off although their connection or their body ends in order.
+
+use wisteriapass_bench::standin::users_platform::{
+    Behaviour, BreakOff, BreakPoint, Framing, SimulatedTarget,
+};
+
+use crate::support::breaks::{
+    Fate, assert_outcome_unknown, assert_whole_until_run, plain, platform_with_retries, run_count,
+    stream, whole_stream,
+};
+use crate::support::{Request, Router, TestPlatform, wait_for};
+
+/// Ways in which a stream ends in order although its last event is not whole.
+const INSIDE_EVENT: [(Fate, Framing); 3] = [
+    (Fate::Lives, Framing::Unframed),
+    (Fate::Crashes, Framing::Unframed),
+    (Fate::Lives, Framing::Ended),
+];
+
+fn inside_event(after: u64, framing: Framing) -> BreakOff {
+    BreakOff {
+        framing,
+        ..BreakOff::after(after)
+    }
+}
+
+fn between_events(after: u64) -> BreakOff {
+    BreakOff {
+        at: BreakPoint::BetweenEvents,
+        ..inside_event(after, Framing::Unframed)
+    }
+}
+
+fn draft(id: &str) -> Request {
+    stream(id, "/draft/x")
+}
+
+fn ask(id: &str) -> Request {
+    stream(id, "/ask/x")
+}
+
+/// Checks that a stream that breaks off after event 2 looks broken to the caller, and runs once.
+fn assert_looks_broken(fate: Fate, break_off: BreakOff) {
+    let (platform, router) = platform_with_retries();
+    fate.prepare(&platform.engines, break_off);
+    let before = run_count(&platform.engines);
+    let received = router.receive(&draft("a"));
+    let text = received.text();
+    assert!(received.answer().is_none(), "{fate:?} {break_off:?} {text}");
+    assert!(text.contains("data: 2\n"), "{fate:?} {break_off:?} {text}");
+    assert!(!text.contains("id: 99"), "{fate:?} {break_off:?} {text}");
+    assert_eq!(run_count(&platform.engines), before + 1);
+}
+
+/// Checks that a stream that breaks off after event 2 is resumed after it.
+fn assert_resumed(fate: Fate, break_off: BreakOff) {
+    let (platform, router) = platform_with_retries();
+    let [first, second] = &platform.engines[..] else {
+        panic!("two engines expected");
+    };
+    fate.prepare(std::slice::from_ref(first), break_off);
+    assert_whole_until_run(&router, first, ask, &whole_stream());
+    let resumed = second.received_requests().pop().unwrap();
+    assert_eq!(resumed.header("last-event-id"), "2", "{fate:?}");
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_does_not_look_complete() {
+    for (fate, framing) in INSIDE_EVENT {
+        assert_looks_broken(fate, inside_event(2, framing));
+    }
+}
+
+#[test]
+fn a_stream_that_ends_inside_its_first_event_is_refused() {
+    for (fate, framing) in INSIDE_EVENT {
+        let (platform, router) = platform_with_retries();
+        fate.prepare(&platform.engines, inside_event(0, framing));
+        let before = run_count(&platform.engines);
+        assert_outcome_unknown(router.send(&draft("a")));
+        assert_eq!(run_count(&platform.engines), before + 1);
+    }
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_is_resumed_after_its_last_event() {
+    for (fate, framing) in INSIDE_EVENT {
+        assert_resumed(fate, inside_event(2, framing));
+    }
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_twice_does_not_look_complete() {
+    for (fate, framing) in INSIDE_EVENT {
+        let (platform, router) = platform_with_retries();
+        fate.prepare(&platform.engines, inside_event(2, framing));
+        let before = run_count(&platform.engines);
+        let received = router.receive(&ask("a"));
+        let text = received.text();
+        assert!(received.answer().is_none(), "{fate:?} {framing:?} {text}");
+        assert!(!text.contains("id: 99"), "{fate:?} {framing:?} {text}");
+        assert_eq!(run_count(&platform.engines), before + 2);
+        let seen = platform.engines.iter().flat_map(|t| t.received_requests());
+        let resumed = seen.filter(|s| s.header("last-event-id") == "2");
+        assert_eq!(resumed.count(), 1);
+    }
+}
+
+#[test]
+fn an_unframed_stream_whose_target_died_between_events_does_not_look_complete() {
+    assert_looks_broken(Fate::Crashes, between_events(2));
+}
+
+#[test]
+fn an_unframed_stream_whose_target_died_between_events_is_resumed() {
+    assert_resumed(Fate::Crashes, between_events(2));
+}
+
+#[test]
+fn an_unframed_stream_whose_target_died_before_its_first_event_is_refused() {
+    let (platform, router) = platform_with_retries();
+    Fate::Crashes.prepare(&platform.engines, between_events(0));
+    let before = run_count(&platform.engines);
+    assert_outcome_unknown(router.send(&draft("a")));
+    assert_eq!(run_count(&platform.engines), before + 1);
+}
+
+#[test]
+fn an_unframed_answer_cut_short_by_a_crash_does_not_look_complete() {
+    let (platform, router) = platform_with_retries();
+    Fate::Crashes.prepare(&platform.plain, inside_event(0, Framing::Unframed));
+    let before = run_count(&platform.plain);
+    assert_outcome_unknown(router.send(&plain("a", "/once/x")));
+    assert_eq!(run_count(&platform.plain), before + 1);
+}
+
+/// Checks that a request whose first answer breaks off is answered whole by the other target.
+fn assert_answered_elsewhere(fate: Fate, break_off: BreakOff) {
+    let (platform, router) = platform_with_retries();
+    fate.prepare(&platform.plain[..1], break_off);
+    let request = |id: &str| plain(id, "/safe/x");
+    assert_whole_until_run(&router, &platform.plain[0], request, "whole");
+}
+
+#[test]
+fn an_idempotent_request_is_retried_after_a_crash_cut_its_unframed_answer_short() {
+    assert_answered_elsewhere(Fate::Crashes, inside_event(0, Framing::Unframed));
+}
+
+// The attempt whose body breaks off must count once against the attempts of the route.
+#[test]
+fn an_idempotent_request_is_retried_after_its_answer_broke_off_in_its_body() {
+    for fate in [Fate::Lives, Fate::Crashes] {
+        assert_answered_elsewhere(fate, inside_event(0, Framing::Framed));
+        let reset = BreakOff {
+            is_reset: true,
+            ..inside_event(0, Framing::Unframed)
+        };
+        assert_answered_elsewhere(fate, reset);
+    }
+}
+
+/// Guards against paying for the prompt of a stream of which nothing was delivered.
+#[test]
+fn a_stream_that_ends_inside_its_first_event_costs_nothing() {
+    const COST: u64 = 100;
+    let platform = TestPlatform::new(20 * COST);
+    let router = Router::start("a", &platform.store);
+    for n in 0..10 {
+        let behaviour = Behaviour::BreakOff(inside_event(0, Framing::Unframed));
+        for engine in &platform.engines {
+            engine.replace_behaviours(&[behaviour]);
+        }
+        router.receive(&draft(&format!("l{n}")).with_tokens(90, 10));
+    }
+    let clear = SimulatedTarget::clear_behaviours;
+    platform.engines.iter().for_each(clear);
+    let (mut served, mut n) = (0, 0);
+    wait_for("a refusal for the exhausted total", || {
+        n += 1;
+        let request = draft(&format!("x{n}")).with_tokens(90, 10);
+        let status = router.send(&request).unwrap().status;
+        served += u64::from(status == 200);
+        status == 402
+    });
+    assert!((18..=20).contains(&served), "{served} of 20 were served");
+}
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -1,6 +1,7 @@
 //! Tests of real routers on the users' platform, with a simulated store and simulated targets.
 
 mod answers;
+mod broken_answers;
 mod changes;
 mod cold;
 mod evacuations;
--- a/wisteriapass_daemon/tests/on_platform/quarantine.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine.rs
@@ -1,5 +1,6 @@
 //! Quarantine of requests that crash their targets, and service of harmless requests meanwhile.
 
+mod broken_answers;
 mod harmless;
 
 use std::thread::sleep;
