Retries: an answer whose body breaks off counts as one attempt

What callers saw: 502 outcome_unknown for an idempotent request whose answer broke off in its body, though its route allows a second target. Cause: the attempt was counted once for the answer's head and once more when its body was lost, so max_attempts 2 was used up by one target; nothing was sent again. Evidence: an_idempotent_request_is_retried_after_its_answer_broke_off_in_its_body failed (502 for 200, no line "Sent again"). An attempt is now counted in one place, by what became of sending it. The test passes (with and without framing, closed and reset, target alive and gone).

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -67,6 +67,13 @@
     Withheld,
 }
 
+impl SendOutcome {
+    /// Returns whether the request may have reached the target.
+    pub fn was_sent(&self) -> bool {
+        !matches!(self, Self::NotSent | Self::Withheld)
+    }
+}
+
 /// A response whose body has not been read yet.
 #[derive(Debug)]
 pub struct TargetResponse {
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -96,17 +96,15 @@
             let key = selected.key;
             history.tried.push(key);
             history.last_send = Some(self.send_record(key));
-            match self.send_to(selected, history, last_event).await {
+            let outcome = self.send_to(selected, history, last_event).await;
+            history.sent += u32::from(outcome.was_sent());
+            match outcome {
                 SendOutcome::Answer(answer) => match self.classify(key, answer) {
                     Verdict::Accepted(answer) => {
-                        history.sent += 1;
                         history.may_have_run = true;
                         return Ok(*answer);
                     }
-                    Verdict::NotRun => {
-                        history.sent += 1;
-                        self.prepare_retry(history, RetryReason::NotRun)?;
-                    }
+                    Verdict::NotRun => self.prepare_retry(history, RetryReason::NotRun)?,
                     Verdict::Invalid => {
                         self.handle_lost_response(key, None, history).await?;
                     }
@@ -290,7 +288,6 @@
         break_check: Option<BreakCheck>,
         history: &mut AttemptHistory,
     ) -> Result<(), Refusal> {
-        history.sent += 1;
         history.may_have_run = true;
         self.record_fault(key, Fault::Lost);
         if Instant::now() >= self.plan.deadline {
