Answers: the end of a connection does not prove an answer whole, nor does an end inside an event

What callers saw: streams that their targets had broken off arrived as complete 200s, with a piece of an event at the end or without; plain answers that a crash cut short arrived with a length that fits them.

Cause: the end of a body without an error of its connection was taken for completeness. A process that ends closes its connections in order, so an answer that has neither a length nor chunks ends in order as well; and nothing asked whether a stream ended inside an event. Health, quarantine, money and the pool each took the answer for whole in their own way.

Change: one place decides whether an answer is whole (exchange/completeness), for plain answers, streams and resumed streams. A length or a last chunk proves it, except inside an event; where only the end of the connection ends it, the target is asked for a new connection, as it is behind a broken one. What is not whole takes the ways that broken answers had: resumed, sent again, refused as unknown, or the caller's connection is cut; the quarantine counts a target that ended. Framing is read from the parsed body, so a transfer coding without chunks counts as none. A probe that began before the connection ended is not taken for an answer; a target that resets new connections is alive. Events may end with CR.

--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::framing::Framing;
 use crate::pool::Sender;
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
@@ -81,6 +82,8 @@
     pub headers: HeaderMap,
     /// Metadata from the headers.
     pub metadata: ResponseMetadata,
+    /// What marks the end of the body.
+    pub framing: Framing,
     pub body: Incoming,
     /// Connection that the body arrives on.
     pub connection: TargetConnection,
@@ -149,11 +152,11 @@
     }
 
     /// Returns the connection to the pool after a complete response.
-    pub fn release(mut self, metadata: &ResponseMetadata) {
+    pub fn release(mut self, metadata: &ResponseMetadata, framing: Framing) {
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if metadata.closes_connection {
+        if metadata.closes_connection || framing == Framing::ConnectionEnd {
             return;
         }
         let targets = self.gw.targets.borrow();
@@ -230,10 +233,12 @@
 ) -> SendOutcome {
     let (parts, body) = answer.into_parts();
     let metadata = gw.platform.response_metadata(&parts.headers);
+    let framing = Framing::of(&parts.headers, &body);
     SendOutcome::Answer(Box::new(TargetResponse {
         status: parts.status,
         headers: parts.headers,
         metadata,
+        framing,
         body,
         connection,
     }))
--- a/wisteriapass_gateway/src/events.rs
+++ b/wisteriapass_gateway/src/events.rs
@@ -1,7 +1,7 @@
 //! Parser for streams of server-sent events; yields complete events with their ids.
 
 use bytes::{Bytes, BytesMut};
-use memchr::memmem;
+use memchr::memchr2;
 
 /// Maximum size of the buffered data, in bytes; far above the text of one token.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -15,10 +15,14 @@
     pub id: Option<u64>,
 }
 
-/// Splits a byte stream into events.
+/// Splits a byte stream into events. Lines end with LF, CR or both.
 #[derive(Debug, Default)]
 pub struct EventReader {
     buf: BytesMut,
+    /// Start of the first line that has not been examined.
+    line_start: usize,
+    /// Whether the line before ended with CR, to which an LF may belong.
+    is_after_cr: bool,
 }
 
 impl EventReader {
@@ -30,26 +34,59 @@
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = memmem::find(&self.buf, b"\n\n").map(|at| at + 2);
-        let crlf = memmem::find(&self.buf, b"\r\n\r\n").map(|at| at + 4);
-        let end = match (end, crlf) {
-            (Some(a), Some(b)) => a.min(b),
-            (a, b) => a.or(b)?,
-        };
-        let bytes = self.buf.split_to(end).freeze();
-        let id = id_of(&bytes);
-        Some(Event { bytes, id })
+        self.skip_line_feed();
+        while let Some(length) = memchr2(b'\n', b'\r', &self.buf[self.line_start..]) {
+            let line_end = self.line_start + length;
+            self.is_after_cr = self.buf[line_end] == b'\r';
+            self.line_start = line_end + 1;
+            self.skip_line_feed();
+            if length == 0 {
+                return Some(self.take_event());
+            }
+        }
+        None
+    }
+
+    /// Skips an LF that belongs to the end of the line before.
+    fn skip_line_feed(&mut self) {
+        if let Some(next) = self.buf.get(self.line_start) {
+            self.line_start += usize::from(self.is_after_cr && *next == b'\n');
+            self.is_after_cr = false;
+        }
+    }
+
+    /// Returns whether the bytes after the last complete event are the beginning of another one,
+    /// rather than blank lines and comments.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.buf.split_inclusive(|byte| is_line_end(*byte));
+        lines.any(|line| !is_blank(line) && !line.starts_with(b":"))
     }
 
     /// Takes the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
+        self.line_start = 0;
         self.buf.split().freeze()
     }
+
+    fn take_event(&mut self) -> Event {
+        let bytes = self.buf.split_to(self.line_start).freeze();
+        self.line_start = 0;
+        let id = id_of(&bytes);
+        Event { bytes, id }
+    }
+}
+
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+fn is_blank(line: &[u8]) -> bool {
+    line.iter().all(|byte| is_line_end(*byte))
 }
 
 /// Parses the `id` field of an event.
 fn id_of(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|b| *b == b'\n');
+    let mut lines = event.split(|byte| is_line_end(*byte));
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 //! dispatch, response and settlement.
 
 mod attempt;
+mod completeness;
 mod fault;
 mod history;
 mod plan;
@@ -21,6 +22,7 @@
 use plan::Plan;
 
 pub use attempt::ProxiedRequest;
+pub use completeness::{Completeness, UnprovenEnd};
 pub use fault::Fault;
 pub use history::AttemptHistory;
 pub use quarantine_check::BreakCheck;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -7,6 +7,7 @@
 use wisteriapass_coord::quarantine::Fingerprint;
 use wisteriapass_policy::{LatencyHistory, Time};
 
+use super::completeness::Completeness;
 use super::fault::Fault;
 use super::history::AttemptHistory;
 use super::plan::Plan;
@@ -246,6 +247,7 @@
             status,
             headers,
             metadata,
+            framing,
             body,
             connection,
         } = answer;
@@ -260,17 +262,21 @@
             Err(WaitError::Deadline) => return Err(history.deadline_refusal()),
             Err(WaitError::Stopping) => return Err(Refusal::CutShort),
         };
-        connection.release(&metadata);
-        self.record_complete_response(status, &metadata);
-        if status.is_server_error() {
-            self.record_fault(key, Fault::Failed);
-            let is_retryable = self.plan.route.kind.is_retryable();
-            let reason = RetryReason::Failed;
-            if is_retryable && self.prepare_retry(history, reason).is_ok() {
+        let completeness = self.completeness(key, framing, false);
+        match self.gw.run_unless_aborted(completeness).await {
+            Some(Completeness::Complete) => {}
+            Some(Completeness::Broken(break_check)) => {
+                drop(connection);
+                self.handle_lost_response(key, break_check, history).await?;
                 return Ok(None);
             }
-        } else {
-            self.record_success(key);
+            None => return Err(Refusal::CutShort),
+        }
+        self.record_complete_response(key, status, &metadata, framing, connection);
+        let is_retryable = self.plan.route.kind.is_retryable();
+        let reason = RetryReason::Failed;
+        if status.is_server_error() && is_retryable && self.prepare_retry(history, reason).is_ok() {
+            return Ok(None);
         }
         if let Some(r) = reservation {
             r.mark_complete();
--- a/wisteriapass_gateway/src/exchange/quarantine_check.rs
+++ b/wisteriapass_gateway/src/exchange/quarantine_check.rs
@@ -18,8 +18,8 @@
 /// the request.
 const BREAK_CHECK_TIMEOUT_MS: u64 = 100;
 
-/// Ends when the cause of a broken connection has been determined.
-pub type BreakCheck = JoinHandle<()>;
+/// Returns the state of the target of a connection that ended.
+pub type BreakCheck = JoinHandle<ProbeResult>;
 
 /// A request that was running at a target when its connection broke.
 struct ConnectionBreak {
@@ -82,19 +82,18 @@
         })
     }
 
-    /// Determines why a connection broke that was running this request, and records a death if the
+    /// Determines why a connection ended that was running this request, and records a death if the
     /// target is gone.
     pub fn check_break(&self, key: TargetKey) -> BreakCheck {
-        let mut finding = self.gw.probes.start(&self.gw, key);
         let connection_break = self.connection_break(key);
         let gw = self.gw.clone();
         spawn_local(async move {
-            // An error means that the router is shutting down.
-            let found = finding.wait_for(Option::is_some).await;
-            let is_gone = found.is_ok_and(|found| *found == Some(ProbeResult::Gone));
+            let found = gw.probes.find_state(&gw, key).await;
+            let is_gone = found == ProbeResult::Gone;
             if let Some(connection_break) = connection_break.filter(|_| is_gone) {
                 connection_break.record_death(&gw);
             }
+            found
         })
     }
 
@@ -127,14 +126,6 @@
             .await;
         }
     }
-
-    /// Records a response that arrived complete. Server errors are ignored: they say nothing of the
-    /// request.
-    pub fn record_complete_response(&self, status: StatusCode, metadata: &ResponseMetadata) {
-        if metadata.is_signed && metadata.is_framed && !status.is_server_error() {
-            self.gw.quarantine.record_completion(self.fingerprint());
-        }
-    }
 }
 
 impl ConnectionBreak {
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -97,8 +97,6 @@
     pub closes_connection: bool,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
-    /// Whether the end of the body can be told from the end of the connection.
-    pub is_framed: bool,
     /// Whether the body has a content encoding, which was not requested.
     pub is_encoded: bool,
     /// What the target states about itself.
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::exchange::UnprovenEnd;
 use crate::platform::StoreError;
 use crate::refusal::Refusal;
 use crate::route::RequestKind;
@@ -24,9 +25,6 @@
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
-/// Label for whether a body had a length or chunks.
-const FRAMED: &str = "framed";
-
 /// Histogram bounds, in seconds: from the overhead of a router to the longest deadlines in use.
 const SECONDS: [f64; 13] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0,
@@ -197,10 +195,10 @@
         self.broken_streams.add(1, &[]);
     }
 
-    /// Counts a stream that ended in order without evidence that it is complete.
-    pub fn count_unproven_end(&self, is_framed: bool) {
-        self.unproven_ends
-            .add(1, &[KeyValue::new(FRAMED, is_framed)]);
+    /// Counts a body whose end did not prove that it is complete.
+    pub fn count_unproven_end(&self, end: UnprovenEnd) {
+        let outcome = KeyValue::new(OUTCOME, end.to_string());
+        self.unproven_ends.add(1, &[outcome]);
     }
 
     /// Counts a target that ended with requests running.
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -35,14 +35,16 @@
     /// The target accepts connections.
     #[display("lives")]
     Alive,
-    /// The target does not respond (network partition, or its VM is powered off) or accepts no more
-    /// connections.
+    /// The target resets each new connection: it lives and accepts no more of them.
+    #[display("saturated")]
+    Saturated,
+    /// The target does not respond (network partition, or its VM is powered off).
     #[display("silent")]
     Unresponsive,
 }
 
 /// Receives the result of a probe.
-pub type ProbeReceiver = watch::Receiver<Option<ProbeResult>>;
+type ProbeReceiver = watch::Receiver<Option<ProbeResult>>;
 
 /// The probes in progress, at most one for each target.
 #[derive(Debug, Default)]
@@ -51,8 +53,21 @@
 }
 
 impl Probes {
+    /// Determines the state of a target after one of its connections ended.
+    pub async fn find_state(&self, gw: &Rc<Gateway>, key: TargetKey) -> ProbeResult {
+        let earlier = self.in_progress.borrow().get(&key).cloned();
+        if let Some(earlier) = earlier {
+            // It may have found the target alive before that connection ended.
+            let result = wait_for_result(earlier).await;
+            if result != ProbeResult::Alive {
+                return result;
+            }
+        }
+        wait_for_result(self.start(gw, key)).await
+    }
+
     /// Probes a target, or joins a probe of it that is in progress.
-    pub fn start(&self, gw: &Rc<Gateway>, key: TargetKey) -> ProbeReceiver {
+    fn start(&self, gw: &Rc<Gateway>, key: TargetKey) -> ProbeReceiver {
         let mut in_progress = self.in_progress.borrow_mut();
         if let Some(receiver) = in_progress.get(&key) {
             return receiver.clone();
@@ -76,6 +91,15 @@
     }
 }
 
+/// Waits for the result of a probe.
+async fn wait_for_result(mut receiver: ProbeReceiver) -> ProbeResult {
+    // An error means that the router is shutting down.
+    let result = receiver.wait_for(Option::is_some).await;
+    result.map_or(ProbeResult::Unresponsive, |result| {
+        result.unwrap_or(ProbeResult::Unresponsive)
+    })
+}
+
 /// Opens a connection to a target; if it stays open, it is added to the target's pool.
 async fn probe(gw: &Gateway, key: TargetKey, entry: &TargetEntry) -> ProbeResult {
     let result = open_connection(gw, key, entry.address).await;
@@ -90,6 +114,7 @@
 }
 
 async fn open_connection(gw: &Gateway, key: TargetKey, address: SocketAddr) -> ProbeResult {
+    let mut result = ProbeResult::Saturated;
     for _ in 0..MAX_ATTEMPTS {
         let opened = timeout(connect_timeout(gw), connect_to(address)).await;
         match opened {
@@ -101,11 +126,16 @@
                 }
             }
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return ProbeResult::Gone,
-            Ok(Err(_)) => sleep(Duration::from_millis(STABLE_MS)).await,
+            Ok(Err(e)) => {
+                if e.kind() != ErrorKind::ConnectionReset {
+                    result = ProbeResult::Unresponsive;
+                }
+                sleep(Duration::from_millis(STABLE_MS)).await;
+            }
             Err(_) => return ProbeResult::Unresponsive,
         }
     }
-    ProbeResult::Unresponsive
+    result
 }
 
 fn add_to_pool(gw: &Gateway, key: TargetKey, sender: Sender) {
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -12,12 +12,14 @@
 use crate::dispatch::{TargetResponse, is_connection_error};
 use crate::events::{Event, EventReader};
 use crate::exchange::{
-    AttemptHistory, BodyStream, BreakCheck, Fault, ProxiedRequest, ResponseBody, streamed_response,
+    AttemptHistory, BodyStream, BreakCheck, Completeness, Fault, ProxiedRequest, ResponseBody,
+    streamed_response,
 };
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
+use crate::target::TargetKey;
 
 /// Output after which a running stream contributes a sample of its target's output rate, in tokens.
 const RATE_SAMPLE_TOKENS: u64 = 40;
@@ -143,10 +145,7 @@
                     self.check_break(&e);
                     false
                 }
-                None => {
-                    self.complete();
-                    continue;
-                }
+                None => self.end_body().await?,
             };
             if !is_valid {
                 self.resume().await?;
@@ -233,23 +232,41 @@
         self.request.gw.record_latency(&plan.service, key, learn);
     }
 
+    /// Handles the end of a body without an error; returns `false` if the stream is not complete.
+    async fn end_body(&mut self) -> Result<bool, StreamError> {
+        let Some(framing) = self.answer.as_ref().map(|answer| answer.framing) else {
+            return Ok(true);
+        };
+        let is_inside_event = self.reader.is_inside_event();
+        let key = self.history.tried.last().copied().unwrap_or_default();
+        let completeness = self.request.completeness(key, framing, is_inside_event);
+        match self.request.gw.run_unless_aborted(completeness).await {
+            Some(Completeness::Complete) => self.complete(key),
+            Some(Completeness::Broken(break_check)) => {
+                self.break_check = break_check;
+                return Ok(false);
+            }
+            None => return Err(StreamError::CutShort),
+        }
+        Ok(true)
+    }
+
     /// Completes a stream that the target ended.
-    fn complete(&mut self) {
+    fn complete(&mut self, key: TargetKey) {
         let rest = self.reader.rest();
         if !rest.is_empty() {
-            self.pending.push_back(rest.clone());
+            self.pending.push_back(rest);
         }
         let Some(answer) = self.answer.take() else {
             return;
         };
-        if !rest.is_empty() || !answer.metadata.is_framed {
-            self.log_unproven_end(rest.len(), answer.metadata.is_framed);
-        }
-        let key = self.history.tried.last().copied().unwrap_or_default();
-        self.request.record_success(key);
-        self.request
-            .record_complete_response(answer.status, &answer.metadata);
-        answer.connection.release(&answer.metadata);
+        self.request.record_complete_response(
+            key,
+            answer.status,
+            &answer.metadata,
+            answer.framing,
+            answer.connection,
+        );
         if let Some(mut r) = self.reservation.take() {
             r.mark_complete();
         }
@@ -309,19 +326,6 @@
         }
     }
 
-    /// Logs a stream that ended in order without evidence that it is complete.
-    fn log_unproven_end(&self, rest_bytes: usize, is_framed: bool) {
-        self.request.gw.metrics.count_unproven_end(is_framed);
-        log::info!(
-            target: "exchange",
-            "Stream ended. request={} framed={is_framed} rest_bytes={rest_bytes} last_event={:?} \
-             after_ms={}",
-            self.request.metadata.id_text(),
-            self.last_event_id,
-            self.request.plan.arrived.elapsed().as_millis()
-        );
-    }
-
     fn log_broken(&self, error: StreamError) {
         self.request.gw.metrics.count_broken_stream();
         log::info!(
