Answers: a stream that breaks off does not look complete to a caller of HTTP/1.0

What callers saw: a caller that knows no chunks gets a stream whose only end is its connection's, so one that breaks off looks complete. The same cause as answers of targets without framing, on our side. Evidence: the test failed (the whole stream came without a length, its end unmarked). Such a caller now gets a stream whole with a length, or a refusal if it breaks off. Events of a stream that breaks off for such a caller are still charged.

--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -5,10 +5,10 @@
 };
 
 use crate::support::breaks::{
-    Fate, assert_outcome_unknown, assert_whole_until_run, plain, platform_with_retries, run_count,
-    stream, whole_stream,
+    Fate, assert_outcome_unknown, assert_whole, assert_whole_until_run, plain,
+    platform_with_retries, run_count, stream, whole_stream,
 };
-use crate::support::{Request, Router, TestPlatform, wait_for};
+use crate::support::{Answer, Request, Router, TestPlatform, exchange, wait_for};
 
 /// Ways in which a stream ends in order although its last event is not whole.
 const INSIDE_EVENT: [(Fate, Framing); 3] = [
@@ -160,6 +160,20 @@
     }
 }
 
+/// Sends a request as a caller of HTTP/1.0, to whom no chunks may be sent.
+fn send_by_http_1_0(router: &Router, id: &str) -> Option<Answer> {
+    let text = draft(id).text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+    exchange(router.port(), &text)
+}
+
+#[test]
+fn a_broken_stream_does_not_look_complete_to_a_caller_of_http_1_0() {
+    let (platform, router) = platform_with_retries();
+    assert_whole(send_by_http_1_0(&router, "whole"), &whole_stream());
+    Fate::Lives.prepare(&platform.engines, BreakOff::after(2));
+    assert_outcome_unknown(send_by_http_1_0(&router, "broken"));
+}
+
 /// Guards against paying for the prompt of a stream of which nothing was delivered.
 #[test]
 fn a_stream_that_ends_inside_its_first_event_costs_nothing() {
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use tokio::time::timeout_at;
 
 use crate::dispatch::outgoing_request;
@@ -39,12 +39,17 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
+    let version = parts.version;
     let metadata = gw.platform.request_metadata(&parts.headers);
     let plan = match Plan::new(&gw, &parts, &metadata, arrived) {
         Ok(plan) => plan,
         Err(refusal) => return Ok(reply::refuse(&gw, &metadata, None, refusal, arrived)),
     };
     let result = forward(&gw, parts, body, &metadata, &plan).await;
+    let result = match result {
+        Ok(response) if version == Version::HTTP_10 => reply::collect(response).await,
+        result => result,
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &metadata, Some(&plan), refusal, arrived),
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 
 use futures_util::Stream;
-use http_body_util::{Either, Full, StreamBody};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -50,6 +50,27 @@
     response
 }
 
+/// Collects a streamed body, for a client that does not know chunks: it could not tell a stream that
+/// breaks off from a complete one.
+///
+/// # Errors
+///
+/// [`Refusal`] if the stream breaks off.
+pub async fn collect(response: Response<ResponseBody>) -> Result<Response<ResponseBody>, Refusal> {
+    let (parts, body) = response.into_parts();
+    let body = match body {
+        Either::Left(body) => body,
+        Either::Right(body) => Full::new(collect_stream(body).await?),
+    };
+    Ok(Response::from_parts(parts, Either::Left(body)))
+}
+
+async fn collect_stream(body: StreamBody<BodyStream>) -> Result<Bytes, Refusal> {
+    let collected = body.collect().await;
+    let body = collected.map_err(StreamError::refusal)?;
+    Ok(body.to_bytes())
+}
+
 /// Refuses a request and logs it.
 pub fn refuse(
     gw: &Gateway,
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -40,7 +40,7 @@
 
 impl StreamError {
     /// Returns the refusal for a client that has received nothing of the stream.
-    fn refusal(self) -> Refusal {
+    pub fn refusal(self) -> Refusal {
         match self {
             Self::Late => Refusal::Late,
             Self::CutShort => Refusal::CutShort,
