Daemon: a request body that its listener's stop cut is truncated, not whole

A handler took the end of its channel of chunks as the end of the body. The channel also ends when the connection's task is dropped, so a listener that was stopped with half a body received handed that half on as a whole request. The daemon itself finishes its listeners; the stand-ins stop theirs, and an ended one could carry out half a call and count its effect.

The last chunk is now followed by an explicit end, as in the answers, and a channel without it is a truncated body.

--- a/wisteriapass_daemon/src/http/body.rs
+++ b/wisteriapass_daemon/src/http/body.rs
@@ -7,6 +7,7 @@
 use hyper::header::CONTENT_LENGTH;
 
 use super::Request;
+use super::request::BodyChunk;
 
 /// Reason why a body was not read.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -38,10 +39,10 @@
     let mut body = Vec::with_capacity(declared.unwrap_or(0));
     loop {
         match req.body().recv_deadline(deadline) {
-            Ok(Ok(chunk)) => body.extend_from_slice(&chunk),
-            Ok(Err(_)) => return Err(BodyError::Truncated),
+            Ok(BodyChunk::Data(data)) => body.extend_from_slice(&data),
+            Ok(BodyChunk::End) => return Ok(body),
             Err(RecvTimeoutError::Timeout) => return Err(BodyError::TimedOut),
-            Err(RecvTimeoutError::Disconnected) => return Ok(body),
+            Err(RecvTimeoutError::Disconnected) => return Err(BodyError::Truncated),
         }
         if body.len() > limit {
             return Err(BodyError::TooLarge { limit });
--- a/wisteriapass_daemon/src/http/request.rs
+++ b/wisteriapass_daemon/src/http/request.rs
@@ -19,8 +19,13 @@
 /// An answer that is passed to the connection.
 pub(super) type Reply = Response<AnswerBody>;
 
-/// A chunk of a request body, or an error if the body was truncated.
-pub(super) type BodyChunk = Result<Bytes, BodyTruncated>;
+/// Next part of a request body.
+pub(super) enum BodyChunk {
+    /// Data of the body.
+    Data(Bytes),
+    /// End of a complete body; without it the body is truncated.
+    End,
+}
 
 /// An HTTP request; its connection is closed if it is dropped without an answer.
 pub struct Request {
--- a/wisteriapass_daemon/src/http/server.rs
+++ b/wisteriapass_daemon/src/http/server.rs
@@ -148,18 +148,15 @@
 /// Reads a body to its end and passes the chunks to the handler.
 async fn read_body(mut body: Incoming, chunks: Sender<BodyChunk>) {
     while let Some(frame) = body.frame().await {
-        let chunk: BodyChunk = match frame {
-            // Trailers are ignored.
-            Ok(frame) => Ok(frame.into_data().unwrap_or_else(|_| Bytes::new())),
-            Err(_) => Err(stream_writer::BodyTruncated),
+        let Ok(frame) = frame else {
+            return;
         };
-        let is_truncated = chunk.is_err();
+        // Trailers are ignored.
+        let data = frame.into_data().unwrap_or_else(|_| Bytes::new());
         // A handler that has answered reads no more chunks.
-        let _ = chunks.send_async(chunk).await;
-        if is_truncated {
-            return;
-        }
+        let _ = chunks.send_async(BodyChunk::Data(data)).await;
     }
+    let _ = chunks.send_async(BodyChunk::End).await;
 }
 
 /// State shared by the connections of a listener.
--- a/wisteriapass_daemon/tests/listener.rs
+++ b/wisteriapass_daemon/tests/listener.rs
@@ -125,6 +125,54 @@
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
 }
 
+/// Reads the first half of a body, and the rest after `cut`; returns the result of the whole.
+fn read_cut_body(cut: impl FnOnce(TcpStream, Listener)) -> Result<Vec<u8>, http::BodyError> {
+    let listener = listen();
+    let addr = listener.address();
+    let (started_tx, started) = flume::bounded(1);
+    let (result_tx, result) = flume::bounded(1);
+    http::serve(&listener, "test", move |req| {
+        started_tx.send(()).unwrap();
+        let deadline = Instant::now() + Duration::from_secs(READ_TIMEOUT_S);
+        result_tx
+            .send(http::read_body(&req, 1_000, deadline))
+            .unwrap();
+    });
+    let half = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nhalf";
+    let caller = send_request(addr, half);
+    started.recv().unwrap();
+    cut(caller, listener);
+    result.recv().unwrap()
+}
+
+#[test]
+fn a_body_cut_by_its_caller_is_truncated() {
+    for _ in 0..ROUNDS {
+        let result = read_cut_body(|caller, _| drop(caller));
+        assert_eq!(result, Err(http::BodyError::Truncated));
+    }
+}
+
+#[test]
+fn a_body_cut_by_a_reset_is_truncated() {
+    for _ in 0..ROUNDS {
+        let result = read_cut_body(|caller, _| {
+            let caller = socket2::Socket::from(caller);
+            caller.set_linger(Some(Duration::ZERO)).unwrap();
+        });
+        assert_eq!(result, Err(http::BodyError::Truncated));
+    }
+}
+
+#[test]
+fn a_body_cut_by_the_stop_of_its_listener_is_truncated() {
+    let result = read_cut_body(|caller, listener| {
+        listener.stop();
+        drop(caller);
+    });
+    assert_eq!(result, Err(http::BodyError::Truncated));
+}
+
 /// Size of a body that is refused because of its declared length, in bytes.
 const TOO_LARGE: usize = 1 << 20;
 
