Daemon: a streamed answer whose reader ended without a last frame is broken

The receiver of frames took the end of its channel as the end of the answer. The channel also ends if the reader's thread does, for example by a panic in an HTTP library, and a service's answer that was half read then went to the caller as complete. A reader sends a last frame or an error for each answer; a channel without one now counts as a broken connection. The test failed before with Ok(End) after the first frame. No such end was seen in a running fleet.

--- a/wisteriapass_daemon/src/http/frames.rs
+++ b/wisteriapass_daemon/src/http/frames.rs
@@ -61,7 +61,8 @@
 /// A frame, or the reason why there is none.
 pub type FrameResult = Result<Frame, StreamError>;
 
-/// Receiver for the frames of a streamed answer.
+/// Receiver for the frames of a streamed answer; without a final [`Frame::End`] or error, the answer
+/// is broken.
 pub struct FrameReceiver {
     rx: Receiver<FrameResult>,
 }
@@ -92,7 +93,9 @@
         match self.rx.recv_deadline(deadline) {
             Ok(frame) => frame,
             Err(RecvTimeoutError::Timeout) => Err(StreamError::TimedOut),
-            Err(RecvTimeoutError::Disconnected) => Ok(Frame::End),
+            Err(RecvTimeoutError::Disconnected) => Err(StreamError::Broken {
+                cause: "the reader ended".into(),
+            }),
         }
     }
 }
