Tests: a stop is timed from when the router knows of it

targets_receive_the_deadline_of_a_stopping_router failed in 2 of 10 plays beside builds (load 12 to 14), once seen with [5068] for 5,050 at most. The test counted 2.6 s from the signal, the router from its delivery, which a busy machine delays. It now counts from the router's first answer that it is not ready, which comes no earlier; check and bound stay. A failed check of the hanging target says its status.

--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -38,6 +38,8 @@
         target.replace_behaviours(&[behaviour; 4]);
     }
     router.signal(Signal::SIGTERM);
+    // A busy machine delivers the signal late, and the router counts from its delivery.
+    wait_for("the begin of the stop", || !router.is_ready());
     std::thread::sleep(BALANCER_DELAY);
     let answer = router.send(late);
     assert_eq!(long.join().unwrap().unwrap().events(), [1, 2, 3, 4, 5]);
@@ -69,7 +71,8 @@
     let platform = TestPlatform::new(10_000);
     let late = Request::new("late", "/once/x");
     let answer = answer_to_late_request(&platform, &platform.plain, Behaviour::Hang, &late);
-    assert!(answer.is_some_and(|a| [502, 504].contains(&a.status)));
+    let status = answer.map(|a| a.status);
+    assert!(matches!(status, Some(502 | 504)), "{status:?}");
     assert_eq!(platform.plain_runs(), 1);
 }
 
