Answers: an unframed end at the deadline or before the first event is not complete

What callers saw: complete 200s without an event, or cut at the time that the target was told to stop at, with a target that lives. A stopping router shortens that time, so it came about there as well. A body that ends with its connection no longer counts as complete if it is a stream without an event and without Last-Event-Id, or if under 10 ms were left to the target. The check ends at the request's deadline. A probe that began earlier counts only where it found the target gone. Only resets of new connections count as a target that is at its limit; one that closes them in order may be ending.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -42,6 +42,9 @@
     /// Runs the request and answers correctly, but only the end of the connection marks the end of
     /// the answer; this text follows the last event of a stream.
     AnswerUnframed(&'static str),
+    /// Runs the request and ends its unframed answer at the request's deadline, after this many
+    /// events.
+    EndAtDeadline(u64),
     /// Refuses the request as meant for another instance, with status 421, without running it.
     Misdirected,
     /// Runs the request and answers with the attempt id of another one.
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -145,6 +145,12 @@
             }
             Err(connection_aborted())
         }
+        Behaviour::EndAtDeadline(events) => {
+            let arrived = request.arrived.unwrap_or_else(Instant::now);
+            send_stream(out, request, events, 1, Framing::Unframed)?;
+            sleep(request.remaining_time().saturating_sub(arrived.elapsed()));
+            Err(connection_aborted())
+        }
         Behaviour::Stall(events) => {
             send_stream(out, request, events, 1, Framing::Framed)?;
             sleep(STALL_DURATION);
--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -117,12 +117,27 @@
 }
 
 #[test]
-fn an_unframed_stream_whose_target_died_before_its_first_event_is_refused() {
+fn an_unframed_stream_that_ends_before_its_first_event_is_refused() {
+    for fate in [Fate::Lives, Fate::Crashes] {
+        let (platform, router) = platform_with_retries();
+        fate.prepare(&platform.engines, between_events(0));
+        let before = run_count(&platform.engines);
+        assert_outcome_unknown(router.send(&draft("a")));
+        assert_eq!(run_count(&platform.engines), before + 1);
+    }
+}
+
+// A target that reaches the deadline of a stream ends it in order, and lives.
+#[test]
+fn an_unframed_stream_that_ends_at_its_deadline_does_not_look_complete() {
     let (platform, router) = platform_with_retries();
-    Fate::Crashes.prepare(&platform.engines, between_events(0));
-    let before = run_count(&platform.engines);
-    assert_outcome_unknown(router.send(&draft("a")));
-    assert_eq!(run_count(&platform.engines), before + 1);
+    for n in 0..16 {
+        for engine in &platform.engines {
+            engine.replace_behaviours(&[Behaviour::EndAtDeadline(2)]);
+        }
+        let request = draft(&format!("d{n}")).with_remaining(400 + n % 8);
+        assert!(router.send(&request).is_none(), "request {n}");
+    }
 }
 
 #[test]
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -278,7 +278,15 @@
 ///
 /// Those of the operating system and the HTTP handshake.
 pub async fn connect_to(address: SocketAddr) -> io::Result<Sender> {
-    let stream = TcpStream::connect(address).await?;
+    start_http(TcpStream::connect(address).await?).await
+}
+
+/// Starts to use an open connection.
+///
+/// # Errors
+///
+/// Those of the operating system and the HTTP handshake.
+pub async fn start_http(stream: TcpStream) -> io::Result<Sender> {
     stream.set_nodelay(true)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(io::Error::other)?;
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -22,7 +22,7 @@
 use plan::Plan;
 
 pub use attempt::ProxiedRequest;
-pub use completeness::{Completeness, UnprovenEnd};
+pub use completeness::{Completeness, EndPoint, UnprovenEnd};
 pub use fault::Fault;
 pub use history::AttemptHistory;
 pub use quarantine_check::BreakCheck;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -7,7 +7,7 @@
 use wisteriapass_coord::quarantine::Fingerprint;
 use wisteriapass_policy::{LatencyHistory, Time};
 
-use super::completeness::Completeness;
+use super::completeness::{Completeness, EndPoint};
 use super::fault::Fault;
 use super::history::AttemptHistory;
 use super::plan::Plan;
@@ -262,15 +262,16 @@
             Err(WaitError::Deadline) => return Err(history.deadline_refusal()),
             Err(WaitError::Stopping) => return Err(Refusal::CutShort),
         };
-        let completeness = self.completeness(key, framing, false);
-        match self.gw.run_unless_aborted(completeness).await {
-            Some(Completeness::Complete) => {}
-            Some(Completeness::Broken(break_check)) => {
+        let completeness = self.completeness(key, framing, EndPoint::Possible);
+        match self.gw.run_until(self.plan.deadline, completeness).await {
+            Ok(Completeness::Complete) => {}
+            Ok(Completeness::Broken(break_check)) => {
                 drop(connection);
                 self.handle_lost_response(key, break_check, history).await?;
                 return Ok(None);
             }
-            None => return Err(Refusal::CutShort),
+            Err(WaitError::Deadline) => return Err(history.deadline_refusal()),
+            Err(WaitError::Stopping) => return Err(Refusal::CutShort),
         }
         self.record_complete_response(key, status, &metadata, framing, connection);
         let is_retryable = self.plan.route.kind.is_retryable();
--- a/wisteriapass_gateway/src/exchange/completeness.rs
+++ b/wisteriapass_gateway/src/exchange/completeness.rs
@@ -21,9 +21,31 @@
     Broken(Option<BreakCheck>),
 }
 
+/// Time before a target's deadline from which the end of its connection may be due to the deadline,
+/// in milliseconds. Targets count from when they read the request, and some count in whole ticks of
+/// their system.
+const DEADLINE_MARGIN_MS: u64 = 10;
+
+/// Where a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndPoint {
+    /// Where a complete body may end.
+    Possible,
+    /// Inside an event.
+    InsideEvent,
+    /// Before the first event.
+    BeforeEvents,
+}
+
 /// What was found of a body whose end proves nothing.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum UnprovenEnd {
+    /// The stream ended before its first event.
+    #[display("no_event")]
+    NoEvent,
+    /// The connection ended when the target had to stop.
+    #[display("deadline")]
+    Deadline,
     /// The stream ended inside an event.
     #[display("inside_event")]
     InsideEvent,
@@ -39,25 +61,24 @@
     /// Determines whether a body that ended without an error of its connection is complete.
     ///
     /// A length or a last chunk proves it, except inside an event. The end of a connection proves
-    /// nothing, as the target may have crashed: the body is complete only if the target lives.
+    /// nothing, as the target may have crashed or reached its deadline: the body is complete only if
+    /// it has an event, if it is a stream, and the target had time left and lives.
     pub async fn completeness(
         &self,
         key: TargetKey,
         framing: Framing,
-        is_inside_event: bool,
+        end_point: EndPoint,
     ) -> Completeness {
-        let mut break_check = match framing {
-            Framing::Explicit => None,
-            Framing::ConnectionEnd => Some(self.check_break(key)),
-        };
-        if is_inside_event {
-            self.record_unproven_end(framing, UnprovenEnd::InsideEvent);
-            return Completeness::Broken(break_check);
+        if framing == Framing::Explicit {
+            return self.explicit_end(end_point);
         }
-        let Some(check) = &mut break_check else {
-            return Completeness::Complete;
-        };
-        if let Ok(ProbeResult::Alive | ProbeResult::Saturated) = check.await {
+        let early = self.early_end(end_point);
+        let mut break_check = self.check_break(key);
+        if let Some(end) = early {
+            self.record_unproven_end(framing, end);
+            return Completeness::Broken(Some(break_check));
+        }
+        if let Ok(ProbeResult::Alive | ProbeResult::Saturated) = (&mut break_check).await {
             self.record_unproven_end(framing, UnprovenEnd::TargetAlive);
             return Completeness::Complete;
         }
@@ -65,6 +86,27 @@
         Completeness::Broken(None)
     }
 
+    fn explicit_end(&self, end_point: EndPoint) -> Completeness {
+        if end_point != EndPoint::InsideEvent {
+            return Completeness::Complete;
+        }
+        self.record_unproven_end(Framing::Explicit, UnprovenEnd::InsideEvent);
+        Completeness::Broken(None)
+    }
+
+    /// Returns why a body that ended with its connection is not complete, if that is clear without
+    /// asking the target.
+    fn early_end(&self, end_point: EndPoint) -> Option<UnprovenEnd> {
+        match end_point {
+            EndPoint::InsideEvent => Some(UnprovenEnd::InsideEvent),
+            EndPoint::BeforeEvents => Some(UnprovenEnd::NoEvent),
+            EndPoint::Possible => {
+                let is_due = self.plan.remaining_ms(&self.gw) <= DEADLINE_MARGIN_MS;
+                is_due.then_some(UnprovenEnd::Deadline)
+            }
+        }
+    }
+
     fn record_unproven_end(&self, framing: Framing, end: UnprovenEnd) {
         self.gw.metrics.count_unproven_end(end);
         log::info!(
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -1,15 +1,16 @@
 //! Probes targets whose connection broke, to find out whether they died.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 use derive_more::Display;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::dispatch::{connect_timeout, connect_to};
+use crate::dispatch::{connect_timeout, start_http};
 use crate::pool::Sender;
 use crate::prelude::*;
 use crate::target::{TargetEntry, TargetKey};
@@ -57,9 +58,9 @@
     pub async fn find_state(&self, gw: &Rc<Gateway>, key: TargetKey) -> ProbeResult {
         let earlier = self.in_progress.borrow().get(&key).cloned();
         if let Some(earlier) = earlier {
-            // It may have found the target alive before that connection ended.
+            // Other results may be older than the end of that connection.
             let result = wait_for_result(earlier).await;
-            if result != ProbeResult::Alive {
+            if result == ProbeResult::Gone {
                 return result;
             }
         }
@@ -116,28 +117,32 @@
 async fn open_connection(gw: &Gateway, key: TargetKey, address: SocketAddr) -> ProbeResult {
     let mut result = ProbeResult::Saturated;
     for _ in 0..MAX_ATTEMPTS {
-        let opened = timeout(connect_timeout(gw), connect_to(address)).await;
-        match opened {
+        match timeout(connect_timeout(gw), open_stable(address)).await {
             Ok(Ok(sender)) => {
-                sleep(Duration::from_millis(STABLE_MS)).await;
-                if !sender.is_closed() {
-                    add_to_pool(gw, key, sender);
-                    return ProbeResult::Alive;
-                }
+                add_to_pool(gw, key, sender);
+                return ProbeResult::Alive;
             }
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return ProbeResult::Gone,
-            Ok(Err(e)) => {
-                if e.kind() != ErrorKind::ConnectionReset {
-                    result = ProbeResult::Unresponsive;
-                }
-                sleep(Duration::from_millis(STABLE_MS)).await;
-            }
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionReset => {}
+            Ok(Err(_)) => result = ProbeResult::Unresponsive,
             Err(_) => return ProbeResult::Unresponsive,
         }
+        sleep(Duration::from_millis(STABLE_MS)).await;
     }
     result
 }
 
+/// Opens a connection that stays open for a while.
+async fn open_stable(address: SocketAddr) -> io::Result<Sender> {
+    let stream = TcpStream::connect(address).await?;
+    sleep(Duration::from_millis(STABLE_MS)).await;
+    match stream.try_read(&mut [0]) {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => start_http(stream).await,
+        Err(e) => Err(e),
+        Ok(_) => Err(ErrorKind::ConnectionAborted.into()),
+    }
+}
+
 fn add_to_pool(gw: &Gateway, key: TargetKey, sender: Sender) {
     if let Some(target) = gw.targets.borrow().get(key) {
         target.pool.borrow_mut().put(sender, Instant::now(), None);
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -12,8 +12,8 @@
 use crate::dispatch::{TargetResponse, is_connection_error};
 use crate::events::{Event, EventReader};
 use crate::exchange::{
-    AttemptHistory, BodyStream, BreakCheck, Completeness, Fault, ProxiedRequest, ResponseBody,
-    streamed_response,
+    AttemptHistory, BodyStream, BreakCheck, Completeness, EndPoint, Fault, ProxiedRequest,
+    ResponseBody, streamed_response,
 };
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
@@ -68,6 +68,8 @@
     pending: VecDeque<Bytes>,
     /// Id of the last event that was forwarded.
     last_event_id: Option<u64>,
+    /// Whether an event was forwarded.
+    has_events: bool,
     /// When the first event arrived.
     first_event_at: Option<Instant>,
     /// Start of the current sample of the output rate, and the number of events in it.
@@ -102,6 +104,7 @@
             reader: EventReader::default(),
             pending: VecDeque::new(),
             last_event_id: last,
+            has_events: false,
             first_event_at: None,
             sample_started_at: None,
             sample_events: 0,
@@ -189,6 +192,7 @@
                 r.count_event();
             }
         }
+        self.has_events = true;
         self.pending.push_back(event.bytes);
         true
     }
@@ -237,20 +241,30 @@
         let Some(framing) = self.answer.as_ref().map(|answer| answer.framing) else {
             return Ok(true);
         };
-        let is_inside_event = self.reader.is_inside_event();
         let key = self.history.tried.last().copied().unwrap_or_default();
-        let completeness = self.request.completeness(key, framing, is_inside_event);
-        match self.request.gw.run_unless_aborted(completeness).await {
-            Some(Completeness::Complete) => self.complete(key),
-            Some(Completeness::Broken(break_check)) => {
+        let completeness = self.request.completeness(key, framing, self.end_point());
+        let deadline = self.request.plan.deadline;
+        match self.request.gw.run_until(deadline, completeness).await? {
+            Completeness::Complete => self.complete(key),
+            Completeness::Broken(break_check) => {
                 self.break_check = break_check;
                 return Ok(false);
             }
-            None => return Err(StreamError::CutShort),
         }
         Ok(true)
     }
 
+    fn end_point(&self) -> EndPoint {
+        if self.reader.is_inside_event() {
+            return EndPoint::InsideEvent;
+        }
+        // The client may have resumed behind the last event.
+        if !self.has_events && self.last_event_id.is_none() {
+            return EndPoint::BeforeEvents;
+        }
+        EndPoint::Possible
+    }
+
     /// Completes a stream that the target ended.
     fn complete(&mut self, key: TargetKey) {
         let rest = self.reader.rest();
