Store watches: the targets' state is read when their history arrives too late

Cause: a router gives a watch without a wait 0.7 s for the first byte. A store that takes longer to compile the history after an outage was asked for the same, growing history again and again, and a target that had left went on getting requests.

Ruled out: base64 (60 to 90 ms of it), the lock of the store, reconnects, and calls in general: other calls were answered meanwhile, and a read of the state at once.

A watch of the targets without a wait and without an answer is now followed by a read of their state, and by the watch again if that read fails. A state older than the known one is not applied, as a node without updates would bring back a target that left. The configuration is not read for this reason: it rarely changes, and slow links would transfer a document that is already in force.

--- a/wisteriapass_bench/src/standin/users_platform/store.rs
+++ b/wisteriapass_bench/src/standin/users_platform/store.rs
@@ -21,6 +21,9 @@
 /// Delay of a slow write.
 const SLOW_WRITE_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay of an answer with history, longer than clients wait for its first byte.
+const SLOW_HISTORY_DELAY: Duration = Duration::from_secs(4);
+
 /// Fault of the key-value service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -35,6 +38,8 @@
     WriteAnswersLost,
     /// Writes are delayed.
     SlowWrites,
+    /// Watches that return changes are delayed; reads are not.
+    SlowHistory,
 }
 
 /// A change of a key; without a value, the key was removed.
@@ -53,6 +58,15 @@
     /// Revision up to which the history was dropped.
     compacted_revision: u64,
     fault: StoreFault,
+    /// Earlier state that range reads return; `None` for the current one.
+    stale: Option<Snapshot>,
+}
+
+/// The items at a revision.
+#[derive(Debug)]
+struct Snapshot {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
 }
 
 /// A running simulated key-value service, which stops when dropped.
@@ -102,6 +116,15 @@
         self.state.lock().fault = fault;
     }
 
+    /// From now on, range reads return the present state, as a node does that gets no updates.
+    pub fn freeze_range_reads(&self) {
+        let mut state = self.state.lock();
+        state.stale = Some(Snapshot {
+            revision: state.revision,
+            items: state.items.clone(),
+        });
+    }
+
     /// Drops the history; a watch from an earlier revision is refused with status 410.
     pub fn compact(&self) {
         let mut state = self.state.lock();
@@ -131,13 +154,19 @@
 
     fn item(&self, key: &str) -> Value {
         match self.items.get(key) {
-            Some((revision, value)) => {
-                json!({"key": key, "value": STANDARD.encode(value), "revision": revision})
-            }
+            Some(item) => present_item(key, item),
             None => json!({"key": key, "revision": 0}),
         }
     }
 
+    /// Returns the items that range reads show, and their revision.
+    fn readable(&self) -> (&BTreeMap<String, (u64, Vec<u8>)>, u64) {
+        match &self.stale {
+            Some(snapshot) => (&snapshot.items, snapshot.revision),
+            None => (&self.items, self.revision),
+        }
+    }
+
     fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
         let is_included = |c: &&Change| c.revision > after && c.key.starts_with(prefix);
         let event = |c: &Change| match &c.value {
@@ -150,6 +179,10 @@
     }
 }
 
+fn present_item(key: &str, (revision, value): &(u64, Vec<u8>)) -> Value {
+    json!({"key": key, "value": STANDARD.encode(value), "revision": revision})
+}
+
 struct StoreHandler {
     state: Arc<Mutex<State>>,
 }
@@ -185,7 +218,7 @@
             (StoreFault::Silent, _) => call.leave_open(),
             (_, "/-/kv-key") => self.key(call),
             (_, "/-/kv-range") => self.range(call),
-            (_, "/-/kv-watch") => self.watch(call),
+            (_, "/-/kv-watch") => self.watch(call, fault),
             (_, "/-/kv-txn") => self.txn(call, fault),
             _ => call.answer_error(404, "no such call"),
         }
@@ -209,14 +242,15 @@
     fn range(&self, call: Call) {
         let prefix = call.query("prefix").unwrap_or_default().to_owned();
         let state = self.state.lock();
-        let keys = state.items.keys().filter(|k| k.starts_with(&prefix));
-        let entries: Vec<Value> = keys.map(|k| state.item(k)).collect();
-        let page = json!({"entries": entries, "has_more": false, "at": state.revision});
+        let (items, revision) = state.readable();
+        let included = items.iter().filter(|(k, _)| k.starts_with(&prefix));
+        let entries: Vec<Value> = included.map(|(k, item)| present_item(k, item)).collect();
+        let page = json!({"entries": entries, "has_more": false, "at": revision});
         drop(state);
         call.answer(200, &page);
     }
 
-    fn watch(&self, call: Call) {
+    fn watch(&self, call: Call, fault: StoreFault) {
         let prefix = call.query("prefix").unwrap_or_default().to_owned();
         let parameter = |name| call.query(name).and_then(|n| n.parse().ok()).unwrap_or(0);
         let (after, wait_ms) = (parameter("after"), parameter("wait_ms"));
@@ -231,6 +265,9 @@
             if !events.is_empty() || Instant::now() >= deadline {
                 let changes = json!({"events": events, "at": state.revision});
                 drop(state);
+                if fault == StoreFault::SlowHistory && !events.is_empty() {
+                    sleep(SLOW_HISTORY_DELAY);
+                }
                 return call.answer(200, &changes);
             }
             drop(state);
--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -1,10 +1,12 @@
 //! Changes in the store (drained targets, damaged entries, removed keys), store outages, and stops
 //! under load.
 
+mod late_history;
+
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use wisteriapass_bench::standin::users_platform::{Behaviour, StoreFault};
+use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget, StoreFault};
 
 use crate::support::{KEY, Request, Router, TestPlatform, configuration, wait_for};
 
@@ -30,6 +32,19 @@
     });
 }
 
+/// Sends requests until a plain target receives none of as many as would reach each target in use.
+fn wait_until_excluded(router: &Router, target: &SimulatedTarget) {
+    let mut n = 0;
+    wait_for("no requests at the target that left", || {
+        let before = target.received_requests().len();
+        for _ in 0..ENOUGH_REQUESTS {
+            n += 1;
+            router.send(&Request::new(&format!("h{n}"), "/safe/x"));
+        }
+        target.received_requests().len() == before
+    });
+}
+
 #[test]
 fn a_target_without_a_valid_ready_entry_gets_no_new_requests() {
     let platform = TestPlatform::new(10_000);
@@ -178,15 +193,7 @@
         .store
         .put(&target.entry_key(), target.entry("plain", "draining"));
     platform.store.set_fault(StoreFault::None);
-    let mut n = 0;
-    wait_for("no requests at the target that left", || {
-        let before = target.received_requests().len();
-        for _ in 0..ENOUGH_REQUESTS {
-            n += 1;
-            router.send(&Request::new(&format!("h{n}"), "/safe/x"));
-        }
-        target.received_requests().len() == before
-    });
+    wait_until_excluded(&router, target);
 }
 
 #[test]
--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -39,9 +39,7 @@
         count_call(&gw, StoreCall::Read, &read);
         match read {
             Ok(batch) => {
-                gw.store_liveness.record_topic_answer(topic, Instant::now());
-                let cursor = batch.cursor(batch.bytes);
-                apply_batch(&gw, topic, &batch, cursor, true);
+                let cursor = apply_snapshot(&gw, topic, &batch);
                 watch_from(&gw, topic, first_watch(topic, cursor)).await;
             }
             Err(e) => handle_failure(&gw, topic, e).await,
@@ -49,6 +47,17 @@
     }
 }
 
+/// Reads and applies the complete state; returns the first watch after it, or `None` if no state as
+/// recent as the revision `known` was read.
+async fn read_newer_state(gw: &Gateway, topic: Topic, known: u64) -> Option<WatchRequest> {
+    let read = gw.platform.read(topic).await;
+    count_call(gw, StoreCall::Read, &read);
+    // A store node that currently receives no updates may return an earlier state, in which a
+    // target that has left since is still ready.
+    let batch = read.ok().filter(|batch| batch.at >= known)?;
+    Some(first_watch(topic, apply_snapshot(gw, topic, &batch)))
+}
+
 /// Fetches and applies the changes since the known state, once.
 pub async fn catch_up(gw: &Gateway, topic: Topic) {
     let mut cursor = gw.cursor(topic);
@@ -138,6 +147,12 @@
             Err(StoreError::Compacted | StoreError::TooLarge) => return,
             Err(e) => {
                 handle_failure(gw, topic, e).await;
+                if is_history_late(topic, &watch, e)
+                    && let Some(next) = read_newer_state(gw, topic, watch.after).await
+                {
+                    watch = next;
+                    continue;
+                }
                 // A call without a wait returns quickly, so the end of a partition is noticed.
                 // Unlike reading the state it does not transfer a document that is already in
                 // force.
@@ -150,6 +165,14 @@
     }
 }
 
+/// Returns whether the store may need too long to compile the changes that a failed watch requested.
+///
+/// The history grows with each failure, so requesting it again and again may never succeed. The
+/// configuration rarely changes, and reading it again would congest slow links after each outage.
+fn is_history_late(topic: Topic, watch: &WatchRequest, e: StoreError) -> bool {
+    topic == Topic::Targets && watch.max_wait.is_zero() && e == StoreError::NoAnswer
+}
+
 fn count_call(gw: &Gateway, call: StoreCall, result: &Result<ChangeBatch, StoreError>) {
     let outcome = match result {
         Ok(_) => StoreOutcome::Answered,
@@ -171,6 +194,14 @@
     sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
 }
 
+/// Applies the complete state of a topic; returns the position from which to watch it.
+fn apply_snapshot(gw: &Gateway, topic: Topic, batch: &ChangeBatch) -> Cursor {
+    gw.store_liveness.record_topic_answer(topic, Instant::now());
+    let cursor = batch.cursor(batch.bytes);
+    apply_batch(gw, topic, batch, cursor, true);
+    cursor
+}
+
 /// Applies the changes of a topic and advances its cursor.
 fn apply_batch(gw: &Gateway, topic: Topic, batch: &ChangeBatch, cursor: Cursor, is_snapshot: bool) {
     match topic {
