Stand-ins: a target that crashes may reset connections before it refuses them

So far the stand-in's crash refused new connections at once, and a router found out within a millisecond that the target was gone. A process that terminates resets what comes for a moment; the probe then takes several connections. Off unless a test sets it.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -80,11 +80,15 @@
     restart_delay: Option<Duration>,
     /// How a crash breaks off the answer to the request that causes it.
     crash_break: Option<BreakOff>,
+    /// Time for which it resets new connections after a crash, before it refuses them.
+    exit_delay: Duration,
     /// Headers of its answers by which the target states something about itself.
     statements: BTreeMap<&'static str, &'static str>,
     /// Number of restarts so far; the target has a different id after each.
     incarnation: u32,
     is_down: bool,
+    /// Whether it has crashed and does not refuse connections yet.
+    is_exiting: bool,
     /// Open connections, by the client's address.
     connections: BTreeMap<SocketAddr, TcpStream>,
 }
@@ -172,6 +176,12 @@
         self.shared.state.lock().crash_break = Some(crash_break);
     }
 
+    /// Sets the time for which the target resets new connections when it crashes on a request, as a
+    /// process that is terminating does, before it refuses them.
+    pub fn set_exit_delay(&self, exit_delay: Duration) {
+        self.shared.state.lock().exit_delay = exit_delay;
+    }
+
     /// Makes the target name a limit of requests per second in its answers, or no limit.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.shared.set_statement("Server-Limit", limit);
@@ -255,6 +265,9 @@
                 continue;
             };
             let Ok(incarnation) = self.register_connection(&stream, client) else {
+                if self.state.lock().is_exiting {
+                    continue;
+                }
                 return;
             };
             let shared = Arc::clone(self);
@@ -284,9 +297,35 @@
     fn crash(&self) {
         let was_down = std::mem::replace(&mut self.state.lock().is_down, true);
         if !was_down {
-            // Wakes the accepting thread; the connection itself may fail.
-            TcpStream::connect(self.addr).ok();
+            self.wake();
+        }
+    }
+
+    /// Crashes on a request: closes its connection, and resets others before it refuses them.
+    fn exit(&self, stream: &TcpStream) {
+        let exit_delay = self.state.lock().exit_delay;
+        if exit_delay.is_zero() {
+            self.crash();
+            return;
         }
+        let was_down = {
+            let mut state = self.state.lock();
+            state.is_exiting = true;
+            std::mem::replace(&mut state.is_down, true)
+        };
+        if was_down {
+            return;
+        }
+        // Fails if the connection is already closed.
+        stream.shutdown(Shutdown::Both).ok();
+        sleep(exit_delay);
+        self.state.lock().is_exiting = false;
+        self.wake();
+    }
+
+    /// Wakes the accepting thread; the connection itself may fail.
+    fn wake(&self) {
+        TcpStream::connect(self.addr).ok();
     }
 
     /// Closes all connections; returns the time until the restart.
@@ -324,7 +363,7 @@
                         Some(crash_break) => crash_break.send(&mut out, &request)?,
                         None => wire::send_head(&mut out, &request)?,
                     }
-                    self.crash();
+                    self.exit(stream);
                     // The crash closes this connection together with all others.
                     io::copy(&mut reader, &mut io::sink())?;
                 }
