Quarantine: one copy of a suspect at a time, so bursts of copies stop reaching targets

What callers saw: a request whose copies come six at a moment ended six targets, and the next six copies were sent as well, all of them. Three are allowed behind the third end.

Cause: six ends at one moment count as one event with two deaths, so that a rack's failure bans no harmless request. A ban takes three deaths. A request between the two was a suspect, and nothing read that before a send.

Ruled out: news that come late (the table alone, without messages, sends the second burst), and deaths taken for a mass failure (the verdict is a suspect with two deaths).

Change: of a request that one more death bans, one copy at a time is in flight, over all routers. The first relay in the rendezvous order of its fingerprint grants this trial by one call; if two relays do not answer within 100 ms each, the router's own table decides. A trial has a deadline, the request's, 60 s at the most. It ends with its copy; behind a broken connection once the probe has ended and the death is recorded. If its target died, the next one begins a second later at the earliest: a death within the first event counts for nothing. Other copies are refused with 503 `suspect`, or `outcome_unknown` if the request may have run. Nothing is asked for requests with fewer deaths.

Deviation from half-open circuit breakers: that pause.

The test: it asked the table once for each burst and then sent six copies whatever the table said, so no check before a send could make it green. It now asks before each copy and allows three behind the third end over all four bursts, as before.

The tests of mass failures are unchanged.

The relay next in order grants trials while the first does not answer; asked alone, the first lets a second copy through.

--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -127,6 +127,10 @@
             "refused before it ran: requests like it crashed the targets that ran them; search for \
              its fingerprint in part=quarantine"
         }
+        Some("suspect") => {
+            "refused before it ran: requests like it were running at targets that crashed, and another \
+             copy of it was in its trial; search for its fingerprint in part=quarantine"
+        }
         Some("outcome_unknown") if has("Target died under it") => {
             "its target's process ended while it ran, and it must not be sent again"
         }
--- a/wisteriapass/tests/explain.rs
+++ b/wisteriapass/tests/explain.rs
@@ -77,6 +77,7 @@
         "saved",
         "stopping",
         "no_region",
+        "suspect",
     ] {
         let line = format!("time=1.0 process=r part=exchange Refused. request=a reason={reason}\n");
         let (_, text) = run(&FaultyStore::new(), &["explain", "a"], &line);
--- a/wisteriapass_coord/src/quarantine/fingerprint.rs
+++ b/wisteriapass_coord/src/quarantine/fingerprint.rs
@@ -22,6 +22,12 @@
         add_field(&mut hash, body);
         Self(hash.finalize().into())
     }
+
+    /// Returns the first bytes as a number, which is equal at all routers.
+    pub fn short(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
 }
 
 /// Hashes a field with its length, so that different fields never give the same byte sequence.
--- a/wisteriapass_coord/src/quarantine/verdict.rs
+++ b/wisteriapass_coord/src/quarantine/verdict.rs
@@ -1,5 +1,7 @@
 //! Whether a request is banned.
 
+use super::DEATHS_TO_BAN;
+
 /// Whether a request may be sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -28,6 +30,14 @@
         }
     }
 
+    /// Returns whether one more death bans the request, so that it may only be sent as a trial.
+    pub fn needs_trial(self) -> bool {
+        match self {
+            Self::Suspect { deaths } => deaths + 1 >= DEATHS_TO_BAN,
+            Self::Clear | Self::Banned { .. } => false,
+        }
+    }
+
     /// Returns when the ban ends, in milliseconds, if there is one.
     pub fn banned_until(self) -> Option<u64> {
         match self {
--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -206,6 +206,11 @@
         self.relays.values().map(|r| r.address)
     }
 
+    /// Returns all known relays.
+    pub fn relays(&self) -> impl Iterator<Item = &KnownRelay> {
+        self.relays.values()
+    }
+
     /// Returns the age of this router's news, in milliseconds; `None` if no relay answers.
     pub fn news_age_ms(&self, now_ms: u64) -> Option<u64> {
         let statuses = self.relays.values().filter_map(|r| r.status);
--- a/wisteriapass_coord/tests/quarantine/main.rs
+++ b/wisteriapass_coord/tests/quarantine/main.rs
@@ -1,6 +1,8 @@
 //! Which requests are banned for crashing targets, and how the tables of several routers learn of it.
 
+mod bursts;
 mod laws;
+mod trials;
 
 use wisteriapass_coord::quarantine::{
     Cursor, Fingerprint, Incarnation, MAX_REQUESTS, MAX_REQUESTS_PER_DELTA, Quarantine, Verdict,
@@ -187,27 +189,6 @@
     }
 }
 
-/// Copies per burst.
-const BURST: u64 = 6;
-
-// Copies that arrive in a burst crash many targets simultaneously, which counts as one event each
-// time.
-#[test]
-fn a_request_whose_copies_come_in_bursts_stops_reaching_targets() {
-    let mut table = Quarantine::new(1);
-    let mut sent_after = 0;
-    for burst in 0..4 {
-        let now = burst * 4_000;
-        if is_banned(&table, now, &request(POISON)) {
-            continue;
-        }
-        sent_after += if burst > 0 { BURST } else { 0 };
-        let copies: Vec<(u64, u64)> = (0..BURST).map(|n| (now + n, burst * BURST + n)).collect();
-        kill(&mut table, request(POISON), &copies);
-    }
-    assert!(sent_after <= 3, "{sent_after} sent behind the third end");
-}
-
 #[test]
 fn bystanders_of_a_poison_request_are_not_banned() {
     let mut table = Quarantine::new(1);
--- a/wisteriapass_daemon/tests/on_platform/quarantine.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that crash their targets, and service of harmless requests meanwhile.
 
 mod broken_answers;
+mod bursts;
 mod harmless;
 
 use std::thread::sleep;
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 mod quarantine_check;
 mod reply;
 mod selection;
+mod trial_check;
 
 use std::convert::Infallible;
 
@@ -82,6 +83,7 @@
         plan.clone(),
     );
     request.check_quarantine(&AttemptHistory::default())?;
+    request.check_trial(&AttemptHistory::default())?;
     let reservation = match &plan.account {
         Some(account) => {
             let per_event = plan.tokens_per_event;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -20,6 +20,7 @@
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
+use crate::quarantine::TrialGuard;
 use crate::reservation::Reservation;
 use crate::stream::StreamForwarder;
 use crate::target::TargetKey;
@@ -43,6 +44,8 @@
     pub plan: Plan,
     /// Fingerprint for the quarantine, computed on first use.
     pub(super) fingerprint: OnceCell<Fingerprint>,
+    /// The trial that permits to send it, if it needs one.
+    pub(super) trial: RefCell<Option<TrialGuard>>,
 }
 
 impl ProxiedRequest {
@@ -59,6 +62,7 @@
             metadata,
             plan,
             fingerprint: OnceCell::new(),
+            trial: RefCell::default(),
         }
     }
 
@@ -93,6 +97,7 @@
                 return Err(history.deadline_refusal());
             }
             self.check_quarantine(history)?;
+            self.begin_trial(history).await?;
             let selected = self.select_target(history)?;
             let key = selected.key;
             history.tried.push(key);
@@ -141,6 +146,7 @@
         };
         let may_send = || {
             self.ban_remaining_ms().is_none()
+                && !self.needs_trial()
                 && self.gw.may_send(selected.key, self.plan.cold_start)
         };
         let sending = send_request(
--- a/wisteriapass_gateway/src/exchange/quarantine_check.rs
+++ b/wisteriapass_gateway/src/exchange/quarantine_check.rs
@@ -86,12 +86,17 @@
     /// target is gone.
     pub fn check_break(&self, key: TargetKey) -> BreakCheck {
         let connection_break = self.connection_break(key);
+        // Kept until a death is recorded: another copy would run before it counts.
+        let trial = self.take_trial();
         let gw = self.gw.clone();
         spawn_local(async move {
             let found = gw.probes.find_state(&gw, key).await;
             let is_gone = found == ProbeResult::Gone;
             if let Some(connection_break) = connection_break.filter(|_| is_gone) {
                 connection_break.record_death(&gw);
+                if let Some(trial) = trial {
+                    trial.end_by_death();
+                }
             }
             found
         })
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, RevisedChange, Topic};
 use crate::prelude::*;
-use crate::quarantine::{Probes, SharedQuarantine};
+use crate::quarantine::{Probes, SharedQuarantine, SharedTrials};
 use crate::retry_budget::RetryBudget;
 use crate::rpc::RpcClient;
 use crate::settings::GatewaySettings;
@@ -65,6 +65,8 @@
     pub(crate) probes: Probes,
     /// Requests that crash targets.
     pub(crate) quarantine: SharedQuarantine,
+    /// Trials of suspects.
+    pub(crate) trials: SharedTrials,
     /// Shutdown schedule, once this router was told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When the last client connection was accepted.
@@ -101,6 +103,7 @@
             metrics,
             probes: Probes::default(),
             quarantine: SharedQuarantine::new(clock),
+            trials: SharedTrials::new(clock),
             drain: Cell::new(None),
             last_accepted_at: Cell::default(),
             latencies: RefCell::default(),
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -64,6 +64,10 @@
         /// When the ban ends, in milliseconds.
         retry_after_ms: u64,
     },
+    /// One more death of a target bans the request, and another copy of it is in flight; it did not
+    /// run.
+    #[display("suspect")]
+    Suspect,
     /// The targets that were asked did not run the request, and it may not be retried.
     #[display("not_taken")]
     NotTaken,
@@ -101,6 +105,7 @@
             | Self::Limited
             | Self::Full
             | Self::Quarantined { .. }
+            | Self::Suspect
             | Self::NotTaken
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -124,6 +129,8 @@
             Self::Stopping => Some(100),
             // Duration of a few short requests at a full target.
             Self::Full | Self::NotTaken => Some(300),
+            // The copy in flight may have ended, or a death of its target be known.
+            Self::Suspect => Some(500),
             Self::LateNotRun => Some(200),
             _ => None,
         }
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -12,8 +12,10 @@
 mod quarantine;
 mod relay;
 mod role;
+mod trials;
 
 pub use evacuations::poll_evacuations;
 pub use peer_calls::serve_peers;
 pub use quarantine::sync_quarantine;
 pub use role::run_role;
+pub use trials::{begin_trial, return_trials};
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -5,6 +5,7 @@
 use super::evacuations::EVACUATIONS_PATH;
 use super::messages::UPDATE_PATH;
 use super::quarantine::QUARANTINE_PATH;
+use super::trials::{TRIAL_PATH, answer_call};
 use crate::ledger::{
     COMPOSE_PATH, GRANT_PATH, INQUIRY_PATH, LEND_PATH, OUTCOME_PATH, REPORT_PATH, Role,
 };
@@ -41,6 +42,10 @@
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&super::relay::answer_update(gw, &call)).ok()
         }
+        TRIAL_PATH => {
+            let call = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&answer_call(gw, &call)).ok()
+        }
         GRANT_PATH => {
             let call = postcard::from_bytes(message).ok()?;
             let version = gw.catalogue().map_or(0, |c| c.version);
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -37,7 +37,7 @@
 mod priority;
 mod queued_request;
 mod refusal;
-mod rendezvous;
+pub mod rendezvous;
 mod request_info;
 mod required_resource;
 mod reserve;
