--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 //! dispatch, response and settlement.
 
 mod attempt;
+mod body_end;
 mod completeness;
 mod fault;
 mod history;
@@ -23,7 +24,8 @@
 use plan::Plan;
 
 pub use attempt::ProxiedRequest;
-pub use completeness::{Completeness, EndPoint, UnprovenEnd};
+pub use body_end::{EndPoint, UnprovenEnd};
+pub use completeness::Completeness;
 pub use fault::Fault;
 pub use history::AttemptHistory;
 pub use quarantine_check::BreakCheck;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -7,7 +7,8 @@
 use wisteriapass_coord::quarantine::Fingerprint;
 use wisteriapass_policy::{LatencyHistory, Time};
 
-use super::completeness::{Completeness, EndPoint};
+use super::body_end::EndPoint;
+use super::completeness::Completeness;
 use super::fault::Fault;
 use super::history::AttemptHistory;
 use super::plan::Plan;
--- a/wisteriapass_gateway/src/exchange/completeness.rs
+++ b/wisteriapass_gateway/src/exchange/completeness.rs
@@ -1,9 +1,8 @@
 //! Decides whether a response is complete, and records it if so: for plain responses and streams,
 //! first and resumed runs.
 
-use derive_more::Display;
-
 use super::attempt::ProxiedRequest;
+use super::body_end::{EndPoint, UnprovenEnd};
 use super::fault::Fault;
 use super::quarantine_check::BreakCheck;
 use crate::dispatch::TargetConnection;
@@ -12,6 +11,11 @@
 use crate::quarantine::ProbeResult;
 use crate::target::TargetKey;
 
+/// Time before a target's deadline from which the end of its connection may be due to the deadline,
+/// in milliseconds. Targets count from when they read the request, and some count in whole ticks of
+/// their system.
+const DEADLINE_MARGIN_MS: u64 = 10;
+
 /// Whether a body that ended without an error of its connection is complete.
 #[derive(Debug)]
 pub enum Completeness {
@@ -21,42 +25,6 @@
     Broken(Option<BreakCheck>),
 }
 
-/// Time before a target's deadline from which the end of its connection may be due to the deadline,
-/// in milliseconds. Targets count from when they read the request, and some count in whole ticks of
-/// their system.
-const DEADLINE_MARGIN_MS: u64 = 10;
-
-/// Where a body ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndPoint {
-    /// Where a complete body may end.
-    Possible,
-    /// Inside an event.
-    InsideEvent,
-    /// Before the first event.
-    BeforeEvents,
-}
-
-/// What was found of a body whose end proves nothing.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum UnprovenEnd {
-    /// The stream ended before its first event.
-    #[display("no_event")]
-    NoEvent,
-    /// The connection ended when the target had to stop.
-    #[display("deadline")]
-    Deadline,
-    /// The stream ended inside an event.
-    #[display("inside_event")]
-    InsideEvent,
-    /// The connection ended, and the target did too, or does not respond any more.
-    #[display("target_ended")]
-    TargetEnded,
-    /// The connection ended, and the target lives.
-    #[display("target_alive")]
-    TargetAlive,
-}
-
 impl ProxiedRequest {
     /// Determines whether a body that ended without an error of its connection is complete.
     ///
