Daemon: a service's answer that ends only with its connection is not complete

Callers of a plain service got a part of an answer as the whole: with a last chunk, and with the run ended as answered. An answer with neither a length nor chunks ends with its connection, and a service that crashes ends its connection as a finished one does. ureq reports the end of the connection as the end of the body.

Such an answer is now forwarded without its last chunk and the outcome is unknown, as with a broken connection. Answers that have no body (HEAD, 204, 304) are complete without framing. A service that never frames its answers cannot be told from one that breaks off, so it has to send a length or chunks.

--- a/wisteriapass_daemon/src/http/chunk_stream.rs
+++ b/wisteriapass_daemon/src/http/chunk_stream.rs
@@ -49,8 +49,12 @@
     if tx.send(Ok(Frame::Head { status, headers })).is_err() {
         return Ok(Frame::End);
     }
+    let marks_end = marks_end(&req.method, &answer);
     match read_chunks(answer.into_reader(), tx) {
-        Ok(()) => Ok(Frame::End),
+        Ok(()) if marks_end => Ok(Frame::End),
+        Ok(()) => Err(StreamError::Broken {
+            cause: "the answer has neither a length nor chunks".into(),
+        }),
         Err(e) => Err(StreamError::Broken {
             cause: e.to_string(),
         }),
@@ -83,6 +87,16 @@
     }
 }
 
+/// Returns whether an answer marks its end. One that ends only with its connection may be a part,
+/// because an aborted connection can end like a finished one.
+fn marks_end(method: &str, answer: &Response) -> bool {
+    let has_no_body = method.eq_ignore_ascii_case("HEAD") || matches!(answer.status(), 204 | 304);
+    let length = answer.header("content-length").map(str::parse::<usize>);
+    let encoding = answer.header("transfer-encoding").unwrap_or_default();
+    let is_chunked = answer.http_version() != "HTTP/1.0" && !encoding.is_empty();
+    has_no_body || is_chunked || length.is_some_and(|n| n.is_ok())
+}
+
 /// Returns a new agent, so that no connection is reused.
 fn agent() -> Agent {
     AgentBuilder::new()
