Daemon: a service's answer cut within a chunk is not complete

Callers of a plain service got a chunked answer that broke off inside a chunk as the whole, and its run ended as finished. ureq 2.12 returns the end of the connection within a chunk as the end of the body; it reports only a cut between chunks or before the length.

The calls of plain services go by hyper now, which reports all three as errors. Whether an answer marks its end is taken from what hyper reads by: a length, or chunks as the last coding. The daemon itself no longer uses ureq; the key-value service is still called by it. hyper adds no headers of its own, so services no longer get ureq's Accept and User-Agent. A header or URL that can't be sent counts as not sent, no longer as unknown.

The cost of a call was not measured.

--- a/wisteriapass_daemon/src/http.rs
+++ b/wisteriapass_daemon/src/http.rs
@@ -1,5 +1,5 @@
-//! HTTP server and clients on hyper, minreq and ureq: listeners, request bodies, and answers that
-//! are streamed without buffering.
+//! HTTP server and clients on hyper and minreq: listeners, request bodies, and answers that are
+//! streamed without buffering.
 
 mod body;
 mod chunk_stream;
--- a/wisteriapass_daemon/src/http/chunk_stream.rs
+++ b/wisteriapass_daemon/src/http/chunk_stream.rs
@@ -1,10 +1,22 @@
-//! Streamed answers read in chunks with ureq, which reports a truncated body as an error.
+//! Streamed answers read in chunks with hyper.
+//!
+//! hyper reports a body that is cut before its length, or before its last chunk, as an error. An
+//! answer with neither is never complete here.
 
-use std::io;
+use std::fmt::Display;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flume::Sender;
-use ureq::{Agent, AgentBuilder, ErrorKind, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use hyper::{Request, Response, Uri};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::time::timeout;
 
 use crate::http::frames::{EXCHANGE_TIMEOUT_S, Frame, FrameReceiver, FrameResult, StreamError};
 
@@ -31,90 +43,98 @@
 pub fn stream_chunks(req: StreamedRequest) -> FrameReceiver {
     FrameReceiver::new(move |tx| {
         // The receiver may have been dropped already; it needs no final frame.
-        let _ = tx.send(read_all(&req, tx));
+        let _ = tx.send(read_all(req, tx));
     })
 }
 
-fn read_all(req: &StreamedRequest, tx: &Sender<FrameResult>) -> FrameResult {
-    let answer = send(req)?;
-    let headers = answer.headers_names();
-    let headers = headers
-        .into_iter()
-        .flat_map(|name| {
-            let values = answer.all(&name).into_iter().map(str::to_owned);
-            values.map(|v| (name.clone(), v)).collect::<Vec<_>>()
-        })
-        .collect();
-    let status = answer.status();
-    if tx.send(Ok(Frame::Head { status, headers })).is_err() {
-        return Ok(Frame::End);
-    }
-    let marks_end = marks_end(&req.method, &answer);
-    match read_chunks(answer.into_reader(), tx) {
-        Ok(()) if marks_end => Ok(Frame::End),
-        Ok(()) => Err(StreamError::Broken {
-            cause: "the answer has neither a length nor chunks".into(),
-        }),
-        Err(e) => Err(StreamError::Broken {
-            cause: e.to_string(),
-        }),
-    }
+fn read_all(req: StreamedRequest, tx: &Sender<FrameResult>) -> FrameResult {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let limit = Duration::from_secs(EXCHANGE_TIMEOUT_S);
+    let result = runtime
+        .map_err(not_sent)?
+        .block_on(async { timeout(limit, exchange(req, tx)).await });
+    result.map_err(broken)?
 }
 
-fn send(req: &StreamedRequest) -> Result<Response, StreamError> {
-    let mut call = agent()
-        .request(&req.method, &req.url)
-        .set("connection", "close");
+async fn exchange(req: StreamedRequest, tx: &Sender<FrameResult>) -> FrameResult {
+    let uri: Uri = req.url.parse().map_err(not_sent)?;
+    let address = uri.authority().map_or("", |a| a.as_str());
+    let mut request = Request::builder()
+        .method(req.method.as_str())
+        .uri(uri.path_and_query().map_or("/", |path| path.as_str()))
+        .header(HOST, address)
+        .header(CONNECTION, "close");
     for (name, value) in &req.headers {
-        call = call.set(name, value);
+        request = request.header(name, value);
     }
-    let sent = if req.body.is_empty() {
-        call.call()
-    } else {
-        call.send_bytes(&req.body)
+    let request = request.body(Full::new(Bytes::from(req.body)));
+    let answer = send(address, request.map_err(not_sent)?).await?;
+    let headers = answer.headers().iter().filter_map(|(name, value)| {
+        let value = std::str::from_utf8(value.as_bytes()).ok()?;
+        Some((name.to_string(), value.to_owned()))
+    });
+    let head = Frame::Head {
+        status: answer.status().as_u16(),
+        headers: headers.collect(),
     };
-    match sent {
-        Ok(answer) | Err(ureq::Error::Status(_, answer)) => Ok(answer),
-        Err(ureq::Error::Transport(e)) => {
-            let cause = e.to_string();
-            match e.kind() {
-                ErrorKind::ConnectionFailed | ErrorKind::Dns | ErrorKind::InvalidUrl => {
-                    Err(StreamError::NotSent { cause })
-                }
-                _ => Err(StreamError::Broken { cause }),
+    if tx.send(Ok(head)).is_err() {
+        return Ok(Frame::End);
+    }
+    read_chunks(answer, tx).await
+}
+
+/// Sends a request on a new connection and waits for the head of its answer.
+async fn send(address: &str, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, StreamError> {
+    let connecting = TcpStream::connect(address);
+    let stream = timeout(Duration::from_secs(CONNECT_TIMEOUT_S), connecting).await;
+    let stream = stream.map_err(not_sent)?.map_err(not_sent)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(not_sent)?;
+    tokio::spawn(connection);
+    sender.send_request(req).await.map_err(broken)
+}
+
+async fn read_chunks(answer: Response<Incoming>, tx: &Sender<FrameResult>) -> FrameResult {
+    let marks_end = marks_end(&answer);
+    let mut body = answer.into_body();
+    while let Some(frame) = body.frame().await {
+        // Trailers are ignored.
+        let Ok(data) = frame.map_err(broken)?.into_data() else {
+            continue;
+        };
+        for chunk in data.chunks(CHUNK_SIZE) {
+            if tx.send(Ok(Frame::Bytes(chunk.to_vec()))).is_err() {
+                return Ok(Frame::End);
             }
         }
     }
+    if !marks_end {
+        return Err(broken("the answer has neither a length nor chunks"));
+    }
+    Ok(Frame::End)
 }
 
 /// Returns whether an answer marks its end. One that ends only with its connection may be a part,
 /// because an aborted connection can end like a finished one.
-fn marks_end(method: &str, answer: &Response) -> bool {
-    let has_no_body = method.eq_ignore_ascii_case("HEAD") || matches!(answer.status(), 204 | 304);
-    let length = answer.header("content-length").map(str::parse::<usize>);
-    let encoding = answer.header("transfer-encoding").unwrap_or_default();
-    let is_chunked = answer.http_version() != "HTTP/1.0" && !encoding.is_empty();
-    has_no_body || is_chunked || length.is_some_and(|n| n.is_ok())
+fn marks_end(answer: &Response<Incoming>) -> bool {
+    let codings = answer
+        .headers()
+        .get_all(TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let codings = codings.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let last = codings.rsplit(',').next().unwrap_or_default().trim();
+    answer.body().size_hint().exact().is_some() || last.eq_ignore_ascii_case("chunked")
 }
 
-/// Returns a new agent, so that no connection is reused.
-fn agent() -> Agent {
-    AgentBuilder::new()
-        .redirects(0)
-        .timeout_connect(Duration::from_secs(CONNECT_TIMEOUT_S))
-        .timeout(Duration::from_secs(EXCHANGE_TIMEOUT_S))
-        .build()
+fn not_sent(e: impl Display) -> StreamError {
+    StreamError::NotSent {
+        cause: e.to_string(),
+    }
 }
 
-fn read_chunks(mut reader: impl io::Read, tx: &Sender<FrameResult>) -> io::Result<()> {
-    let mut chunk = vec![0; CHUNK_SIZE];
-    loop {
-        let n = reader.read(&mut chunk)?;
-        if n == 0 {
-            return Ok(());
-        }
-        if tx.send(Ok(Frame::Bytes(chunk[..n].to_vec()))).is_err() {
-            return Ok(());
-        }
+fn broken(e: impl Display) -> StreamError {
+    StreamError::Broken {
+        cause: e.to_string(),
     }
 }
--- a/wisteriapass_daemon/tests/chunk_stream.rs
+++ b/wisteriapass_daemon/tests/chunk_stream.rs
@@ -88,6 +88,11 @@
     assert_broken("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n");
 }
 
+#[test]
+fn an_answer_cut_within_a_chunk_is_broken() {
+    assert_broken("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\npart");
+}
+
 #[test]
 fn an_answer_that_ends_only_with_its_connection_is_broken() {
     assert_broken("HTTP/1.1 200 OK\r\n\r\npart");
