Daemon: a streamed answer goes to an HTTP/1.0 caller whole or as an error

Callers of HTTP/1.0 got a streamed answer that broke off as the whole: such an answer has no chunks and ends with its connection, and hyper closes the connection in order when the body fails.

A streamed answer to such a caller is now collected by the server first and sent with its length. One that breaks off, or is longer than 4 MiB, is answered 502 with outcome_unknown in JSON, as the product's interface answers an unknown outcome elsewhere. The bytes are kept in one buffer, so small parts cost no more. Answers with a known length, and all answers to HTTP/1.1 callers, go as before.

a_truncated_answer_to_an_http_1_0_caller_does_not_look_complete read status 200 and "part" before and passes now. New tests: the 502, the length of a finished answer, an endless answer, and the end of an answer whose caller left.

--- a/wisteriapass_daemon/src/http/request.rs
+++ b/wisteriapass_daemon/src/http/request.rs
@@ -1,17 +1,14 @@
 //! An HTTP request of a caller, answered by the thread that owns it.
 
-use std::convert::Infallible;
-
 use bytes::Bytes;
 use flume::Receiver;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Response, StatusCode};
 use tokio::sync::oneshot;
 
-use crate::http::stream_writer::BodyTruncated;
+use crate::http::stream_writer::{BodyTruncated, whole_body};
 
 /// Body of an answer, complete or streamed.
 pub(super) type AnswerBody = UnsyncBoxBody<Bytes, BodyTruncated>;
@@ -82,8 +79,7 @@
 
     /// Answers with a complete body; the answer is dropped if the caller has disconnected.
     pub fn respond(self, status: u16, headers: &[(&str, &str)], body: impl Into<Bytes>) {
-        let whole = Full::new(body.into()).map_err(|e: Infallible| match e {});
-        let _ = self.reply(status, headers, whole.boxed_unsync());
+        let _ = self.reply(status, headers, whole_body(body));
     }
 
     /// Answers with a body; returns `false` if the caller has disconnected.
--- a/wisteriapass_daemon/src/http/server.rs
+++ b/wisteriapass_daemon/src/http/server.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use flume::Sender;
 use http_body_util::BodyExt;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -129,6 +130,7 @@
     req: hyper::Request<Incoming>,
 ) -> Result<Reply, stream_writer::BodyTruncated> {
     let (head, body) = req.into_parts();
+    let version = head.version;
     let (chunks, body_rx) = flume::bounded(BUFFERED_CHUNKS);
     let (reply, mut answer) = oneshot::channel();
     handlers.dispatch(Request::new(head, body_rx, reply));
@@ -142,7 +144,11 @@
         }
         () = &mut reading => answer.await,
     };
-    reply.map_err(|_| stream_writer::BodyTruncated)
+    let reply = reply.map_err(|_| stream_writer::BodyTruncated)?;
+    if version < Version::HTTP_11 {
+        return Ok(stream_writer::collect(reply).await);
+    }
+    Ok(reply)
 }
 
 /// Reads a body to its end and passes the chunks to the handler.
--- a/wisteriapass_daemon/src/http/stream_writer.rs
+++ b/wisteriapass_daemon/src/http/stream_writer.rs
@@ -1,17 +1,21 @@
 //! Writing of answers, including streamed answers without buffering.
 
+use std::convert::Infallible;
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use flume::{Receiver, Sender};
 use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body, Frame};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
 
 use super::Request;
-use super::request::AnswerBody;
+use super::request::{AnswerBody, Reply};
+use crate::api::Refusal;
 
 /// Number of chunks that may be queued for the connection.
 const QUEUED_CHUNKS: usize = 16;
@@ -19,6 +23,9 @@
 /// Longest time for which a chunk waits for a caller that does not read, in seconds.
 const SEND_TIMEOUT_S: u64 = 10;
 
+/// Maximum size of a streamed answer to a caller that cannot read chunks, in bytes.
+const MAX_COLLECTED_BYTES: usize = 4 << 20;
+
 /// A body ended before it was complete.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("the body was truncated")]
@@ -124,3 +131,45 @@
     });
     StreamBody::new(frames).boxed_unsync()
 }
+
+/// Collects a streamed answer, so that it is sent with its length, or replaced by an error if it is
+/// truncated. Without chunks, a truncated answer would look complete.
+pub(super) async fn collect(reply: Reply) -> Reply {
+    if reply.body().size_hint().exact().is_some() {
+        return reply;
+    }
+    let (head, body) = reply.into_parts();
+    match read_whole(body).await {
+        Ok(whole) => Response::from_parts(head, whole_body(whole)),
+        Err(message) => broken_answer(message),
+    }
+}
+
+/// Reads a streamed answer to its end; an error says why there is no whole answer.
+async fn read_whole(mut body: AnswerBody) -> Result<BytesMut, &'static str> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| "the answer broke off")?;
+        whole.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        if whole.len() > MAX_COLLECTED_BYTES {
+            return Err("the answer is too long for HTTP/1.0");
+        }
+    }
+    Ok(whole)
+}
+
+fn broken_answer(message: &str) -> Reply {
+    let refusal = Refusal::outcome_unknown(message);
+    let mut reply = Response::new(whole_body(refusal.body()));
+    *reply.status_mut() = StatusCode::BAD_GATEWAY;
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    reply
+}
+
+/// Creates a complete body.
+pub(super) fn whole_body(data: impl Into<Bytes>) -> AnswerBody {
+    Full::new(data.into())
+        .map_err(|e: Infallible| match e {})
+        .boxed_unsync()
+}
--- a/wisteriapass_daemon/tests/listener.rs
+++ b/wisteriapass_daemon/tests/listener.rs
@@ -92,6 +92,81 @@
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
+// Without chunks, an answer ends with its connection.
+#[test]
+fn a_truncated_answer_to_an_http_1_0_caller_does_not_look_complete() {
+    let listener = listen();
+    let addr = listener.address();
+    http::serve(&listener, "test", |req| {
+        let mut out = StreamWriter::new(req, 200, &[]).unwrap();
+        out.send(b"part").unwrap();
+    });
+    let mut caller = send_request(addr, "GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+    let mut answer = String::new();
+    let end = caller.read_to_string(&mut answer);
+    let is_complete = end.is_ok() && answer.starts_with("HTTP/1.0 200");
+    assert!(!is_complete, "{answer}");
+}
+
+/// Makes a call with HTTP/1.0, which is answered with a stream.
+fn get_http_1_0(write: impl Fn(StreamWriter) + Send + Sync + 'static) -> String {
+    let listener = listen();
+    let addr = listener.address();
+    http::serve(&listener, "test", move |req| {
+        write(StreamWriter::new(req, 200, &[("x-part", "one")]).unwrap());
+    });
+    read_answer(send_request(addr, "GET / HTTP/1.0\r\nhost: x\r\n\r\n"))
+}
+
+#[test]
+fn a_truncated_answer_to_an_http_1_0_caller_is_an_unknown_outcome() {
+    let answer = get_http_1_0(|mut out| out.send(b"part").unwrap());
+    assert!(answer.starts_with("HTTP/1.0 502"), "{answer}");
+    assert!(answer.contains("outcome_unknown"), "{answer}");
+    assert!(!answer.contains("part"), "{answer}");
+}
+
+#[test]
+fn a_finished_answer_to_an_http_1_0_caller_has_a_length() {
+    let answer = get_http_1_0(|mut out| {
+        out.send(b"part").unwrap();
+        out.send(b"rest").unwrap();
+        out.finish().unwrap();
+    });
+    assert!(answer.starts_with("HTTP/1.0 200"), "{answer}");
+    assert!(answer.contains("x-part: one\r\n"), "{answer}");
+    assert!(answer.contains("content-length: 8\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\npartrest"), "{answer}");
+}
+
+#[test]
+fn an_endless_answer_to_an_http_1_0_caller_is_an_unknown_outcome() {
+    let answer = get_http_1_0(|mut out| while out.send(&[b'x'; 1 << 16]).is_ok() {});
+    assert!(answer.starts_with("HTTP/1.0 502"), "{answer}");
+    assert!(answer.contains("outcome_unknown"), "{answer}");
+}
+
+#[test]
+fn an_http_1_0_caller_that_leaves_ends_its_answer() {
+    let listener = listen();
+    let addr = listener.address();
+    let (started_tx, started) = flume::bounded(1);
+    let (ended_tx, ended) = flume::bounded(1);
+    http::serve(&listener, "test", move |req| {
+        let mut out = StreamWriter::new(req, 200, &[]).unwrap();
+        started_tx.send(()).unwrap();
+        while out.send(b"part").is_ok() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        ended_tx.send(()).unwrap();
+    });
+    let caller = send_request(addr, "GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+    started.recv().unwrap();
+    drop(caller);
+    let timeout = Duration::from_secs(READ_TIMEOUT_S);
+    assert_eq!(ended.recv_timeout(timeout), Ok(()));
+}
+
 #[test]
 fn a_finished_answer_is_complete() {
     let listener = listen();
