Daemon: a service's answer without framing is complete if its service lives

As in the gateway, the service is asked for a new connection behind such an answer: refused, reset or closed within 10 ms means that it ended.

--- a/wisteriapass_daemon/src/http/chunk_stream.rs
+++ b/wisteriapass_daemon/src/http/chunk_stream.rs
@@ -1,9 +1,11 @@
 //! Streamed answers read in chunks with hyper.
 //!
 //! hyper reports a body that is cut before its length, or before its last chunk, as an error. An
-//! answer with neither is never complete here.
+//! answer with neither ends with its connection, as it does if its service crashes, so it is complete
+//! only if the service lives.
 
 use std::fmt::Display;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::http::frames::{EXCHANGE_TIMEOUT_S, Frame, FrameReceiver, FrameResult, StreamError};
 
@@ -26,6 +28,10 @@
 /// Timeout for connecting, in seconds.
 const CONNECT_TIMEOUT_S: u64 = 5;
 
+/// Time for which a new connection stays open if its service lives, in milliseconds. A process that
+/// is terminating may still accept one.
+const STABLE_MS: u64 = 10;
+
 /// A request whose answer is streamed in chunks.
 #[derive(Clone, Debug)]
 pub struct StreamedRequest {
@@ -80,7 +86,12 @@
     if tx.send(Ok(head)).is_err() {
         return Ok(Frame::End);
     }
-    read_chunks(answer, tx).await
+    let marks_end = marks_end(&answer);
+    read_chunks(answer, tx).await?;
+    if !marks_end && !is_alive(address).await {
+        return Err(broken("the service ended, and its answer has no length"));
+    }
+    Ok(Frame::End)
 }
 
 /// Sends a request on a new connection and waits for the head of its answer.
@@ -94,8 +105,11 @@
     sender.send_request(req).await.map_err(broken)
 }
 
-async fn read_chunks(answer: Response<Incoming>, tx: &Sender<FrameResult>) -> FrameResult {
-    let marks_end = marks_end(&answer);
+/// Passes on a body, until its end or until nobody receives it any more.
+async fn read_chunks(
+    answer: Response<Incoming>,
+    tx: &Sender<FrameResult>,
+) -> Result<(), StreamError> {
     let mut body = answer.into_body();
     while let Some(frame) = body.frame().await {
         // Trailers are ignored.
@@ -104,18 +118,26 @@
         };
         for chunk in data.chunks(CHUNK_SIZE) {
             if tx.send(Ok(Frame::Bytes(chunk.to_vec()))).is_err() {
-                return Ok(Frame::End);
+                return Ok(());
             }
         }
     }
-    if !marks_end {
-        return Err(broken("the answer has neither a length nor chunks"));
-    }
-    Ok(Frame::End)
+    Ok(())
+}
+
+/// Returns whether a service accepts a new connection and keeps it open.
+async fn is_alive(address: &str) -> bool {
+    let connecting = TcpStream::connect(address);
+    let limit = Duration::from_secs(CONNECT_TIMEOUT_S);
+    let Ok(Ok(stream)) = timeout(limit, connecting).await else {
+        return false;
+    };
+    sleep(Duration::from_millis(STABLE_MS)).await;
+    let received = stream.try_read(&mut [0]);
+    received.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
 }
 
-/// Returns whether an answer marks its end. One that ends only with its connection may be a part,
-/// because an aborted connection can end like a finished one.
+/// Returns whether an answer marks its end, rather than ending with its connection.
 fn marks_end(answer: &Response<Incoming>) -> bool {
     let codings = answer
         .headers()
