Tests: tokens are spent when refusals are final, not at the first round of them

Tests spend until no router serves and then count what ran. The wait ended at the first round in which every router refused. Such a round also occurs while tokens move from one share to another, or while a router has not noticed yet that the store is back: the refusal is share_short with a retry delay, 1.2 s, or 4 s without the store. What would have been served later was not counted and appeared as lost.

The wait now continues until all routers have refused for 5 s. The bounds on what ran are the same; the upper one is now checked behind more requests, and its message in the test of stopping followers names the number.

--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -6,7 +6,10 @@
 use nix::sys::signal::Signal;
 use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget, StoreFault};
 
-use crate::support::{KEY, Request, Router, TestPlatform, configuration, has_witness, wait_for};
+use crate::support::{
+    KEY, Request, Router, TestPlatform, configuration, has_witness, wait_for,
+    wait_for_final_refusals,
+};
 
 /// Prompt and maximum output tokens of each request; five events of two tokens are delivered.
 const PROMPT: u64 = 90;
@@ -43,10 +46,10 @@
     served
 }
 
-/// Spends until no router serves requests any more.
+/// Spends until no router serves requests any more, and none does so later.
 fn spend_until_refused(routers: &[&Router]) {
     let mut n = 0;
-    wait_for("refusals by all routers", || {
+    wait_for_final_refusals(|| {
         n += 1;
         let served = routers
             .iter()
--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -9,7 +9,8 @@
 use wisteriapass_bench::standin::users_platform::StoreFault;
 
 use crate::support::{
-    KEY, Request, Router, TestPlatform, configuration, has_witness, is_relay, wait_for, write_count,
+    KEY, Request, Router, TestPlatform, configuration, has_witness, is_relay, wait_for,
+    wait_for_final_refusals, write_count,
 };
 
 /// Minimum number of relays in a fleet.
@@ -120,10 +121,10 @@
     router.send(&request).map_or(0, |a| a.status)
 }
 
-/// Spends until no router serves requests any more.
+/// Spends until no router serves requests any more, and none does so later.
 fn spend_until_refused(routers: &[&Router]) {
     let mut n = 0;
-    wait_for("refusals by all routers", || {
+    wait_for_final_refusals(|| {
         n += 1;
         let served = routers
             .iter()
@@ -301,7 +302,7 @@
         follower.wait();
     }
     spend_until_refused(&fleet.relays.iter().collect::<Vec<_>>());
-    assert!(fleet.run_count() <= 60);
+    assert!(fleet.run_count() <= 60, "{} of 60 ran", fleet.run_count());
     assert!(fleet.run_count() >= 52, "{} of 60 ran", fleet.run_count());
 }
 
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -17,6 +17,12 @@
 /// Timeout of all waits in the tests; not a limit of the product.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after which refusals are final; longer than the retry delays that they name.
+const REFUSAL_TIME: Duration = Duration::from_secs(5);
+
+/// Pause between two rounds of requests that are expected to be refused.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
 /// API key of the client account.
 pub const KEY: &str = "key-of-acme";
 
@@ -29,6 +35,20 @@
     }
 }
 
+/// Sends rounds of requests until all are refused, and none is served later. A round returns whether
+/// all its requests were refused, which also happens while tokens move from one share to another.
+pub fn wait_for_final_refusals(mut is_refused_by_all: impl FnMut() -> bool) {
+    wait_for("refusals by all routers", &mut is_refused_by_all);
+    let mut refused_since = Instant::now();
+    wait_for("final refusals by all routers", || {
+        sleep(REFUSAL_PAUSE);
+        if !is_refused_by_all() {
+            refused_since = Instant::now();
+        }
+        refused_since.elapsed() >= REFUSAL_TIME
+    });
+}
+
 /// Sends requests until a target has received one more, and returns when it arrived.
 pub fn reach(
     router: &Router,
