Tests: the ports of a router are reserved until it listens

A port was chosen by listening on it and closing it again, and nothing kept it until the router listened. Two tests could choose the same one. The second router exits at once, but a probe before its exit is answered by the first router on the same readiness port: the test takes the dead router for ready, and then waits in vain for its share.

Each router's ports are now bound, without listening, for as long as the test has the router, also between a kill and the restart. The kernel gives such a port to nobody else, and the router can listen on it. A router that ends at its start now fails its test, instead of another start being tried.

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -269,9 +269,8 @@
     );
 }
 
-// A port is chosen before a router binds it, so a server of another test may take it in between.
-// The router then exits at once. A readiness probe that such a server left unanswered used up the
-// whole timeout, and the test failed with 'not ready within 20 s' without noticing the exit.
+// A router whose port is in use exits at once. A readiness probe that the other server left
+// unanswered used up the whole timeout, and the exit was not noticed.
 #[test]
 fn the_exit_of_a_router_whose_port_is_taken_is_noticed() {
     let platform = TestPlatform::new(10_000);
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -8,6 +8,7 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use socket2::{Domain, Socket, Type};
 use wisteriapass_bench::standin::users_platform::SimulatedStore;
 use wisteriapass_coord::prepaid::{HolderId, ShareRecord};
 
@@ -22,6 +23,8 @@
     name: String,
     store: SocketAddr,
     ports: [u16; 3],
+    /// Keeps the ports from being taken by others, also while the process does not run.
+    _reserved: [Socket; 3],
     settings: PathBuf,
     child: Option<Child>,
 }
@@ -42,13 +45,10 @@
 
     /// Starts a router with its store at an address, and waits until it is ready.
     pub fn start_with_store(name: &str, store: SocketAddr) -> Self {
-        loop {
-            let mut router = Self::new_with_store(name, store);
-            router.spawn();
-            if router.becomes_ready() {
-                return router;
-            }
-        }
+        let mut router = Self::new_with_store(name, store);
+        router.spawn();
+        assert!(router.becomes_ready(), "router {name} ended");
+        router
     }
 
     /// Configures a router without starting it.
@@ -58,15 +58,19 @@
 
     /// Configures a router with its store at an address, without starting it.
     fn new_with_store(name: &str, store: SocketAddr) -> Self {
+        let reserved = [0; 3].map(|_| reserve_port());
+        let ports = reserved.each_ref().map(port_of);
+        // The port distinguishes routers with the same name.
         let settings = std::env::temp_dir().join(format!(
             "wisteriapass-{}-{name}-{}.toml",
             std::process::id(),
-            unique_suffix()
+            ports[0]
         ));
         Self {
             name: name.into(),
             store,
-            ports: free_ports(),
+            ports,
+            _reserved: reserved,
             settings,
             child: None,
         }
@@ -101,7 +105,7 @@
     }
 
     /// Waits until the router is ready; returns `false` if the process ended, which happens at once
-    /// if another test has taken one of its ports.
+    /// if one of its ports is in use.
     pub fn becomes_ready(&mut self) -> bool {
         let mut ended = false;
         wait_for("readiness of the router", || {
@@ -218,12 +222,17 @@
     (record.share("acme", &holder).granted > 0).then_some(write)
 }
 
-fn free_ports() -> [u16; 3] {
-    let listeners = [0; 3].map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap());
-    listeners.map(|l| l.local_addr().unwrap().port())
+/// Binds a free port without listening. The router can listen there, and no one else gets the port.
+/// If two routers had the same port, one would end and the other would answer for it.
+fn reserve_port() -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).unwrap();
+    socket
 }
 
-/// Returns a suffix that distinguishes the settings files of routers with the same name.
-fn unique_suffix() -> u16 {
-    free_ports()[0]
+fn port_of(socket: &Socket) -> u16 {
+    let address = socket.local_addr().unwrap();
+    address.as_socket().unwrap().port()
 }
