Stops: a router that wakes up late lets its requests answer before it exits

A stopping router aborts its requests 200 ms before the kill and exits 50 ms before it. If it got no processor time from before the abort until behind the exit time, it announced the abort and exited without running the requests once: their callers' connections closed without an answer. It now lets them run for one poll, 20 ms, before it looks at the exit time. No time of the schedule changes; a router that is killed while it is starved still closes connections, which callers have to take for an unknown outcome, as before.

The test suspends the router from 7.0 s to 8.2 s behind its stop.

--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -10,6 +10,12 @@
 /// Time after a stop by which the load balancer knows of it; not a limit of the product.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Time from a stop to a pause that begins before the router aborts requests.
+const PAUSE_DELAY: Duration = Duration::from_millis(7_000);
+
+/// Length of that pause, which ends behind the router's exit time.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
 /// Stops a router that has a stream in progress, and sends it the request `late` after that. The
 /// targets behave as given; returns the answer to the late request.
 fn answer_to_late_request(
@@ -95,6 +101,30 @@
     assert_eq!(answer.map(|a| a.status), Some(502));
 }
 
+// A router that got no processor time from before its abort until behind its exit time exited at
+// once, which closed the connections to its callers.
+#[test]
+fn a_router_that_wakes_up_late_answers_before_it_exits() {
+    let platform = TestPlatform::new(10_000);
+    let mut router = Router::start("r", &platform.store);
+    for target in &platform.plain {
+        target.push_behaviours(&[Behaviour::Stall(0)]);
+    }
+    let port = router.port();
+    let request = Request::new("stalled", "/once/x").with_remaining(60_000);
+    let caller = std::thread::spawn(move || exchange(port, &request.text()));
+    wait_for("a run", || platform.plain_runs() > 0);
+    router.signal(Signal::SIGTERM);
+    wait_for("the begin of the stop", || !router.is_ready());
+    std::thread::sleep(PAUSE_DELAY);
+    router.signal(Signal::SIGSTOP);
+    std::thread::sleep(PAUSE);
+    router.signal(Signal::SIGCONT);
+    let status = caller.join().unwrap().map(|a| a.status);
+    assert!(matches!(status, Some(502 | 504)), "{status:?}");
+    router.wait();
+}
+
 // The late stream was queued behind others that had more time left, and was interrupted by the exit
 // of the router.
 #[test]
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -124,8 +124,12 @@
     }
     let cut = open.get();
     gw.shutdown_phase.send_replace(ShutdownPhase::Abort);
-    while open.get() > 0 && Instant::now() < exit_by {
+    while open.get() > 0 {
+        // A router that wakes up late lets the requests run once before it exits.
         sleep(poll).await;
+        if Instant::now() >= exit_by {
+            break;
+        }
     }
     cut
 }
