Money: a stream that breaks off costs a caller of HTTP/1.0 nothing

What callers saw: a caller of HTTP/1.0 gets a stream whole or as a refusal. One that broke off was refused, and its prompt and events were charged all the same.

Cause: a reservation counts an event as delivered when it is taken from the target. For such a caller it is only collected then.

The reservation of a caller to whom answers are delivered whole now charges complete answers only. Which callers those are is decided in one place.

The test shares its steps with a_stream_that_ends_inside_its_first_event_costs_nothing, which keeps its range and now also checks that each of the 10 streams ran once and was refused.

--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -176,32 +176,34 @@
 }
 
 /// Sends a request as a caller of HTTP/1.0, to whom no chunks may be sent.
-fn send_by_http_1_0(router: &Router, id: &str) -> Option<Answer> {
-    let text = draft(id).text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+fn send_by_http_1_0(router: &Router, request: &Request) -> Option<Answer> {
+    let text = request.text().replacen("HTTP/1.1", "HTTP/1.0", 1);
     exchange(router.port(), &text)
 }
 
 #[test]
 fn a_broken_stream_does_not_look_complete_to_a_caller_of_http_1_0() {
     let (platform, router) = platform_with_retries();
-    assert_whole(send_by_http_1_0(&router, "whole"), &whole_stream());
+    let whole = send_by_http_1_0(&router, &draft("whole"));
+    assert_whole(whole, &whole_stream());
     Fate::Lives.prepare(&platform.engines, BreakOff::after(2));
-    assert_outcome_unknown(send_by_http_1_0(&router, "broken"));
+    assert_outcome_unknown(send_by_http_1_0(&router, &draft("broken")));
 }
 
-/// Guards against paying for the prompt of a stream of which nothing was delivered.
-#[test]
-fn a_stream_that_ends_inside_its_first_event_costs_nothing() {
+/// Checks that streams that break off in this way are refused, and leave the prepaid total as it is.
+fn assert_costs_nothing(break_off: BreakOff, send: fn(&Router, &Request) -> Option<Answer>) {
     const COST: u64 = 100;
+    const BROKEN: usize = 10;
     let platform = TestPlatform::new(20 * COST);
     let router = Router::start("a", &platform.store);
-    for n in 0..10 {
-        let behaviour = Behaviour::BreakOff(inside_event(0, Framing::Unframed));
+    for n in 0..BROKEN {
         for engine in &platform.engines {
-            engine.replace_behaviours(&[behaviour]);
+            engine.replace_behaviours(&[Behaviour::BreakOff(break_off)]);
         }
-        router.receive(&draft(&format!("l{n}")).with_tokens(90, 10));
+        let request = draft(&format!("l{n}")).with_tokens(90, 10);
+        assert_outcome_unknown(send(&router, &request));
     }
+    assert_eq!(run_count(&platform.engines), BROKEN);
     let clear = SimulatedTarget::clear_behaviours;
     platform.engines.iter().for_each(clear);
     let (mut served, mut n) = (0, 0);
@@ -214,3 +216,15 @@
     });
     assert!((18..=20).contains(&served), "{served} of 20 were served");
 }
+
+/// Guards against paying for the prompt of a stream of which nothing was delivered.
+#[test]
+fn a_stream_that_ends_inside_its_first_event_costs_nothing() {
+    assert_costs_nothing(inside_event(0, Framing::Unframed), Router::send);
+}
+
+/// Guards against paying for events that were collected and never delivered.
+#[test]
+fn a_broken_stream_costs_a_caller_of_http_1_0_nothing() {
+    assert_costs_nothing(BreakOff::after(2), send_by_http_1_0);
+}
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -16,11 +16,12 @@
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response, Version};
+use hyper::{Request, Response};
 use tokio::time::timeout_at;
 
 use crate::dispatch::outgoing_request;
 use crate::prelude::*;
+use crate::reservation::Reservation;
 use plan::Plan;
 
 pub use attempt::ProxiedRequest;
@@ -42,7 +43,7 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
-    let version = parts.version;
+    let is_collected = reply::is_collected(parts.version);
     let metadata = gw.platform.request_metadata(&parts.headers);
     let plan = match Plan::new(&gw, &parts, &metadata, arrived) {
         Ok(plan) => plan,
@@ -50,7 +51,7 @@
     };
     let result = forward(&gw, parts, body, &metadata, &plan).await;
     let result = match result {
-        Ok(response) if version == Version::HTTP_10 => reply::collect(response).await,
+        Ok(response) if is_collected => reply::collect(response).await,
         result => result,
     };
     let mut response = match result {
@@ -76,6 +77,7 @@
     if !plan.ends_in_time_somewhere(gw, metadata, &[]) {
         return Err(Refusal::Stopping);
     }
+    let is_collected = reply::is_collected(parts.version);
     let body = gw.run_unless_aborted(read_body(body, plan)).await;
     let body = body.ok_or(Refusal::Stopping)??;
     let request = ProxiedRequest::new(
@@ -86,25 +88,34 @@
     );
     request.check_quarantine(&AttemptHistory::default())?;
     request.check_trial(&AttemptHistory::default())?;
-    let reservation = match &plan.account {
-        Some(account) => {
-            let per_event = plan.tokens_per_event;
-            let reserving = gw.ledger.reserve(
-                account,
-                metadata,
-                plan.route.priority,
-                per_event,
-                plan.deadline,
-            );
-            let reserved = gw.run_unless_aborted(reserving).await;
-            reserved.ok_or(Refusal::Stopping)??
-        }
-        None => None,
-    };
+    let mut reservation = reserve(gw, metadata, plan).await?;
+    if is_collected {
+        reservation = reservation.map(Reservation::with_whole_delivery);
+    }
     gw.credit_retry(&plan.service);
     request.run(reservation).await
 }
 
+/// Reserves the maximum cost of a request, if an account is charged for it.
+async fn reserve(
+    gw: &Rc<Gateway>,
+    metadata: &RequestMetadata,
+    plan: &Plan,
+) -> Result<Option<Reservation>, Refusal> {
+    let Some(account) = &plan.account else {
+        return Ok(None);
+    };
+    let reserving = gw.ledger.reserve(
+        account,
+        metadata,
+        plan.route.priority,
+        plan.tokens_per_event,
+        plan.deadline,
+    );
+    let reserved = gw.run_unless_aborted(reserving).await;
+    reserved.ok_or(Refusal::Stopping)?
+}
+
 /// Reads the complete body, so that it can be sent again.
 async fn read_body(body: Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, plan.limits.body_bytes);
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -4,9 +4,9 @@
 
 use futures_util::Stream;
 use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, Version};
 use serde_json::json;
 
 use super::plan::Plan;
@@ -50,8 +50,13 @@
     response
 }
 
-/// Collects a streamed body, for a client that does not know chunks: it could not tell a stream that
-/// breaks off from a complete one.
+/// Returns whether streams are collected for clients of a version of HTTP: those that do not know
+/// chunks could not tell a stream that breaks off from a complete one.
+pub fn is_collected(version: Version) -> bool {
+    version == Version::HTTP_10
+}
+
+/// Collects a streamed body.
 ///
 /// # Errors
 ///
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -8,7 +8,8 @@
 /// The maximum cost of a request and its cost so far, in tokens.
 ///
 /// A request costs its prompt once, however often it runs, and the output that was delivered to its
-/// client. If nothing was delivered, it costs nothing.
+/// client. If nothing was delivered, it costs nothing; with
+/// [whole delivery](Self::with_whole_delivery), neither does an incomplete answer.
 #[derive(Debug)]
 pub struct Reservation {
     ledger: Rc<TokenLedger>,
@@ -21,6 +22,8 @@
     /// Number of events delivered, over all runs.
     event_count: u64,
     is_complete: bool,
+    /// Whether the client gets nothing of an incomplete answer.
+    is_delivered_whole: bool,
 }
 
 impl Reservation {
@@ -42,9 +45,17 @@
             source,
             event_count: 0,
             is_complete: false,
+            is_delivered_whole: false,
         }
     }
 
+    /// Charges a complete answer only, for a client to whom the answer is delivered whole or not at
+    /// all.
+    pub fn with_whole_delivery(mut self) -> Self {
+        self.is_delivered_whole = true;
+        self
+    }
+
     /// Counts an event that is delivered.
     pub fn count_event(&mut self) {
         self.event_count += 1;
@@ -57,7 +68,8 @@
 
     /// Returns the cost of the request, in tokens.
     fn cost(&self) -> u64 {
-        if self.event_count == 0 && !self.is_complete {
+        let is_nothing_delivered = self.event_count == 0 || self.is_delivered_whole;
+        if is_nothing_delivered && !self.is_complete {
             return 0;
         }
         let output = self.event_count.saturating_mul(self.tokens_per_event);
