Connections that stay open, and framing, are examined in one place

The router on the platform and the product's own one each had the wait that tells a process that is terminating from one that lives, and each read the framing of an answer from its headers. The daemon now uses `stay_open` and `Framing` of wisteriapass_gateway, on which it depends already. No behavior changes: the wait is still outside the daemon's connect timeout and inside the gateway's.

--- a/wisteriapass_daemon/src/http/chunk_stream.rs
+++ b/wisteriapass_daemon/src/http/chunk_stream.rs
@@ -5,20 +5,20 @@
 //! only if the service lives.
 
 use std::fmt::Display;
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
 use flume::Sender;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HOST};
 use hyper::{Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
+use wisteriapass_gateway::{Framing, stay_open};
 
 use crate::http::frames::{EXCHANGE_TIMEOUT_S, Frame, FrameReceiver, FrameResult, StreamError};
 
@@ -28,10 +28,6 @@
 /// Timeout for connecting, in seconds.
 const CONNECT_TIMEOUT_S: u64 = 5;
 
-/// Time for which a new connection stays open if its service lives, in milliseconds. A process that
-/// is terminating may still accept one.
-const STABLE_MS: u64 = 10;
-
 /// A request whose answer is streamed in chunks.
 #[derive(Clone, Debug)]
 pub struct StreamedRequest {
@@ -86,9 +82,9 @@
     if tx.send(Ok(head)).is_err() {
         return Ok(Frame::End);
     }
-    let marks_end = marks_end(&answer);
+    let framing = Framing::of(answer.headers(), answer.body());
     read_chunks(answer, tx).await?;
-    if !marks_end && !is_alive(address).await {
+    if framing == Framing::ConnectionEnd && !is_alive(address).await {
         return Err(broken("the service ended, and its answer has no length"));
     }
     Ok(Frame::End)
@@ -132,21 +128,7 @@
     let Ok(Ok(stream)) = timeout(limit, connecting).await else {
         return false;
     };
-    sleep(Duration::from_millis(STABLE_MS)).await;
-    let received = stream.try_read(&mut [0]);
-    received.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-}
-
-/// Returns whether an answer marks its end, rather than ending with its connection.
-fn marks_end(answer: &Response<Incoming>) -> bool {
-    let codings = answer
-        .headers()
-        .get_all(TRANSFER_ENCODING)
-        .iter()
-        .next_back();
-    let codings = codings.and_then(|v| v.to_str().ok()).unwrap_or_default();
-    let last = codings.rsplit(',').next().unwrap_or_default().trim();
-    answer.body().size_hint().exact().is_some() || last.eq_ignore_ascii_case("chunked")
+    stay_open(&stream).await.is_ok()
 }
 
 fn not_sent(e: impl Display) -> StreamError {
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod rpc;
 mod run;
 mod settings;
+mod stable_connection;
 mod store_liveness;
 mod store_watch;
 mod stream;
@@ -43,6 +44,7 @@
 pub use clock::Clock;
 pub use evacuations::Evacuations;
 pub use events::{Event, EventReader};
+pub use framing::Framing;
 pub use gateway::Gateway;
 pub use metadata::{
     DispatchMetadata, PrefixPart, RequestMetadata, ResponseMetadata, TargetStatements, TokenWork,
@@ -57,6 +59,7 @@
 pub use route::{RequestKind, Route, WeightedService};
 pub use run::{RunError, run};
 pub use settings::{Bounds, GatewaySettings, VmSize};
+pub use stable_connection::stay_open;
 pub use store_liveness::StoreLiveness;
 pub use target::{Availability, Target, TargetEntry, TargetId, TargetKey};
 pub use targets::Targets;
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -13,13 +13,9 @@
 use crate::dispatch::{connect_timeout, start_http};
 use crate::pool::Sender;
 use crate::prelude::*;
+use crate::stable_connection::{STABLE_MS, stay_open};
 use crate::target::{TargetEntry, TargetKey};
 
-/// Time for which a new connection has to stay open, in milliseconds. A process that is terminating
-/// may still accept a connection and reset it a moment later, and so does a target at its
-/// connection limit.
-const STABLE_MS: u64 = 10;
-
 /// Number of connection attempts if a connection is reset or does not stay open.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -135,12 +131,8 @@
 /// Opens a connection that stays open for a while.
 async fn open_stable(address: SocketAddr) -> io::Result<Sender> {
     let stream = TcpStream::connect(address).await?;
-    sleep(Duration::from_millis(STABLE_MS)).await;
-    match stream.try_read(&mut [0]) {
-        Err(e) if e.kind() == ErrorKind::WouldBlock => start_http(stream).await,
-        Err(e) => Err(e),
-        Ok(_) => Err(ErrorKind::ConnectionAborted.into()),
-    }
+    stay_open(&stream).await?;
+    start_http(stream).await
 }
 
 fn add_to_pool(gw: &Gateway, key: TargetKey, sender: Sender) {
