Events: whether one follows another is asked of the event

The comparison of an event's id with the last one's was inside the forwarder of streams, so only a test with processes reached it. It is `Event::follows` now. No behavior changes.

no_event_follows_the_highest_id does not compile on the code before. With the comparison written as `last + 1` it fails: attempt to add with overflow. Measured: tests of events 6 of 6.

--- a/wisteriapass_gateway/src/events.rs
+++ b/wisteriapass_gateway/src/events.rs
@@ -15,6 +15,17 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether the event may follow the one with the id `last`; one without an id follows
+    /// any.
+    pub fn follows(&self, last: Option<u64>) -> bool {
+        let (Some(last), Some(id)) = (last, self.id) else {
+            return true;
+        };
+        Some(id) == last.checked_add(1)
+    }
+}
+
 /// Splits a byte stream into events. Lines end with LF, CR or both.
 #[derive(Debug, Default)]
 pub struct EventReader {
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -177,11 +177,7 @@
 
     /// Queues an event for the client; returns `false` if it is not the next one.
     fn forward_event(&mut self, event: Event) -> bool {
-        let is_next = match (self.last_event_id, event.id) {
-            (Some(last), Some(id)) => Some(id) == last.checked_add(1),
-            _ => true,
-        };
-        if !is_next {
+        if !event.follows(self.last_event_id) {
             return false;
         }
         if event.id.is_some() {
--- a/wisteriapass_gateway/tests/events.rs
+++ b/wisteriapass_gateway/tests/events.rs
@@ -1,7 +1,8 @@
 //! Events are parsed completely, however the bytes are split.
 
+use bytes::Bytes;
 use quickcheck_macros::quickcheck;
-use wisteriapass_gateway::EventReader;
+use wisteriapass_gateway::{Event, EventReader};
 
 /// Line ends that a stream may use.
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
@@ -54,6 +55,19 @@
     ends_inside_event(&event[..cut]) == (cut > 0 && !is_whole)
 }
 
+// A client may resume behind any id.
+#[test]
+fn no_event_follows_the_highest_id() {
+    let event = |id| Event {
+        bytes: Bytes::new(),
+        id: Some(id),
+    };
+    assert!(event(u64::MAX).follows(Some(u64::MAX - 1)));
+    for id in [0, 1, u64::MAX] {
+        assert!(!event(id).follows(Some(u64::MAX)), "{id}");
+    }
+}
+
 #[test]
 fn lines_may_end_with_cr_lf_or_both() {
     for line_end in LINE_ENDS {
