Stand-ins: a saturated target, whose whole unframed answers arrive whole

A target that resets new connections and goes on serving the open ones lives, so its unframed answers count as whole. No test reached that: a target that is exiting resets connections as well, but it refuses them then. The stand-in may now be saturated until it is told otherwise; a crash still ends it.

whole_unframed_answers_of_saturated_targets_arrive_whole covers each kind of route, one run each.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -89,6 +89,8 @@
     is_down: bool,
     /// Whether it has crashed and does not refuse connections yet.
     is_exiting: bool,
+    /// Whether it resets new connections while it serves the open ones.
+    is_saturated: bool,
     /// Open connections, by the client's address.
     connections: BTreeMap<SocketAddr, TcpStream>,
 }
@@ -182,6 +184,11 @@
         self.shared.state.lock().exit_delay = exit_delay;
     }
 
+    /// Makes the target reset each new connection while it serves the open ones, or not.
+    pub fn set_saturated(&self, is_saturated: bool) {
+        self.shared.state.lock().is_saturated = is_saturated;
+    }
+
     /// Makes the target name a limit of requests per second in its answers, or no limit.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.shared.set_statement("Server-Limit", limit);
@@ -264,6 +271,10 @@
             let Ok(client) = stream.peer_addr() else {
                 continue;
             };
+            if self.resets_new_connections() {
+                reset(&stream);
+                continue;
+            }
             let Ok(incarnation) = self.register_connection(&stream, client) else {
                 if self.state.lock().is_exiting {
                     continue;
@@ -279,6 +290,12 @@
         }
     }
 
+    /// Returns whether it is saturated, and not woken up by a crash.
+    fn resets_new_connections(&self) -> bool {
+        let state = self.state.lock();
+        state.is_saturated && !state.is_down
+    }
+
     /// Registers a connection and returns the incarnation that it belongs to.
     fn register_connection(&self, stream: &TcpStream, client: SocketAddr) -> io::Result<u32> {
         let mut state = self.state.lock();
@@ -417,6 +434,12 @@
     stream.shutdown(direction).ok();
 }
 
+/// Makes the system reset a connection when it is closed.
+fn reset(stream: &TcpStream) {
+    // Fails if the connection is already closed.
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
+}
+
 fn connection_aborted() -> io::Error {
     io::ErrorKind::ConnectionAborted.into()
 }
--- a/wisteriapass_daemon/tests/on_platform/unframed_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/unframed_answers.rs
@@ -1,5 +1,8 @@
 //! Answers whose end is marked only by the end of the connection.
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use wisteriapass_bench::standin::users_platform::{
     Behaviour, BreakOff, BreakPoint, Framing, SimulatedTarget,
 };
@@ -8,7 +11,7 @@
     Fate, assert_outcome_unknown, assert_whole, assert_whole_until_run, plain,
     platform_with_retries, run_count, stream, whole_stream,
 };
-use crate::support::{Request, Router, TestPlatform, wait_for};
+use crate::support::{Request, Router, TestPlatform, reach, wait_for};
 
 /// An unframed answer that is reset inside an event or within its body.
 const RESET: BreakOff = BreakOff {
@@ -18,6 +21,9 @@
     is_reset: true,
 };
 
+/// Time after which the router reuses a connection.
+const REUSE_TIME: Duration = Duration::from_millis(50);
+
 /// Number of answers in a row on each route.
 const IN_A_ROW: usize = 4;
 
@@ -56,6 +62,42 @@
     }
 }
 
+/// Checks that an unframed answer arrives whole from targets that reset new connections.
+fn assert_whole_of_saturated(
+    router: &Router,
+    targets: &[SimulatedTarget],
+    request: fn(&str) -> Request,
+    body: &str,
+) {
+    for target in targets {
+        // Leaves an open connection, on which the answer then comes.
+        reach(router, target, request, "c");
+    }
+    sleep(REUSE_TIME);
+    answer_unframed(targets, "");
+    targets.iter().for_each(|t| t.set_saturated(true));
+    let before = run_count(targets);
+    assert_whole(router.send(&request("a")), body);
+    assert_eq!(run_count(targets), before + 1);
+    targets.iter().for_each(|t| t.set_saturated(false));
+    targets.iter().for_each(SimulatedTarget::clear_behaviours);
+}
+
+// A target at its connection limit resets the connection that asks whether it lives.
+#[test]
+fn whole_unframed_answers_of_saturated_targets_arrive_whole() {
+    let (platform, router) = platform_with_retries();
+    let answers: [fn(&str) -> Request; 2] = [|id| plain(id, "/once/x"), |id| plain(id, "/safe/x")];
+    for request in answers {
+        assert_whole_of_saturated(&router, &platform.plain, request, "whole");
+    }
+    let streams: [fn(&str) -> Request; 2] =
+        [|id| stream(id, "/draft/x"), |id| stream(id, "/ask/x")];
+    for request in streams {
+        assert_whole_of_saturated(&router, &platform.engines, request, &whole_stream());
+    }
+}
+
 #[test]
 fn an_unframed_stream_that_is_reset_does_not_look_complete() {
     for fate in [Fate::Lives, Fate::Crashes] {
