Logs: an unproven end names its target and the time since the request arrived

What operators saw: an answer that counts as whole leaves `Unproven end.` as its only line, and that did not say which target it came from, so the target's other lines could not be searched for.

The line now has `target=` and `after_ms=`, as `Target failed it.` has.

an_unproven_end_is_logged_with_its_target_and_time failed on the code before: no `target=` in the line. Routers of the tests on the platform log to a file of their own for it, instead of nowhere.

--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -175,6 +175,36 @@
     }
 }
 
+// Of an answer that counts as whole no other line names the target.
+#[test]
+fn an_unproven_end_is_logged_with_its_target_and_time() {
+    let (platform, router) = platform_with_retries();
+    Fate::Lives.prepare(&platform.engines, inside_event(2, Framing::Unframed));
+    router.receive(&draft("a"));
+    let mut log = String::new();
+    wait_for("the log lines of the request", || {
+        log = router.log();
+        log.contains("Stream broken. request=a ")
+    });
+    let line = log
+        .lines()
+        .find(|line| line.contains("Unproven end. request=a "));
+    let line = line.unwrap();
+    let value = |key: &str| {
+        let mut words = line.split(' ');
+        words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+    };
+    let mut engines = platform.engines.iter();
+    let target = engines.find(|engine| {
+        let received = engine.received_requests();
+        received.iter().any(|r| r.header("x-attempt-id") == "a")
+    });
+    let id = value("target").map(|id| format!("servers/{id}"));
+    assert_eq!(id, Some(target.unwrap().entry_key()), "{line}");
+    let after_ms = value("after_ms").map(str::parse::<u64>);
+    assert!(matches!(after_ms, Some(Ok(_))), "{line}");
+}
+
 /// Sends a request as a caller of HTTP/1.0, to whom no chunks may be sent.
 fn send_by_http_1_0(router: &Router, request: &Request) -> Option<Answer> {
     let text = request.text().replacen("HTTP/1.1", "HTTP/1.0", 1);
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -1,9 +1,9 @@
 //! A router process.
 
-use std::fs;
+use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -90,10 +90,15 @@
             self.name, self.store
         );
         fs::write(&self.settings, text).unwrap();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path());
+        let log = log.unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_wisteriapassd"))
             .arg("--on-platform")
             .env("WISTERIAPASS_CONFIG", &self.settings)
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         self.child = Some(child);
@@ -146,6 +151,15 @@
         count.map_or(0, |n| n.parse::<f64>().unwrap() as u64)
     }
 
+    /// Returns what the router has logged so far, over all its starts.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.log_path()).unwrap()
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
     /// Returns the frontend port.
     pub fn port(&self) -> u16 {
         self.ports[0]
@@ -189,6 +203,7 @@
             child.wait().ok();
         }
         fs::remove_file(&self.settings).ok();
+        fs::remove_file(self.log_path()).ok();
     }
 }
 
--- a/wisteriapass_gateway/src/exchange/completeness.rs
+++ b/wisteriapass_gateway/src/exchange/completeness.rs
@@ -38,27 +38,27 @@
         end_point: EndPoint,
     ) -> Completeness {
         if framing == Framing::Explicit {
-            return self.explicit_end(end_point);
+            return self.explicit_end(key, end_point);
         }
         let early = self.early_end(end_point);
         let mut break_check = self.check_break(key);
         if let Some(end) = early {
-            self.record_unproven_end(framing, end);
+            self.record_unproven_end(key, framing, end);
             return Completeness::Broken(Some(break_check));
         }
         if let Ok(ProbeResult::Alive | ProbeResult::Saturated) = (&mut break_check).await {
-            self.record_unproven_end(framing, UnprovenEnd::TargetAlive);
+            self.record_unproven_end(key, framing, UnprovenEnd::TargetAlive);
             return Completeness::Complete;
         }
-        self.record_unproven_end(framing, UnprovenEnd::TargetEnded);
+        self.record_unproven_end(key, framing, UnprovenEnd::TargetEnded);
         Completeness::Broken(None)
     }
 
-    fn explicit_end(&self, end_point: EndPoint) -> Completeness {
+    fn explicit_end(&self, key: TargetKey, end_point: EndPoint) -> Completeness {
         if end_point != EndPoint::InsideEvent {
             return Completeness::Complete;
         }
-        self.record_unproven_end(Framing::Explicit, UnprovenEnd::InsideEvent);
+        self.record_unproven_end(key, Framing::Explicit, UnprovenEnd::InsideEvent);
         Completeness::Broken(None)
     }
 
@@ -75,12 +75,15 @@
         }
     }
 
-    fn record_unproven_end(&self, framing: Framing, end: UnprovenEnd) {
+    fn record_unproven_end(&self, key: TargetKey, framing: Framing, end: UnprovenEnd) {
         self.gw.metrics.count_unproven_end(end);
+        let targets = self.gw.targets.borrow();
         log::info!(
             target: "exchange",
-            "Unproven end. request={} framing={framing} found={end}",
-            self.metadata.id_text()
+            "Unproven end. request={} target={} framing={framing} found={end} after_ms={}",
+            self.metadata.id_text(),
+            targets.get(key).map_or("-", |t| &t.entry.id.0),
+            self.plan.arrived.elapsed().as_millis()
         );
     }
 
