Explain: the cause names how an answer ended whose end proves nothing

What operators saw: of an answer that ended inside an event, before one, at the deadline or with its target, `explain` said that it was lost or that its stream broke, though no connection broke. One that counts as whole was explained as sent again.

Cause: `explain` did not read `Unproven end.` It now names each `found=`, also where the request was then refused as `outcome_unknown`, unless another target failed the request after it. The death of a target under the request is still named first.

--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -85,6 +85,8 @@
         return "no log line has its id: a target answered it, or its router's logs are missing";
     }
     let has = |text: &str| lines.iter().any(|l| l.text.contains(text));
+    let unproven_end = find_unproven_end(lines);
+    let broken_end = unproven_end.and_then(broken_end_cause);
     let refusal = lines.iter().rfind(|l| l.text.contains("Refused."));
     match refusal.and_then(|l| field_value(&l.text, "reason")) {
         Some("share_short") if has("in_touch=false") => {
@@ -134,9 +136,8 @@
         Some("outcome_unknown") if has("Target died under it") => {
             "its target's process ended while it ran, and it must not be sent again"
         }
-        Some("outcome_unknown") => {
-            "its target's answer was lost or invalid, and it must not be sent again"
-        }
+        Some("outcome_unknown") => broken_end
+            .unwrap_or("its target's answer was lost or invalid, and it must not be sent again"),
         Some("cut_short") => {
             "its router was stopped and exited before the answer was complete; it may have run"
         }
@@ -146,7 +147,49 @@
         _ if has("Stream broken") && has("Target died under it") => {
             "its target's process ended during its stream, which could not be resumed at another"
         }
-        _ if has("Stream broken") => "its stream broke and could not be resumed at another target",
+        _ if has("Stream broken") => {
+            broken_end.unwrap_or("its stream broke and could not be resumed at another target")
+        }
+        _ if unproven_end == Some("target_alive") => {
+            "its target ended the answer with neither a length nor a last chunk and lives, so the \
+             answer counts as whole"
+        }
         _ => "it was sent again, and a target then answered it",
     }
 }
+
+/// Returns what was found of the last answer whose end proved nothing, unless another target failed
+/// the request after it.
+fn find_unproven_end(lines: &[LogLine]) -> Option<&str> {
+    let last = lines
+        .iter()
+        .rposition(|l| l.text.contains("Unproven end."))?;
+    let end = &lines[last].text;
+    let target = field_value(end, "target");
+    let failed_elsewhere = lines[last..]
+        .iter()
+        .any(|l| l.text.contains("Target failed it.") && field_value(&l.text, "target") != target);
+    if failed_elsewhere {
+        return None;
+    }
+    field_value(end, "found")
+}
+
+/// Describes an answer that is not complete, although its connection did not break.
+fn broken_end_cause(found: &str) -> Option<&'static str> {
+    match found {
+        "inside_event" => Some("its target ended the stream inside an event"),
+        "no_event" => Some(
+            "its target ended the stream before the first event, with neither a length nor a last \
+             chunk",
+        ),
+        "deadline" => Some(
+            "its target ended the answer at the deadline, with neither a length nor a last chunk",
+        ),
+        "target_ended" => Some(
+            "its target ended, or no longer responded, behind an answer with neither a length nor a \
+             last chunk, which may be incomplete",
+        ),
+        _ => None,
+    }
+}
--- a/wisteriapass/tests/explain.rs
+++ b/wisteriapass/tests/explain.rs
@@ -84,3 +84,55 @@
         assert!(text.contains("refused"), "{reason}: {text}");
     }
 }
+
+/// Log lines of an answer whose end proved nothing, and was not accepted as the whole.
+fn broken_end(found: &str) -> String {
+    format!(
+        "time=1.0 process=r part=exchange Unproven end. request=a target=e1 found={found}\n\
+         time=1.0 process=r part=exchange Target failed it. request=a target=e1 fault=lost\n"
+    )
+}
+
+/// Returns the cause that is reported from these log lines.
+fn cause_of(log: &str) -> String {
+    let (_, text) = run(&FaultyStore::new(), &["explain", "a"], log);
+    text.lines().last().unwrap_or_default().to_owned()
+}
+
+/// Guards against a broken connection as the cause of an answer whose connection did not break.
+#[test]
+fn an_unproven_end_is_explained_as_a_lost_answer() {
+    let ends = [
+        ("inside_event", "inside an event"),
+        ("no_event", "before the first event"),
+        ("deadline", "at the deadline"),
+        ("target_ended", "no longer responded"),
+    ];
+    for (found, expected) in ends {
+        for outcome in [
+            "Refused. request=a reason=outcome_unknown",
+            "Stream broken. request=a cause=\"the target broke off\"",
+        ] {
+            let outcome = format!("time=1.1 process=r part=exchange {outcome}\n");
+            let cause = cause_of(&(broken_end(found) + &outcome));
+            assert!(cause.contains(expected), "{found} {outcome}: {cause}");
+        }
+    }
+}
+
+/// Guards against an answer that is reported as sent again, though it came at once.
+#[test]
+fn an_answer_of_a_target_that_lives_is_explained_as_a_retry() {
+    let cause =
+        cause_of("time=1.0 process=r part=exchange Unproven end. request=a found=target_alive");
+    assert!(cause.contains("counts as whole"), "{cause}");
+}
+
+#[test]
+fn an_unproven_end_before_another_targets_failure() {
+    let log = broken_end("inside_event")
+        + "time=1.1 process=r part=exchange Target failed it. request=a target=e2 fault=lost\n\
+           time=1.2 process=r part=exchange Refused. request=a reason=outcome_unknown\n";
+    let cause = cause_of(&log);
+    assert!(cause.contains("lost or invalid"), "{cause}");
+}
