Streams: a resumed run that ends before its first event does not make a stream complete

What callers saw, in a test: two events of five and a last chunk. The first run broke off inside its third event and was resumed; the second target sent the head of an answer without framing, and its connection ended in order.

Cause: whether a stream has an event was noted for the whole stream, so the events of the first run vouched for the second one.

Each run has to have an event of its own now, unless a length or a last chunk marks its end. So has the run of a caller that sends Last-Event-Id itself: without framing, an empty rest proves nothing, and is refused as outcome_unknown.

a_resumed_run_that_ends_before_its_first_event_does_not_look_complete failed before: status 200, events 1 and 2, marked as complete.

--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -116,6 +116,26 @@
     assert_resumed(Fate::Crashes, between_events(2));
 }
 
+// The events of the first run must not count as events of the second one.
+#[test]
+fn a_resumed_run_that_ends_before_its_first_event_does_not_look_complete() {
+    let (platform, router) = platform_with_retries();
+    let [first, second] = &platform.engines[..] else {
+        panic!("two engines expected");
+    };
+    let mut n = 0;
+    wait_for("a stream that is resumed at the second target", || {
+        n += 1;
+        first.replace_behaviours(&[Behaviour::BreakOff(inside_event(2, Framing::Unframed))]);
+        second.replace_behaviours(&[Behaviour::BreakOff(between_events(2))]);
+        let answer = router.send(&ask(&format!("a{n}")));
+        let received = second.received_requests();
+        let is_resumed = received.iter().any(|r| r.header("last-event-id") == "2");
+        assert!(!is_resumed || answer.is_none(), "{answer:?}");
+        is_resumed
+    });
+}
+
 #[test]
 fn an_unframed_stream_that_ends_before_its_first_event_is_refused() {
     for fate in [Fate::Lives, Fate::Crashes] {
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -68,8 +68,8 @@
     pending: VecDeque<Bytes>,
     /// Id of the last event that was forwarded.
     last_event_id: Option<u64>,
-    /// Whether an event was forwarded.
-    has_events: bool,
+    /// Whether an event of the current run was forwarded.
+    run_has_events: bool,
     /// When the first event arrived.
     first_event_at: Option<Instant>,
     /// Start of the current sample of the output rate, and the number of events in it.
@@ -104,7 +104,7 @@
             reader: EventReader::default(),
             pending: VecDeque::new(),
             last_event_id: last,
-            has_events: false,
+            run_has_events: false,
             first_event_at: None,
             sample_started_at: None,
             sample_events: 0,
@@ -188,7 +188,7 @@
                 r.count_event();
             }
         }
-        self.has_events = true;
+        self.run_has_events = true;
         self.pending.push_back(event.bytes);
         true
     }
@@ -254,8 +254,7 @@
         if self.reader.is_inside_event() {
             return EndPoint::InsideEvent;
         }
-        // The client may have resumed behind the last event.
-        if !self.has_events && self.last_event_id.is_none() {
+        if !self.run_has_events {
             return EndPoint::BeforeEvents;
         }
         EndPoint::Possible
@@ -304,6 +303,7 @@
         // The previous run must not continue beside the next one.
         self.answer = None;
         self.reader = EventReader::default();
+        self.run_has_events = false;
         self.sample_started_at = None;
         if self.request.gw.targets_stopped() {
             return Err(StreamError::CutShort);
