Streams: a comment is no event that makes a stream complete

What callers saw, in a test: a complete 200 whose body is one comment. The target had sent the head of an answer without framing and a comment, as servers do to keep connections open, and its connection ended in order.

Cause: any blank line ended an "event", whether it had a field or not, and such an event was taken for proof that the stream had begun.

Only an event with a field counts now. Comments are passed on as before, so the caller's connection is cut.

an_unframed_stream_of_a_comment_does_not_look_complete failed before.

--- a/wisteriapass_bench/src/standin/users_platform/target/broken.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/broken.rs
@@ -11,6 +11,9 @@
 /// Beginning of an event that never arrives whole.
 const PARTIAL_EVENT: &str = "id: 99\nda";
 
+/// Comment that keeps a connection open.
+const COMMENT: &str = ": ping\n\n";
+
 /// Where a stream breaks off.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BreakPoint {
@@ -19,6 +22,8 @@
     InsideEvent,
     /// Behind a whole event.
     BetweenEvents,
+    /// Behind a comment that follows the last whole event.
+    BehindComment,
 }
 
 /// What marks the end of an answer.
@@ -86,6 +91,7 @@
         let part = match self.at {
             BreakPoint::InsideEvent => PARTIAL_EVENT,
             BreakPoint::BetweenEvents => "",
+            BreakPoint::BehindComment => COMMENT,
         };
         match self.framing {
             // The chunk announces more than arrives.
--- a/wisteriapass_daemon/tests/on_platform/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/broken_answers.rs
@@ -136,6 +136,18 @@
     });
 }
 
+// A comment keeps a connection open and is no event.
+#[test]
+fn an_unframed_stream_of_a_comment_does_not_look_complete() {
+    let (platform, router) = platform_with_retries();
+    let comment = BreakOff {
+        at: BreakPoint::BehindComment,
+        ..between_events(0)
+    };
+    Fate::Lives.prepare(&platform.engines, comment);
+    assert!(router.send(&draft("a")).is_none());
+}
+
 #[test]
 fn an_unframed_stream_that_ends_before_its_first_event_is_refused() {
     for fate in [Fate::Lives, Fate::Crashes] {
--- a/wisteriapass_gateway/src/events.rs
+++ b/wisteriapass_gateway/src/events.rs
@@ -24,6 +24,11 @@
         };
         Some(id) == last.checked_add(1)
     }
+
+    /// Returns whether it has a field, rather than comments alone.
+    pub fn has_fields(&self) -> bool {
+        has_fields(&self.bytes)
+    }
 }
 
 /// Splits a byte stream into events. Lines end with LF, CR or both.
@@ -69,8 +74,7 @@
     /// Returns whether the bytes after the last complete event are the beginning of another one,
     /// rather than blank lines and comments.
     pub fn is_inside_event(&self) -> bool {
-        let mut lines = self.buf.split_inclusive(|byte| is_line_end(*byte));
-        lines.any(|line| !is_blank(line) && !line.starts_with(b":"))
+        has_fields(&self.buf)
     }
 
     /// Takes the bytes after the last complete event.
@@ -87,6 +91,12 @@
     }
 }
 
+/// Returns whether any line is neither blank nor a comment.
+fn has_fields(text: &[u8]) -> bool {
+    let mut lines = text.split_inclusive(|byte| is_line_end(*byte));
+    lines.any(|line| !is_blank(line) && !line.starts_with(b":"))
+}
+
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -188,7 +188,7 @@
                 r.count_event();
             }
         }
-        self.run_has_events = true;
+        self.run_has_events |= event.has_fields();
         self.pending.push_back(event.bytes);
         true
     }
