Stand-ins: a crashed target refuses connections at once

an_unframed_answer_cut_short_by_a_crash_does_not_look_complete failed once in a whole run of its module beside many others (load 23 to 140): 200 where 502 is expected. The router's log of that play says that the target lived, by the connection that it opened behind the end of the answer.

Cause: the stand-in closed its listening socket before it ended the answer's connection, but a process that another test is just starting holds a copy of that socket until it runs its program. The socket goes on listening so long.

The stand-in shuts the socket down now, which ends it whoever holds a copy. That this was the cause of the failure is an inference, as that play does not show who accepted.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -126,6 +126,11 @@
         Ok(Self { shared })
     }
 
+    /// Returns the address that the target listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
     /// Returns the target's entry in the key-value service.
     pub fn entry(&self, service: &str, state: &str) -> String {
         self.entry_in_domain("z", service, state, 0)
@@ -253,7 +258,7 @@
     fn run(self: Arc<Self>, mut listener: TcpListener) {
         loop {
             self.accept(&listener);
-            drop(listener);
+            stop_listening(listener);
             let restart_delay = self.close_all();
             sleep(restart_delay);
             listener = self.listen();
@@ -422,6 +427,13 @@
     Crash(Option<BreakOff>),
 }
 
+/// Stops listening at once. A process that is being started at this moment holds a copy of the
+/// socket until it runs its program, so closing the socket alone would not refuse connections yet.
+fn stop_listening(listener: TcpListener) {
+    // Fails if the socket does not listen.
+    SockRef::from(&listener).shutdown(Shutdown::Both).ok();
+}
+
 /// Ends a connection in order, unless it is to be reset.
 fn end_connection(stream: &TcpStream) {
     let linger = SockRef::from(stream).linger();
