--- a/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
@@ -21,6 +21,9 @@
 };
 use crate::support::{Answer, Request, Router, TestPlatform, exchange, is_relay, wait_for};
 
+/// Names of the routers.
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
 /// Number of copies in a burst.
 const BURST: usize = 6;
 
@@ -93,6 +96,24 @@
     wait_until_served(platform, routers);
 }
 
+/// Returns a platform and its routers, for which a request is a suspect.
+fn fleet_with_suspect(body: &str) -> (TestPlatform, [Router; 3]) {
+    let platform = crashing_platform();
+    let routers = routers(&platform, NAMES);
+    wait_until_served(&platform, &routers);
+    make_suspect(&platform, &routers, body);
+    (platform, routers)
+}
+
+/// As [`fleet_with_suspect`], with a suspect that crashes each target that runs it.
+fn fleet_with_poisonous_suspect() -> (TestPlatform, [Router; 3]) {
+    let (platform, routers) = fleet_with_suspect(POISON);
+    for engine in &platform.engines {
+        engine.set_crash_condition(is_poison, RESTART_DELAY);
+    }
+    (platform, routers)
+}
+
 /// Sends a request on a thread of its own.
 fn send(router: &Router, request: Request) -> JoinHandle<Option<Answer>> {
     let port = router.port();
@@ -159,13 +180,7 @@
 // sent.
 #[test]
 fn a_request_whose_copies_come_in_bursts_stops_reaching_targets() {
-    let platform = crashing_platform();
-    let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POISON);
-    for engine in &platform.engines {
-        engine.set_crash_condition(is_poison, RESTART_DELAY);
-    }
+    let (platform, routers) = fleet_with_poisonous_suspect();
     let before = poison_arrivals(&platform);
     let mut statuses = Vec::new();
     for burst in 0..BURSTS {
@@ -183,12 +198,8 @@
 // A trial that is given back before the death of its target is known lets the next copy through.
 #[test]
 fn a_trial_lasts_until_the_death_of_its_target_is_known() {
-    let platform = crashing_platform();
-    let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POISON);
+    let (platform, routers) = fleet_with_poisonous_suspect();
     for engine in &platform.engines {
-        engine.set_crash_condition(is_poison, RESTART_DELAY);
         engine.set_exit_delay(EXIT_DELAY);
     }
     let before = poison_arrivals(&platform);
@@ -213,10 +224,7 @@
 // A rack's failure makes suspects of the harmless requests that were under way at all its targets.
 #[test]
 fn a_harmless_suspect_is_held_back_during_its_trial_and_served_again() {
-    let platform = crashing_platform();
-    let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POPULAR);
+    let (platform, routers) = fleet_with_suspect(POPULAR);
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::SlowStream(SLOWDOWN));
     let trial = send(&routers[0], popular_request("trial"));
@@ -244,10 +252,7 @@
 // A caller that leaves in the middle of a trial must not hold back all others until its deadline.
 #[test]
 fn an_abandoned_trial_is_given_back() {
-    let platform = crashing_platform();
-    let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POPULAR);
+    let (platform, routers) = fleet_with_suspect(POPULAR);
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::Stall(1));
     let mut caller = TcpStream::connect(("127.0.0.1", routers[0].port())).unwrap();
@@ -267,10 +272,7 @@
 // A target that never answers must not hold back all other copies.
 #[test]
 fn a_trial_that_times_out_is_given_back() {
-    let platform = crashing_platform();
-    let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POPULAR);
+    let (platform, routers) = fleet_with_suspect(POPULAR);
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::Stall(0));
     let trial = popular_request("trial").with_remaining(TRIAL_MS);
@@ -286,10 +288,10 @@
 }
 
 /// Returns the routers in the order in which they are asked for a trial of the harmless request.
-fn in_granting_order(routers: [Router; 3], names: [&str; 3]) -> Vec<Router> {
+fn in_granting_order(routers: [Router; 3]) -> Vec<Router> {
     let body = POPULAR.as_bytes();
     let fingerprint = Fingerprint::new("POST", "h.example", "/draft/x", Some("acme"), body);
-    let mut ranked: Vec<(Router, &str)> = routers.into_iter().zip(names).collect();
+    let mut ranked: Vec<(Router, &str)> = routers.into_iter().zip(NAMES).collect();
     ranked.sort_by_key(|(_, name)| Reverse(rank(fingerprint.short(), hash_name(name))));
     ranked.into_iter().map(|(router, _)| router).collect()
 }
@@ -297,12 +299,8 @@
 // The relay that grants trials may have died a moment ago.
 #[test]
 fn the_next_relay_grants_trials_while_the_first_does_not_answer() {
-    let platform = crashing_platform();
-    let names = ["a", "b", "c"];
-    let routers = routers(&platform, names);
-    wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, POPULAR);
-    let routers = in_granting_order(routers, names);
+    let (platform, routers) = fleet_with_suspect(POPULAR);
+    let routers = in_granting_order(routers);
     routers[0].signal(Signal::SIGSTOP);
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::SlowStream(SLOWDOWN));
@@ -319,13 +317,9 @@
 // Relays that do not answer must not keep a harmless request from being served.
 #[test]
 fn a_router_that_reaches_no_relay_sends_one_copy_at_a_time() {
-    let platform = crashing_platform();
-    let names = ["a", "b", "c"];
-    let routers = routers(&platform, names);
-    wait_until_served(&platform, &routers);
-    assert!(names.iter().all(|name| is_relay(&platform.store, name)));
-    make_suspect(&platform, &routers, POPULAR);
-    let routers = in_granting_order(routers, names);
+    let (platform, routers) = fleet_with_suspect(POPULAR);
+    assert!(NAMES.iter().all(|name| is_relay(&platform.store, name)));
+    let routers = in_granting_order(routers);
     let (alone, others) = routers.split_last().unwrap();
     others.iter().for_each(|r| r.signal(Signal::SIGSTOP));
     let before = popular_arrivals(&platform);
