--- a/wisteriapass_daemon/tests/on_platform/quarantine.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine.rs
@@ -192,6 +192,15 @@
     }
 }
 
+/// Checks that the poisonous request stops reaching targets, and others do not.
+fn assert_stops_reaching_targets(platform: &TestPlatform, routers: &[Router]) {
+    wait_until_served(platform, routers);
+    crash_targets(platform, routers);
+    assert_quarantined(platform, routers, MAX_LATE_COPIES);
+    wait_until_served(platform, routers);
+    assert_others_are_served(routers);
+}
+
 // One request that was retried again and again crashed 18 targets. The routers only saw connections
 // break and could not know that it was the same request each time, in particular if another router
 // had sent it before.
@@ -199,11 +208,7 @@
 fn a_request_that_crashes_targets_stops_reaching_them() {
     let platform = crashing_platform();
     let routers = routers(&platform, ["a", "b", "c"]);
-    wait_until_served(&platform, &routers);
-    crash_targets(&platform, &routers);
-    assert_quarantined(&platform, &routers, MAX_LATE_COPIES);
-    wait_until_served(&platform, &routers);
-    assert_others_are_served(&routers);
+    assert_stops_reaching_targets(&platform, &routers);
 }
 
 // A router's knowledge of such requests must survive a restart of its process.
--- a/wisteriapass_daemon/tests/on_platform/quarantine/broken_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine/broken_answers.rs
@@ -2,10 +2,7 @@
 
 use wisteriapass_bench::standin::users_platform::{BreakOff, BreakPoint, Framing};
 
-use super::{
-    MAX_LATE_COPIES, assert_others_are_served, assert_quarantined, crash_targets,
-    crashing_platform, routers, wait_until_served,
-};
+use super::{assert_stops_reaching_targets, crashing_platform, routers};
 
 fn assert_crashes_are_counted(at: BreakPoint) {
     let platform = crashing_platform();
@@ -17,11 +14,7 @@
         });
     }
     let routers = routers(&platform, ["a", "b"]);
-    wait_until_served(&platform, &routers);
-    crash_targets(&platform, &routers);
-    assert_quarantined(&platform, &routers, MAX_LATE_COPIES);
-    wait_until_served(&platform, &routers);
-    assert_others_are_served(&routers);
+    assert_stops_reaching_targets(&platform, &routers);
 }
 
 #[test]
