Quarantine: a trial lasts while its target resets connections or does not answer

Cause: targets that crash may reset new connections for a while before they refuse them. A probe gives such a target up after three resets, about 60 ms, and finds no death. The trial was then given back as if the target lived, without a pause, and the next copy was sent: no death counted, so no ban came.

Only a target that accepts a connection gives the trial back now. While it resets connections or does not answer it is probed again, for 2 s. If it refuses by then the death is recorded, as with the first probe; else the trial ends with the pause that follows a death, and a death is still held against nobody. The same pause follows where a target that was leaving is gone. TrialEnd::TargetDied is TargetLost accordingly, and the log key `lost`.

--- a/wisteriapass_coord/src/quarantine/trials.rs
+++ b/wisteriapass_coord/src/quarantine/trials.rs
@@ -48,7 +48,7 @@
 
     /// Ends a trial, unless another copy has it by now.
     ///
-    /// If the target died, the next trial has to wait: it would end its target within the same
+    /// If the target may have died, the next trial has to wait: it would end its target within the same
     /// event, which does not count, and other routers may not know of this death yet.
     pub fn end(&mut self, now: u64, fingerprint: Fingerprint, id: u64, end: TrialEnd) {
         let Some(trial) = self.trials.get_mut(&fingerprint) else {
@@ -61,7 +61,7 @@
             TrialEnd::Over => {
                 self.trials.remove(&fingerprint);
             }
-            TrialEnd::TargetDied => {
+            TrialEnd::TargetLost => {
                 trial.id = None;
                 trial.until = now + TRIAL_PAUSE_MS;
             }
--- a/wisteriapass_coord/tests/quarantine/bursts.rs
+++ b/wisteriapass_coord/tests/quarantine/bursts.rs
@@ -35,7 +35,7 @@
             .collect();
         for (died_at, id) in (now + RUN_MS..).zip(&sent) {
             self.table.record_death(died_at, poison, target(*id));
-            self.trials.end(died_at, poison, *id, TrialEnd::TargetDied);
+            self.trials.end(died_at, poison, *id, TrialEnd::TargetLost);
         }
         self.sent += sent.len() as u64;
         sent.len() as u64
--- a/wisteriapass_coord/tests/quarantine/trials.rs
+++ b/wisteriapass_coord/tests/quarantine/trials.rs
@@ -58,7 +58,7 @@
     let mut trials = Trials::default();
     trials.begin(0, request(1), 10, 300);
     trials.begin(300, request(1), 11, 900);
-    for end in [TrialEnd::Over, TrialEnd::TargetDied] {
+    for end in [TrialEnd::Over, TrialEnd::TargetLost] {
         trials.end(310, request(1), 10, end);
         assert_eq!(trials.begin(310, request(1), 12, 900), Admission::Refused);
     }
@@ -70,7 +70,7 @@
 fn no_trial_begins_right_after_a_target_died() {
     let mut trials = Trials::default();
     trials.begin(0, request(1), 10, 5_000);
-    trials.end(100, request(1), 10, TrialEnd::TargetDied);
+    trials.end(100, request(1), 10, TrialEnd::TargetLost);
     let until = 100 + TRIAL_PAUSE_MS;
     for id in [10, 11] {
         let admission = trials.begin(until - 1, request(1), id, 5_000);
@@ -151,7 +151,7 @@
                 died,
             } => {
                 let end = if died {
-                    TrialEnd::TargetDied
+                    TrialEnd::TargetLost
                 } else {
                     TrialEnd::Over
                 };
--- a/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
@@ -46,6 +46,15 @@
 /// target died.
 const EXIT_DELAY: Duration = Duration::from_millis(5);
 
+/// As [`EXIT_DELAY`], longer than a probe takes.
+const LONG_EXIT_DELAY: Duration = Duration::from_millis(100);
+
+/// Time for which callers repeat a request that crashes targets.
+const REPEAT_TIME: Duration = Duration::from_secs(6);
+
+/// Pause between two copies of one caller.
+const REPEAT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Body of a harmless request.
 const POPULAR: &str = "popular";
 
@@ -133,6 +142,25 @@
         .collect()
 }
 
+/// Starts callers that repeat the poisonous request at all routers.
+fn repeat_poison(routers: &[Router], time: Duration, pause: Duration) -> Vec<JoinHandle<()>> {
+    let until = Instant::now() + time;
+    let callers = (0..BURST).map(|caller| {
+        let port = routers[caller % routers.len()].port();
+        spawn(move || {
+            for n in 0.. {
+                if Instant::now() >= until {
+                    return;
+                }
+                let copy = poisonous_request(&format!("caller-{caller}-{n}"));
+                exchange(port, &copy.text());
+                sleep(pause);
+            }
+        })
+    });
+    callers.collect()
+}
+
 fn wait_for_restarts(platform: &TestPlatform) {
     let from = Instant::now();
     while from.elapsed() < BURST_INTERVAL {
@@ -203,24 +231,28 @@
         engine.set_exit_delay(EXIT_DELAY);
     }
     let before = poison_arrivals(&platform);
-    let until = Instant::now() + BURST_INTERVAL;
-    let callers = (0..BURST).map(|caller| {
-        let port = routers[caller % routers.len()].port();
-        spawn(move || {
-            for n in 0.. {
-                if Instant::now() >= until {
-                    return;
-                }
-                let copy = poisonous_request(&format!("caller-{caller}-{n}"));
-                exchange(port, &copy.text());
-            }
-        })
-    });
-    let callers: Vec<JoinHandle<()>> = callers.collect();
+    let callers = repeat_poison(&routers, BURST_INTERVAL, Duration::ZERO);
     callers.into_iter().for_each(|c| c.join().unwrap());
     assert_eq!(poison_arrivals(&platform) - before, 1);
 }
 
+// A trial that is given back while its target still resets connections lets the next copy through.
+#[test]
+fn a_request_stops_reaching_targets_that_are_slow_to_refuse_connections() {
+    let (platform, routers) = fleet_with_poisonous_suspect();
+    for engine in &platform.engines {
+        engine.set_exit_delay(LONG_EXIT_DELAY);
+    }
+    let before = poison_arrivals(&platform);
+    let callers = repeat_poison(&routers, REPEAT_TIME, REPEAT_PAUSE);
+    while !callers.iter().all(JoinHandle::is_finished) {
+        platform.update_engine_entries();
+        sleep(POLL_INTERVAL);
+    }
+    let late_copies = poison_arrivals(&platform) - before;
+    assert!(late_copies <= MAX_LATE_COPIES, "{late_copies} arrivals");
+}
+
 // A rack's failure makes suspects of the harmless requests that were under way at all its targets.
 #[test]
 fn a_harmless_suspect_is_held_back_during_its_trial_and_served_again() {
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod body_end;
+mod broken_run;
 mod completeness;
 mod fault;
 mod history;
--- a/wisteriapass_gateway/src/exchange/quarantine_check.rs
+++ b/wisteriapass_gateway/src/exchange/quarantine_check.rs
@@ -6,6 +6,7 @@
 use wisteriapass_coord::quarantine::{Fingerprint, Incarnation};
 
 use super::attempt::ProxiedRequest;
+use super::broken_run::BrokenRun;
 use super::history::AttemptHistory;
 use super::plan::host;
 use crate::prelude::*;
@@ -22,7 +23,7 @@
 pub type BreakCheck = JoinHandle<ProbeResult>;
 
 /// A request that was running at a target when its connection broke.
-struct ConnectionBreak {
+pub(super) struct ConnectionBreak {
     at_ms: u64,
     request: String,
     fingerprint: Fingerprint,
@@ -86,17 +87,13 @@
     /// target is gone.
     pub fn check_break(&self, key: TargetKey) -> BreakCheck {
         let connection_break = self.connection_break(key);
-        // Kept until a death is recorded: another copy would run before it counts.
         let trial = self.take_trial();
         let gw = self.gw.clone();
         spawn_local(async move {
             let found = gw.probes.find_state(&gw, key).await;
-            let is_gone = found == ProbeResult::Gone;
-            if let Some(connection_break) = connection_break.filter(|_| is_gone) {
-                connection_break.record_death(&gw);
-                if let Some(trial) = trial {
-                    trial.end_by_death();
-                }
+            let broken = BrokenRun::new(key, connection_break, trial);
+            if let Some(unsettled) = broken.settle(&gw, found) {
+                spawn_local(unsettled.watch(gw));
             }
             found
         })
@@ -134,7 +131,8 @@
 }
 
 impl ConnectionBreak {
-    fn record_death(&self, gw: &Gateway) {
+    /// Records that the target died.
+    pub(super) fn record_death(&self, gw: &Gateway) {
         let quarantine = &gw.quarantine;
         let verdict = quarantine.record_death(self.at_ms, self.fingerprint, self.incarnation);
         log::info!(
--- a/wisteriapass_gateway/src/quarantine/trial_guard.rs
+++ b/wisteriapass_gateway/src/quarantine/trial_guard.rs
@@ -47,9 +47,9 @@
         self.asked.len()
     }
 
-    /// Ends the trial because its target died, which has been recorded.
-    pub fn end_by_death(mut self) {
-        self.end = TrialEnd::TargetDied;
+    /// Ends the trial because its target died, which has been recorded, or does not respond.
+    pub fn end_by_loss(mut self) {
+        self.end = TrialEnd::TargetLost;
     }
 }
 
@@ -58,9 +58,9 @@
         if !self.is_refused {
             log::info!(
                 target: "quarantine",
-                "Trial over. fingerprint={} died={}",
+                "Trial over. fingerprint={} lost={}",
                 self.fingerprint,
-                self.end == TrialEnd::TargetDied
+                self.end == TrialEnd::TargetLost
             );
         }
         self.gw.trials.give_back(EndedTrial {
