Quarantine: a suspect whose connection broke at a living target is sent again

What callers saw, in a test: a stream of a harmless suspect that was cut behind its second event, though its route allows resumption, its target lives, and another one was free. The log says `Held back.` a millisecond behind `Sent again.`

Cause: the request gave its trial back when its connection broke, and asked for another one to be sent again. The end and the beginning travel to the relay on connections of their own. Where the beginning overtakes the end, the relay refuses the request in favor of itself.

A trial that is held while its target is probed goes back to its request if the target lives, so there is nothing to ask for. It ends if the request is over by then.

--- a/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine/bursts.rs
@@ -9,15 +9,16 @@
 
 use nix::sys::signal::Signal;
 use serde_json::Value;
-use wisteriapass_bench::standin::users_platform::{Behaviour, ReceivedRequest, SimulatedTarget};
+use wisteriapass_bench::standin::users_platform::{
+    Behaviour, BreakOff, ReceivedRequest, SimulatedTarget,
+};
 use wisteriapass_coord::quarantine::Fingerprint;
 use wisteriapass_policy::placement::hash_name;
 use wisteriapass_policy::rendezvous::rank;
 
 use super::{
-    ENGINES, MAX_LATE_COPIES, POISON, POLL_INTERVAL, RESTART_DELAY, crashes, crashing_platform,
-    is_poison, model_request, poison_arrivals, poisonous_request, routers, status,
-    wait_until_served,
+    ENGINES, MAX_LATE_COPIES, POLL_INTERVAL, RESTART_DELAY, crashes, crashing_platform, is_poison,
+    model_request, poison_arrivals, poisonous_request, routers, status, wait_until_served,
 };
 use crate::support::{Answer, Request, Router, TestPlatform, exchange, is_relay, wait_for};
 
@@ -55,6 +56,9 @@
 /// Pause between two copies of one caller.
 const REPEAT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Number of whole answers that earn the retries of a test.
+const EARNING_REQUESTS: usize = 12;
+
 /// Body of a harmless request.
 const POPULAR: &str = "popular";
 
@@ -83,7 +87,7 @@
 }
 
 /// Ends all targets at one moment with a request under way at each, which makes it a suspect.
-fn make_suspect(platform: &TestPlatform, routers: &[Router], body: &str) {
+fn make_suspect(platform: &TestPlatform, routers: &[Router], request: &Request) {
     for engine in &platform.engines {
         engine.set_crash_condition(crashes_on_nothing, RESTART_DELAY);
     }
@@ -91,10 +95,11 @@
     let mut callers = Vec::new();
     wait_for("the request at all targets", || {
         let n = callers.len();
-        let request = model_request(&format!("first-{n}")).with_body(body);
-        callers.push(send(&routers[n % routers.len()], request));
+        let copy = request.clone().with_id(&format!("first-{n}"));
+        callers.push(send(&routers[n % routers.len()], copy));
         sleep(POLL_INTERVAL);
-        platform.engines.iter().all(|engine| runs(engine, body))
+        let mut engines = platform.engines.iter();
+        engines.all(|engine| runs(engine, &request.body))
     });
     platform.engines.iter().for_each(SimulatedTarget::crash);
     for caller in callers {
@@ -106,17 +111,17 @@
 }
 
 /// Returns a platform and its routers, for which a request is a suspect.
-fn fleet_with_suspect(body: &str) -> (TestPlatform, [Router; 3]) {
+fn fleet_with_suspect(request: &Request) -> (TestPlatform, [Router; 3]) {
     let platform = crashing_platform();
     let routers = routers(&platform, NAMES);
     wait_until_served(&platform, &routers);
-    make_suspect(&platform, &routers, body);
+    make_suspect(&platform, &routers, request);
     (platform, routers)
 }
 
 /// As [`fleet_with_suspect`], with a suspect that crashes each target that runs it.
 fn fleet_with_poisonous_suspect() -> (TestPlatform, [Router; 3]) {
-    let (platform, routers) = fleet_with_suspect(POISON);
+    let (platform, routers) = fleet_with_suspect(&poisonous_request("poison"));
     for engine in &platform.engines {
         engine.set_crash_condition(is_poison, RESTART_DELAY);
     }
@@ -256,7 +261,7 @@
 // A rack's failure makes suspects of the harmless requests that were under way at all its targets.
 #[test]
 fn a_harmless_suspect_is_held_back_during_its_trial_and_served_again() {
-    let (platform, routers) = fleet_with_suspect(POPULAR);
+    let (platform, routers) = fleet_with_suspect(&popular_request("popular"));
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::SlowStream(SLOWDOWN));
     let trial = send(&routers[0], popular_request("trial"));
@@ -284,7 +289,7 @@
 // A caller that leaves in the middle of a trial must not hold back all others until its deadline.
 #[test]
 fn an_abandoned_trial_is_given_back() {
-    let (platform, routers) = fleet_with_suspect(POPULAR);
+    let (platform, routers) = fleet_with_suspect(&popular_request("popular"));
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::Stall(1));
     let mut caller = TcpStream::connect(("127.0.0.1", routers[0].port())).unwrap();
@@ -304,7 +309,7 @@
 // A target that never answers must not hold back all other copies.
 #[test]
 fn a_trial_that_times_out_is_given_back() {
-    let (platform, routers) = fleet_with_suspect(POPULAR);
+    let (platform, routers) = fleet_with_suspect(&popular_request("popular"));
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::Stall(0));
     let trial = popular_request("trial").with_remaining(TRIAL_MS);
@@ -319,10 +324,10 @@
     assert!(from.elapsed() < GIVE_BACK_LIMIT, "{:?}", from.elapsed());
 }
 
-/// Returns the routers in the order in which they are asked for a trial of the harmless request.
-fn in_granting_order(routers: [Router; 3]) -> Vec<Router> {
-    let body = POPULAR.as_bytes();
-    let fingerprint = Fingerprint::new("POST", "h.example", "/draft/x", Some("acme"), body);
+/// Returns the routers in the order in which they are asked for a trial of a request.
+fn in_granting_order(routers: [Router; 3], request: &Request) -> Vec<Router> {
+    let (path, body) = (&request.path, request.body.as_bytes());
+    let fingerprint = Fingerprint::new("POST", "h.example", path, Some("acme"), body);
     let mut ranked: Vec<(Router, &str)> = routers.into_iter().zip(NAMES).collect();
     ranked.sort_by_key(|(_, name)| Reverse(rank(fingerprint.short(), hash_name(name))));
     ranked.into_iter().map(|(router, _)| router).collect()
@@ -331,8 +336,8 @@
 // The relay that grants trials may have died a moment ago.
 #[test]
 fn the_next_relay_grants_trials_while_the_first_does_not_answer() {
-    let (platform, routers) = fleet_with_suspect(POPULAR);
-    let routers = in_granting_order(routers);
+    let (platform, routers) = fleet_with_suspect(&popular_request("popular"));
+    let routers = in_granting_order(routers, &popular_request("popular"));
     routers[0].signal(Signal::SIGSTOP);
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::SlowStream(SLOWDOWN));
@@ -346,12 +351,31 @@
     assert_eq!(status(trial.join().unwrap()), 200);
 }
 
+// The relay that grants trials may hear of the next trial before it hears of the end of the last one.
+#[test]
+fn a_trial_whose_connection_broke_at_a_living_target_is_resumed() {
+    let popular = Request::new("popular", "/ask/x").with_tokens(20, 10);
+    let popular = popular.with_body(POPULAR);
+    let (platform, routers) = fleet_with_suspect(&popular);
+    let routers = in_granting_order(routers, &popular);
+    for n in 0..EARNING_REQUESTS {
+        let other = popular.clone().with_id(&format!("earn-{n}"));
+        assert_eq!(status(routers[2].send(&other.with_body("other"))), 200);
+    }
+    let before = popular_arrivals(&platform);
+    set_behaviour(&platform, Behaviour::BreakOff(BreakOff::after(2)));
+    let trial = send(&routers[2], popular.with_id("trial"));
+    wait_for_arrival(&platform, before);
+    clear_behaviours(&platform);
+    assert_eq!(status(trial.join().unwrap()), 200);
+}
+
 // Relays that do not answer must not keep a harmless request from being served.
 #[test]
 fn a_router_that_reaches_no_relay_sends_one_copy_at_a_time() {
-    let (platform, routers) = fleet_with_suspect(POPULAR);
+    let (platform, routers) = fleet_with_suspect(&popular_request("popular"));
     assert!(NAMES.iter().all(|name| is_relay(&platform.store, name)));
-    let routers = in_granting_order(routers);
+    let routers = in_granting_order(routers, &popular_request("popular"));
     let (alone, others) = routers.split_last().unwrap();
     others.iter().for_each(|r| r.signal(Signal::SIGSTOP));
     let before = popular_arrivals(&platform);
@@ -379,7 +403,7 @@
     });
     let followers = ["f0", "f1"].map(start);
     wait_until_served(&platform, &followers);
-    make_suspect(&platform, &followers, POPULAR);
+    make_suspect(&platform, &followers, &popular_request("popular"));
     assert!(!is_relay(&platform.store, "f0") && !is_relay(&platform.store, "f1"));
     let before = popular_arrivals(&platform);
     set_behaviour(&platform, Behaviour::SlowStream(SLOWDOWN));
--- a/wisteriapass_daemon/tests/on_platform/support/request.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Sets the id.
+    pub fn with_id(mut self, id: &str) -> Self {
+        self.id = id.into();
+        self
+    }
+
     /// Makes it a model request with these token counts.
     pub fn with_tokens(mut self, prompt: u64, max_output: u64) -> Self {
         self.tokens = Some((prompt, max_output));
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -10,6 +10,7 @@
 use super::body_end::EndPoint;
 use super::completeness::Completeness;
 use super::fault::Fault;
+use super::held_trial::TrialSlot;
 use super::history::AttemptHistory;
 use super::plan::Plan;
 use super::quarantine_check::BreakCheck;
@@ -21,7 +22,6 @@
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
-use crate::quarantine::TrialGuard;
 use crate::reservation::Reservation;
 use crate::stream::StreamForwarder;
 use crate::target::TargetKey;
@@ -46,7 +46,7 @@
     /// Fingerprint for the quarantine, computed on first use.
     pub(super) fingerprint: OnceCell<Fingerprint>,
     /// The trial that permits to send it, if it needs one.
-    pub(super) trial: RefCell<Option<TrialGuard>>,
+    pub(super) trial: Rc<TrialSlot>,
 }
 
 impl ProxiedRequest {
@@ -63,7 +63,7 @@
             metadata,
             plan,
             fingerprint: OnceCell::new(),
-            trial: RefCell::default(),
+            trial: Rc::default(),
         }
     }
 
--- a/wisteriapass_gateway/src/exchange/broken_run.rs
+++ b/wisteriapass_gateway/src/exchange/broken_run.rs
@@ -2,9 +2,10 @@
 
 use tokio::time::sleep;
 
+use super::held_trial::HeldTrial;
 use super::quarantine_check::ConnectionBreak;
 use crate::prelude::*;
-use crate::quarantine::{ProbeResult, TrialGuard};
+use crate::quarantine::ProbeResult;
 use crate::rpc::deadline_in;
 use crate::target::TargetKey;
 
@@ -20,7 +21,7 @@
     target: TargetKey,
     /// The death to be recorded if the target is gone.
     connection_break: Option<ConnectionBreak>,
-    trial: Option<TrialGuard>,
+    trial: Option<HeldTrial>,
 }
 
 impl BrokenRun {
@@ -28,7 +29,7 @@
     pub fn new(
         target: TargetKey,
         connection_break: Option<ConnectionBreak>,
-        trial: Option<TrialGuard>,
+        trial: Option<HeldTrial>,
     ) -> Self {
         Self {
             target,
@@ -47,7 +48,10 @@
                 self.end_trial();
                 None
             }
-            ProbeResult::Alive => None,
+            ProbeResult::Alive => {
+                self.return_trial();
+                None
+            }
             ProbeResult::Saturated | ProbeResult::Unresponsive => {
                 self.trial.is_some().then_some(self)
             }
@@ -73,4 +77,10 @@
             trial.end_by_loss();
         }
     }
+
+    fn return_trial(self) {
+        if let Some(trial) = self.trial {
+            trial.return_to_request();
+        }
+    }
 }
--- a/wisteriapass_gateway/src/exchange/quarantine_check.rs
+++ b/wisteriapass_gateway/src/exchange/quarantine_check.rs
@@ -87,7 +87,7 @@
     /// target is gone.
     pub fn check_break(&self, key: TargetKey) -> BreakCheck {
         let connection_break = self.connection_break(key);
-        let trial = self.take_trial();
+        let trial = self.hold_trial();
         let gw = self.gw.clone();
         spawn_local(async move {
             let found = gw.probes.find_state(&gw, key).await;
--- a/wisteriapass_gateway/src/exchange/trial_check.rs
+++ b/wisteriapass_gateway/src/exchange/trial_check.rs
@@ -1,9 +1,9 @@
 //! Trials: a request of which one more death bans all copies is sent one copy at a time.
 
 use super::attempt::ProxiedRequest;
+use super::held_trial::HeldTrial;
 use super::history::AttemptHistory;
 use crate::prelude::*;
-use crate::quarantine::TrialGuard;
 use crate::relays::begin_trial;
 
 impl ProxiedRequest {
@@ -44,9 +44,9 @@
         verdict.needs_trial()
     }
 
-    /// Takes the trial from the request, so that it needs another one to be sent again.
-    pub(super) fn take_trial(&self) -> Option<TrialGuard> {
-        self.trial.take()
+    /// Takes the trial from the request until it is known whether its target died.
+    pub(super) fn hold_trial(&self) -> Option<HeldTrial> {
+        HeldTrial::take(&self.trial)
     }
 
     fn trial_refusal(&self, history: &AttemptHistory) -> Refusal {
