Streams: events that arrive together keep their order

What callers saw, in a test: events 2, 3, 4, 5 and then 1, in a complete answer. It takes a target whose first events arrive together; all of the stream in one chunk shows it each time.

Cause: a response starts when its first event has arrived, which is then put back to be sent. It was put behind the events that had come with it.

The first event is put back in front.

events_that_arrive_together_keep_their_order failed before: [2, 3, 4, 5, 1].

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -51,6 +51,8 @@
     WrongAttemptId,
     /// Runs the request and sends bytes that are not an HTTP answer.
     MalformedAnswer,
+    /// Runs the request and streams all events in one chunk.
+    AnswerAtOnce,
     /// Runs the request and streams its events this many times slower.
     SlowStream(u32),
     /// Queues the request until its deadline and then refuses it, without running it.
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -156,6 +156,12 @@
             sleep(STALL_DURATION);
             Err(connection_aborted())
         }
+        Behaviour::AnswerAtOnce => {
+            send_stream(out, request, 0, 1, Framing::Framed)?;
+            let events: String = (1..=EVENT_COUNT).map(event_text).collect();
+            Framing::Framed.send(out, &events)?;
+            out.write_all(b"0\r\n\r\n")
+        }
         Behaviour::SlowStream(slowdown) => {
             send_stream(out, request, u64::MAX, slowdown, Framing::Framed)?;
             out.write_all(b"0\r\n\r\n")
@@ -219,12 +225,15 @@
     )?;
     for event in received + 1..=EVENT_COUNT.min(last_event) {
         sleep(EVENT_INTERVAL * slowdown);
-        let text = format!("id: {event}\ndata: {event}\n\n");
-        framing.send(out, &text)?;
+        framing.send(out, &event_text(event))?;
     }
     Ok(())
 }
 
+fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
 /// Sends the part of an answer that precedes a crash: the head of a stream, or nothing of a whole
 /// answer.
 pub fn send_head(out: &mut TcpStream, request: &ReceivedRequest) -> io::Result<()> {
--- a/wisteriapass_daemon/tests/on_platform/answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/answers.rs
@@ -35,6 +35,19 @@
     assert!(left <= 6_000);
 }
 
+// The first event was put behind those that had arrived with it.
+#[test]
+fn events_that_arrive_together_keep_their_order() {
+    let platform = TestPlatform::new(10_000);
+    let router = Router::start("r", &platform.store);
+    for engine in &platform.engines {
+        engine.push_behaviours(&[Behaviour::AnswerAtOnce]);
+    }
+    let request = Request::new("a", "/draft/x").with_tokens(100, 10);
+    let answer = router.send(&request).unwrap();
+    assert_eq!(answer.events(), [1, 2, 3, 4, 5]);
+}
+
 #[test]
 fn unknown_keys_and_routes_are_refused() {
     let platform = TestPlatform::new(10_000);
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -111,7 +111,8 @@
             break_check: None,
         };
         match forwarder.next_chunk().await {
-            Ok(first) => forwarder.pending.extend(first),
+            Ok(Some(first)) => forwarder.pending.push_front(first),
+            Ok(None) => {}
             Err(error) => {
                 forwarder.log_broken(error);
                 return Err(error.refusal());
