Tests: a failed test on the platform prints its routers' logs, and what ran

A router's log is printed when its test fails, and a wrong number of runs comes with the ids that ran at each target. No check has changed.

--- a/wisteriapass_daemon/tests/on_platform/money.rs
+++ b/wisteriapass_daemon/tests/on_platform/money.rs
@@ -65,7 +65,21 @@
 /// Checks how many requests ran at the model targets.
 fn assert_run_count(platform: &TestPlatform, expected: RangeInclusive<u64>) {
     let ran = run_count(platform);
-    assert!(expected.contains(&ran), "{ran} ran, not {expected:?}");
+    let ids = run_ids(platform);
+    assert!(
+        expected.contains(&ran),
+        "{ran} ran, not {expected:?}: {ids:?}"
+    );
+}
+
+/// Returns the ids of the requests that ran at each model target, in order.
+fn run_ids(platform: &TestPlatform) -> Vec<Vec<String>> {
+    let ids = |target: &SimulatedTarget| {
+        let received = target.received_requests().into_iter();
+        let ran = received.filter(|r| r.ran);
+        ran.map(|r| r.header("x-attempt-id").to_owned()).collect()
+    };
+    platform.engines.iter().map(ids).collect()
 }
 
 #[test]
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::thread;
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -202,6 +203,10 @@
             child.kill().ok();
             child.wait().ok();
         }
+        if thread::panicking() {
+            let log = fs::read_to_string(self.log_path()).unwrap_or_default();
+            eprintln!("log of router {}, port {}:\n{log}", self.name, self.port());
+        }
         fs::remove_file(&self.settings).ok();
         fs::remove_file(self.log_path()).ok();
     }
