Shares: requests that come during a write are covered by the next one

Seen: a_stop_interrupts_no_stream timed out waiting for four streams. Of the requests of a failed play some were refused after 0 to 570 ms as share_short, in touch with the store and with 9,500 of 10,000 tokens granted to nobody.

Cause: a fresh router's share covers one of the four requests. What the share does not cover is noted for the next exchange, and the end of a write cleared all notes, also of requests that came after the write had been composed. It also compared them with what the write had left, took the exchange for one that does not help, and refused them and all others like them at once, for half a second, until the next idle exchange. The test sends its requests just when a write has reached the store and its answer has not reached the router.

Change: requests that a composed record contains are held apart from those that come later; the latter stay noted unless what is left covers them. The flag of insufficient exchanges is gone: an exchange covers all that it contains unless nothing is left unallocated, and that is checked already.

Tests: requests_that_come_during_a_write_are_covered_by_the_next, a_top_up_during_a_write_is_requested_by_the_next and a_request_that_an_exchange_did_not_cover_waits_for_no_other failed before. The last also fails if the check for unallocated tokens is left out.

--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -31,6 +31,7 @@
 mod share;
 mod share_config;
 mod stamp;
+mod unserved_requests;
 mod witness_id;
 mod witness_memory;
 mod witness_report;
--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -1,5 +1,6 @@
 //! One router's share of one account in memory, and how large the share should be.
 
+use crate::prepaid::unserved_requests::UnservedRequests;
 use crate::prepaid::{AccountStatus, DemandMeter, Share, ShareConfig, ShareRecord};
 
 /// Divisor of the target share that gives how far a share may exceed its target before part of it
@@ -39,14 +40,12 @@
     pub(super) used: u64,
     /// Reserved by requests in progress, in tokens.
     pub(super) reserved: u64,
-    /// Largest request since the last exchange that the share did not cover, in tokens.
-    pub(super) max_unserved: u64,
-    /// Sum of the requests since the last exchange that the share did not cover, in tokens.
-    pub(super) total_unserved: u64,
+    /// Requests that the share did not cover and that no composed record contains yet.
+    pub(super) unserved: UnservedRequests,
+    /// Requests that the share did not cover and that the composed record contains.
+    unserved_in_write: UnservedRequests,
     /// Spendable after the last exchange, in tokens.
     pub(super) spendable_after_exchange: u64,
-    /// Whether the last exchange left less than the largest request that was waiting.
-    pub(super) is_exchange_insufficient: bool,
     /// Total by the configuration in force, in tokens.
     pub(super) total: u64,
     /// Known to be granted to, and spent by, other routers, in tokens.
@@ -99,10 +98,15 @@
     pub(super) fn requested_limit(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let headroom =
             self.open_wish(now_ms, config) * WITNESS_HEADROOM_MS / config.open_demand_ms.max(1);
-        let limit = self.spent() + self.max_unserved.max(headroom);
+        let limit = self.spent() + self.all_unserved().largest.max(headroom);
         limit.min(self.share.granted)
     }
 
+    /// Returns all requests that the share did not cover since the last exchange.
+    fn all_unserved(&self) -> UnservedRequests {
+        self.unserved.and(self.unserved_in_write)
+    }
+
     /// Returns the unspent part of the loans, in tokens.
     pub(super) fn unspent_loans(&self) -> u64 {
         self.borrowed.saturating_sub(self.used + self.reserved)
@@ -121,12 +125,14 @@
         (demand * config.open_demand_ms as f64 + self.demand.recent_max(now_ms)) as u64
     }
 
-    /// Returns whether an exchange is due: a request waits for it, or the share runs low.
+    /// Returns whether an exchange is due: a request waits for it, or the share runs low. An exchange
+    /// covers all requests that it contains, unless nothing is left unallocated.
     pub(super) fn is_due(&self) -> bool {
         let is_low =
             LOW_WATER_DIVISOR * self.spendable(self.open_limit) < self.spendable_after_exchange;
         let has_unallocated = self.others_granted + self.share.granted < self.total;
-        has_unallocated && !self.is_exchange_insufficient && (self.max_unserved > 0 || is_low)
+        let is_waiting = self.all_unserved().largest > 0;
+        has_unallocated && (is_waiting || is_low)
     }
 
     /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
@@ -153,9 +159,11 @@
         self.others_used = used - share.used;
         self.others_lost = lost - share.lost;
         self.spendable_after_exchange = self.spendable(self.open_limit);
-        self.is_exchange_insufficient = self.spendable_after_exchange < self.max_unserved;
-        self.max_unserved = 0;
-        self.total_unserved = 0;
+        self.unserved_in_write = UnservedRequests::default();
+        // Requests that came during the write are not part of it.
+        if self.unserved.tokens() <= self.spendable_after_exchange {
+            self.unserved = UnservedRequests::default();
+        }
     }
 
     /// Returns the share without its unspent part.
@@ -194,7 +202,9 @@
         let unspent_target =
             ((share.wish as f64 * limits.wish_scale) as u64).max(limits.idle_share);
         let unspent_target = unspent_target.saturating_sub(self.unspent_loans());
-        let unserved = self.max_unserved.max(self.total_unserved);
+        self.unserved_in_write = self.all_unserved();
+        self.unserved = UnservedRequests::default();
+        let unserved = self.unserved_in_write.tokens();
         let target = spent + unserved + unspent_target;
         share.used = self.used();
         if target >= share.granted {
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -146,7 +146,6 @@
     /// Sets the total of an account. A smaller total does not reduce the share.
     pub fn set_total(&mut self, account: &str, total: u64) {
         let account_share = self.accounts.entry(account.to_owned()).or_default();
-        account_share.is_exchange_insufficient &= account_share.total == total;
         account_share.total = total;
     }
 
@@ -171,7 +170,7 @@
             account_share.demand.add(now_ms, max_cost);
             return Ok(());
         }
-        account_share.max_unserved = account_share.max_unserved.max(max_cost);
+        account_share.unserved.largest = account_share.unserved.largest.max(max_cost);
         if account_share.known_used() + max_cost > account_share.total {
             return Err(ShareShortfall::Exhausted);
         }
@@ -182,7 +181,7 @@
     /// requests enough for all requests that wait or were refused.
     pub fn note_unserved(&mut self, account: &str, max_cost: u64) {
         let account_share = self.accounts.entry(account.to_owned()).or_default();
-        account_share.total_unserved = account_share.total_unserved.saturating_add(max_cost);
+        account_share.unserved.note(max_cost);
     }
 
     /// Adds expected demand, for a lender that could not lend the whole amount.
