Tests: the first share covers the streams that a stop must not interrupt

a_stop_interrupts_no_stream needs four streams at once. Of a total of 10,000 a fresh router's first share has 122 tokens open, which is one request of 110, so the other three had to wait for an exchange. A router waits 250 ms for it, and refuses at once while a write of the store takes 0.1 s and more; beside a busy machine the simulated store's writes take that, and the streams never came. The test is about stops. That shares follow the demand is not what it guards, and requests during a write have tests of their own.

The total is 100,000 now, and 1,218 tokens of the first share are open (calculated). No request is repeated or forgiven: all four have to be at their targets, and all their events have to arrive behind the stop.

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -198,7 +198,8 @@
 
 #[test]
 fn a_stop_interrupts_no_stream() {
-    let platform = TestPlatform::new(10_000);
+    // The first share covers all four streams.
+    let platform = TestPlatform::new(100_000);
     let mut router = Router::start("r", &platform.store);
     for target in &platform.engines {
         target.push_behaviours(&[Behaviour::SlowStream(30); 4]);
