Logs: the software version of targets, and where a stream goes on

No log line told the hypotheses apart: entries were logged without a version, a resumption without its target, a stream that its caller resumes like a new one.

The adapter reads the version of a target's entry and the attempt that a caller names as the origin of its stream. 'Target added.' has the version, and 'Stream goes on.' names request, origin, last event, target and version: the same request id behind 'Sent again.' is the first hypothesis, another one the second; a target whose version is not that of its own events the third. No decision changes.

Routers pass the version on with targets' entries, so the path of the update call changes: a router of the version before would misread the entries.

--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod quarantine_check;
 mod reply;
+mod resumption;
 mod selection;
 mod trial_check;
 
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -101,6 +101,7 @@
             self.begin_trial(history).await?;
             let selected = self.select_target(history)?;
             let key = selected.key;
+            self.log_resumption(key, history, last_event);
             history.tried.push(key);
             history.last_send = Some(self.send_record(key));
             let outcome = self.send_to(selected, history, last_event).await;
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -46,9 +46,22 @@
     pub prefix: SmallVec<[PrefixPart; 4]>,
     /// Id of the last event that the client has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the client's attempt that brought the first event, if it resumes a stream.
+    pub resumes: Option<HeaderValue>,
 }
 
 impl RequestMetadata {
+    /// Returns whether the client resumes a stream that an earlier attempt began.
+    pub fn is_resumption(&self) -> bool {
+        self.resumes.is_some() || self.last_event.is_some()
+    }
+
+    /// Returns the id of the attempt that began the stream, for logs.
+    pub fn resumes_text(&self) -> &str {
+        let id = self.resumes.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Returns the id for logs.
     pub fn id_text(&self) -> &str {
         let id = self.id.as_ref();
--- a/wisteriapass_gateway/src/relays/messages.rs
+++ b/wisteriapass_gateway/src/relays/messages.rs
@@ -15,7 +15,7 @@
 use crate::target::TargetId;
 
 /// Path of a follower's update request.
-pub const UPDATE_PATH: &str = "/relay/news";
+pub const UPDATE_PATH: &str = "/relay/updates";
 
 /// A follower's update request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -54,6 +54,8 @@
     pub started_ms: Option<u64>,
     /// Time for which it stays cold, in milliseconds from when it stated so.
     pub cold_ms: u64,
+    /// Version of its software; empty if not stated.
+    pub version: String,
 }
 
 /// Whether a target may get new requests.
--- a/wisteriapass_gateway/src/targets.rs
+++ b/wisteriapass_gateway/src/targets.rs
@@ -142,8 +142,8 @@
         }
         log::info!(
             target: "targets",
-            "Target added. target={} service={} address={} leaving={}",
-            entry.id, entry.service, entry.address, entry.draining
+            "Target added. target={} service={} version={} address={} leaving={}",
+            entry.id, entry.service, entry.version, entry.address, entry.draining
         );
         let target = Target::new(entry.clone(), now);
         if self.is_complete {
--- a/wisteriapass_gateway/tests/change_log.rs
+++ b/wisteriapass_gateway/tests/change_log.rs
@@ -116,6 +116,7 @@
         draining: false,
         started_ms: Some(1),
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/wisteriapass_gateway/tests/evacuations.rs
+++ b/wisteriapass_gateway/tests/evacuations.rs
@@ -38,6 +38,7 @@
         draining: false,
         started_ms: None,
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/wisteriapass_gateway/tests/targets.rs
+++ b/wisteriapass_gateway/tests/targets.rs
@@ -17,6 +17,7 @@
         draining: false,
         started_ms: Some(1),
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
