Tests: streams that go on at another software version (red)

The stand-in's targets have a version, which their entries name and their events carry; a caller of the tests may leave a stream in the middle and name its origin in Resumes. The test begins streams at four targets of two versions, leaves some and kills the router of others, and takes them up at the same and at other routers. All have to go on, none with events of two versions.

--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -20,6 +20,9 @@
 /// Time from a crash to the restart, unless the test sets one.
 const DEFAULT_RESTART_DELAY: Duration = Duration::from_secs(1);
 
+/// Version of the software of a target that does not mark its events with one.
+const DEFAULT_VERSION: &str = "v1";
+
 /// Interval between attempts to listen again after a crash.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -86,6 +89,8 @@
     exit_delay: Duration,
     /// Headers of its answers by which the target states something about itself.
     statements: BTreeMap<&'static str, &'static str>,
+    /// Version of its software, if it marks its events with one.
+    version: Option<&'static str>,
     /// Number of restarts so far; the target has a different id after each.
     incarnation: u32,
     is_down: bool,
@@ -146,8 +151,9 @@
         state: &str,
         cold_ms: u64,
     ) -> String {
+        let version = self.shared.state.lock().version.unwrap_or(DEFAULT_VERSION);
         format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{domain}","version":"v1","slots":4,"state":"{state}","cold_remaining_ms":{cold_ms},"sequence":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{domain}","version":"{version}","slots":4,"state":"{state}","cold_remaining_ms":{cold_ms},"sequence":1}}"#,
             self.shared.addr
         )
     }
@@ -196,6 +202,11 @@
         self.shared.state.lock().is_saturated = is_saturated;
     }
 
+    /// Sets the version of the target's software, which its entry names and its events carry.
+    pub fn set_version(&self, version: &'static str) {
+        self.shared.state.lock().version = Some(version);
+    }
+
     /// Makes the target name a limit of requests per second in its answers, or no limit.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.shared.set_statement("Server-Limit", limit);
@@ -379,7 +390,11 @@
         let mut out = stream.try_clone()?;
         loop {
             let mut request = wire::read(&mut reader)?;
-            request.statements = self.state.lock().statements.clone();
+            {
+                let state = self.state.lock();
+                request.statements = state.statements.clone();
+                request.version = state.version;
+            }
             match self.decide(&request, incarnation)? {
                 Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
                 Decision::Crash(crash_break) => {
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -35,6 +35,8 @@
     pub arrived: Option<Instant>,
     /// Headers of the answer by which the target states something about itself.
     pub statements: BTreeMap<&'static str, &'static str>,
+    /// Version of the target's software, if its events carry one.
+    pub version: Option<&'static str>,
 }
 
 impl ReceivedRequest {
@@ -158,7 +160,9 @@
         }
         Behaviour::AnswerAtOnce => {
             send_stream(out, request, 0, 1, Framing::Framed)?;
-            let events: String = (1..=EVENT_COUNT).map(event_text).collect();
+            let events: String = (1..=EVENT_COUNT)
+                .map(|id| event_text(id, request.version))
+                .collect();
             Framing::Framed.send(out, &events)?;
             out.write_all(b"0\r\n\r\n")
         }
@@ -225,13 +229,14 @@
     )?;
     for event in received + 1..=EVENT_COUNT.min(last_event) {
         sleep(EVENT_INTERVAL * slowdown);
-        framing.send(out, &event_text(event))?;
+        framing.send(out, &event_text(event, request.version))?;
     }
     Ok(())
 }
 
-fn event_text(id: u64) -> String {
-    format!("id: {id}\ndata: {id}\n\n")
+fn event_text(id: u64, version: Option<&str>) -> String {
+    let version = version.map_or(String::new(), |version| format!(" {version}"));
+    format!("id: {id}\ndata: {id}{version}\n\n")
 }
 
 /// Sends the part of an answer that precedes a crash: the head of a stream, or nothing of a whole
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -16,3 +16,4 @@
 mod stops;
 mod support;
 mod unframed_answers;
+mod versions;
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -1,6 +1,7 @@
 //! Simulated platform, real router processes, and a client for their requests.
 
 pub mod breaks;
+mod open_stream;
 mod request;
 mod router;
 mod test_platform;
@@ -10,6 +11,7 @@
 
 use wisteriapass_bench::standin::users_platform::SimulatedTarget;
 
+pub use open_stream::{OpenStream, Piece, pieces};
 pub use request::{Answer, Received, Request, exchange, exchange_within, receive};
 pub use router::{Router, has_witness, is_relay, write_count};
 pub use test_platform::{TestPlatform, configuration};
--- a/wisteriapass_daemon/tests/on_platform/support/request.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/request.rs
@@ -115,6 +115,14 @@
 }
 
 impl Received {
+    /// Creates it from the bytes that arrived.
+    pub(super) fn new(bytes: Vec<u8>, ended_in_order: bool) -> Self {
+        Self {
+            bytes,
+            ended_in_order,
+        }
+    }
+
     /// Returns everything that arrived.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.bytes).into_owned()
@@ -170,10 +178,7 @@
     stream.write_all(request.as_bytes()).ok()?;
     let mut bytes = Vec::new();
     let ended_in_order = stream.read_to_end(&mut bytes).is_ok();
-    Some(Received {
-        bytes,
-        ended_in_order,
-    })
+    Some(Received::new(bytes, ended_in_order))
 }
 
 /// Returns the value of a header in a head in lower case.
--- a/wisteriapass_daemon/tests/on_platform/support/test_platform.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/test_platform.rs
@@ -48,12 +48,26 @@
 
     /// Creates a platform with this number of engines.
     pub fn with_engines(prepaid: u64, count: usize) -> Self {
-        let store = SimulatedStore::start().unwrap();
-        let start = |kind: &str, n: usize| SimulatedTarget::start(&format!("{kind}{n}")).unwrap();
+        let start = |n| SimulatedTarget::start(&format!("e{n}")).unwrap();
+        Self::with(prepaid, (1..=count).map(start).collect())
+    }
+
+    /// Creates a platform with one engine of each of these software versions.
+    pub fn with_versions(prepaid: u64, versions: &[&'static str]) -> Self {
+        let start = |(n, version): (usize, &&'static str)| {
+            let engine = SimulatedTarget::start(&format!("e{}", n + 1)).unwrap();
+            engine.set_version(version);
+            engine
+        };
+        Self::with(prepaid, versions.iter().enumerate().map(start).collect())
+    }
+
+    fn with(prepaid: u64, engines: Vec<SimulatedTarget>) -> Self {
+        let start = |n| SimulatedTarget::start(&format!("p{n}")).unwrap();
         let platform = Self {
-            store,
-            plain: (1..=2).map(|n| start("p", n)).collect(),
-            engines: (1..=count).map(|n| start("e", n)).collect(),
+            store: SimulatedStore::start().unwrap(),
+            plain: (1..=2).map(start).collect(),
+            engines,
             registered: Mutex::default(),
         };
         for target in &platform.plain {
