Streams: go on only at the software version that began them

Cause: all targets of a service counted as the same software. A router resumed a broken answer wherever the load was lowest, and a caller's resumption was sent like a new stream: nothing read the version of a target's entry nor the attempt that the caller names as the origin, and nothing remembered which version had begun a stream.

Change: a target is of a software, its service and version. 'Another version' is a reason of the one list why a target gets no request, at the selection and before each send. The first event of an answer binds it to its target's software. Each router remembers the streams that it began, and those that went on there, until their callers' deadlines; while several versions may have begun streams, it tells two other routers, of other failure domains first, 100 ms later at the most. A router that does not remember a stream asks all relays. Where nobody does, the stream goes on if all of them know of one and the same version; otherwise it is refused at once (unknown_version). One whose version has no open target is refused as no_same_version, to come back in a second. A router that has just started takes what served before from the other routers, or from a record in the store, which is written when a version appears or expires. An entry with another version is another instance of its target.

--- /dev/null
+++ b/wisteriapass_coord/src/origin/version_history.rs
@@ -0,0 +1,107 @@
+//! The software versions that may have begun a stream which can still be resumed.
+
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use super::version_record::VersionRecord;
+use super::{MAX_STREAM_MS, Software};
+
+/// Whether targets of a version serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// Some do.
+    Serving,
+    /// None has done so since then, in milliseconds.
+    GoneSince(u64),
+}
+
+/// The versions of the targets that a router knows, or knew of late.
+///
+/// A router that has just started does not know what served before. It learns that from a record that
+/// outlives all routers.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    versions: BTreeMap<Software, Presence>,
+    is_complete: bool,
+}
+
+impl VersionHistory {
+    /// Updates the versions from all targets that are known now, given by service and version.
+    /// Returns whether a version is new.
+    pub fn observe<'a>(
+        &mut self,
+        now: u64,
+        targets: impl Iterator<Item = (&'a str, &'a str)>,
+    ) -> bool {
+        let before = self.versions.len();
+        let mut serving: SmallVec<[(&str, &str); 16]> = SmallVec::new();
+        for target in targets {
+            if !serving.contains(&target) {
+                serving.push(target);
+            }
+        }
+        for (software, presence) in &mut self.versions {
+            let serves = serving.iter().any(|(s, v)| software.is(s, v));
+            match presence {
+                _ if serves => *presence = Presence::Serving,
+                Presence::Serving => *presence = Presence::GoneSince(now),
+                Presence::GoneSince(_) => {}
+            }
+        }
+        for (service, version) in serving {
+            let software = Software::new(service, version);
+            self.versions.insert(software, Presence::Serving);
+        }
+        self.versions.len() > before
+    }
+
+    /// Adds the versions of a record. The history is complete with it: the record has all versions
+    /// that served before this router started.
+    pub fn merge(&mut self, now: u64, record: &VersionRecord) {
+        for software in &record.versions {
+            let known = self.versions.entry(software.clone());
+            known.or_insert(Presence::GoneSince(now));
+        }
+        self.is_complete = true;
+    }
+
+    /// Forgets versions that are gone for so long that none of their streams can be resumed.
+    pub fn forget_expired(&mut self, now: u64) {
+        self.versions.retain(|_, presence| match presence {
+            Presence::Serving => true,
+            Presence::GoneSince(at) => now.saturating_sub(*at) < MAX_STREAM_MS,
+        });
+    }
+
+    /// Returns whether all versions are known that may have begun a stream which can still be
+    /// resumed.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the versions of a service that may have begun a stream.
+    pub fn of_service(&self, service: &str) -> SmallVec<[&Software; 4]> {
+        let all = self.versions.keys();
+        all.filter(|software| software.service == service).collect()
+    }
+
+    /// Returns whether more than one version of some service may have begun streams.
+    pub fn has_several_versions(&self) -> bool {
+        let services = self.versions.keys().map(|software| &software.service);
+        services.clone().zip(services.skip(1)).any(|(a, b)| a == b)
+    }
+
+    /// Returns the record that replaces a stored one: versions that serve are added, and versions that
+    /// this history has forgotten are removed.
+    pub fn updated_record(&self, stored: &VersionRecord) -> VersionRecord {
+        let is_remembered = |software: &&Software| self.versions.contains_key(software);
+        let remembered = stored.versions.iter().filter(is_remembered);
+        let all = self.versions.iter();
+        let serving = all.filter(|(_, presence)| **presence == Presence::Serving);
+        let serving = serving.map(|(software, _)| software);
+        VersionRecord {
+            versions: remembered.chain(serving).cloned().collect(),
+        }
+    }
+}
--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -257,6 +257,11 @@
 }
 
 impl KnownRelay {
+    /// Returns its failure domain.
+    pub fn domain(&self) -> DomainId {
+        self.domain
+    }
+
     /// Returns whether it was never asked.
     fn is_untried(&self) -> bool {
         self.status.is_none() && self.failed_ms.is_none()
--- a/wisteriapass_daemon/tests/on_platform/versions.rs
+++ b/wisteriapass_daemon/tests/on_platform/versions.rs
@@ -1,9 +1,9 @@
 //! Streams go on only at the software version that began them, and do go on where it serves.
 
 use nix::sys::signal::Signal;
-use wisteriapass_bench::standin::users_platform::Behaviour;
+use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
 
-use crate::support::{OpenStream, Piece, Request, Router, TestPlatform, pieces};
+use crate::support::{OpenStream, Piece, Request, Router, TestPlatform, pieces, wait_for};
 
 /// Prepaid total that suffices for all streams of a test.
 const PREPAID: u64 = 1_000_000;
@@ -111,6 +111,29 @@
     received.collect()
 }
 
+/// Begins a stream at a version, which its caller leaves.
+fn begin_at(router: &Router, version: &str) -> Part {
+    let mut n = 0;
+    loop {
+        n += 1;
+        let mut parts = leave(begin(router, &format!("{version}-{n}-"), 1));
+        if parts[0].version() == version {
+            return parts.remove(0);
+        }
+    }
+}
+
+/// Waits until a router knows that an engine is gone.
+fn remove(platform: &TestPlatform, engine: &SimulatedTarget, routers: &[&Router]) {
+    let key = engine.entry_key();
+    platform.store.remove(&key);
+    let id = key.rsplit('/').next().unwrap().to_owned();
+    wait_for("the end of the entry", || {
+        let gone = format!("Entry gone. target={id}");
+        routers.iter().all(|router| router.log().contains(&gone))
+    });
+}
+
 /// Takes all streams up at the routers in turn; asserts that none holds events of two versions, and
 /// returns the number of those that went on to their end.
 fn take_up_all(parts: &mut [Part], routers: &[&Router]) -> usize {
@@ -132,3 +155,172 @@
     let mut cut = begin_and_kill(&mut a, "cut", STREAMS);
     assert_eq!(take_up_all(&mut cut, &[&b, &c]), STREAMS);
 }
+
+/// Guards against a resumption within one answer that goes by load alone.
+#[test]
+fn a_broken_answer_goes_on_at_another_version() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v1", "v2", "v2"]);
+    for engine in platform.engines.iter().step_by(2) {
+        engine.push_behaviours(&[Behaviour::BreakAfter(2); SLOW_STREAMS]);
+    }
+    let router = Router::start("r", &platform.store);
+    for n in 0..STREAMS {
+        let id = format!("s{n}");
+        let answer = router.send(&stream(&id)).unwrap();
+        let pieces = pieces(answer.body.as_bytes());
+        let part = Part { id, pieces };
+        part.assert_one_version();
+        assert!(part.is_whole(), "{part:?}");
+    }
+}
+
+/// Guards against a resumption at another version where no target of the first one is left.
+#[test]
+fn a_broken_answer_without_another_target_of_its_version_goes_on() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    platform.engines[0].push_behaviours(&[Behaviour::BreakAfter(2); SLOW_STREAMS]);
+    let router = Router::start("r", &platform.store);
+    let mut n = 0;
+    wait_for("a stream that began at the first version", || {
+        n += 1;
+        let received = router.receive(&stream(&format!("s{n}")));
+        let id = format!("s{n}");
+        let pieces = pieces(received.text().as_bytes());
+        let part = Part { id, pieces };
+        part.assert_one_version();
+        part.version() == "v1" && received.answer().is_none()
+    });
+}
+
+#[test]
+fn streams_go_on_at_any_router_while_one_version_serves() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v1"]);
+    slow_down(&platform);
+    let [mut a, b] = ["a", "b"].map(|name| Router::start(name, &platform.store));
+    let mut left = leave(begin(&a, "left", STREAMS));
+    assert_eq!(take_up_all(&mut left, &[&a, &b]), STREAMS);
+    let mut cut = begin_and_kill(&mut a, "cut", STREAMS);
+    assert_eq!(take_up_all(&mut cut, &[&b]), STREAMS);
+}
+
+/// Guards against a stream whose version has left for good, and is sent to another one.
+#[test]
+fn a_stream_whose_version_is_gone_goes_on() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    slow_down(&platform);
+    let [a, b] = ["a", "b"].map(|name| Router::start(name, &platform.store));
+    let part = begin_at(&a, "v1");
+    remove(&platform, &platform.engines[0], &[&a, &b]);
+    for router in [&a, &b] {
+        let answer = router.send(&part.next_request("next")).unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.body.contains("no_same_version"), "{}", answer.body);
+        assert!(answer.head.contains("retry-after"), "{}", answer.head);
+    }
+}
+
+/// Guards against a stream whose version only rests, and is sent to another one.
+#[test]
+fn a_stream_whose_version_rests_goes_on_at_another() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    slow_down(&platform);
+    let router = Router::start("r", &platform.store);
+    let mut part = begin_at(&router, "v1");
+    let engine = &platform.engines[0];
+    engine.replace_behaviours(&[Behaviour::Shed]);
+    engine.set_retry_after(Some("2"));
+    part.take_up(&router);
+    let answer = router.send(&part.next_request("resting")).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("resting"), "{}", answer.body);
+    engine.set_retry_after(None);
+    wait_for("the end of the rest", || {
+        let answer = router.send(&part.next_request("rested"));
+        answer.is_some_and(|answer| answer.status == 200)
+    });
+}
+
+/// Guards against routers that forget which version began a stream that was taken up before.
+#[test]
+fn a_stream_that_is_taken_up_twice_goes_on_at_another_version() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v1", "v2", "v2"]);
+    slow_down(&platform);
+    let [mut a, mut b, c] = ["a", "b", "c"].map(|name| Router::start(name, &platform.store));
+    let mut parts = begin_and_kill(&mut a, "cut", STREAMS);
+    let mut open: Vec<OpenStream> = parts
+        .iter()
+        .map(|part| OpenStream::begin(&b, &part.next_request(&format!("{}-again", part.id))))
+        .collect();
+    for stream in &mut open {
+        stream.receive_events(1);
+    }
+    b.signal(Signal::SIGKILL);
+    b.wait();
+    for (part, stream) in parts.iter_mut().zip(open) {
+        let received = stream.receive_rest();
+        part.pieces.extend(pieces(received.text().as_bytes()));
+        part.assert_one_version();
+    }
+    assert_eq!(take_up_all(&mut parts, &[&c]), STREAMS);
+}
+
+/// Guards against a guess where no router knows which version began a stream.
+#[test]
+fn a_stream_that_nobody_remembers_goes_on_at_another_version() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    slow_down(&platform);
+    let [mut a, mut b] = ["a", "b"].map(|name| Router::start(name, &platform.store));
+    let parts = begin_and_kill(&mut a, "cut", STREAMS);
+    b.kill_and_restart();
+    for part in &parts {
+        let answer = b.send(&part.next_request("next")).unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.body.contains("unknown_version"), "{}", answer.body);
+    }
+}
+
+/// Guards against routers that take the only version they know for the only one that served.
+#[test]
+fn a_version_that_ended_while_no_router_ran_is_forgotten() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    slow_down(&platform);
+    let mut router = Router::start("r", &platform.store);
+    let parts = begin_and_kill(&mut router, "cut", STREAMS);
+    platform.store.remove(&platform.engines[0].entry_key());
+    router.spawn();
+    router.wait_until_ready();
+    for part in &parts {
+        let answer = router.send(&part.next_request("next")).unwrap();
+        assert_eq!(answer.status, 503, "{}", answer.body);
+    }
+}
+
+#[test]
+fn streams_of_the_only_version_go_on_after_all_routers_died() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v1"]);
+    slow_down(&platform);
+    let mut router = Router::start("r", &platform.store);
+    let mut parts = begin_and_kill(&mut router, "cut", STREAMS);
+    router.spawn();
+    router.wait_until_ready();
+    assert_eq!(take_up_all(&mut parts, &[&router]), STREAMS);
+}
+
+/// Guards against a stream that is resumed without its origin where two versions may have begun it.
+#[test]
+fn a_stream_without_a_named_origin_goes_on_at_another_version() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    let router = Router::start("r", &platform.store);
+    let request = stream("r").with_headers(&["Last-Event-Id: 2"]);
+    let answer = router.send(&request).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("unknown_version"), "{}", answer.body);
+}
+
+#[test]
+fn a_stream_without_a_named_origin_goes_on_while_one_version_serves() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v1"]);
+    let router = Router::start("r", &platform.store);
+    let request = stream("r").with_headers(&["Last-Event-Id: 2"]);
+    assert_eq!(router.send(&request).unwrap().events(), [3, 4, 5]);
+}
--- a/wisteriapass_gateway/src/catalogue.rs
+++ b/wisteriapass_gateway/src/catalogue.rs
@@ -157,6 +157,12 @@
         self.services.get(name).cloned().unwrap_or_default()
     }
 
+    /// Returns whether the streams of some route are distributed to several services.
+    pub fn has_split_streams(&self) -> bool {
+        let mut routes = self.routes.values().flatten();
+        routes.any(|r| r.kind.is_stream() && r.services.len() > 1)
+    }
+
     /// Returns the number of routes.
     pub fn routes_len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -77,12 +77,13 @@
     plan: &Plan,
 ) -> Result<Response<ResponseBody>, Refusal> {
     plan.check_targets(gw)?;
-    if !plan.ends_in_time_somewhere(gw, metadata, &[]) {
+    if !plan.ends_in_time_somewhere(gw, metadata, &[], None) {
         return Err(Refusal::Stopping);
     }
     let is_collected = reply::is_collected(parts.version);
     let body = gw.run_unless_aborted(read_body(body, plan)).await;
     let body = body.ok_or(Refusal::Stopping)??;
+    let plan = &resumption::plan_resumption(gw, metadata, plan).await?;
     let request = ProxiedRequest::new(
         gw.clone(),
         outgoing_request(parts, body),
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -72,7 +72,7 @@
         self,
         mut reservation: Option<Reservation>,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let mut history = AttemptHistory::default();
+        let mut history = AttemptHistory::new(self.plan.origin.clone());
         loop {
             let answer = self.next_answer(&mut history, None).await?;
             if answer.metadata.is_event_stream && answer.status.is_success() {
@@ -149,7 +149,7 @@
         let may_send = || {
             self.ban_remaining_ms().is_none()
                 && !self.needs_trial()
-                && self.gw.may_send(selected.key, self.plan.cold_start)
+                && self.gw.may_send(selected.key, self.requirements(history))
         };
         let sending = send_request(
             &self.gw,
--- a/wisteriapass_gateway/src/exchange/history.rs
+++ b/wisteriapass_gateway/src/exchange/history.rs
@@ -1,6 +1,7 @@
 //! Attempts that were made for a request.
 
 use smallvec::SmallVec;
+use wisteriapass_coord::origin::Software;
 
 use crate::prelude::*;
 use crate::target::TargetKey;
@@ -22,12 +23,23 @@
     pub tried: SmallVec<[TargetKey; 4]>,
     /// Number of targets that the request was sent to.
     pub sent: u32,
+    /// Software that wrote the events which the client has, if any.
+    pub origin: Option<Software>,
     pub(super) unsent_count: usize,
     pub(super) last_send: Option<SendRecord>,
     pub(super) may_have_run: bool,
 }
 
 impl AttemptHistory {
+    /// Creates the history of a request that was not sent; `origin` is the software that began the
+    /// stream which the client resumes.
+    pub fn new(origin: Option<Software>) -> Self {
+        Self {
+            origin,
+            ..Self::default()
+        }
+    }
+
     /// Returns the refusal for a request whose deadline passed.
     pub fn deadline_refusal(&self) -> Refusal {
         if self.may_have_run {
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -3,6 +3,7 @@
 use hyper::Uri;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
+use wisteriapass_coord::origin::Software;
 
 use crate::catalogue::{Account, Catalogue, ColdStart, Limits};
 use crate::prelude::*;
@@ -34,6 +35,8 @@
     pub tokens_per_event: u64,
     /// Load limit of the service's cold targets.
     pub cold_start: Option<ColdStart>,
+    /// Software that began the stream, if the client resumes one.
+    pub origin: Option<Software>,
 }
 
 impl Plan {
@@ -61,14 +64,13 @@
             .remaining_ms
             .unwrap_or(route.timeout_ms)
             .min(route.timeout_ms);
-        let service_config = catalogue.service(&service);
         let account_priority = account.as_ref().and_then(|a| a.priority);
         let body_timeout = Duration::from_millis(catalogue.limits.header_ms) * BODY_TIMEOUT_FACTOR;
-        Ok(Self {
+        let plan = Self {
             priority: account_priority.unwrap_or(route.priority),
-            // Services that do not state it are taken to send one token per event.
-            tokens_per_event: service_config.tokens_per_event.unwrap_or(1),
-            cold_start: service_config.cold_start,
+            tokens_per_event: 1,
+            cold_start: None,
+            origin: None,
             limits: catalogue.limits,
             arrived,
             // The queueing delay counts: the client's own timeout has been running since before the
@@ -77,9 +79,20 @@
                 + Duration::from_millis(timeout_ms).saturating_sub(gw.queueing_delay()),
             body_by: arrived + body_timeout,
             account,
-            service,
+            service: String::new(),
             route,
-        })
+        };
+        Ok(plan.with_service(&catalogue, &service))
+    }
+
+    /// Directs the request to a service.
+    pub fn with_service(mut self, catalogue: &Catalogue, name: &str) -> Self {
+        let service = catalogue.service(name);
+        // Services that do not state it are taken to send one token per event.
+        self.tokens_per_event = service.tokens_per_event.unwrap_or(1);
+        self.cold_start = service.cold_start;
+        self.service = name.to_owned();
+        self
     }
 
     /// Returns the account's name.
@@ -110,6 +123,21 @@
         is_allowed.then_some(()).ok_or(Refusal::NoRegion)
     }
 
+    /// Refuses a request that resumes a stream if no target of the software that began it may get
+    /// requests.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoSameVersion`].
+    pub fn check_origin(&self, gw: &Gateway) -> Result<(), Refusal> {
+        let targets = gw.targets.borrow();
+        let available = targets.available(&self.service, Instant::now());
+        let origin = self.origin.as_ref();
+        let serves = |t: &Target| origin.is_none_or(|o| t.runs(o)) && self.allows(gw, t);
+        let is_served = available.iter().any(|(_, t)| serves(t));
+        is_served.then_some(()).ok_or(Refusal::NoSameVersion)
+    }
+
     /// Returns the time that a target has for the request, in milliseconds.
     pub fn remaining_ms(&self, gw: &Gateway) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -132,13 +160,15 @@
         drain.accepts_work(gw.time(), expected_ms)
     }
 
-    /// Returns whether [`Self::ends_in_time`] holds for any target that was not tried. Also `true`
+    /// Returns whether [`Self::ends_in_time`] holds for any target that was not tried and runs the
+    /// software that began the stream, if the client resumes one. Also `true`
     /// if there is no such target, as the request then does not fail because of the shutdown.
     pub fn ends_in_time_somewhere(
         &self,
         gw: &Gateway,
         metadata: &RequestMetadata,
         tried: &[TargetKey],
+        origin: Option<&Software>,
     ) -> bool {
         if !gw.is_stopping() {
             return true;
@@ -146,6 +176,7 @@
         let targets = gw.targets.borrow();
         let mut available = targets.available(&self.service, Instant::now());
         available.retain(|(key, t)| !tried.contains(key) && self.allows(gw, t));
+        available.retain(|(_, t)| origin.is_none_or(|origin| t.runs(origin)));
         let mut ends = available
             .iter()
             .map(|(_, t)| self.ends_in_time(gw, metadata, t));
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -6,7 +6,7 @@
 
 use super::attempt::ProxiedRequest;
 use super::history::{AttemptHistory, SendRecord};
-use crate::gateway::Exclusion;
+use crate::gateway::{Exclusion, Requirements};
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
 
@@ -34,8 +34,8 @@
         available.retain(|(key, t)| !history.tried.contains(key) && self.plan.allows(&self.gw, t));
         let mut exclusions: SmallVec<[Exclusion; 32]> = SmallVec::new();
         available.retain(|(_, target)| {
-            let cold_start = self.plan.cold_start;
-            let exclusion = self.gw.exclusion(&targets, target, cold_start, now);
+            let requirements = self.requirements(history);
+            let exclusion = self.gw.exclusion(&targets, target, requirements, now);
             exclusions.extend(exclusion);
             exclusion.is_none()
         });
@@ -80,6 +80,14 @@
         })
     }
 
+    /// Returns what the request requires of its target.
+    pub(super) fn requirements<'a>(&self, history: &'a AttemptHistory) -> Requirements<'a> {
+        Requirements {
+            cold: self.plan.cold_start,
+            origin: history.origin.as_ref(),
+        }
+    }
+
     /// Logs a request that is accepted while this router is stopping.
     fn log_late_request(&self, target: Option<&Target>) {
         let now = self.gw.time();
@@ -117,8 +125,9 @@
     /// tried.
     pub(super) fn ends_in_time_elsewhere(&self, history: &AttemptHistory) -> bool {
         let (gw, metadata) = (&self.gw, &self.metadata);
+        let origin = history.origin.as_ref();
         self.plan
-            .ends_in_time_somewhere(gw, metadata, &history.tried)
+            .ends_in_time_somewhere(gw, metadata, &history.tried, origin)
     }
 
     /// Returns the priority of the request. A request that was accepted while stopping has the
@@ -138,6 +147,7 @@
     fn exclusion_refusal(&self, history: &AttemptHistory, exclusions: &[Exclusion]) -> Refusal {
         match exclusions.iter().max() {
             None | Some(Exclusion::Closed) => self.no_target_refusal(history),
+            Some(Exclusion::OtherVersion) => history.refuse_unless_run(Refusal::NoSameVersion),
             Some(Exclusion::Resting(_)) => history.refuse_unless_run(resting_refusal(exclusions)),
             Some(Exclusion::Cold) => history.refuse_unless_run(Refusal::Cold),
             Some(Exclusion::Limited) => history.refuse_unless_run(Refusal::Limited),
@@ -160,7 +170,7 @@
 fn resting_refusal(exclusions: &[Exclusion]) -> Refusal {
     let ends = exclusions.iter().filter_map(|exclusion| match exclusion {
         Exclusion::Resting(until) => Some(*until),
-        Exclusion::Closed | Exclusion::Cold | Exclusion::Limited => None,
+        Exclusion::Closed | Exclusion::OtherVersion | Exclusion::Cold | Exclusion::Limited => None,
     });
     let first_end = ends.min().unwrap_or_else(Instant::now);
     let first_back = first_end.saturating_duration_since(Instant::now());
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -14,8 +14,9 @@
 use crate::catalogue::{Catalogue, CatalogueChange};
 use crate::change_log::{ConfigurationLog, Cursor, TargetLog};
 use crate::evacuations::Evacuations;
-use crate::ledger::TokenLedger;
+use crate::ledger::{Role, TokenLedger};
 use crate::metrics::Metrics;
+use crate::origins::SharedOrigins;
 use crate::platform::{Platform, RevisedChange, Topic};
 use crate::prelude::*;
 use crate::quarantine::{Probes, SharedQuarantine, SharedTrials};
@@ -26,7 +27,7 @@
 use crate::target::{Target, TargetKey};
 use crate::targets::Targets;
 
-pub(crate) use exclusion::Exclusion;
+pub(crate) use exclusion::{Exclusion, Requirements};
 
 /// Phases of a shutdown: which client connections close once they are idle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,6 +51,10 @@
     Stopping,
 }
 
+/// Age of the store's last answer up to which the list of targets is recent, in milliseconds: a relay
+/// gets one each second.
+const MAX_STALENESS_MS: u64 = 1_300;
+
 /// A router.
 pub struct Gateway {
     /// Settings of this process.
@@ -67,6 +72,8 @@
     pub(crate) quarantine: SharedQuarantine,
     /// Trials of suspects.
     pub(crate) trials: SharedTrials,
+    /// Software versions that began streams.
+    pub(crate) origins: SharedOrigins,
     /// Shutdown schedule, once this router was told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When the last client connection was accepted.
@@ -84,6 +91,8 @@
     catalogue: RefCell<Option<Rc<Catalogue>>>,
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     targets_known: Cell<bool>,
+    /// Whether the streams of some route are distributed to several services.
+    has_split_streams: Cell<bool>,
 }
 
 impl Gateway {
@@ -104,6 +113,7 @@
             probes: Probes::default(),
             quarantine: SharedQuarantine::new(clock),
             trials: SharedTrials::new(clock),
+            origins: SharedOrigins::new(clock),
             drain: Cell::new(None),
             last_accepted_at: Cell::default(),
             latencies: RefCell::default(),
@@ -114,6 +124,7 @@
             catalogue: RefCell::default(),
             retry_budgets: RefCell::default(),
             targets_known: Cell::new(false),
+            has_split_streams: Cell::new(false),
         }
     }
 
@@ -135,6 +146,7 @@
             next.routes_len()
         );
         self.ledger.set_totals(&next);
+        self.has_split_streams.set(next.has_split_streams());
         self.configuration_log.borrow_mut().push(next.clone());
         *self.catalogue.borrow_mut() = Some(next);
     }
@@ -179,6 +191,22 @@
             }
         }
         targets.sweep(now);
+        self.origins.observe_targets(&targets);
+    }
+
+    /// Returns whether this router's list of targets is recent.
+    pub(crate) fn has_recent_targets(&self) -> bool {
+        match self.ledger.role() {
+            Role::Follower => self.ledger.roster.borrow().is_fresh(self.clock.now_ms()),
+            Role::Relay | Role::Retiring => {
+                self.store_liveness.staleness_ms(Instant::now()) < MAX_STALENESS_MS
+            }
+        }
+    }
+
+    /// Returns whether streams of one route may have been begun by different software.
+    pub(crate) fn has_several_origins(&self) -> bool {
+        self.has_split_streams.get() || self.origins.has_several_versions()
     }
 
     /// Replaces the set of evacuated failure domains, unless the known one is later.
--- a/wisteriapass_gateway/src/gateway/exclusion.rs
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -1,5 +1,6 @@
 //! The list of reasons for which a target gets no request now.
 
+use wisteriapass_coord::origin::Software;
 use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
 use wisteriapass_policy::placement::hash_name;
 use wisteriapass_policy::target_limit::Sender;
@@ -15,6 +16,8 @@
     /// It leaves, by its own statement or its entry, or its entry does not permit requests, or its
     /// failure domain is evacuated.
     Closed,
+    /// It runs other software than the target that began the stream.
+    OtherVersion,
     /// It asked for no requests until then.
     Resting(Instant),
     /// It is cold and gets no more requests from this router for now.
@@ -23,13 +26,22 @@
     Limited,
 }
 
+/// What a request requires of its target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Requirements<'a> {
+    /// Load limit of the service's cold targets.
+    pub cold: Option<ColdStart>,
+    /// Software that began the stream, if the request resumes one.
+    pub origin: Option<&'a Software>,
+}
+
 impl Gateway {
     /// Returns whether a request may be sent to a target now.
-    pub(crate) fn may_send(&self, key: TargetKey, cold: Option<ColdStart>) -> bool {
+    pub(crate) fn may_send(&self, key: TargetKey, requirements: Requirements<'_>) -> bool {
         let targets = self.targets.borrow();
         let target = targets.get(key);
         let now = Instant::now();
-        target.is_some_and(|t| self.exclusion(&targets, t, cold, now).is_none())
+        target.is_some_and(|t| self.exclusion(&targets, t, requirements, now).is_none())
     }
 
     /// Returns why a target gets no request now, if so. Both the selection of a target and the check
@@ -38,17 +50,23 @@
         &self,
         targets: &Targets,
         target: &Target,
-        cold: Option<ColdStart>,
+        requirements: Requirements<'_>,
         now: Instant,
     ) -> Option<Exclusion> {
         if !targets.accepts_requests(target, now) {
             return Some(Exclusion::Closed);
         }
+        if requirements
+            .origin
+            .is_some_and(|origin| !target.runs(origin))
+        {
+            return Some(Exclusion::OtherVersion);
+        }
         let resting_until = target.resting_until();
         if now < resting_until {
             return Some(Exclusion::Resting(resting_until));
         }
-        if !self.within_cold_limit(target, cold, now) {
+        if !self.within_cold_limit(target, requirements.cold, now) {
             return Some(Exclusion::Cold);
         }
         if !self.within_named_limit(target) {
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod listener;
 mod metadata;
 mod metrics;
+mod origins;
 mod platform;
 mod pool;
 mod prelude;
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -22,6 +22,9 @@
 /// Label for the type of call.
 const CALL: &str = "call";
 
+/// Label for the source of the origin of a stream.
+const SOURCE: &str = "source";
+
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
@@ -58,6 +61,23 @@
     Resumed,
 }
 
+/// From where it is known at which software version a resumed stream goes on.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum OriginSource {
+    /// This router remembers the stream.
+    #[display("own")]
+    Own,
+    /// Another router remembers it.
+    #[display("peer")]
+    Peer,
+    /// A single version may have begun it.
+    #[display("only_version")]
+    OnlyVersion,
+    /// It is not known.
+    #[display("unknown")]
+    Unknown,
+}
+
 /// A call to the key-value store.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum StoreCall {
@@ -76,6 +96,12 @@
     /// Writes a record of shares.
     #[display("write_shares")]
     WriteShares,
+    /// Reads the record of software versions.
+    #[display("read_versions")]
+    ReadVersions,
+    /// Writes the record of software versions.
+    #[display("write_versions")]
+    WriteVersions,
 }
 
 /// Outcome of a call to the key-value store.
@@ -122,6 +148,7 @@
     retries: Counter<u64>,
     broken_streams: Counter<u64>,
     unproven_ends: Counter<u64>,
+    resumed_streams: Counter<u64>,
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
     store_calls: Counter<u64>,
@@ -151,6 +178,7 @@
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken_streams: meter.u64_counter("wisteriapass_broken_streams").build(),
             unproven_ends: meter.u64_counter("wisteriapass_unproven_ends").build(),
+            resumed_streams: meter.u64_counter("wisteriapass_resumed_streams").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
@@ -201,6 +229,12 @@
         self.unproven_ends.add(1, &[outcome]);
     }
 
+    /// Counts a stream that its client resumes, by the source of its origin.
+    pub fn count_resumed_stream(&self, source: OriginSource) {
+        let source = KeyValue::new(SOURCE, source.to_string());
+        self.resumed_streams.add(1, &[source]);
+    }
+
     /// Counts a target that ended with requests running.
     pub fn count_target_death(&self) {
         self.target_deaths.add(1, &[]);
--- /dev/null
+++ b/wisteriapass_gateway/src/origins.rs
@@ -0,0 +1,172 @@
+//! What this router knows of the software versions that began streams.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use tokio::sync::{Notify, watch};
+use wisteriapass_coord::origin::{
+    Knowledge, OriginReport, OriginTable, Software, StreamId, VersionHistory, VersionRecord,
+};
+
+use crate::prelude::*;
+use crate::targets::Targets;
+
+/// Maximum number of routers whose state is tracked: more than there are relays at any time.
+const MAX_PEERS: usize = 256;
+
+/// A question of another router.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// The stream.
+    pub stream: StreamId,
+    /// Services that may have begun it.
+    pub services: SmallVec<[String; 2]>,
+}
+
+/// Answer to a report.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// Id of the receiver's process; differs for each start.
+    pub process: u64,
+}
+
+/// How far a peer knows the streams of this router.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    /// Id of its process; 0 if it has not answered yet.
+    process: u64,
+    /// Sequence number up to which it knows the streams.
+    acknowledged: u64,
+}
+
+/// What this router knows of the origins of streams, and how far its peers know its own streams.
+#[derive(Debug)]
+pub struct SharedOrigins {
+    clock: Clock,
+    process: u64,
+    table: RefCell<OriginTable>,
+    history: RefCell<VersionHistory>,
+    peers: RefCell<HashMap<SocketAddr, Peer>>,
+    /// Whether the history is complete.
+    is_complete: watch::Sender<bool>,
+    /// Wakes the task that reports streams to other routers.
+    pub has_streams: Notify,
+    /// Wakes the task that stores the versions.
+    pub has_versions: Notify,
+}
+
+impl SharedOrigins {
+    /// Creates an empty state.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            process: rand::random::<u64>().max(1),
+            table: RefCell::default(),
+            history: RefCell::default(),
+            peers: RefCell::default(),
+            is_complete: watch::Sender::new(false),
+            has_streams: Notify::new(),
+            has_versions: Notify::new(),
+        }
+    }
+
+    /// Records the versions of all known targets.
+    pub fn observe_targets(&self, targets: &Targets) {
+        let serving = targets.iter().map(|t| {
+            let entry = &t.entry;
+            (entry.service.as_str(), entry.version.as_str())
+        });
+        let now_ms = self.clock.now_ms();
+        if self.history.borrow_mut().observe(now_ms, serving) {
+            self.has_versions.notify_one();
+            // Streams of before may be asked for from now on.
+            self.has_streams.notify_one();
+        }
+    }
+
+    /// Records the software that began a stream, which its client may resume until a deadline.
+    pub fn record(&self, stream: StreamId, software: &Software, deadline: Instant) {
+        let now_ms = self.clock.now_ms();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let deadline_ms = now_ms + left.as_millis() as u64;
+        let mut table = self.table.borrow_mut();
+        table.record(now_ms, stream, software, deadline_ms);
+        self.has_streams.notify_one();
+    }
+
+    /// Returns what this router knows of a stream of one of these services.
+    pub fn knowledge<'a>(
+        &self,
+        stream: Option<&StreamId>,
+        services: impl Iterator<Item = &'a str>,
+    ) -> Knowledge {
+        let now_ms = self.clock.now_ms();
+        let history = self.history.borrow();
+        let table = self.table.borrow();
+        let possible = services.flat_map(|service| history.of_service(service));
+        Knowledge {
+            origin: stream.and_then(|id| table.get(now_ms, id)).cloned(),
+            possible: possible.cloned().collect(),
+            is_complete: history.is_complete(),
+            is_fresh: false,
+        }
+    }
+
+    /// Returns whether more than one version of some service may have begun streams.
+    pub fn has_several_versions(&self) -> bool {
+        self.history.borrow().has_several_versions()
+    }
+
+    /// Returns the report of the streams that a peer does not know; `None` if it knows all.
+    pub fn report_for(&self, at: SocketAddr) -> Option<OriginReport> {
+        let acknowledged = self.peers.borrow().get(&at).map_or(0, |p| p.acknowledged);
+        let table = self.table.borrow();
+        (acknowledged < table.seq()).then(|| table.report_since(self.clock.now_ms(), acknowledged))
+    }
+
+    /// Records a peer's answer to a report. A process that has just started at its address knows none of
+    /// the streams that were reported before.
+    pub fn apply_answer(&self, at: SocketAddr, report: &OriginReport, answer: ReportAnswer) {
+        let mut peers = self.peers.borrow_mut();
+        if peers.len() >= MAX_PEERS {
+            peers.clear();
+        }
+        let peer = peers.entry(at).or_default();
+        let has_restarted = peer.process != 0 && peer.process != answer.process;
+        *peer = Peer {
+            process: answer.process,
+            acknowledged: if has_restarted { 0 } else { report.seq },
+        };
+    }
+
+    /// Handles a peer's report.
+    pub fn handle_report(&self, report: &OriginReport) -> ReportAnswer {
+        self.table.borrow_mut().merge(self.clock.now_ms(), report);
+        ReportAnswer {
+            process: self.process,
+        }
+    }
+
+    /// Takes over the stored versions, with which the history is complete.
+    pub fn merge_record(&self, record: &VersionRecord) {
+        let now_ms = self.clock.now_ms();
+        self.history.borrow_mut().merge(now_ms, record);
+        self.is_complete.send_replace(true);
+    }
+
+    /// Returns the record of versions that replaces the stored one.
+    pub fn updated_record(&self, stored: &VersionRecord) -> VersionRecord {
+        let mut history = self.history.borrow_mut();
+        history.forget_expired(self.clock.now_ms());
+        history.updated_record(stored)
+    }
+
+    /// Waits until the history is complete.
+    pub async fn wait_until_complete(&self) {
+        let mut is_complete = self.is_complete.subscribe();
+        // An error means that the router is shutting down.
+        let _ = is_complete.wait_for(|is_complete| *is_complete).await;
+    }
+}
--- a/wisteriapass_gateway/src/platform.rs
+++ b/wisteriapass_gateway/src/platform.rs
@@ -136,6 +136,8 @@
 pub enum RecordKey {
     /// Shares of a group of accounts.
     Shares(u32),
+    /// Software versions that may have begun streams.
+    Versions,
 }
 
 /// Outcome of an answered compare-and-swap.
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -43,6 +43,12 @@
     /// No region that both route and account permit has a target of the service.
     #[display("no_region")]
     NoRegion,
+    /// No target of the software version that began the stream is available.
+    #[display("no_same_version")]
+    NoSameVersion,
+    /// It is not known which software version began the stream, and several may have done so.
+    #[display("unknown_version")]
+    UnknownVersion,
     /// All targets that are left asked for no requests for a while.
     #[display("resting")]
     Resting {
@@ -100,6 +106,8 @@
             | Self::Saved
             | Self::NoTarget
             | Self::NoRegion
+            | Self::NoSameVersion
+            | Self::UnknownVersion
             | Self::Resting { .. }
             | Self::Cold
             | Self::Limited
@@ -122,7 +130,7 @@
             Self::ShareShort { retry_after_ms }
             | Self::Resting { retry_after_ms }
             | Self::Quarantined { retry_after_ms } => Some(retry_after_ms),
-            Self::NoTarget => Some(1_000),
+            Self::NoTarget | Self::NoSameVersion => Some(1_000),
             // Another router may be permitted to send to them, and in a second this one is.
             Self::Cold | Self::Limited => Some(400),
             // Another router accepts the request at once.
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -6,15 +6,19 @@
 
 mod evacuations;
 mod follower;
+mod known;
 mod limits;
 mod messages;
+mod origins;
 mod peer_calls;
 mod quarantine;
 mod relay;
 mod role;
 mod trials;
+mod versions;
 
 pub use evacuations::poll_evacuations;
+pub use origins::{FoundOrigin, find_origin, report_origins};
 pub use peer_calls::serve_peers;
 pub use quarantine::sync_quarantine;
 pub use role::run_role;
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -4,6 +4,7 @@
 
 use super::evacuations::EVACUATIONS_PATH;
 use super::messages::UPDATE_PATH;
+use super::origins::{QUERY_PATH, REPORT_PATH as ORIGINS_PATH, answer_query};
 use super::quarantine::QUARANTINE_PATH;
 use super::trials::{TRIAL_PATH, answer_call};
 use crate::ledger::{
@@ -36,6 +37,14 @@
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&gw.quarantine.handle_call(&call)).ok()
         }
+        ORIGINS_PATH => {
+            let report = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&gw.origins.handle_report(&report)).ok()
+        }
+        QUERY_PATH => {
+            let query = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&answer_query(gw, &query)).ok()
+        }
         EVACUATIONS_PATH => postcard::to_stdvec(&*gw.evacuations.borrow()).ok(),
         _ if gw.ledger.role() == Role::Follower => None,
         UPDATE_PATH => {
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -6,6 +6,7 @@
 
 use super::limits;
 use super::messages::{UpdateAnswer, UpdateCall};
+use super::versions::keep_versions;
 use crate::ledger::{KnownRecord, Role, TokenLedger};
 use crate::platform::Topic;
 use crate::prelude::*;
@@ -51,6 +52,7 @@
     TokenLedger::start_relay(gw, &mut tasks, known);
     tasks.spawn_local(watch_topic(gw.clone(), Topic::Configuration));
     tasks.spawn_local(watch_topic(gw.clone(), Topic::Targets));
+    tasks.spawn_local(keep_versions(gw.clone()));
     let mut retirement = RelayRetirement::default();
     while !gw.ledger.is_surplus(&mut retirement) || gw.is_stopping() {
         sleep(Duration::from_millis(POLL_MS)).await;
--- a/wisteriapass_gateway/src/route.rs
+++ b/wisteriapass_gateway/src/route.rs
@@ -22,6 +22,11 @@
 }
 
 impl RequestKind {
+    /// Returns whether its responses are streams of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+
     /// Returns whether a request that may have run can be sent again.
     pub fn is_retryable(self) -> bool {
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
@@ -68,6 +73,11 @@
 }
 
 impl Route {
+    /// Returns whether requests may go to a service.
+    pub fn permits(&self, service: &str) -> bool {
+        self.services.iter().any(|s| s.service == service)
+    }
+
     /// Returns the service for a request; `draw` is uniform over `u32`.
     pub fn pick_service(&self, draw: u32) -> Option<&str> {
         let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -12,7 +12,9 @@
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
 use crate::prelude::*;
-use crate::relays::{poll_evacuations, return_trials, run_role, serve_peers, sync_quarantine};
+use crate::relays::{
+    poll_evacuations, report_origins, return_trials, run_role, serve_peers, sync_quarantine,
+};
 use crate::settings::GatewaySettings;
 
 /// Margin before the kill at which the process exits in any case, in milliseconds.
@@ -65,6 +67,7 @@
     spawn_local(gw.ledger.clone().run_credit_reports());
     spawn_local(sync_quarantine(gw.clone()));
     spawn_local(return_trials(gw.clone()));
+    spawn_local(report_origins(gw.clone()));
     spawn_local(poll_evacuations(gw.clone()));
     let role = spawn_local(run_role(gw.clone()));
     let stamp = gw.clock.stamp();
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -68,6 +68,8 @@
     pending: VecDeque<Bytes>,
     /// Id of the last event that was forwarded.
     last_event_id: Option<u64>,
+    /// Whether an event was forwarded.
+    has_events: bool,
     /// Whether an event of the current run was forwarded.
     run_has_events: bool,
     /// When the first event arrived.
@@ -104,6 +106,7 @@
             reader: EventReader::default(),
             pending: VecDeque::new(),
             last_event_id: last,
+            has_events: false,
             run_has_events: false,
             first_event_at: None,
             sample_started_at: None,
@@ -189,11 +192,23 @@
                 r.count_event();
             }
         }
-        self.run_has_events |= event.has_fields();
+        if event.has_fields() {
+            self.record_event();
+        }
         self.pending.push_back(event.bytes);
         true
     }
 
+    /// Records that an event is forwarded, and at the first one which software began the stream.
+    fn record_event(&mut self) {
+        self.run_has_events = true;
+        if !self.has_events {
+            self.has_events = true;
+            let key = self.history.tried.last().copied().unwrap_or_default();
+            self.request.record_origin(key, &mut self.history);
+        }
+    }
+
     /// Records the time of the first event.
     fn record_first_event_time(&mut self) {
         if self.last_event_id == self.request.metadata.last_event {
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use tokio::time::Instant;
+use wisteriapass_coord::origin::Software;
 use wisteriapass_policy::placement::FailureScore;
 use wisteriapass_policy::rest;
 use wisteriapass_policy::target_limit::TargetLimit;
@@ -242,12 +243,24 @@
         }
     }
 
-    /// Returns whether an entry is of another instance: of another start, address or service.
+    /// Returns whether an entry is of another instance: of another start, address,
+    /// service or software version.
     pub fn is_different_instance(&self, entry: &TargetEntry) -> bool {
         let mine = &self.entry;
         mine.started_ms != entry.started_ms
             || mine.address != entry.address
             || mine.service != entry.service
+            || mine.version != entry.version
+    }
+
+    /// Returns its software.
+    pub fn software(&self) -> Software {
+        Software::new(&self.entry.service, &self.entry.version)
+    }
+
+    /// Returns whether it runs this software.
+    pub fn runs(&self, software: &Software) -> bool {
+        software.is(&self.entry.service, &self.entry.version)
     }
 }
 
