Streams: what followers began, versions that roll, and lists that are old

- Routers that are cut off together relied on their old lists: a stream that nobody remembers goes on at the only version only if all relays answered, or one has a recent list (isolated_routers_rely_on_old_lists, failed before).
- A client that repeats a refused resumption at once made its router ask all relays each time: a stream that none remembers is not asked for again for a second.
- Writes of the record of versions that fail are repeated ever more slowly.
- The list of relays that trials and origins go by stands in one place.

The parts of streams and the fleet of relays are shared by the tests.

--- a/wisteriapass_coord/src/origin/resolution.rs
+++ b/wisteriapass_coord/src/origin/resolution.rs
@@ -24,15 +24,15 @@
 /// `asked` is the number of routers that were asked, and `answers` are those of the ones that
 /// answered. A router that remembers the stream decides. Without one, the stream began while its
 /// router knew a single version, or its router died before it could report it. It goes on if all
-/// routers know of the same single version. One that is cut off from the others may have missed a
-/// version, so it relies on its own list only while that is recent.
+/// routers know of the same single version. If some do not answer, the others may have missed a
+/// version together, unless one of them has a recent list of targets.
 pub fn resolve(own: &Knowledge, asked: usize, answers: &[Knowledge]) -> Option<Software> {
     let all = || answers.iter().chain([own]);
     let origins: BTreeSet<&Software> = all().filter_map(|k| k.origin.as_ref()).collect();
     if !origins.is_empty() {
         return single(&origins);
     }
-    let is_informed = asked == 0 || !answers.is_empty() || own.is_fresh;
+    let is_informed = answers.len() >= asked || all().any(|k| k.is_fresh);
     if !is_informed || !all().any(|k| k.is_complete) {
         return None;
     }
--- a/wisteriapass_coord/src/origin/software.rs
+++ b/wisteriapass_coord/src/origin/software.rs
@@ -9,7 +9,7 @@
 pub struct Software {
     /// The service.
     pub service: String,
-    /// The version; empty for targets that state none.
+    /// The version.
     pub version: String,
 }
 
--- a/wisteriapass_coord/src/origin/table.rs
+++ b/wisteriapass_coord/src/origin/table.rs
@@ -47,6 +47,11 @@
         self.seq += 1;
     }
 
+    /// Remembers a stream that another router knows.
+    pub fn learn(&mut self, now: u64, id: StreamId, software: &Software, deadline: u64) {
+        self.insert(now, id, software, deadline);
+    }
+
     /// Takes over the streams that another router reported.
     pub fn merge(&mut self, now: u64, report: &OriginReport) {
         for stream in &report.streams {
--- a/wisteriapass_coord/src/origin/version_record.rs
+++ b/wisteriapass_coord/src/origin/version_record.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
+use serde_json::json;
 
 use super::Software;
 
 /// The versions that may have begun a stream which can still be resumed.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct VersionRecord {
     /// The versions of all services.
     pub versions: BTreeSet<Software>,
@@ -35,11 +36,9 @@
     }
 
     /// Encodes the record.
-    ///
-    /// # Errors
-    ///
-    /// Those of the JSON encoder.
-    pub fn to_bytes(&self) -> serde_json::Result<Vec<u8>> {
-        serde_json::to_vec(self)
+    pub fn to_bytes(&self) -> Vec<u8> {
+        json!({ "versions": self.versions })
+            .to_string()
+            .into_bytes()
     }
 }
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -2,6 +2,8 @@
 
 pub mod breaks;
 mod open_stream;
+pub mod parts;
+mod relay_fleet;
 mod request;
 mod router;
 mod test_platform;
@@ -12,6 +14,7 @@
 use wisteriapass_bench::standin::users_platform::SimulatedTarget;
 
 pub use open_stream::{OpenStream, Piece, pieces};
+pub use relay_fleet::{FOLLOWERS, RELAYS, RelayFleet};
 pub use request::{Answer, Received, Request, exchange, exchange_within, receive};
 pub use router::{Router, has_witness, is_relay, write_count};
 pub use test_platform::{TestPlatform, configuration};
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -76,7 +76,10 @@
     metadata: &RequestMetadata,
     plan: &Plan,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    plan.check_targets(gw)?;
+    // A stream that is resumed may go on at another service of its route.
+    if metadata.resumes.is_none() {
+        plan.check_targets(gw)?;
+    }
     if !plan.ends_in_time_somewhere(gw, metadata, &[], None) {
         return Err(Refusal::Stopping);
     }
--- a/wisteriapass_gateway/src/exchange/resumption.rs
+++ b/wisteriapass_gateway/src/exchange/resumption.rs
@@ -8,6 +8,7 @@
 use super::attempt::ProxiedRequest;
 use super::history::AttemptHistory;
 use super::plan::Plan;
+use crate::metrics::OriginSource;
 use crate::prelude::*;
 use crate::relays::{FoundOrigin, find_origin};
 use crate::rpc::deadline_in;
@@ -62,15 +63,19 @@
     let stream = StreamId::new(plan.account_name(), attempt.as_bytes());
     let services = plan.route.services.iter().map(|s| s.service.clone());
     let services: SmallVec<[String; 2]> = services.collect();
-    let found = find_origin(gw, stream, services.clone()).await;
-    if found.software.is_some() || found.is_complete {
-        return found;
+    let mut found = find_origin(gw, stream, services.clone()).await;
+    if found.software.is_none() && !found.is_complete {
+        let until = plan.deadline.min(deadline_in(START_WAIT_MS));
+        // Without an answer of the store, what is known by then decides.
+        let _ = timeout_at(until, gw.origins.wait_until_complete()).await;
+        found = find_origin(gw, stream, services).await;
     }
-    let until = plan.deadline.min(deadline_in(START_WAIT_MS));
-    match timeout_at(until, gw.origins.wait_until_complete()).await {
-        Ok(()) => find_origin(gw, stream, services).await,
-        Err(_) => found,
+    let is_remembered = found.source == OriginSource::Peer;
+    if is_remembered || found.software.is_none() {
+        gw.origins
+            .learn(stream, found.software.as_ref(), plan.deadline);
     }
+    found
 }
 
 /// Finds the software of a stream whose first attempt the client does not name: the only version that
--- a/wisteriapass_gateway/src/origins.rs
+++ b/wisteriapass_gateway/src/origins.rs
@@ -11,11 +11,19 @@
 };
 
 use crate::prelude::*;
+use crate::rpc::deadline_in;
 use crate::targets::Targets;
 
 /// Maximum number of routers whose state is tracked: more than there are relays at any time.
 const MAX_PEERS: usize = 256;
 
+/// Maximum number of streams of which it is noted that no router remembers them.
+const MAX_UNKNOWN: usize = 4_096;
+
+/// Time after which routers are asked again for a stream that none remembered, in milliseconds: some
+/// clients repeat a refused request at once and often.
+const ASK_AGAIN_MS: u64 = 1_000;
+
 /// A question of another router.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OriginQuery {
@@ -49,6 +57,8 @@
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
+    /// Streams that no router remembers, and until when none is asked again.
+    unknown: RefCell<HashMap<StreamId, Instant>>,
     /// Whether the history is complete.
     is_complete: watch::Sender<bool>,
     /// Wakes the task that reports streams to other routers.
@@ -66,6 +76,7 @@
             table: RefCell::default(),
             history: RefCell::default(),
             peers: RefCell::default(),
+            unknown: RefCell::default(),
             is_complete: watch::Sender::new(false),
             has_streams: Notify::new(),
             has_versions: Notify::new(),
@@ -88,14 +99,41 @@
 
     /// Records the software that began a stream, which its client may resume until a deadline.
     pub fn record(&self, stream: StreamId, software: &Software, deadline: Instant) {
-        let now_ms = self.clock.now_ms();
-        let left = deadline.saturating_duration_since(Instant::now());
-        let deadline_ms = now_ms + left.as_millis() as u64;
+        let (now_ms, deadline_ms) = (self.clock.now_ms(), self.time_ms(deadline));
         let mut table = self.table.borrow_mut();
         table.record(now_ms, stream, software, deadline_ms);
         self.has_streams.notify_one();
     }
 
+    /// Remembers what other routers know of a stream, so that they are not asked again.
+    pub fn learn(&self, stream: StreamId, software: Option<&Software>, deadline: Instant) {
+        if let Some(software) = software {
+            let (now_ms, deadline_ms) = (self.clock.now_ms(), self.time_ms(deadline));
+            let mut table = self.table.borrow_mut();
+            table.learn(now_ms, stream, software, deadline_ms);
+            return;
+        }
+        let mut unknown = self.unknown.borrow_mut();
+        if unknown.len() >= MAX_UNKNOWN {
+            unknown.clear();
+        }
+        unknown.insert(stream, deadline_in(ASK_AGAIN_MS));
+    }
+
+    /// Returns whether other routers were asked for a stream a moment ago, and none remembered it.
+    pub fn is_unknown(&self, stream: &StreamId) -> bool {
+        let unknown = self.unknown.borrow();
+        unknown
+            .get(stream)
+            .is_some_and(|until| Instant::now() < *until)
+    }
+
+    /// Converts an instant to milliseconds of this router's clock.
+    fn time_ms(&self, at: Instant) -> u64 {
+        let left = at.saturating_duration_since(Instant::now());
+        self.clock.now_ms() + left.as_millis() as u64
+    }
+
     /// Returns what this router knows of a stream of one of these services.
     pub fn knowledge<'a>(
         &self,
--- a/wisteriapass_gateway/src/relays/origins.rs
+++ b/wisteriapass_gateway/src/relays/origins.rs
@@ -105,6 +105,9 @@
     if own.origin.is_some() {
         return FoundOrigin::new(&own, 0, &[]);
     }
+    if gw.origins.is_unknown(&stream) {
+        return FoundOrigin::unknown();
+    }
     let mut peers = known_relays(gw);
     peers.retain(|peer| peer.id != gw.ledger.id());
     let query = OriginQuery { stream, services };
@@ -154,6 +157,16 @@
 }
 
 impl FoundOrigin {
+    fn unknown() -> Self {
+        Self {
+            software: None,
+            source: OriginSource::Unknown,
+            asked: 0,
+            answered: 0,
+            is_complete: true,
+        }
+    }
+
     /// Returns the only software that this router knows of, if there is a single one.
     pub fn of_only_version(own: &Knowledge) -> Self {
         let known = Knowledge {
--- a/wisteriapass_gateway/src/relays/versions.rs
+++ b/wisteriapass_gateway/src/relays/versions.rs
@@ -19,33 +19,13 @@
 /// Longest pause after a call that failed, in milliseconds.
 const MAX_RETRY_MS: u64 = 2_000;
 
-/// The record as stored.
-#[derive(Debug, Default)]
-struct StoredRecord {
-    revision: u64,
-    record: VersionRecord,
-}
-
-impl StoredRecord {
-    /// Decodes a record; a damaged one is replaced.
-    fn decode(stored: &VersionedRecord) -> Self {
-        let record = VersionRecord::from_bytes(&stored.value).unwrap_or_else(|e| {
-            log::warn!(target: "versions", "Record is malformed, it is written anew. cause={e}");
-            VersionRecord::default()
-        });
-        Self {
-            revision: stored.revision,
-            record,
-        }
-    }
-}
-
 /// Reads the record, and writes it whenever versions come or expire; never returns.
 pub async fn keep_versions(gw: Rc<Gateway>) {
-    let mut stored = read(&gw).await;
+    let mut keeper = VersionKeeper::new(gw.clone());
+    keeper.read().await;
     loop {
-        while let Some(next) = update(&gw, &stored).await {
-            stored = next;
+        while keeper.is_outdated() {
+            keeper.write().await;
         }
         let until = deadline_in(CHECK_INTERVAL_MS);
         // Without a new version, expired ones are looked for.
@@ -53,55 +33,86 @@
     }
 }
 
-/// Reads the record until the store answers, and takes over its versions.
-async fn read(gw: &Gateway) -> StoredRecord {
-    let mut pause_ms = RETRY_MS;
-    loop {
-        let loaded = gw.platform.load(RecordKey::Versions).await;
-        count_call(gw, StoreCall::ReadVersions, &loaded);
-        if let Ok(loaded) = loaded {
-            let stored = StoredRecord::decode(&loaded);
-            gw.origins.merge_record(&stored.record);
-            return stored;
+/// Reads and writes the record.
+struct VersionKeeper {
+    gw: Rc<Gateway>,
+    /// The record as stored, and its revision.
+    stored: VersionRecord,
+    revision: u64,
+    /// Pause after the next call that fails, in milliseconds.
+    pause_ms: u64,
+}
+
+impl VersionKeeper {
+    fn new(gw: Rc<Gateway>) -> Self {
+        Self {
+            gw,
+            stored: VersionRecord::default(),
+            revision: 0,
+            pause_ms: RETRY_MS,
         }
-        sleep(Duration::from_millis(pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(MAX_RETRY_MS);
     }
-}
 
-/// Writes the record if it has to change; returns what is stored then, `None` if nothing is to do.
-async fn update(gw: &Gateway, stored: &StoredRecord) -> Option<StoredRecord> {
-    let record = gw.origins.updated_record(&stored.record);
-    if record == stored.record {
-        return None;
+    fn is_outdated(&self) -> bool {
+        self.gw.origins.updated_record(&self.stored) != self.stored
     }
-    let value = record.to_bytes().ok()?;
-    let platform = &gw.platform;
-    let swap = platform.compare_and_swap(RecordKey::Versions, stored.revision, value);
-    let swapped = swap.await;
-    count_call(gw, StoreCall::WriteVersions, &swapped);
-    Some(match swapped {
-        Ok(SwapOutcome::Done(revision)) => {
-            log::info!(target: "versions", "Versions stored. versions={record}");
-            StoredRecord { revision, record }
-        }
-        Ok(SwapOutcome::Conflict(other)) => {
-            let other = StoredRecord::decode(&other);
-            gw.origins.merge_record(&other.record);
-            other
+
+    /// Reads the record until the store answers, and takes over its versions.
+    async fn read(&mut self) {
+        loop {
+            let loaded = self.gw.platform.load(RecordKey::Versions).await;
+            self.count_call(StoreCall::ReadVersions, &loaded);
+            match loaded {
+                Ok(loaded) => return self.take_over(&loaded),
+                Err(_) => self.pause().await,
+            }
         }
-        // The write may have taken effect.
-        Err(_) => {
-            sleep(Duration::from_millis(RETRY_MS)).await;
-            read(gw).await
+    }
+
+    /// Replaces the record, or reads it if that fails.
+    async fn write(&mut self) {
+        let record = self.gw.origins.updated_record(&self.stored);
+        let platform = &self.gw.platform;
+        let swap = platform.compare_and_swap(RecordKey::Versions, self.revision, record.to_bytes());
+        let swapped = swap.await;
+        self.count_call(StoreCall::WriteVersions, &swapped);
+        match swapped {
+            Ok(SwapOutcome::Done(revision)) => {
+                log::info!(target: "versions", "Versions stored. versions={record}");
+                self.stored = record;
+                self.revision = revision;
+                self.pause_ms = RETRY_MS;
+            }
+            Ok(SwapOutcome::Conflict(other)) => self.take_over(&other),
+            Err(_) => {
+                // The write may have taken effect.
+                self.pause().await;
+                self.read().await;
+            }
         }
-    })
-}
+    }
 
-fn count_call<T>(gw: &Gateway, call: StoreCall, result: &Result<T, StoreError>) {
-    let outcome = match result {
-        Ok(_) => StoreOutcome::Answered,
-        Err(e) => StoreOutcome::of(e),
-    };
-    gw.metrics.count_store_call(call, outcome);
+    /// Takes over the versions of a record; a damaged one is replaced.
+    fn take_over(&mut self, found: &VersionedRecord) {
+        let decoded = VersionRecord::from_bytes(&found.value);
+        self.stored = decoded.unwrap_or_else(|e| {
+            log::warn!(target: "versions", "Record is malformed, it is written anew. cause={e}");
+            VersionRecord::default()
+        });
+        self.revision = found.revision;
+        self.gw.origins.merge_record(&self.stored);
+    }
+
+    async fn pause(&mut self) {
+        sleep(Duration::from_millis(self.pause_ms)).await;
+        self.pause_ms = (self.pause_ms * 2).min(MAX_RETRY_MS);
+    }
+
+    fn count_call<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
+        let outcome = match result {
+            Ok(_) => StoreOutcome::Answered,
+            Err(e) => StoreOutcome::of(e),
+        };
+        self.gw.metrics.count_store_call(call, outcome);
+    }
 }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -55,7 +55,7 @@
     pub started_ms: Option<u64>,
     /// Time for which it stays cold, in milliseconds from when it stated so.
     pub cold_ms: u64,
-    /// Version of its software; empty if not stated.
+    /// Version of its software.
     pub version: String,
 }
 
