Streams: three routers are told of a stream, and reports make a version known

- Where most routers of a small fleet die at one moment, two copies of a stream's origin die with them more often than not; three routers are told now, which are all others in a fleet of four.
The pause between two reports grows with the fleet, so that a relay of 600 routers gets as many calls as before.
- A router that does not answer comes last for a second, so it delays no report.
- A report makes its versions known at its receivers, which may have seen no target of them.
- A report goes out at once if the last one is old enough.
- A stream of a route that is split over several services goes on at the service that began it (a_stream_of_a_split_route_goes_on_at_another_service: red on the code before the mend).

--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -113,6 +113,14 @@
         Some("limited") => {
             "refused: the remaining targets name limits, and take no more requests from this router"
         }
+        Some("no_same_version") => {
+            "refused: it resumes a stream, and no target of the software version that began it \
+             accepted work"
+        }
+        Some("unknown_version") => {
+            "refused: it resumes a stream that several software versions may have begun, and no \
+             router remembered which"
+        }
         Some("resting") => "refused: the remaining targets turned requests away and asked for rest",
         Some("stopping") => "refused: its router was stopping, and the answer would come too late",
         Some("no_region") => "refused: no target is in a region that its route and account allow",
--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -20,7 +20,7 @@
 /// Time from a crash to the restart, unless the test sets one.
 const DEFAULT_RESTART_DELAY: Duration = Duration::from_secs(1);
 
-/// Version of the software of a target that does not mark its events with one.
+/// Version of the software of a target, unless the test sets one.
 const DEFAULT_VERSION: &str = "v1";
 
 /// Interval between attempts to listen again after a crash.
@@ -89,8 +89,10 @@
     exit_delay: Duration,
     /// Headers of its answers by which the target states something about itself.
     statements: BTreeMap<&'static str, &'static str>,
-    /// Version of its software, if it marks its events with one.
+    /// Version of its software.
     version: Option<&'static str>,
+    /// Text that marks its events, if any.
+    event_mark: Option<&'static str>,
     /// Number of restarts so far; the target has a different id after each.
     incarnation: u32,
     is_down: bool,
@@ -205,6 +207,12 @@
     /// Sets the version of the target's software, which its entry names and its events carry.
     pub fn set_version(&self, version: &'static str) {
         self.shared.state.lock().version = Some(version);
+        self.set_event_mark(version);
+    }
+
+    /// Sets a text that marks the target's events.
+    pub fn set_event_mark(&self, mark: &'static str) {
+        self.shared.state.lock().event_mark = Some(mark);
     }
 
     /// Makes the target name a limit of requests per second in its answers, or no limit.
@@ -393,7 +401,7 @@
             {
                 let state = self.state.lock();
                 request.statements = state.statements.clone();
-                request.version = state.version;
+                request.event_mark = state.event_mark;
             }
             match self.decide(&request, incarnation)? {
                 Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -35,8 +35,8 @@
     pub arrived: Option<Instant>,
     /// Headers of the answer by which the target states something about itself.
     pub statements: BTreeMap<&'static str, &'static str>,
-    /// Version of the target's software, if its events carry one.
-    pub version: Option<&'static str>,
+    /// Text that marks the target's events, if any.
+    pub event_mark: Option<&'static str>,
 }
 
 impl ReceivedRequest {
@@ -161,7 +161,7 @@
         Behaviour::AnswerAtOnce => {
             send_stream(out, request, 0, 1, Framing::Framed)?;
             let events: String = (1..=EVENT_COUNT)
-                .map(|id| event_text(id, request.version))
+                .map(|id| event_text(id, request.event_mark))
                 .collect();
             Framing::Framed.send(out, &events)?;
             out.write_all(b"0\r\n\r\n")
@@ -229,14 +229,14 @@
     )?;
     for event in received + 1..=EVENT_COUNT.min(last_event) {
         sleep(EVENT_INTERVAL * slowdown);
-        framing.send(out, &event_text(event, request.version))?;
+        framing.send(out, &event_text(event, request.event_mark))?;
     }
     Ok(())
 }
 
-fn event_text(id: u64, version: Option<&str>) -> String {
-    let version = version.map_or(String::new(), |version| format!(" {version}"));
-    format!("id: {id}\ndata: {id}{version}\n\n")
+fn event_text(id: u64, mark: Option<&str>) -> String {
+    let mark = mark.map_or(String::new(), |mark| format!(" {mark}"));
+    format!("id: {id}\ndata: {id}{mark}\n\n")
 }
 
 /// Sends the part of an answer that precedes a crash: the head of a stream, or nothing of a whole
--- a/wisteriapass_coord/src/origin/version_history.rs
+++ b/wisteriapass_coord/src/origin/version_history.rs
@@ -56,12 +56,19 @@
         self.versions.len() > before
     }
 
+    /// Adds a version that another router knows, and of which this one knows no target.
+    pub fn learn(&mut self, now: u64, software: &Software) {
+        if !self.versions.contains_key(software) {
+            let presence = Presence::GoneSince(now);
+            self.versions.insert(software.clone(), presence);
+        }
+    }
+
     /// Adds the versions of a record. The history is complete with it: the record has all versions
     /// that served before this router started.
     pub fn merge(&mut self, now: u64, record: &VersionRecord) {
         for software in &record.versions {
-            let known = self.versions.entry(software.clone());
-            known.or_insert(Presence::GoneSince(now));
+            self.learn(now, software);
         }
         self.is_complete = true;
     }
--- a/wisteriapass_coord/tests/origin.rs
+++ b/wisteriapass_coord/tests/origin.rs
@@ -247,6 +247,18 @@
     assert_eq!(history.of_service("engines")[..], [&version(2)]);
 }
 
+/// Guards against a version that is forgotten before this router has seen its first target.
+#[test]
+fn a_version_that_others_report_is_ignored() {
+    let mut history = VersionHistory::default();
+    history.observe(0, [("engines", "v1")].into_iter());
+    history.learn(1, &version(2));
+    history.observe(2, [("engines", "v1")].into_iter());
+    assert!(history.has_several_versions());
+    history.learn(3, &version(1));
+    assert_eq!(history.updated_record(&record(&[])), record(&[1]));
+}
+
 #[test]
 fn a_started_router_knows_the_versions_of_the_record() {
     let mut history = VersionHistory::default();
--- a/wisteriapass_daemon/tests/on_platform/support/test_platform.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/test_platform.rs
@@ -80,6 +80,13 @@
         platform
     }
 
+    /// Registers an engine as a target of another service.
+    pub fn move_engine(&self, index: usize, service: &str) {
+        let engine = &self.engines[index];
+        self.store
+            .put(&engine.entry_key(), engine.entry(service, "ready"));
+    }
+
     /// Writes a configuration to the store.
     pub fn configure(&self, configuration: &Value) {
         self.store.put("op/config", configuration.to_string());
--- a/wisteriapass_daemon/tests/on_platform/versions.rs
+++ b/wisteriapass_daemon/tests/on_platform/versions.rs
@@ -4,12 +4,13 @@
 mod roll;
 
 use nix::sys::signal::Signal;
+use serde_json::{Value, json};
 use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
 
 use crate::support::parts::{
     Part, SLOW_STREAMS, begin, begin_and_kill, leave, slow_down, stream, take_up_all,
 };
-use crate::support::{OpenStream, Router, TestPlatform, pieces, wait_for};
+use crate::support::{KEY, OpenStream, Router, TestPlatform, configuration, pieces, wait_for};
 
 /// Prepaid total that suffices for all streams of a test.
 const PREPAID: u64 = 1_000_000;
@@ -220,3 +221,28 @@
     let request = stream("r").with_headers(&["Last-Event-Id: 2"]);
     assert_eq!(router.send(&request).unwrap().events(), [3, 4, 5]);
 }
+
+/// Guards against a stream that goes on at another service of its route, whose version has the same
+/// name.
+#[test]
+fn a_stream_of_a_split_route_goes_on_at_another_service() {
+    let platform = TestPlatform::with_engines(PREPAID, 2);
+    for (engine, name) in platform.engines.iter().zip(["first", "second"]) {
+        engine.set_event_mark(name);
+    }
+    platform.move_engine(1, "other");
+    let mut split = configuration(2, &[KEY], PREPAID);
+    let routes = split["routes"].as_array_mut().unwrap();
+    let route = routes.iter_mut().find(|r| r["prefix"] == "/ask/").unwrap();
+    route["service"] = Value::Null;
+    route["traffic_split"] = json!([
+        {"service": "engines", "weight": 1}, {"service": "other", "weight": 1}
+    ]);
+    platform.configure(&split);
+    slow_down(&platform);
+    let [mut a, b] = ["a", "b"].map(|name| Router::start(name, &platform.store));
+    let mut left = leave(begin(&a, "left", STREAMS));
+    assert_eq!(take_up_all(&mut left, &[&a, &b]), STREAMS);
+    let mut cut = begin_and_kill(&mut a, "cut", STREAMS);
+    assert_eq!(take_up_all(&mut cut, &[&b]), STREAMS);
+}
--- a/wisteriapass_gateway/src/origins.rs
+++ b/wisteriapass_gateway/src/origins.rs
@@ -24,6 +24,10 @@
 /// clients repeat a refused request at once and often.
 const ASK_AGAIN_MS: u64 = 1_000;
 
+/// Time for which others are preferred to a peer that did not answer, in milliseconds: a process that
+/// ended is back by then.
+const SILENCE_MS: u64 = 1_000;
+
 /// A question of another router.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OriginQuery {
@@ -47,6 +51,8 @@
     process: u64,
     /// Sequence number up to which it knows the streams.
     acknowledged: u64,
+    /// Until when others are preferred, as it did not answer.
+    silent_until: Option<Instant>,
 }
 
 /// What this router knows of the origins of streams, and how far its peers know its own streams.
@@ -176,12 +182,33 @@
         *peer = Peer {
             process: answer.process,
             acknowledged: if has_restarted { 0 } else { report.seq },
+            silent_until: None,
         };
     }
 
-    /// Handles a peer's report.
+    /// Records that a peer did not answer.
+    pub fn record_no_answer(&self, at: SocketAddr) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(at).or_default();
+        peer.silent_until = Some(deadline_in(SILENCE_MS));
+    }
+
+    /// Returns whether a peer did not answer of late.
+    pub fn is_silent(&self, at: SocketAddr) -> bool {
+        let peers = self.peers.borrow();
+        let until = peers.get(&at).and_then(|peer| peer.silent_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Handles a peer's report. The peer may have heard of a version earlier than this router.
     pub fn handle_report(&self, report: &OriginReport) -> ReportAnswer {
-        self.table.borrow_mut().merge(self.clock.now_ms(), report);
+        let now_ms = self.clock.now_ms();
+        self.table.borrow_mut().merge(now_ms, report);
+        let mut history = self.history.borrow_mut();
+        report
+            .software
+            .iter()
+            .for_each(|s| history.learn(now_ms, s));
         ReportAnswer {
             process: self.process,
         }
--- a/wisteriapass_gateway/src/relays/origins.rs
+++ b/wisteriapass_gateway/src/relays/origins.rs
@@ -22,28 +22,38 @@
 /// Path of a question about a stream.
 pub const QUERY_PATH: &str = "/relay/origin";
 
-/// Time during which streams are collected before they are reported, in milliseconds: a fraction of
-/// the duration of a stream. If the router dies within it, nobody knows their origin.
+/// Pause between two reports, in milliseconds, a fraction of the duration of a stream. Streams that
+/// begin within it are unknown to others if the router dies.
 const BATCH_MS: u64 = 100;
 
+/// Additional time for each router of the fleet, in microseconds, so that a relay of a large fleet
+/// does not get more reports than it can handle.
+const BATCH_PER_ROUTER_US: u64 = 500;
+
 /// Time within which an answer has to start, in milliseconds: many round trips within a region, also
 /// to a router on a busy VM.
 const ANSWER_TIMEOUT_MS: u64 = 200;
 
-/// Number of routers that are told of a stream: one of them may die together with this router.
-const REPORT_COPIES: usize = 2;
+/// Number of routers that are told of a stream: some of them may die together with this router.
+const REPORT_COPIES: usize = 3;
 
 /// Reports streams to other routers while more than one version may have begun them; never returns.
 pub async fn report_origins(gw: Rc<Gateway>) {
     loop {
         gw.origins.has_streams.notified().await;
-        sleep(Duration::from_millis(BATCH_MS)).await;
         if gw.has_several_origins() {
             report_to_peers(&gw).await;
         }
+        sleep(batch_time(gw.ledger.router_count())).await;
     }
 }
 
+/// Returns the pause between two reports.
+fn batch_time(routers: usize) -> Duration {
+    let for_routers = Duration::from_micros(BATCH_PER_ROUTER_US * routers as u64);
+    Duration::from_millis(BATCH_MS) + for_routers
+}
+
 /// Sends reports to the first routers that answer.
 async fn report_to_peers(gw: &Gateway) {
     let mut copies = 0;
@@ -63,6 +73,7 @@
         let until = deadline_in(ANSWER_TIMEOUT_MS);
         let answer: Option<ReportAnswer> = gw.rpc.call(at, REPORT_PATH, &report, until).await;
         let Some(answer) = answer else {
+            gw.origins.record_no_answer(at);
             return false;
         };
         gw.origins.apply_answer(at, &report, answer);
@@ -72,22 +83,25 @@
 
 /// Returns the routers that are told of streams, in this router's order: those of other failure
 /// domains first, each in a domain of its own if there are as many, as a whole domain may be lost.
+/// Those that did not answer of late come last.
 fn receivers(gw: &Gateway) -> SmallVec<[SocketAddr; 8]> {
     let mut peers = known_relays(gw);
     peers.retain(|peer| peer.id != gw.ledger.id());
     let me = &gw.settings.name;
     let own_domain = DomainId::new(&gw.settings.failure_domain);
-    peers.sort_by_cached_key(|peer| (peer.domain == own_domain, peer.rank_for(me)));
+    peers.sort_by_cached_key(|peer| {
+        let is_silent = gw.origins.is_silent(peer.address);
+        (is_silent, peer.domain == own_domain, peer.rank_for(me))
+    });
     let mut ordered: SmallVec<[KnownPeer; 8]> = SmallVec::new();
     let mut others: SmallVec<[KnownPeer; 8]> = SmallVec::new();
     for peer in peers {
         let is_new_domain = ordered.iter().all(|known| known.domain != peer.domain);
-        if is_new_domain {
-            &mut ordered
+        if is_new_domain && !gw.origins.is_silent(peer.address) {
+            ordered.push(peer);
         } else {
-            &mut others
+            others.push(peer);
         }
-        .push(peer);
     }
     ordered.extend(others);
     ordered.iter().map(|peer| peer.address).collect()
