Streams: versions expire at routers that hear of no change, and reports keep their pace

- A version that is gone was forgotten only where the record of versions is kept.
A follower kept it for ever, went on reporting, and refused streams that nobody remembers.
What is possible now follows from the time (a_version_is_possible_for_a_while_after_it_is_gone).
- A report was followed by the next one as long as streams began meanwhile, whatever the pause; those wait for the next round now.

--- a/wisteriapass_coord/src/origin/version_history.rs
+++ b/wisteriapass_coord/src/origin/version_history.rs
@@ -16,6 +16,16 @@
     GoneSince(u64),
 }
 
+impl Presence {
+    /// Returns whether a stream of the version may still be resumed.
+    fn is_possible(self, now: u64) -> bool {
+        match self {
+            Self::Serving => true,
+            Self::GoneSince(at) => now.saturating_sub(at) < MAX_STREAM_MS,
+        }
+    }
+}
+
 /// The versions of the targets that a router knows, or knew of late.
 ///
 /// A router that has just started does not know what served before. It learns that from a record that
@@ -75,10 +85,8 @@
 
     /// Forgets versions that are gone for so long that none of their streams can be resumed.
     pub fn forget_expired(&mut self, now: u64) {
-        self.versions.retain(|_, presence| match presence {
-            Presence::Serving => true,
-            Presence::GoneSince(at) => now.saturating_sub(*at) < MAX_STREAM_MS,
-        });
+        self.versions
+            .retain(|_, presence| presence.is_possible(now));
     }
 
     /// Returns whether all versions are known that may have begun a stream which can still be
@@ -88,15 +96,17 @@
     }
 
     /// Returns the versions of a service that may have begun a stream.
-    pub fn of_service(&self, service: &str) -> SmallVec<[&Software; 4]> {
-        let all = self.versions.keys();
-        all.filter(|software| software.service == service).collect()
+    pub fn of_service(&self, now: u64, service: &str) -> SmallVec<[&Software; 4]> {
+        let possible = self.possible(now);
+        possible.filter(|s| s.service == service).collect()
     }
 
     /// Returns whether more than one version of some service may have begun streams.
-    pub fn has_several_versions(&self) -> bool {
-        let services = self.versions.keys().map(|software| &software.service);
-        services.clone().zip(services.skip(1)).any(|(a, b)| a == b)
+    pub fn has_several_versions(&self, now: u64) -> bool {
+        let mut last = None;
+        // Versions of a service follow each other.
+        self.possible(now)
+            .any(|software| last.replace(&software.service) == Some(&software.service))
     }
 
     /// Returns the record that replaces a stored one: versions that serve are added, and versions that
@@ -111,4 +121,10 @@
             versions: remembered.chain(serving).cloned().collect(),
         }
     }
+
+    fn possible(&self, now: u64) -> impl Iterator<Item = &Software> {
+        let all = self.versions.iter();
+        let possible = all.filter(move |(_, presence)| presence.is_possible(now));
+        possible.map(|(software, _)| software)
+    }
 }
--- a/wisteriapass_coord/tests/origin.rs
+++ b/wisteriapass_coord/tests/origin.rs
@@ -233,18 +233,29 @@
 fn a_version_is_possible_for_a_while_after_it_is_gone() {
     let mut history = VersionHistory::default();
     assert!(history.observe(0, [("engines", "v1"), ("engines", "v1")].into_iter()));
-    assert!(!history.has_several_versions());
+    assert!(!history.has_several_versions(0));
     assert!(history.observe(1_000, [("engines", "v2"), ("plain", "v1")].into_iter()));
-    assert!(history.has_several_versions());
+    let gone_at = 1_000 + MAX_STREAM_MS;
+    assert!(history.has_several_versions(gone_at - 1));
+    let both = [&version(1), &version(2)];
+    assert_eq!(history.of_service(gone_at - 1, "engines")[..], both);
+    assert_eq!(history.of_service(gone_at - 1, "plain").len(), 1);
+    // Also where nothing changes that makes the history forget it.
+    assert!(!history.has_several_versions(gone_at));
+    assert_eq!(history.of_service(gone_at, "engines")[..], [&version(2)]);
     assert_eq!(
-        history.of_service("engines")[..],
-        [&version(1), &version(2)]
+        history.updated_record(&record(&[1, 2])),
+        VersionRecord {
+            versions: [version(1), version(2), Software::new("plain", "v1")].into(),
+        }
+    );
+    history.forget_expired(gone_at);
+    assert_eq!(
+        history.updated_record(&record(&[1, 2])),
+        VersionRecord {
+            versions: [version(2), Software::new("plain", "v1")].into(),
+        }
     );
-    assert_eq!(history.of_service("plain").len(), 1);
-    history.forget_expired(1_000 + MAX_STREAM_MS - 1);
-    assert_eq!(history.of_service("engines").len(), 2);
-    history.forget_expired(1_000 + MAX_STREAM_MS);
-    assert_eq!(history.of_service("engines")[..], [&version(2)]);
 }
 
 /// Guards against a version that is forgotten before this router has seen its first target.
@@ -254,7 +265,7 @@
     history.observe(0, [("engines", "v1")].into_iter());
     history.learn(1, &version(2));
     history.observe(2, [("engines", "v1")].into_iter());
-    assert!(history.has_several_versions());
+    assert!(history.has_several_versions(2));
     history.learn(3, &version(1));
     assert_eq!(history.updated_record(&record(&[])), record(&[1]));
 }
@@ -266,7 +277,7 @@
     assert!(!history.is_complete());
     history.merge(0, &record(&[1, 2]));
     assert!(history.is_complete());
-    assert_eq!(history.of_service("engines").len(), 2);
+    assert_eq!(history.of_service(0, "engines").len(), 2);
 }
 
 #[test]
--- a/wisteriapass_gateway/src/origins.rs
+++ b/wisteriapass_gateway/src/origins.rs
@@ -91,7 +91,7 @@
 
     /// Records the versions of all known targets.
     pub fn observe_targets(&self, targets: &Targets) {
-        let serving = targets.iter().map(|t| {
+        let serving = targets.iter().filter(|t| t.has_entry()).map(|t| {
             let entry = &t.entry;
             (entry.service.as_str(), entry.version.as_str())
         });
@@ -149,7 +149,7 @@
         let now_ms = self.clock.now_ms();
         let history = self.history.borrow();
         let table = self.table.borrow();
-        let possible = services.flat_map(|service| history.of_service(service));
+        let possible = services.flat_map(|service| history.of_service(now_ms, service));
         Knowledge {
             origin: stream.and_then(|id| table.get(now_ms, id)).cloned(),
             possible: possible.cloned().collect(),
@@ -160,14 +160,20 @@
 
     /// Returns whether more than one version of some service may have begun streams.
     pub fn has_several_versions(&self) -> bool {
-        self.history.borrow().has_several_versions()
+        let history = self.history.borrow();
+        history.has_several_versions(self.clock.now_ms())
+    }
+
+    /// Returns the sequence number of the last stream that began at this router.
+    pub fn seq(&self) -> u64 {
+        self.table.borrow().seq()
     }
 
-    /// Returns the report of the streams that a peer does not know; `None` if it knows all.
-    pub fn report_for(&self, at: SocketAddr) -> Option<OriginReport> {
+    /// Returns the next report for a peer; `None` if it knows all streams up to a sequence number.
+    pub fn report_for(&self, at: SocketAddr, up_to: u64) -> Option<OriginReport> {
         let acknowledged = self.peers.borrow().get(&at).map_or(0, |p| p.acknowledged);
         let table = self.table.borrow();
-        (acknowledged < table.seq()).then(|| table.report_since(self.clock.now_ms(), acknowledged))
+        (acknowledged < up_to).then(|| table.report_since(self.clock.now_ms(), acknowledged))
     }
 
     /// Records a peer's answer to a report. A process that has just started at its address knows none of
--- a/wisteriapass_gateway/src/relays/origins.rs
+++ b/wisteriapass_gateway/src/relays/origins.rs
@@ -67,9 +67,11 @@
     }
 }
 
-/// Sends a peer everything that it does not know; returns whether it knows it now.
+/// Sends a peer all streams that it does not know; returns whether it knows them now. Streams that begin
+/// meanwhile wait for the next round.
 async fn send_report(gw: &Gateway, at: SocketAddr) -> bool {
-    while let Some(report) = gw.origins.report_for(at) {
+    let up_to = gw.origins.seq();
+    while let Some(report) = gw.origins.report_for(at, up_to) {
         let until = deadline_in(ANSWER_TIMEOUT_MS);
         let answer: Option<ReportAnswer> = gw.rpc.call(at, REPORT_PATH, &report, until).await;
         let Some(answer) = answer else {
@@ -109,7 +111,8 @@
 
 /// Finds the software at which a stream of one of these services goes on; `None` if it is not known.
 ///
-/// All relays are asked, as only two routers were told of the stream, and others of a version.
+/// All relays are asked, as a few routers were told of the stream, and other ones know of
+/// a version.
 pub async fn find_origin(
     gw: &Gateway,
     stream: StreamId,
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -161,6 +161,11 @@
             .get_or_insert(now + Duration::from_millis(MEMORY_MS));
     }
 
+    /// Returns whether it has an entry.
+    pub fn has_entry(&self) -> bool {
+        self.forget_at.is_none()
+    }
+
     /// Returns whether it has to be remembered because of what it stated: an entry that returns must
     /// not end it.
     pub fn is_remembered(&self, now: Instant) -> bool {
