--- a/wisteriapass_daemon/tests/on_platform/versions/roll.rs
+++ b/wisteriapass_daemon/tests/on_platform/versions/roll.rs
@@ -1,16 +1,18 @@
 //! Versions are replaced while callers leave their streams, routers die and targets crash.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{scope, sleep};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
 
 use crate::support::parts::{Part, RECEIVED, stream};
-use crate::support::{OpenStream, Piece, Request, Router, TestPlatform, pieces};
+use crate::support::{OpenStream, Piece, Request, Router, TestPlatform, pieces, wait_for};
 
 /// Prepaid total that suffices although routers die with their shares.
 const PREPAID: u64 = 1_000_000_000;
@@ -24,20 +26,20 @@
 /// Number of streams that each target is prepared for.
 const STREAMS: usize = 2_000;
 
-/// Time for which callers begin streams.
-const DURATION: Duration = Duration::from_secs(8);
+/// Minimum number of actions of the operator and faults.
+const STEPS: usize = 26;
 
 /// Pause between two actions of the operator, or two faults.
 const STEP: Duration = Duration::from_millis(300);
 
 /// Number of times that a caller takes a stream up, and the pause before each.
-const ATTEMPTS: usize = 6;
+const ATTEMPTS: usize = 20;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Minimum number of streams that are taken up for their share to count.
+/// Minimum number of streams that are taken up.
 const ENOUGH: usize = 12;
 
-/// What became of the streams of a caller.
+/// What became of the streams of all callers.
 #[derive(Debug, Default)]
 struct Tally {
     taken_up: usize,
@@ -45,6 +47,28 @@
     parts: Vec<Part>,
 }
 
+/// What callers and operator share.
+#[derive(Default)]
+struct Shared {
+    tally: Mutex<Tally>,
+    is_over: AtomicBool,
+}
+
+impl Shared {
+    fn has_enough(&self) -> bool {
+        self.tally.lock().taken_up >= ENOUGH
+    }
+}
+
+/// Ends the callers when it goes out of scope, also if the test fails.
+struct EndOnDrop<'a>(&'a Shared);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A caller that leaves some of its streams, and takes up all that end early.
 struct Caller<'a> {
     name: u64,
@@ -53,10 +77,9 @@
 }
 
 impl Caller<'_> {
-    fn run(&mut self, is_over: &AtomicBool) -> Tally {
-        let mut tally = Tally::default();
+    fn run(&mut self, shared: &Shared) {
         let mut n = 0;
-        while !is_over.load(Ordering::Relaxed) {
+        while !shared.is_over.load(Ordering::Relaxed) {
             n += 1;
             let id = format!("c{}-{n}", self.name);
             let pieces = self.receive(&stream(&id));
@@ -65,13 +88,13 @@
                 continue;
             }
             let mut part = Part { id, pieces };
-            if !part.is_whole() {
-                tally.taken_up += 1;
-                tally.gone_on += usize::from(self.take_up(&mut part));
-            }
+            let is_taken_up = !part.is_whole();
+            let has_gone_on = is_taken_up && self.take_up(&mut part);
+            let mut tally = shared.tally.lock();
+            tally.taken_up += usize::from(is_taken_up);
+            tally.gone_on += usize::from(has_gone_on);
             tally.parts.push(part);
         }
-        tally
     }
 
     /// Takes a stream up until it is whole; returns whether it went on.
@@ -161,6 +184,34 @@
     }
 }
 
+/// Does the next thing that the operator plans or that fails.
+fn step(
+    rng: &mut StdRng,
+    engines: &mut Engines<'_>,
+    versions: &mut VecDeque<&'static str>,
+    routers: &mut [Router],
+) {
+    match rng.random_range(0..6) {
+        0 | 1 => {
+            if let Some(version) = versions.pop_front() {
+                engines.start(version);
+            }
+        }
+        2 if engines.all.len() > 4 => engines.retire(),
+        2 | 3 => engines.crash(rng.random_range(0..16)),
+        _ => {
+            let index = rng.random_range(0..routers.len());
+            // One router at a time is down.
+            if routers.iter().all(Router::is_ready) {
+                let router = &mut routers[index];
+                router.signal(Signal::SIGKILL);
+                router.wait();
+                router.spawn();
+            }
+        }
+    }
+}
+
 fn run(seed: u64) -> Tally {
     let platform = TestPlatform::with_engines(PREPAID, 0);
     let mut engines = Engines::new(&platform);
@@ -171,48 +222,28 @@
         .map(|n| Router::start(&format!("r{n}"), &platform.store))
         .collect();
     let ports: Vec<u16> = routers.iter().map(Router::port).collect();
-    let is_over = AtomicBool::new(false);
+    let shared = Shared::default();
     let mut rng = StdRng::seed_from_u64(seed);
+    let mut versions = VecDeque::from(["v2", "v2", "v2", "v3", "v3"]);
     scope(|threads| {
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|name| {
-                let rng = StdRng::seed_from_u64(seed * CALLERS + name);
-                let ports = &ports;
-                let mut caller = Caller { name, rng, ports };
-                let is_over = &is_over;
-                threads.spawn(move || caller.run(is_over))
-            })
-            .collect();
-        let until = Instant::now() + DURATION;
-        let mut versions = ["v2", "v2", "v2", "v3", "v3"].into_iter();
-        while Instant::now() < until {
+        let _end = EndOnDrop(&shared);
+        for name in 0..CALLERS {
+            let rng = StdRng::seed_from_u64(seed * CALLERS + name);
+            let ports = &ports;
+            let mut caller = Caller { name, rng, ports };
+            let shared = &shared;
+            threads.spawn(move || caller.run(shared));
+        }
+        let mut steps = 0;
+        wait_for("streams that are taken up", || {
             sleep(STEP);
             engines.refresh();
-            match rng.random_range(0..6) {
-                0 | 1 => {
-                    if let Some(version) = versions.next() {
-                        engines.start(version);
-                    }
-                }
-                2 if engines.all.len() > 4 => engines.retire(),
-                2 | 3 => engines.crash(rng.random_range(0..16)),
-                _ => {
-                    let router = &mut routers[rng.random_range(0..ROUTERS)];
-                    router.signal(Signal::SIGKILL);
-                    router.wait();
-                    router.spawn();
-                }
-            }
-        }
-        is_over.store(true, Ordering::Relaxed);
-        let tallies = callers.into_iter().map(|caller| caller.join().unwrap());
-        tallies.fold(Tally::default(), |mut sum, tally| {
-            sum.taken_up += tally.taken_up;
-            sum.gone_on += tally.gone_on;
-            sum.parts.extend(tally.parts);
-            sum
-        })
-    })
+            step(&mut rng, &mut engines, &mut versions, &mut routers);
+            steps += 1;
+            steps >= STEPS && shared.has_enough()
+        });
+    });
+    shared.tally.into_inner()
 }
 
 /// Guards against streams of two versions, and against refusing them all, in a roll with faults.
@@ -227,7 +258,6 @@
             tally.gone_on
         );
         tally.parts.iter().for_each(Part::assert_one_version);
-        assert!(tally.taken_up >= ENOUGH, "seed {seed}");
         assert!(2 * tally.gone_on >= tally.taken_up, "seed {seed}");
     }
 }
