Origins: reports, questions and their result have a file each

Read as a newcomer: one file did two jobs, a type stood beside RelayInfo with the same fields, one function took an option that decided what it does, and an import renamed a path. No behaviour changes.

--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -257,9 +257,14 @@
 }
 
 impl KnownRelay {
-    /// Returns its failure domain.
-    pub fn domain(&self) -> DomainId {
-        self.domain
+    /// Returns what other routers are told of it.
+    pub fn info(&self) -> RelayInfo {
+        RelayInfo {
+            id: self.id.clone(),
+            address: self.address,
+            domain: self.domain,
+            is_live: self.is_live,
+        }
     }
 
     /// Returns whether it was never asked.
--- a/wisteriapass_gateway/src/exchange/resumption.rs
+++ b/wisteriapass_gateway/src/exchange/resumption.rs
@@ -70,21 +70,20 @@
         let _ = timeout_at(until, gw.origins.wait_until_complete()).await;
         found = find_origin(gw, stream, services).await;
     }
-    let is_remembered = found.source == OriginSource::Peer;
-    if is_remembered || found.software.is_none() {
-        gw.origins
-            .learn(stream, found.software.as_ref(), plan.deadline);
+    match (&found.software, found.source) {
+        (None, _) => gw.origins.record_unknown(stream),
+        (Some(software), OriginSource::Peer) => {
+            gw.origins.learn(stream, software, plan.deadline);
+        }
+        (Some(_), _) => {}
     }
     found
 }
 
-/// Finds the software of a stream whose first attempt the client does not name: the only version that
-/// this router knows of the service.
+/// Finds the software of a stream of which the client does not name the first attempt.
 fn find_without_attempt(gw: &Gateway, plan: &Plan) -> FoundOrigin {
-    let known = gw
-        .origins
-        .knowledge(None, std::iter::once(plan.service.as_str()));
-    FoundOrigin::of_only_version(&known)
+    let services = std::iter::once(plan.service.as_str());
+    FoundOrigin::without_attempt(gw.origins.knowledge(None, services))
 }
 
 fn log_found(metadata: &RequestMetadata, plan: &Plan, found: &FoundOrigin) {
--- a/wisteriapass_gateway/src/origins.rs
+++ b/wisteriapass_gateway/src/origins.rs
@@ -111,14 +111,15 @@
         self.has_streams.notify_one();
     }
 
-    /// Remembers what other routers know of a stream, so that they are not asked again.
-    pub fn learn(&self, stream: StreamId, software: Option<&Software>, deadline: Instant) {
-        if let Some(software) = software {
-            let (now_ms, deadline_ms) = (self.clock.now_ms(), self.time_ms(deadline));
-            let mut table = self.table.borrow_mut();
-            table.learn(now_ms, stream, software, deadline_ms);
-            return;
-        }
+    /// Remembers the software of a stream that another router knows.
+    pub fn learn(&self, stream: StreamId, software: &Software, deadline: Instant) {
+        let (now_ms, deadline_ms) = (self.clock.now_ms(), self.time_ms(deadline));
+        let mut table = self.table.borrow_mut();
+        table.learn(now_ms, stream, software, deadline_ms);
+    }
+
+    /// Notes that no router remembers a stream, so that none is asked again for a moment.
+    pub fn record_unknown(&self, stream: StreamId) {
         let mut unknown = self.unknown.borrow_mut();
         if unknown.len() >= MAX_UNKNOWN {
             unknown.clear();
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -6,10 +6,12 @@
 
 mod evacuations;
 mod follower;
+mod found_origin;
 mod known;
 mod limits;
 mod messages;
-mod origins;
+mod origin_queries;
+mod origin_reports;
 mod peer_calls;
 mod quarantine;
 mod relay;
@@ -18,7 +20,9 @@
 mod versions;
 
 pub use evacuations::poll_evacuations;
-pub use origins::{FoundOrigin, find_origin, report_origins};
+pub use found_origin::FoundOrigin;
+pub use origin_queries::find_origin;
+pub use origin_reports::report_origins;
 pub use peer_calls::serve_peers;
 pub use quarantine::sync_quarantine;
 pub use role::run_role;
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -4,7 +4,8 @@
 
 use super::evacuations::EVACUATIONS_PATH;
 use super::messages::UPDATE_PATH;
-use super::origins::{QUERY_PATH, REPORT_PATH as ORIGINS_PATH, answer_query};
+use super::origin_queries::{ORIGIN_QUERY_PATH, answer_query};
+use super::origin_reports::ORIGIN_REPORT_PATH;
 use super::quarantine::QUARANTINE_PATH;
 use super::trials::{TRIAL_PATH, answer_call};
 use crate::ledger::{
@@ -37,11 +38,11 @@
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&gw.quarantine.handle_call(&call)).ok()
         }
-        ORIGINS_PATH => {
+        ORIGIN_REPORT_PATH => {
             let report = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&gw.origins.handle_report(&report)).ok()
         }
-        QUERY_PATH => {
+        ORIGIN_QUERY_PATH => {
             let query = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&answer_query(gw, &query)).ok()
         }
--- a/wisteriapass_gateway/src/relays/trials.rs
+++ b/wisteriapass_gateway/src/relays/trials.rs
@@ -11,10 +11,11 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 use wisteriapass_coord::quarantine::{Admission, Fingerprint, TrialEnd};
+use wisteriapass_coord::relay::RelayInfo;
 use wisteriapass_policy::placement::hash_name;
 use wisteriapass_policy::rendezvous::rank;
 
-use super::known::{KnownPeer, known_relays};
+use super::known::known_relays;
 use crate::prelude::*;
 use crate::quarantine::{EndedTrial, TrialGuard};
 use crate::rpc::deadline_in;
@@ -157,7 +158,7 @@
 }
 
 /// Returns the relays that are asked for a trial, in the order of the fingerprint.
-fn granters(gw: &Gateway, fingerprint: &Fingerprint) -> SmallVec<[KnownPeer; 8]> {
+fn granters(gw: &Gateway, fingerprint: &Fingerprint) -> SmallVec<[RelayInfo; 8]> {
     let mut relays = known_relays(gw);
     relays.sort_by_cached_key(|r| Reverse(rank(fingerprint.short(), hash_name(&r.id.0))));
     relays.truncate(MAX_ASKED);
