--- a/wisteriapass_bench/tests/money.rs
+++ b/wisteriapass_bench/tests/money.rs
@@ -136,7 +136,7 @@
         fleet.daemon("router-1").unwrap().kill();
     };
     stop_with_tokens(&fleet, stop, || {
-        fleet.daemon("router-1").unwrap().start().unwrap()
+        fleet.daemon("router-1").unwrap().start().unwrap();
     });
     wait_for("the stranded tokens", || !totals(&fleet).stranded.is_zero());
     assert!(totals(&fleet).recovered.is_zero());
