--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -231,7 +231,14 @@
     /// Returns whether clients may be sent to this router.
     pub fn is_ready(&self) -> bool {
         let is_initialized = self.targets_known.get() && self.catalogue.borrow().is_some();
-        is_initialized && !self.is_stopping() && !self.is_overloaded()
+        is_initialized && !self.is_stopping() && !self.is_overloaded() && !self.is_standing_by()
+    }
+
+    /// Returns whether new callers are left to stronger routers, as this one was overloaded a short
+    /// time ago.
+    fn is_standing_by(&self) -> bool {
+        let is_weak = !self.settings.vm_size.is_strong();
+        is_weak && self.rpc.overload().was_overloaded(self.time())
     }
 
     /// Returns whether more requests arrive than this router can handle.
