Shares: sealed parts open over 4 s again

Cause: few routers hold few, large accounts there, and a draw that moves between routers in a cut exceeds the average that an opening over 8 s follows.

Change: back to 4 s.

--- a/wisteriapass_gateway/src/ledger/share_sizes.rs
+++ b/wisteriapass_gateway/src/ledger/share_sizes.rs
@@ -11,9 +11,8 @@
 const SEAL_MS: u64 = 2_200;
 
 /// Time over which the sealed part then opens, in milliseconds: shorter than [`SEALED_DEMAND_MS`], so
-/// that a demand that grows while the router is cut off is met, but not much: what is open and unspent
-/// is lost if all routers are killed.
-const UNSEAL_MS: u64 = 8_000;
+/// that a demand that grows while the router is cut off is met.
+const UNSEAL_MS: u64 = 4_000;
 
 /// Time since the last report to a witness after which the witness no longer limits spending, in
 /// milliseconds: slightly longer than VMs are usually down.
