Rotation: decide which routers of a failure domain accept callers

Callers saw: all connections of an account reach one router of their failure domain. If that router has a slow link, they are late while strong routers of the domain are idle.

Cause: the balancer selects a router by a hash of the account, and each router decides about its readiness by itself, from its own load alone.

Change: `wisteriapass_policy::rotation` decides for a whole domain, without I/O and without a clock. `LinkMeter` measures how much of its link a router uses. Nothing uses them yet.

--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! request: [`PolicyConfig`] (settings), `pool` (targets that can serve it), `admission` (whether
 //! it can be served in time), `fair_queue` (order), `reserve` (slots reserved for interactive
 //! work), `load_view` (load of a target), `target_selection` (choice of the target), `health`
-//! (targets to avoid), `retry_budget` (retries and hedges) and [`OrderPlanner`] (which target loads
+//! (targets to avoid), `retry_budget` (retries and hedges), [`rotation`] (routers that accept callers) and [`OrderPlanner`] (which target loads
 //! which model).
 
 #![warn(missing_docs)]
@@ -26,6 +26,7 @@
 mod job;
 mod keys;
 mod latency_history;
+mod link_meter;
 mod load_report;
 mod load_view;
 mod names;
@@ -43,6 +44,7 @@
 mod reserve;
 pub mod rest;
 mod retry_budget;
+pub mod rotation;
 mod scheduler;
 mod send_log;
 mod target;
@@ -59,6 +61,7 @@
 pub use features::Features;
 pub use keys::{AccountKey, TargetKey, Ticket};
 pub use latency_history::{LatencyHistory, PlannedRequest};
+pub use link_meter::LinkMeter;
 pub use load_report::LoadReport;
 pub use names::NameKey;
 pub use orders::{ModelDemand, Order, OrderKind, OrderPlanner, OrdersConfig};
--- /dev/null
+++ b/wisteriapass_policy/src/rotation/exit_call.rs
@@ -0,0 +1,14 @@
+//! Requests for the consent of another failure domain.
+
+use serde::{Deserialize, Serialize};
+
+/// Asks the coordinator of another failure domain to consent that a domain leaves rotation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExitCall {
+    /// The domain that wants to leave, or is out.
+    pub domain: String,
+    /// Whether it is out.
+    pub is_out: bool,
+    /// Bandwidth of its weakest router, in Mbit/s.
+    pub weakest_mbps: f64,
+}
