Rotation: routers of a failure domain accept callers as its coordinator decides

Callers saw: an account that reaches a router with a slow link stays there, or comes back as soon as the router has recovered, although its failure domain has strong routers.

Cause: each router decided by itself whether it is ready. The pause of 30 s after an overload kept callers away from one weak router and left them to the next.

Change: where the links of a domain's routers differ by a factor of 4, each router reports its load to the domain's coordinator, a relay, and is ready as that decides. If the account prefers so many weak routers that one of them always serves, the domain leaves rotation with the consent of all others. Routers count the bytes of requests and answers. The pause after an overload is removed; without a coordinator's decision a router goes by its overload alone, as before that pause.

--- a/wisteriapass_daemon/src/logging.rs
+++ b/wisteriapass_daemon/src/logging.rs
@@ -66,6 +66,7 @@
         .level_for("listen", filter)
         .level_for("dispatch", filter)
         .level_for("headers", filter)
+        .level_for("rotation", filter)
         .chain(Box::new(NonBlockingLog::new()) as Box<dyn log::Log>)
         .apply()
         .map_err(|_| LogError::Started)
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -12,6 +12,7 @@
 mod regions;
 mod relays;
 mod rest;
+mod rotation;
 mod slow_links;
 mod stops;
 mod support;
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::framing::Framing;
 use crate::pool::Sender;
 use crate::prelude::*;
+use crate::rotation::HEAD_BYTES;
 use crate::target::{Target, TargetKey};
 
 /// Connect timeout, in milliseconds: many round trips within a region, and short enough for another
@@ -203,6 +204,7 @@
         return SendOutcome::Withheld;
     }
     connection.record_sent();
+    gw.record_bytes(0, HEAD_BYTES + outgoing.body.len());
     let answer = match sender
         .try_send_request(build_request(outgoing, headers))
         .await
@@ -223,6 +225,7 @@
     };
     connection.sender = Some(sender);
     connection.record_received();
+    gw.record_bytes(HEAD_BYTES, 0);
     read_head(gw, answer, connection)
 }
 
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::outgoing_request;
 use crate::prelude::*;
 use crate::reservation::Reservation;
+use crate::rotation::HEAD_BYTES;
 use plan::Plan;
 
 pub use attempt::ProxiedRequest;
@@ -62,8 +63,8 @@
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &metadata, Some(&plan), refusal, arrived),
     };
-    // Clients whose connection is closed reconnect through another router.
-    if gw.is_stopping() || gw.is_overloaded() {
+    gw.record_bytes(HEAD_BYTES, HEAD_BYTES + reply::full_length(&response));
+    if gw.closes_connections() {
         reply::announce_close(&mut response);
     }
     Ok(response)
@@ -87,6 +88,7 @@
     let is_collected = reply::is_collected(parts.version);
     let body = gw.run_unless_aborted(read_body(body, plan)).await;
     let body = body.ok_or(Refusal::Stopping)??;
+    gw.record_bytes(body.len(), 0);
     let plan = &resumption::plan_resumption(gw, metadata, plan).await?;
     let request = ProxiedRequest::new(
         gw.clone(),
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -275,6 +275,7 @@
             Err(WaitError::Deadline) => return Err(history.deadline_refusal()),
             Err(WaitError::Stopping) => return Err(Refusal::CutShort),
         };
+        self.gw.record_bytes(body.len(), 0);
         let completeness = self.completeness(key, framing, EndPoint::Possible);
         match self.gw.run_until(self.plan.deadline, completeness).await {
             Ok(Completeness::Complete) => {}
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -4,7 +4,7 @@
 
 use futures_util::Stream;
 use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, Version};
 use serde_json::json;
@@ -110,6 +110,15 @@
     response
 }
 
+/// Returns the length of a complete body; 0 for a streamed one, whose parts are counted as they
+/// arrive.
+pub fn full_length(response: &Response<ResponseBody>) -> usize {
+    match response.body() {
+        Either::Left(body) => body.size_hint().exact().unwrap_or_default() as usize,
+        Either::Right(_) => 0,
+    }
+}
+
 /// Announces to the client that its connection closes after this response.
 pub fn announce_close(response: &mut Response<ResponseBody>) {
     let headers = response.headers_mut();
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::rotation::Standing;
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
 use crate::catalogue::{Catalogue, CatalogueChange};
@@ -21,6 +22,7 @@
 use crate::prelude::*;
 use crate::quarantine::{Probes, SharedQuarantine, SharedTrials};
 use crate::retry_budget::RetryBudget;
+use crate::rotation::RotationState;
 use crate::rpc::RpcClient;
 use crate::settings::GatewaySettings;
 use crate::store_liveness::StoreLiveness;
@@ -86,6 +88,8 @@
     pub(crate) configuration_log: RefCell<ConfigurationLog>,
     /// Targets' entries and when each of them changed.
     pub(crate) target_log: RefCell<TargetLog>,
+    /// Whether this router accepts new callers.
+    pub(crate) rotation: RotationState,
     /// Failure domains that are evacuated.
     pub(crate) evacuations: RefCell<Evacuations>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
@@ -101,6 +105,7 @@
         let clock = Clock::new();
         let rpc = Rc::new(RpcClient::new(clock));
         let ledger = Rc::new(TokenLedger::new(clock, &settings, rpc.clone()));
+        let rotation = RotationState::new(clock, &settings);
         Self {
             settings,
             platform,
@@ -120,6 +125,7 @@
             shutdown_phase: watch::Sender::new(ShutdownPhase::Running),
             configuration_log: RefCell::default(),
             target_log: RefCell::default(),
+            rotation,
             evacuations: RefCell::default(),
             catalogue: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -230,15 +236,34 @@
 
     /// Returns whether clients may be sent to this router.
     pub fn is_ready(&self) -> bool {
-        let is_initialized = self.targets_known.get() && self.catalogue.borrow().is_some();
-        is_initialized && !self.is_stopping() && !self.is_overloaded() && !self.is_standing_by()
+        let now = self.time();
+        let accepts_callers = match self.rotation.standing(now) {
+            Some(standing) => standing == Standing::Serving,
+            None => !self.is_overloaded() && !self.rotation.awaits_first_answer(now),
+        };
+        self.is_initialized() && !self.is_stopping() && accepts_callers
+    }
+
+    /// Returns whether this router knows its configuration and targets.
+    pub(crate) fn is_initialized(&self) -> bool {
+        self.targets_known.get() && self.catalogue.borrow().is_some()
+    }
+
+    /// Returns whether client connections close after their next answer. Clients whose connection
+    /// is closed reconnect through another router, if the balancer knows that this one is not ready.
+    pub(crate) fn closes_connections(&self) -> bool {
+        let now = self.time();
+        let leaves_rotation = match self.rotation.standing(now) {
+            Some(_) => self.rotation.closes_connections(now),
+            None => self.is_overloaded(),
+        };
+        self.is_stopping() || leaves_rotation
     }
 
-    /// Returns whether new callers are left to stronger routers, as this one was overloaded a short
-    /// time ago.
-    fn is_standing_by(&self) -> bool {
-        let is_weak = !self.settings.vm_size.is_strong();
-        is_weak && self.rpc.overload().was_overloaded(self.time())
+    /// Records bytes of callers' requests and answers that crossed this router's link.
+    pub(crate) fn record_bytes(&self, bytes_in: usize, bytes_out: usize) {
+        self.rotation
+            .record_bytes(self.time(), bytes_in as u64, bytes_out as u64);
     }
 
     /// Returns whether more requests arrive than this router can handle.
--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -372,6 +372,12 @@
         self.relays_in(&self.groups[0].record.borrow())
     }
 
+    /// Returns whether a relay is on a strong VM, according to the record of the last exchange.
+    pub(crate) fn is_strong_relay(&self, id: &HolderId) -> bool {
+        let entry = self.groups[0].record.borrow().holder_entry(id);
+        entry.is_some_and(|entry| entry.is_strong)
+    }
+
     /// Returns the hashes of the names of all relays in the record of the last exchange. Empty
     /// unless this router is a relay, because only a relay keeps the record up to date.
     pub(crate) fn relay_hashes(&self) -> SmallVec<[u64; 8]> {
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod relays;
 mod reservation;
 mod retry_budget;
+mod rotation;
 mod route;
 mod rpc;
 mod run;
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -79,6 +79,7 @@
     } else {
         ShutdownPhase::CloseExisting
     };
+    let mut closing = gw.rotation.closing();
     let service = service_fn(|request| exchange::serve(gw.clone(), request));
     let mut builder = http1::Builder::new();
     builder
@@ -87,9 +88,16 @@
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let closes = async {
+        tokio::select! {
+            () = wait_for_phase(&mut phase, closes_at) => {}
+            // An error means that the router is shutting down.
+            _ = closing.changed() => {}
+        }
+    };
     tokio::select! {
         _ = connection.as_mut() => {}
-        _ = wait_for_phase(&mut phase, closes_at) => {
+        () = closes => {
             connection.as_mut().graceful_shutdown();
             // An error here means that the client disconnected, which its requests notice
             // themselves.
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -4,9 +4,10 @@
 
 use derive_more::{Display, Error};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
 use crate::exchange::UnprovenEnd;
 use crate::platform::StoreError;
@@ -25,6 +26,12 @@
 /// Label for the source of the origin of a stream.
 const SOURCE: &str = "source";
 
+/// Label for the standing of routers.
+const STATE: &str = "state";
+
+/// Label for the cause of a mark.
+const CAUSE: &str = "cause";
+
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
@@ -152,6 +159,10 @@
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
     store_calls: Counter<u64>,
+    rotation_routers: Gauge<u64>,
+    rotation_marks: Counter<u64>,
+    rotation_changes: Counter<u64>,
+    rotation_refusals: Counter<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -182,6 +193,10 @@
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
+            rotation_routers: meter.u64_gauge("wisteriapass_rotation_routers").build(),
+            rotation_marks: meter.u64_counter("wisteriapass_rotation_marks").build(),
+            rotation_changes: meter.u64_counter("wisteriapass_rotation_changes").build(),
+            rotation_refusals: meter.u64_counter("wisteriapass_rotation_refusals").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -245,6 +260,32 @@
         self.evacuations.add(1, &[]);
     }
 
+    /// Records how many routers of the failure domain serve and stand by, as decided by this router.
+    pub fn record_rotation(&self, serving: usize, standby: usize) {
+        for (standing, count) in [(Standing::Serving, serving), (Standing::Standby, standby)] {
+            let state = KeyValue::new(STATE, standing.to_string());
+            self.rotation_routers.record(count as u64, &[state]);
+        }
+    }
+
+    /// Counts a router that this coordinator marked.
+    pub fn count_rotation_mark(&self, cause: Crowding) {
+        let cause = KeyValue::new(CAUSE, cause.to_string());
+        self.rotation_marks.add(1, &[cause]);
+    }
+
+    /// Counts a change of a router's standing that this coordinator decided.
+    pub fn count_rotation_change(&self, reason: ChangeReason) {
+        let reason = KeyValue::new(REASON, reason.to_string());
+        self.rotation_changes.add(1, &[reason]);
+    }
+
+    /// Counts a refusal that another failure domain leaves rotation.
+    pub fn count_rotation_refusal(&self, reason: ExitRefusal) {
+        let reason = KeyValue::new(REASON, reason.to_string());
+        self.rotation_refusals.add(1, &[reason]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let families = self.registry.gather();
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -21,6 +21,7 @@
 
 pub use evacuations::poll_evacuations;
 pub use found_origin::FoundOrigin;
+pub use known::known_relays;
 pub use origin_queries::find_origin;
 pub use origin_reports::report_origins;
 pub use peer_calls::serve_peers;
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -12,6 +12,7 @@
     COMPOSE_PATH, GRANT_PATH, INQUIRY_PATH, LEND_PATH, OUTCOME_PATH, REPORT_PATH, Role,
 };
 use crate::prelude::*;
+use crate::rotation::{EXIT_PATH, ROTATION_PATH, answer_exit, answer_report};
 use crate::rpc::serve_calls;
 
 /// Serves calls of other routers until the process ends.
@@ -52,6 +53,14 @@
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&super::relay::answer_update(gw, &call)).ok()
         }
+        ROTATION_PATH => {
+            let report = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&answer_report(gw, report)?).ok()
+        }
+        EXIT_PATH => {
+            let call = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&answer_exit(gw, &call)).ok()
+        }
         TRIAL_PATH => {
             let call = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&answer_call(gw, &call)).ok()
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -15,6 +15,7 @@
 use crate::relays::{
     poll_evacuations, report_origins, return_trials, run_role, serve_peers, sync_quarantine,
 };
+use crate::rotation::{ask_for_consents, report_load};
 use crate::settings::GatewaySettings;
 
 /// Margin before the kill at which the process exits in any case, in milliseconds.
@@ -69,6 +70,8 @@
     spawn_local(return_trials(gw.clone()));
     spawn_local(report_origins(gw.clone()));
     spawn_local(poll_evacuations(gw.clone()));
+    spawn_local(report_load(gw.clone()));
+    spawn_local(ask_for_consents(gw.clone()));
     let role = spawn_local(run_role(gw.clone()));
     let stamp = gw.clock.stamp();
     log::info!(
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -52,6 +52,12 @@
 }
 
 impl VmSize {
+    /// Returns the bandwidth of the link, in Mbit/s, if it is known and in range.
+    pub fn measurable_mbps(&self) -> Option<f64> {
+        self.link_mbps
+            .filter(|mbps| mbps.is_finite() && *mbps > 0.0)
+    }
+
     /// Returns whether the VM easily carries the shares of other routers.
     pub fn is_strong(&self) -> bool {
         let is_sufficient = |has: Option<f64>, least| has.is_none_or(|has| has >= least);
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -172,6 +172,7 @@
         if let Some(answer) = &mut self.answer {
             answer.connection.record_received();
         }
+        self.request.gw.record_bytes(bytes.len(), bytes.len());
         if !self.reader.push(&bytes) {
             return false;
         }
--- a/wisteriapass_policy/src/overload.rs
+++ b/wisteriapass_policy/src/overload.rs
@@ -23,10 +23,6 @@
 /// Round trip below which a router has recovered, in milliseconds.
 const RECOVERED_MS: u64 = 60;
 
-/// Time after an overload for which a router on a weak VM gets no new callers, in milliseconds. The
-/// balancer sends the same callers back as soon as the router is ready again.
-const STANDBY_MS: u64 = 30_000;
-
 /// Age from which a round trip is ignored, in milliseconds.
 const MAX_AGE_MS: u64 = 3_000;
 
@@ -36,7 +32,6 @@
     samples: [Option<(Time, u64)>; SAMPLES],
     next: usize,
     is_overloaded: bool,
-    overloaded_at: Option<Time>,
 }
 
 impl OverloadDetector {
@@ -51,9 +46,6 @@
             OVERLOADED_MS
         };
         self.is_overloaded = delay_ms >= threshold;
-        if self.is_overloaded {
-            self.overloaded_at = Some(now);
-        }
     }
 
     /// Returns the queueing delay of a small message, in milliseconds: the shortest recent round
@@ -68,10 +60,4 @@
     pub fn is_overloaded(&self, now: Time) -> bool {
         self.is_overloaded && self.queueing_delay_ms(now) > 0
     }
-
-    /// Returns whether the load exceeded the capacity of this router a short time ago.
-    pub fn was_overloaded(&self, now: Time) -> bool {
-        let is_recent = |at| now.millis_since(at) < STANDBY_MS;
-        self.overloaded_at.is_some_and(is_recent)
-    }
 }
--- a/wisteriapass_policy/src/rotation/decision.rs
+++ b/wisteriapass_policy/src/rotation/decision.rs
@@ -15,6 +15,7 @@
     pub is_domain_out: bool,
     /// Number of routers of the failure domain that the coordinator knows.
     pub domain_size: u32,
-    /// Whether the routers of the failure domain differ enough for any of them to stand by.
-    pub has_difference: bool,
+    /// Whether the coordinator needs frequent reports: the routers differ enough for any of them to
+    /// stand by, or another domain relies on this one.
+    pub needs_reports: bool,
 }
--- a/wisteriapass_policy/src/rotation/domain_exit.rs
+++ b/wisteriapass_policy/src/rotation/domain_exit.rs
@@ -116,10 +116,15 @@
         self.promise_in_force(now).is_some_and(|p| p.is_out)
     }
 
+    /// Returns whether this domain promised to stay in rotation.
+    pub fn has_promised(&self, now: Time) -> bool {
+        self.promise_in_force(now).is_some()
+    }
+
     /// Returns whether consents are to be requested now, and begins to wait for them if so.
     pub fn begin_asking(&mut self, now: Time) -> bool {
         let is_due = |at| now.millis_since(at) >= ASK_INTERVAL_MS;
-        let may_ask = now >= self.may_ask_from && self.promise_in_force(now).is_none();
+        let may_ask = now >= self.may_ask_from && !self.has_promised(now);
         let is_wanted = self.wanted_until.is_some_and(|until| now < until);
         let is_wanted = is_wanted || self.is_out(now);
         if !is_wanted || !may_ask || !self.asked_at.is_none_or(is_due) {
@@ -131,10 +136,10 @@
     }
 
     /// Records the answers of all other domains to the last request; a domain that did not answer
-    /// is `None`. Returns whether the domain is out.
-    pub fn record_answers(&mut self, now: Time, answers: &[Option<ExitAnswer>]) -> bool {
+    /// is `None`.
+    pub fn record_answers(&mut self, now: Time, answers: &[Option<ExitAnswer>]) {
         let Some(asked_at) = self.asked_at.filter(|_| self.is_bidding) else {
-            return self.is_out(now);
+            return;
         };
         let consents = |a: &&Option<ExitAnswer>| **a == Some(ExitAnswer::Consent);
         let refuses = |a: &Option<ExitAnswer>| matches!(a, Some(ExitAnswer::Refused(_)));
@@ -148,7 +153,6 @@
             self.is_bidding = false;
             self.out_until = None;
         }
-        self.is_out(now)
     }
 
     /// Answers the request of another domain.
@@ -171,7 +175,7 @@
         if self.is_out(now) {
             return Some(ExitRefusal::Out);
         }
-        if self.is_bidding && self.domain < call.domain {
+        if self.may_still_leave(now) && self.domain < call.domain {
             return Some(ExitRefusal::Asked);
         }
         let promised = self.promise_in_force(now);
@@ -184,6 +188,12 @@
         strength.has_unreported.then_some(ExitRefusal::Unreported)
     }
 
+    /// Returns whether answers to the last request may still let the domain leave.
+    fn may_still_leave(&self, now: Time) -> bool {
+        let is_recent = |at| now.millis_since(at) < CONSENT_MS;
+        self.is_bidding && self.asked_at.is_some_and(is_recent)
+    }
+
     fn promise_in_force(&self, now: Time) -> Option<&Promise> {
         self.promise.as_ref().filter(|p| now < p.until)
     }
--- a/wisteriapass_policy/src/rotation/exit_call.rs
+++ b/wisteriapass_policy/src/rotation/exit_call.rs
@@ -12,3 +12,10 @@
     /// Bandwidth of its weakest router, in Mbit/s.
     pub weakest_mbps: f64,
 }
+
+impl ExitCall {
+    /// Returns whether the values can come from a coordinator.
+    pub fn is_plausible(&self) -> bool {
+        self.weakest_mbps.is_finite() && self.weakest_mbps > 0.0
+    }
+}
--- a/wisteriapass_policy/src/rotation/planner.rs
+++ b/wisteriapass_policy/src/rotation/planner.rs
@@ -12,6 +12,10 @@
 /// domain have reported.
 const SETTLE_MS: u64 = 600;
 
+/// Time without planning after which a coordinator begins anew, in milliseconds. It has missed reports
+/// meanwhile, and another one may have decided.
+const LATE_MS: u64 = 400;
+
 /// Time after the start in which routers that report for the first time prolong it, in
 /// milliseconds. They learn one after the other that the coordinator has changed.
 const JOIN_MS: u64 = 3_000;
@@ -113,8 +117,7 @@
 
     /// Updates the standings; returns what changed.
     pub fn plan(&mut self, now: Time) -> Vec<Change> {
-        // Another coordinator may have decided while this process was suspended.
-        let is_late = |at| now.millis_since(at) >= SETTLE_MS;
+        let is_late = |at| now.millis_since(at) >= LATE_MS;
         if self.planned_at.is_some_and(is_late) && self.started_at.is_some() {
             self.start(now);
         }
@@ -156,7 +159,7 @@
             mark: known.mark_age(now),
             is_domain_out: self.exit.is_out(now),
             domain_size: self.size(now) as u32,
-            has_difference: has_difference || !is_settled && standing.is_some(),
+            needs_reports: has_difference || standing.is_some() || self.exit.has_promised(now),
         })
     }
 
@@ -186,13 +189,15 @@
     }
 
     /// Records the answers of all other domains to the last request; a domain that did not answer
-    /// is `None`. Returns whether the domain is out.
-    pub fn record_answers(&mut self, now: Time, answers: &[Option<ExitAnswer>]) -> bool {
-        self.exit.record_answers(now, answers)
+    /// is `None`.
+    pub fn record_answers(&mut self, now: Time, answers: &[Option<ExitAnswer>]) {
+        self.exit.record_answers(now, answers);
     }
 
     /// Answers the request of another domain to consent that it leaves; returns `None` until enough
-    /// is known of this one. `live` names routers of this domain that are known to be live.
+    /// is known of this one. `live` names routers of this domain that were live a short time ago.
+    ///
+    /// A router that stopped reporting does not end a consent, as it may have died.
     pub fn answer_exit(
         &mut self,
         now: Time,
@@ -202,7 +207,8 @@
         if !self.is_settled(now) {
             return None;
         }
-        let reports = |name: &String| self.routers.get(name).is_some_and(|r| !r.is_silent(now));
+        let is_known = |r: &KnownRouter| call.is_out || !r.is_silent(now);
+        let reports = |name: &String| self.routers.get(name).is_some_and(is_known);
         let is_strong = |r: &&KnownRouter| {
             let least = STRONGER_FACTOR * call.weakest_mbps;
             r.is_serving(now) && r.report.link_mbps >= least
--- a/wisteriapass_policy/src/rotation/router_report.rs
+++ b/wisteriapass_policy/src/rotation/router_report.rs
@@ -4,6 +4,9 @@
 
 use super::{Crowding, HeldStanding, MarkAge, Phase};
 
+/// Largest number of routers of a failure domain that is plausible.
+const MAX_DOMAIN_SIZE: u32 = 10_000;
+
 /// A router's report to the coordinator of its failure domain. It contains everything from which
 /// another coordinator restores the state of the previous one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,3 +36,11 @@
     /// Time until the next report, in milliseconds.
     pub next_ms: u64,
 }
+
+impl RouterReport {
+    /// Returns whether the values can come from a router.
+    pub fn is_plausible(&self) -> bool {
+        let is_positive = self.link_mbps.is_finite() && self.link_mbps > 0.0;
+        is_positive && self.utilization >= 0.0 && self.domain_size <= MAX_DOMAIN_SIZE
+    }
+}
