Shares: the schedule by which sealed parts open is recorded whole

Cause: of the schedule only the duration was recorded. A successor took the start from its own configuration, and no part of a sealed share could be open from the start, so neither could change from one release to the next, or be set by measurement.

Change: `Opening` holds the start, the duration and the part that is open at any age. It is recorded in the holder entry (format 5), and a successor computes with its predecessor's. Records of format 4 and before are read; their start is the one that all of these releases used. The time after which the store counts as unreachable is a size of its own. Sizes of routers are as before.

Tested: the models of shares, witnesses, grants and combined writes play processes with different schedules on one VM; with a successor that computes with its own schedule, two of them and a new test fail. A record of the last format is read with its schedule.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -82,7 +82,7 @@
     /// Returns the spending limit when the last write is `age_ms` old, in tokens.
     pub(super) fn limit_at_age(&self, age_ms: u64, config: &ShareConfig) -> u64 {
         let sealed = self.share.granted.saturating_sub(self.open_limit);
-        self.open_limit + config.unsealed(sealed, age_ms)
+        self.open_limit + config.opening.unsealed(sealed, age_ms)
     }
 
     /// Returns the age of the last write at which `max_cost` tokens can be reserved, in milliseconds;
@@ -91,7 +91,7 @@
         let sealed = self.share.granted.saturating_sub(self.open_limit);
         let uncovered = max_cost.saturating_sub(self.spendable(self.open_limit));
         let fits = self.spendable(self.share.granted) >= max_cost;
-        fits.then(|| config.unseals_at_ms(sealed, uncovered))
+        fits.then(|| config.opening.unseals_at_ms(sealed, uncovered))
     }
 
     /// Returns the spending limit that witnesses are asked to acknowledge, in tokens.
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -262,7 +262,7 @@
             domain: self.domain,
             followers: self.followers,
             is_strong: self.is_strong,
-            unseal_ms: self.config.unseal_ms,
+            opening: self.config.opening,
         };
         self.witnesses.add_named(entry.witnesses);
         record.set_holder_entry(&self.id, entry);
--- a/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
+++ b/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
@@ -20,8 +20,7 @@
         self.age_ms = self.age_ms.max(age_ms);
         self.witnesses
             .advance(now.since_boot, self.config.witness_timeout_ms);
-        let open_at_ms = self.config.seal_ms + self.config.unseal_ms;
-        self.age_ms >= open_at_ms && !self.witnesses.any_binds()
+        self.age_ms >= self.config.opening.end_ms() && !self.witnesses.any_binds()
     }
 
     /// Returns the limit up to which an account's share may be spent now, in tokens.
@@ -62,7 +61,8 @@
     /// No limits beyond the open parts are requested while the store answers.
     pub fn compose_report(&self, now_ms: u64, now: Stamp) -> WitnessReport {
         let sent = self.last_sent.map_or(now.since_boot, |s| s.since_boot);
-        let is_out_of_contact = now.since_boot.saturating_sub(sent) >= self.config.seal_ms / 2;
+        let is_out_of_contact =
+            now.since_boot.saturating_sub(sent) >= self.config.out_of_contact_ms;
         let requesting = self
             .accounts
             .iter()
--- a/wisteriapass_coord/src/prepaid/holder/succession.rs
+++ b/wisteriapass_coord/src/prepaid/holder/succession.rs
@@ -5,8 +5,7 @@
 use super::ShareHolder;
 use crate::prepaid::stamp::CLOCK_TOLERANCE_MS;
 use crate::prepaid::{
-    HolderEntry, Inquiry, InquiryAnswer, ShareConfig, ShareRecord, Stamp, SuccessionProof,
-    WitnessId,
+    HolderEntry, Inquiry, InquiryAnswer, ShareRecord, Stamp, SuccessionProof, WitnessId,
 };
 
 impl ShareHolder {
@@ -41,10 +40,6 @@
 
     /// Takes over the shares of a dead predecessor.
     pub(super) fn take_over(&mut self, before: HolderEntry, next: &mut ShareRecord) {
-        let config = ShareConfig {
-            unseal_ms: before.unseal_ms,
-            ..self.config
-        };
         let age_ms = self.started.since(before.stamp);
         let by_time_of_day = self.started.since_by_time_of_day(before.stamp);
         self.silent_ms = age_ms.or(by_time_of_day);
@@ -53,7 +48,7 @@
         let by_time_of_day = by_time_of_day.map(|ms| ms + 2 * CLOCK_TOLERANCE_MS);
         let by_time_of_day = by_time_of_day.filter(|_| before.agreed && age_ms.is_none());
         let unsealed_at = |age: Option<u64>, sealed| {
-            let unsealed = age.map(|ms| config.unsealed(sealed, ms));
+            let unsealed = age.map(|ms| before.opening.unsealed(sealed, ms));
             unsealed.unwrap_or(sealed)
         };
         let answer = self.witness_limits.as_ref();
--- a/wisteriapass_coord/src/prepaid/holder_entry.rs
+++ b/wisteriapass_coord/src/prepaid/holder_entry.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash64;
 
-use crate::prepaid::{NamedWitnesses, Stamp};
+use crate::prepaid::{NamedWitnesses, Opening, Stamp};
 
 /// Name of the VM whose router holds a share. A successor on the same VM takes the share over.
 #[derive(
@@ -65,7 +65,7 @@
     /// Whether its VM is one of those with enough capacity to carry the shares of others.
     #[serde(default)]
     pub is_strong: bool,
-    /// Time over which the sealed parts of its shares open, in milliseconds; 0 if they open at once.
+    /// When the sealed parts of its shares open.
     #[serde(default)]
-    pub unseal_ms: u64,
+    pub opening: Opening,
 }
--- a/wisteriapass_coord/src/prepaid/packed.rs
+++ b/wisteriapass_coord/src/prepaid/packed.rs
@@ -11,12 +11,17 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::prepaid::{DomainId, HolderEntry, HolderId, NamedWitnesses, Share, ShareRecord, Stamp};
+use crate::prepaid::{
+    DomainId, HolderEntry, HolderId, NamedWitnesses, Opening, Share, ShareRecord, Stamp,
+};
 
 /// First byte of the current format.
+const FORMAT_V5: u8 = 5;
+
+/// First byte of the previous format, in which only the duration of the opening is recorded.
 const FORMAT_V4: u8 = 4;
 
-/// First byte of the previous format, in which all sealed parts open at once.
+/// First byte of the format before that, in which all sealed parts open at once.
 const FORMAT_V3: u8 = 3;
 
 /// First byte of the format before that, in which a holder entry has no failure domain either.
@@ -49,6 +54,13 @@
     accounts: Vec<PackedAccount>,
 }
 
+/// A holder entry of a process that recorded only how long its sealed parts open.
+#[derive(Deserialize)]
+struct HolderEntryV4 {
+    before: HolderEntryV3,
+    unseal_ms: u64,
+}
+
 /// A holder entry of a process whose sealed parts open at once.
 #[derive(Deserialize)]
 struct HolderEntryV3 {
@@ -91,7 +103,7 @@
         };
         // Encoding fails only for types that this record does not have, such as maps of unknown
         // length.
-        postcard::to_extend(&packed, vec![FORMAT_V4]).unwrap_or_default()
+        postcard::to_extend(&packed, vec![FORMAT_V5]).unwrap_or_default()
     }
 
     /// Decodes a record.
@@ -101,7 +113,8 @@
     /// Returns [`UnpackError`] if the bytes are not a valid record.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, UnpackError> {
         match bytes.split_first() {
-            Some((&FORMAT_V4, rest)) => unpack::<HolderEntry>(rest),
+            Some((&FORMAT_V5, rest)) => unpack::<HolderEntry>(rest),
+            Some((&FORMAT_V4, rest)) => unpack::<HolderEntryV4>(rest),
             Some((&FORMAT_V3, rest)) => unpack::<HolderEntryV3>(rest),
             Some((&FORMAT_V2, rest)) => unpack::<HolderEntryV2>(rest),
             Some((&FORMAT_V1, rest)) => unpack::<HolderEntryV1>(rest),
@@ -135,6 +148,15 @@
     packed.unpack()
 }
 
+impl From<HolderEntryV4> for HolderEntry {
+    fn from(entry: HolderEntryV4) -> Self {
+        Self {
+            opening: Opening::with_duration(entry.unseal_ms),
+            ..entry.before.into()
+        }
+    }
+}
+
 impl From<HolderEntryV3> for HolderEntry {
     fn from(entry: HolderEntryV3) -> Self {
         Self {
--- a/wisteriapass_coord/tests/prepaid/carried.rs
+++ b/wisteriapass_coord/tests/prepaid/carried.rs
@@ -3,7 +3,7 @@
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{ShareHolder, ShareRecord, Stamp};
 
-use crate::support::{ACCOUNT, at, holder, holder_at};
+use crate::support::{ACCOUNT, at, varied_holder};
 
 const TOTAL: u64 = 20_000;
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -37,7 +37,7 @@
 impl World {
     fn new() -> Self {
         let router = |(name, process): (&&str, u64)| Router {
-            holder: holder(name, process, TOTAL),
+            holder: varied_holder(name, process, TOTAL, at(0)),
             is_writing: false,
             reserved: 0,
         };
@@ -125,7 +125,7 @@
     fn kill(&mut self, who: usize, now: u64) {
         self.processes += 1;
         self.routers[who] = Router {
-            holder: holder_at(NAMES[who], self.processes, TOTAL, at(now)),
+            holder: varied_holder(NAMES[who], self.processes, TOTAL, at(now)),
             is_writing: false,
             reserved: 0,
         };
--- a/wisteriapass_coord/tests/prepaid/grants.rs
+++ b/wisteriapass_coord/tests/prepaid/grants.rs
@@ -9,7 +9,7 @@
     ShareRecord,
 };
 
-use crate::support::{ACCOUNT, FULLY_OPEN_MS, at, exchange, holder, holder_at};
+use crate::support::{ACCOUNT, FULLY_OPEN_MS, at, exchange, holder, holder_at, varied_holder};
 
 /// A relay process on its VM.
 struct Relay {
@@ -338,7 +338,7 @@
     fn restart_relay(&mut self, r: usize) {
         self.processes += 1;
         let name = self.relays[r].holder.id().0.clone();
-        let holder = holder_at(&name, self.processes, self.total, at(self.now));
+        let holder = varied_holder(&name, self.processes, self.total, at(self.now));
         self.relays[r] = Relay::new(r, holder, self.processes);
         self.exchange(r, true);
     }
--- a/wisteriapass_coord/tests/prepaid/shares.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -1,10 +1,13 @@
 //! Shares are granted, spent, returned and taken over within the total.
 
 use quickcheck_macros::quickcheck;
-use wisteriapass_coord::prepaid::{HolderId, ShareHolder, ShareRecord, ShareShortfall, Stamp};
+use wisteriapass_coord::prepaid::{
+    HolderId, Opening, ShareHolder, ShareRecord, ShareShortfall, Stamp,
+};
 
 use crate::support::{
-    ACCOUNT, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at, reserve_with_exchange,
+    ACCOUNT, CONFIGS, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at, holder_with,
+    reserve_with_exchange, varied_holder,
 };
 
 #[test]
@@ -123,12 +126,12 @@
     }
     let share = record.share(ACCOUNT, h.id());
     assert!(share.sealed > 0 && share.open() > 0);
-    h.unseal(at(1_900 + SHARE_CONFIG.seal_ms));
+    h.unseal(at(1_900 + SHARE_CONFIG.opening.start_ms));
     assert_eq!(h.reserve(9_000, ACCOUNT, share.open()), Ok(()));
     assert!(h.reserve(9_000, ACCOUNT, 1).is_err());
     h.unseal(at(1_900
-        + SHARE_CONFIG.seal_ms
-        + SHARE_CONFIG.unseal_ms / 2));
+        + SHARE_CONFIG.opening.start_ms
+        + SHARE_CONFIG.opening.duration_ms / 2));
     assert_eq!(h.reserve(9_000, ACCOUNT, share.sealed / 2), Ok(()));
     assert!(h.reserve(9_000, ACCOUNT, 1).is_err());
     assert!(!h.unseal(at(1_900 + FULLY_OPEN_MS - 1)));
@@ -168,8 +171,8 @@
 fn a_successor_recovers_only_what_cannot_have_been_unsealed() {
     for age in [
         0,
-        SHARE_CONFIG.seal_ms,
-        SHARE_CONFIG.seal_ms + SHARE_CONFIG.unseal_ms / 4,
+        SHARE_CONFIG.opening.start_ms,
+        SHARE_CONFIG.opening.start_ms + SHARE_CONFIG.opening.duration_ms / 4,
         FULLY_OPEN_MS,
     ] {
         let (mut record, sealed) = sealed_share();
@@ -177,8 +180,8 @@
         let mut after = holder_at("a", 2, 10_000, at(age));
         exchange(&mut after, age, &mut record);
         let lost = record.share(ACCOUNT, after.id()).lost;
-        let opening_ms = age.saturating_sub(SHARE_CONFIG.seal_ms);
-        let unsealed = sealed * opening_ms / SHARE_CONFIG.unseal_ms;
+        let opening_ms = age.saturating_sub(SHARE_CONFIG.opening.start_ms);
+        let unsealed = sealed * opening_ms / SHARE_CONFIG.opening.duration_ms;
         assert_eq!(lost, before - sealed + unsealed, "{age} ms");
         assert_eq!(after.silent_ms(), Some(age));
     }
@@ -187,14 +190,14 @@
 #[test]
 fn the_sealed_part_of_a_process_that_unseals_at_once_is_lost_after_the_seal() {
     for (age, is_lost) in [
-        (SHARE_CONFIG.seal_ms - 1, false),
-        (SHARE_CONFIG.seal_ms, true),
+        (SHARE_CONFIG.opening.start_ms - 1, false),
+        (SHARE_CONFIG.opening.start_ms, true),
     ] {
         let (mut record, sealed) = sealed_share();
         let before = record.granted(ACCOUNT);
         let mut after = holder_at("a", 2, 10_000, at(age));
         let mut entry = record.holder_entry(after.id()).unwrap();
-        entry.unseal_ms = 0;
+        entry.opening.duration_ms = 0;
         record.set_holder_entry(after.id(), entry);
         exchange(&mut after, age, &mut record);
         let back = if is_lost { 0 } else { sealed };
@@ -202,6 +205,64 @@
     }
 }
 
+/// Guards against a successor that computes with a schedule other than the recorded one: it would
+/// take for unspent what its predecessor could spend.
+#[test]
+fn a_successor_counts_as_lost_what_the_recorded_schedule_opens() {
+    for (config, age) in CONFIGS
+        .iter()
+        .flat_map(|c| [0, 1, 900, 2_600, 9_000].map(|t| (*c, t)))
+    {
+        let mut record = ShareRecord::default();
+        let mut before = holder_with(config, "a", 1, 10_000, at(0));
+        assert_eq!(
+            reserve_with_exchange(&mut before, 0, 500, &mut record),
+            Ok(())
+        );
+        exchange(&mut before, 0, &mut record);
+        before.unseal(at(age));
+        let mut spent = 500;
+        while before.reserve(age, ACCOUNT, 1).is_ok() {
+            spent += 1;
+        }
+        let held = record.share(ACCOUNT, before.id());
+        assert_eq!(
+            spent,
+            held.granted - held.sealed + config.opening.unsealed(held.sealed, age)
+        );
+        for successor in CONFIGS {
+            let mut record = record.clone();
+            let mut after = holder_with(successor, "a", 2, 10_000, at(age));
+            exchange(&mut after, age, &mut record);
+            let share = record.share(ACCOUNT, after.id());
+            assert_eq!(
+                share.lost + share.used,
+                spent,
+                "{:?} at {age} ms",
+                config.opening
+            );
+        }
+    }
+}
+
+#[quickcheck]
+fn a_sealed_part_opens_no_later_than_the_schedule_tells(n: (u16, u16, u16, u32), age: u16) -> bool {
+    let (start, duration, initial, sealed) = n;
+    let opening = Opening {
+        start_ms: u64::from(start) % 5_000,
+        duration_ms: u64::from(duration) % 10_000,
+        initial_permille: u32::from(initial) % 1_001,
+    };
+    let sealed = u64::from(sealed);
+    let open = opening.unsealed(sealed, age.into());
+    let opens_ms = opening.unseals_at_ms(sealed, open);
+    // Less of a larger open part and a smaller sealed one is never open.
+    open <= 1 + opening.unsealed(sealed.saturating_sub(1), age.into())
+        && open <= opening.unsealed(sealed, u64::from(age) + 1)
+        && opening.unsealed(sealed, opens_ms) >= open
+        && (opens_ms == 0 || opening.unsealed(sealed, opens_ms - 1) < open)
+}
+
 /// A stamp after a power loss, where the boot clock starts anew.
 fn rebooted(ms: u64, clock_error_ms: i64) -> Stamp {
     let mut stamp = at(ms);
@@ -274,7 +335,7 @@
     let lost = |outage_ms| lost_by_power(outage_ms, &|_| 0);
     let open = lost(1_000);
     let sealed = lost(FULLY_OPEN_MS) - open;
-    let over_half_a_second = lost(SHARE_CONFIG.seal_ms + 300) - open;
+    let over_half_a_second = lost(SHARE_CONFIG.opening.start_ms + 300) - open;
     // Routers that are cut off draw on the sealed parts for seconds.
     assert!(
         5 * over_half_a_second <= sealed,
@@ -408,8 +469,9 @@
     let mut total = 2_000;
     let mut record = (0_u64, ShareRecord::default());
     let mut late: Vec<(u64, ShareRecord)> = Vec::new();
-    let mut holders: Vec<ShareHolder> =
-        (0..3).map(|i| holder(&format!("r{i}"), i, total)).collect();
+    let mut holders: Vec<ShareHolder> = (0..3)
+        .map(|i| varied_holder(&format!("r{i}"), i, total, at(0)))
+        .collect();
     let (mut spent, mut now, mut processes) = (0, 0, 3);
     for (who, action, pause) in history {
         now += u64::from(pause) % 1_500;
@@ -450,14 +512,14 @@
             Step::Kill => {
                 let name = h.id().0.clone();
                 processes += 1;
-                *h = holder_at(&name, processes, total, at(now));
+                *h = varied_holder(&name, processes, total, at(now));
             }
             Step::ReturnUnspent => {
                 if let Some(next) = h.return_unspent(at(now), &record.1) {
                     record = (record.0 + 1, next);
                     let name = h.id().0.clone();
                     processes += 1;
-                    *h = holder_at(&name, processes, total, at(now));
+                    *h = varied_holder(&name, processes, total, at(now));
                 }
             }
             Step::TopUp => {
--- a/wisteriapass_coord/tests/prepaid/support.rs
+++ b/wisteriapass_coord/tests/prepaid/support.rs
@@ -1,25 +1,52 @@
 //! Share holders, and their exchanges with the record.
 
 use wisteriapass_coord::prepaid::{
-    HolderId, ShareConfig, ShareHolder, ShareRecord, ShareShortfall, Stamp,
+    HolderId, Opening, ShareConfig, ShareHolder, ShareRecord, ShareShortfall, Stamp,
 };
 
 /// Configuration of all shares.
 pub const SHARE_CONFIG: ShareConfig = ShareConfig {
     open_demand_ms: 4_000,
     sealed_demand_ms: 6_000,
-    seal_ms: 2_000,
-    unseal_ms: 4_000,
+    opening: Opening {
+        start_ms: 2_000,
+        duration_ms: 4_000,
+        initial_permille: 0,
+    },
+    out_of_contact_ms: 1_000,
     witness_timeout_ms: 4_000,
     max_unspent_fraction: 0.6,
     idle_fraction: 0.05,
 };
 
+/// Configurations of processes that follow each other on one VM: the schedules of two releases
+/// differ, and a successor has to compute with that of its predecessor.
+pub const CONFIGS: [ShareConfig; 4] = [
+    SHARE_CONFIG,
+    with_opening(1_000, 2_000, 300),
+    with_opening(0, 8_000, 120),
+    with_opening(2_500, 0, 700),
+];
+
+/// Returns a configuration with another schedule, and with an open part of its own.
+const fn with_opening(start_ms: u64, duration_ms: u64, initial_permille: u32) -> ShareConfig {
+    ShareConfig {
+        open_demand_ms: 300,
+        sealed_demand_ms: 9_700,
+        opening: Opening {
+            start_ms,
+            duration_ms,
+            initial_permille,
+        },
+        ..SHARE_CONFIG
+    }
+}
+
 /// Account that all tests use.
 pub const ACCOUNT: &str = "firm";
 
 /// Age of the last write at which sealed parts are fully open, in milliseconds.
-pub const FULLY_OPEN_MS: u64 = SHARE_CONFIG.seal_ms + SHARE_CONFIG.unseal_ms;
+pub const FULLY_OPEN_MS: u64 = SHARE_CONFIG.opening.start_ms + SHARE_CONFIG.opening.duration_ms;
 
 /// Returns the readings of both clocks at a time of the test.
 pub fn at(ms: u64) -> Stamp {
@@ -36,7 +63,24 @@
 
 /// Creates a holder whose process started at `started`.
 pub fn holder_at(name: &str, process: u64, total: u64, started: Stamp) -> ShareHolder {
-    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, SHARE_CONFIG);
+    holder_with(SHARE_CONFIG, name, process, total, started)
+}
+
+/// Creates a holder whose process started at `started`, with one of [`CONFIGS`].
+pub fn varied_holder(name: &str, process: u64, total: u64, started: Stamp) -> ShareHolder {
+    let config = CONFIGS[process as usize % CONFIGS.len()];
+    holder_with(config, name, process, total, started)
+}
+
+/// Creates a holder with a configuration.
+pub fn holder_with(
+    config: ShareConfig,
+    name: &str,
+    process: u64,
+    total: u64,
+    started: Stamp,
+) -> ShareHolder {
+    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, config);
     holder.set_total(ACCOUNT, total);
     holder
 }
--- a/wisteriapass_coord/tests/prepaid/witnesses.rs
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -5,7 +5,9 @@
     Share, ShareHolder, ShareRecord, Stamp, WitnessId, WitnessMemory, WitnessReceipt, WitnessReport,
 };
 
-use crate::support::{ACCOUNT, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at};
+use crate::support::{
+    ACCOUNT, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at, varied_holder,
+};
 
 /// Witnesses that a router reports to.
 const WITNESSES: usize = 2;
@@ -127,7 +129,7 @@
 /// Returns what counts as lost of a share whose last write was made at 2,900 ms, if no witness is
 /// trusted at `now`.
 fn lost_without_witnesses(held: Share, now: u64) -> u64 {
-    held.open() + SHARE_CONFIG.unsealed(held.sealed, now - 2_900)
+    held.open() + SHARE_CONFIG.opening.unsealed(held.sealed, now - 2_900)
 }
 
 #[test]
@@ -278,7 +280,7 @@
 impl World {
     fn new() -> Self {
         let total = 9_000;
-        let holders = (0..2).map(|i| holder(&format!("r{i}"), i, total));
+        let holders = (0..2).map(|i| varied_holder(&format!("r{i}"), i, total, at(0)));
         Self {
             total,
             spent: vec![0; 2],
@@ -397,7 +399,7 @@
     fn restart(&mut self, me: usize) {
         self.processes += 1;
         let name = self.holders[me].id().0.clone();
-        self.holders[me] = holder_at(&name, self.processes, self.total, at(self.now));
+        self.holders[me] = varied_holder(&name, self.processes, self.total, at(self.now));
     }
 
     /// Returns whether everything that was spent was granted by the record in force.
--- a/wisteriapass_coord/tests/prepaid_packed.rs
+++ b/wisteriapass_coord/tests/prepaid_packed.rs
@@ -2,7 +2,8 @@
 
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{
-    DomainId, HolderEntry, HolderId, NamedWitnesses, Share, ShareRecord, Stamp, UnpackError,
+    DomainId, HolderEntry, HolderId, NamedWitnesses, Opening, Share, ShareRecord, Stamp,
+    UnpackError,
 };
 
 fn entry(n: u64) -> HolderEntry {
@@ -19,7 +20,7 @@
         domain: DomainId::default(),
         followers: 0,
         is_strong: false,
-        unseal_ms: 0,
+        opening: Opening::default(),
     }
 }
 
@@ -114,6 +115,13 @@
     is_strong: bool,
 }
 
+/// A holder entry of the format without the start of the opening.
+#[derive(serde::Serialize)]
+struct EntryV4 {
+    before: EntryV3,
+    unseal_ms: u64,
+}
+
 fn entry_v1(entry: &HolderEntry) -> EntryV1 {
     EntryV1 {
         process: entry.process,
@@ -131,6 +139,15 @@
     }
 }
 
+fn entry_v3(entry: &HolderEntry) -> EntryV3 {
+    EntryV3 {
+        before: entry_v2(entry),
+        domain: entry.domain,
+        followers: entry.followers,
+        is_strong: entry.is_strong,
+    }
+}
+
 /// Encodes a record of three holders and two accounts in an earlier format.
 fn encode_earlier<T: serde::Serialize>(
     record: &ShareRecord,
@@ -157,11 +174,42 @@
     assert_eq!(ShareRecord::from_bytes(&first), Ok(record.clone()));
     let second = encode_earlier(&record, 2, entry_v2);
     assert_eq!(ShareRecord::from_bytes(&second), Ok(record.clone()));
-    let third = encode_earlier(&record, 3, |entry| EntryV3 {
-        before: entry_v2(entry),
-        domain: entry.domain,
-        followers: entry.followers,
-        is_strong: entry.is_strong,
-    });
+    let third = encode_earlier(&record, 3, entry_v3);
     assert_eq!(ShareRecord::from_bytes(&third), Ok(record));
 }
+
+/// Guards against a successor that computes with its own schedule, and takes for unspent what a
+/// predecessor of the last release had already opened.
+#[test]
+fn the_schedule_of_a_process_of_the_last_release_is_read() {
+    let record = record(2, 3);
+    let fourth = encode_earlier(&record, 4, |entry| EntryV4 {
+        before: entry_v3(entry),
+        unseal_ms: 8_000,
+    });
+    let read = ShareRecord::from_bytes(&fourth).unwrap();
+    let expected = Opening {
+        start_ms: 2_200,
+        duration_ms: 8_000,
+        initial_permille: 0,
+    };
+    let mut openings = read.holder_entries().map(|(_, entry)| entry.opening);
+    assert!(openings.all(|opening| opening == expected));
+}
+
+#[quickcheck]
+fn a_recorded_schedule_survives_a_round_trip(start: u16, duration: u16, initial: u16) -> bool {
+    let mut record = record(2, 3);
+    let id = record.holder_entries().next().unwrap().0.clone();
+    let opening = Opening {
+        start_ms: start.into(),
+        duration_ms: duration.into(),
+        initial_permille: initial.into(),
+    };
+    let entry = HolderEntry {
+        opening,
+        ..entry(7)
+    };
+    record.set_holder_entry(&id, entry);
+    ShareRecord::from_bytes(&record.to_bytes()) == Ok(record)
+}
--- a/wisteriapass_gateway/src/ledger/share_sizes.rs
+++ b/wisteriapass_gateway/src/ledger/share_sizes.rs
@@ -1,6 +1,6 @@
 //! How large this router's shares are, and when their sealed parts open.
 
-use wisteriapass_coord::prepaid::{DomainId, HolderId, ShareConfig, ShareHolder};
+use wisteriapass_coord::prepaid::{DomainId, HolderId, Opening, ShareConfig, ShareHolder};
 
 use crate::clock::Clock;
 use crate::settings::GatewaySettings;
@@ -15,6 +15,10 @@
 /// is lost if all routers are killed.
 const UNSEAL_MS: u64 = 8_000;
 
+/// Time since the last write after which the store counts as unreachable, in milliseconds: two
+/// exchanges.
+const OUT_OF_CONTACT_MS: u64 = 1_100;
+
 /// Time since the last report to a witness after which the witness no longer limits spending, in
 /// milliseconds: slightly longer than VMs are usually down.
 const WITNESS_TIMEOUT_MS: u64 = 5_000;
@@ -41,8 +45,12 @@
     let config = ShareConfig {
         open_demand_ms: OPEN_DEMAND_MS,
         sealed_demand_ms: SEALED_DEMAND_MS,
-        seal_ms: SEAL_MS,
-        unseal_ms: UNSEAL_MS,
+        opening: Opening {
+            start_ms: SEAL_MS,
+            duration_ms: UNSEAL_MS,
+            initial_permille: 0,
+        },
+        out_of_contact_ms: OUT_OF_CONTACT_MS,
         witness_timeout_ms: WITNESS_TIMEOUT_MS,
         max_unspent_fraction: MAX_UNSPENT_FRACTION,
         idle_fraction: IDLE_FRACTION,
