Shares: what may be spent at once needs the receipts of witnesses in touch as well

Callers saw: one router killed in touch and restarted half a second later took up to 13% of an account's total with it, although two witnesses answered its successor.

Cause: witnesses acknowledged only what was spent of sealed parts, out of touch. The open part, 2.9 s of the demand, counted as lost whole.

Change: the open part covers the next 300 ms of the demand. The rest of what may be spent at once is the part of the sealed one that is open at any age; while a witness binds the router, it is spent with receipts only, as the sealed part was. Reports carry limits at all times, with 500 ms of the demand in advance but no more than a hundredth of the total, and only limits that are news. A request that does not fit, or that leaves little in advance, has a report sent at once; it waits 60 ms for receipts before it has an exchange made. A lender waits 25 ms for the receipts of its own witnesses. The search for witnesses is a task of its own, as requests wait for reports. Of several answers of witnesses the lowest limits count. A process notes when it listens at the addresses of its VM as the time up to which its predecessor may have spent. Without witnesses that bind, the schedule alone limits, as before. After a loan failed in touch, a request waits for the exchange that is due.

Tested: the model of witnesses plays late writes, losses of power with wrong clocks, requests that await receipts, requests that use up all that may be spent, and checks each successor's count; six unsafe faults planted one at a time (limits ignored or lowered, spent tokens outside of the open part, the highest limit instead of the lowest, witnesses dropped or expired too early) are found by it. Daemon tests of money and relays pass.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -16,17 +16,16 @@
 /// of a loan is lost if its borrower dies, and a larger loan saves few calls.
 const EXTRA_LOAN_DIVISOR: u64 = 4;
 
-/// Headroom beyond what is spent that witnesses are asked to acknowledge, in milliseconds of
-/// demand. It covers several report intervals; the part that is not spent is lost if its router
-/// dies.
-const WITNESS_HEADROOM_MS: u64 = 2_000;
+/// Divisor of the headroom that gives the low-water mark: a report is due once less than this part
+/// of the headroom is acknowledged and unspent.
+const LOW_HEADROOM_DIVISOR: u64 = 2;
 
 /// State of one account on this router.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AccountShare {
     pub(super) share: Share,
-    /// Upper limit of spending while the seal is intact, in tokens. Of all records that the store
-    /// may hold, none lets a successor reclaim any of it.
+    /// Limit up to which the share may be spent at any time, in tokens. Of all records that the
+    /// store may hold, none lets a successor reclaim any of it.
     pub(super) open_limit: u64,
     /// Known to have been spent by predecessors on this VM, in tokens.
     pub(super) predecessor_used: u64,
@@ -44,6 +43,8 @@
     pub(super) unserved: UnservedRequests,
     /// Requests that the share did not cover and that the composed record contains.
     unserved_in_write: UnservedRequests,
+    /// Needed by requests in progress that wait for the receipts of witnesses, in tokens.
+    pub(super) awaiting_receipts: u64,
     /// Spendable after the last exchange, in tokens.
     pub(super) spendable_after_exchange: u64,
     /// Total by the configuration in force, in tokens.
@@ -95,11 +96,38 @@
     }
 
     /// Returns the spending limit that witnesses are asked to acknowledge, in tokens.
-    pub(super) fn requested_limit(&self, now_ms: u64, config: &ShareConfig) -> u64 {
-        let headroom =
-            self.open_wish(now_ms, config) * WITNESS_HEADROOM_MS / config.open_demand_ms.max(1);
-        let limit = self.spent() + self.all_unserved().largest.max(headroom);
-        limit.min(self.share.granted)
+    pub(super) fn requested_limit(
+        &self,
+        now_ms: u64,
+        in_contact: bool,
+        config: &ShareConfig,
+    ) -> u64 {
+        let needed = self.awaiting_receipts + self.headroom(now_ms, in_contact, config);
+        (self.spent() + needed).min(self.share.granted)
+    }
+
+    /// Returns how much beyond what is spent witnesses are asked to acknowledge in advance, in
+    /// tokens.
+    fn headroom(&self, now_ms: u64, in_contact: bool, config: &ShareConfig) -> u64 {
+        let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
+        if in_contact {
+            let bound = self.total as f64 * config.max_unproved_fraction;
+            return (demand * config.headroom_ms as f64).min(bound) as u64;
+        }
+        let largest = config.largest_request_factor / 2.0 * self.demand.recent_max(now_ms);
+        (demand * config.partition_headroom_ms as f64 + largest) as u64
+    }
+
+    /// Returns whether so little of the headroom is left under `limit` that the next report is due.
+    pub(super) fn is_headroom_low(
+        &self,
+        now_ms: u64,
+        limit: u64,
+        in_contact: bool,
+        config: &ShareConfig,
+    ) -> bool {
+        let unspent = limit.saturating_sub(self.spent());
+        LOW_HEADROOM_DIVISOR * unspent < self.headroom(now_ms, in_contact, config)
     }
 
     /// Returns all requests that the share did not cover since the last exchange.
@@ -116,20 +144,22 @@
     pub(super) fn wish(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let cover_ms = (config.open_demand_ms + config.sealed_demand_ms) as f64;
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
-        (demand * cover_ms + 2.0 * self.demand.recent_max(now_ms)) as u64
+        let largest = config.largest_request_factor * self.demand.recent_max(now_ms);
+        (demand * cover_ms + largest) as u64
     }
 
-    /// Returns the open part of the wish, in tokens.
+    /// Returns the part of the wish that is open at any age of the last write, in tokens.
     pub(super) fn open_wish(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
-        (demand * config.open_demand_ms as f64 + self.demand.recent_max(now_ms)) as u64
+        let largest = config.largest_request_factor / 2.0 * self.demand.recent_max(now_ms);
+        (demand * config.open_at_any_age_ms() as f64 + largest) as u64
     }
 
-    /// Returns whether an exchange is due: a request waits for it, or the share runs low. An exchange
-    /// covers all requests that it contains, unless nothing is left unallocated.
-    pub(super) fn is_due(&self) -> bool {
-        let is_low =
-            LOW_WATER_DIVISOR * self.spendable(self.open_limit) < self.spendable_after_exchange;
+    /// Returns whether an exchange is due: a request waits for it, or little is left that can be
+    /// spent up to `limit`. An exchange covers all requests that it contains, unless nothing is left
+    /// unallocated.
+    pub(super) fn is_due(&self, limit: u64) -> bool {
+        let is_low = LOW_WATER_DIVISOR * self.spendable(limit) < self.spendable_after_exchange;
         let has_unallocated = self.others_granted + self.share.granted < self.total;
         let is_waiting = self.all_unserved().largest > 0;
         has_unallocated && (is_waiting || is_low)
@@ -152,13 +182,18 @@
     }
 
     /// Adopts the share that the store holds, and the sums over all routers.
-    pub(super) fn adopt(&mut self, share: Share, granted: u64, used: u64, lost: u64) {
+    pub(super) fn adopt(
+        &mut self,
+        share: Share,
+        (granted, used, lost): (u64, u64, u64),
+        config: &ShareConfig,
+    ) {
         self.share = share;
         self.open_limit = share.granted - share.sealed.min(share.granted);
         self.others_granted = granted - share.granted;
         self.others_used = used - share.used;
         self.others_lost = lost - share.lost;
-        self.spendable_after_exchange = self.spendable(self.open_limit);
+        self.spendable_after_exchange = self.spendable(self.limit_at_age(0, config));
         self.unserved_in_write = UnservedRequests::default();
         // Requests that came during the write are not part of it.
         if self.unserved.tokens() <= self.spendable_after_exchange {
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -21,6 +21,8 @@
     Exhausted,
     /// The total may cover it, but this router's share does not yet.
     Short,
+    /// The share covers it once its witnesses acknowledge that it may be spent.
+    AwaitsReceipts,
 }
 
 /// The shares of one router process.
@@ -94,6 +96,12 @@
         self
     }
 
+    /// Sets when this process is known to be the only one of its VM. It is not earlier than its start,
+    /// and before its first exchange.
+    pub fn set_started(&mut self, started: Stamp) {
+        self.started = started;
+    }
+
     /// Sets the number of routers besides itself that this process carries shares for.
     pub fn set_followers(&mut self, followers: u32) {
         self.followers = followers;
@@ -170,6 +178,10 @@
             account_share.demand.add(now_ms, max_cost);
             return Ok(());
         }
+        if self.is_awaiting_witnesses(account, max_cost) {
+            return Err(ShareShortfall::AwaitsReceipts);
+        }
+        let account_share = self.accounts.entry(account.to_owned()).or_default();
         account_share.unserved.largest = account_share.unserved.largest.max(max_cost);
         if account_share.known_used() + max_cost > account_share.total {
             return Err(ShareShortfall::Exhausted);
@@ -208,7 +220,8 @@
 
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
-        self.accounts.values().any(AccountShare::is_due)
+        let is_due = |(name, a): (&String, &AccountShare)| a.is_due(self.limit_in_contact(name));
+        self.accounts.iter().any(is_due)
     }
 
     /// Composes the next state of a record that was read. It takes effect with
@@ -302,9 +315,8 @@
         for (name, account_share) in self.accounts.iter_mut().filter(|(_, a)| a.is_initialized) {
             account_share.adopt(
                 record.share(name, &self.id),
-                record.granted(name),
-                record.used(name),
-                record.lost(name),
+                (record.granted(name), record.used(name), record.lost(name)),
+                &self.config,
             );
         }
         true
--- a/wisteriapass_coord/src/prepaid/holder/succession.rs
+++ b/wisteriapass_coord/src/prepaid/holder/succession.rs
@@ -26,6 +26,9 @@
 
     /// Processes a witness's answer to an inquiry that was sent at `asked`.
     ///
+    /// Each trusted answer bounds by itself what the predecessor can have spent, so the lowest limits
+    /// count. An account that is missing in one of them was not spent beyond its open part.
+    ///
     /// The answer is trusted only if, when this process started, the predecessor cannot have been
     /// silent for so long that the witness no longer bound it. Returns whether it is trusted.
     pub fn accept_answer(&mut self, process: u64, answer: InquiryAnswer, asked: Stamp) -> bool {
@@ -34,7 +37,12 @@
         if silent_ms >= self.config.witness_timeout_ms {
             return false;
         }
-        self.witness_limits = Some((process, answer.spend_limits));
+        let known = self.witness_limits.take().filter(|(of, _)| *of == process);
+        let limits = match known {
+            None => answer.spend_limits,
+            Some((_, known)) => lower_limits(&known, &answer.spend_limits),
+        };
+        self.witness_limits = Some((process, limits));
         true
     }
 
@@ -104,3 +112,12 @@
         lost.map(|(name, a)| (name.as_str(), a.lost))
     }
 }
+
+/// Returns the lower limit of each account that both answers contain.
+fn lower_limits(a: &BTreeMap<String, u64>, b: &BTreeMap<String, u64>) -> BTreeMap<String, u64> {
+    let lower = a.iter().filter_map(|(name, limit)| {
+        let other = b.get(name)?;
+        Some((name.clone(), *limit.min(other)))
+    });
+    lower.collect()
+}
--- a/wisteriapass_coord/src/prepaid/unserved_requests.rs
+++ b/wisteriapass_coord/src/prepaid/unserved_requests.rs
@@ -12,6 +12,7 @@
 impl UnservedRequests {
     /// Notes a request that the share did not cover.
     pub(super) fn note(&mut self, max_cost: u64) {
+        self.largest = self.largest.max(max_cost);
         self.sum = self.sum.saturating_add(max_cost);
     }
 
--- a/wisteriapass_coord/src/prepaid/witness_set.rs
+++ b/wisteriapass_coord/src/prepaid/witness_set.rs
@@ -1,10 +1,10 @@
 //! The witnesses of this router: what they acknowledged, and which of them bind it.
 //!
-//! While it is out of contact with the store, a router spends only what all witnesses that bind it
-//! acknowledged. Any one of them can therefore tell a successor the most that can have been spent.
-//! Without witnesses, everything that routers held would count as lost if all of them died while
-//! the store was unreachable, or were down for too long to prove that their sealed parts stayed
-//! sealed.
+//! Beyond the small open part of a share, a router spends only what all witnesses that bind it
+//! acknowledged, whether the store answers or not. Any one of them can therefore tell a successor
+//! the most that can have been spent. Without witnesses, all that a router held for the demand of
+//! some seconds would count as lost with it, as would the sealed parts of a router that was down
+//! for too long to prove that they stayed sealed.
 
 use std::collections::BTreeMap;
 
@@ -160,6 +160,13 @@
         limits.min().unwrap_or_default()
     }
 
+    /// Returns the least limit that a witness which is reported to acknowledged, in tokens.
+    pub fn least_limit(&self, account: &str) -> u64 {
+        let reachable = self.all.iter().filter(|w| !w.given_up);
+        let limits = reachable.map(|w| w.limits.get(account).copied().unwrap_or_default());
+        limits.min().unwrap_or_default()
+    }
+
     /// Returns whether all binding witnesses are still reported to.
     pub fn all_answer(&self) -> bool {
         self.all.iter().filter(|w| w.binds()).all(|w| !w.given_up)
--- a/wisteriapass_coord/tests/prepaid/witnesses.rs
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -2,7 +2,8 @@
 
 use quickcheck_macros::quickcheck;
 use wisteriapass_coord::prepaid::{
-    Share, ShareHolder, ShareRecord, Stamp, WitnessId, WitnessMemory, WitnessReceipt, WitnessReport,
+    Share, ShareHolder, ShareRecord, ShareShortfall, Stamp, WitnessId, WitnessMemory,
+    WitnessReceipt, WitnessReport,
 };
 
 use crate::support::{
@@ -49,17 +50,27 @@
 
 /// Sends a report to one witness.
 fn report(h: &mut ShareHolder, witness: &mut Witness, now: u64, delivery: Delivery) {
-    let report = h.compose_report(now, at(now));
+    report_at(h, witness, (now, at(now)), delivery);
+}
+
+/// Sends a report to one witness at a time that the clocks of the router's VM show as `stamp`.
+fn report_at(
+    h: &mut ShareHolder,
+    witness: &mut Witness,
+    (now, stamp): (u64, Stamp),
+    delivery: Delivery,
+) {
+    let report = h.compose_report(now, stamp);
     let known = h.witnesses().reachable();
     let last = known.iter().find(|(id, _)| *id == witness.id);
     let Some((id, last)) = last.copied() else {
         let receipt = witness.memory.record_report(now, report);
         if delivery == Delivery::Answered {
-            h.add_witness(witness.id, receipt, at(now));
+            h.add_witness(witness.id, receipt, stamp);
         }
         return;
     };
-    h.witnesses().note_sent(id, at(now).since_boot);
+    h.witnesses().note_sent(id, stamp.since_boot);
     if delivery == Delivery::ReportLost {
         return;
     }
@@ -71,17 +82,27 @@
     let receipt = witness.memory.record_report(now, report);
     if delivery == Delivery::Answered {
         h.witnesses()
-            .note_receipt(id, receipt, &spend_limits, at(now).since_boot);
+            .note_receipt(id, receipt, &spend_limits, stamp.since_boot);
     }
 }
 
 /// Sends inquiries to the predecessor's witnesses.
 fn inquire(h: &mut ShareHolder, all: &[Witness], record: &ShareRecord, now: u64) {
+    inquire_at(h, all, record, (now, at(now)));
+}
+
+/// Sends the inquiries at a time that the clocks of the router's VM show as `stamp`.
+fn inquire_at(
+    h: &mut ShareHolder,
+    all: &[Witness],
+    record: &ShareRecord,
+    (now, stamp): (u64, Stamp),
+) {
     for (id, inquiry) in h.inquiries(record) {
         let witness = all.iter().find(|w| w.id.at == id.at);
         let answer = witness.and_then(|w| w.memory.answer_inquiry(now, &inquiry));
         if let Some(answer) = answer {
-            h.accept_answer(inquiry.process, answer, at(now));
+            h.accept_answer(inquiry.process, answer, stamp);
         }
     }
 }
@@ -246,10 +267,20 @@
     RestartRouterWithoutInquiry,
     /// The VM is suspended: time passes without unsealing.
     Suspend,
+    /// The write takes effect later, if no other router wrote meanwhile; its answer is lost.
+    LateExchange,
+    /// A request waits for receipts; one of the receipts may be lost.
+    AwaitReceipts(u64),
+    /// Requests use up all that may be spent now.
+    SpendAll,
+    /// Requests reserve more than they cost in the end.
+    Overestimate(u64),
+    /// The boot clock starts anew, and the time of day may be wrong.
+    PowerLoss,
 }
 
 fn step(n: u16) -> Step {
-    match n % 24 {
+    match n % 35 {
         0..=2 => Step::Spend(u64::from(n) % 97 + 1),
         3 | 4 => Step::Exchange,
         5 => Step::LostExchangeAnswer,
@@ -261,10 +292,35 @@
         19 => Step::RestartWitness,
         20 | 21 => Step::RestartRouter,
         22 => Step::RestartRouterWithoutInquiry,
+        23 | 24 => Step::LateExchange,
+        25..=28 => Step::AwaitReceipts(u64::from(n) * 7 % 601),
+        29 => Step::Overestimate(u64::from(n) % 211),
+        30 => Step::PowerLoss,
+        31..=33 => Step::SpendAll,
         _ => Step::Suspend,
     }
 }
 
+/// The clocks of a VM.
+#[derive(Clone, Copy, Default)]
+struct VmClock {
+    /// When the VM booted after a power loss.
+    booted: Option<u64>,
+    error_ms: u64,
+}
+
+impl VmClock {
+    fn at(self, now: u64) -> Stamp {
+        let stamp = at(now);
+        Stamp {
+            since_boot: self
+                .booted
+                .map_or(stamp.since_boot, |booted| 2 + now - booted),
+            time_of_day: stamp.time_of_day + self.error_ms,
+        }
+    }
+}
+
 /// One history: what was spent of a total, and what routers hold of it.
 struct World {
     total: u64,
@@ -272,9 +328,15 @@
     now: u64,
     processes: u64,
     record: ShareRecord,
+    revision: u64,
+    /// Writes of unknown outcome, with the revisions that they expect.
+    late: Vec<(u64, ShareRecord)>,
     holders: Vec<ShareHolder>,
+    clocks: [VmClock; 2],
     witnesses: Vec<Witness>,
     delayed: Vec<(usize, WitnessReport)>,
+    /// Whether each successor counted at least what its predecessors spent.
+    is_covered: bool,
 }
 
 impl World {
@@ -287,9 +349,13 @@
             now: 0,
             processes: 2,
             record: ShareRecord::default(),
+            revision: 0,
+            late: Vec::new(),
             holders: holders.collect(),
+            clocks: [VmClock::default(); 2],
             witnesses: witnesses(),
             delayed: Vec::new(),
+            is_covered: true,
         }
     }
 
@@ -297,7 +363,7 @@
         let now = self.now;
         let step = step(action);
         if !matches!(step, Step::Suspend) {
-            self.holders[me].unseal(at(now));
+            self.unseal(me);
         }
         match step {
             Step::Spend(max_cost) => self.spend(me, max_cost),
@@ -313,7 +379,7 @@
                 let deliveries = u32::from(pause) | u32::from(action) << 16;
                 for n in 0..6_u32 {
                     self.now += u64::from(pause) % 900;
-                    self.holders[me].unseal(at(self.now));
+                    self.unseal(me);
                     self.report(me, |index| {
                         match deliveries >> (4 * n + 2 * index as u32) & 3 {
                             0 | 1 => Delivery::Answered,
@@ -325,7 +391,7 @@
                 }
             }
             Step::Exchange | Step::LostExchangeAnswer => {
-                inquire(&mut self.holders[me], &self.witnesses, &self.record, now);
+                self.inquire(me);
                 self.exchange(me, matches!(step, Step::Exchange));
             }
             Step::Report | Step::LostReceipt => {
@@ -335,8 +401,9 @@
                 } else {
                     Delivery::ReceiptLost
                 };
+                let clocks = (now, self.stamp(me));
                 let witness = &mut self.witnesses[usize::from(pause) % WITNESSES];
-                report(&mut self.holders[me], witness, now, delivery);
+                report_at(&mut self.holders[me], witness, clocks, delivery);
             }
             Step::DelayedReport => self.delay(me, usize::from(pause) % WITNESSES),
             Step::RestartWitness => {
@@ -346,11 +413,82 @@
             }
             Step::RestartRouter => {
                 self.restart(me);
-                inquire(&mut self.holders[me], &self.witnesses, &self.record, now);
+                self.inquire(me);
                 self.exchange(me, true);
             }
             Step::RestartRouterWithoutInquiry => self.restart(me),
             Step::Suspend => self.now += u64::from(pause) % 9_000,
+            Step::LateExchange => {
+                let next = self.compose(me);
+                self.late.push((self.revision, next));
+            }
+            Step::AwaitReceipts(max_cost) => self.await_receipts(me, max_cost, pause),
+            Step::SpendAll => {
+                for max_cost in (0..13).rev().map(|n| 1 << n) {
+                    self.spend(me, max_cost);
+                }
+            }
+            Step::Overestimate(max_cost) => {
+                let h = &mut self.holders[me];
+                if h.reserve(now, ACCOUNT, 3 * max_cost).is_ok() {
+                    self.spent[me] += max_cost;
+                    h.settle(ACCOUNT, 3 * max_cost, max_cost);
+                }
+            }
+            Step::PowerLoss => {
+                self.now += 1_000 + u64::from(pause) % 5_000;
+                self.clocks[me] = VmClock {
+                    booted: Some(self.now),
+                    error_ms: u64::from(pause) % 2 * 2_000,
+                };
+                self.restart(me);
+                self.inquire(me);
+                self.exchange(me, true);
+            }
+        }
+        self.apply_late_writes(action);
+    }
+
+    fn unseal(&mut self, me: usize) {
+        let stamp = self.stamp(me);
+        self.holders[me].unseal(stamp);
+    }
+
+    fn stamp(&self, me: usize) -> Stamp {
+        self.clocks[me].at(self.now)
+    }
+
+    fn inquire(&mut self, me: usize) {
+        let clocks = (self.now, self.stamp(me));
+        inquire_at(&mut self.holders[me], &self.witnesses, &self.record, clocks);
+    }
+
+    /// Applies the late writes that expect the revision in force, or forgets them.
+    fn apply_late_writes(&mut self, random: u16) {
+        let revision = self.revision;
+        self.late.retain(|(expects, _)| *expects == revision);
+        if !random.is_multiple_of(3) {
+            return;
+        }
+        if let Some((_, next)) = self.late.pop() {
+            self.record = next;
+            self.revision += 1;
+        }
+    }
+
+    /// Makes a request that waits until all witnesses acknowledged it; one receipt may be lost.
+    fn await_receipts(&mut self, me: usize, max_cost: u64, random: u16) {
+        let awaits = Err(ShareShortfall::AwaitsReceipts);
+        if self.holders[me].reserve(self.now, ACCOUNT, max_cost) == awaits {
+            self.holders[me].begin_receipt_wait(ACCOUNT, max_cost);
+            self.report(me, |index| match random % 8 == index as u16 {
+                true => Delivery::ReceiptLost,
+                false => Delivery::Answered,
+            });
+            self.holders[me].end_receipt_wait(ACCOUNT, max_cost);
+            self.spend(me, max_cost);
+        } else {
+            self.spend(me, max_cost);
         }
     }
 
@@ -363,19 +501,31 @@
     }
 
     fn report(&mut self, me: usize, delivery: impl Fn(usize) -> Delivery) {
+        let clocks = (self.now, self.stamp(me));
         for (index, witness) in self.witnesses.iter_mut().enumerate() {
-            report(&mut self.holders[me], witness, self.now, delivery(index));
+            report_at(&mut self.holders[me], witness, clocks, delivery(index));
         }
     }
 
     fn exchange(&mut self, me: usize, is_answered: bool) {
+        self.record = self.compose(me);
+        self.revision += 1;
+        if is_answered {
+            self.holders[me].adopt(&self.record);
+        }
+    }
+
+    fn compose(&mut self, me: usize) -> ShareRecord {
+        let stamp = self.stamp(me);
         let h = &mut self.holders[me];
-        let stamp: Stamp = at(self.now);
-        self.record = h.compose(self.now, stamp, &self.record);
+        let next = h.compose(self.now, stamp, &self.record);
         h.note_sent(stamp);
-        if is_answered {
-            h.adopt(&self.record);
+        let before = self.record.holder_entry(h.id());
+        if before.is_some_and(|e| e.process != h.process()) {
+            let share = next.share(ACCOUNT, h.id());
+            self.is_covered &= self.spent[me] <= share.used + share.lost;
         }
+        next
     }
 
     /// Sends a report that is read later; the reports that waited are read now.
@@ -383,15 +533,16 @@
         for (index, report) in std::mem::take(&mut self.delayed) {
             self.witnesses[index].memory.record_report(self.now, report);
         }
+        let stamp = self.stamp(me);
         let h = &mut self.holders[me];
         let id = self.witnesses[index].id;
         let known = h.witnesses().reachable();
         let last: Option<WitnessReceipt> =
             known.iter().find(|(k, _)| *k == id).map(|(_, last)| *last);
-        h.witnesses().note_sent(id, at(self.now).since_boot);
+        h.witnesses().note_sent(id, stamp.since_boot);
         let report = WitnessReport {
             last_receipt: last,
-            ..h.compose_report(self.now, at(self.now))
+            ..h.compose_report(self.now, stamp)
         };
         self.delayed.push((index, report));
     }
@@ -399,14 +550,16 @@
     fn restart(&mut self, me: usize) {
         self.processes += 1;
         let name = self.holders[me].id().0.clone();
-        self.holders[me] = varied_holder(&name, self.processes, self.total, at(self.now));
+        self.holders[me] = varied_holder(&name, self.processes, self.total, self.stamp(me));
     }
 
     /// Returns whether everything that was spent was granted by the record in force.
     fn holds(&self) -> bool {
         let granted = |h: &ShareHolder| self.record.share(ACCOUNT, h.id()).granted;
         let mut spent = self.holders.iter().zip(&self.spent);
-        spent.all(|(h, spent)| *spent <= granted(h)) && self.record.granted(ACCOUNT) <= self.total
+        self.is_covered
+            && spent.all(|(h, spent)| *spent <= granted(h))
+            && self.record.granted(ACCOUNT) <= self.total
     }
 }
 
--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -8,6 +8,8 @@
 mod live_writers;
 mod loans;
 mod rationing;
+mod receipt_wait;
+mod reserve_share;
 mod role;
 mod share_exchange;
 mod share_sizes;
@@ -20,11 +22,10 @@
 
 use smallvec::SmallVec;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    Credit, DomainId, GrantLedger, HolderId, Rationing, ShareRecord, ShareShortfall, TokenRequest,
-    WitnessMemory,
+    Credit, DomainId, GrantLedger, HolderId, Rationing, ShareRecord, TokenRequest, WitnessMemory,
 };
 use wisteriapass_coord::relay::{RelayInfo, RelayRetirement, Roster};
 use wisteriapass_policy::placement::hash_name;
@@ -53,10 +54,6 @@
 /// share exchange, and holds a few hundred accounts of a few tens of routers.
 const RECORD_COUNT: u32 = 1;
 
-/// Longest time that a request waits for a share, in milliseconds: a few exchanges with a store
-/// that answers within milliseconds.
-const RESERVE_WAIT_MS: u64 = 250;
-
 /// Longest time, counted from the start of the process, that a request waits for the first share,
 /// in milliseconds. The first share arrives within this time, with the second exchange if the first
 /// one ran before a configuration was known, unless the router is cut off from the store.
@@ -120,11 +117,21 @@
         }
     }
 
+    /// Notes that this process listens at the addresses of its VM, so that its predecessor is dead.
+    /// Until then the predecessor may have spent, and what it can have spent grows with time.
+    pub fn note_listening(&self) {
+        let stamp = self.clock.stamp();
+        for group in &self.groups {
+            group.holder.borrow_mut().set_started(stamp);
+        }
+    }
+
     /// Starts the background tasks of a relay; `known` holds the known state of each record.
     pub fn start_relay(gw: &Rc<Gateway>, tasks: &mut JoinSet<()>, known: Vec<KnownRecord>) {
         for (index, known) in (0..).zip(known) {
             tasks.spawn_local(gw.ledger.clone().exchange_shares(gw.clone(), index, known));
             tasks.spawn_local(gw.ledger.clone().run_witness_reports(index));
+            tasks.spawn_local(gw.ledger.clone().run_witness_search(index));
         }
         tasks.spawn_local(gw.ledger.clone().run_grant_expiry());
     }
@@ -233,63 +240,6 @@
         }
     }
 
-    /// Reserves tokens of this router's own share, after an exchange or a loan if necessary.
-    async fn reserve_share(
-        self: &Rc<Self>,
-        account: &str,
-        max_cost: u64,
-        deadline: Option<Instant>,
-    ) -> Result<(), Refusal> {
-        let group = self.group(account);
-        let usual_until = Instant::now() + Duration::from_millis(RESERVE_WAIT_MS);
-        let awaits_first_share =
-            group.has_no_grant(account) && Instant::now() < self.first_share_until;
-        let latest = if awaits_first_share {
-            self.first_share_until
-        } else {
-            usual_until
-        };
-        let until = deadline.map_or(latest, |deadline| deadline.min(latest));
-        let mut is_miss_recorded = false;
-        loop {
-            let progress = group.progress.notified();
-            let now_ms = self.clock.now_ms();
-            let reserved = group.holder.borrow_mut().reserve(now_ms, account, max_cost);
-            match reserved {
-                Ok(()) => return Ok(()),
-                Err(ShareShortfall::Exhausted) => return Err(Refusal::BudgetExhausted),
-                // While the router is cut off from the store, the same clients retry again and
-                // again. Counting each retry as demand would not get them served sooner.
-                Err(ShareShortfall::Short) if is_miss_recorded || !group.in_contact.get() => {}
-                Err(ShareShortfall::Short) => {
-                    group.holder.borrow_mut().note_unserved(account, max_cost);
-                    is_miss_recorded = true;
-                }
-            }
-            let exchange_may_help = group.is_exchange_soon() && group.holder.borrow().is_due();
-            if exchange_may_help {
-                group.exchange_needed.notify_one();
-            }
-            let receipt_may_help = group
-                .holder
-                .borrow()
-                .is_awaiting_witnesses(account, max_cost);
-            if receipt_may_help {
-                group.report_due.notify_one();
-            }
-            let first_share_pending =
-                awaits_first_share && group.has_no_grant(account) && Instant::now() < until;
-            let may_succeed = exchange_may_help || first_share_pending || receipt_may_help;
-            let may_succeed = may_succeed || group.loan_requests.borrow().is_pending(account);
-            if may_succeed && timeout_at(until, progress).await.is_ok() {
-                continue;
-            }
-            if Instant::now() >= until || !self.borrow(group, account, max_cost).await {
-                return Err(group.shortfall_refusal(account, max_cost));
-            }
-        }
-    }
-
     fn log_shortfall(
         &self,
         request: &RequestMetadata,
--- a/wisteriapass_gateway/src/ledger/account_group.rs
+++ b/wisteriapass_gateway/src/ledger/account_group.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 use wisteriapass_coord::prepaid::{AccountStatus, Lenders, LoanRequests, ShareHolder, ShareRecord};
 
-use super::RESERVE_WAIT_MS;
 use super::combined_write::CarriedShare;
+use super::reserve_share::RESERVE_WAIT_MS;
 use crate::refusal::Refusal;
 
 /// Retry delay if other routers hold the remaining tokens, in milliseconds. They return what they
@@ -116,6 +116,11 @@
         self.holder.borrow().account_status(account).granted == 0
     }
 
+    /// Returns whether the store answers and an exchange is due.
+    pub(super) fn awaits_exchange(&self) -> bool {
+        self.in_contact.get() && self.holder.borrow().is_due()
+    }
+
     /// Returns whether an exchange completes within the time that a request waits.
     pub(super) fn is_exchange_soon(&self) -> bool {
         let limit = Duration::from_millis(RESERVE_WAIT_MS / 2);
@@ -123,7 +128,7 @@
             .next_exchange_at
             .get()
             .saturating_duration_since(Instant::now());
-        self.in_contact.get() && wait + self.write_duration.get() < limit
+        wait + self.write_duration.get() < limit
     }
 
     /// Returns the status of an account, for log lines.
--- a/wisteriapass_gateway/src/ledger/loans.rs
+++ b/wisteriapass_gateway/src/ledger/loans.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::TokenLedger;
 use super::account_group::AccountGroup;
+use super::receipt_wait::ReceiptWait;
 
 /// Path of a loan request.
 pub const LEND_PATH: &str = "/shares/lend";
@@ -21,6 +22,10 @@
 /// Longest timeout of a loan request, in milliseconds, for a router whose own link is saturated.
 const MAX_TIMEOUT_MS: u64 = 250;
 
+/// Longest time that a lender waits for its witnesses, in milliseconds: a few round trips, and less
+/// than the shortest timeout of its borrower.
+const RECEIPT_WAIT_MS: u64 = 25;
+
 /// A request for a loan.
 #[derive(Debug, Serialize, Deserialize)]
 struct LoanRequest {
@@ -104,11 +109,30 @@
     }
 
     /// Handles another relay's request for a loan; returns `None` for a malformed message.
-    pub(crate) fn handle_loan_request(&self, message: &[u8]) -> Option<Vec<u8>> {
+    pub(crate) async fn handle_loan_request(&self, message: &[u8]) -> Option<Vec<u8>> {
         let request = postcard::from_bytes::<LoanRequest>(message).ok()?;
+        self.wait_for_receipts(&request).await;
         postcard::to_stdvec(&self.lend(&request)).ok()
     }
 
+    /// Waits until the witnesses acknowledge a loan that this relay's share covers.
+    async fn wait_for_receipts(&self, request: &LoanRequest) {
+        let (account, tokens) = (request.account.as_str(), request.min_tokens);
+        let group = self.group(account);
+        let until = Instant::now() + Duration::from_millis(RECEIPT_WAIT_MS);
+        let awaits = || {
+            group
+                .holder
+                .borrow()
+                .is_loan_awaiting_witnesses(account, tokens)
+        };
+        if !awaits() {
+            return;
+        }
+        let _wait = ReceiptWait::begin(group, account, tokens);
+        while awaits() && timeout_at(until, group.progress.notified()).await.is_ok() {}
+    }
+
     fn lend(&self, request: &LoanRequest) -> LoanAnswer {
         let group = self.group(&request.account);
         let mut holder = group.holder.borrow_mut();
--- a/wisteriapass_gateway/src/ledger/witness_reports.rs
+++ b/wisteriapass_gateway/src/ledger/witness_reports.rs
@@ -50,11 +50,23 @@
             let _ = timeout_at(next, group.report_due.notified()).await;
             group.holder.borrow_mut().unseal(self.clock.stamp());
             self.report_to_all(group).await;
-            self.find_witness(group).await;
+            if group.holder.borrow().is_due() {
+                group.exchange_needed.notify_one();
+            }
             sleep(Duration::from_millis(MIN_REPORT_INTERVAL_MS)).await;
         }
     }
 
+    /// Looks for witnesses while there are too few; never returns. Apart from the reports, because
+    /// requests wait for these, and an address at which nobody answers takes a timeout.
+    pub async fn run_witness_search(self: Rc<Self>, index: u32) {
+        let group = &self.groups[index as usize];
+        loop {
+            self.find_witness(group).await;
+            sleep(Duration::from_millis(REPORT_INTERVAL_MS)).await;
+        }
+    }
+
     /// Reports to all reachable witnesses.
     async fn report_to_all(&self, group: &AccountGroup) {
         let reachable = group.holder.borrow_mut().witnesses().reachable();
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -29,7 +29,7 @@
 /// router's role does not serve.
 async fn answer(gw: &Rc<Gateway>, path: &str, message: &[u8]) -> Option<Vec<u8>> {
     match path {
-        LEND_PATH => gw.ledger.handle_loan_request(message),
+        LEND_PATH => gw.ledger.handle_loan_request(message).await,
         COMPOSE_PATH => gw.ledger.handle_compose(message),
         OUTCOME_PATH => gw.ledger.handle_outcome(message),
         REPORT_PATH => gw.ledger.handle_report(message),
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -60,6 +60,7 @@
     let clients = listen(gw.settings.listen)?;
     let ready = listen(gw.settings.readiness_listen)?;
     let peers = listen(gw.settings.peer_listen)?;
+    gw.ledger.note_listening();
     let open = Rc::new(Cell::new(0));
     spawn_local(serve_peers(gw.clone(), peers));
     spawn_local(serve_readiness(gw.clone(), ready));
