Shares: the largest request is not set aside at each relay

Callers saw: of a small account up to a third of the total lay at routers for requests that did not come, and was lost when they died.

Cause: each of six relays held twice the largest recent request besides the demand.

A request that no relay's holding covers is lent in parts of an eighth by several relays, and a relay that does not answer is not asked again for a smaller part.

Daemon tests of money pass.

--- a/wisteriapass_gateway/src/ledger/loans.rs
+++ b/wisteriapass_gateway/src/ledger/loans.rs
@@ -4,6 +4,7 @@
 //! routers, and totals that run low. The lender counts a loan as spent before it answers, so a lost
 //! answer strands the tokens but never duplicates them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,10 @@
 /// Path of a loan request.
 pub const LEND_PATH: &str = "/shares/lend";
 
+/// Number of parts of a loan that no relay lends whole. A large request may need more than any relay
+/// holds for its own demand, and what several hold covers it.
+const MAX_LOAN_PARTS: u64 = 8;
+
 /// Shortest timeout of a loan request, in milliseconds: many round trips within a region.
 const MIN_TIMEOUT_MS: u64 = 40;
 
@@ -66,46 +71,71 @@
         is_lent
     }
 
-    /// Asks the possible lenders one after the other.
+    /// Asks the possible lenders for all that is missing, and then for parts of it.
     async fn ask_lenders(&self, group: &AccountGroup, account: &str, max_cost: u64) -> bool {
+        self.ask_for_parts(group, account, max_cost, 1).await
+            || self
+                .ask_for_parts(group, account, max_cost, MAX_LOAN_PARTS)
+                .await
+    }
+
+    /// Asks the possible lenders one after the other for at least one of `parts` parts of what is
+    /// missing; returns whether nothing is missing any more.
+    async fn ask_for_parts(
+        &self,
+        group: &AccountGroup,
+        account: &str,
+        max_cost: u64,
+        parts: u64,
+    ) -> bool {
         let now_ms = self.clock.now_ms();
-        let (min_tokens, ask) = group
-            .holder
-            .borrow()
-            .loan_amounts(now_ms, account, max_cost);
+        let amounts = || {
+            let holder = group.holder.borrow();
+            holder.loan_amounts(now_ms, account, max_cost)
+        };
+        let part = amounts().0.div_ceil(parts);
         let me = group.holder.borrow().id().clone();
         let lenders = {
             let record = group.record.borrow();
             let known = group.lenders.borrow();
-            known.choose(&record, &me, account, min_tokens, now_ms)
+            known.choose(&record, &me, account, part, now_ms)
         };
-        let timeout = 2 * group.write_duration.get();
-        let timeout = timeout.clamp(
-            Duration::from_millis(MIN_TIMEOUT_MS),
-            Duration::from_millis(MAX_TIMEOUT_MS),
-        );
         for (n, lender) in lenders.into_iter().enumerate() {
+            let (missing, ask) = amounts();
+            if missing == 0 {
+                return true;
+            }
             let request = LoanRequest {
                 account: account.to_owned(),
                 ask,
-                min_tokens,
-                refill: n == 0,
+                min_tokens: part.min(missing),
+                refill: n == 0 && parts == 1,
             };
-            let answer: Option<LoanAnswer> = self
-                .rpc
-                .call(lender, LEND_PATH, &request, Instant::now() + timeout)
-                .await;
-            let lent = answer.unwrap_or_default().tokens;
-            if lent == 0 {
-                let mut lenders = group.lenders.borrow_mut();
-                lenders.note_short(account, lender, min_tokens, self.clock.now_ms());
-                continue;
-            }
-            log::info!(target: "money", "Borrowed. account={account} tokens={lent} of={lender}");
-            group.holder.borrow_mut().borrow(account, lent);
-            return true;
+            self.ask_lender(group, lender, &request).await;
+        }
+        amounts().0 == 0
+    }
+
+    /// Asks one relay for a loan, and adds what it lends.
+    async fn ask_lender(&self, group: &AccountGroup, lender: SocketAddr, request: &LoanRequest) {
+        let account = request.account.as_str();
+        let timeout = 2 * group.write_duration.get();
+        let timeout = timeout.clamp(
+            Duration::from_millis(MIN_TIMEOUT_MS),
+            Duration::from_millis(MAX_TIMEOUT_MS),
+        );
+        let until = Instant::now() + timeout;
+        let answer: Option<LoanAnswer> = self.rpc.call(lender, LEND_PATH, request, until).await;
+        // One that does not answer is not asked for less either.
+        let refused = answer.as_ref().map_or(0, |_| request.min_tokens);
+        let lent = answer.unwrap_or_default().tokens;
+        if lent == 0 {
+            let mut lenders = group.lenders.borrow_mut();
+            lenders.note_short(account, lender, refused, self.clock.now_ms());
+            return;
         }
-        false
+        log::info!(target: "money", "Borrowed. account={account} tokens={lent} of={lender}");
+        group.holder.borrow_mut().borrow(account, lent);
     }
 
     /// Handles another relay's request for a loan; returns `None` for a malformed message.
--- a/wisteriapass_gateway/src/ledger/share_sizes.rs
+++ b/wisteriapass_gateway/src/ledger/share_sizes.rs
@@ -41,8 +41,9 @@
 const MAX_UNPROVED_FRACTION: f64 = 0.01;
 
 /// Multiple of the largest recent request that a share holds besides the demand. Six relays that each
-/// hold two of the largest requests hold up to a third of a small total.
-const LARGEST_REQUEST_FACTOR: f64 = 2.0;
+/// hold two of the largest requests hold up to a third of a small total, and all of it is lost if
+/// they die; a request that does not fit is covered by an exchange or by loans when it comes.
+const LARGEST_REQUEST_FACTOR: f64 = 0.0;
 
 /// Time since the last write after which the store counts as unreachable, in milliseconds: two
 /// exchanges.
