--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -12,6 +12,10 @@
 /// spendable after the last exchange is left.
 const LOW_WATER_DIVISOR: u64 = 3;
 
+/// Divisor that gives how far the unproved part has to exceed what an exchange would leave. What a
+/// share may exceed its target by without a return is less, so that one exchange is enough.
+const EXCESS_DIVISOR: u64 = 2;
+
 /// Divisor of the open wish that gives how much is borrowed beyond what is needed. The unspent rest
 /// of a loan is lost if its borrower dies, and a larger loan saves few calls.
 const EXTRA_LOAN_DIVISOR: u64 = 4;
@@ -165,6 +169,31 @@
         has_unallocated && (is_waiting || is_low)
     }
 
+    /// Returns what may be spent up to `limit` and is not, in tokens. If this process died, no
+    /// successor could prove that it is unspent.
+    pub(super) fn unproved(&self, limit: u64) -> u64 {
+        limit.min(self.share.granted).saturating_sub(self.spent())
+    }
+
+    /// Returns whether the unproved part exceeds its bound and an exchange makes it smaller by more
+    /// than is returned otherwise. `open_ms` is the demand that may be spent after the exchange.
+    pub(super) fn is_unproved_part_too_large(
+        &self,
+        now_ms: u64,
+        limit: u64,
+        open_ms: u64,
+        config: &ShareConfig,
+    ) -> bool {
+        let unproved = self.unproved(limit);
+        let bound = self.total as f64 * config.max_unproved_fraction;
+        let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
+        let wish = self.wish(now_ms, config);
+        // What witnesses acknowledged stays spendable as far as the share covers it.
+        let acknowledged = limit.saturating_sub(self.open_limit.max(self.spent()));
+        let after = ((demand * open_ms as f64) as u64).max(acknowledged.min(wish));
+        unproved as f64 > bound && unproved > after + after / EXCESS_DIVISOR
+    }
+
     /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
     /// in tokens.
     pub(super) fn loan_amounts(
@@ -220,6 +249,7 @@
             spent: self.spent(),
             lost: self.lost,
             sealed: self.share.granted.saturating_sub(limit),
+            unproved: self.unproved(limit),
             others_granted: self.others_granted,
             others_used: self.others_used,
             others_lost: self.others_lost,
--- a/wisteriapass_coord/src/prepaid/account_status.rs
+++ b/wisteriapass_coord/src/prepaid/account_status.rs
@@ -5,8 +5,8 @@
 /// Status of an account as one router knows it, in tokens, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(
-    "total={total} granted={granted} spent={spent} lost={lost} sealed={sealed} \
-     others_granted={others_granted} others_used={others_used} others_lost={others_lost}"
+    "total={total} granted={granted} spent={spent} lost={lost} sealed={sealed} unproved={unproved} \
+          others_granted={others_granted} others_used={others_used} others_lost={others_lost}"
 )]
 pub struct AccountStatus {
     /// Total by the configuration in force.
@@ -19,6 +19,8 @@
     pub lost: u64,
     /// Part of the share that may not be spent yet.
     pub sealed: u64,
+    /// Part of the share that may be spent now and is not; it is lost if the router dies.
+    pub unproved: u64,
     /// Granted to other routers.
     pub others_granted: u64,
     /// Known to be spent by other routers.
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -10,8 +10,8 @@
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witness_set::WitnessSet;
 use crate::prepaid::{
-    AccountStatus, DomainId, HolderEntry, HolderId, Scarcity, ShareConfig, ShareRecord, Stamp,
-    SuccessionProof, WitnessId,
+    AccountStatus, DomainId, HolderEntry, HolderId, Outstanding, Scarcity, ShareConfig,
+    ShareRecord, Stamp, SuccessionProof, WitnessId,
 };
 
 /// Reasons why a reservation was not made.
@@ -224,6 +224,19 @@
         self.accounts.iter().any(is_due)
     }
 
+    /// Returns whether an exchange is due because more could be lost with this process than should
+    /// be, and an exchange makes it less: requests cost less than they reserved, or demand fell.
+    pub fn holds_too_much(&self, now_ms: u64) -> bool {
+        let open_ms = if self.witnesses.any_binds() {
+            self.config.open_demand_ms
+        } else {
+            self.config.open_at_any_age_ms()
+        };
+        self.accounts.iter().any(|(name, a)| {
+            a.is_unproved_part_too_large(now_ms, self.spend_limit(name), open_ms, &self.config)
+        })
+    }
+
     /// Composes the next state of a record that was read. It takes effect with
     /// [`ShareHolder::adopt`].
     ///
@@ -338,6 +351,17 @@
         Some(next)
     }
 
+    /// Returns what this process holds of all accounts.
+    pub fn outstanding(&self) -> Outstanding {
+        let mut outstanding = Outstanding::default();
+        for (name, account_share) in &self.accounts {
+            outstanding.granted_unspent += account_share.unproved(u64::MAX);
+            outstanding.open_unspent += account_share.unproved(self.spend_limit(name));
+            outstanding.lost += account_share.lost;
+        }
+        outstanding
+    }
+
     /// Returns the status of an account.
     pub fn account_status(&self, account: &str) -> AccountStatus {
         let account_share = self.accounts.get(account).copied().unwrap_or_default();
--- a/wisteriapass_coord/src/prepaid/pace.rs
+++ b/wisteriapass_coord/src/prepaid/pace.rs
@@ -9,6 +9,10 @@
 /// one exchange, and their wait is short compared with the deadline of an answer.
 const MIN_URGENT_INTERVAL_MS: u64 = 60;
 
+/// Shortest interval between two exchanges of which the later one only reduces what could be lost, in
+/// milliseconds.
+const MIN_LOSS_INTERVAL_MS: u64 = 100;
+
 /// Shortest interval between two exchanges while no request waits, in milliseconds. The proof that
 /// a seal is intact is at most about this old.
 const MIN_IDLE_INTERVAL_MS: u64 = 500;
@@ -50,6 +54,11 @@
         self.round_ms(URGENT_SLOT_MS).max(MIN_URGENT_INTERVAL_MS)
     }
 
+    /// Returns the time to the next exchange if more could be lost than should be, in milliseconds.
+    pub fn loss_interval_ms(self) -> u64 {
+        self.urgent_interval_ms().max(MIN_LOSS_INTERVAL_MS)
+    }
+
     /// Returns the time to the next exchange if no request waits, in milliseconds.
     pub fn idle_interval_ms(self) -> u64 {
         self.round_ms(IDLE_SLOT_MS).max(MIN_IDLE_INTERVAL_MS)
--- a/wisteriapass_coord/tests/prepaid/fleet.rs
+++ b/wisteriapass_coord/tests/prepaid/fleet.rs
@@ -168,6 +168,13 @@
         (self.record.lost(ACCOUNT), self.record.used(ACCOUNT))
     }
 
+    /// Returns the largest part of the total that one relay may spend now and has not spent.
+    pub fn largest_unproved(&self) -> u64 {
+        let open = |r: &Relay| r.holder.outstanding().open_unspent;
+        let alive = self.relays.iter().filter(|r| r.is_alive);
+        alive.map(open).max().unwrap_or_default()
+    }
+
     /// Lets some milliseconds pass without further requests.
     pub fn pass(&mut self, for_ms: u64) {
         let until = self.now + for_ms;
@@ -188,7 +195,9 @@
             }
         }
         let age_ms = self.now - self.written_ms;
-        let is_due = self.relays.iter().any(|r| r.is_alive && r.holder.is_due());
+        let now = self.now;
+        let is_due = |r: &Relay| r.holder.is_due() || r.holder.holds_too_much(now);
+        let is_due = self.relays.iter().any(|r| r.is_alive && is_due(r));
         if self.is_store_up && (is_due && age_ms >= WRITE_MS.0 || age_ms >= WRITE_MS.1) {
             self.write();
         }
--- a/wisteriapass_coord/tests/prepaid/outstanding.rs
+++ b/wisteriapass_coord/tests/prepaid/outstanding.rs
@@ -58,6 +58,45 @@
     }
 }
 
+/// Guards against a share that stays open after a request that cost a tenth of what it reserved,
+/// and against exchanges that reduce nothing.
+#[test]
+fn an_exchange_is_due_once_more_than_the_bound_could_be_lost() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(TOTAL, seed);
+        run(&mut fleet, 5_000, |_| 0);
+        let writes = fleet.writes;
+        run(&mut fleet, 5_000, |_| 0);
+        let in_use = fleet.writes - writes;
+        assert!(in_use <= 20, "{in_use} writes in 5 s, seed {seed}");
+
+        // Without witnesses, the record alone tells what can have been spent.
+        let mut fleet = Fleet::new(TOTAL, seed);
+        (1..RELAYS).for_each(|n| _ = fleet.kill(n));
+        fleet.pass(2_000 + seed * 70);
+        let request = Request {
+            max_cost: TOTAL / 25,
+            used: TOTAL / 1_000,
+        };
+        fleet.arrive(0, request);
+        while fleet.used == 0 {
+            fleet.tick();
+        }
+        let before = fleet.largest_unproved();
+        assert!(before * 100 > 3 * TOTAL, "{before}, seed {seed}");
+        fleet.pass(200);
+        let after = fleet.largest_unproved();
+        assert!(2 * after <= before, "{after} of {before}, seed {seed}");
+        let writes = fleet.writes;
+        fleet.pass(5_000);
+        let idle = fleet.writes - writes;
+        assert!(
+            idle <= 10,
+            "{idle} writes in 5 s without requests, seed {seed}"
+        );
+    }
+}
+
 /// Lets rare requests of 3% of the total arrive at random relays; returns how many are served before
 /// the first one that is refused.
 fn large_requests_served(fleet: &mut Fleet, count: u64, interval_ms: u64) -> u64 {
--- a/wisteriapass_coord/tests/prepaid_pace.rs
+++ b/wisteriapass_coord/tests/prepaid_pace.rs
@@ -140,3 +140,13 @@
     assert!(slow.urgent_interval_ms() >= 20 * 1_000 / 2);
     assert!(slow.idle_interval_ms() >= slow.urgent_interval_ms());
 }
+
+/// Guards against a store that is written for each request that cost less than it reserved.
+#[test]
+fn exchanges_that_only_reduce_losses_are_less_frequent() {
+    let lone = Pace::new(1, 4);
+    assert!(lone.loss_interval_ms() >= 100);
+    assert!(lone.loss_interval_ms() > lone.urgent_interval_ms());
+    let many = Pace::new(6, 4);
+    assert_eq!(many.loss_interval_ms(), many.urgent_interval_ms());
+}
--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -280,9 +280,7 @@
     fn settle_share(&self, account: &str, max_cost: u64, used: u64) {
         let group = self.group(account);
         group.holder.borrow_mut().settle(account, max_cost, used);
-        if group.holder.borrow().is_due() {
-            group.exchange_needed.notify_one();
-        }
+        group.request_exchange_if_due(self.clock.now_ms());
     }
 
     fn group(&self, account: &str) -> &AccountGroup {
--- a/wisteriapass_gateway/src/ledger/account_group.rs
+++ b/wisteriapass_gateway/src/ledger/account_group.rs
@@ -116,6 +116,14 @@
         self.holder.borrow().account_status(account).granted == 0
     }
 
+    /// Has an exchange made if one is due, for waiting requests or because too much could be lost.
+    pub(super) fn request_exchange_if_due(&self, now_ms: u64) {
+        let holder = self.holder.borrow();
+        if holder.is_due() || holder.holds_too_much(now_ms) {
+            self.exchange_needed.notify_one();
+        }
+    }
+
     /// Returns whether the store answers and an exchange is due.
     pub(super) fn awaits_exchange(&self) -> bool {
         self.in_contact.get() && self.holder.borrow().is_due()
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
-use wisteriapass_coord::prepaid::{Pace, ShareRecord, Stamp};
+use wisteriapass_coord::prepaid::{Outstanding, Pace, ShareRecord, Stamp};
 
 use super::account_group::AccountGroup;
 use super::combined_write::WriteOutcome;
@@ -66,9 +66,18 @@
             };
             let stamp = self.clock.stamp();
             group.holder.borrow_mut().unseal(stamp);
+            self.measure_outstanding(&gw);
         }
     }
 
+    /// Sets the gauges of the tokens that this router holds in all records.
+    fn measure_outstanding(&self, gw: &Gateway) {
+        let all = self.groups.iter();
+        let all = all.map(|group| group.holder.borrow().outstanding());
+        let sum = all.fold(Outstanding::default(), Outstanding::plus);
+        gw.metrics.set_outstanding(sum);
+    }
+
     /// Returns the initial state of all records, of which nothing is known.
     pub fn unknown_records(&self) -> Vec<KnownRecord> {
         self.groups.iter().map(|_| KnownRecord::Unknown).collect()
@@ -122,6 +131,7 @@
             while !self.try_return_shares(gw, index).await {}
             log::info!(target: "money", "Returned unspent shares. record={index}");
         }
+        self.measure_outstanding(gw);
     }
 
     /// Tries once to return the tokens of one record; returns whether nothing is left to return.
@@ -275,6 +285,7 @@
     async fn wait_for_next_exchange(&self, group: &AccountGroup) {
         let pace = self.pace(group);
         let pause = Duration::from_millis(pace.urgent_interval_ms());
+        let loss_pause = Duration::from_millis(pace.loss_interval_ms());
         let idle_pause = Duration::from_millis(pace.idle_interval_ms());
         let offset = Duration::from_millis(self.exchange_offset_ms(group));
         loop {
@@ -285,6 +296,9 @@
             // proves that the sealed part is unspent, gets too old.
             let due = began + idle_pause + offset;
             let _ = timeout_at(due, group.exchange_needed.notified()).await;
+            if !group.holder.borrow().is_due() {
+                sleep_until((began + loss_pause + offset).min(due)).await;
+            }
             // Otherwise another relay's write has carried this relay's share in the meantime.
             if group.confirmed_at.get() == began {
                 group.confirmed_at_pause_end.set(began);
--- a/wisteriapass_gateway/src/ledger/witness_reports.rs
+++ b/wisteriapass_gateway/src/ledger/witness_reports.rs
@@ -50,9 +50,7 @@
             let _ = timeout_at(next, group.report_due.notified()).await;
             group.holder.borrow_mut().unseal(self.clock.stamp());
             self.report_to_all(group).await;
-            if group.holder.borrow().is_due() {
-                group.exchange_needed.notify_one();
-            }
+            group.request_exchange_if_due(self.clock.now_ms());
             sleep(Duration::from_millis(MIN_REPORT_INTERVAL_MS)).await;
         }
     }
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -4,9 +4,10 @@
 
 use derive_more::{Display, Error};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use wisteriapass_coord::prepaid::Outstanding;
 
 use crate::exchange::UnprovenEnd;
 use crate::platform::StoreError;
@@ -25,6 +26,9 @@
 /// Label for the source of the origin of a stream.
 const SOURCE: &str = "source";
 
+/// Label for the state of prepaid tokens.
+const STATE: &str = "state";
+
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
@@ -152,6 +156,7 @@
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
     store_calls: Counter<u64>,
+    prepaid_tokens: Gauge<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -182,6 +187,7 @@
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
+            prepaid_tokens: meter.u64_gauge("wisteriapass_prepaid_tokens").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -208,6 +214,19 @@
         self.store_calls.add(1, &[call, outcome]);
     }
 
+    /// Sets the prepaid tokens that this router holds.
+    pub fn set_outstanding(&self, outstanding: Outstanding) {
+        let states = [
+            ("granted_unspent", outstanding.granted_unspent),
+            ("open_unspent", outstanding.open_unspent),
+            ("lost", outstanding.lost),
+        ];
+        for (state, tokens) in states {
+            self.prepaid_tokens
+                .record(tokens, &[KeyValue::new(STATE, state)]);
+        }
+    }
+
     pub fn count_refusal(&self, reason: Refusal) {
         let reason = KeyValue::new(REASON, reason.to_string());
         self.refusals.add(1, &[reason]);
