Shares: a router that stops writes what it spent at once, and goes on to do so

Callers saw: what a stopping router had spent since its last exchange, and all that it held, was lost if it was killed before it had stopped in order.

Cause: a stop changed nothing about exchanges until connections were drained; then exchanges ended, and nothing was written until the last grant had been returned. What requests in progress had reserved counted as spent at the final write.

Change: the begin of a stop has an exchange made. Once no new requests come, each exchange returns all that no request in progress needs, and exchanges go on until the requests have ended; the final write follows.

Tested: a stopping router's writes return all but reservations, and what these leave with the next write. Daemon tests of money, relays, stops and leaving routers pass.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -323,4 +323,10 @@
             idle_share: (remaining * config.idle_fraction / holders) as u64,
         }
     }
+
+    /// Sets whether a router without demand holds a share.
+    pub(super) fn with_idle_share(self, holds_idle: bool) -> Self {
+        let idle_share = if holds_idle { self.idle_share } else { 0 };
+        Self { idle_share, ..self }
+    }
 }
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -44,6 +44,8 @@
     proof: Option<SuccessionProof>,
     /// Time from the predecessor's last write to the start of this process, in milliseconds.
     silent_ms: Option<u64>,
+    /// Whether each write returns all that no request in progress needs.
+    is_stopping: bool,
     /// Whether the shares were returned; nothing can be reserved after that.
     closed: bool,
     /// When this process started; no predecessor was alive later.
@@ -72,6 +74,7 @@
             witness_limits: None,
             proof: None,
             silent_ms: None,
+            is_stopping: false,
             closed: false,
             started,
             lends_at: None,
@@ -266,8 +269,12 @@
                 .min(share.granted);
             share.lost = account_share.lost;
             share.wish = account_share.wish(now_ms, &self.config);
+            if self.is_stopping {
+                share.wish = 0;
+            }
             next.set_share(name, &self.id, share);
             let limits = AllocationLimits::new(&next, name, account_share.total, &self.config);
+            let limits = limits.with_idle_share(!self.is_stopping);
             account_share.update_share(&self.config, &mut share, limits);
             next.set_share(name, &self.id, share);
         }
@@ -335,6 +342,12 @@
         true
     }
 
+    /// Has each further write return all that no request in progress needs, when the process takes
+    /// no new requests.
+    pub fn set_stopping(&mut self) {
+        self.is_stopping = true;
+    }
+
     /// Returns all unspent tokens, when the process ends in an orderly way.
     pub fn return_unspent(&mut self, now: Stamp, record: &ShareRecord) -> Option<ShareRecord> {
         let entry = record.holder_entry(&self.id)?;
--- a/wisteriapass_coord/tests/prepaid/outstanding.rs
+++ b/wisteriapass_coord/tests/prepaid/outstanding.rs
@@ -1,7 +1,10 @@
 //! What routers hold beyond what they prove to have spent: little is lost with them, and requests
 //! are served nevertheless.
 
-use crate::fleet::{Fleet, RELAYS, Request};
+use wisteriapass_coord::prepaid::ShareRecord;
+
+use crate::fleet::{Fleet, RELAYS, ROUTER_CONFIG, Request};
+use crate::support::{ACCOUNT, at, exchange, holder_with, reserve_with_exchange};
 
 const TOTAL: u64 = 3_000_000;
 
@@ -149,3 +152,21 @@
         assert!(served >= 7, "{served} of 8, seed {seed}");
     }
 }
+
+/// Guards against the loss of what a stopping router holds, if it is killed before its last request
+/// ended.
+#[test]
+fn a_stopping_router_returns_all_but_what_its_requests_need() {
+    let mut record = ShareRecord::default();
+    let mut h = holder_with(ROUTER_CONFIG, "a", 1, TOTAL, at(0));
+    assert_eq!(reserve_with_exchange(&mut h, 0, 9_000, &mut record), Ok(()));
+    exchange(&mut h, 10, &mut record);
+    assert!(record.share(ACCOUNT, h.id()).granted > 9_000);
+    h.set_stopping();
+    exchange(&mut h, 20, &mut record);
+    assert_eq!(record.share(ACCOUNT, h.id()).granted, 9_000);
+    h.settle(ACCOUNT, 9_000, 2_000);
+    exchange(&mut h, 30, &mut record);
+    let share = record.share(ACCOUNT, h.id());
+    assert_eq!((share.granted, share.used), (2_000, 2_000));
+}
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -116,17 +116,33 @@
         Some(all)
     }
 
-    /// Returns unspent tokens during an orderly shutdown, and retries until it succeeds.
-    pub async fn return_unspent(&self, gw: &Gateway, until: Instant) {
+    /// Has what this router spent written soon, when it begins to stop: it may be killed before it
+    /// stopped in order.
+    pub fn write_soon(&self) {
+        self.groups
+            .iter()
+            .for_each(|g| g.exchange_needed.notify_one());
+    }
+
+    /// Returns credit and, with each exchange, what no request in progress needs; waits until none
+    /// does, at most until a deadline.
+    pub async fn release_unspent(&self, until: Instant) {
+        for group in &self.groups {
+            group.holder.borrow_mut().set_stopping();
+        }
+        self.write_soon();
         self.return_credit(until).await;
         if self.role() == Role::Relay {
-            self.wait_for_grants(until).await;
-            self.return_shares(gw).await;
+            self.wait_until_idle(until).await;
         }
     }
 
-    /// Returns the unspent tokens of this router's own shares, and retries until it succeeds.
+    /// Returns the unspent tokens of this router's own shares, and retries until it succeeds. Does
+    /// nothing at a router that is no relay.
     pub async fn return_shares(&self, gw: &Gateway) {
+        if self.role() == Role::Follower {
+            return;
+        }
         for index in 0..RECORD_COUNT {
             while !self.try_return_shares(gw, index).await {}
             log::info!(target: "money", "Returned unspent shares. record={index}");
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, Error, From};
 use tokio::runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout_at};
 use wisteriapass_policy::drain::Drain;
 
@@ -81,12 +81,9 @@
     let grace_ms = gw.settings.bounds.grace_ms;
     let exit_by = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let drain = Drain::new(gw.time(), grace_ms);
+    gw.ledger.write_soon();
     drain_connections(&gw, &open, drain).await;
-    role.abort();
-    let returning_shares = timeout_at(
-        exit_by,
-        gw.ledger.return_unspent(&gw, exit_by - SHARE_WRITE_TIME),
-    );
+    let returning_shares = timeout_at(exit_by, return_unspent(&gw, role, exit_by));
     let (done, cut) = tokio::join!(
         returning_shares,
         finish_requests(&gw, &open, drain, exit_by)
@@ -95,6 +92,14 @@
     Ok(())
 }
 
+/// Returns the unspent tokens of this router. Its role goes on while requests end, as each exchange
+/// writes what they cost and returns what they leave.
+async fn return_unspent(gw: &Gateway, role: JoinHandle<()>, exit_by: Instant) {
+    gw.ledger.release_unspent(exit_by - SHARE_WRITE_TIME).await;
+    role.abort();
+    gw.ledger.return_shares(gw).await;
+}
+
 /// First phases of a shutdown: clients move to other routers while running requests end.
 async fn drain_connections(gw: &Gateway, open: &Cell<usize>, drain: Drain) {
     log::info!(target: "start", "Stopping. connections={}", open.get());
