--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -4,9 +4,10 @@
 //! key-value store holds how much of it each router may have spent. A router's [`ShareHolder`]
 //! spends within its share, also while the store is unreachable.
 //!
-//! Correctness depends on clocks in one place only. Part of each share is sealed: it may not be
-//! spent until the holder has been out of contact with the store for some time. From the [`Stamp`]
-//! of the last write, a successor decides whether the seal can have been broken. It trusts the boot
+//! Correctness depends on clocks in one place only. Part of each share is sealed: it may be spent
+//! only as far as its [`Opening`] allows by the age of the holder's last write, and as far as
+//! witnesses acknowledge while any of them binds the holder. From the [`Stamp`] of that write, a
+//! successor computes how much can have been open. It trusts the boot
 //! clock and the time of day where they agree. After a power loss, it trusts the time of day if
 //! that agreed with the time of day of all other routers at the last write, and agrees again at the
 //! successor's.
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -223,7 +223,7 @@
 
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
-        let is_due = |(name, a): (&String, &AccountShare)| a.is_due(self.limit_in_contact(name));
+        let is_due = |(name, a): (&String, &AccountShare)| a.is_due(self.limit_with_receipts(name));
         self.accounts.iter().any(is_due)
     }
 
--- a/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
+++ b/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
@@ -34,14 +34,14 @@
             .max(unsealed.min(self.witnesses.spend_limit(account)))
     }
 
-    /// Returns the limit up to which an account's share may be spent while the store answers and
-    /// requests wait for receipts, in tokens. Receipts that do not come raise no limit.
-    pub(super) fn limit_in_contact(&self, account: &str) -> u64 {
+    /// Returns the limit up to which an account's share may be spent if requests wait for receipts,
+    /// in tokens. Receipts that do not come raise no limit.
+    pub(super) fn limit_with_receipts(&self, account: &str) -> u64 {
         if self.witnesses.any_binds() && !self.witnesses.all_answer() {
             return self.spend_limit(account);
         }
         let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.limit_at_age(0, &self.config)
+        account_share.limit_at_age(self.age_ms, &self.config)
     }
 
     /// Returns whether a report to the witnesses may make room for a request of `max_cost` tokens.
--- a/wisteriapass_coord/src/prepaid/share.rs
+++ b/wisteriapass_coord/src/prepaid/share.rs
@@ -10,7 +10,10 @@
     pub granted: u64,
     /// The part that is known to be spent.
     pub used: u64,
-    /// The unspent part that may be spent only after some time without contact with the store.
+    /// The unspent part that may be spent only as far as the holder's [`Opening`] and its witnesses
+    /// allow.
+    ///
+    /// [`Opening`]: crate::prepaid::Opening
     pub sealed: u64,
     /// What dead predecessors may have spent beyond `used`.
     pub lost: u64,
