Shares: a witness that is known to be dead binds no router

Cause: a dead witness binds until what it knew is too old for any successor, and in touch as well as in a cut little can be spent without its receipts.

Change: a relay asks at the address of a silent witness, by an inquiry about itself. A witness that binds it knows it, so any other answer is that of another process, and the witness is dead: no successor gets an answer from it, and it binds no more. A receipt of another process tells the same.

Tested: the model plays such questions; releasing a witness that does answer is found by it.

--- a/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
+++ b/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
@@ -2,7 +2,7 @@
 
 use super::ShareHolder;
 use crate::prepaid::witness_set::WitnessSet;
-use crate::prepaid::{Stamp, WitnessId, WitnessReceipt, WitnessReport};
+use crate::prepaid::{Inquiry, InquiryAnswer, Stamp, WitnessId, WitnessReceipt, WitnessReport};
 
 impl ShareHolder {
     /// Unseals shares by the age of the last write that may have reached the store, as far as no
@@ -126,6 +126,26 @@
         now.since_boot.saturating_sub(sent) < self.config.out_of_contact_ms
     }
 
+    /// Returns the inquiries that tell whether witnesses which no longer answer are dead. They are
+    /// not reports: these would renew what a witness knows.
+    pub fn probes(&self) -> Vec<(WitnessId, Inquiry)> {
+        let probe = |id: WitnessId| Inquiry {
+            witness: id.process,
+            holder: self.id.clone(),
+            process: self.process,
+        };
+        let silent = self.witnesses.silent().into_iter();
+        silent.map(|id| (id, probe(id))).collect()
+    }
+
+    /// Applies what the process at the address of a silent witness answered to a probe. A witness
+    /// that is bound to this process knows it, so any other answer is that of another process.
+    pub fn note_probe(&mut self, id: WitnessId, answer: Option<&InquiryAnswer>) {
+        if answer.is_none() {
+            self.witnesses.note_gone(id);
+        }
+    }
+
     /// Adds a witness that answered the first report of this process, which was sent at `sent`.
     pub fn add_witness(&mut self, id: WitnessId, receipt: WitnessReceipt, sent: Stamp) {
         self.witnesses.add(id, receipt, sent.since_boot);
--- a/wisteriapass_coord/src/prepaid/witness_set.rs
+++ b/wisteriapass_coord/src/prepaid/witness_set.rs
@@ -79,6 +79,7 @@
         now_ms: u64,
     ) {
         if receipt.witness != id.process {
+            self.note_gone(id);
             return;
         }
         let Some(witness) = self.find(id) else {
@@ -93,6 +94,21 @@
         }
     }
 
+    /// Returns the witnesses that bind this router although they no longer answer.
+    pub fn silent(&self) -> SmallVec<[WitnessId; 4]> {
+        let silent = self.all.iter().filter(|w| w.binds() && w.given_up);
+        silent.map(|w| w.id).collect()
+    }
+
+    /// Notes that another process listens at the address of a witness. The witness is dead, so no
+    /// successor gets an answer from it, and it no longer binds.
+    pub fn note_gone(&mut self, id: WitnessId) {
+        if let Some(witness) = self.find(id) {
+            witness.expired = true;
+            witness.given_up = true;
+        }
+    }
+
     /// Adds a witness that answered a first report, sent at `sent_ms` of the boot clock.
     pub fn add(&mut self, id: WitnessId, receipt: WitnessReceipt, sent_ms: u64) {
         if self.find(id).is_some() {
--- a/wisteriapass_coord/tests/prepaid/fleet.rs
+++ b/wisteriapass_coord/tests/prepaid/fleet.rs
@@ -308,6 +308,14 @@
                 .witnesses()
                 .note_receipt(id, receipt, &limits, stamp.since_boot);
         }
+        for (id, probe) in self.relays[n].holder.probes() {
+            let at_address = (0..RELAYS).find(|k| self.witness_id(*k).at == id.at);
+            let asked = at_address.filter(|k| self.relays[*k].is_alive);
+            if let Some(k) = asked {
+                let answer = self.relays[k].memory.answer_inquiry(now, &probe);
+                self.relays[n].holder.note_probe(id, answer.as_ref());
+            }
+        }
         let others = (1..RELAYS).map(|k| (n + k) % RELAYS);
         let mut others = others.filter(|k| self.relays[*k].is_alive);
         let is_known = |k: &usize| known.iter().any(|(id, _)| *id == self.witness_id(*k));
--- a/wisteriapass_coord/tests/prepaid/outstanding.rs
+++ b/wisteriapass_coord/tests/prepaid/outstanding.rs
@@ -170,3 +170,26 @@
     let share = record.share(ACCOUNT, h.id());
     assert_eq!((share.granted, share.used), (2_000, 2_000));
 }
+
+/// Guards against refusals while a relay waits for the receipts of witnesses that are dead.
+#[test]
+fn requests_are_served_while_witnesses_die() {
+    for (seed, is_store_up) in (1..=5).flat_map(|seed| [true, false].map(|up| (seed, up))) {
+        let mut fleet = Fleet::new(2 * TOTAL, seed);
+        run(&mut fleet, 5_000, |_| 0);
+        fleet.is_store_up = is_store_up;
+        run(&mut fleet, 300, |_| 0);
+        let refused = fleet.refused;
+        for n in 1..=2 {
+            fleet.kill(n);
+            run(&mut fleet, 700, |_| 0);
+            fleet.restart(n);
+            run(&mut fleet, 2_000, |_| 0);
+        }
+        let refused = fleet.refused - refused;
+        assert!(
+            refused <= 5,
+            "{refused} of 540, seed {seed}, store {is_store_up}"
+        );
+    }
+}
--- a/wisteriapass_coord/tests/prepaid/witnesses.rs
+++ b/wisteriapass_coord/tests/prepaid/witnesses.rs
@@ -260,6 +260,8 @@
     LostReceipt,
     /// The report is read when the next delayed one is sent.
     DelayedReport,
+    /// The router asks whether witnesses that no longer answer are dead.
+    Probe,
     /// The witness restarts and knows nothing.
     RestartWitness,
     RestartRouter,
@@ -280,7 +282,7 @@
 }
 
 fn step(n: u16) -> Step {
-    match n % 35 {
+    match n % 37 {
         0..=2 => Step::Spend(u64::from(n) % 97 + 1),
         3 | 4 => Step::Exchange,
         5 => Step::LostExchangeAnswer,
@@ -297,6 +299,7 @@
         29 => Step::Overestimate(u64::from(n) % 211),
         30 => Step::PowerLoss,
         31..=33 => Step::SpendAll,
+        34 | 35 => Step::Probe,
         _ => Step::Suspend,
     }
 }
@@ -423,6 +426,13 @@
                 self.late.push((self.revision, next));
             }
             Step::AwaitReceipts(max_cost) => self.await_receipts(me, max_cost, pause),
+            Step::Probe => {
+                for (id, probe) in self.holders[me].probes() {
+                    let witness = self.witnesses.iter().find(|w| w.id.at == id.at);
+                    let answer = witness.and_then(|w| w.memory.answer_inquiry(now, &probe));
+                    self.holders[me].note_probe(id, answer.as_ref());
+                }
+            }
             Step::SpendAll => {
                 for max_cost in (0..13).rev().map(|n| 1 << n) {
                     self.spend(me, max_cost);
--- a/wisteriapass_gateway/src/ledger/witness_reports.rs
+++ b/wisteriapass_gateway/src/ledger/witness_reports.rs
@@ -55,16 +55,33 @@
         }
     }
 
-    /// Looks for witnesses while there are too few; never returns. Apart from the reports, because
+    /// Looks for witnesses while there are too few, and for dead ones; never returns. Apart from the reports, because
     /// requests wait for these, and an address at which nobody answers takes a timeout.
     pub async fn run_witness_search(self: Rc<Self>, index: u32) {
         let group = &self.groups[index as usize];
         loop {
             self.find_witness(group).await;
+            self.probe_silent(group).await;
             sleep(Duration::from_millis(REPORT_INTERVAL_MS)).await;
         }
     }
 
+    /// Asks whether witnesses that no longer answer are dead, as they bind this relay otherwise until
+    /// what they know is too old.
+    async fn probe_silent(&self, group: &AccountGroup) {
+        let probes = group.holder.borrow().probes();
+        let until = deadline_in(REPORT_TIMEOUT_MS);
+        let calls = probes.into_iter().map(async |(id, probe)| {
+            let call = self.rpc.call(id.at, INQUIRY_PATH, &probe, until);
+            let answer: Option<Option<InquiryAnswer>> = call.await;
+            if let Some(answer) = answer {
+                let mut holder = group.holder.borrow_mut();
+                holder.note_probe(id, answer.as_ref());
+            }
+        });
+        join_all(calls).await;
+    }
+
     /// Reports to all reachable witnesses.
     async fn report_to_all(&self, group: &AccountGroup) {
         let reachable = group.holder.borrow_mut().witnesses().reachable();
