--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -14,6 +14,7 @@
 
 mod account_share;
 mod account_status;
+mod allocation_limits;
 mod clock_check;
 mod credit;
 mod demand_meter;
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -1,17 +1,19 @@
 //! The shares of one router in memory: reserve, settle, and compose the next write.
 
+mod loans;
 mod spend_limit;
+mod status;
 mod succession;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::prepaid::account_share::{AccountShare, AllocationLimits};
+use crate::prepaid::account_share::AccountShare;
+use crate::prepaid::allocation_limits::AllocationLimits;
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witness_set::WitnessSet;
 use crate::prepaid::{
-    AccountStatus, DomainId, HolderEntry, HolderId, Outstanding, Scarcity, ShareConfig,
-    ShareRecord, Stamp, SuccessionProof, WitnessId,
+    DomainId, HolderEntry, HolderId, ShareConfig, ShareRecord, Stamp, SuccessionProof, WitnessId,
 };
 
 /// Reasons why a reservation was not made.
@@ -110,40 +112,6 @@
         self.followers = followers;
     }
 
-    /// Lends tokens from this router's share.
-    ///
-    /// The amount is `requested` or half of what is spendable, whichever is less, but at least
-    /// `min_tokens`; nothing is lent if `min_tokens` is not spendable. The loan counts as spent
-    /// here at once, so a lost answer strands the loan but never duplicates it.
-    pub fn lend(&mut self, account: &str, requested: u64, min_tokens: u64) -> u64 {
-        let spend_limit = self.spend_limit(account);
-        let Some(account_share) = self.accounts.get_mut(account).filter(|_| !self.closed) else {
-            return 0;
-        };
-        let spendable = account_share.spendable(spend_limit);
-        if spendable < min_tokens {
-            return 0;
-        }
-        let lent = requested.min(spendable / 2).max(min_tokens);
-        account_share.used += lent;
-        lent
-    }
-
-    /// Adds tokens that another router lent.
-    pub fn borrow(&mut self, account: &str, lent: u64) {
-        self.accounts
-            .entry(account.to_owned())
-            .or_default()
-            .borrowed += lent;
-    }
-
-    /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
-    /// in tokens.
-    pub fn loan_amounts(&self, now_ms: u64, account: &str, max_cost: u64) -> (u64, u64) {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.loan_amounts(now_ms, max_cost, self.spend_limit(account), &self.config)
-    }
-
     /// Returns the number that identifies the process.
     pub fn process(&self) -> u64 {
         self.process
@@ -227,19 +195,6 @@
         self.accounts.iter().any(is_due)
     }
 
-    /// Returns whether an exchange is due because more could be lost with this process than should
-    /// be, and an exchange makes it less: requests cost less than they reserved, or demand fell.
-    pub fn holds_too_much(&self, now_ms: u64) -> bool {
-        let open_ms = if self.witnesses.any_binds() {
-            self.config.open_demand_ms
-        } else {
-            self.config.open_at_any_age_ms()
-        };
-        self.accounts.iter().any(|(name, a)| {
-            a.is_unproved_part_too_large(now_ms, self.spend_limit(name), open_ms, &self.config)
-        })
-    }
-
     /// Composes the next state of a record that was read. It takes effect with
     /// [`ShareHolder::adopt`].
     ///
@@ -364,37 +319,6 @@
         Some(next)
     }
 
-    /// Returns what this process holds of all accounts.
-    pub fn outstanding(&self) -> Outstanding {
-        let mut outstanding = Outstanding::default();
-        for (name, account_share) in &self.accounts {
-            outstanding.granted_unspent += account_share.unproved(u64::MAX);
-            outstanding.open_unspent += account_share.unproved(self.spend_limit(name));
-            outstanding.lost += account_share.lost;
-        }
-        outstanding
-    }
-
-    /// Returns the status of an account.
-    pub fn account_status(&self, account: &str) -> AccountStatus {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.account_status(self.spend_limit(account))
-    }
-
-    /// Returns how scarce an account's tokens are, by a record that was adopted.
-    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Scarcity {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        let lost = account_share.lost + account_share.others_lost;
-        let used_or_lost = account_share.known_used() + lost;
-        let wish = record.share(account, &self.id).wish as f64;
-        Scarcity {
-            total: account_share.total,
-            remaining: account_share.total.saturating_sub(used_or_lost),
-            lost,
-            demand_fraction: wish / record.total_wish(account).max(1) as f64,
-        }
-    }
-
     /// Returns what this process has settled of an account, in tokens.
     pub fn used(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |a| a.used)
--- /dev/null
+++ b/wisteriapass_coord/src/prepaid/holder/status.rs
@@ -0,0 +1,50 @@
+//! What a process holds: status of accounts, and what could be lost with the process.
+
+use super::ShareHolder;
+use crate::prepaid::{AccountStatus, Outstanding, Scarcity, ShareRecord};
+
+impl ShareHolder {
+    /// Returns whether an exchange is due because more could be lost with this process than should
+    /// be, and an exchange makes it less: requests cost less than they reserved, or demand fell.
+    pub fn holds_too_much(&self, now_ms: u64) -> bool {
+        let open_ms = if self.witnesses.any_binds() {
+            self.config.open_demand_ms
+        } else {
+            self.config.open_at_any_age_ms()
+        };
+        self.accounts.iter().any(|(name, a)| {
+            a.is_unproved_part_too_large(now_ms, self.spend_limit(name), open_ms, &self.config)
+        })
+    }
+
+    /// Returns what this process holds of all accounts.
+    pub fn outstanding(&self) -> Outstanding {
+        let mut outstanding = Outstanding::default();
+        for (name, account_share) in &self.accounts {
+            outstanding.granted_unspent += account_share.unproved(u64::MAX);
+            outstanding.open_unspent += account_share.unproved(self.spend_limit(name));
+            outstanding.lost += account_share.lost;
+        }
+        outstanding
+    }
+
+    /// Returns the status of an account.
+    pub fn account_status(&self, account: &str) -> AccountStatus {
+        let account_share = self.accounts.get(account).copied().unwrap_or_default();
+        account_share.account_status(self.spend_limit(account))
+    }
+
+    /// Returns how scarce an account's tokens are, by a record that was adopted.
+    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Scarcity {
+        let account_share = self.accounts.get(account).copied().unwrap_or_default();
+        let lost = account_share.lost + account_share.others_lost;
+        let used_or_lost = account_share.known_used() + lost;
+        let wish = record.share(account, &self.id).wish as f64;
+        Scarcity {
+            total: account_share.total,
+            remaining: account_share.total.saturating_sub(used_or_lost),
+            lost,
+            demand_fraction: wish / record.total_wish(account).max(1) as f64,
+        }
+    }
+}
