Shares: what could be lost is compared with its bound first

The check runs at each settlement for all accounts, and most are below the bound: the demand is computed only for the others.

Tested: tests of prepaid shares.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -186,13 +186,15 @@
         config: &ShareConfig,
     ) -> bool {
         let unproved = self.unproved(limit);
-        let bound = self.total as f64 * config.max_unproved_fraction;
+        if unproved as f64 <= self.total as f64 * config.max_unproved_fraction {
+            return false;
+        }
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
         let wish = self.wish(now_ms, config);
         // What witnesses acknowledged stays spendable as far as the share covers it.
         let acknowledged = limit.saturating_sub(self.open_limit.max(self.spent()));
         let after = ((demand * open_ms as f64) as u64).max(acknowledged.min(wish));
-        unproved as f64 > bound && unproved > after + after / EXCESS_DIVISOR
+        unproved > after + after / EXCESS_DIVISOR
     }
 
     /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
