--- a/wisteriapass_coord/src/prepaid.rs
+++ b/wisteriapass_coord/src/prepaid.rs
@@ -4,15 +4,17 @@
 //! key-value store holds how much of it each router may have spent. A router's [`ShareHolder`]
 //! spends within its share, also while the store is unreachable.
 //!
-//! Correctness depends on clocks in one place only. Part of each share is sealed: it may not be
-//! spent until the holder has been out of contact with the store for some time. From the [`Stamp`]
-//! of the last write, a successor decides whether the seal can have been broken. It trusts the boot
+//! Correctness depends on clocks in one place only. Part of each share is sealed: it may be spent
+//! only as far as its [`Opening`] allows by the age of the holder's last write, and as far as
+//! witnesses acknowledge while any of them binds the holder. From the [`Stamp`] of that write, a
+//! successor computes how much can have been open. It trusts the boot
 //! clock and the time of day where they agree. After a power loss, it trusts the time of day if
 //! that agreed with the time of day of all other routers at the last write, and agrees again at the
 //! successor's.
 
 mod account_share;
 mod account_status;
+mod allocation_limits;
 mod clock_check;
 mod credit;
 mod demand_meter;
@@ -23,6 +25,8 @@
 mod inquiry;
 mod lenders;
 mod loan_requests;
+mod opening;
+mod outstanding;
 mod pace;
 mod packed;
 mod proof;
@@ -47,6 +51,8 @@
 pub use inquiry::{Inquiry, InquiryAnswer};
 pub use lenders::Lenders;
 pub use loan_requests::LoanRequests;
+pub use opening::Opening;
+pub use outstanding::Outstanding;
 pub use pace::Pace;
 pub use packed::UnpackError;
 pub use proof::SuccessionProof;
--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -1,7 +1,8 @@
 //! One router's share of one account in memory, and how large the share should be.
 
+use crate::prepaid::allocation_limits::AllocationLimits;
 use crate::prepaid::unserved_requests::UnservedRequests;
-use crate::prepaid::{AccountStatus, DemandMeter, Share, ShareConfig, ShareRecord};
+use crate::prepaid::{AccountStatus, DemandMeter, Share, ShareConfig};
 
 /// Divisor of the target share that gives how far a share may exceed its target before part of it
 /// is returned. A router that returned tokens at every exchange would request them again at the
@@ -12,21 +13,24 @@
 /// spendable after the last exchange is left.
 const LOW_WATER_DIVISOR: u64 = 3;
 
+/// Divisor that gives how far the unproved part has to exceed what an exchange would leave. What a
+/// share may exceed its target by without a return is less, so that one exchange is enough.
+const EXCESS_DIVISOR: u64 = 2;
+
 /// Divisor of the open wish that gives how much is borrowed beyond what is needed. The unspent rest
 /// of a loan is lost if its borrower dies, and a larger loan saves few calls.
 const EXTRA_LOAN_DIVISOR: u64 = 4;
 
-/// Headroom beyond what is spent that witnesses are asked to acknowledge, in milliseconds of
-/// demand. It covers several report intervals; the part that is not spent is lost if its router
-/// dies.
-const WITNESS_HEADROOM_MS: u64 = 2_000;
+/// Divisor of the headroom that gives the low-water mark: a report is due once less than this part
+/// of the headroom is acknowledged and unspent.
+const LOW_HEADROOM_DIVISOR: u64 = 2;
 
 /// State of one account on this router.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AccountShare {
     pub(super) share: Share,
-    /// Upper limit of spending while the seal is intact, in tokens. Of all records that the store
-    /// may hold, none lets a successor reclaim any of it.
+    /// Limit up to which the share may be spent at any time, in tokens. Of all records that the
+    /// store may hold, none lets a successor reclaim any of it.
     pub(super) open_limit: u64,
     /// Known to have been spent by predecessors on this VM, in tokens.
     pub(super) predecessor_used: u64,
@@ -44,6 +48,8 @@
     pub(super) unserved: UnservedRequests,
     /// Requests that the share did not cover and that the composed record contains.
     unserved_in_write: UnservedRequests,
+    /// Needed by requests in progress that wait for the receipts of witnesses, in tokens.
+    pub(super) awaiting_receipts: u64,
     /// Spendable after the last exchange, in tokens.
     pub(super) spendable_after_exchange: u64,
     /// Total by the configuration in force, in tokens.
@@ -82,7 +88,7 @@
     /// Returns the spending limit when the last write is `age_ms` old, in tokens.
     pub(super) fn limit_at_age(&self, age_ms: u64, config: &ShareConfig) -> u64 {
         let sealed = self.share.granted.saturating_sub(self.open_limit);
-        self.open_limit + config.unsealed(sealed, age_ms)
+        self.open_limit + config.opening.unsealed(sealed, age_ms)
     }
 
     /// Returns the age of the last write at which `max_cost` tokens can be reserved, in milliseconds;
@@ -91,15 +97,42 @@
         let sealed = self.share.granted.saturating_sub(self.open_limit);
         let uncovered = max_cost.saturating_sub(self.spendable(self.open_limit));
         let fits = self.spendable(self.share.granted) >= max_cost;
-        fits.then(|| config.unseals_at_ms(sealed, uncovered))
+        fits.then(|| config.opening.unseals_at_ms(sealed, uncovered))
     }
 
     /// Returns the spending limit that witnesses are asked to acknowledge, in tokens.
-    pub(super) fn requested_limit(&self, now_ms: u64, config: &ShareConfig) -> u64 {
-        let headroom =
-            self.open_wish(now_ms, config) * WITNESS_HEADROOM_MS / config.open_demand_ms.max(1);
-        let limit = self.spent() + self.all_unserved().largest.max(headroom);
-        limit.min(self.share.granted)
+    pub(super) fn requested_limit(
+        &self,
+        now_ms: u64,
+        in_contact: bool,
+        config: &ShareConfig,
+    ) -> u64 {
+        let needed = self.awaiting_receipts + self.headroom(now_ms, in_contact, config);
+        (self.spent() + needed).min(self.share.granted)
+    }
+
+    /// Returns how much beyond what is spent witnesses are asked to acknowledge in advance, in
+    /// tokens.
+    fn headroom(&self, now_ms: u64, in_contact: bool, config: &ShareConfig) -> u64 {
+        let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
+        if in_contact {
+            let bound = self.total as f64 * config.max_unproved_fraction;
+            return (demand * config.headroom_ms as f64).min(bound) as u64;
+        }
+        let largest = config.largest_request_factor / 2.0 * self.demand.recent_max(now_ms);
+        (demand * config.partition_headroom_ms as f64 + largest) as u64
+    }
+
+    /// Returns whether so little of the headroom is left under `limit` that the next report is due.
+    pub(super) fn is_headroom_low(
+        &self,
+        now_ms: u64,
+        limit: u64,
+        in_contact: bool,
+        config: &ShareConfig,
+    ) -> bool {
+        let unspent = limit.saturating_sub(self.spent());
+        LOW_HEADROOM_DIVISOR * unspent < self.headroom(now_ms, in_contact, config)
     }
 
     /// Returns all requests that the share did not cover since the last exchange.
@@ -116,25 +149,54 @@
     pub(super) fn wish(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let cover_ms = (config.open_demand_ms + config.sealed_demand_ms) as f64;
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
-        (demand * cover_ms + 2.0 * self.demand.recent_max(now_ms)) as u64
+        let largest = config.largest_request_factor * self.demand.recent_max(now_ms);
+        (demand * cover_ms + largest) as u64
     }
 
-    /// Returns the open part of the wish, in tokens.
+    /// Returns the part of the wish that is open at any age of the last write, in tokens.
     pub(super) fn open_wish(&self, now_ms: u64, config: &ShareConfig) -> u64 {
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
-        (demand * config.open_demand_ms as f64 + self.demand.recent_max(now_ms)) as u64
+        let largest = config.largest_request_factor / 2.0 * self.demand.recent_max(now_ms);
+        (demand * config.open_at_any_age_ms() as f64 + largest) as u64
     }
 
-    /// Returns whether an exchange is due: a request waits for it, or the share runs low. An exchange
-    /// covers all requests that it contains, unless nothing is left unallocated.
-    pub(super) fn is_due(&self) -> bool {
-        let is_low =
-            LOW_WATER_DIVISOR * self.spendable(self.open_limit) < self.spendable_after_exchange;
+    /// Returns whether an exchange is due: a request waits for it, or little is left that can be
+    /// spent up to `limit`. An exchange covers all requests that it contains, unless nothing is left
+    /// unallocated.
+    pub(super) fn is_due(&self, limit: u64) -> bool {
+        let is_low = LOW_WATER_DIVISOR * self.spendable(limit) < self.spendable_after_exchange;
         let has_unallocated = self.others_granted + self.share.granted < self.total;
         let is_waiting = self.all_unserved().largest > 0;
         has_unallocated && (is_waiting || is_low)
     }
 
+    /// Returns what may be spent up to `limit` and is not, in tokens. If this process died, no
+    /// successor could prove that it is unspent.
+    pub(super) fn unproved(&self, limit: u64) -> u64 {
+        limit.min(self.share.granted).saturating_sub(self.spent())
+    }
+
+    /// Returns whether the unproved part exceeds its bound and an exchange makes it smaller by more
+    /// than is returned otherwise. `open_ms` is the demand that may be spent after the exchange.
+    pub(super) fn is_unproved_part_too_large(
+        &self,
+        now_ms: u64,
+        limit: u64,
+        open_ms: u64,
+        config: &ShareConfig,
+    ) -> bool {
+        let unproved = self.unproved(limit);
+        if unproved as f64 <= self.total as f64 * config.max_unproved_fraction {
+            return false;
+        }
+        let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
+        let wish = self.wish(now_ms, config);
+        // What witnesses acknowledged stays spendable as far as the share covers it.
+        let acknowledged = limit.saturating_sub(self.open_limit.max(self.spent()));
+        let after = ((demand * open_ms as f64) as u64).max(acknowledged.min(wish));
+        unproved > after + after / EXCESS_DIVISOR
+    }
+
     /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
     /// in tokens.
     pub(super) fn loan_amounts(
@@ -152,13 +214,18 @@
     }
 
     /// Adopts the share that the store holds, and the sums over all routers.
-    pub(super) fn adopt(&mut self, share: Share, granted: u64, used: u64, lost: u64) {
+    pub(super) fn adopt(
+        &mut self,
+        share: Share,
+        (granted, used, lost): (u64, u64, u64),
+        config: &ShareConfig,
+    ) {
         self.share = share;
         self.open_limit = share.granted - share.sealed.min(share.granted);
         self.others_granted = granted - share.granted;
         self.others_used = used - share.used;
         self.others_lost = lost - share.lost;
-        self.spendable_after_exchange = self.spendable(self.open_limit);
+        self.spendable_after_exchange = self.spendable(self.limit_at_age(0, config));
         self.unserved_in_write = UnservedRequests::default();
         // Requests that came during the write are not part of it.
         if self.unserved.tokens() <= self.spendable_after_exchange {
@@ -185,6 +252,7 @@
             spent: self.spent(),
             lost: self.lost,
             sealed: self.share.granted.saturating_sub(limit),
+            unproved: self.unproved(limit),
             others_granted: self.others_granted,
             others_used: self.others_used,
             others_lost: self.others_lost,
@@ -220,42 +288,3 @@
         self.open_limit = self.open_limit.min(share.granted - share.sealed);
     }
 }
-
-/// Factor by which the lost part of a total reduces what routers hold unspent. Routers that died
-/// are the best predictor of further deaths, and what a router holds is lost when it dies.
-const LOSS_WEIGHT: f64 = 4.0;
-
-/// Least fraction of `max_unspent_fraction` that is held, however much was lost.
-const MIN_HELD_FACTOR: f64 = 0.15;
-
-/// What an account's record leaves for this router.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AllocationLimits {
-    /// Granted to no router, in tokens.
-    unallocated: u64,
-    /// Fraction of each router's wish that can be met.
-    wish_scale: f64,
-    /// Share of a router without demand, in tokens.
-    idle_share: u64,
-}
-
-impl AllocationLimits {
-    pub(super) fn new(
-        record: &ShareRecord,
-        account: &str,
-        total: u64,
-        config: &ShareConfig,
-    ) -> Self {
-        let remaining = total.saturating_sub(record.used_or_lost(account)) as f64;
-        let wishes = record.total_wish(account).max(1) as f64;
-        let holders = record.holder_entries().count().max(1) as f64;
-        let lost = record.lost(account) as f64 / total.max(1) as f64;
-        let max_unspent =
-            config.max_unspent_fraction * (1.0 - LOSS_WEIGHT * lost).max(MIN_HELD_FACTOR);
-        Self {
-            unallocated: total.saturating_sub(record.granted(account)),
-            wish_scale: (remaining * max_unspent / wishes).min(1.0),
-            idle_share: (remaining * config.idle_fraction / holders) as u64,
-        }
-    }
-}
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -1,17 +1,19 @@
 //! The shares of one router in memory: reserve, settle, and compose the next write.
 
+mod loans;
 mod spend_limit;
+mod status;
 mod succession;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::prepaid::account_share::{AccountShare, AllocationLimits};
+use crate::prepaid::account_share::AccountShare;
+use crate::prepaid::allocation_limits::AllocationLimits;
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witness_set::WitnessSet;
 use crate::prepaid::{
-    AccountStatus, DomainId, HolderEntry, HolderId, Scarcity, ShareConfig, ShareRecord, Stamp,
-    SuccessionProof, WitnessId,
+    DomainId, HolderEntry, HolderId, ShareConfig, ShareRecord, Stamp, SuccessionProof, WitnessId,
 };
 
 /// Reasons why a reservation was not made.
@@ -21,6 +23,8 @@
     Exhausted,
     /// The total may cover it, but this router's share does not yet.
     Short,
+    /// The share covers it once its witnesses acknowledge that it may be spent.
+    AwaitsReceipts,
 }
 
 /// The shares of one router process.
@@ -42,6 +46,8 @@
     proof: Option<SuccessionProof>,
     /// Time from the predecessor's last write to the start of this process, in milliseconds.
     silent_ms: Option<u64>,
+    /// Whether each write returns all that no request in progress needs.
+    is_stopping: bool,
     /// Whether the shares were returned; nothing can be reserved after that.
     closed: bool,
     /// When this process started; no predecessor was alive later.
@@ -70,6 +76,7 @@
             witness_limits: None,
             proof: None,
             silent_ms: None,
+            is_stopping: false,
             closed: false,
             started,
             lends_at: None,
@@ -94,45 +101,17 @@
         self
     }
 
+    /// Sets when this process is known to be the only one of its VM. It is not earlier than its start,
+    /// and before its first exchange.
+    pub fn set_started(&mut self, started: Stamp) {
+        self.started = started;
+    }
+
     /// Sets the number of routers besides itself that this process carries shares for.
     pub fn set_followers(&mut self, followers: u32) {
         self.followers = followers;
     }
 
-    /// Lends tokens from this router's share.
-    ///
-    /// The amount is `requested` or half of what is spendable, whichever is less, but at least
-    /// `min_tokens`; nothing is lent if `min_tokens` is not spendable. The loan counts as spent
-    /// here at once, so a lost answer strands the loan but never duplicates it.
-    pub fn lend(&mut self, account: &str, requested: u64, min_tokens: u64) -> u64 {
-        let spend_limit = self.spend_limit(account);
-        let Some(account_share) = self.accounts.get_mut(account).filter(|_| !self.closed) else {
-            return 0;
-        };
-        let spendable = account_share.spendable(spend_limit);
-        if spendable < min_tokens {
-            return 0;
-        }
-        let lent = requested.min(spendable / 2).max(min_tokens);
-        account_share.used += lent;
-        lent
-    }
-
-    /// Adds tokens that another router lent.
-    pub fn borrow(&mut self, account: &str, lent: u64) {
-        self.accounts
-            .entry(account.to_owned())
-            .or_default()
-            .borrowed += lent;
-    }
-
-    /// Returns the least that has to be borrowed so that `max_cost` fits, and the preferred amount,
-    /// in tokens.
-    pub fn loan_amounts(&self, now_ms: u64, account: &str, max_cost: u64) -> (u64, u64) {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.loan_amounts(now_ms, max_cost, self.spend_limit(account), &self.config)
-    }
-
     /// Returns the number that identifies the process.
     pub fn process(&self) -> u64 {
         self.process
@@ -170,6 +149,10 @@
             account_share.demand.add(now_ms, max_cost);
             return Ok(());
         }
+        if self.is_awaiting_witnesses(account, max_cost) {
+            return Err(ShareShortfall::AwaitsReceipts);
+        }
+        let account_share = self.accounts.entry(account.to_owned()).or_default();
         account_share.unserved.largest = account_share.unserved.largest.max(max_cost);
         if account_share.known_used() + max_cost > account_share.total {
             return Err(ShareShortfall::Exhausted);
@@ -208,7 +191,8 @@
 
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
-        self.accounts.values().any(AccountShare::is_due)
+        let is_due = |(name, a): (&String, &AccountShare)| a.is_due(self.limit_with_receipts(name));
+        self.accounts.iter().any(is_due)
     }
 
     /// Composes the next state of a record that was read. It takes effect with
@@ -240,8 +224,12 @@
                 .min(share.granted);
             share.lost = account_share.lost;
             share.wish = account_share.wish(now_ms, &self.config);
+            if self.is_stopping {
+                share.wish = 0;
+            }
             next.set_share(name, &self.id, share);
             let limits = AllocationLimits::new(&next, name, account_share.total, &self.config);
+            let limits = limits.with_idle_share(!self.is_stopping);
             account_share.update_share(&self.config, &mut share, limits);
             next.set_share(name, &self.id, share);
         }
@@ -262,7 +250,7 @@
             domain: self.domain,
             followers: self.followers,
             is_strong: self.is_strong,
-            unseal_ms: self.config.unseal_ms,
+            opening: self.config.opening,
         };
         self.witnesses.add_named(entry.witnesses);
         record.set_holder_entry(&self.id, entry);
@@ -302,14 +290,19 @@
         for (name, account_share) in self.accounts.iter_mut().filter(|(_, a)| a.is_initialized) {
             account_share.adopt(
                 record.share(name, &self.id),
-                record.granted(name),
-                record.used(name),
-                record.lost(name),
+                (record.granted(name), record.used(name), record.lost(name)),
+                &self.config,
             );
         }
         true
     }
 
+    /// Has each further write return all that no request in progress needs, when the process takes
+    /// no new requests.
+    pub fn set_stopping(&mut self) {
+        self.is_stopping = true;
+    }
+
     /// Returns all unspent tokens, when the process ends in an orderly way.
     pub fn return_unspent(&mut self, now: Stamp, record: &ShareRecord) -> Option<ShareRecord> {
         let entry = record.holder_entry(&self.id)?;
@@ -326,26 +319,6 @@
         Some(next)
     }
 
-    /// Returns the status of an account.
-    pub fn account_status(&self, account: &str) -> AccountStatus {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.account_status(self.spend_limit(account))
-    }
-
-    /// Returns how scarce an account's tokens are, by a record that was adopted.
-    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Scarcity {
-        let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        let lost = account_share.lost + account_share.others_lost;
-        let used_or_lost = account_share.known_used() + lost;
-        let wish = record.share(account, &self.id).wish as f64;
-        Scarcity {
-            total: account_share.total,
-            remaining: account_share.total.saturating_sub(used_or_lost),
-            lost,
-            demand_fraction: wish / record.total_wish(account).max(1) as f64,
-        }
-    }
-
     /// Returns what this process has settled of an account, in tokens.
     pub fn used(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |a| a.used)
--- a/wisteriapass_coord/src/prepaid/holder/succession.rs
+++ b/wisteriapass_coord/src/prepaid/holder/succession.rs
@@ -5,8 +5,7 @@
 use super::ShareHolder;
 use crate::prepaid::stamp::CLOCK_TOLERANCE_MS;
 use crate::prepaid::{
-    HolderEntry, Inquiry, InquiryAnswer, ShareConfig, ShareRecord, Stamp, SuccessionProof,
-    WitnessId,
+    HolderEntry, Inquiry, InquiryAnswer, ShareRecord, Stamp, SuccessionProof, WitnessId,
 };
 
 impl ShareHolder {
@@ -27,6 +26,9 @@
 
     /// Processes a witness's answer to an inquiry that was sent at `asked`.
     ///
+    /// Each trusted answer bounds by itself what the predecessor can have spent, so the lowest limits
+    /// count. An account that is missing in one of them was not spent beyond its open part.
+    ///
     /// The answer is trusted only if, when this process started, the predecessor cannot have been
     /// silent for so long that the witness no longer bound it. Returns whether it is trusted.
     pub fn accept_answer(&mut self, process: u64, answer: InquiryAnswer, asked: Stamp) -> bool {
@@ -35,16 +37,17 @@
         if silent_ms >= self.config.witness_timeout_ms {
             return false;
         }
-        self.witness_limits = Some((process, answer.spend_limits));
+        let known = self.witness_limits.take().filter(|(of, _)| *of == process);
+        let limits = match known {
+            None => answer.spend_limits,
+            Some((_, known)) => lower_limits(&known, &answer.spend_limits),
+        };
+        self.witness_limits = Some((process, limits));
         true
     }
 
     /// Takes over the shares of a dead predecessor.
     pub(super) fn take_over(&mut self, before: HolderEntry, next: &mut ShareRecord) {
-        let config = ShareConfig {
-            unseal_ms: before.unseal_ms,
-            ..self.config
-        };
         let age_ms = self.started.since(before.stamp);
         let by_time_of_day = self.started.since_by_time_of_day(before.stamp);
         self.silent_ms = age_ms.or(by_time_of_day);
@@ -53,7 +56,7 @@
         let by_time_of_day = by_time_of_day.map(|ms| ms + 2 * CLOCK_TOLERANCE_MS);
         let by_time_of_day = by_time_of_day.filter(|_| before.agreed && age_ms.is_none());
         let unsealed_at = |age: Option<u64>, sealed| {
-            let unsealed = age.map(|ms| config.unsealed(sealed, ms));
+            let unsealed = age.map(|ms| before.opening.unsealed(sealed, ms));
             unsealed.unwrap_or(sealed)
         };
         let answer = self.witness_limits.as_ref();
@@ -109,3 +112,12 @@
         lost.map(|(name, a)| (name.as_str(), a.lost))
     }
 }
+
+/// Returns the lower limit of each account that both answers contain.
+fn lower_limits(a: &BTreeMap<String, u64>, b: &BTreeMap<String, u64>) -> BTreeMap<String, u64> {
+    let lower = a.iter().filter_map(|(name, limit)| {
+        let other = b.get(name)?;
+        Some((name.clone(), *limit.min(other)))
+    });
+    lower.collect()
+}
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
-use wisteriapass_coord::prepaid::{Pace, ShareRecord, Stamp};
+use wisteriapass_coord::prepaid::{Outstanding, Pace, ShareRecord, Stamp};
 
 use super::account_group::AccountGroup;
 use super::combined_write::WriteOutcome;
@@ -66,9 +66,18 @@
             };
             let stamp = self.clock.stamp();
             group.holder.borrow_mut().unseal(stamp);
+            self.measure_outstanding(&gw);
         }
     }
 
+    /// Sets the gauges of the tokens that this router holds in all records.
+    fn measure_outstanding(&self, gw: &Gateway) {
+        let all = self.groups.iter();
+        let all = all.map(|group| group.holder.borrow().outstanding());
+        let sum = all.fold(Outstanding::default(), Outstanding::plus);
+        gw.metrics.set_outstanding(sum);
+    }
+
     /// Returns the initial state of all records, of which nothing is known.
     pub fn unknown_records(&self) -> Vec<KnownRecord> {
         self.groups.iter().map(|_| KnownRecord::Unknown).collect()
@@ -107,21 +116,38 @@
         Some(all)
     }
 
-    /// Returns unspent tokens during an orderly shutdown, and retries until it succeeds.
-    pub async fn return_unspent(&self, gw: &Gateway, until: Instant) {
+    /// Has what this router spent written soon, when it begins to stop: it may be killed before it
+    /// stopped in order.
+    pub fn write_soon(&self) {
+        self.groups
+            .iter()
+            .for_each(|g| g.exchange_needed.notify_one());
+    }
+
+    /// Returns credit and, with each exchange, what no request in progress needs; waits until none
+    /// does, at most until a deadline.
+    pub async fn release_unspent(&self, until: Instant) {
+        for group in &self.groups {
+            group.holder.borrow_mut().set_stopping();
+        }
+        self.write_soon();
         self.return_credit(until).await;
         if self.role() == Role::Relay {
-            self.wait_for_grants(until).await;
-            self.return_shares(gw).await;
+            self.wait_until_idle(until).await;
         }
     }
 
-    /// Returns the unspent tokens of this router's own shares, and retries until it succeeds.
+    /// Returns the unspent tokens of this router's own shares, and retries until it succeeds. Does
+    /// nothing at a router that is no relay.
     pub async fn return_shares(&self, gw: &Gateway) {
+        if self.role() == Role::Follower {
+            return;
+        }
         for index in 0..RECORD_COUNT {
             while !self.try_return_shares(gw, index).await {}
             log::info!(target: "money", "Returned unspent shares. record={index}");
         }
+        self.measure_outstanding(gw);
     }
 
     /// Tries once to return the tokens of one record; returns whether nothing is left to return.
@@ -275,6 +301,7 @@
     async fn wait_for_next_exchange(&self, group: &AccountGroup) {
         let pace = self.pace(group);
         let pause = Duration::from_millis(pace.urgent_interval_ms());
+        let loss_pause = Duration::from_millis(pace.loss_interval_ms());
         let idle_pause = Duration::from_millis(pace.idle_interval_ms());
         let offset = Duration::from_millis(self.exchange_offset_ms(group));
         loop {
@@ -285,6 +312,9 @@
             // proves that the sealed part is unspent, gets too old.
             let due = began + idle_pause + offset;
             let _ = timeout_at(due, group.exchange_needed.notified()).await;
+            if !group.holder.borrow().is_due() {
+                sleep_until((began + loss_pause + offset).min(due)).await;
+            }
             // Otherwise another relay's write has carried this relay's share in the meantime.
             if group.confirmed_at.get() == began {
                 group.confirmed_at_pause_end.set(began);
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use wisteriapass_coord::prepaid::Outstanding;
 use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
 use crate::exchange::UnprovenEnd;
@@ -26,7 +27,7 @@
 /// Label for the source of the origin of a stream.
 const SOURCE: &str = "source";
 
-/// Label for the standing of routers.
+/// Label for the standing of routers and for the state of prepaid tokens.
 const STATE: &str = "state";
 
 /// Label for the cause of a mark.
@@ -163,6 +164,7 @@
     rotation_marks: Counter<u64>,
     rotation_changes: Counter<u64>,
     rotation_refusals: Counter<u64>,
+    prepaid_tokens: Gauge<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -197,6 +199,7 @@
             rotation_marks: meter.u64_counter("wisteriapass_rotation_marks").build(),
             rotation_changes: meter.u64_counter("wisteriapass_rotation_changes").build(),
             rotation_refusals: meter.u64_counter("wisteriapass_rotation_refusals").build(),
+            prepaid_tokens: meter.u64_gauge("wisteriapass_prepaid_tokens").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -223,6 +226,19 @@
         self.store_calls.add(1, &[call, outcome]);
     }
 
+    /// Sets the prepaid tokens that this router holds.
+    pub fn set_outstanding(&self, outstanding: Outstanding) {
+        let states = [
+            ("granted_unspent", outstanding.granted_unspent),
+            ("open_unspent", outstanding.open_unspent),
+            ("lost", outstanding.lost),
+        ];
+        for (state, tokens) in states {
+            self.prepaid_tokens
+                .record(tokens, &[KeyValue::new(STATE, state)]);
+        }
+    }
+
     pub fn count_refusal(&self, reason: Refusal) {
         let reason = KeyValue::new(REASON, reason.to_string());
         self.refusals.add(1, &[reason]);
