Policy: slowness of targets, and placement by it

Callers saw late answers from slow targets while others were idle: placement counts tokens and requests, and nothing knew that a target takes longer for them.

Placement counts queues at a slow target more, skips lastingly slow homes and sends a long prompt where it meets its goal.

The queue is scaled by the root of the factor, as counts of requests at a slow target contain a part of its slowness.

--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -195,5 +195,7 @@
         in_same_domain: target.entry.failure_domain == domain,
         recent_failures: target.failures.borrow().value(now),
         silent: false,
+        slowness: 1.0,
+        lasting_slowness: 1.0,
     }
 }
--- a/wisteriapass_gateway/src/metadata.rs
+++ b/wisteriapass_gateway/src/metadata.rs
@@ -93,6 +93,7 @@
             shared_prefix: shared.last().map(|part| part.id),
             shared_tokens: shared.iter().map(|part| part.tokens).sum(),
             tokens: self.work.map_or(0, |w| w.prompt),
+            goal: None,
         }
     }
 }
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -49,6 +49,7 @@
 mod target_info;
 pub mod target_limit;
 mod target_selection;
+pub mod target_speed;
 mod time;
 mod wait_correction;
 
--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -8,9 +8,19 @@
 //! pending); targets that fail or become silent (they lose rank at once and regain it gradually).
 //! All routers compute the same homes, so a target has more load from this router's requests than
 //! the average over targets suggests.
+//!
+//! Targets that are slower than others: queues there count more, homes that are lastingly slow are
+//! skipped, and a long prompt goes where it meets its latency goal. Reading counts as at other
+//! targets: it would shift all long prompts to the fast ones, where short ones wait behind them.
+//! While no target is slower than others, none of this has an effect.
+
+mod homes;
+mod latency_goal;
 
 use twox_hash::XxHash64;
 
+use self::homes::Homes;
+pub use self::latency_goal::LatencyGoal;
 use crate::Time;
 
 /// Weight of a token that this request makes a target read, relative to a token already pending
@@ -30,6 +40,14 @@
 /// Tokens that all slots of a target count as, for requests without a prompt.
 const SLOTS_TOKENS: f64 = 10_000.0;
 
+/// Exponent of a target's slowness in the cost of its queue. The queue of a slow target is longer for
+/// the same requests, so the count of requests contains a part of its slowness already. With the
+/// whole factor, the other targets get more than their share, which no router sees.
+const SLOWNESS_EXPONENT: f64 = 0.5;
+
+/// Tokens by which slowness counts where nothing runs yet; three running requests.
+const BASE_TOKENS: f64 = 300.0;
+
 /// Bonus of a target in the router's own failure domain, in tokens; breaks ties.
 const SAME_DOMAIN_TOKENS: f64 = 150.0;
 
@@ -70,6 +88,11 @@
     pub recent_failures: f64,
     /// Whether it has requests of this router in flight and has sent nothing for longer than usual.
     pub silent: bool,
+    /// How many times the usual time it takes now; 1.0 if it is as fast as others. See
+    /// [`TargetSpeed::slowness`](crate::target_speed::TargetSpeed::slowness).
+    pub slowness: f64,
+    /// The same without spells of some hundred milliseconds.
+    pub lasting_slowness: f64,
 }
 
 impl<K> Candidate<K> {
@@ -89,6 +112,8 @@
     pub shared_tokens: u64,
     /// Length of the whole prompt, in tokens; zero for a request without a prompt.
     pub tokens: u64,
+    /// Latency goal of its first event, if known in terms of tokens.
+    pub goal: Option<LatencyGoal>,
 }
 
 /// Failures of a target, decaying over time.
@@ -126,7 +151,9 @@
 ) -> Option<K> {
     let context = PlacementContext::new(candidates, prompt, routers);
     let any_healthy = candidates.iter().any(Candidate::is_healthy);
-    let candidates = candidates.iter().filter(|c| !any_healthy || c.is_healthy());
+    let usable = || candidates.iter().filter(|c| !any_healthy || c.is_healthy());
+    let any_timely = usable().any(|c| context.is_timely(c));
+    let candidates = usable().filter(|c| !any_timely || context.is_timely(c));
     let candidates = candidates.map(|c| (context.cost(c), seeded_hash(c.hash, tie_seed), c.key));
     let best = candidates.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     best.map(|(_, _, key)| key)
@@ -149,7 +176,9 @@
     other_routers: f64,
     mean_running: f64,
     mean_pending: f64,
-    homes: Option<(u64, u64)>,
+    homes: Option<Homes>,
+    /// Latency goal, if it decides.
+    goal: Option<LatencyGoal>,
 }
 
 impl PlacementContext {
@@ -158,12 +187,17 @@
             let sum: f64 = candidates.iter().map(of).sum();
             sum / candidates.len().max(1) as f64
         };
+        let any_slow = candidates.iter().any(|c| c.slowness > 1.0);
+        let is_long = |goal: &LatencyGoal| goal.is_long(prompt.tokens);
         Self {
             prompt,
             other_routers: routers.saturating_sub(1) as f64,
             mean_running: mean(|c| f64::from(c.running)),
             mean_pending: mean(|c| c.pending_prompt_tokens as f64),
-            homes: prompt.shared_prefix.map(|prefix| homes(candidates, prefix)),
+            homes: prompt
+                .shared_prefix
+                .map(|prefix| Homes::new(candidates, prefix)),
+            goal: prompt.goal.filter(|goal| any_slow && is_long(goal)),
         }
     }
 
@@ -174,7 +208,17 @@
         } else {
             0.0
         };
-        self.queue_cost(c) + self.read_cost(c) + c.recent_failures * FAILURE_TOKENS - bonus
+        let weight = c.slowness.powf(SLOWNESS_EXPONENT);
+        let queue_cost = self.queue_cost(c) * weight;
+        let base_cost = (weight - 1.0) * BASE_TOKENS;
+        queue_cost + self.read_cost(c) + base_cost + c.recent_failures * FAILURE_TOKENS - bonus
+    }
+
+    /// Returns whether a long prompt is expected to meet its latency goal at a target.
+    fn is_timely<K>(&self, c: &Candidate<K>) -> bool {
+        let tokens = c.pending_prompt_tokens as f64 + self.unread_tokens(c);
+        self.goal
+            .is_some_and(|goal| goal.is_met(tokens, c.slowness))
     }
 
     /// Returns the work ahead of the request at a target, across all routers.
@@ -191,13 +235,18 @@
 
     /// Returns the cost of what the target has to read for this request.
     fn read_cost<K>(&self, c: &Candidate<K>) -> f64 {
+        self.unread_tokens(c) * READ_WEIGHT
+    }
+
+    /// Returns the tokens of the prompt that the target has to read.
+    fn unread_tokens<K>(&self, c: &Candidate<K>) -> f64 {
         let cached_share = match self.homes {
             _ if c.has_prefix => 1.0,
-            Some((first, _)) if first == c.hash => 1.0,
-            Some((_, second)) if second == c.hash => SECOND_HOME_SHARE,
+            Some(homes) if homes.first == c.hash => 1.0,
+            Some(homes) if homes.second == c.hash => SECOND_HOME_SHARE,
             _ => 0.0,
         };
-        (self.prompt.tokens as f64 - cached_share * self.prompt.shared_tokens as f64) * READ_WEIGHT
+        self.prompt.tokens as f64 - cached_share * self.prompt.shared_tokens as f64
     }
 
     /// Estimates a count across all routers from this router's count.
@@ -206,23 +255,6 @@
     }
 }
 
-/// Returns the first two targets in the rendezvous order of a prefix, which is the same at all
-/// routers.
-fn homes<K>(candidates: &[Candidate<K>], prefix: u64) -> (u64, u64) {
-    let mut first = (0, 0);
-    let mut second = (0, 0);
-    for c in candidates {
-        let rank = (seeded_hash(c.hash, prefix), c.hash);
-        if rank > first {
-            second = first;
-            first = rank;
-        } else if rank > second {
-            second = rank;
-        }
-    }
-    (first.1, second.1)
-}
-
 fn seeded_hash(hash: u64, seed: u64) -> u64 {
     XxHash64::oneshot(seed, &hash.to_le_bytes())
 }
--- a/wisteriapass_policy/tests/placement.rs
+++ b/wisteriapass_policy/tests/placement.rs
@@ -87,6 +87,8 @@
                     in_same_domain: t % 3 == router % 3,
                     recent_failures: 0.0,
                     silent: false,
+                    slowness: 1.0,
+                    lasting_slowness: 1.0,
                 }
             })
             .collect();
@@ -94,6 +96,7 @@
             shared_prefix: Some(arrival.prefix),
             shared_tokens: arrival.shared_tokens,
             tokens: arrival.shared_tokens + arrival.own_tokens,
+            goal: None,
         };
         let t = match policy {
             Policy::LowestCost => {
@@ -223,6 +226,8 @@
         in_same_domain: false,
         recent_failures: 0.0,
         silent: false,
+        slowness: 1.0,
+        lasting_slowness: 1.0,
     }
 }
 
@@ -235,6 +240,7 @@
         shared_prefix: None,
         shared_tokens: 0,
         tokens: 300,
+        goal: None,
     };
     for draw in 0..50 {
         assert_eq!(choose_target(&[busy, idle(1)], prompt, 5, draw), Some(1));
