Placement: slowness counts less in the cost of a queue

With the root of the slowness, more requests were late near the capacity than without it: the count of requests at a slow target contains a part of its slowness, and what other routers send to the fast targets is not seen. The exponent is now 0.25.

--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -41,9 +41,10 @@
 const SLOTS_TOKENS: f64 = 10_000.0;
 
 /// Exponent of a target's slowness in the cost of its queue. The queue of a slow target is longer for
-/// the same requests, so the count of requests contains a part of its slowness already. With the
-/// whole factor, the other targets get more than their share, which no router sees.
-const SLOWNESS_EXPONENT: f64 = 0.5;
+/// the same requests, so the count of requests contains a part of its slowness already. With a larger
+/// exponent the other targets get more than their share, which no router sees, and near the capacity
+/// more requests are late than without slowness.
+const SLOWNESS_EXPONENT: f64 = 0.25;
 
 /// Tokens by which slowness counts where nothing runs yet; three running requests.
 const BASE_TOKENS: f64 = 300.0;
--- a/wisteriapass_policy/src/target_speed/service_model.rs
+++ b/wisteriapass_policy/src/target_speed/service_model.rs
@@ -94,14 +94,19 @@
         })
     }
 
+    /// Returns whether the median has to be computed anew.
+    pub fn is_median_due(&self, now: Time) -> bool {
+        let is_recent = |at| now.millis_since(at) < MEDIAN_INTERVAL_MS;
+        !self.median_at.is_some_and(is_recent)
+    }
+
     /// Computes the median slowness over the targets of the service, if it is due.
     pub fn update_median<'a>(
         &mut self,
         now: Time,
         targets: impl Iterator<Item = &'a TargetSpeed> + Clone,
     ) {
-        let is_recent = |at| now.millis_since(at) < MEDIAN_INTERVAL_MS;
-        if self.median_at.is_some_and(is_recent) {
+        if !self.is_median_due(now) {
             return;
         }
         self.median_at = Some(now);
