Gateway: speeds of targets from own samples and other routers

Callers saw late answers from targets that are slower than others of their service, lastingly or for fractions of a second, as routers placed requests by tokens alone.

Samples come from the time to the first event and from the pauses of streams in which the router waited for the target and not for its caller. They are kept in Target, so a new incarnation starts without them. Every 300 ms followers and relays exchange what differs, on /relay/speeds; existing messages keep their fields, and a router that does not know the path answers 400 and is left alone for three seconds. Reports older than two seconds, overtaken ones and those on another start of a target do not count.

Metric wisteriapass_target_speeds, log lines 'Target is slow.' and 'Target no longer slow.'.

Tested: exchange between routers with dead relays, late and overtaken calls, restarted targets, echoes and message sizes without a network; eight real processes of which one follower without traffic learns which engine is slow, also after the death of three relays, and forgets it with the engine's process.

--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -13,6 +13,7 @@
 mod relays;
 mod rest;
 mod slow_links;
+mod speeds;
 mod stops;
 mod support;
 mod unframed_answers;
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use smallvec::SmallVec;
 use wisteriapass_coord::quarantine::Fingerprint;
+use wisteriapass_policy::target_speed::FirstEvent;
 use wisteriapass_policy::{LatencyHistory, Time};
 
 use super::body_end::EndPoint;
@@ -24,6 +25,7 @@
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
+use crate::speeds::FirstEventSample;
 use crate::stream::StreamForwarder;
 use crate::target::TargetKey;
 
@@ -107,7 +109,7 @@
             let key = selected.key;
             self.log_resumption(key, history, last_event);
             history.tried.push(key);
-            history.last_send = Some(self.send_record(key));
+            history.last_send = Some(self.send_record(selected));
             self.has_answer.set(false);
             let outcome = self.send_to(selected, history, last_event).await;
             history.sent += u32::from(outcome.was_sent());
@@ -172,6 +174,7 @@
             Ok(sent) => sent,
             Err(WaitError::Deadline) => {
                 self.record_response_time(history);
+                self.record_speed(history, FirstEventSample::Missing);
                 SendOutcome::Lost
             }
             Err(WaitError::Stopping) => SendOutcome::CutShort,
@@ -190,6 +193,23 @@
             .record_latency(&self.plan.service, last_send.key, learn);
     }
 
+    /// Records a sample of how slow the last target is, from the time to the beginning of its answer.
+    pub fn record_speed(&self, history: &AttemptHistory, sample: FirstEventSample) {
+        let Some(last_send) = history.last_send else {
+            return;
+        };
+        let Some(tokens_ahead) = last_send.tokens_ahead else {
+            return;
+        };
+        let event = FirstEvent {
+            tokens_ahead,
+            running: last_send.running.saturating_sub(1),
+            ms: last_send.at.elapsed().as_secs_f64() * 1_000.0,
+        };
+        self.gw
+            .record_first_event(&self.plan.service, last_send.key, event, sample);
+    }
+
     fn headers_for(&self, key: TargetKey, last_event: Option<u64>) -> Option<HeaderMap> {
         let targets = self.gw.targets.borrow();
         let target = targets.get(key)?;
@@ -296,6 +316,9 @@
             r.mark_complete();
         }
         self.record_response_time(history);
+        if status.is_success() {
+            self.record_speed(history, FirstEventSample::Arrived);
+        }
         let took = self.plan.arrived.elapsed();
         self.gw.metrics.count_answer(self.plan.route.kind, took);
         Ok(Some(reply::full_response(status, headers, body)))
--- a/wisteriapass_gateway/src/exchange/history.rs
+++ b/wisteriapass_gateway/src/exchange/history.rs
@@ -14,6 +14,9 @@
     pub at: Instant,
     /// This router's running requests at the target, including this one.
     pub running: u32,
+    /// Prompt tokens that the target had to read before it could answer; `None` if it may hold a large
+    /// part of them already.
+    pub tokens_ahead: Option<u64>,
 }
 
 /// Attempts so far.
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -1,7 +1,7 @@
 //! Choice of the target that a request is sent to.
 
 use smallvec::SmallVec;
-use wisteriapass_policy::placement::{self, Candidate};
+use wisteriapass_policy::placement::{self, Candidate, Prompt};
 use wisteriapass_policy::{Time, rest};
 
 use super::attempt::ProxiedRequest;
@@ -13,12 +13,18 @@
 /// Highest priority.
 const HIGHEST_PRIORITY: u8 = 0;
 
+/// Number of times that the tokens which a target may hold already have to fit into those ahead of a
+/// request, for its first event to say how fast the target is.
+const MAX_UNCERTAIN_FRACTION: u64 = 4;
+
 /// The chosen target.
 #[derive(Clone, Copy, Debug)]
 pub struct SelectedTarget {
     pub key: TargetKey,
     /// Prompt tokens that the target has to prefill.
     pub prefill_tokens: u64,
+    /// How many of them it may hold already, as other routers may have sent them.
+    pub uncertain_tokens: u64,
 }
 
 impl ProxiedRequest {
@@ -45,7 +51,13 @@
         let ends_in_time =
             |target: &Target| self.plan.ends_in_time(&self.gw, &self.metadata, target);
         let domain = &self.gw.settings.failure_domain;
-        let prompt = self.metadata.prompt();
+        let model = self.gw.speeds.model(&self.plan.service, &targets, time);
+        let waited_ms = self.plan.arrived.elapsed().as_secs_f64() * 1_000.0;
+        let goal_ms = self.plan.route.latency_goal_ms as f64 - waited_ms;
+        let prompt = Prompt {
+            goal: model.latency_goal(goal_ms),
+            ..self.metadata.prompt()
+        };
         let silence_ms = self.gw.silence_ms(&self.plan.service, &self.plan.route);
         let mut candidates: SmallVec<[Candidate<TargetKey>; 32]> = available
             .iter()
@@ -55,6 +67,8 @@
                     .shared_prefix
                     .is_some_and(|part| target.cached_parts.borrow().contains(part, now)),
                 silent: target.silent_ms() > silence_ms,
+                slowness: target.speed.borrow().slowness(&model, time),
+                lasting_slowness: target.speed.borrow().lasting(&model, time),
                 ..candidate(*key, target, domain, time)
             })
             .collect();
@@ -81,6 +95,7 @@
         Ok(SelectedTarget {
             key,
             prefill_tokens,
+            uncertain_tokens: prefill_tokens.min(if kept { 0 } else { prompt.shared_tokens }),
         })
     }
 
@@ -115,13 +130,17 @@
     }
 
     /// Returns the record of a request that is sent to a target now.
-    pub(super) fn send_record(&self, key: TargetKey) -> SendRecord {
+    pub(super) fn send_record(&self, selected: SelectedTarget) -> SendRecord {
         let targets = self.gw.targets.borrow();
-        let before = targets.get(key).map_or(0, |t| t.running.get());
+        let target = targets.get(selected.key);
+        let pending = target.map_or(0, |t| t.pending_prompt_tokens.get());
+        let tokens_ahead = pending + selected.prefill_tokens;
+        let is_certain = selected.uncertain_tokens * MAX_UNCERTAIN_FRACTION <= tokens_ahead;
         SendRecord {
-            key,
+            key: selected.key,
             at: Instant::now(),
-            running: before + 1,
+            running: target.map_or(0, |t| t.running.get()) + 1,
+            tokens_ahead: is_certain.then_some(tokens_ahead),
         }
     }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::target_speed::{FirstEvent, OutputPause};
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
 use crate::catalogue::{Catalogue, CatalogueChange};
@@ -23,6 +24,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::rpc::RpcClient;
 use crate::settings::GatewaySettings;
+use crate::speeds::{FirstEventSample, SharedSpeeds};
 use crate::store_liveness::StoreLiveness;
 use crate::target::{Target, TargetKey};
 use crate::targets::Targets;
@@ -74,6 +76,8 @@
     pub(crate) trials: SharedTrials,
     /// Software versions that began streams.
     pub(crate) origins: SharedOrigins,
+    /// How slow targets are.
+    pub(crate) speeds: SharedSpeeds,
     /// Shutdown schedule, once this router was told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When the last client connection was accepted.
@@ -114,6 +118,7 @@
             quarantine: SharedQuarantine::new(clock),
             trials: SharedTrials::new(clock),
             origins: SharedOrigins::new(clock),
+            speeds: SharedSpeeds::default(),
             drain: Cell::new(None),
             last_accepted_at: Cell::default(),
             latencies: RefCell::default(),
@@ -307,6 +312,39 @@
         }
     }
 
+    /// Records the time to the first event of a service's request at a target.
+    pub(crate) fn record_first_event(
+        &self,
+        service: &str,
+        target: TargetKey,
+        event: FirstEvent,
+        sample: FirstEventSample,
+    ) {
+        let targets = self.targets.borrow();
+        if let Some(target) = targets.get(target) {
+            let speed = &mut target.speed.borrow_mut();
+            let now = self.time();
+            self.speeds
+                .record_first_event(service, speed, now, event, sample);
+        }
+    }
+
+    /// Records a pause of a stream, made of the prompt tokens pending at the target and the number of
+    /// requests running there.
+    pub(crate) fn record_pause(
+        &self,
+        service: &str,
+        target: TargetKey,
+        pause: impl Fn(u64, u32) -> OutputPause,
+    ) {
+        let targets = self.targets.borrow();
+        if let Some(target) = targets.get(target) {
+            let pause = pause(target.pending_prompt_tokens.get(), target.running.get());
+            let speed = &mut target.speed.borrow_mut();
+            self.speeds.record_pause(service, speed, self.time(), pause);
+        }
+    }
+
     /// Returns the expected duration of a request at a target, in milliseconds, for an output of at
     /// most `most` tokens.
     pub(crate) fn expected_ms(&self, target: &Target, route: &Route, most: u64) -> u64 {
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -12,6 +12,7 @@
 use crate::platform::StoreError;
 use crate::refusal::Refusal;
 use crate::route::RequestKind;
+use crate::speeds::SpeedBand;
 
 /// Label for the reason.
 const REASON: &str = "reason";
@@ -28,6 +29,9 @@
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
+/// Label for the band of slowness.
+const BAND: &str = "band";
+
 /// Histogram bounds, in seconds: from the overhead of a router to the longest deadlines in use.
 const SECONDS: [f64; 13] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0,
@@ -152,6 +156,7 @@
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
     store_calls: Counter<u64>,
+    target_speeds: Gauge<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -182,6 +187,7 @@
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
             store_calls: meter.u64_counter("wisteriapass_store_calls").build(),
+            target_speeds: meter.u64_gauge("wisteriapass_target_speeds").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -245,6 +251,18 @@
         self.evacuations.add(1, &[]);
     }
 
+    /// Records the number of targets by the band of their lasting slowness factors.
+    pub fn record_target_speeds(&self, factors: impl Iterator<Item = f64>) {
+        let mut counts = [0; SpeedBand::ALL.len()];
+        for factor in factors {
+            counts[SpeedBand::of(factor) as usize] += 1;
+        }
+        for (band, count) in SpeedBand::ALL.iter().zip(counts) {
+            let band = KeyValue::new(BAND, band.to_string());
+            self.target_speeds.record(count, &[band]);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let families = self.registry.gather();
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod relay;
 mod role;
+mod speeds;
 mod trials;
 mod versions;
 
@@ -26,4 +27,5 @@
 pub use peer_calls::serve_peers;
 pub use quarantine::sync_quarantine;
 pub use role::run_role;
+pub use speeds::sync_speeds;
 pub use trials::{begin_trial, return_trials};
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -7,6 +7,7 @@
 use super::origin_queries::{ORIGIN_QUERY_PATH, answer_query};
 use super::origin_reports::ORIGIN_REPORT_PATH;
 use super::quarantine::QUARANTINE_PATH;
+use super::speeds::{SPEEDS_PATH, answer_speeds};
 use super::trials::{TRIAL_PATH, answer_call};
 use crate::ledger::{
     COMPOSE_PATH, GRANT_PATH, INQUIRY_PATH, LEND_PATH, OUTCOME_PATH, REPORT_PATH, Role,
@@ -46,6 +47,10 @@
             let query = postcard::from_bytes(message).ok()?;
             postcard::to_stdvec(&answer_query(gw, &query)).ok()
         }
+        SPEEDS_PATH => {
+            let call = postcard::from_bytes(message).ok()?;
+            postcard::to_stdvec(&answer_speeds(gw, &call)).ok()
+        }
         EVACUATIONS_PATH => postcard::to_stdvec(&*gw.evacuations.borrow()).ok(),
         _ if gw.ledger.role() == Role::Follower => None,
         UPDATE_PATH => {
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::prelude::*;
 use crate::relays::{
     poll_evacuations, report_origins, return_trials, run_role, serve_peers, sync_quarantine,
+    sync_speeds,
 };
 use crate::settings::GatewaySettings;
 
@@ -69,6 +70,7 @@
     spawn_local(return_trials(gw.clone()));
     spawn_local(report_origins(gw.clone()));
     spawn_local(poll_evacuations(gw.clone()));
+    spawn_local(sync_speeds(gw.clone()));
     let role = spawn_local(run_role(gw.clone()));
     let stamp = gw.clock.stamp();
     log::info!(
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use wisteriapass_policy::LatencyHistory;
+use wisteriapass_policy::target_speed::OutputPause;
 
 use crate::dispatch::{TargetResponse, is_connection_error};
 use crate::events::{Event, EventReader};
@@ -19,6 +20,7 @@
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
+use crate::speeds::{EventPauses, FirstEventSample};
 use crate::target::TargetKey;
 
 /// Output after which a running stream contributes a sample of its target's output rate, in tokens.
@@ -81,6 +83,8 @@
     /// Start of the current sample of the output rate, and the number of events in it.
     sample_started_at: Option<Instant>,
     sample_events: u64,
+    /// Pauses between events of the current run.
+    pauses: EventPauses,
     /// Pending check of a broken target connection.
     break_check: Option<BreakCheck>,
 }
@@ -115,6 +119,7 @@
             first_event_at: None,
             sample_started_at: None,
             sample_events: 0,
+            pauses: EventPauses::default(),
             break_check: None,
         };
         match forwarder.next_chunk().await {
@@ -149,6 +154,7 @@
                 return Ok(None);
             };
             let (gw, deadline) = (&self.request.gw, self.request.plan.deadline);
+            self.pauses.begin_wait(Instant::now());
             let frame = gw.run_until(deadline, answer.body.frame()).await?;
             let is_valid = match frame {
                 Some(Ok(frame)) => self.push_frame(frame),
@@ -175,14 +181,34 @@
         if !self.reader.push(&bytes) {
             return false;
         }
+        let mut events = 0;
         while let Some(event) = self.reader.next_event() {
+            events += u64::from(event.id.is_some());
             if !self.forward_event(event) {
                 return false;
             }
         }
+        self.record_pause(events);
         true
     }
 
+    /// Records the pause before this many events, which arrived together.
+    fn record_pause(&mut self, events: u64) {
+        let Some(ms) = self.pauses.end(events, Instant::now()) else {
+            return;
+        };
+        let plan = &self.request.plan;
+        let key = self.history.tried.last().copied().unwrap_or_default();
+        let tokens = events * plan.tokens_per_event;
+        let gw = &self.request.gw;
+        gw.record_pause(&plan.service, key, |pending_tokens, running| OutputPause {
+            pending_tokens,
+            running,
+            tokens,
+            ms,
+        });
+    }
+
     /// Queues an event for the client; returns `false` if it is not the next one.
     fn forward_event(&mut self, event: Event) -> bool {
         if !event.follows(self.last_event_id) {
@@ -228,6 +254,8 @@
                 .metrics
                 .record_first_event(plan.route.kind, took);
             self.request.record_response_time(&self.history);
+            self.request
+                .record_speed(&self.history, FirstEventSample::Arrived);
         }
     }
 
@@ -329,6 +357,7 @@
         self.reader = EventReader::default();
         self.run_began_at = None;
         self.sample_started_at = None;
+        self.pauses = EventPauses::default();
         if self.request.gw.targets_stopped() {
             return Err(StreamError::CutShort);
         }
--- a/wisteriapass_gateway/src/target.rs
+++ b/wisteriapass_gateway/src/target.rs
@@ -12,6 +12,7 @@
 use wisteriapass_policy::placement::FailureScore;
 use wisteriapass_policy::rest;
 use wisteriapass_policy::target_limit::TargetLimit;
+use wisteriapass_policy::target_speed::TargetSpeed;
 use wisteriapass_policy::{LatencyHistory, SendLog, Time};
 
 use crate::cached_parts::CachedParts;
@@ -96,6 +97,10 @@
     pub failures: RefCell<FailureScore>,
     /// Recent durations of its requests.
     pub latencies: RefCell<LatencyHistory>,
+    /// How slow it is.
+    pub speed: RefCell<TargetSpeed>,
+    /// Whether its lasting slowness was logged and has not ended.
+    pub is_slow: Cell<bool>,
     /// Prompt parts that this router recently sent there.
     pub cached_parts: RefCell<CachedParts>,
     /// Idle connections.
@@ -129,6 +134,8 @@
             last_received_at: Cell::new(now),
             failures: RefCell::default(),
             latencies: RefCell::default(),
+            speed: RefCell::default(),
+            is_slow: Cell::new(false),
             cached_parts: RefCell::default(),
             pool: RefCell::default(),
             send_log: RefCell::default(),
