--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -14,6 +14,7 @@
 mod rest;
 mod rotation;
 mod slow_links;
+mod speeds;
 mod stops;
 mod support;
 mod unframed_answers;
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use crate::platform::StoreError;
 use crate::refusal::Refusal;
 use crate::route::RequestKind;
+use crate::speeds::SpeedBand;
 
 /// Label for the reason.
 const REASON: &str = "reason";
@@ -36,6 +37,9 @@
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
+/// Label for the band of slowness.
+const BAND: &str = "band";
+
 /// Histogram bounds, in seconds: from the overhead of a router to the longest deadlines in use.
 const SECONDS: [f64; 13] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0,
@@ -165,6 +169,7 @@
     rotation_changes: Counter<u64>,
     rotation_refusals: Counter<u64>,
     prepaid_tokens: Gauge<u64>,
+    target_speeds: Gauge<u64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -200,6 +205,7 @@
             rotation_changes: meter.u64_counter("wisteriapass_rotation_changes").build(),
             rotation_refusals: meter.u64_counter("wisteriapass_rotation_refusals").build(),
             prepaid_tokens: meter.u64_gauge("wisteriapass_prepaid_tokens").build(),
+            target_speeds: meter.u64_gauge("wisteriapass_target_speeds").build(),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -302,6 +308,18 @@
         self.rotation_refusals.add(1, &[reason]);
     }
 
+    /// Records the number of targets by the band of their lasting slowness factors.
+    pub fn record_target_speeds(&self, factors: impl Iterator<Item = f64>) {
+        let mut counts = [0; SpeedBand::ALL.len()];
+        for factor in factors {
+            counts[SpeedBand::of(factor) as usize] += 1;
+        }
+        for (band, count) in SpeedBand::ALL.iter().zip(counts) {
+            let band = KeyValue::new(BAND, band.to_string());
+            self.target_speeds.record(count, &[band]);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let families = self.registry.gather();
