Rotation: a crowd that moves is noticed before the next link is full

Callers saw: where an account prefers several weak routers, each of them had to fill its link for a second before the account was moved on.

Change: within 12 s behind a mark, a weak router whose link is used by half is taken to have the crowd.

--- a/wisteriapass_policy/src/rotation/domain_routers.rs
+++ b/wisteriapass_policy/src/rotation/domain_routers.rs
@@ -92,9 +92,11 @@
     /// names.
     pub fn mark_crowded(&mut self, now: Time) -> Vec<String> {
         let most = self.max_mbps(|r| r.is_serving(now));
+        let is_crowd_moving = self.iter().any(|r| r.was_marked_recently(now));
         let is_crowded = |r: &KnownRouter| {
             let is_new = r.is_serving(now) && !r.is_marked(now);
-            is_new && r.is_weaker_than(most) && r.is_crowded(now)
+            let has_crowd = r.is_crowded(now) || (is_crowd_moving && r.has_moved_crowd());
+            is_new && r.is_weaker_than(most) && has_crowd
         };
         let mut marked = Vec::new();
         for (name, router) in &mut self.routers {
--- a/wisteriapass_policy/src/rotation/known_router.rs
+++ b/wisteriapass_policy/src/rotation/known_router.rs
@@ -19,6 +19,14 @@
 /// milliseconds.
 const RETURN_WATCH_MS: u64 = 5_000;
 
+/// Utilization from which a router has the crowd that has just left another one. Callers of other
+/// accounts use a small part of a link, and a crowd that arrives fills it within a second.
+const MOVED_CROWD_UTILIZATION: f64 = 0.5;
+
+/// Time after a mark within which its crowd may arrive at another router, in milliseconds: two checks
+/// of the balancer, for each of a few routers in turn.
+const CROWD_MOVES_MS: u64 = 12_000;
+
 /// A router as the coordinator knows it.
 #[derive(Clone, Debug)]
 pub struct KnownRouter {
@@ -124,6 +132,17 @@
             || self.reported_at.millis_since(since) >= CONFIRM_MS
     }
 
+    /// Returns whether a crowd that left another router seems to have arrived at this one.
+    pub fn has_moved_crowd(&self) -> bool {
+        self.report.utilization >= MOVED_CROWD_UTILIZATION
+    }
+
+    /// Returns whether the router was marked so recently that its crowd may not have settled yet.
+    pub fn was_marked_recently(&self, now: Time) -> bool {
+        let is_recent = |mark: Mark| mark.age(now).age_ms < CROWD_MOVES_MS;
+        self.mark.is_some_and(is_recent)
+    }
+
     /// Returns the standing that the router reported, if it is valid.
     pub fn reported_standing(&self) -> Option<Standing> {
         let is_valid = |held: &HeldStanding| held.valid_ms > 0;
--- a/wisteriapass_policy/tests/rotation/main.rs
+++ b/wisteriapass_policy/tests/rotation/main.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// Guards against a crowd that stays at the next weak router until its link is full as well.
+#[test]
+fn a_crowd_that_moves_is_noticed_before_the_next_link_is_full() {
+    let mut world = crowded_world(ORDERS[1]);
+    world.accounts[0].load = |now| if now < 2_000 { 12.0 } else { 7.0 };
+    world.run_until(12_000);
+    assert_eq!(world.router_of(0).1, "s2");
+}
+
 /// Guards against routers that stand by although their load varies within their capacity.
 #[test]
 fn waves_and_bursts_change_nothing() {
