Placement: a ranking tells the terms of each cost and who is passed over

An explanation of where a request would go needs what the choice goes by: the terms of each candidate's cost, why one is passed over whatever it costs, and which targets count as homes of the shared prefix. These were private to choose_target.

Ranking now holds what is the same for all candidates of a request, and returns cost, reason and held prefix of each; choose_target takes the choice of a Ranking, so both go by the same functions. The order of additions is unchanged.

--- a/wisteriapass_policy/src/placement.rs
+++ b/wisteriapass_policy/src/placement.rs
@@ -14,51 +14,22 @@
 //! targets: it would shift all long prompts to the fast ones, where short ones wait behind them.
 //! While no target is slower than others, none of this has an effect.
 
+mod cost;
+mod held_prefix;
 mod homes;
 mod latency_goal;
+mod passed_over;
+mod ranking;
 
 use twox_hash::XxHash64;
 
-use self::homes::Homes;
+pub use self::cost::Cost;
+pub use self::held_prefix::HeldPrefix;
 pub use self::latency_goal::LatencyGoal;
+pub use self::passed_over::PassedOver;
+pub use self::ranking::Ranking;
 use crate::Time;
 
-/// Weight of a token that this request makes a target read, relative to a token already pending
-/// there. Reading it delays this request and all others running there.
-const READ_WEIGHT: f64 = 6.0;
-
-/// Share of a prompt's shared tokens that its second home is assumed to hold. The second home takes
-/// what the first has no capacity for, and rarely holds all of it.
-const SECOND_HOME_SHARE: f64 = 0.5;
-
-/// Tokens that a running request counts as; it makes each step slightly longer.
-const RUNNING_TOKENS: f64 = 100.0;
-
-/// Tokens that a request beyond the slots counts as; a running one has to finish first.
-const QUEUED_TOKENS: f64 = 4_000.0;
-
-/// Tokens that all slots of a target count as, for requests without a prompt.
-const SLOTS_TOKENS: f64 = 10_000.0;
-
-/// Exponent of a target's slowness in the cost of its queue. The queue of a slow target is longer for
-/// the same requests, so the count of requests contains a part of its slowness already. With a larger
-/// exponent the other targets get more than their share, which no router sees, and near the capacity
-/// more requests are late than without slowness.
-const SLOWNESS_EXPONENT: f64 = 0.25;
-
-/// Tokens by which slowness counts where nothing runs yet; three running requests.
-const BASE_TOKENS: f64 = 300.0;
-
-/// Bonus of a target in the router's own failure domain, in tokens; breaks ties.
-const SAME_DOMAIN_TOKENS: f64 = 150.0;
-
-/// Weight of this router's own request count at a target when estimating the other routers' load
-/// there; the rest is the average over all targets. The own count is small and says little alone.
-const OWN_COUNT_WEIGHT: f64 = 0.5;
-
-/// Cost of one failure, in tokens; about the longest prompt.
-const FAILURE_TOKENS: f64 = 20_000.0;
-
 /// Half-life of a failure, in seconds.
 const FAILURE_HALF_LIFE_S: f64 = 1.5;
 
@@ -150,14 +121,7 @@
     routers: usize,
     tie_seed: u64,
 ) -> Option<K> {
-    let context = PlacementContext::new(candidates, prompt, routers);
-    let any_healthy = candidates.iter().any(Candidate::is_healthy);
-    let usable = || candidates.iter().filter(|c| !any_healthy || c.is_healthy());
-    let any_timely = usable().any(|c| context.is_timely(c));
-    let candidates = usable().filter(|c| !any_timely || context.is_timely(c));
-    let candidates = candidates.map(|c| (context.cost(c), seeded_hash(c.hash, tie_seed), c.key));
-    let best = candidates.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    best.map(|(_, _, key)| key)
+    Ranking::new(candidates, prompt, routers).choose(tie_seed)
 }
 
 /// Returns how many requests of this router run at the healthy target that has the fewest, or at any
@@ -170,92 +134,6 @@
     fewest.or_else(|| candidates.iter().map(|c| c.running).min())
 }
 
-/// Values that are the same for all targets when one request is placed.
-#[derive(Clone, Copy, Debug)]
-struct PlacementContext {
-    prompt: Prompt,
-    other_routers: f64,
-    mean_running: f64,
-    mean_pending: f64,
-    homes: Option<Homes>,
-    /// Latency goal, if it decides.
-    goal: Option<LatencyGoal>,
-}
-
-impl PlacementContext {
-    fn new<K>(candidates: &[Candidate<K>], prompt: Prompt, routers: usize) -> Self {
-        let mean = |of: fn(&Candidate<K>) -> f64| {
-            let sum: f64 = candidates.iter().map(of).sum();
-            sum / candidates.len().max(1) as f64
-        };
-        let any_slow = candidates.iter().any(|c| c.slowness > 1.0);
-        let is_long = |goal: &LatencyGoal| goal.is_long(prompt.tokens);
-        Self {
-            prompt,
-            other_routers: routers.saturating_sub(1) as f64,
-            mean_running: mean(|c| f64::from(c.running)),
-            mean_pending: mean(|c| c.pending_prompt_tokens as f64),
-            homes: prompt
-                .shared_prefix
-                .map(|prefix| Homes::new(candidates, prefix)),
-            goal: prompt.goal.filter(|goal| any_slow && is_long(goal)),
-        }
-    }
-
-    /// Returns the cost of a target in tokens; the lowest is the best.
-    fn cost<K>(&self, c: &Candidate<K>) -> f64 {
-        let bonus = if c.in_same_domain {
-            SAME_DOMAIN_TOKENS
-        } else {
-            0.0
-        };
-        let weight = c.slowness.powf(SLOWNESS_EXPONENT);
-        let queue_cost = self.queue_cost(c) * weight;
-        let base_cost = (weight - 1.0) * BASE_TOKENS;
-        queue_cost + self.read_cost(c) + base_cost + c.recent_failures * FAILURE_TOKENS - bonus
-    }
-
-    /// Returns whether a long prompt is expected to meet its latency goal at a target.
-    fn is_timely<K>(&self, c: &Candidate<K>) -> bool {
-        let tokens = c.pending_prompt_tokens as f64 + self.unread_tokens(c);
-        self.goal
-            .is_some_and(|goal| goal.is_met(tokens, c.slowness))
-    }
-
-    /// Returns the work ahead of the request at a target, across all routers.
-    fn queue_cost<K>(&self, c: &Candidate<K>) -> f64 {
-        let running = self.estimate_total(f64::from(c.running), self.mean_running);
-        let pending = self.estimate_total(c.pending_prompt_tokens as f64, self.mean_pending);
-        let slots = f64::from(c.slots.max(1));
-        let queued = (running + 1.0 - slots).max(0.0) * QUEUED_TOKENS;
-        if self.prompt.tokens == 0 {
-            return running / slots * SLOTS_TOKENS + queued;
-        }
-        pending + running * RUNNING_TOKENS + queued
-    }
-
-    /// Returns the cost of what the target has to read for this request.
-    fn read_cost<K>(&self, c: &Candidate<K>) -> f64 {
-        self.unread_tokens(c) * READ_WEIGHT
-    }
-
-    /// Returns the tokens of the prompt that the target has to read.
-    fn unread_tokens<K>(&self, c: &Candidate<K>) -> f64 {
-        let cached_share = match self.homes {
-            _ if c.has_prefix => 1.0,
-            Some(homes) if homes.first == c.hash => 1.0,
-            Some(homes) if homes.second == c.hash => SECOND_HOME_SHARE,
-            _ => 0.0,
-        };
-        self.prompt.tokens as f64 - cached_share * self.prompt.shared_tokens as f64
-    }
-
-    /// Estimates a count across all routers from this router's count.
-    fn estimate_total(&self, own: f64, mean: f64) -> f64 {
-        own + self.other_routers * (OWN_COUNT_WEIGHT * own + (1.0 - OWN_COUNT_WEIGHT) * mean)
-    }
-}
-
 fn seeded_hash(hash: u64, seed: u64) -> u64 {
     XxHash64::oneshot(seed, &hash.to_le_bytes())
 }
