Prepaid: what a reservation would lead to can be asked without making it

An explanation of a request has to say whether its cost is at hand. Reserving, rationing and credit answered that only by recording the request: as a reservation, as demand or as an unserved request, all of which change what a router asks for next.

ShareHolder::check, Rationing::refusal_probability and Credit::covers answer it from a shared reference; reserve and should_refuse go by the same functions. The sum of known use and a request's cost saturates, as token counts are the caller's.

--- a/wisteriapass_coord/src/prepaid/credit.rs
+++ b/wisteriapass_coord/src/prepaid/credit.rs
@@ -62,6 +62,12 @@
         lines.find_map(|(key, line)| line.reserve(account, max_cost).then_some(key))
     }
 
+    /// Returns whether [`Credit::reserve`] would reserve the maximum cost of a request now.
+    pub fn covers(&self, account: &str, max_cost: u64) -> bool {
+        let mut lines = self.lines.values();
+        lines.any(|line| line.covers(account, max_cost))
+    }
+
     /// Reserves more for a request that has a reservation on a line.
     pub fn reserve_more(&mut self, key: CreditLineKey, account: &str, tokens: u64) -> bool {
         let line = self.lines.get_mut(key);
@@ -195,9 +201,16 @@
 }
 
 impl CreditLine {
+    fn covers(&self, account: &str, max_cost: u64) -> bool {
+        let balance = self.accounts.get(account);
+        balance.is_some_and(|balance| balance.free() >= max_cost)
+    }
+
     fn reserve(&mut self, account: &str, max_cost: u64) -> bool {
-        let balance = self.accounts.get_mut(account);
-        let Some(balance) = balance.filter(|b| b.free() >= max_cost) else {
+        if !self.covers(account, max_cost) {
+            return false;
+        }
+        let Some(balance) = self.accounts.get_mut(account) else {
             return false;
         };
         balance.reserved += max_cost;
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -139,25 +139,22 @@
         account: &str,
         max_cost: u64,
     ) -> Result<(), ShareShortfall> {
+        let covered = self.check(account, max_cost);
         if self.closed {
-            return Err(ShareShortfall::Short);
+            return covered;
         }
-        let spend_limit = self.spend_limit(account);
         let account_share = self.accounts.entry(account.to_owned()).or_default();
-        if account_share.spendable(spend_limit) >= max_cost {
-            account_share.reserved += max_cost;
-            account_share.demand.add(now_ms, max_cost);
-            return Ok(());
-        }
-        if self.is_awaiting_witnesses(account, max_cost) {
-            return Err(ShareShortfall::AwaitsReceipts);
-        }
-        let account_share = self.accounts.entry(account.to_owned()).or_default();
-        account_share.unserved.largest = account_share.unserved.largest.max(max_cost);
-        if account_share.known_used() + max_cost > account_share.total {
-            return Err(ShareShortfall::Exhausted);
+        match covered {
+            Ok(()) => {
+                account_share.reserved += max_cost;
+                account_share.demand.add(now_ms, max_cost);
+            }
+            Err(ShareShortfall::AwaitsReceipts) => {}
+            Err(ShareShortfall::Exhausted | ShareShortfall::Short) => {
+                account_share.unserved.largest = account_share.unserved.largest.max(max_cost);
+            }
         }
-        Err(ShareShortfall::Short)
+        covered
     }
 
     /// Notes a request that the share did not cover, once for each request. The next exchange
--- a/wisteriapass_coord/src/prepaid/holder/status.rs
+++ b/wisteriapass_coord/src/prepaid/holder/status.rs
@@ -1,9 +1,42 @@
-//! What a process holds: status of accounts, and what could be lost with the process.
+//! What a process holds: status of accounts, what covers a request, and what could be lost with the
+//! process.
 
-use super::ShareHolder;
+use super::{ShareHolder, ShareShortfall};
 use crate::prepaid::{AccountStatus, Outstanding, Scarcity, ShareRecord};
 
 impl ShareHolder {
+    /// Checks whether [`ShareHolder::reserve`] would reserve the maximum cost of a request now,
+    /// without reserving or recording anything.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ShareShortfall`] if the share does not cover it.
+    pub fn check(&self, account: &str, max_cost: u64) -> Result<(), ShareShortfall> {
+        if self.closed {
+            return Err(ShareShortfall::Short);
+        }
+        let account_share = self.accounts.get(account).copied().unwrap_or_default();
+        if account_share.spendable(self.spend_limit(account)) >= max_cost {
+            return Ok(());
+        }
+        if self.is_awaiting_witnesses(account, max_cost) {
+            return Err(ShareShortfall::AwaitsReceipts);
+        }
+        if account_share.known_used().saturating_add(max_cost) > account_share.total {
+            return Err(ShareShortfall::Exhausted);
+        }
+        Err(ShareShortfall::Short)
+    }
+
+    /// Returns what can be reserved of an account at once, in tokens.
+    pub fn available(&self, account: &str) -> u64 {
+        if self.closed {
+            return 0;
+        }
+        let account_share = self.accounts.get(account).copied().unwrap_or_default();
+        account_share.spendable(self.spend_limit(account))
+    }
+
     /// Returns whether an exchange is due because more could be lost with this process than should
     /// be, and an exchange makes it less: requests cost less than they reserved, or demand fell.
     pub fn holds_too_much(&self, now_ms: u64) -> bool {
--- a/wisteriapass_coord/src/prepaid/rationing.rs
+++ b/wisteriapass_coord/src/prepaid/rationing.rs
@@ -75,16 +75,33 @@
         random: f64,
     ) -> bool {
         let rationing = self.accounts.entry(request.account.to_owned()).or_default();
-        rationing.add(now_ms, request);
-        let is_refused = random < rationing.refused_fraction(now_ms, request.rank, scarcity);
+        let is_refused = random < rationing.record(now_ms, request, scarcity);
         if is_refused {
             rationing.saved_tokens += request.max_cost / SENDS_PER_REQUEST;
         }
         is_refused
     }
+
+    /// Returns the probability with which [`Rationing::should_refuse`] would refuse a request,
+    /// without measuring anything.
+    pub fn refusal_probability(
+        &self,
+        now_ms: u64,
+        request: TokenRequest<'_>,
+        scarcity: Scarcity,
+    ) -> f64 {
+        let known = self.accounts.get(request.account).cloned();
+        known.unwrap_or_default().record(now_ms, request, scarcity)
+    }
 }
 
 impl AccountRationing {
+    /// Records a request; returns the fraction of requests like it that are refused.
+    fn record(&mut self, now_ms: u64, request: TokenRequest<'_>, scarcity: Scarcity) -> f64 {
+        self.add(now_ms, request);
+        self.refused_fraction(now_ms, request.rank, scarcity)
+    }
+
     fn add(&mut self, now_ms: u64, request: TokenRequest<'_>) {
         let known = self
             .demands
--- a/wisteriapass_coord/tests/prepaid/fleet.rs
+++ b/wisteriapass_coord/tests/prepaid/fleet.rs
@@ -218,7 +218,9 @@
         for mut w in waiting {
             let max_cost = w.request.max_cost;
             let holder = &mut self.relays[n].holder;
+            let checked = holder.check(ACCOUNT, max_cost);
             let reserved = holder.reserve(self.now, ACCOUNT, max_cost);
+            assert_eq!(checked, reserved, "a check tells another outcome");
             if reserved.is_ok() {
                 if w.awaits_receipts {
                     holder.end_receipt_wait(ACCOUNT, max_cost);
--- a/wisteriapass_coord/tests/prepaid/grants.rs
+++ b/wisteriapass_coord/tests/prepaid/grants.rs
@@ -61,9 +61,12 @@
     now: u64,
     max_cost: u64,
 ) -> Option<CreditLineKey> {
+    let is_covered = credit.covers(ACCOUNT, max_cost);
     if let Some(key) = credit.reserve(ACCOUNT, max_cost) {
+        assert!(is_covered, "a check tells another outcome");
         return Some(key);
     }
+    assert!(!is_covered, "a check tells another outcome");
     let key = credit.open_line(relay.at, now);
     credit.begin_wait(key, ACCOUNT, max_cost);
     let call = credit.compose_request(key, ACCOUNT)?;
--- a/wisteriapass_coord/tests/prepaid/rationing.rs
+++ b/wisteriapass_coord/tests/prepaid/rationing.rs
@@ -122,7 +122,10 @@
             rank: (n % 2) as u8,
             max_cost: 2_000,
         };
-        refused += u64::from(rationing.should_refuse(n * 20, request, scarcity, 0.0)) * 2_000;
+        let probability = rationing.refusal_probability(n * 20, request, scarcity);
+        let is_refused = rationing.should_refuse(n * 20, request, scarcity, 0.0);
+        assert_eq!(probability > 0.0, is_refused, "request {n}");
+        refused += u64::from(is_refused) * 2_000;
     }
     let offset = refused / 2;
     assert!((LOST / 2..=LOST).contains(&offset), "{offset}");
