Routers explain where a request would go, at POST /explain-placement

Operators could see why a request failed, but not why a request goes to one target and not to another, or what it would meet now.

A router answers on its readiness address, from its own state and with the functions that route: selection is split into who is eligible, candidates, ranking and choice, and planning into route, account and the rest, so that both use the same parts. Refusals of the head, money, quarantine, trials and origins are asked without their effects. The answer lists each target with its exclusion or its cost by term, the choice and its reason, money at hand, and the decision to send, wait or refuse. A saved head is read by the server that reads callers' heads. Hedged copies show as off.

--- a/wisteriapass_daemon/src/lib.rs
+++ b/wisteriapass_daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod control;
 mod counters;
+pub mod explain;
 pub mod fleet;
 pub mod http;
 pub mod kernel;
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod cold;
 mod evacuations;
+mod explain_placement;
 mod leaving;
 mod limits;
 mod money;
--- a/wisteriapass_daemon/tests/on_platform/quarantine/parts.rs
+++ b/wisteriapass_daemon/tests/on_platform/quarantine/parts.rs
@@ -8,6 +8,7 @@
 use wisteriapass_bench::standin::users_platform::{
     Behaviour, BreakOff, ReceivedRequest, SimulatedTarget,
 };
+use wisteriapass_daemon::explain::{ExplainCall, ask};
 
 use super::{
     DETECTION_LIMIT, MAX_LATE_COPIES, OTHER_KEY, RESTART_DELAY, crashes, crashing_platform,
@@ -140,6 +141,40 @@
     assert!(sound_answers.iter().all(|s| *s == 200), "{sound_answers:?}");
 }
 
+/// Guards against an explanation that sends a request which the quarantine refuses, and against questions
+/// in the log of what was not sent.
+#[test]
+fn a_ban_of_a_prompt_part_is_explained() {
+    let platform = platform_with_bad_part();
+    let routers = routers(&platform, ["a"]);
+    wait_until_served(&platform, &routers);
+    let parts = &[FIRST, BAD];
+    let mut series = BadSeries {
+        platform: &platform,
+        routers: &routers,
+        parts,
+        sent: 0,
+    };
+    series.send_until_detected();
+    wait_until_restarted(&platform);
+    let log_before = routers[0].log();
+    let explain = |request: Request| {
+        let call = ExplainCall {
+            head: Some(request.text()),
+            ..ExplainCall::default()
+        };
+        let explained = ask(routers[0].readiness_address(), &call);
+        explained.unwrap().answer.services.remove(0).decision
+    };
+    let decision = explain(request_with_parts("asked", 1, parts));
+    assert_eq!(decision.action, "refuse");
+    assert_eq!(decision.refusal.unwrap().reason, "quarantined");
+    let sound = explain(request_with_parts("asked", 2, &[THIRD]));
+    assert_eq!(sound.action, "send");
+    let count = |log: &str| log.matches("Not sent.").count();
+    assert_eq!(count(&routers[0].log()), count(&log_before));
+}
+
 // Each request was seen under one death at the most, as no two were alike.
 #[test]
 fn a_prompt_part_that_crashes_targets_stops_reaching_them() {
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -191,6 +191,11 @@
         self.ports[0]
     }
 
+    /// Returns the address of readiness probes, metrics and questions.
+    pub fn readiness_address(&self) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], self.ports[1]))
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().unwrap();
--- a/wisteriapass_gateway/src/catalogue.rs
+++ b/wisteriapass_gateway/src/catalogue.rs
@@ -142,6 +142,16 @@
         Some(self.accounts[*index].clone())
     }
 
+    /// Returns the account with a name.
+    pub fn account_named(&self, name: &str) -> Option<Rc<Account>> {
+        self.accounts.iter().find(|a| a.name == name).cloned()
+    }
+
+    /// Returns whether any route has a host.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.routes.contains_key(host)
+    }
+
     /// Returns whether requests need an account.
     pub fn has_accounts(&self) -> bool {
         !self.accounts.is_empty()
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -4,11 +4,14 @@
 mod attempt;
 mod body_end;
 mod broken_run;
+mod candidates;
 mod completeness;
+mod explanation;
 mod fault;
 mod fingerprints;
 mod held_trial;
 mod history;
+mod ineligibility;
 mod plan;
 mod quarantine_check;
 mod reply;
@@ -27,15 +30,17 @@
 use crate::prelude::*;
 use crate::reservation::Reservation;
 use crate::rotation::HEAD_BYTES;
-use plan::Plan;
 
 pub use attempt::ProxiedRequest;
 pub use body_end::{EndPoint, UnprovenEnd};
 pub use completeness::Completeness;
 pub use fault::Fault;
 pub use history::AttemptHistory;
+pub(crate) use ineligibility::Ineligibility;
+pub(crate) use plan::{Plan, account, host};
 pub use quarantine_check::BreakCheck;
 pub use reply::{BodyStream, ResponseBody, streamed_response};
+pub(crate) use resumption::known_origin;
 
 /// Serves one request.
 ///
@@ -78,13 +83,7 @@
     metadata: &RequestMetadata,
     plan: &Plan,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    // A stream that is resumed may go on at another service of its route.
-    if metadata.resumes.is_none() {
-        plan.check_targets(gw)?;
-    }
-    if !plan.ends_in_time_somewhere(gw, metadata, &[], None) {
-        return Err(Refusal::Stopping);
-    }
+    plan.check_head(gw, metadata)?;
     let is_collected = reply::is_collected(parts.version);
     let body = gw.run_unless_aborted(read_body(body, plan)).await;
     let body = body.ok_or(Refusal::Stopping)??;
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -12,6 +12,9 @@
 /// Body timeout as a multiple of the header timeout, as a body has more bytes.
 const BODY_TIMEOUT_FACTOR: u32 = 2;
 
+/// Highest priority.
+const HIGHEST_PRIORITY: u8 = 0;
+
 /// Decisions about a request.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -60,13 +63,26 @@
             .pick_service(rand::random())
             .unwrap_or_default()
             .to_owned();
+        let plan = Self::of_route(gw, &catalogue, route, account, metadata, arrived);
+        Ok(plan.with_service(&catalogue, &service))
+    }
+
+    /// Plans a request of a route and account, without a service.
+    pub(crate) fn of_route(
+        gw: &Gateway,
+        catalogue: &Catalogue,
+        route: Rc<Route>,
+        account: Option<Rc<Account>>,
+        metadata: &RequestMetadata,
+        arrived: Instant,
+    ) -> Self {
         let timeout_ms = metadata
             .remaining_ms
             .unwrap_or(route.timeout_ms)
             .min(route.timeout_ms);
         let account_priority = account.as_ref().and_then(|a| a.priority);
         let body_timeout = Duration::from_millis(catalogue.limits.header_ms) * BODY_TIMEOUT_FACTOR;
-        let plan = Self {
+        Self {
             priority: account_priority.unwrap_or(route.priority),
             tokens_per_event: 1,
             cold_start: None,
@@ -81,8 +97,23 @@
             account,
             service: String::new(),
             route,
-        };
-        Ok(plan.with_service(&catalogue, &service))
+        }
+    }
+
+    /// Refuses the request if its head alone shows that it cannot be served.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoTarget`], [`Refusal::NoRegion`] or [`Refusal::Stopping`].
+    pub fn check_head(&self, gw: &Gateway, metadata: &RequestMetadata) -> Result<(), Refusal> {
+        // A stream that is resumed may go on at another service of its route.
+        if metadata.resumes.is_none() {
+            self.check_targets(gw)?;
+        }
+        if !self.ends_in_time_somewhere(gw, metadata, &[], None) {
+            return Err(Refusal::Stopping);
+        }
+        Ok(())
     }
 
     /// Directs the request to a service.
@@ -100,6 +131,18 @@
         self.account.as_ref().map(|a| a.name.as_str())
     }
 
+    /// Returns the priority of the request. A request that was accepted while stopping has the
+    /// highest, as it cannot wait and others can.
+    pub fn current_priority(&self, gw: &Gateway) -> u8 {
+        let drain = gw.drain.get();
+        let is_late = drain.is_some_and(|drain| drain.closes_idle_connections(gw.time()));
+        if is_late {
+            HIGHEST_PRIORITY
+        } else {
+            self.priority
+        }
+    }
+
     /// Returns whether both route and account permit the target's region.
     pub fn allows(&self, gw: &Gateway, target: &Target) -> bool {
         let domain = &target.entry.failure_domain;
@@ -113,7 +156,7 @@
     /// # Errors
     ///
     /// [`Refusal::NoTarget`] or [`Refusal::NoRegion`].
-    pub fn check_targets(&self, gw: &Gateway) -> Result<(), Refusal> {
+    fn check_targets(&self, gw: &Gateway) -> Result<(), Refusal> {
         let targets = gw.targets.borrow();
         let available = targets.available(&self.service, Instant::now());
         if available.is_empty() {
@@ -185,7 +228,7 @@
 }
 
 /// Returns the account that owns the client's API key.
-fn account(
+pub(crate) fn account(
     catalogue: &Catalogue,
     route: &Route,
     metadata: &RequestMetadata,
--- a/wisteriapass_gateway/src/exchange/quarantine_check.rs
+++ b/wisteriapass_gateway/src/exchange/quarantine_check.rs
@@ -45,6 +45,15 @@
     remaining_ms: u64,
 }
 
+impl Ban {
+    /// Returns the refusal of a request that has not run.
+    fn refusal(self) -> Refusal {
+        Refusal::Quarantined {
+            retry_after_ms: self.remaining_ms,
+        }
+    }
+}
+
 impl ProxiedRequest {
     /// Returns whether the request, or a part of its prompt, is banned.
     pub fn is_banned(&self) -> bool {
@@ -94,9 +103,12 @@
         if history.may_have_run {
             return Err(Refusal::OutcomeUnknown);
         }
-        Err(Refusal::Quarantined {
-            retry_after_ms: ban.remaining_ms,
-        })
+        Err(ban.refusal())
+    }
+
+    /// Returns the refusal of a request that is banned and has not run.
+    pub(super) fn ban_refusal(&self) -> Option<Refusal> {
+        self.ban().map(Ban::refusal)
     }
 
     /// Records that the current run shows that no part of the prompt crashes its target, which ends
--- a/wisteriapass_gateway/src/exchange/resumption.rs
+++ b/wisteriapass_gateway/src/exchange/resumption.rs
@@ -44,7 +44,12 @@
     let found = finding.await.ok_or(Refusal::Stopping)?;
     log_found(metadata, plan, &found);
     gw.metrics.count_resumed_stream(found.source);
-    let software = found.software.ok_or(Refusal::UnknownVersion)?;
+    bind(gw, plan, found.software)
+}
+
+/// Binds a plan to the software that began the stream.
+fn bind(gw: &Gateway, plan: &Plan, software: Option<Software>) -> Result<Plan, Refusal> {
+    let software = software.ok_or(Refusal::UnknownVersion)?;
     let catalogue = gw.catalogue().ok_or(Refusal::NotConfigured)?;
     if !plan.route.permits(&software.service) {
         return Err(Refusal::NoSameVersion);
@@ -55,6 +60,33 @@
     Ok(plan)
 }
 
+/// Returns the plan of a request as far as this router alone can tell, without asking others: bound to
+/// the software that began the stream, or `None` if others have to be asked for it.
+///
+/// # Errors
+///
+/// [`Refusal::UnknownVersion`] or [`Refusal::NoSameVersion`].
+pub fn known_origin(
+    gw: &Gateway,
+    metadata: &RequestMetadata,
+    plan: &Plan,
+) -> Result<Option<Plan>, Refusal> {
+    if !metadata.is_resumption() || !plan.route.kind.is_stream() {
+        return Ok(Some(plan.clone()));
+    }
+    let Some(attempt) = &metadata.resumes else {
+        let found = find_without_attempt(gw, plan);
+        return bind(gw, plan, found.software).map(Some);
+    };
+    let stream = StreamId::new(plan.account_name(), attempt.as_bytes());
+    let services = plan.route.services.iter().map(|s| s.service.as_str());
+    let known = gw.origins.knowledge(Some(&stream), services);
+    match known.origin {
+        Some(software) => bind(gw, plan, Some(software)).map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Finds the software that began the stream.
 async fn find(gw: &Gateway, metadata: &RequestMetadata, plan: &Plan) -> FoundOrigin {
     let Some(attempt) = &metadata.resumes else {
--- a/wisteriapass_gateway/src/exchange/selection.rs
+++ b/wisteriapass_gateway/src/exchange/selection.rs
@@ -1,8 +1,6 @@
 //! Choice of the target that a request is sent to.
 
-use smallvec::SmallVec;
-use wisteriapass_policy::placement::{self, Candidate, Prompt};
-use wisteriapass_policy::{Time, rest};
+use wisteriapass_policy::rest;
 
 use super::attempt::ProxiedRequest;
 use super::history::{AttemptHistory, SendRecord};
@@ -10,9 +8,6 @@
 use crate::prelude::*;
 use crate::target::{Target, TargetKey};
 
-/// Highest priority.
-const HIGHEST_PRIORITY: u8 = 0;
-
 /// Number of times that the tokens which a target may hold already have to fit into those ahead of a
 /// request, for its first event to say how fast the target is.
 const MAX_UNCERTAIN_FRACTION: u64 = 4;
@@ -34,53 +29,18 @@
         history: &AttemptHistory,
     ) -> Result<SelectedTarget, Refusal> {
         let now = Instant::now();
-        let time = Time::from_millis(self.gw.clock.now_ms());
         let targets = self.gw.targets.borrow();
-        let mut available = targets.of_service(&self.plan.service);
-        available.retain(|(key, t)| !history.tried.contains(key) && self.plan.allows(&self.gw, t));
-        let mut exclusions: SmallVec<[Exclusion; 32]> = SmallVec::new();
-        available.retain(|(_, target)| {
-            let requirements = self.requirements(history);
-            let exclusion = self.gw.exclusion(&targets, target, requirements, now);
-            exclusions.extend(exclusion);
-            exclusion.is_none()
-        });
-        if available.is_empty() {
-            return Err(self.exclusion_refusal(history, &exclusions));
-        }
-        let ends_in_time =
-            |target: &Target| self.plan.ends_in_time(&self.gw, &self.metadata, target);
-        let domain = &self.gw.settings.failure_domain;
-        let model = self.gw.speeds.model(&self.plan.service, &targets, time);
-        let waited_ms = self.plan.arrived.elapsed().as_secs_f64() * 1_000.0;
-        let goal_ms = self.plan.route.latency_goal_ms as f64 - waited_ms;
-        let prompt = Prompt {
-            goal: model.latency_goal(goal_ms),
-            ..self.metadata.prompt()
-        };
-        let silence_ms = self.gw.silence_ms(&self.plan.service, &self.plan.route);
-        let mut candidates: SmallVec<[Candidate<TargetKey>; 32]> = available
-            .iter()
-            .filter(|(_, target)| ends_in_time(target))
-            .map(|(key, target)| Candidate {
-                has_prefix: prompt
-                    .shared_prefix
-                    .is_some_and(|part| target.cached_parts.borrow().contains(part, now)),
-                silent: target.silent_ms() > silence_ms,
-                slowness: target.speed.borrow().slowness(&model, time),
-                lasting_slowness: target.speed.borrow().lasting(&model, time),
-                ..candidate(*key, target, domain, time)
-            })
-            .collect();
-        if self.is_trial() {
-            let fewest = placement::fewest_running(&candidates);
-            candidates.retain(|c| Some(c.running) == fewest);
-        }
-        let routers = self.gw.ledger.router_count();
-        let key = placement::choose_target(&candidates, prompt, routers, rand::random());
+        let eligible = self.eligible_targets(&targets, history, now)?;
+        let model = self
+            .gw
+            .speeds
+            .model(&self.plan.service, &targets, self.gw.time());
+        let set = self.candidates(&eligible, &model, self.is_trial(), now);
+        let key = set.ranking().choose(rand::random());
         let key = key.ok_or_else(|| history.stopping_refusal())?;
         self.log_late_request(targets.get(key));
-        let kept = candidates.iter().any(|c| c.key == key && c.has_prefix);
+        let kept = set.has_prefix(key);
+        let prompt = set.prompt;
         if let Some(part) = prompt.shared_prefix {
             let target = targets
                 .get(key)
@@ -153,21 +113,18 @@
             .ends_in_time_somewhere(gw, metadata, &history.tried, origin)
     }
 
-    /// Returns the priority of the request. A request that was accepted while stopping has the
-    /// highest, as it cannot wait and others can.
+    /// Returns the priority of the request.
     pub(super) fn priority(&self) -> u8 {
-        let drain = self.gw.drain.get();
-        let is_late = drain.is_some_and(|drain| drain.closes_idle_connections(self.gw.time()));
-        if is_late {
-            HIGHEST_PRIORITY
-        } else {
-            self.plan.priority
-        }
+        self.plan.current_priority(&self.gw)
     }
 
     /// Returns the refusal for a request whose targets are all excluded: that of the last reason in
     /// the order of the list.
-    fn exclusion_refusal(&self, history: &AttemptHistory, exclusions: &[Exclusion]) -> Refusal {
+    pub(super) fn exclusion_refusal(
+        &self,
+        history: &AttemptHistory,
+        exclusions: &[Exclusion],
+    ) -> Refusal {
         match exclusions.iter().max() {
             None | Some(Exclusion::Closed) => self.no_target_refusal(history),
             Some(Exclusion::OtherVersion) => history.refuse_unless_run(Refusal::NoSameVersion),
@@ -202,19 +159,3 @@
         retry_after_ms: rest::retry_after_ms(first_back_ms, rand::random()),
     }
 }
-
-fn candidate(key: TargetKey, target: &Target, domain: &str, now: Time) -> Candidate<TargetKey> {
-    Candidate {
-        key,
-        hash: placement::hash_name(&target.entry.id.0),
-        slots: target.entry.slots,
-        running: target.running.get(),
-        pending_prompt_tokens: target.pending_prompt_tokens.get(),
-        has_prefix: false,
-        in_same_domain: target.entry.failure_domain == domain,
-        recent_failures: target.failures.borrow().value(now),
-        silent: false,
-        slowness: 1.0,
-        lasting_slowness: 1.0,
-    }
-}
--- a/wisteriapass_gateway/src/exchange/trial_check.rs
+++ b/wisteriapass_gateway/src/exchange/trial_check.rs
@@ -12,13 +12,18 @@
 impl ProxiedRequest {
     /// Refuses the request if another copy of a suspect is in its trial here, without asking a relay.
     pub fn check_trial(&self, history: &AttemptHistory) -> Result<(), Refusal> {
-        let mut suspects = self.suspects().into_iter();
-        match suspects.find(|suspect| self.gw.trials.is_taken(suspect)) {
+        match self.taken_suspect() {
             Some(suspect) => Err(self.trial_refusal(history, &suspect)),
             None => Ok(()),
         }
     }
 
+    /// Returns a suspect of which another copy is in its trial here, if there is one.
+    pub(super) fn taken_suspect(&self) -> Option<Fingerprint> {
+        let mut suspects = self.suspects().into_iter();
+        suspects.find(|suspect| self.gw.trials.is_taken(suspect))
+    }
+
     /// Begins a trial of each suspect, and refuses the request if another copy is in one.
     pub(super) async fn begin_trials(&self, history: &AttemptHistory) -> Result<(), Refusal> {
         for suspect in self.suspects() {
--- a/wisteriapass_gateway/src/gateway/exclusion.rs
+++ b/wisteriapass_gateway/src/gateway/exclusion.rs
@@ -1,5 +1,6 @@
 //! The list of reasons for which a target gets no request now.
 
+use derive_more::Display;
 use wisteriapass_coord::origin::Software;
 use wisteriapass_policy::cold_start::{self, SendQuota, is_owner};
 use wisteriapass_policy::placement::hash_name;
@@ -11,18 +12,23 @@
 use crate::targets::Targets;
 
 /// Why a target gets no request now. Later reasons are checked only if no earlier one applies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Exclusion {
     /// It leaves, by its own statement or its entry, or its entry does not permit requests, or its
     /// failure domain is evacuated.
+    #[display("closed")]
     Closed,
     /// It runs other software than the target that began the stream.
+    #[display("other_version")]
     OtherVersion,
     /// It asked for no requests until then.
+    #[display("resting")]
     Resting(Instant),
     /// It is cold and gets no more requests from this router for now.
+    #[display("cold")]
     Cold,
     /// It names a limit and gets no more requests from this router for now.
+    #[display("limited")]
     Limited,
 }
 
--- a/wisteriapass_gateway/src/ledger/credit.rs
+++ b/wisteriapass_gateway/src/ledger/credit.rs
@@ -63,9 +63,7 @@
         if let Some(line) = self.credit.borrow_mut().reserve(account, max_cost) {
             return Ok(line);
         }
-        let mut refusal = Refusal::ShareShort {
-            retry_after_ms: RETRY_NO_RELAY_MS,
-        };
+        let mut refusal = no_relay_refusal();
         let now_ms = self.clock.now_ms();
         let relays = self.roster.borrow().relays_by_preference(now_ms);
         for at in relays.into_iter().take(MAX_RELAYS_ASKED) {
@@ -146,9 +144,7 @@
     fn refusal_for(&self, denial: Denial, version: u64) -> Refusal {
         match denial {
             Denial::Exhausted if version >= self.totals_version.get() => Refusal::BudgetExhausted,
-            Denial::Exhausted => Refusal::ShareShort {
-                retry_after_ms: RETRY_NO_RELAY_MS,
-            },
+            Denial::Exhausted => no_relay_refusal(),
             Denial::Short { retry_after_ms } => Refusal::ShareShort { retry_after_ms },
             Denial::Rationed => Refusal::Saved,
         }
@@ -188,3 +184,10 @@
         }
     }
 }
+
+/// Returns the refusal of a request that no relay grants anything for.
+pub(super) fn no_relay_refusal() -> Refusal {
+    Refusal::ShareShort {
+        retry_after_ms: RETRY_NO_RELAY_MS,
+    }
+}
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod evacuations;
 mod events;
 mod exchange;
+pub mod explain;
 mod framing;
 mod gateway;
 mod ledger;
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -13,7 +13,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::catalogue::Limits;
 use crate::exchange;
+use crate::explain::{self, EXPLAIN_PATH};
 use crate::gateway::{ShutdownPhase, wait_for_phase};
 use crate::prelude::*;
 
@@ -86,7 +88,7 @@
         .timer(TokioTimer::new())
         .keep_alive(!is_late)
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+        .max_buf_size(header_buffer_bytes(&limits));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let closes = async {
         tokio::select! {
@@ -107,7 +109,12 @@
     open.set(open.get() - 1);
 }
 
-/// Serves readiness probes and metrics until the process ends.
+/// Returns the size of the buffer for the head of a request, in bytes.
+pub(crate) fn header_buffer_bytes(limits: &Limits) -> usize {
+    limits.header_bytes.max(MIN_BUFFER_BYTES)
+}
+
+/// Serves readiness probes, metrics and questions about placement until the process ends.
 pub async fn serve_readiness(gw: Rc<Gateway>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -124,13 +131,16 @@
     }
 }
 
-/// Responds to readiness probes with 200 if clients may be sent here and 503 otherwise, and serves
-/// counters under `/metrics`.
+/// Responds to readiness probes with 200 if clients may be sent here and 503 otherwise, serves counters
+/// under `/metrics` and explains placement under [`EXPLAIN_PATH`].
 async fn readiness(
-    gw: &Gateway,
+    gw: &Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path();
+    if path == EXPLAIN_PATH {
+        return Ok(explain::serve(gw, request).await);
+    }
     let (status, text) = if gw.platform.is_readiness_probe(request.method(), path) {
         let ready = gw.is_ready();
         let status = if ready {
--- a/wisteriapass_gateway/src/speeds/shared.rs
+++ b/wisteriapass_gateway/src/speeds/shared.rs
@@ -57,6 +57,14 @@
         Ref::map(self.models.borrow(), |models| &models[service])
     }
 
+    /// Returns a copy of what [`Self::model`] would return now, without updating the model.
+    pub fn model_copy(&self, service: &str, targets: &Targets, now: Time) -> ServiceModel {
+        let known = self.models.borrow().get(service).cloned();
+        let mut model = known.unwrap_or_default();
+        refresh_median(&mut model, service, targets, now);
+        model
+    }
+
     /// Records the time to a first event.
     pub fn record_first_event(
         &self,
@@ -217,13 +225,7 @@
     }
 
     fn update_median(&self, service: &str, targets: &Targets, now: Time) {
-        let mut model = self.model_mut(service);
-        if !model.is_median_due(now) {
-            return;
-        }
-        let of_service = targets.of_service(service);
-        let speeds: Vec<TargetSpeed> = of_service.iter().map(|(_, t)| *t.speed.borrow()).collect();
-        model.update_median(now, speeds.iter());
+        refresh_median(&mut self.model_mut(service), service, targets, now);
     }
 
     fn log_slowness(&self, target: &Target, now: Time) {
@@ -240,3 +242,13 @@
         }
     }
 }
+
+/// Computes the median slowness of a service's targets, if it is due.
+fn refresh_median(model: &mut ServiceModel, service: &str, targets: &Targets, now: Time) {
+    if !model.is_median_due(now) {
+        return;
+    }
+    let of_service = targets.of_service(service);
+    let speeds: Vec<TargetSpeed> = of_service.iter().map(|(_, t)| *t.speed.borrow()).collect();
+    model.update_median(now, speeds.iter());
+}
