explain-placement: the tool asks a router where a request would go

wisteriapass explain-placement asks one router and prints a table of at most 100 columns, or the router's JSON as it came. A request is given by its fields or as a saved one, of which only the head is sent. Errors name the address and what to do: no answer, not a router of this release, no configuration, unknown host, path or account, a malformed question or file.

--- a/extra/completions/wisteriapass.fish
+++ b/extra/completions/wisteriapass.fish
@@ -1,6 +1,6 @@
 # Completions of wisteriapass for fish.
 
-set -l commands check diff apply show topup drain undrain evacuate digest export explain
+set -l commands check diff apply show topup drain undrain evacuate digest export explain explain-placement
 set -l none "not __fish_seen_subcommand_from $commands"
 
 complete -c wisteriapass -f
@@ -19,6 +19,7 @@
 complete -c wisteriapass -n $none -a digest -d "print the digest of a key"
 complete -c wisteriapass -n $none -a export -d "write the configuration to files"
 complete -c wisteriapass -n $none -a explain -d "explain the outcome of a request"
+complete -c wisteriapass -n $none -a explain-placement -d "explain where a request would go now"
 complete -c wisteriapass -n "__fish_seen_subcommand_from check diff apply export explain" -F
 complete -c wisteriapass -n "__fish_seen_subcommand_from apply" -l from -x -d "revision edited from"
 complete -c wisteriapass -n "__fish_seen_subcommand_from apply drain undrain evacuate" -l op -x -d "operation id"
@@ -26,3 +27,15 @@
 complete -c wisteriapass -n "__fish_seen_subcommand_from show" -l inventory -r -F -d "inventory file"
 complete -c wisteriapass -n "__fish_seen_subcommand_from show" \
     -a "targets budgets grants refusals retries revision"
+
+set -l placement "__fish_seen_subcommand_from explain-placement"
+complete -c wisteriapass -n $placement -l router -x -d "metrics and readiness address of the router"
+complete -c wisteriapass -n $placement -l host -x -d "host of the request"
+complete -c wisteriapass -n $placement -l path -x -d "path of the request"
+complete -c wisteriapass -n $placement -l account -x -d "name of the account"
+complete -c wisteriapass -n $placement -l key -x -d "key of the account, or - for standard input"
+complete -c wisteriapass -n $placement -l prompt-parts -x -d "parts of the prompt, as ID:N,..."
+complete -c wisteriapass -n $placement -l tokens -x -d "prompt tokens and most output tokens, as IN,OUT"
+complete -c wisteriapass -n $placement -l remaining -x -d "time that the caller will wait, in milliseconds"
+complete -c wisteriapass -n $placement -l request -r -F -d "saved request"
+complete -c wisteriapass -n $placement -l json -d "print one line of JSON"
--- a/wisteriapass/src/args.rs
+++ b/wisteriapass/src/args.rs
@@ -61,6 +61,9 @@
     /// Explain the outcome of a request.
     #[options(help = "explain the outcome of a request from router logs")]
     Explain(Explain),
+    /// Explain where a request would go now, without sending it.
+    #[options(help = "explain where a request would go now, without sending it")]
+    ExplainPlacement(ExplainPlacement),
 }
 
 /// Options of `check` and `diff`.
@@ -222,3 +225,62 @@
     #[options(free, help = "router log files; standard input if none is given")]
     pub files: Vec<String>,
 }
+
+/// Options of `explain-placement`.
+#[derive(Clone, Debug, Options)]
+pub struct ExplainPlacement {
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Address at which the router serves its metrics and readiness.
+    #[options(
+        no_short,
+        required,
+        help = "metrics and readiness address of the router",
+        meta = "IP:PORT"
+    )]
+    pub router: String,
+    /// Host of the request.
+    #[options(no_short, help = "host of the request", meta = "HOST")]
+    pub host: Option<String>,
+    /// Path of the request.
+    #[options(no_short, help = "path of the request", meta = "PATH")]
+    pub path: Option<String>,
+    /// Account that sends the request.
+    #[options(no_short, help = "name of the account", meta = "NAME")]
+    pub account: Option<String>,
+    /// API key of the account, or `-`.
+    #[options(
+        no_short,
+        help = "key of the account; - reads it from standard input",
+        meta = "KEY"
+    )]
+    pub key: Option<String>,
+    /// Parts of the prompt.
+    #[options(
+        no_short,
+        help = "parts of the prompt in order, as hexadecimal id and tokens",
+        meta = "ID:N,..."
+    )]
+    pub prompt_parts: Option<String>,
+    /// Tokens of the prompt and maximum number of output tokens.
+    #[options(
+        no_short,
+        help = "prompt tokens and most output tokens",
+        meta = "IN,OUT"
+    )]
+    pub tokens: Option<String>,
+    /// Time that the caller will wait, in milliseconds.
+    #[options(no_short, help = "time that the caller will wait", meta = "MS")]
+    pub remaining: Option<u64>,
+    /// File with the request line and headers, or `-`.
+    #[options(
+        no_short,
+        help = "saved request in place of the fields; - reads it from standard input",
+        meta = "FILE"
+    )]
+    pub request: Option<String>,
+    /// Print the result as JSON.
+    #[options(no_short, help = "print one line of JSON")]
+    pub json: bool,
+}
--- a/wisteriapass/src/commands.rs
+++ b/wisteriapass/src/commands.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod evacuate;
 mod explain;
+mod explain_placement;
 mod export;
 mod files;
 mod show;
@@ -34,5 +35,6 @@
         Command::Digest(_) => digest::digest(cx),
         Command::Export(opts) => export::export(cx, opts),
         Command::Explain(opts) => explain::explain(cx, opts),
+        Command::ExplainPlacement(opts) => explain_placement::explain_placement(cx, opts),
     }
 }
--- a/wisteriapass/src/error.rs
+++ b/wisteriapass/src/error.rs
@@ -6,6 +6,7 @@
 use wisteriapass_coord::budget::LedgerError;
 use wisteriapass_coord::revision::RevisionError;
 use wisteriapass_coord::store::StoreError;
+use wisteriapass_daemon::explain::AskError;
 
 use crate::edit::Conflict;
 
@@ -90,6 +91,9 @@
         /// Option that makes repeating the write safe.
         retry_option: String,
     },
+    /// A router cannot explain the placement of a request.
+    #[display("{_0}")]
+    Explain(AskError),
     /// The result could not be printed.
     #[display("the result could not be printed ({cause}); run the command again")]
     #[from(skip)]
--- a/wisteriapass/src/exit.rs
+++ b/wisteriapass/src/exit.rs
@@ -5,6 +5,7 @@
 use wisteriapass_coord::budget::LedgerError;
 use wisteriapass_coord::revision::RevisionError;
 use wisteriapass_coord::store::StoreError;
+use wisteriapass_daemon::explain::AskError;
 
 use crate::ToolError;
 
@@ -40,6 +41,13 @@
             ToolError::Revision(_) => Self::Refused,
             ToolError::Ledger(LedgerError::Store(e)) => Self::of_write(e),
             ToolError::Ledger(_) => Self::Refused,
+            ToolError::Explain(AskError::NoAnswer { .. } | AskError::NotConfigured { .. }) => {
+                Self::Unreachable
+            }
+            ToolError::Explain(AskError::Malformed { .. }) => Self::Usage,
+            ToolError::Explain(AskError::NotARouter { .. } | AskError::Refused { .. }) => {
+                Self::Refused
+            }
             // The result that could not be printed may be that of a successful write.
             ToolError::OutcomeUnknown { .. } | ToolError::Output { .. } => Self::OutcomeUnknown,
         }
--- a/wisteriapass/src/output.rs
+++ b/wisteriapass/src/output.rs
@@ -27,6 +27,11 @@
         Self { out, is_json }
     }
 
+    /// Prints JSON from now on.
+    pub(crate) fn use_json(&mut self) {
+        self.is_json = true;
+    }
+
     /// Prints a result: `value` as JSON if requested, otherwise `text`.
     ///
     /// # Errors
--- a/wisteriapass/tests/extra.rs
+++ b/wisteriapass/tests/extra.rs
@@ -41,9 +41,9 @@
 #[test]
 fn every_command_is_in_man_page_and_completions() {
     let commands = commands();
-    assert_eq!(commands.len(), 11);
+    assert_eq!(commands.len(), 12);
     for file in FILES {
-        let text = read(file);
+        let text = unescape(&read(file));
         for command in &commands {
             assert!(text.contains(command), "{file}: {command}");
         }
