--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -7,16 +7,22 @@
 import base64
 import json
 import os
+import random
 import socket
 import time
 import urllib.parse
 
 
 def free_port():
-    """Returns a port that is free now."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Returns a port that is free now, and that no outgoing connection takes while its owner restarts."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 async def read_head(reader):
