--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -13,10 +13,16 @@
 import urllib.parse
 
 
+given_ports = set()
+
+
 def free_port():
     """Returns a port that is free now, and that no outgoing connection takes while its owner restarts."""
     while True:
         port = random.randrange(15000, 32000)
+        if port in given_ports:
+            continue
+        given_ports.add(port)
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
