--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,7 +36,7 @@
     def __init__(self, folder):
         self.folder, self.store = folder, Store()
         self.routers, self.leaving, self.tasks, self.results, self.runs = {}, set(), [], [], set()
-        self.is_over = False
+        self.numbers, self.is_over = {}, False
 
     async def start(self):
         await self.store.start()
@@ -56,6 +56,7 @@
         if not await router.wait_ready():
             return False
         note("ready", router.name)
+        self.numbers[router.name] = len(self.numbers) + 1
         self.routers[router.name] = router
         self.tasks.append(asyncio.create_task(self.clients(router.name)))
         return True
@@ -123,7 +124,7 @@
         n, tasks = 0, []
         while not self.is_over and name not in self.leaving:
             n += 1
-            tasks.append(asyncio.create_task(self.client(name, f"{name[-3:]}-{n:06d}")))
+            tasks.append(asyncio.create_task(self.client(name, f"{self.numbers[name]:04x}{n:012x}")))
             await asyncio.sleep(0.2)
         await asyncio.gather(*tasks)
 
