A relay that joins again knows the prepaid totals

What callers saw: two VMs were added to a fleet of five routers and one was removed, nothing else happened.

Cause: a relay that is one too many retires and takes another identity in the record of shares. The holder of its shares was made anew for that with totals of 0, and totals were set only when a newer configuration came into force. A holder that knows a total of 0 answers that the account has spent it, which is final: 402, at the router itself, and at its followers, who compared the version of the relay's configuration and not of the totals that had decided.

Evidence: `Share short.` of the router that refuses, in the new test on the code before: "role=relay", 3 ms later "account=acme most=100 total=0 granted=0 spent=0 ... others_used=0 ... in_touch=true". Ruled out by that line: a total that others have spent or hold, a sealed share, an unknown record (in_touch=false) and the denial of another relay (`Credit short.` in its place).

Change: the totals of one version of the configuration are one value, without which a holder cannot be created; nothing else holds a total, and the version in a denial is the one of that value. A total that is not known is not 0: such requests are refused as short, not as beyond the total, and not rationed. What a router holds under one identity (shares, grants, witnessed reports) is one `Incarnation`, created and replaced whole; reservations settle in the one in which they were made, and one that begins while the router stops returns what it does not need.

Why it works: there is no second event left that has to follow the first.

--- a/wisteriapass_coord/src/prepaid/account_share.rs
+++ b/wisteriapass_coord/src/prepaid/account_share.rs
@@ -52,8 +52,6 @@
     pub(super) awaiting_receipts: u64,
     /// Spendable after the last exchange, in tokens.
     pub(super) spendable_after_exchange: u64,
-    /// Total by the configuration in force, in tokens.
-    pub(super) total: u64,
     /// Known to be granted to, and spent by, other routers, in tokens.
     pub(super) others_granted: u64,
     pub(super) others_used: u64,
@@ -104,19 +102,20 @@
     pub(super) fn requested_limit(
         &self,
         now_ms: u64,
+        total: u64,
         in_contact: bool,
         config: &ShareConfig,
     ) -> u64 {
-        let needed = self.awaiting_receipts + self.headroom(now_ms, in_contact, config);
+        let needed = self.awaiting_receipts + self.headroom(now_ms, total, in_contact, config);
         (self.spent() + needed).min(self.share.granted)
     }
 
     /// Returns how much beyond what is spent witnesses are asked to acknowledge in advance, in
     /// tokens.
-    fn headroom(&self, now_ms: u64, in_contact: bool, config: &ShareConfig) -> u64 {
+    fn headroom(&self, now_ms: u64, total: u64, in_contact: bool, config: &ShareConfig) -> u64 {
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
         if in_contact {
-            let bound = self.total as f64 * config.max_unproved_fraction;
+            let bound = total as f64 * config.max_unproved_fraction;
             return (demand * config.headroom_ms as f64).min(bound) as u64;
         }
         let largest = config.largest_request_factor / 2.0 * self.demand.recent_max(now_ms);
@@ -127,12 +126,13 @@
     pub(super) fn is_headroom_low(
         &self,
         now_ms: u64,
+        total: u64,
         limit: u64,
         in_contact: bool,
         config: &ShareConfig,
     ) -> bool {
         let unspent = limit.saturating_sub(self.spent());
-        LOW_HEADROOM_DIVISOR * unspent < self.headroom(now_ms, in_contact, config)
+        LOW_HEADROOM_DIVISOR * unspent < self.headroom(now_ms, total, in_contact, config)
     }
 
     /// Returns all requests that the share did not cover since the last exchange.
@@ -163,9 +163,9 @@
     /// Returns whether an exchange is due: a request waits for it, or little is left that can be
     /// spent up to `limit`. An exchange covers all requests that it contains, unless nothing is left
     /// unallocated.
-    pub(super) fn is_due(&self, limit: u64) -> bool {
+    pub(super) fn is_due(&self, total: u64, limit: u64) -> bool {
         let is_low = LOW_WATER_DIVISOR * self.spendable(limit) < self.spendable_after_exchange;
-        let has_unallocated = self.others_granted + self.share.granted < self.total;
+        let has_unallocated = self.others_granted + self.share.granted < total;
         let is_waiting = self.all_unserved().largest > 0;
         has_unallocated && (is_waiting || is_low)
     }
@@ -181,12 +181,13 @@
     pub(super) fn is_unproved_part_too_large(
         &self,
         now_ms: u64,
+        total: u64,
         limit: u64,
         open_ms: u64,
         config: &ShareConfig,
     ) -> bool {
         let unproved = self.unproved(limit);
-        if unproved as f64 <= self.total as f64 * config.max_unproved_fraction {
+        if unproved as f64 <= total as f64 * config.max_unproved_fraction {
             return false;
         }
         let demand = self.demand.tokens_per_second(now_ms) / 1_000.0;
@@ -245,9 +246,9 @@
     }
 
     /// Returns the status for logs.
-    pub(super) fn account_status(&self, limit: u64) -> AccountStatus {
+    pub(super) fn account_status(&self, total: Option<u64>, limit: u64) -> AccountStatus {
         AccountStatus {
-            total: self.total,
+            total,
             granted: self.share.granted,
             spent: self.spent(),
             lost: self.lost,
--- a/wisteriapass_coord/src/prepaid/account_status.rs
+++ b/wisteriapass_coord/src/prepaid/account_status.rs
@@ -5,12 +5,13 @@
 /// Status of an account as one router knows it, in tokens, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(
-    "total={total} granted={granted} spent={spent} lost={lost} sealed={sealed} unproved={unproved} \
-          others_granted={others_granted} others_used={others_used} others_lost={others_lost}"
+    "total={} granted={granted} spent={spent} lost={lost} sealed={sealed} unproved={unproved} \
+          others_granted={others_granted} others_used={others_used} others_lost={others_lost}",
+    total.map_or_else(|| "unknown".to_owned(), |total| total.to_string())
 )]
 pub struct AccountStatus {
-    /// Total by the configuration in force.
-    pub total: u64,
+    /// Total by the configuration in force; `None` if it is not known.
+    pub total: Option<u64>,
     /// Share of this VM.
     pub granted: u64,
     /// Spent, lost or reserved part of the share.
--- a/wisteriapass_coord/src/prepaid/holder.rs
+++ b/wisteriapass_coord/src/prepaid/holder.rs
@@ -7,13 +7,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use crate::prepaid::account_share::AccountShare;
 use crate::prepaid::allocation_limits::AllocationLimits;
 use crate::prepaid::clock_check::ClockCheck;
 use crate::prepaid::witness_set::WitnessSet;
 use crate::prepaid::{
-    DomainId, HolderEntry, HolderId, ShareConfig, ShareRecord, Stamp, SuccessionProof, WitnessId,
+    DomainId, HolderEntry, HolderId, ShareConfig, ShareRecord, Stamp, SuccessionProof, Totals,
+    WitnessId,
 };
 
 /// Reasons why a reservation was not made.
@@ -34,6 +36,7 @@
     process: u64,
     writes: u64,
     config: ShareConfig,
+    totals: Rc<Totals>,
     accounts: BTreeMap<String, AccountShare>,
     /// Stamp of the last write that may have reached the store.
     last_sent: Option<Stamp>,
@@ -62,13 +65,21 @@
 }
 
 impl ShareHolder {
-    /// Creates a holder without shares; `process` is drawn at random when the process starts.
-    pub fn new(id: HolderId, process: u64, started: Stamp, config: ShareConfig) -> Self {
+    /// Creates a holder without shares of these totals; `process` is drawn at random when the process
+    /// starts.
+    pub fn new(
+        id: HolderId,
+        process: u64,
+        started: Stamp,
+        config: ShareConfig,
+        totals: Rc<Totals>,
+    ) -> Self {
         Self {
             id,
             process,
             writes: 0,
             config,
+            totals,
             accounts: BTreeMap::new(),
             last_sent: None,
             age_ms: 0,
@@ -122,10 +133,14 @@
         &self.id
     }
 
-    /// Sets the total of an account. A smaller total does not reduce the share.
-    pub fn set_total(&mut self, account: &str, total: u64) {
-        let account_share = self.accounts.entry(account.to_owned()).or_default();
-        account_share.total = total;
+    /// Replaces the totals. A smaller total does not reduce the share.
+    pub fn set_totals(&mut self, totals: Rc<Totals>) {
+        self.totals = totals;
+    }
+
+    /// Returns an account's total, in tokens; 0 if it is not known, as nothing is granted then.
+    fn total(&self, account: &str) -> u64 {
+        self.totals.of(account).unwrap_or_default()
     }
 
     /// Reserves the maximum cost of a request, in tokens.
@@ -188,7 +203,9 @@
 
     /// Returns whether an exchange is due: a request waits for it, or a share runs low.
     pub fn is_due(&self) -> bool {
-        let is_due = |(name, a): (&String, &AccountShare)| a.is_due(self.limit_with_receipts(name));
+        let is_due = |(name, a): (&String, &AccountShare)| {
+            a.is_due(self.total(name), self.limit_with_receipts(name))
+        };
         self.accounts.iter().any(is_due)
     }
 
@@ -207,6 +224,9 @@
         if agreed && now.since(self.started).is_some() {
             self.recover_sealed();
         }
+        for name in self.totals.accounts() {
+            self.accounts.entry(name.to_owned()).or_default();
+        }
         for (name, account_share) in &mut self.accounts {
             let mut share = next.share(name, &self.id);
             if !account_share.is_initialized || before.is_none_or(|e| e.process != self.process) {
@@ -225,7 +245,8 @@
                 share.wish = 0;
             }
             next.set_share(name, &self.id, share);
-            let limits = AllocationLimits::new(&next, name, account_share.total, &self.config);
+            let total = self.totals.of(name).unwrap_or_default();
+            let limits = AllocationLimits::new(&next, name, total, &self.config);
             let limits = limits.with_idle_share(!self.is_stopping);
             account_share.update_share(&self.config, &mut share, limits);
             next.set_share(name, &self.id, share);
--- a/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
+++ b/wisteriapass_coord/src/prepaid/holder/spend_limit.rs
@@ -83,7 +83,13 @@
         let is_bound = limit < account_share.limit_at_age(self.age_ms, &self.config);
         is_bound
             && self.witnesses.all_answer()
-            && account_share.is_headroom_low(now_ms, limit, self.in_contact(now), &self.config)
+            && account_share.is_headroom_low(
+                now_ms,
+                self.total(account),
+                limit,
+                self.in_contact(now),
+                &self.config,
+            )
     }
 
     /// Notes that a request waits for the receipts of witnesses; the next report covers it.
@@ -108,7 +114,7 @@
         let in_contact = self.in_contact(now);
         let accounts = self.accounts.iter().filter(|(_, a)| a.is_initialized);
         let limits = accounts.filter_map(|(name, a)| {
-            let limit = a.requested_limit(now_ms, in_contact, &self.config);
+            let limit = a.requested_limit(now_ms, self.total(name), in_contact, &self.config);
             let is_news = limit > a.open_limit.max(self.witnesses.least_limit(name));
             is_news.then(|| (name.clone(), limit))
         });
--- a/wisteriapass_coord/src/prepaid/holder/status.rs
+++ b/wisteriapass_coord/src/prepaid/holder/status.rs
@@ -22,7 +22,8 @@
         if self.is_awaiting_witnesses(account, max_cost) {
             return Err(ShareShortfall::AwaitsReceipts);
         }
-        if account_share.known_used().saturating_add(max_cost) > account_share.total {
+        let is_beyond = |total| account_share.known_used().saturating_add(max_cost) > total;
+        if self.totals.of(account).is_some_and(is_beyond) {
             return Err(ShareShortfall::Exhausted);
         }
         Err(ShareShortfall::Short)
@@ -46,7 +47,8 @@
             self.config.open_at_any_age_ms()
         };
         self.accounts.iter().any(|(name, a)| {
-            a.is_unproved_part_too_large(now_ms, self.spend_limit(name), open_ms, &self.config)
+            let (total, limit) = (self.total(name), self.spend_limit(name));
+            a.is_unproved_part_too_large(now_ms, total, limit, open_ms, &self.config)
         })
     }
 
@@ -64,20 +66,22 @@
     /// Returns the status of an account.
     pub fn account_status(&self, account: &str) -> AccountStatus {
         let account_share = self.accounts.get(account).copied().unwrap_or_default();
-        account_share.account_status(self.spend_limit(account))
+        account_share.account_status(self.totals.of(account), self.spend_limit(account))
     }
 
-    /// Returns how scarce an account's tokens are, by a record that was adopted.
-    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Scarcity {
+    /// Returns how scarce an account's tokens are, by a record that was adopted; `None` if its total is
+    /// not known.
+    pub fn scarcity(&self, account: &str, record: &ShareRecord) -> Option<Scarcity> {
+        let total = self.totals.of(account)?;
         let account_share = self.accounts.get(account).copied().unwrap_or_default();
         let lost = account_share.lost + account_share.others_lost;
         let used_or_lost = account_share.known_used() + lost;
         let wish = record.share(account, &self.id).wish as f64;
-        Scarcity {
-            total: account_share.total,
-            remaining: account_share.total.saturating_sub(used_or_lost),
+        Some(Scarcity {
+            total,
+            remaining: total.saturating_sub(used_or_lost),
             lost,
             demand_fraction: wish / record.total_wish(account).max(1) as f64,
-        }
+        })
     }
 }
--- a/wisteriapass_coord/tests/prepaid/main.rs
+++ b/wisteriapass_coord/tests/prepaid/main.rs
@@ -9,4 +9,5 @@
 mod requests_during_writes;
 mod shares;
 mod support;
+mod totals;
 mod witnesses;
--- a/wisteriapass_coord/tests/prepaid/requests_during_writes.rs
+++ b/wisteriapass_coord/tests/prepaid/requests_during_writes.rs
@@ -2,7 +2,7 @@
 
 use wisteriapass_coord::prepaid::{ShareRecord, ShareShortfall};
 
-use crate::support::{ACCOUNT, at, exchange, holder, reserve_with_exchange};
+use crate::support::{ACCOUNT, at, exchange, holder, reserve_with_exchange, totals};
 
 // A router that took the write for one that did not cover them refused them, and all others until the
 // next exchange, while most of the total was free.
@@ -39,7 +39,7 @@
     assert_eq!(h.reserve(10, ACCOUNT, 50), Err(ShareShortfall::Exhausted));
     let next = h.compose(20, at(20), &record);
     h.note_sent(at(20));
-    h.set_total(ACCOUNT, 1_000);
+    h.set_totals(totals(1_000));
     assert_eq!(h.reserve(30, ACCOUNT, 50), Err(ShareShortfall::Short));
     record = next;
     assert!(h.adopt(&record));
--- a/wisteriapass_coord/tests/prepaid/shares.rs
+++ b/wisteriapass_coord/tests/prepaid/shares.rs
@@ -7,7 +7,7 @@
 
 use crate::support::{
     ACCOUNT, CONFIGS, FULLY_OPEN_MS, SHARE_CONFIG, at, exchange, holder, holder_at, holder_with,
-    reserve_with_exchange, varied_holder,
+    no_totals, reserve_with_exchange, totals, varied_holder,
 };
 
 #[test]
@@ -70,7 +70,7 @@
     let mut h = holder("a", 1, 10);
     assert_eq!(reserve_with_exchange(&mut h, 0, 10, &mut record), Ok(()));
     assert!(reserve_with_exchange(&mut h, 0, 10, &mut record).is_err());
-    h.set_total(ACCOUNT, 20);
+    h.set_totals(totals(20));
     assert_eq!(reserve_with_exchange(&mut h, 1, 10, &mut record), Ok(()));
 }
 
@@ -393,9 +393,9 @@
     );
     before.settle(ACCOUNT, 100, 100);
     let id = HolderId("a".into());
-    let mut after = ShareHolder::new(id, 2, at(5_000), SHARE_CONFIG);
+    let mut after = ShareHolder::new(id, 2, at(5_000), SHARE_CONFIG, no_totals());
     exchange(&mut after, 5_000, &mut record);
-    after.set_total(ACCOUNT, 100);
+    after.set_totals(totals(100));
     exchange(&mut after, 5_100, &mut record);
     assert!(reserve_with_exchange(&mut after, 5_200, 10, &mut record).is_err());
 }
@@ -409,10 +409,11 @@
         Ok(())
     );
     before.settle(ACCOUNT, 100, 100);
-    let mut after = ShareHolder::new(HolderId("a".into()), 2, at(5_000), SHARE_CONFIG);
+    let id = HolderId("a".into());
+    let mut after = ShareHolder::new(id, 2, at(5_000), SHARE_CONFIG, no_totals());
     let next = after.compose(5_000, at(5_000), &record);
     after.note_sent(at(5_000));
-    after.set_total(ACCOUNT, 100);
+    after.set_totals(totals(100));
     after.adopt(&next);
     assert!(after.reserve(5_100, ACCOUNT, 10).is_err());
 }
@@ -524,7 +525,7 @@
             }
             Step::TopUp => {
                 total += 500;
-                h.set_total(ACCOUNT, total);
+                h.set_totals(totals(total));
             }
         }
         if let Some(at) = late.iter().position(|(rev, _)| *rev == record.0) {
--- a/wisteriapass_coord/tests/prepaid/support.rs
+++ b/wisteriapass_coord/tests/prepaid/support.rs
@@ -1,7 +1,9 @@
 //! Share holders, and their exchanges with the record.
 
+use std::rc::Rc;
+
 use wisteriapass_coord::prepaid::{
-    HolderId, Opening, ShareConfig, ShareHolder, ShareRecord, ShareShortfall, Stamp,
+    HolderId, Opening, ShareConfig, ShareHolder, ShareRecord, ShareShortfall, Stamp, Totals,
 };
 
 /// Configuration of all shares.
@@ -84,9 +86,18 @@
     total: u64,
     started: Stamp,
 ) -> ShareHolder {
-    let mut holder = ShareHolder::new(HolderId(name.into()), process, started, config);
-    holder.set_total(ACCOUNT, total);
-    holder
+    let id = HolderId(name.into());
+    ShareHolder::new(id, process, started, config, totals(total))
+}
+
+/// Returns totals with one for the account.
+pub fn totals(total: u64) -> Rc<Totals> {
+    Rc::new(Totals::new(1, [(ACCOUNT, total)]))
+}
+
+/// Returns totals before a configuration is known.
+pub fn no_totals() -> Rc<Totals> {
+    Rc::default()
 }
 
 /// Writes the holder's next state, and tells the holder that the write took effect.
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -13,6 +13,7 @@
 mod regions;
 mod relays;
 mod rest;
+mod retired_relays;
 mod rotation;
 mod slow_links;
 mod speeds;
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -72,6 +72,15 @@
         router
     }
 
+    /// Starts a router in a failure domain, and waits until it is ready.
+    pub fn start_in_domain(name: &str, store: SocketAddr, domain: &'static str) -> Self {
+        let mut router = Self::new_with_store(name, store);
+        router.domain = domain;
+        router.spawn();
+        assert!(router.becomes_ready(), "router {name} ended");
+        router
+    }
+
     /// Configures a router without starting it.
     pub fn new(name: &str, store: &SimulatedStore) -> Self {
         Self::new_with_store(name, store.addr())
--- a/wisteriapass_gateway/src/ledger.rs
+++ b/wisteriapass_gateway/src/ledger.rs
@@ -5,6 +5,7 @@
 mod combined_write;
 mod credit;
 mod grants;
+mod incarnation;
 mod live_writers;
 mod loans;
 mod money_check;
@@ -24,16 +25,14 @@
 use smallvec::SmallVec;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
-use twox_hash::XxHash64;
 use wisteriapass_coord::prepaid::{
-    Credit, DomainId, GrantLedger, HolderId, Rationing, ShareRecord, TokenRequest, WitnessMemory,
+    Credit, DomainId, HolderId, Rationing, ShareRecord, TokenRequest, Totals,
 };
 use wisteriapass_coord::relay::{RelayInfo, RelayRetirement, Roster};
 use wisteriapass_policy::placement::hash_name;
 
-use self::account_group::AccountGroup;
+use self::incarnation::Incarnation;
 use self::live_writers::LiveWriters;
-use self::share_sizes::new_holder;
 use crate::catalogue::{Account, Catalogue};
 use crate::clock::Clock;
 use crate::gateway::Gateway;
@@ -52,10 +51,6 @@
 pub use token_source::TokenSource;
 pub use witness_reports::{INQUIRY_PATH, REPORT_PATH};
 
-/// Number of store records over which accounts are spread. Each record costs one store call per
-/// share exchange, and holds a few hundred accounts of a few tens of routers.
-const RECORD_COUNT: u32 = 1;
-
 /// Longest time, counted from the start of the process, that a request waits for the first share,
 /// in milliseconds. The first share arrives within this time, with the second exchange if the first
 /// one ran before a configuration was known, unless the router is cut off from the store.
@@ -65,21 +60,20 @@
 pub struct TokenLedger {
     clock: Clock,
     role: Cell<Role>,
-    groups: Vec<AccountGroup>,
+    /// The incarnation in force.
+    incarnation: RefCell<Rc<Incarnation>>,
     /// End of the time for which requests wait for the first exchange.
     first_share_until: Instant,
     /// Number of relays with a recent write, including this router if it is a relay.
     live_relays: Cell<usize>,
     /// Number of routers in the fleet.
     router_count: Cell<usize>,
-    /// Version of the configuration that the totals come from.
-    totals_version: Cell<u64>,
+    /// Prepaid totals of the configuration in force.
+    totals: RefCell<Rc<Totals>>,
+    /// Whether this process takes no new requests.
+    is_stopping: Cell<bool>,
     /// Relays that wrote of late.
     live_writers: RefCell<LiveWriters>,
-    /// Reports of other relays, for which this relay is a witness.
-    witness_memory: RefCell<WitnessMemory>,
-    /// Tokens that this relay granted to followers.
-    grants: RefCell<GrantLedger>,
     /// Refuses less urgent requests of accounts that lost tokens.
     rationing: RefCell<Rationing>,
     /// Tokens that relays granted to this router.
@@ -95,23 +89,20 @@
 impl TokenLedger {
     /// Creates a ledger without shares.
     pub fn new(clock: Clock, settings: &GatewaySettings, rpc: Rc<RpcClient>) -> Self {
-        let process = rand::random();
         let id = HolderId(settings.name.clone());
         let domain = DomainId::new(&settings.failure_domain);
-        let holder = || new_holder(clock, settings, process);
+        let totals = Rc::default();
+        let incarnation = Incarnation::new(clock, settings, &totals);
         Self {
             clock,
             role: Cell::new(Role::Follower),
-            groups: (0..RECORD_COUNT)
-                .map(|_| AccountGroup::new(holder()))
-                .collect(),
+            incarnation: RefCell::new(Rc::new(incarnation)),
             first_share_until: Instant::now() + Duration::from_millis(FIRST_SHARE_MS),
             live_relays: Cell::new(1),
             router_count: Cell::new(1),
-            totals_version: Cell::new(0),
+            totals: RefCell::new(totals),
+            is_stopping: Cell::new(false),
             live_writers: RefCell::default(),
-            witness_memory: RefCell::new(WitnessMemory::new(process)),
-            grants: RefCell::new(GrantLedger::new(process)),
             rationing: RefCell::default(),
             credit: RefCell::new(Credit::new(id.clone())),
             roster: RefCell::new(Roster::new(id, domain)),
@@ -123,7 +114,7 @@
     /// Until then the predecessor may have spent, and what it can have spent grows with time.
     pub fn note_listening(&self) {
         let stamp = self.clock.stamp();
-        for group in &self.groups {
+        for group in &self.incarnation().groups {
             group.holder.borrow_mut().set_started(stamp);
         }
     }
@@ -151,22 +142,36 @@
 
     /// Returns the holder id of this router.
     pub fn id(&self) -> HolderId {
-        self.groups[0].holder.borrow().id().clone()
+        self.incarnation().groups[0].holder.borrow().id().clone()
     }
 
     /// Applies the prepaid totals of a configuration.
     pub fn set_totals(&self, catalogue: &Catalogue) {
-        for account in catalogue.accounts() {
-            let Some(total) = account.prepaid else {
-                continue;
-            };
-            let group = self.group(&account.name);
-            group.holder.borrow_mut().set_total(&account.name, total);
+        let prepaid = catalogue.accounts().filter_map(|account| {
+            let total = account.prepaid?;
+            Some((account.name.as_str(), total))
+        });
+        let next = Rc::new(self.totals.borrow().updated(catalogue.version, prepaid));
+        self.totals.replace(next.clone());
+        let incarnation = self.incarnation();
+        for group in &incarnation.groups {
+            group.holder.borrow_mut().set_totals(next.clone());
+        }
+        incarnation.request_exchanges();
+    }
+
+    /// Returns the incarnation in force.
+    fn incarnation(&self) -> Rc<Incarnation> {
+        self.incarnation.borrow().clone()
+    }
+
+    /// Begins an incarnation without shares, after those of the one before were returned.
+    pub(crate) fn begin_incarnation(&self, settings: &GatewaySettings) {
+        let next = Incarnation::new(self.clock, settings, &self.totals.borrow());
+        if self.is_stopping.get() {
+            next.set_stopping();
         }
-        self.totals_version.set(catalogue.version);
-        self.groups
-            .iter()
-            .for_each(|g| g.exchange_needed.notify_one());
+        self.incarnation.replace(Rc::new(next));
     }
 
     /// Returns the number of routers in the fleet, including this one.
@@ -229,10 +234,12 @@
     ) -> Result<TokenSource, Refusal> {
         match self.role.get() {
             Role::Relay if self.is_rationed(request) => Err(Refusal::Saved),
-            Role::Relay => self
-                .reserve_share(request.account, request.max_cost, deadline)
-                .await
-                .map(|()| TokenSource::Share),
+            Role::Relay => {
+                let incarnation = self.incarnation();
+                self.reserve_share(&incarnation, request.account, request.max_cost, deadline)
+                    .await
+                    .map(|()| TokenSource::Share(incarnation))
+            }
             Role::Follower | Role::Retiring => {
                 let until = deadline.unwrap_or(self.first_share_until);
                 self.reserve_credit(request, until)
@@ -259,7 +266,8 @@
             );
             return;
         }
-        let group = self.group(account);
+        let incarnation = self.incarnation();
+        let group = incarnation.group(account);
         log::info!(
             target: "money",
             "Share short. request={id} account={account} most={max_cost} {} in_touch={}",
@@ -269,27 +277,16 @@
     }
 
     /// Replaces a reservation by the actual cost.
-    pub fn settle(&self, source: TokenSource, account: &str, max_cost: u64, used: u64) {
+    pub fn settle(&self, source: &TokenSource, account: &str, max_cost: u64, used: u64) {
         match source {
-            TokenSource::Share => self.settle_share(account, max_cost, used),
+            TokenSource::Share(incarnation) => incarnation.settle(account, max_cost, used),
             TokenSource::Credit(line) => {
                 let mut credit = self.credit.borrow_mut();
-                credit.settle(line, account, max_cost, used);
+                credit.settle(*line, account, max_cost, used);
             }
         }
     }
 
-    fn settle_share(&self, account: &str, max_cost: u64, used: u64) {
-        let group = self.group(account);
-        group.holder.borrow_mut().settle(account, max_cost, used);
-        group.request_exchange_if_due(self.clock.now_ms());
-    }
-
-    fn group(&self, account: &str) -> &AccountGroup {
-        let hash = XxHash64::oneshot(0, account.as_bytes());
-        &self.groups[(hash % u64::from(RECORD_COUNT)) as usize]
-    }
-
     /// Counts the relays with a recent write, and the routers of the fleet.
     fn count_live_routers(&self, record: &ShareRecord) {
         self.live_writers.borrow_mut().record(record);
@@ -319,12 +316,13 @@
 
     /// Returns the relays in the record of the last exchange.
     pub(crate) fn relays(&self) -> Vec<RelayInfo> {
-        self.relays_in(&self.groups[0].record.borrow())
+        self.relays_in(&self.incarnation().groups[0].record.borrow())
     }
 
     /// Returns whether a relay is on a strong VM, according to the record of the last exchange.
     pub(crate) fn is_strong_relay(&self, id: &HolderId) -> bool {
-        let entry = self.groups[0].record.borrow().holder_entry(id);
+        let incarnation = self.incarnation();
+        let entry = incarnation.groups[0].record.borrow().holder_entry(id);
         entry.is_some_and(|entry| entry.is_strong)
     }
 
@@ -334,7 +332,8 @@
         if self.role.get() != Role::Relay {
             return SmallVec::new();
         }
-        let record = self.groups[0].record.borrow();
+        let incarnation = self.incarnation();
+        let record = incarnation.groups[0].record.borrow();
         let relays = record
             .holder_entries()
             .filter(|(_, entry)| entry.lends_at.is_some());
@@ -351,25 +350,16 @@
     /// Waits until no reservation or grant uses this router's own shares, at most until a deadline.
     pub(crate) async fn wait_until_idle(&self, until: Instant) {
         self.wait_for_grants(until).await;
-        while !self.groups.iter().all(AccountGroup::is_idle) && Instant::now() < until {
+        while !self.incarnation().is_idle() && Instant::now() < until {
             sleep(Duration::from_millis(POLL_MS)).await;
         }
     }
 
-    /// Resets the ledger to a new process identity without shares, after the shares were returned.
-    pub(crate) fn reset_share(&self, settings: &GatewaySettings) {
-        let process = rand::random();
-        for group in &self.groups {
-            group.reset(new_holder(self.clock, settings, process));
-        }
-        self.grants.replace(GrantLedger::new(process));
-        self.witness_memory.replace(WitnessMemory::new(process));
-    }
-
     /// Returns whether this relay is surplus and has to retire, according to the record of the last
     /// exchange.
     pub(crate) fn is_surplus(&self, retirement: &mut RelayRetirement) -> bool {
-        let group = &self.groups[0];
+        let incarnation = self.incarnation();
+        let group = &incarnation.groups[0];
         let record = group.record.borrow();
         let me = self.id();
         let Some(mine) = record.holder_entry(&me).filter(|_| group.in_contact.get()) else {
--- a/wisteriapass_gateway/src/ledger/account_group.rs
+++ b/wisteriapass_gateway/src/ledger/account_group.rs
@@ -94,18 +94,6 @@
         }
     }
 
-    /// Resets the group to a holder without shares.
-    pub(super) fn reset(&self, holder: ShareHolder) {
-        self.holder.replace(holder);
-        self.in_contact.set(false);
-        self.inquired_process.set(None);
-        self.logged_losses.set(None);
-        self.confirmed_at_pause_end.set(self.confirmed_at.get());
-        self.is_writing.set(false);
-        self.carried.replace(None);
-        self.is_outcome_unknown.set(false);
-    }
-
     /// Returns whether no request in progress uses the shares.
     pub(super) fn is_idle(&self) -> bool {
         self.holder.borrow().is_idle()
--- a/wisteriapass_gateway/src/ledger/combined_write.rs
+++ b/wisteriapass_gateway/src/ledger/combined_write.rs
@@ -160,7 +160,8 @@
     }
 
     fn compose_for(&self, call: &ComposeCall) -> Option<ShareRecord> {
-        let group = &self.groups[0];
+        let incarnation = self.incarnation();
+        let group = &incarnation.groups[0];
         let is_free = !group.is_writing.get() && group.carried.borrow().is_none();
         if self.role() != Role::Relay || !is_free || group.is_outcome_unknown.get() {
             return None;
@@ -187,7 +188,8 @@
     /// Handles the outcome of another relay's write that contains this relay's share.
     pub(crate) fn handle_outcome(&self, message: &[u8]) -> Option<Vec<u8>> {
         let call: OutcomeCall = postcard::from_bytes(message).ok()?;
-        let group = &self.groups[0];
+        let incarnation = self.incarnation();
+        let group = &incarnation.groups[0];
         let is_same_write = |c: &CarriedShare| c.write == call.write;
         let carried = group.carried.borrow_mut().take_if(|c| is_same_write(c));
         if let Some(carried) = carried {
--- a/wisteriapass_gateway/src/ledger/credit.rs
+++ b/wisteriapass_gateway/src/ledger/credit.rs
@@ -143,7 +143,9 @@
     /// know all totals, so its denial is not final.
     fn refusal_for(&self, denial: Denial, version: u64) -> Refusal {
         match denial {
-            Denial::Exhausted if version >= self.totals_version.get() => Refusal::BudgetExhausted,
+            Denial::Exhausted if version >= self.totals.borrow().version() => {
+                Refusal::BudgetExhausted
+            }
             Denial::Exhausted => no_relay_refusal(),
             Denial::Short { retry_after_ms } => Refusal::ShareShort { retry_after_ms },
             Denial::Rationed => Refusal::Saved,
--- a/wisteriapass_gateway/src/ledger/grants.rs
+++ b/wisteriapass_gateway/src/ledger/grants.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 use wisteriapass_coord::prepaid::{
-    AccountUsage, CreditLineId, GrantAnswer, GrantCall, Settlement, TokenRequest,
+    AccountUsage, CreditLineId, GrantAnswer, GrantCall, TokenRequest,
 };
 
+use super::incarnation::Incarnation;
 use super::{Role, TokenLedger};
 use crate::refusal::Refusal;
 
@@ -52,7 +53,7 @@
 /// Tokens that are being reserved for a follower. Dropping it ends the attempt, and releases tokens
 /// that were reserved but can no longer be granted.
 struct PendingGrant<'a> {
-    ledger: &'a TokenLedger,
+    incarnation: &'a Incarnation,
     line: &'a CreditLineId,
     account: &'a str,
     tokens: u64,
@@ -61,34 +62,38 @@
 
 impl Drop for PendingGrant<'_> {
     fn drop(&mut self) {
-        let mut grants = self.ledger.grants.borrow_mut();
+        let mut grants = self.incarnation.grants.borrow_mut();
         let is_granted = grants.end_grant(self.line, self.account, self.tokens, self.is_reserved);
         drop(grants);
         if self.is_reserved && !is_granted {
-            self.ledger.settle_share(self.account, self.tokens, 0);
+            self.incarnation.settle(self.account, self.tokens, 0);
         }
     }
 }
 
 impl TokenLedger {
     /// Applies a follower's report and grants what it requests, as far as the share allows.
-    pub(crate) async fn grant(self: &Rc<Self>, call: &CreditCall, version: u64) -> CreditAnswer {
+    pub(crate) async fn grant(&self, call: &CreditCall) -> CreditAnswer {
         let request = call.request;
         let call = &call.grant;
-        let settlements = self
-            .grants
-            .borrow_mut()
-            .apply_call(self.clock.now_ms(), call);
-        self.settle_all(settlements);
+        let incarnation = self.incarnation();
+        // Totals that come while this waits are newer, and a denial by them is final as well.
+        let version = self.totals.borrow().version();
+        let now_ms = self.clock.now_ms();
+        let settlements = incarnation.grants.borrow_mut().apply_call(now_ms, call);
+        incarnation.settle_all(settlements);
         let mut denial = None;
         for usage in &call.accounts {
             denial = match request {
                 Some(request) if self.is_usage_rationed(usage, request) => Some(Denial::Rationed),
-                _ => self.grant_account(call, usage).await.err().or(denial),
+                _ => {
+                    let granted = self.grant_account(&incarnation, call, usage).await;
+                    granted.err().or(denial)
+                }
             };
         }
         CreditAnswer {
-            grants: self.grants.borrow().answer(call),
+            grants: incarnation.grants.borrow().answer(call),
             denial,
             version,
         }
@@ -106,37 +111,40 @@
     }
 
     async fn grant_account(
-        self: &Rc<Self>,
+        &self,
+        incarnation: &Incarnation,
         call: &GrantCall,
         usage: &AccountUsage,
     ) -> Result<(), Denial> {
         if self.role() != Role::Relay {
             return Err(Denial::Short { retry_after_ms: 0 });
         }
-        let tokens = self.grants.borrow_mut().begin_grant(call, usage);
+        let tokens = incarnation.grants.borrow_mut().begin_grant(call, usage);
         if tokens == 0 {
             return Ok(());
         }
         let mut pending = PendingGrant {
-            ledger: self,
+            incarnation,
             line: &call.line,
             account: &usage.name,
             tokens,
             is_reserved: false,
         };
-        match self.reserve_share(&usage.name, tokens, None).await {
+        let reserving = self.reserve_share(incarnation, &usage.name, tokens, None);
+        match reserving.await {
             Ok(()) => {
                 pending.is_reserved = true;
                 Ok(())
             }
             Err(refusal) => {
+                let group = incarnation.group(&usage.name);
                 log::info!(
                     target: "money",
                     "Not granted. follower={} account={} tokens={tokens} {} in_touch={}",
                     call.line.follower,
                     usage.name,
-                    self.group(&usage.name).account_status(&usage.name),
-                    self.group(&usage.name).in_contact.get()
+                    group.account_status(&usage.name),
+                    group.in_contact.get()
                 );
                 Err(denial_for(refusal))
             }
@@ -148,7 +156,8 @@
         loop {
             sleep(Duration::from_millis(POLL_MS)).await;
             let now_ms = self.clock.now_ms();
-            let closed = self.grants.borrow_mut().close_silent_lines(now_ms);
+            let incarnation = self.incarnation();
+            let closed = incarnation.grants.borrow_mut().close_silent_lines(now_ms);
             for settlement in &closed {
                 let (account, tokens) = (&settlement.account, settlement.reserved);
                 log::info!(
@@ -156,27 +165,24 @@
                     "Credit line of a silent follower closed. account={account} tokens={tokens}"
                 );
             }
-            self.settle_all(closed);
+            incarnation.settle_all(closed);
         }
     }
 
     /// Returns the number of followers that called recently.
     pub(crate) fn followers(&self) -> usize {
-        self.grants.borrow().live_followers(self.clock.now_ms())
+        let incarnation = self.incarnation();
+        let grants = incarnation.grants.borrow();
+        grants.live_followers(self.clock.now_ms())
     }
 
     /// Waits until no grant is open, at most until a deadline.
     pub(super) async fn wait_for_grants(&self, until: Instant) {
-        while self.grants.borrow().outstanding() > 0 && Instant::now() < until {
+        let incarnation = self.incarnation();
+        while incarnation.grants.borrow().outstanding() > 0 && Instant::now() < until {
             sleep(Duration::from_millis(POLL_MS / 20)).await;
         }
     }
-
-    fn settle_all(&self, settlements: Vec<Settlement>) {
-        for s in settlements {
-            self.settle_share(&s.account, s.reserved, s.used);
-        }
-    }
 }
 
 fn denial_for(refusal: Refusal) -> Denial {
--- a/wisteriapass_gateway/src/ledger/loans.rs
+++ b/wisteriapass_gateway/src/ledger/loans.rs
@@ -148,7 +148,8 @@
     /// Waits until the witnesses acknowledge a loan that this relay's share covers.
     async fn wait_for_receipts(&self, request: &LoanRequest) {
         let (account, tokens) = (request.account.as_str(), request.min_tokens);
-        let group = self.group(account);
+        let incarnation = self.incarnation();
+        let group = incarnation.group(account);
         let until = Instant::now() + Duration::from_millis(RECEIPT_WAIT_MS);
         let awaits = || {
             group
@@ -164,7 +165,8 @@
     }
 
     fn lend(&self, request: &LoanRequest) -> LoanAnswer {
-        let group = self.group(&request.account);
+        let incarnation = self.incarnation();
+        let group = incarnation.group(&request.account);
         let mut holder = group.holder.borrow_mut();
         let tokens = holder.lend(&request.account, request.ask, request.min_tokens);
         let rest = request.ask.saturating_sub(tokens);
--- a/wisteriapass_gateway/src/ledger/money_check.rs
+++ b/wisteriapass_gateway/src/ledger/money_check.rs
@@ -69,7 +69,8 @@
         let TokenRequest {
             account, max_cost, ..
         } = request;
-        let group = self.group(account);
+        let incarnation = self.incarnation();
+        let group = incarnation.group(account);
         let status = group.account_status(account);
         let probability = self.refusal_probability(request);
         let short = group.shortfall_refusal(account, max_cost);
--- a/wisteriapass_gateway/src/ledger/rationing.rs
+++ b/wisteriapass_gateway/src/ledger/rationing.rs
@@ -8,7 +8,9 @@
 impl TokenLedger {
     /// Returns whether a request is refused in favor of more urgent requests of its account.
     pub(super) fn is_rationed(&self, request: TokenRequest<'_>) -> bool {
-        let scarcity = self.scarcity(request.account);
+        let Some(scarcity) = self.scarcity(request.account) else {
+            return false;
+        };
         let mut rationing = self.rationing.borrow_mut();
         rationing.should_refuse(self.clock.now_ms(), request, scarcity, rand::random())
     }
@@ -16,14 +18,18 @@
     /// Returns the probability with which a request is refused in favor of more urgent ones, without
     /// measuring it.
     pub(super) fn refusal_probability(&self, request: TokenRequest<'_>) -> f64 {
-        let scarcity = self.scarcity(request.account);
+        let Some(scarcity) = self.scarcity(request.account) else {
+            return 0.0;
+        };
         let rationing = self.rationing.borrow();
         rationing.refusal_probability(self.clock.now_ms(), request, scarcity)
     }
 
-    /// Returns how scarce an account's tokens are, by the record of the last exchange.
-    fn scarcity(&self, account: &str) -> Scarcity {
-        let group = self.group(account);
+    /// Returns how scarce an account's tokens are, by the record of the last exchange; `None` if its
+    /// total is not known.
+    fn scarcity(&self, account: &str) -> Option<Scarcity> {
+        let incarnation = self.incarnation();
+        let group = incarnation.group(account);
         let record = group.record.borrow();
         group.holder.borrow().scarcity(account, &record)
     }
--- a/wisteriapass_gateway/src/ledger/reserve_share.rs
+++ b/wisteriapass_gateway/src/ledger/reserve_share.rs
@@ -3,7 +3,6 @@
 //! A request that the share does not cover waits for what can cover it: the receipts of witnesses,
 //! the next exchange, or a loan of another relay.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
@@ -11,6 +10,7 @@
 
 use super::TokenLedger;
 use super::account_group::AccountGroup;
+use super::incarnation::Incarnation;
 use super::receipt_wait::ReceiptWait;
 use crate::refusal::Refusal;
 
@@ -36,12 +36,13 @@
 impl TokenLedger {
     /// Reserves tokens of this router's own share, after an exchange or a loan if necessary.
     pub(super) async fn reserve_share(
-        self: &Rc<Self>,
+        &self,
+        incarnation: &Incarnation,
         account: &str,
         max_cost: u64,
         deadline: Option<Instant>,
     ) -> Result<(), Refusal> {
-        let group = self.group(account);
+        let group = incarnation.group(account);
         let waits = self.waits(group, account, deadline);
         let mut receipt_wait = None;
         let mut is_miss_recorded = false;
--- a/wisteriapass_gateway/src/ledger/share_exchange.rs
+++ b/wisteriapass_gateway/src/ledger/share_exchange.rs
@@ -8,7 +8,8 @@
 
 use super::account_group::AccountGroup;
 use super::combined_write::WriteOutcome;
-use super::{RECORD_COUNT, Role, TokenLedger};
+use super::incarnation::RECORD_COUNT;
+use super::{Role, TokenLedger};
 use crate::gateway::Gateway;
 use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{RecordKey, StoreError, SwapOutcome, VersionedRecord};
@@ -44,7 +45,8 @@
         index: u32,
         mut known: KnownRecord,
     ) {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         loop {
             known = match known {
                 KnownRecord::Unknown => self.read_and_apply(&gw, index).await,
@@ -72,7 +74,8 @@
 
     /// Sets the gauges of the tokens that this router holds in all records.
     fn measure_outstanding(&self, gw: &Gateway) {
-        let all = self.groups.iter();
+        let incarnation = self.incarnation();
+        let all = incarnation.groups.iter();
         let all = all.map(|group| group.holder.borrow().outstanding());
         let sum = all.fold(Outstanding::default(), Outstanding::plus);
         gw.metrics.set_outstanding(sum);
@@ -80,7 +83,7 @@
 
     /// Returns the initial state of all records, of which nothing is known.
     pub fn unknown_records(&self) -> Vec<KnownRecord> {
-        self.groups.iter().map(|_| KnownRecord::Unknown).collect()
+        (0..RECORD_COUNT).map(|_| KnownRecord::Unknown).collect()
     }
 
     /// Reads the record that lists the relays; returns `None` if the store does not answer.
@@ -100,7 +103,8 @@
     ) -> Option<Vec<KnownRecord>> {
         let mut all = Vec::new();
         for index in 0..RECORD_COUNT {
-            let group = &self.groups[index as usize];
+            let incarnation = self.incarnation();
+            let group = incarnation.record_group(index);
             let mut known = self.load(gw, index).await;
             while let KnownRecord::Current(revision, record) = known {
                 if index == 0 && !is_wanted(&record) {
@@ -119,17 +123,14 @@
     /// Has what this router spent written soon, when it begins to stop: it may be killed before it
     /// stopped in order.
     pub fn write_soon(&self) {
-        self.groups
-            .iter()
-            .for_each(|g| g.exchange_needed.notify_one());
+        self.incarnation().request_exchanges();
     }
 
     /// Returns credit and, with each exchange, what no request in progress needs; waits until none
     /// does, at most until a deadline.
     pub async fn release_unspent(&self, until: Instant) {
-        for group in &self.groups {
-            group.holder.borrow_mut().set_stopping();
-        }
+        self.is_stopping.set(true);
+        self.incarnation().set_stopping();
         self.write_soon();
         self.return_credit(until).await;
         if self.role() == Role::Relay {
@@ -152,16 +153,15 @@
 
     /// Tries once to return the tokens of one record; returns whether nothing is left to return.
     async fn try_return_shares(&self, gw: &Gateway, index: u32) -> bool {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         self.wait_for_combined_write(group).await;
         group.is_writing.set(true);
         let KnownRecord::Current(revision, record) = self.read_and_apply(gw, index).await else {
             return false;
         };
-        let holder = &self.groups[index as usize].holder;
-        let next = holder
-            .borrow_mut()
-            .return_unspent(self.clock.stamp(), &record);
+        let stamp = self.clock.stamp();
+        let next = group.holder.borrow_mut().return_unspent(stamp, &record);
         let Some(next) = next else {
             return true;
         };
@@ -175,13 +175,14 @@
     async fn read_and_apply(&self, gw: &Gateway, index: u32) -> KnownRecord {
         let known = self.load(gw, index).await;
         if let KnownRecord::Current(_, record) = &known {
-            self.apply_record(&self.groups[index as usize], index, record);
+            self.apply_record(self.incarnation().record_group(index), index, record);
         }
         known
     }
 
     async fn load(&self, gw: &Gateway, index: u32) -> KnownRecord {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         let loaded = gw.platform.load(RecordKey::Shares(index)).await;
         let outcome = loaded.as_ref().err().map(StoreOutcome::of);
         let outcome = outcome.unwrap_or(StoreOutcome::Answered);
@@ -214,7 +215,8 @@
         revision: u64,
         record: ShareRecord,
     ) -> KnownRecord {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         self.inquire(group, &record).await;
         self.wait_for_combined_write(group).await;
         if group.is_outcome_unknown.take() {
@@ -264,7 +266,8 @@
         next: ShareRecord,
         previous_stamp: Option<Stamp>,
     ) -> KnownRecord {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         let outcome = match &swapped {
             Ok(SwapOutcome::Done(_)) => StoreOutcome::Answered,
             Ok(SwapOutcome::Conflict(_)) => StoreOutcome::Conflict,
--- a/wisteriapass_gateway/src/ledger/share_sizes.rs
+++ b/wisteriapass_gateway/src/ledger/share_sizes.rs
@@ -1,6 +1,8 @@
 //! How large this router's shares are, and when their sealed parts open.
 
-use wisteriapass_coord::prepaid::{DomainId, HolderId, Opening, ShareConfig, ShareHolder};
+use std::rc::Rc;
+
+use wisteriapass_coord::prepaid::{DomainId, HolderId, Opening, ShareConfig, ShareHolder, Totals};
 
 use crate::clock::Clock;
 use crate::settings::GatewaySettings;
@@ -69,8 +71,13 @@
 const INITIAL_PERMILLE: u32 =
     (1_000 * WITNESSED_DEMAND_MS / (WITNESSED_DEMAND_MS + SEALED_DEMAND_MS)) as u32;
 
-/// Creates the holder of a process without shares.
-pub(super) fn new_holder(clock: Clock, settings: &GatewaySettings, process: u64) -> ShareHolder {
+/// Creates the holder of a process without shares of these totals.
+pub(super) fn new_holder(
+    clock: Clock,
+    settings: &GatewaySettings,
+    process: u64,
+    totals: Rc<Totals>,
+) -> ShareHolder {
     let config = ShareConfig {
         open_demand_ms: FREE_DEMAND_MS,
         sealed_demand_ms: WITNESSED_DEMAND_MS + SEALED_DEMAND_MS,
@@ -89,7 +96,7 @@
         idle_fraction: IDLE_FRACTION,
     };
     let id = HolderId(settings.name.clone());
-    ShareHolder::new(id, process, clock.stamp(), config)
+    ShareHolder::new(id, process, clock.stamp(), config, totals)
         .with_lending_address(settings.peer_listen)
         .with_placement(
             DomainId::new(&settings.failure_domain),
--- a/wisteriapass_gateway/src/ledger/witness_reports.rs
+++ b/wisteriapass_gateway/src/ledger/witness_reports.rs
@@ -44,7 +44,8 @@
 impl TokenLedger {
     /// Reports to this relay's witnesses; never returns.
     pub async fn run_witness_reports(self: Rc<Self>, index: u32) {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         loop {
             let next = Instant::now() + Duration::from_millis(REPORT_INTERVAL_MS);
             let _ = timeout_at(next, group.report_due.notified()).await;
@@ -58,7 +59,8 @@
     /// Looks for witnesses while there are too few, and for dead ones; never returns. Apart from the reports, because
     /// requests wait for these, and an address at which nobody answers takes a timeout.
     pub async fn run_witness_search(self: Rc<Self>, index: u32) {
-        let group = &self.groups[index as usize];
+        let incarnation = self.incarnation();
+        let group = incarnation.record_group(index);
         loop {
             self.find_witness(group).await;
             self.probe_silent(group).await;
@@ -167,26 +169,18 @@
     pub(crate) fn handle_report(&self, message: &[u8]) -> Option<Vec<u8>> {
         let report = postcard::from_bytes(message).ok()?;
         let now_ms = self.clock.stamp().since_boot;
-        postcard::to_stdvec(
-            &self
-                .witness_memory
-                .borrow_mut()
-                .record_report(now_ms, report),
-        )
-        .ok()
+        let incarnation = self.incarnation();
+        let mut memory = incarnation.witness_memory.borrow_mut();
+        postcard::to_stdvec(&memory.record_report(now_ms, report)).ok()
     }
 
     /// Handles an inquiry by the successor of a relay that reported to this witness.
     pub(crate) fn handle_inquiry(&self, message: &[u8]) -> Option<Vec<u8>> {
         let inquiry: Inquiry = postcard::from_bytes(message).ok()?;
         let now_ms = self.clock.stamp().since_boot;
-        postcard::to_stdvec(
-            &self
-                .witness_memory
-                .borrow()
-                .answer_inquiry(now_ms, &inquiry),
-        )
-        .ok()
+        let incarnation = self.incarnation();
+        let memory = incarnation.witness_memory.borrow();
+        postcard::to_stdvec(&memory.answer_inquiry(now_ms, &inquiry)).ok()
     }
 
     /// Asks the witnesses of a predecessor that a record names, once per predecessor because
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -72,8 +72,7 @@
         }
         GRANT_PATH => {
             let call = postcard::from_bytes(message).ok()?;
-            let version = gw.catalogue().map_or(0, |c| c.version);
-            let answer = gw.ledger.grant(&call, version).await;
+            let answer = gw.ledger.grant(&call).await;
             postcard::to_stdvec(&answer).ok()
         }
         _ => None,
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -69,6 +69,6 @@
     gw.ledger.wait_until_idle(until).await;
     tasks.shutdown().await;
     gw.ledger.return_shares(gw).await;
-    gw.ledger.reset_share(&gw.settings);
+    gw.ledger.begin_incarnation(&gw.settings);
     gw.ledger.set_role(Role::Follower);
 }
--- a/wisteriapass_gateway/src/reservation.rs
+++ b/wisteriapass_gateway/src/reservation.rs
@@ -97,6 +97,6 @@
         let cost = self.cost();
         self.log_partial(cost);
         self.ledger
-            .settle(self.source, &self.account, self.work.max_total(), cost);
+            .settle(&self.source, &self.account, self.work.max_total(), cost);
     }
 }
