Answers without end are given up

Cause: a plain answer was collected whatever its size; hyper bounds neither informational responses nor the digits of a chunk's size; a deadline within a body said nothing of its target.

Change: connections to targets have a buffer of 64 KiB and fail behind 256 KiB without a head or data. Buffered bodies share an eighth of the VM's memory, one takes a quarter of that at the most (wisteriapass_policy::answer_budget, no I/O), also those collected for clients of HTTP/1.0. What exceeds a limit is lost as any broken answer is: another target, or 502 outcome_unknown. A target counts as failed as well where its plain answer has not ended by the deadline, or its stream has not begun, is inside an event or is silent for longer than usual. `Answer too large.` and wisteriapass_overruns_total say so.

--- a/wisteriapass_bench/src/standin/users_platform.rs
+++ b/wisteriapass_bench/src/standin/users_platform.rs
@@ -5,5 +5,6 @@
 
 pub use store::{SimulatedStore, StoreFault};
 pub use target::{
-    Behaviour, BreakOff, BreakPoint, CrashCondition, Framing, ReceivedRequest, SimulatedTarget,
+    Behaviour, BreakOff, BreakPoint, CrashCondition, EndlessPart, Framing, ReceivedRequest,
+    SimulatedTarget,
 };
--- a/wisteriapass_bench/src/standin/users_platform/target.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target.rs
@@ -2,6 +2,7 @@
 //! faults.
 
 mod broken;
+mod endless;
 mod wire;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -15,6 +16,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 pub use self::broken::{BreakOff, BreakPoint, Framing};
+pub use self::endless::EndlessPart;
 pub use self::wire::ReceivedRequest;
 
 /// Time from a crash to the restart, unless the test sets one.
@@ -62,6 +64,10 @@
     QueueTimeout,
     /// Runs the request and sends nothing until its deadline.
     Hang,
+    /// Runs the request and answers without end, as fast as the answer is read.
+    Endless(EndlessPart),
+    /// Runs the request and answers without end, a byte at a time.
+    Drip(EndlessPart),
     /// Runs the request, sends the head of a stream and this many events, and then nothing more,
     /// even after the deadline.
     Stall(u64),
@@ -100,6 +106,8 @@
     is_exiting: bool,
     /// Whether it resets new connections while it serves the open ones.
     is_saturated: bool,
+    /// Number of answers that are being sent.
+    unfinished_answers: usize,
     /// Open connections, by the client's address.
     connections: BTreeMap<SocketAddr, TcpStream>,
 }
@@ -254,6 +262,11 @@
         self.shared.state.lock().is_down
     }
 
+    /// Returns the number of answers that it is sending.
+    pub fn unfinished_answers(&self) -> usize {
+        self.shared.state.lock().unfinished_answers
+    }
+
     /// Returns all requests received so far.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.shared.state.lock().requests.clone()
@@ -410,7 +423,12 @@
                 request.event_mark = state.event_mark;
             }
             match self.decide(&request, incarnation)? {
-                Decision::Answer(behaviour) => wire::answer(&mut out, &request, behaviour)?,
+                Decision::Answer(behaviour) => {
+                    self.state.lock().unfinished_answers += 1;
+                    let answered = wire::answer(&mut out, &request, behaviour);
+                    self.state.lock().unfinished_answers -= 1;
+                    answered?;
+                }
                 Decision::Crash(crash_break) => {
                     match crash_break {
                         Some(crash_break) => crash_break.send(&mut out, &request)?,
--- a/wisteriapass_bench/src/standin/users_platform/target/wire.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/wire.rs
@@ -153,6 +153,8 @@
             sleep(request.remaining_time().saturating_sub(arrived.elapsed()));
             Err(connection_aborted())
         }
+        Behaviour::Endless(part) => part.send(out, request),
+        Behaviour::Drip(part) => part.drip(out, request),
         Behaviour::Stall(events) => {
             send_stream(out, request, events, 1, Framing::Framed)?;
             sleep(STALL_DURATION);
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -19,6 +19,9 @@
 /// router process is noticed in between.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Memory of a router's VM, in MB.
+pub const VM_MEMORY_MB: u64 = 160;
+
 /// A router process.
 pub struct Router {
     name: String,
@@ -111,9 +114,9 @@
     /// Starts the process, with the same addresses each time.
     pub fn spawn(&mut self) {
         let [frontend, ready, internal] = self.ports;
-        let limits = self.link_mbps.map_or(String::new(), |mbps| {
-            format!("[limits]\nlink_mbps = {mbps:.1}\n")
-        });
+        let link = self
+            .link_mbps
+            .map_or(String::new(), |mbps| format!("link_mbps = {mbps:.1}\n"));
         let text = format!(
             "node_name = \"{}\"\nzone = \"{}\"\nip = \"127.0.0.1\"\n\
              internal_port_range = [{internal}, {internal}]\nnew_field = true\n\
@@ -121,7 +124,7 @@
              [zones]\nz = \"here\"\nnorth = \"here\"\nfar = \"there\"\n\
              [bounds]\ngrace_period_s = 8\nretry_budget_ratio = 0.2\nretry_budget_slack = 100\n\
              cold_overshoot = 1.5\ncold_slack = 5\n\
-             {limits}[platform]\naddress = \"{}\"\n",
+             [limits]\nmemory_mb = {VM_MEMORY_MB}\n{link}[platform]\naddress = \"{}\"\n",
             self.name, self.domain, self.store
         );
         fs::write(&self.settings, text).unwrap();
@@ -186,6 +189,15 @@
         count.map_or(0, |n| n.parse::<f64>().unwrap() as u64)
     }
 
+    /// Returns the largest memory that the process has used so far, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let id = self.child.as_ref().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kb = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        kb.unwrap().parse::<u64>().unwrap() / 1_000
+    }
+
     /// Returns what the router has logged so far, over all its starts.
     pub fn log(&self) -> String {
         fs::read_to_string(self.log_path()).unwrap()
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -15,10 +15,12 @@
 use tokio::time::timeout;
 
 use crate::framing::Framing;
-use crate::pool::Sender;
+use crate::overrun::Overrun;
+use crate::pool::Connection;
 use crate::prelude::*;
 use crate::rotation::HEAD_BYTES;
 use crate::target::{Target, TargetKey};
+use crate::target_stream::{MAX_BUFFER_BYTES, TargetStream, UnparsedBytes};
 
 /// Connect timeout, in milliseconds: many round trips within a region, and short enough for another
 /// target to answer in time.
@@ -97,7 +99,7 @@
 pub struct TargetConnection {
     gw: Rc<Gateway>,
     target: TargetKey,
-    sender: Option<Sender>,
+    connection: Option<Connection>,
     prefill_tokens: u64,
     /// Whether this is the first request on the connection.
     pub is_new: bool,
@@ -124,7 +126,7 @@
         Self {
             gw,
             target,
-            sender: None,
+            connection: None,
             prefill_tokens,
             is_new: false,
         }
@@ -138,8 +140,11 @@
         }
     }
 
-    /// Records that the target sent something.
+    /// Records that the target sent the head or data of an answer.
     pub fn record_received(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.unparsed.reset();
+        }
         let targets = self.gw.targets.borrow();
         if let Some(t) = targets.get(self.target) {
             t.last_received_at.set(Instant::now());
@@ -154,7 +159,7 @@
 
     /// Returns the connection to the pool after a complete response.
     pub fn release(mut self, metadata: &ResponseMetadata, framing: Framing) {
-        let Some(sender) = self.sender.take() else {
+        let Some(connection) = self.connection.take() else {
             return;
         };
         if metadata.closes_connection || framing == Framing::ConnectionEnd {
@@ -164,7 +169,7 @@
         if let Some(t) = targets.get(self.target) {
             t.pool
                 .borrow_mut()
-                .put(sender, Instant::now(), metadata.keep_alive_s);
+                .put(connection, Instant::now(), metadata.keep_alive_s);
         }
     }
 }
@@ -196,16 +201,18 @@
     may_send: impl Fn() -> bool,
 ) -> SendOutcome {
     let mut connection = TargetConnection::new(gw.clone(), target, prefill_tokens);
-    let Some((mut sender, is_new)) = take_or_open(gw, target).await else {
+    let Some((mut open, is_new)) = take_or_open(gw, target).await else {
         return SendOutcome::NotSent;
     };
+    open.unparsed.reset();
     connection.is_new = is_new;
     if !may_send() {
         return SendOutcome::Withheld;
     }
     connection.record_sent();
     gw.record_bytes(0, HEAD_BYTES + outgoing.body.len());
-    let answer = match sender
+    let answer = match open
+        .sender
         .try_send_request(build_request(outgoing, headers))
         .await
     {
@@ -216,6 +223,9 @@
             }
             let e = e.into_error();
             log::debug!(target: "dispatch", "No answer. cause={e}");
+            if let Some(overrun) = Overrun::of(&e) {
+                overrun.record(gw, target);
+            }
             return if is_connection_error(&e) {
                 SendOutcome::ConnectionBroken
             } else {
@@ -223,7 +233,7 @@
             };
         }
     };
-    connection.sender = Some(sender);
+    connection.connection = Some(open);
     connection.record_received();
     gw.record_bytes(HEAD_BYTES, 0);
     read_head(gw, answer, connection)
@@ -256,18 +266,18 @@
 }
 
 /// Takes an idle connection or opens a new one; also returns whether it is new.
-async fn take_or_open(gw: &Gateway, target: TargetKey) -> Option<(Sender, bool)> {
+async fn take_or_open(gw: &Gateway, target: TargetKey) -> Option<(Connection, bool)> {
     let address = {
         let targets = gw.targets.borrow();
         let t: &Target = targets.get(target)?;
         let pooled = t.pool.borrow_mut().take(Instant::now());
-        if let Some(sender) = pooled {
-            return Some((sender, false));
+        if let Some(connection) = pooled {
+            return Some((connection, false));
         }
         t.entry.address
     };
-    let sender = timeout(connect_timeout(gw), connect_to(address)).await;
-    Some((sender.ok()?.ok()?, true))
+    let connection = timeout(connect_timeout(gw), connect_to(address)).await;
+    Some((connection.ok()?.ok()?, true))
 }
 
 /// Returns the current connect timeout.
@@ -280,7 +290,7 @@
 /// # Errors
 ///
 /// Those of the operating system and the HTTP handshake.
-pub async fn connect_to(address: SocketAddr) -> io::Result<Sender> {
+pub async fn connect_to(address: SocketAddr) -> io::Result<Connection> {
     start_http(TcpStream::connect(address).await?).await
 }
 
@@ -289,18 +299,22 @@
 /// # Errors
 ///
 /// Those of the operating system and the HTTP handshake.
-pub async fn start_http(stream: TcpStream) -> io::Result<Sender> {
+pub async fn start_http(stream: TcpStream) -> io::Result<Connection> {
     stream.set_nodelay(true)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let unparsed = UnparsedBytes::default();
+    let stream = TargetStream::new(stream, unparsed.clone());
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(io::Error::other)?;
     spawn_local(connection);
     sender.ready().await.map_err(io::Error::other)?;
-    Ok(sender)
+    Ok(Connection { sender, unparsed })
 }
 
 /// Returns whether an error means that the connection ended, rather than that invalid data arrived.
 pub fn is_connection_error(e: &hyper::Error) -> bool {
-    !e.is_parse() && !e.is_user() && !e.is_timeout()
+    !e.is_parse() && !e.is_user() && !e.is_timeout() && Overrun::of(e).is_none()
 }
 
 /// Removes hop-by-hop headers, and the body framing headers, which hyper sets itself.
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 mod resumption;
 mod selection;
 mod trial_check;
+mod whole_body;
 
 use std::convert::Infallible;
 
@@ -61,7 +62,7 @@
     };
     let result = forward(&gw, parts, body, &metadata, &plan).await;
     let result = match result {
-        Ok(response) if is_collected => reply::collect(response).await,
+        Ok(response) if is_collected => reply::collect(&gw, response).await,
         result => result,
     };
     let mut response = match result {
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::cell::OnceCell;
 
-use http_body_util::BodyExt;
 use hyper::Response;
 use smallvec::SmallVec;
 use wisteriapass_coord::quarantine::Fingerprint;
@@ -18,9 +17,8 @@
 use super::quarantine_check::BreakCheck;
 use super::reply::{self, ResponseBody};
 use super::selection::SelectedTarget;
-use crate::dispatch::{
-    OutgoingRequest, SendOutcome, TargetResponse, is_connection_error, send_request,
-};
+use super::whole_body::read_whole_body;
+use crate::dispatch::{OutgoingRequest, SendOutcome, TargetResponse, send_request};
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
@@ -282,17 +280,25 @@
             metadata,
             framing,
             body,
-            connection,
+            mut connection,
         } = answer;
         let key = history.tried.last().copied().unwrap_or_default();
-        let body = match self.gw.run_until(self.plan.deadline, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let reading = read_whole_body(&self.gw, body, &mut connection);
+        let body = match self.gw.run_until(self.plan.deadline, reading).await {
+            Ok(Ok(body)) => body,
             Ok(Err(e)) => {
-                let break_check = is_connection_error(&e).then(|| self.check_break(key));
+                drop(connection);
+                if let Some(overrun) = e.overrun() {
+                    overrun.record(&self.gw, key);
+                }
+                let break_check = e.is_connection_error().then(|| self.check_break(key));
                 self.handle_lost_response(key, break_check, history).await?;
                 return Ok(None);
             }
-            Err(WaitError::Deadline) => return Err(history.deadline_refusal()),
+            Err(WaitError::Deadline) => {
+                self.record_fault(key, Fault::Lost);
+                return Err(history.deadline_refusal());
+            }
             Err(WaitError::Stopping) => return Err(Refusal::CutShort),
         };
         self.gw.record_bytes(body.len(), 0);
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 
 use super::plan::Plan;
+use crate::answer_buffer::AnswerBuffer;
 use crate::dispatch::strip_hop_by_hop_headers;
 use crate::prelude::*;
 use crate::stream::StreamError;
@@ -60,20 +61,27 @@
 ///
 /// # Errors
 ///
-/// [`Refusal`] if the stream breaks off.
-pub async fn collect(response: Response<ResponseBody>) -> Result<Response<ResponseBody>, Refusal> {
+/// [`Refusal`] if the stream breaks off, or exceeds the memory for it.
+pub async fn collect(
+    gw: &Gateway,
+    response: Response<ResponseBody>,
+) -> Result<Response<ResponseBody>, Refusal> {
     let (parts, body) = response.into_parts();
     let body = match body {
         Either::Left(body) => body,
-        Either::Right(body) => Full::new(collect_stream(body).await?),
+        Either::Right(body) => Full::new(collect_stream(gw, body).await?),
     };
     Ok(Response::from_parts(parts, Either::Left(body)))
 }
 
-async fn collect_stream(body: StreamBody<BodyStream>) -> Result<Bytes, Refusal> {
-    let collected = body.collect().await;
-    let body = collected.map_err(StreamError::refusal)?;
-    Ok(body.to_bytes())
+async fn collect_stream(gw: &Gateway, mut body: StreamBody<BodyStream>) -> Result<Bytes, Refusal> {
+    let mut buffer = AnswerBuffer::new(gw);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(StreamError::refusal)?;
+        let data = frame.data_ref().map_or(&[][..], |data| data);
+        buffer.push(data).map_err(|_| Refusal::OutcomeUnknown)?;
+    }
+    Ok(buffer.take())
 }
 
 /// Refuses a request and logs it.
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::watch;
 use tokio::time::sleep_until;
+use wisteriapass_policy::answer_budget::AnswerBudget;
 use wisteriapass_policy::drain::Drain;
 use wisteriapass_policy::rotation::Standing;
 use wisteriapass_policy::target_speed::{FirstEvent, OutputPause};
@@ -80,6 +81,8 @@
     pub(crate) origins: SharedOrigins,
     /// How slow targets are.
     pub(crate) speeds: SharedSpeeds,
+    /// Memory for answers that are buffered until they are whole.
+    pub(crate) answer_budget: RefCell<AnswerBudget>,
     /// Shutdown schedule, once this router was told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When the last client connection was accepted.
@@ -110,6 +113,7 @@
         let rpc = Rc::new(RpcClient::new(clock));
         let ledger = Rc::new(TokenLedger::new(clock, &settings, rpc.clone()));
         let rotation = RotationState::new(clock, &settings);
+        let answer_budget = AnswerBudget::new(settings.vm_size.memory_bytes());
         Self {
             settings,
             platform,
@@ -124,6 +128,7 @@
             trials: SharedTrials::new(clock),
             origins: SharedOrigins::new(clock),
             speeds: SharedSpeeds::default(),
+            answer_budget: RefCell::new(answer_budget),
             drain: Cell::new(None),
             last_accepted_at: Cell::default(),
             latencies: RefCell::default(),
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+mod answer_buffer;
 mod cached_parts;
 mod catalogue;
 mod change_log;
@@ -22,6 +23,7 @@
 mod metadata;
 mod metrics;
 mod origins;
+mod overrun;
 mod platform;
 mod pool;
 mod prelude;
@@ -41,6 +43,7 @@
 mod store_watch;
 mod stream;
 mod target;
+mod target_stream;
 mod targets;
 
 pub use catalogue::{Account, Catalogue, CatalogueChange, ColdStart, Limits, Service};
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
 use crate::exchange::UnprovenEnd;
+use crate::overrun::Overrun;
 use crate::platform::StoreError;
 use crate::refusal::Refusal;
 use crate::route::RequestKind;
@@ -37,6 +38,9 @@
 /// Label for the outcome of a call.
 const OUTCOME: &str = "outcome";
 
+/// Label for the part of an answer.
+const PART: &str = "part";
+
 /// Label for the band of slowness.
 const BAND: &str = "band";
 
@@ -160,6 +164,7 @@
     retries: Counter<u64>,
     broken_streams: Counter<u64>,
     unproven_ends: Counter<u64>,
+    overruns: Counter<u64>,
     resumed_streams: Counter<u64>,
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
@@ -196,6 +201,7 @@
             retries: meter.u64_counter("wisteriapass_retries").build(),
             broken_streams: meter.u64_counter("wisteriapass_broken_streams").build(),
             unproven_ends: meter.u64_counter("wisteriapass_unproven_ends").build(),
+            overruns: meter.u64_counter("wisteriapass_overruns").build(),
             resumed_streams: meter.u64_counter("wisteriapass_resumed_streams").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
@@ -266,6 +272,12 @@
         self.unproven_ends.add(1, &[outcome]);
     }
 
+    /// Counts an answer of which a part exceeds its limit.
+    pub fn count_overrun(&self, overrun: Overrun) {
+        let part = KeyValue::new(PART, overrun.to_string());
+        self.overruns.add(1, &[part]);
+    }
+
     /// Counts a stream that its client resumes, by the source of its origin.
     pub fn count_resumed_stream(&self, source: OriginSource) {
         let source = KeyValue::new(SOURCE, source.to_string());
--- a/wisteriapass_gateway/src/pool.rs
+++ b/wisteriapass_gateway/src/pool.rs
@@ -7,6 +7,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
+use crate::target_stream::UnparsedBytes;
+
 /// Delay before a connection is reused, in milliseconds. A surplus response that follows the first
 /// one arrives within it and closes the connection.
 const REUSE_DELAY_MS: u64 = 4;
@@ -18,13 +20,19 @@
 /// Fraction of the stated idle time that is used; the rest covers network latency and clock drift.
 const IDLE_SHARE: f64 = 0.7;
 
-/// Sends requests on a connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+/// An open connection.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests on the connection.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Counts bytes without an answer.
+    pub unparsed: UnparsedBytes,
+}
 
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     usable_from: Instant,
     expires_at: Instant,
 }
@@ -37,22 +45,22 @@
 
 impl Pool {
     /// Takes the most recently used connection whose reuse delay has passed.
-    pub fn take(&mut self, now: Instant) -> Option<Sender> {
+    pub fn take(&mut self, now: Instant) -> Option<Connection> {
         self.idle
-            .retain(|c| !c.sender.is_closed() && now < c.expires_at);
+            .retain(|c| !c.connection.sender.is_closed() && now < c.expires_at);
         let index = self
             .idle
             .iter()
-            .rposition(|c| now >= c.usable_from && c.sender.is_ready())?;
-        Some(self.idle.remove(index).sender)
+            .rposition(|c| now >= c.usable_from && c.connection.sender.is_ready())?;
+        Some(self.idle.remove(index).connection)
     }
 
     /// Returns a connection to the pool after a complete response.
-    pub fn put(&mut self, sender: Sender, now: Instant, keep_alive_s: Option<u64>) {
+    pub fn put(&mut self, connection: Connection, now: Instant, keep_alive_s: Option<u64>) {
         let stated = keep_alive_s.map(|s| Duration::from_secs(s).mul_f64(IDLE_SHARE));
         let idle = stated.unwrap_or(Duration::from_millis(DEFAULT_IDLE_MS));
         self.idle.push(IdleConnection {
-            sender,
+            connection,
             usable_from: now + Duration::from_millis(REUSE_DELAY_MS),
             expires_at: now + idle,
         });
--- a/wisteriapass_gateway/src/quarantine/probe.rs
+++ b/wisteriapass_gateway/src/quarantine/probe.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::dispatch::{connect_timeout, start_http};
-use crate::pool::Sender;
+use crate::pool::Connection;
 use crate::prelude::*;
 use crate::stable_connection::{STABLE_MS, stay_open};
 use crate::target::{TargetEntry, TargetKey};
@@ -114,8 +114,8 @@
     let mut result = ProbeResult::Saturated;
     for _ in 0..MAX_ATTEMPTS {
         match timeout(connect_timeout(gw), open_stable(address)).await {
-            Ok(Ok(sender)) => {
-                add_to_pool(gw, key, sender);
+            Ok(Ok(connection)) => {
+                add_to_pool(gw, key, connection);
                 return ProbeResult::Alive;
             }
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return ProbeResult::Gone,
@@ -129,14 +129,17 @@
 }
 
 /// Opens a connection that stays open for a while.
-async fn open_stable(address: SocketAddr) -> io::Result<Sender> {
+async fn open_stable(address: SocketAddr) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stay_open(&stream).await?;
     start_http(stream).await
 }
 
-fn add_to_pool(gw: &Gateway, key: TargetKey, sender: Sender) {
+fn add_to_pool(gw: &Gateway, key: TargetKey, connection: Connection) {
     if let Some(target) = gw.targets.borrow().get(key) {
-        target.pool.borrow_mut().put(sender, Instant::now(), None);
+        target
+            .pool
+            .borrow_mut()
+            .put(connection, Instant::now(), None);
     }
 }
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -42,6 +42,9 @@
 /// changes of some thousand routes are sent to all followers at once.
 const STRONG_LINK_MBPS: f64 = 100.0;
 
+/// Memory to assume for a process if it is not known, in MB: that of a small VM.
+const DEFAULT_MEMORY_MB: u64 = 160;
+
 /// Resources that a VM has for its router; unknown resources count as sufficient.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct VmSize {
@@ -49,9 +52,18 @@
     pub cores: Option<f64>,
     /// Bandwidth of the link, in Mbit/s.
     pub link_mbps: Option<f64>,
+    /// Memory for one process, in MB.
+    pub memory_mb: Option<u64>,
 }
 
 impl VmSize {
+    /// Returns the memory for one process, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb
+            .unwrap_or(DEFAULT_MEMORY_MB)
+            .saturating_mul(1_000_000)
+    }
+
     /// Returns the bandwidth of the link, in Mbit/s, if it is known and in range.
     pub fn measurable_mbps(&self) -> Option<f64> {
         self.link_mbps
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -18,6 +18,7 @@
 };
 use crate::gateway::WaitError;
 use crate::metrics::RetryReason;
+use crate::overrun::Overrun;
 use crate::prelude::*;
 use crate::reservation::Reservation;
 use crate::speeds::{EventPauses, FirstEventSample};
@@ -155,14 +156,21 @@
             };
             let (gw, deadline) = (&self.request.gw, self.request.plan.deadline);
             self.pauses.begin_wait(Instant::now());
-            let frame = gw.run_until(deadline, answer.body.frame()).await?;
-            let is_valid = match frame {
-                Some(Ok(frame)) => self.push_frame(frame),
-                Some(Err(e)) => {
+            let is_valid = match gw.run_until(deadline, answer.body.frame()).await {
+                Ok(Some(Ok(frame))) => self.push_frame(frame),
+                Ok(Some(Err(e))) => {
+                    if let Some(overrun) = Overrun::of(&e) {
+                        self.record_overrun(overrun);
+                    }
                     self.check_break(&e);
                     false
                 }
-                None => self.end_body().await?,
+                Ok(None) => self.end_body().await?,
+                Err(WaitError::Deadline) => {
+                    self.record_unfinished();
+                    return Err(StreamError::Late);
+                }
+                Err(WaitError::Stopping) => return Err(StreamError::CutShort),
             };
             if !is_valid {
                 self.resume().await?;
@@ -180,6 +188,7 @@
         }
         self.request.gw.record_bytes(bytes.len(), bytes.len());
         if !self.reader.push(&bytes) {
+            self.record_overrun(Overrun::Event);
             return false;
         }
         let mut events = 0;
@@ -303,6 +312,30 @@
         Ok(true)
     }
 
+    fn record_overrun(&self, overrun: Overrun) {
+        if let Some(key) = self.history.tried.last() {
+            overrun.record(&self.request.gw, *key);
+        }
+    }
+
+    /// Records a failure of a target that owes an event when the deadline passes.
+    fn record_unfinished(&self) {
+        let Some(key) = self.history.tried.last() else {
+            return;
+        };
+        let (gw, plan) = (&self.request.gw, &self.request.plan);
+        let silence_ms = gw.silence_ms(&plan.service, &plan.route);
+        let is_silent = {
+            let targets = gw.targets.borrow();
+            targets
+                .get(*key)
+                .is_some_and(|t| t.silent_ms() > silence_ms)
+        };
+        if is_silent || self.end_point() != EndPoint::Possible {
+            self.request.record_fault(*key, Fault::Lost);
+        }
+    }
+
     fn end_point(&self) -> EndPoint {
         if self.reader.is_inside_event() {
             return EndPoint::InsideEvent;
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod account_queue;
 mod admission;
 mod affinity;
+pub mod answer_budget;
 pub mod cold_start;
 mod config;
 mod decision;
