A test of limits no longer depends on which of two idle targets is used

Cause: in the test. It waited for a follower to use a target whose limit had ended while another idle target served. Of two idle targets the one that seems more than 10% slower gets nothing, and answers of a millisecond beside a load seem so by chance. Ruled out: a limit that the follower keeps, as its log says per_s=None and no other line follows.

Change: the other target leaves before that wait, so that each request of a follower has to go to the one whose limit ended. Stricter than before: a follower that keeps the limit refuses every request then.

--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -359,6 +359,11 @@
     }
     assert!(!has_received("bound"));
     limited.set_limit(None);
+    // While the other target serves, all requests of a follower may go there: one of two idle targets
+    // that seems slightly slower gets none.
+    let other = &fleet.platform.plain[1];
+    let leaving = other.entry("plain", "draining");
+    fleet.platform.store.put(&other.entry_key(), leaving);
     let mut n = 0;
     wait_for("a follower's request at the target without a limit", || {
         n += 1;
