A relay answers its followers once it has read the record

Cause: a router whose VM stood in the record as a relay takes that role at its start and answers update requests of followers, while the record from which it lists the relays and counts the routers is empty until it has read it again: no relays, one router. By reading, a follower that gets this forgets relays that it has not asked yet, and takes the whole retry budget of the fleet for its own until the next answer.

Change: no answer until the record lists a relay, which is the router itself at the least. Followers treat that as they treat a router that has not started.

--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -212,6 +212,11 @@
         self.ports[0]
     }
 
+    /// Returns the port for calls of other routers.
+    pub fn peer_port(&self) -> u16 {
+        self.ports[2]
+    }
+
     /// Returns the address of readiness probes, metrics and questions.
     pub fn readiness_address(&self) -> SocketAddr {
         SocketAddr::from(([127, 0, 0, 1], self.ports[1]))
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -56,7 +56,7 @@
         _ if gw.ledger.role() == Role::Follower => None,
         UPDATE_PATH => {
             let call = postcard::from_bytes(message).ok()?;
-            postcard::to_stdvec(&super::relay::answer_update(gw, &call)).ok()
+            postcard::to_stdvec(&super::relay::answer_update(gw, &call)?).ok()
         }
         ROTATION_PATH => {
             let report = postcard::from_bytes(message).ok()?;
--- a/wisteriapass_gateway/src/relays/relay.rs
+++ b/wisteriapass_gateway/src/relays/relay.rs
@@ -19,19 +19,22 @@
 /// requests take.
 const RETIRE_TIMEOUT_MS: u64 = 15_000;
 
-/// Answers a follower's update request.
-pub fn answer_update(gw: &Gateway, call: &UpdateCall) -> UpdateAnswer {
+/// Answers a follower's update request; `None` until this relay knows the relays, of which it is one.
+pub fn answer_update(gw: &Gateway, call: &UpdateCall) -> Option<UpdateAnswer> {
+    let relays = gw.ledger.relays();
+    if relays.is_empty() {
+        return None;
+    }
     limits::add_reported(gw, &call.limits);
     let now = Instant::now();
     let targets = gw.targets.borrow();
     let missing = |id: &_| targets.missing_until(id).filter(|until| *until > now);
-    let listed = gw.ledger.relays().into_iter();
     let mut log = gw.configuration_log.borrow_mut();
-    UpdateAnswer {
+    Some(UpdateAnswer {
         age_ms: gw.store_liveness.staleness_ms(now),
         is_leaving: gw.ledger.role() == Role::Retiring || gw.is_stopping(),
         routers: gw.ledger.router_count() as u32,
-        relays: listed.map(Into::into).collect(),
+        relays: relays.into_iter().map(Into::into).collect(),
         configuration: log.changes_since(call.version),
         configuration_cursor: log.cursor(),
         evacuations: gw.evacuations.borrow().clone(),
@@ -41,7 +44,7 @@
             .changes_since(call.targets_at, now, missing),
         limits: limits::known_limits(gw),
         quarantine: gw.quarantine.handle_call(&call.quarantine),
-    }
+    })
 }
 
 /// Runs as a relay until there are too many.
