--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -99,7 +99,8 @@
 pub struct TargetConnection {
     gw: Rc<Gateway>,
     target: TargetKey,
-    connection: Option<Connection>,
+    /// The connection itself, once it is in use.
+    open: Option<Connection>,
     prefill_tokens: u64,
     /// Whether this is the first request on the connection.
     pub is_new: bool,
@@ -126,7 +127,7 @@
         Self {
             gw,
             target,
-            connection: None,
+            open: None,
             prefill_tokens,
             is_new: false,
         }
@@ -142,8 +143,8 @@
 
     /// Records that the target sent the head or data of an answer.
     pub fn record_received(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.unparsed.reset();
+        if let Some(open) = &self.open {
+            open.unparsed.reset();
         }
         let targets = self.gw.targets.borrow();
         if let Some(t) = targets.get(self.target) {
@@ -159,7 +160,7 @@
 
     /// Returns the connection to the pool after a complete response.
     pub fn release(mut self, metadata: &ResponseMetadata, framing: Framing) {
-        let Some(connection) = self.connection.take() else {
+        let Some(open) = self.open.take() else {
             return;
         };
         if metadata.closes_connection || framing == Framing::ConnectionEnd {
@@ -169,7 +170,7 @@
         if let Some(t) = targets.get(self.target) {
             t.pool
                 .borrow_mut()
-                .put(connection, Instant::now(), metadata.keep_alive_s);
+                .put(open, Instant::now(), metadata.keep_alive_s);
         }
     }
 }
@@ -233,7 +234,7 @@
             };
         }
     };
-    connection.connection = Some(open);
+    connection.open = Some(open);
     connection.record_received();
     gw.record_bytes(HEAD_BYTES, 0);
     read_head(gw, answer, connection)
