Configurations say by which way they came and how late the router was

Callers of the large deployment were served by an old configuration for seconds at single routers. The log said when a version came into force, but neither from whom nor whether the router itself was late, so that a relay that does not answer, a link that is full and a router without processor time left the same lines.

'Configuration in force.' names the source, the relay and for how long the configuration had not been confirmed; a timer measures the delay of the event loop, which is logged when it begins and ends, beside each relay that did not answer, and as histograms. No decision depends on it yet.

--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -10,12 +10,14 @@
 use tokio::time::sleep_until;
 use wisteriapass_policy::answer_budget::AnswerBudget;
 use wisteriapass_policy::drain::Drain;
+use wisteriapass_policy::loop_delay::LoopDelay;
 use wisteriapass_policy::rotation::Standing;
 use wisteriapass_policy::target_speed::{FirstEvent, OutputPause};
 use wisteriapass_policy::{LatencyHistory, PlannedRequest, Time};
 
 use crate::catalogue::{Catalogue, CatalogueChange};
 use crate::change_log::{ConfigurationLog, Cursor, TargetLog};
+use crate::configuration_source::ConfigurationSource;
 use crate::evacuations::Evacuations;
 use crate::ledger::{Role, TokenLedger};
 use crate::metrics::Metrics;
@@ -99,7 +101,11 @@
     pub(crate) rotation: RotationState,
     /// Failure domains that are evacuated.
     pub(crate) evacuations: RefCell<Evacuations>,
+    /// How late the tasks of this router run.
+    pub(crate) loop_delay: Cell<LoopDelay>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// When the configuration was last known to be the newest.
+    configuration_confirmed_at: Cell<Option<Instant>>,
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     targets_known: Cell<bool>,
     /// Whether the streams of some route are distributed to several services.
@@ -137,7 +143,9 @@
             target_log: RefCell::default(),
             rotation,
             evacuations: RefCell::default(),
+            loop_delay: Cell::default(),
             catalogue: RefCell::default(),
+            configuration_confirmed_at: Cell::new(None),
             retry_budgets: RefCell::default(),
             targets_known: Cell::new(false),
             has_split_streams: Cell::new(false),
@@ -150,17 +158,12 @@
     }
 
     /// Puts a configuration in force, unless its version is not newer.
-    pub fn set_catalogue(&self, next: Rc<Catalogue>) {
+    pub(crate) fn set_catalogue(&self, next: Rc<Catalogue>, source: &ConfigurationSource) {
         let now = self.catalogue.borrow().as_ref().map_or(0, |c| c.version);
         if next.version <= now {
             return;
         }
-        log::info!(
-            target: "config",
-            "Configuration in force. version={} routes={}",
-            next.version,
-            next.routes_len()
-        );
+        self.record_configuration_delay(&next, source);
         self.ledger.set_totals(&next);
         self.has_split_streams.set(next.has_split_streams());
         self.configuration_log.borrow_mut().push(next.clone());
@@ -169,14 +172,44 @@
 
     /// Applies a change to the configuration in force, or a change from version 0, which is a
     /// complete configuration. Ignores changes to other versions.
-    pub(crate) fn apply_catalogue_change(&self, change: &CatalogueChange) {
+    pub(crate) fn apply_catalogue_change(
+        &self,
+        change: &CatalogueChange,
+        source: &ConfigurationSource,
+    ) {
         let whole = || Catalogue::default().with_change(change);
         let next = self.catalogue().and_then(|now| now.with_change(change));
         if let Some(next) = next.or_else(whole) {
-            self.set_catalogue(Rc::new(next));
+            self.set_catalogue(Rc::new(next), source);
         }
     }
 
+    /// Records that the configuration in force was the newest at a time.
+    pub(crate) fn confirm_configuration(&self, at: Instant) {
+        let known = self.configuration_confirmed_at.get();
+        self.configuration_confirmed_at.set(known.max(Some(at)));
+    }
+
+    /// Records the longest time for which a configuration can have been accepted before it came
+    /// into force here.
+    fn record_configuration_delay(&self, next: &Catalogue, source: &ConfigurationSource) {
+        let confirmed_at = self.configuration_confirmed_at.get();
+        let delay = confirmed_at.map(|at| at.elapsed());
+        if let Some(delay) = delay {
+            self.metrics.record_configuration_delay(source, delay);
+        }
+        log::info!(
+            target: "config",
+            "Configuration in force. version={} routes={} source={source} relay={} \
+             unconfirmed_ms={} loop_delay_ms={}",
+            next.version,
+            next.routes_len(),
+            source.relay(),
+            delay.map_or(0, |delay| delay.as_millis()),
+            self.loop_delay.get().delay_ms()
+        );
+    }
+
     /// Returns the position up to which a topic is known.
     pub(crate) fn cursor(&self, topic: Topic) -> Cursor {
         match topic {
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use wisteriapass_coord::prepaid::Outstanding;
 use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
+use crate::configuration_source::ConfigurationSource;
 use crate::exchange::UnprovenEnd;
 use crate::overrun::Overrun;
 use crate::platform::StoreError;
@@ -26,7 +27,7 @@
 /// Label for the type of call.
 const CALL: &str = "call";
 
-/// Label for the source of the origin of a stream.
+/// Label for the source of a configuration and of the origin of a stream.
 const SOURCE: &str = "source";
 
 /// Label for the standing of routers and for the state of prepaid tokens.
@@ -175,6 +176,8 @@
     rotation_refusals: Counter<u64>,
     prepaid_tokens: Gauge<u64>,
     target_speeds: Gauge<u64>,
+    configuration_delay: Histogram<f64>,
+    loop_delay: Histogram<f64>,
     first_event: Histogram<f64>,
     whole_answer: Histogram<f64>,
 }
@@ -212,6 +215,8 @@
             rotation_refusals: meter.u64_counter("wisteriapass_rotation_refusals").build(),
             prepaid_tokens: meter.u64_gauge("wisteriapass_prepaid_tokens").build(),
             target_speeds: meter.u64_gauge("wisteriapass_target_speeds").build(),
+            configuration_delay: seconds(&meter, "wisteriapass_configuration_delay"),
+            loop_delay: seconds(&meter, "wisteriapass_loop_delay"),
             first_event: seconds(&meter, "wisteriapass_first_event"),
             whole_answer: seconds(&meter, "wisteriapass_answer"),
             registry,
@@ -332,6 +337,18 @@
         }
     }
 
+    /// Records how long a configuration can have been accepted before it came into force here.
+    pub fn record_configuration_delay(&self, source: &ConfigurationSource, delay: Duration) {
+        let source = KeyValue::new(SOURCE, source.to_string());
+        self.configuration_delay
+            .record(delay.as_secs_f64(), &[source]);
+    }
+
+    /// Records how late a task of this router ran.
+    pub fn record_loop_delay(&self, delay: Duration) {
+        self.loop_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let families = self.registry.gather();
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -10,6 +10,7 @@
 use super::limits;
 use super::messages::{UPDATE_PATH, UpdateAnswer, UpdateCall};
 use crate::change_log::{TargetChange, TargetChangeSet};
+use crate::configuration_source::ConfigurationSource;
 use crate::ledger::KnownRecord;
 use crate::platform::{Change, RevisedChange, Topic};
 use crate::prelude::*;
@@ -142,9 +143,17 @@
             apply_answer(gw, &relay, polled_ms, answer);
         }
         None => {
-            log::info!(target: "relay", "No answer of a relay. relay={} at={}", relay.id, relay.address);
+            let now_ms = gw.clock.now_ms();
+            log::info!(
+                target: "relay",
+                "No answer of a relay. relay={} at={} after_ms={} loop_delay_ms={}",
+                relay.id,
+                relay.address,
+                now_ms.saturating_sub(polled_ms),
+                gw.loop_delay.get().delay_ms()
+            );
             let mut roster = gw.ledger.roster.borrow_mut();
-            roster.record_no_answer(&relay.id, gw.clock.now_ms());
+            roster.record_no_answer(&relay.id, now_ms);
         }
     }
     gw.ledger.roster.borrow().is_fresh(gw.clock.now_ms())
@@ -167,8 +176,13 @@
     roster.record_status(&relay.id, status);
     drop(roster);
     gw.ledger.set_router_count(answer.routers as usize);
+    let source = ConfigurationSource::Relay(relay.id.clone());
     for change in &answer.configuration {
-        gw.apply_catalogue_change(change);
+        gw.apply_catalogue_change(change, &source);
+    }
+    let confirmed_ms = now_ms.saturating_sub(polled_ms) + answer.age_ms;
+    if let Some(at) = Instant::now().checked_sub(Duration::from_millis(confirmed_ms)) {
+        gw.confirm_configuration(at);
     }
     let mut log = gw.configuration_log.borrow_mut();
     log.advance_cursor(answer.configuration_cursor);
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -9,6 +9,7 @@
 
 use crate::gateway::ShutdownPhase;
 use crate::listener::{listen, serve_clients, serve_readiness};
+use crate::loop_delay::measure_loop_delay;
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
 use crate::prelude::*;
@@ -75,6 +76,7 @@
     spawn_local(report_load(gw.clone()));
     spawn_local(ask_for_consents(gw.clone()));
     spawn_local(sync_speeds(gw.clone()));
+    spawn_local(measure_loop_delay(gw.clone()));
     let role = spawn_local(run_role(gw.clone()));
     let stamp = gw.clock.stamp();
     log::info!(
--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -3,6 +3,7 @@
 use tokio::time::sleep;
 
 use crate::change_log::Cursor;
+use crate::configuration_source::ConfigurationSource;
 use crate::metrics::{StoreCall, StoreOutcome};
 use crate::platform::{Change, ChangeBatch, StoreError, Topic, WatchRequest};
 use crate::prelude::*;
@@ -206,11 +207,16 @@
 fn apply_batch(gw: &Gateway, topic: Topic, batch: &ChangeBatch, cursor: Cursor, is_snapshot: bool) {
     match topic {
         Topic::Configuration => {
+            let source = match is_snapshot {
+                true => ConfigurationSource::Read,
+                false => ConfigurationSource::Watch,
+            };
             for revised in &batch.changes {
                 if let Change::Configuration(catalogue) = &revised.change {
-                    gw.set_catalogue(catalogue.clone());
+                    gw.set_catalogue(catalogue.clone(), &source);
                 }
             }
+            gw.confirm_configuration(Instant::now());
             gw.configuration_log.borrow_mut().advance_cursor(cursor);
             let known = gw.evacuations.borrow();
             let next = known.with_changes(cursor.revision, &batch.changes, is_snapshot);
--- a/wisteriapass_policy/src/lib.rs
+++ b/wisteriapass_policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod link_meter;
 mod load_report;
 mod load_view;
+pub mod loop_delay;
 mod names;
 mod no_capacity_cache;
 mod orders;
--- /dev/null
+++ b/wisteriapass_policy/src/loop_delay.rs
@@ -0,0 +1,46 @@
+//! Detects whether a router gets too little processor time for its load.
+//!
+//! Handles callers that load a small VM beyond its CPU, and VMs whose host is busy: each task of the
+//! router then waits behind all others, so every timer fires late and every answer is read late, while
+//! its peers are well. The delay is measured by a timer alone and says nothing about peers or links.
+//! The shortest of several consecutive delays counts, since a single long one may be a pause.
+
+/// Number of measurements considered.
+const SAMPLES: usize = 3;
+
+/// Delay from which a router is late, in milliseconds; of the order of the round trips that peers
+/// are allowed.
+const LATE_MS: u64 = 50;
+
+/// Delay below which a router is on time again, in milliseconds.
+const ON_TIME_MS: u64 = 20;
+
+/// Recent delays of a router's timers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoopDelay {
+    samples: [u64; SAMPLES],
+    next: usize,
+    is_late: bool,
+}
+
+impl LoopDelay {
+    /// Records how late a timer fired, in milliseconds; returns whether that changed
+    /// [`is_late`](Self::is_late).
+    pub fn record(&mut self, delay_ms: u64) -> bool {
+        self.samples[self.next] = delay_ms;
+        self.next = (self.next + 1) % SAMPLES;
+        let threshold = if self.is_late { ON_TIME_MS } else { LATE_MS };
+        let is_late = self.delay_ms() >= threshold;
+        std::mem::replace(&mut self.is_late, is_late) != is_late
+    }
+
+    /// Returns the delay that every recent timer had, in milliseconds.
+    pub fn delay_ms(&self) -> u64 {
+        self.samples.into_iter().min().unwrap_or_default()
+    }
+
+    /// Returns whether the router gets too little processor time.
+    pub fn is_late(&self) -> bool {
+        self.is_late
+    }
+}
--- /dev/null
+++ b/wisteriapass_policy/tests/loop_delay.rs
@@ -0,0 +1,23 @@
+//! When a router counts as late, and how long it waits for peers then.
+
+use wisteriapass_policy::loop_delay::LoopDelay;
+
+#[test]
+fn one_pause_does_not_make_a_router_late() {
+    let mut delay = LoopDelay::default();
+    for ms in [1, 900, 2, 1, 2_000, 0] {
+        assert!(!delay.record(ms));
+        assert!(!delay.is_late());
+    }
+}
+
+#[test]
+fn a_router_whose_timers_are_all_late_is_late_until_they_are_on_time() {
+    let mut delay = LoopDelay::default();
+    let changes: Vec<bool> = [300, 250, 400, 40, 60, 90, 300, 1, 2]
+        .map(|ms| delay.record(ms))
+        .to_vec();
+    assert_eq!(changes.iter().filter(|changed| **changed).count(), 2);
+    assert!(changes[2] && changes[7], "{changes:?}");
+    assert_eq!(delay.delay_ms(), 1);
+}
