A router without processor time keeps the relays that answer it

Cause: timeouts on peers run in this router's own event loop. With 0.09 of a core and a queue of tasks, a call waits behind all others when it sends, when its answer arrives and when that is handed on; the timer ends first. What is then concluded of the peers makes more work: other targets need new connections, other relays are asked, the store is read. And an answer that took long made the news older than 1.3 s, whichever relay gave it, so that the router sought to replace relays that answered.

A timeout for an answer now gives additional time, limited in all, while its own timer fires late: to other routers, to targets that are connected to, and to the store. The time that an answer took no longer counts against the relay that gave it, neither for whom a router follows nor for whether it joins. The age by which targets count as recent is as before.

--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -25,6 +25,8 @@
 pub struct RelayStatus {
     /// The time to which `age_ms` refers, in milliseconds.
     pub as_of_ms: u64,
+    /// When the report arrived, in milliseconds.
+    pub received_ms: u64,
     /// Age of its news from the service at that time, in milliseconds.
     pub age_ms: u64,
     /// Whether it is giving up its role.
@@ -124,11 +126,11 @@
 
     /// Returns the relay to ask for news and follows it from now on.
     ///
-    /// A local relay is kept while its news is fresh; otherwise the best one that is fresh or worth
-    /// a try is chosen.
+    /// A local relay is kept while its news is recent; otherwise the best one whose news is recent or
+    /// that is worth a try is chosen.
     pub fn choose(&mut self, now_ms: u64) -> Option<KnownRelay> {
         let next = self.next_relay(now_ms)?;
-        if next.domain == self.domain && !next.is_fresh(now_ms) {
+        if next.domain == self.domain && !next.is_recent(now_ms) {
             self.retried_ms = Some(now_ms);
         }
         self.followed = Some(next.id.clone());
@@ -137,10 +139,10 @@
 
     fn next_relay(&self, now_ms: u64) -> Option<KnownRelay> {
         let followed = self.followed.as_ref().and_then(|id| self.relays.get(id));
-        if let Some(relay) = followed.filter(|r| r.is_fresh(now_ms) && r.domain == self.domain) {
+        if let Some(relay) = followed.filter(|r| r.is_recent(now_ms) && r.domain == self.domain) {
             return Some(relay.clone());
         }
-        let fresh = self.ranked(|r| r.is_fresh(now_ms)).first().copied();
+        let recent = self.ranked(|r| r.is_recent(now_ms)).first().copied();
         let untried = self.ranked(KnownRelay::is_untried).first().copied();
         let due = self.relays.values().filter(|r| r.is_retry_due(now_ms));
         let last_failure = |r: &&KnownRelay| r.failed_ms;
@@ -149,12 +151,12 @@
         let may_retry = self
             .retried_ms
             .is_none_or(|at| now_ms >= at + RETRY_DELAY_MS);
-        match fresh {
-            Some(fresh) if is_local(&fresh) => Some(fresh.clone()),
-            Some(fresh) => {
+        match recent {
+            Some(recent) if is_local(&recent) => Some(recent.clone()),
+            Some(recent) => {
                 let local = due.filter(is_local).filter(|_| may_retry);
                 let local = untried.filter(is_local).or(local.min_by_key(last_failure));
-                Some(local.unwrap_or(fresh).clone())
+                Some(local.unwrap_or(recent).clone())
             }
             None => untried.or(due.min_by_key(last_failure)).cloned(),
         }
@@ -166,6 +168,12 @@
         followed.is_some_and(|r| r.is_fresh(now_ms))
     }
 
+    /// Returns whether the followed relay answers with recent news, however long its answers take.
+    pub fn is_following(&self, now_ms: u64) -> bool {
+        let followed = self.followed.as_ref().and_then(|id| self.relays.get(id));
+        followed.is_some_and(|r| r.is_recent(now_ms))
+    }
+
     /// Replaces the known relays by those of a record of the service, which doesn't say which of
     /// them are live.
     pub fn update_from_record(&mut self, now_ms: u64, infos: impl IntoIterator<Item = RelayInfo>) {
@@ -179,9 +187,9 @@
 
     /// Returns whether there are too few relays without this router, judging by the last record.
     pub fn has_too_few_relays(&self, now_ms: u64) -> bool {
-        let is_informed = self.is_fresh(now_ms);
+        let is_informed = self.is_following(now_ms);
         let counts =
-            |r: &&KnownRelay| r.is_fresh(now_ms) || r.is_untried() || is_informed && r.is_live;
+            |r: &&KnownRelay| r.is_recent(now_ms) || r.is_untried() || is_informed && r.is_live;
         let all = || self.relays.values().filter(counts);
         let local = all().filter(|r| r.domain == self.domain);
         local.count() < RELAYS_PER_DOMAIN || is_informed && all().count() < MIN_RELAYS_PER_FLEET
@@ -220,18 +228,18 @@
     /// Returns whether this router needs more relays than its failure domain and the fleet have.
     pub fn need(&self, now_ms: u64) -> RelayNeed {
         let local = || self.relays.values().filter(|r| r.domain == self.domain);
-        let Some(fresh) = local().find(|r| r.is_fresh(now_ms)) else {
-            // A relay that wasn't asked yet may be fresh.
+        let Some(recent) = local().find(|r| r.is_recent(now_ms)) else {
+            // A relay that wasn't asked yet may have recent news.
             let has_untried = local().any(KnownRelay::is_untried);
-            let is_fresh_elsewhere = self.relays.values().any(|r| r.is_fresh(now_ms));
-            return match (has_untried, is_fresh_elsewhere) {
+            let is_recent_elsewhere = self.relays.values().any(|r| r.is_recent(now_ms));
+            return match (has_untried, is_recent_elsewhere) {
                 (true, _) => RelayNeed::Unclear,
                 (false, true) => RelayNeed::One,
                 (false, false) => RelayNeed::Any,
             };
         };
         // The answering relay reports which relays write; it is live itself.
-        let is_live = |r: &&KnownRelay| r.is_live || r.id == fresh.id;
+        let is_live = |r: &&KnownRelay| r.is_live || r.id == recent.id;
         let in_domain = local().filter(is_live).count();
         let in_fleet = self.relays.values().filter(is_live).count();
         if in_domain < RELAYS_PER_DOMAIN || in_fleet < MIN_RELAYS_PER_FLEET {
@@ -276,6 +284,10 @@
         self.status.is_some_and(|status| status.is_fresh(now_ms))
     }
 
+    fn is_recent(&self, now_ms: u64) -> bool {
+        self.status.is_some_and(|status| status.is_recent(now_ms))
+    }
+
     fn is_answering(&self, now_ms: u64) -> bool {
         let is_recent =
             |status: RelayStatus| now_ms.saturating_sub(status.as_of_ms) < SILENCE_TIMEOUT_MS;
@@ -297,4 +309,11 @@
     fn is_fresh(&self, now_ms: u64) -> bool {
         !self.is_leaving && self.age_at(now_ms) < MAX_NEWS_AGE_MS
     }
+
+    /// Returns whether the relay's news is fresh but for the time that its answer took. A router
+    /// whose own link or CPU delays its answers gets no fresher news from another relay.
+    fn is_recent(&self, now_ms: u64) -> bool {
+        let since_answer_ms = now_ms.saturating_sub(self.received_ms);
+        !self.is_leaving && self.age_ms + since_answer_ms < MAX_NEWS_AGE_MS
+    }
 }
--- a/wisteriapass_coord/tests/relay.rs
+++ b/wisteriapass_coord/tests/relay.rs
@@ -27,6 +27,7 @@
 fn status(as_of_ms: u64, age_ms: u64) -> RelayStatus {
     RelayStatus {
         as_of_ms,
+        received_ms: as_of_ms,
         age_ms,
         is_leaving: false,
     }
@@ -85,6 +86,31 @@
     assert!(now <= 1_200, "after {now} ms");
 }
 
+/// Guards against a router that has too little processor time or a slow link, takes its own delay
+/// for the age of its relay's news, and replaces relays that answer.
+#[test]
+fn a_router_whose_answers_take_long_takes_its_relays_for_dead() {
+    const ROUND_TRIP_MS: u64 = 1_200;
+    let mut roster = roster();
+    let mut candidacy = Candidacy::new(false);
+    let first = ask(&mut roster, 0, |_| Some(300));
+    for sent in (0..30_000).step_by(ROUND_TRIP_MS as usize + 150) {
+        let relay = roster.choose(sent).unwrap();
+        assert_eq!(relay.id.0, first);
+        let received = sent + ROUND_TRIP_MS;
+        let status = RelayStatus {
+            received_ms: received,
+            ..status(sent, 900)
+        };
+        roster.record_status(&relay.id, status);
+        assert!(!roster.is_fresh(received));
+        assert!(roster.is_following(received));
+        let need = roster.need(received);
+        let action = candidacy.next_action(received, need, 100, 0.0);
+        assert_eq!((need, action), (RelayNeed::None, CandidateAction::None));
+    }
+}
+
 #[test]
 fn a_remote_relay_is_followed_when_no_local_one_is_left_and_local_ones_are_retried() {
     let mut roster = roster();
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -18,6 +18,7 @@
 mod rotation;
 mod slow_links;
 mod speeds;
+mod starved;
 mod stops;
 mod support;
 mod unframed_answers;
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -12,7 +12,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::framing::Framing;
 use crate::overrun::Overrun;
@@ -21,6 +20,7 @@
 use crate::rotation::HEAD_BYTES;
 use crate::target::{Target, TargetKey};
 use crate::target_stream::{MAX_BUFFER_BYTES, TargetStream, UnparsedBytes};
+use crate::timeout::answer_by;
 
 /// Connect timeout, in milliseconds: many round trips within a region, and short enough for another
 /// target to answer in time.
@@ -277,8 +277,9 @@
         }
         t.entry.address
     };
-    let connection = timeout(connect_timeout(gw), connect_to(address)).await;
-    Some((connection.ok()?.ok()?, true))
+    let deadline = Instant::now() + connect_timeout(gw);
+    let connection = answer_by(deadline, connect_to(address)).await?;
+    Some((connection.ok()?, true))
 }
 
 /// Returns the current connect timeout.
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod target;
 mod target_stream;
 mod targets;
+mod timeout;
 
 pub use catalogue::{Account, Catalogue, CatalogueChange, ColdStart, Limits, Service};
 pub use change_log::{ConfigurationLog, Cursor, TargetChange, TargetChangeSet, TargetLog};
@@ -73,3 +74,4 @@
 pub use store_liveness::StoreLiveness;
 pub use target::{Availability, Target, TargetEntry, TargetId, TargetKey};
 pub use targets::Targets;
+pub use timeout::answer_by;
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -70,14 +70,14 @@
     let mut candidacy = Candidacy::new(gw.settings.vm_size.is_strong());
     let mut catch_up_at = Instant::now();
     loop {
-        let is_fresh = poll_relay(gw).await;
+        let is_recent = poll_relay(gw).await;
         if candidacy.is_service_reachable() {
             catch_up_if_due(gw, &mut catch_up_at).await;
         }
         if let Some(known) = try_to_join(gw, &mut candidacy).await {
             return known;
         }
-        sleep(poll_pause(is_fresh)).await;
+        sleep(poll_pause(is_recent)).await;
     }
 }
 
@@ -88,11 +88,11 @@
     let mut catch_up_at = deadline_in(CATCH_UP_INTERVAL_MS);
     loop {
         let following = async {
-            let is_fresh = poll_relay(gw).await;
-            if !is_fresh {
+            let is_recent = poll_relay(gw).await;
+            if !is_recent {
                 catch_up_if_due(gw, &mut catch_up_at).await;
             }
-            sleep(poll_pause(is_fresh)).await;
+            sleep(poll_pause(is_recent)).await;
         };
         tokio::select! {
             biased;
@@ -113,11 +113,11 @@
 }
 
 /// Returns the pause before the next update request.
-fn poll_pause(is_fresh: bool) -> Duration {
-    Duration::from_millis(if is_fresh { POLL_MS } else { SEARCH_POLL_MS })
+fn poll_pause(is_recent: bool) -> Duration {
+    Duration::from_millis(if is_recent { POLL_MS } else { SEARCH_POLL_MS })
 }
 
-/// Requests updates from the current relay; returns whether this router's updates are recent.
+/// Requests updates from the current relay; returns whether its updates are recent.
 async fn poll_relay(gw: &Gateway) -> bool {
     let relay = gw.ledger.roster.borrow_mut().choose(gw.clock.now_ms());
     let Some(relay) = relay else {
@@ -156,18 +156,19 @@
             roster.record_no_answer(&relay.id, now_ms);
         }
     }
-    gw.ledger.roster.borrow().is_fresh(gw.clock.now_ms())
+    gw.ledger.roster.borrow().is_following(gw.clock.now_ms())
 }
 
 /// Applies a relay's answer.
 fn apply_answer(gw: &Gateway, relay: &KnownRelay, polled_ms: u64, answer: UpdateAnswer) {
     // The updates are as old as they were at the time of the request, however long the answer took.
+    let now_ms = gw.clock.now_ms();
     let status = RelayStatus {
         as_of_ms: polled_ms,
+        received_ms: now_ms,
         age_ms: answer.age_ms,
         is_leaving: answer.is_leaving,
     };
-    let now_ms = gw.clock.now_ms();
     let relays = answer.relays.into_iter().map(Into::into);
     let mut roster = gw.ledger.roster.borrow_mut();
     if !answer.is_leaving {
--- a/wisteriapass_gateway/src/rpc.rs
+++ b/wisteriapass_gateway/src/rpc.rs
@@ -17,12 +17,13 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::sleep;
 use wisteriapass_policy::Time;
 use wisteriapass_policy::overload::OverloadDetector;
 
 use crate::platform::LocalFuture;
 use crate::prelude::*;
+use crate::timeout::answer_by;
 
 /// Maximum size of a call, in bytes: enough to report the spending of some thousand accounts.
 const MAX_CALL_BYTES: usize = 256 << 10;
@@ -108,8 +109,7 @@
         begins_by: Instant,
     ) -> Option<B> {
         let body = Bytes::from(postcard::to_stdvec(message).ok()?);
-        let started = timeout_at(begins_by, self.start_call(to, path, body)).await;
-        let (sender, answer) = started.ok()??;
+        let (sender, answer) = answer_by(begins_by, self.start_call(to, path, body)).await??;
         if !answer.status().is_success() {
             return None;
         }
@@ -179,8 +179,9 @@
 }
 
 async fn connect(to: SocketAddr) -> Option<Sender> {
-    let stream = timeout_at(deadline_in(CONNECT_TIMEOUT_MS), TcpStream::connect(to)).await;
-    let stream = stream.ok()?.ok()?;
+    let connecting = TcpStream::connect(to);
+    let stream = answer_by(deadline_in(CONNECT_TIMEOUT_MS), connecting).await;
+    let stream = stream?.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = client::handshake(TokioIo::new(stream)).await.ok()?;
     spawn_local(connection);
@@ -191,7 +192,7 @@
 async fn read_body(mut body: Incoming, begins_by: Instant) -> Option<Bytes> {
     let mut bytes = BytesMut::new();
     let mut due = begins_by.max(deadline_in(READ_TIMEOUT_MS));
-    while let Some(frame) = timeout_at(due, body.frame()).await.ok()? {
+    while let Some(frame) = answer_by(due, body.frame()).await? {
         let frame = frame.ok()?;
         bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
         if bytes.len() > MAX_ANSWER_BYTES {
--- a/wisteriapass_policy/src/loop_delay.rs
+++ b/wisteriapass_policy/src/loop_delay.rs
@@ -15,6 +15,31 @@
 /// Delay below which a router is on time again, in milliseconds.
 const ON_TIME_MS: u64 = 20;
 
+/// Delay of a timer that is usual on an idle VM, in milliseconds.
+const USUAL_DELAY_MS: u64 = 20;
+
+/// How often the tasks of a call wait behind all others before its answer is read: when they send,
+/// when the answer arrives, and when it is handed on.
+const WAITS_PER_CALL: u64 = 4;
+
+/// Longest additional wait after one timer, in milliseconds. A single pause of the process delays a
+/// timer as well, and a peer may have died meanwhile.
+const MAX_WAIT_PER_TIMER_MS: u64 = 500;
+
+/// Longest total of the additional waits for one answer, in milliseconds.
+const MAX_TOTAL_WAIT_MS: u64 = 2_000;
+
+/// Returns how much longer to wait for an answer whose timeout fired late, in milliseconds: the answer
+/// may be there, behind the same tasks. `waited_ms` is the total of the earlier additional waits.
+pub fn additional_wait_ms(timer_delay_ms: u64, waited_ms: u64) -> u64 {
+    if timer_delay_ms < USUAL_DELAY_MS {
+        return 0;
+    }
+    let wait_ms = timer_delay_ms.saturating_mul(WAITS_PER_CALL);
+    let left_ms = MAX_TOTAL_WAIT_MS.saturating_sub(waited_ms);
+    wait_ms.min(MAX_WAIT_PER_TIMER_MS).min(left_ms)
+}
+
 /// Recent delays of a router's timers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoopDelay {
--- a/wisteriapass_policy/tests/loop_delay.rs
+++ b/wisteriapass_policy/tests/loop_delay.rs
@@ -1,6 +1,6 @@
 //! When a router counts as late, and how long it waits for peers then.
 
-use wisteriapass_policy::loop_delay::LoopDelay;
+use wisteriapass_policy::loop_delay::{LoopDelay, additional_wait_ms};
 
 #[test]
 fn one_pause_does_not_make_a_router_late() {
@@ -21,3 +21,20 @@
     assert!(changes[2] && changes[7], "{changes:?}");
     assert_eq!(delay.delay_ms(), 1);
 }
+
+#[test]
+fn only_a_timer_that_fires_late_gives_a_peer_more_time() {
+    assert_eq!(additional_wait_ms(0, 0), 0);
+    assert_eq!(additional_wait_ms(5, 0), 0);
+    assert!(additional_wait_ms(100, 0) >= 300);
+}
+
+#[test]
+fn a_peer_gets_limited_time_however_late_timers_fire() {
+    assert!(additional_wait_ms(60_000, 0) <= 500);
+    let mut waited_ms = 0;
+    for _ in 0..1_000 {
+        waited_ms += additional_wait_ms(300, waited_ms);
+    }
+    assert_eq!(waited_ms, 2_000);
+}
