A relay that the store turns away takes the configuration from other relays

Cause: a follower asks another relay when its own has old news, but a relay had only its own watch. Evacuated failure domains were exchanged between relays for just this case; the configuration was not.

A relay whose news of the store is older than 1.3 s now sends the other relays the update request of a follower, in turn, without targets, and takes the configuration and the evacuations from it. That replaces the request for evacuations alone, which is still answered. Behind an outage its watch goes on from there, so that the document is not moved again.

--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -374,3 +374,23 @@
         has_received(&format!("free{RELAYS}-"))
     });
 }
+
+/// Guards against a relay that serves its own callers by an old configuration for as long as the
+/// store turns it away, while all other routers have the new one.
+#[test]
+fn a_relay_that_the_store_turns_away_keeps_an_old_configuration() {
+    for faults in [LinkFaults::closed(), LinkFaults::blackhole()] {
+        let fleet = RelayFleet::start(1_000_000);
+        fleet.links[0].set_faults(faults);
+        fleet
+            .platform
+            .configure(&configuration(2, &[KEY, "other"], 1_000_000));
+        let relay = &fleet.relays[0];
+        let mut n = 0;
+        wait_for("the new key at the relay", || {
+            n += 1;
+            let request = Request::new(&format!("other-{n}"), "/safe/x").with_key("other");
+            relay.send(&request).is_some_and(|a| a.status == 200)
+        });
+    }
+}
--- a/wisteriapass_gateway/src/relays.rs
+++ b/wisteriapass_gateway/src/relays.rs
@@ -4,7 +4,6 @@
 //! them; it calls the key-value store only to find relays. A relay watches the store and writes
 //! shares to it.
 
-mod evacuations;
 mod follower;
 mod found_origin;
 mod known;
@@ -17,10 +16,11 @@
 mod relay;
 mod role;
 mod speeds;
+mod stale_relay;
 mod trials;
+mod updates;
 mod versions;
 
-pub use evacuations::poll_evacuations;
 pub use found_origin::FoundOrigin;
 pub use known::known_relays;
 pub use origin_queries::find_origin;
@@ -29,4 +29,5 @@
 pub use quarantine::sync_quarantine;
 pub use role::run_role;
 pub use speeds::sync_speeds;
+pub use stale_relay::poll_other_relays;
 pub use trials::{begin_trial, return_trials};
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -9,8 +9,8 @@
 
 use super::limits;
 use super::messages::{UPDATE_PATH, UpdateAnswer, UpdateCall};
+use super::updates::apply_configuration;
 use crate::change_log::{TargetChange, TargetChangeSet};
-use crate::configuration_source::ConfigurationSource;
 use crate::ledger::KnownRecord;
 use crate::platform::{Change, RevisedChange, Topic};
 use crate::prelude::*;
@@ -131,6 +131,7 @@
         quarantine: gw.quarantine.call_for(relay.address, false),
     };
     let until = deadline_in(ANSWER_TIMEOUT_MS);
+    let polled_at = Instant::now();
     let polled_ms = gw.clock.now_ms();
     let answer: Option<UpdateAnswer> = gw
         .rpc
@@ -140,6 +141,7 @@
         Some(answer) => {
             let (call, delta) = (&call.quarantine, &answer.quarantine);
             gw.quarantine.apply_answer(relay.address, call, delta);
+            apply_configuration(gw, &relay.id, polled_at, &answer);
             apply_answer(gw, &relay, polled_ms, answer);
         }
         None => {
@@ -159,7 +161,7 @@
     gw.ledger.roster.borrow().is_following(gw.clock.now_ms())
 }
 
-/// Applies a relay's answer.
+/// Applies all of a relay's answer but the configuration.
 fn apply_answer(gw: &Gateway, relay: &KnownRelay, polled_ms: u64, answer: UpdateAnswer) {
     // The updates are as old as they were at the time of the request, however long the answer took.
     let now_ms = gw.clock.now_ms();
@@ -177,18 +179,6 @@
     roster.record_status(&relay.id, status);
     drop(roster);
     gw.ledger.set_router_count(answer.routers as usize);
-    let source = ConfigurationSource::Relay(relay.id.clone());
-    for change in &answer.configuration {
-        gw.apply_catalogue_change(change, &source);
-    }
-    let confirmed_ms = now_ms.saturating_sub(polled_ms) + answer.age_ms;
-    if let Some(at) = Instant::now().checked_sub(Duration::from_millis(confirmed_ms)) {
-        gw.confirm_configuration(at);
-    }
-    let mut log = gw.configuration_log.borrow_mut();
-    log.advance_cursor(answer.configuration_cursor);
-    drop(log);
-    gw.set_evacuations(answer.evacuations);
     if let Some(changes) = answer.targets {
         apply_targets(gw, changes);
     }
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -2,7 +2,6 @@
 
 use tokio::net::TcpListener;
 
-use super::evacuations::EVACUATIONS_PATH;
 use super::messages::UPDATE_PATH;
 use super::origin_queries::{ORIGIN_QUERY_PATH, answer_query};
 use super::origin_reports::ORIGIN_REPORT_PATH;
@@ -16,6 +15,9 @@
 use crate::rotation::{EXIT_PATH, ROTATION_PATH, answer_exit, answer_report};
 use crate::rpc::serve_calls;
 
+/// Path of a request for the evacuated failure domains, which routers of earlier versions send.
+const EVACUATIONS_PATH: &str = "/relay/evacuations";
+
 /// Serves calls of other routers until the process ends.
 pub async fn serve_peers(gw: Rc<Gateway>, listener: TcpListener) {
     let answer = move |path: String, message: Bytes| {
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::platform::Platform;
 use crate::prelude::*;
 use crate::relays::{
-    poll_evacuations, report_origins, return_trials, run_role, serve_peers, sync_quarantine,
+    poll_other_relays, report_origins, return_trials, run_role, serve_peers, sync_quarantine,
     sync_speeds,
 };
 use crate::rotation::{ask_for_consents, report_load};
@@ -72,7 +72,7 @@
     spawn_local(sync_quarantine(gw.clone()));
     spawn_local(return_trials(gw.clone()));
     spawn_local(report_origins(gw.clone()));
-    spawn_local(poll_evacuations(gw.clone()));
+    spawn_local(poll_other_relays(gw.clone()));
     spawn_local(report_load(gw.clone()));
     spawn_local(ask_for_consents(gw.clone()));
     spawn_local(sync_speeds(gw.clone()));
--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -154,6 +154,8 @@
                     watch = next;
                     continue;
                 }
+                // Another router may have sent what this one missed.
+                watch.after = watch.after.max(gw.cursor(topic).revision);
                 // A call without a wait returns quickly, so the end of a partition is noticed.
                 // Unlike reading the state it does not transfer a document that is already in
                 // force.
