--- a/wisteriapass_bench/src/standin/http.rs
+++ b/wisteriapass_bench/src/standin/http.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wisteriapass_daemon::http::{self, BoundAddress, Listener, Request, StreamWriter};
@@ -122,6 +123,12 @@
             .map(|(_, value)| value)
     }
 
+    /// Returns the value of a query parameter with its percent-encoding removed.
+    pub fn decoded_query(&self, name: &str) -> Option<String> {
+        let value = percent_decode_str(self.query(name)?).decode_utf8();
+        value.ok().map(Into::into)
+    }
+
     /// Returns the value of a header, if the request has it.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.req.header(name)
--- a/wisteriapass_bench/src/standin/users_platform/store.rs
+++ b/wisteriapass_bench/src/standin/users_platform/store.rs
@@ -18,6 +18,9 @@
 /// Interval at which a waiting watch checks for new changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Maximum number of items in a page of a range read.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// Delay of a slow write.
 const SLOW_WRITE_DELAY: Duration = Duration::from_millis(150);
 
@@ -241,11 +244,16 @@
 
     fn range(&self, call: Call) {
         let prefix = call.query("prefix").unwrap_or_default().to_owned();
+        let after = call.decoded_query("after").unwrap_or_default();
         let state = self.state.lock();
         let (items, revision) = state.readable();
-        let included = items.iter().filter(|(k, _)| k.starts_with(&prefix));
-        let entries: Vec<Value> = included.map(|(k, item)| present_item(k, item)).collect();
-        let page = json!({"entries": entries, "has_more": false, "at": revision});
+        let mut included = items
+            .iter()
+            .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+        let page = included.by_ref().take(MAX_PAGE_ITEMS);
+        let entries: Vec<Value> = page.map(|(k, item)| present_item(k, item)).collect();
+        let has_more = included.next().is_some();
+        let page = json!({"entries": entries, "has_more": has_more, "at": revision});
         drop(state);
         call.answer(200, &page);
     }
--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod money;
+mod odd_entries;
 mod quarantine;
 mod regions;
 mod relays;
