--- a/wisteriapass_coord/src/relay/roster.rs
+++ b/wisteriapass_coord/src/relay/roster.rs
@@ -303,7 +303,8 @@
 
 impl RelayStatus {
     fn age_at(&self, now_ms: u64) -> u64 {
-        self.age_ms + now_ms.saturating_sub(self.as_of_ms)
+        let since_ms = now_ms.saturating_sub(self.as_of_ms);
+        self.age_ms.saturating_add(since_ms)
     }
 
     fn is_fresh(&self, now_ms: u64) -> bool {
@@ -314,6 +315,6 @@
     /// whose own link or CPU delays its answers gets no fresher news from another relay.
     fn is_recent(&self, now_ms: u64) -> bool {
         let since_answer_ms = now_ms.saturating_sub(self.received_ms);
-        !self.is_leaving && self.age_ms + since_answer_ms < MAX_NEWS_AGE_MS
+        !self.is_leaving && self.age_ms.saturating_add(since_answer_ms) < MAX_NEWS_AGE_MS
     }
 }
--- a/wisteriapass_gateway/src/change_log/target_log.rs
+++ b/wisteriapass_gateway/src/change_log/target_log.rs
@@ -1,6 +1,7 @@
 //! The entries of the targets, and the revision of the last relevant change to each.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -39,6 +40,23 @@
     pub changes: Vec<(u64, TargetChange)>,
 }
 
+/// Longest time for which a relay may state that a missing entry can come back, in milliseconds.
+const MAX_MISSING_MS: u64 = 60_000;
+
+impl TargetChange {
+    /// Converts a change that a relay sent to one of this router's.
+    pub fn into_change(self, now: Instant) -> Change {
+        match self {
+            Self::Entry(entry) => Change::Target(entry),
+            Self::Gone(id) => Change::Removed(id),
+            Self::Missing { id, left_ms } => {
+                let left = Duration::from_millis(left_ms.min(MAX_MISSING_MS));
+                Change::Missing(id, now + left)
+            }
+        }
+    }
+}
+
 /// A target's entry, `None` if it was removed, and the revision of its last change.
 #[derive(Clone, Debug)]
 struct LoggedEntry {
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -10,9 +10,9 @@
 use super::limits;
 use super::messages::{UPDATE_PATH, UpdateAnswer, UpdateCall};
 use super::updates::apply_configuration;
-use crate::change_log::{TargetChange, TargetChangeSet};
+use crate::change_log::TargetChangeSet;
 use crate::ledger::KnownRecord;
-use crate::platform::{Change, RevisedChange, Topic};
+use crate::platform::{RevisedChange, Topic};
 use crate::prelude::*;
 use crate::rpc::deadline_in;
 use crate::store_watch::catch_up;
@@ -197,22 +197,12 @@
         .into_iter()
         .map(|(revision, change)| RevisedChange {
             revision,
-            change: to_change(change, now),
+            change: change.into_change(now),
         })
         .collect();
     gw.apply_target_changes(set.cursor, &changes, set.since.is_none());
 }
 
-fn to_change(change: TargetChange, now: Instant) -> Change {
-    match change {
-        TargetChange::Entry(entry) => Change::Target(entry),
-        TargetChange::Gone(id) => Change::Removed(id),
-        TargetChange::Missing { id, left_ms } => {
-            Change::Missing(id, now + Duration::from_millis(left_ms))
-        }
-    }
-}
-
 /// Becomes a relay if there are too few and it is this router's turn.
 async fn try_to_join(gw: &Rc<Gateway>, candidacy: &mut Candidacy) -> Option<Vec<KnownRecord>> {
     let now_ms = gw.clock.now_ms();
--- a/wisteriapass_gateway/tests/change_log.rs
+++ b/wisteriapass_gateway/tests/change_log.rs
@@ -215,3 +215,17 @@
     assert_eq!(sent_ids(&log, 10), ["-b"]);
     assert_eq!(log.cursor(), cursor(20));
 }
+
+/// Guards against a panic at a time that no clock can represent.
+#[test]
+fn a_relay_that_states_an_endless_time_ends_its_follower() {
+    let now = Instant::now();
+    let missing = TargetChange::Missing {
+        id: TargetId("t".into()),
+        left_ms: u64::MAX,
+    };
+    let Change::Missing(_, until) = missing.into_change(now) else {
+        panic!("another change");
+    };
+    assert!(until > now);
+}
