A follower hears of changes while it asks the store for relays

Cause: a follower polled relays, caught up from the store and asked the store for the record of relays one behind the other. A record that arrives slowly, over a full link or at a router without processor time, is never silent and ends no call, so that nothing else went on meanwhile.

Polling, catching up and becoming a relay now run beside each other, as joining already did.

a_follower_that_looks_for_relays_misses_changes_meanwhile: the store's answer trickles; on the code before, the new key of version 3 did not come within 20 s. Links of the stand-ins can trickle. The log's part load, of the delay of the event loop, was filtered out and is written now.

--- a/wisteriapass_bench/src/link/connection.rs
+++ b/wisteriapass_bench/src/link/connection.rs
@@ -96,12 +96,15 @@
             let Some(faults) = link.wait_deliverable(self, direction) else {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             };
-            std::thread::sleep(faults.delay(n));
             if n == 0 {
+                std::thread::sleep(faults.delay(n));
                 return destination.shutdown(Shutdown::Write);
             }
-            destination.write_all(&buf[..n])?;
-            link.count_bytes(n);
+            for chunk in faults.chunks(direction, &buf[..n]) {
+                std::thread::sleep(faults.delay(chunk.len()));
+                destination.write_all(chunk)?;
+                link.count_bytes(chunk.len());
+            }
         }
     }
 }
--- a/wisteriapass_bench/src/link/faults.rs
+++ b/wisteriapass_bench/src/link/faults.rs
@@ -36,6 +36,9 @@
     /// Rate limit for each direction of each connection, in bytes per millisecond; 0 means no
     /// limit.
     pub bytes_per_ms: u64,
+    /// Number of bytes of an answer after which the rest is delivered one byte at a time; 0 means that
+    /// all of it is delivered at once.
+    pub trickles_after: usize,
 }
 
 impl LinkFaults {
@@ -79,6 +82,31 @@
         }
     }
 
+    /// Creates a link that delivers the first bytes of an answer, and then one byte at a time, each after
+    /// this delay in milliseconds.
+    pub fn trickling(first_bytes: usize, delay_ms: u64) -> Self {
+        Self {
+            delay_ms,
+            trickles_after: first_bytes,
+            ..Self::default()
+        }
+    }
+
+    /// Splits bytes into the chunks that are delivered one after the other.
+    pub(super) fn chunks<'a>(
+        &self,
+        direction: Direction,
+        bytes: &'a [u8],
+    ) -> impl Iterator<Item = &'a [u8]> {
+        let trickles = self.trickles_after > 0 && direction == Direction::ToClient;
+        let at_once = match trickles {
+            true => bytes.len().min(self.trickles_after),
+            false => bytes.len(),
+        };
+        let (first, rest) = bytes.split_at(at_once);
+        std::iter::once(first).chain(rest.chunks(1))
+    }
+
     /// Returns the delay of a chunk of this many bytes.
     pub(super) fn delay(&self, bytes: usize) -> Duration {
         let transfer = (bytes as u64).checked_div(self.bytes_per_ms);
--- a/wisteriapass_daemon/src/logging.rs
+++ b/wisteriapass_daemon/src/logging.rs
@@ -57,6 +57,7 @@
         .level_for("money", filter)
         .level_for("fleet", filter)
         .level_for("relay", filter)
+        .level_for("load", filter)
         .level_for("start", filter)
         .level_for("exchange", filter)
         .level_for("quarantine", filter)
--- a/wisteriapass_daemon/tests/on_platform/relays.rs
+++ b/wisteriapass_daemon/tests/on_platform/relays.rs
@@ -394,3 +394,57 @@
         });
     }
 }
+
+/// Number of bytes of an answer of the store that arrive at once: all of its head, and not its body.
+const FIRST_BYTES: usize = 250;
+
+/// Delay of each further byte, in milliseconds. An answer takes a minute, and is never silent.
+const BYTE_DELAY_MS: u64 = 100;
+
+/// Waits until the followers know a router that is a relay.
+fn wait_for_roster(fleet: &RelayFleet, name: &str) {
+    let store = &fleet.platform.store;
+    let writes = |n: usize| write_count(store, &format!("r{n}"));
+    let before: Vec<u64> = (0..RELAYS).map(writes).collect();
+    wait_for("relays that have read of the other one", || {
+        (0..RELAYS).all(|n| writes(n) > before[n] + 1)
+    });
+    let asking = [KEY, name];
+    fleet
+        .platform
+        .configure(&configuration(2, &asking, 1_000_000));
+    fleet.wait_until_accepted(name);
+}
+
+/// Guards against a follower that asks the store which routers are relays, and hears of no changes
+/// for as long as the answer takes.
+#[test]
+fn a_follower_that_looks_for_relays_misses_changes_meanwhile() {
+    let mut fleet = RelayFleet::start(1_000_000);
+    let store = &fleet.platform.store;
+    let other = Router::start_in_domain("other", store.addr(), "north");
+    wait_for("a relay of the other failure domain", || {
+        is_relay(store, "other")
+    });
+    wait_for_roster(&fleet, "other");
+    fleet.links[RELAYS].set_faults(LinkFaults::trickling(FIRST_BYTES, BYTE_DELAY_MS));
+    for relay in &mut fleet.relays {
+        relay.signal(Signal::SIGKILL);
+        relay.wait();
+    }
+    let before = fleet.links[RELAYS].forwarded_bytes();
+    wait_for("an answer of the store that takes long", || {
+        fleet.links[RELAYS].forwarded_bytes() > before + FIRST_BYTES as u64
+    });
+    fleet
+        .platform
+        .configure(&configuration(3, &[KEY, "new"], 1_000_000));
+    let mut n = 0;
+    wait_for("the new key at the follower", || {
+        n += 1;
+        let request = Request::new(&format!("new-{n}"), "/safe/x").with_key("new");
+        let answer = fleet.followers[0].send(&request);
+        answer.is_some_and(|a| a.status == 200)
+    });
+    drop(other);
+}
--- a/wisteriapass_gateway/src/relays/follower.rs
+++ b/wisteriapass_gateway/src/relays/follower.rs
@@ -1,8 +1,6 @@
 //! The follower role: polls a relay for updates, and becomes a relay if none is available.
 
-use std::future::Future;
-use std::pin::pin;
-
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use wisteriapass_coord::prepaid::ShareRecord;
 use wisteriapass_coord::relay::{Candidacy, CandidateAction, KnownRelay, RelayStatus};
@@ -66,52 +64,62 @@
 
 /// Follows relays until this router has become a relay itself; returns the known state of the
 /// records.
+///
+/// What this router asks the store does not keep it from following: an answer of the store may take
+/// seconds, and so may joining, as long as other routers' writes come first.
 pub async fn follow_relays(gw: &Rc<Gateway>) -> Vec<KnownRecord> {
-    let mut candidacy = Candidacy::new(gw.settings.vm_size.is_strong());
-    let mut catch_up_at = Instant::now();
+    let state = FollowerState {
+        candidacy: RefCell::new(Candidacy::new(gw.settings.vm_size.is_strong())),
+        polled: Notify::new(),
+        is_joining: Cell::new(false),
+    };
+    tokio::select! {
+        biased;
+        known = become_relay(gw, &state) => known,
+        () = poll_relays(gw, &state) => unreachable!("polls until it is dropped"),
+        () = catch_up_without_relay(gw, &state) => unreachable!("repeats until it is dropped"),
+    }
+}
+
+/// State that the parts of a follower's work share.
+struct FollowerState {
+    candidacy: RefCell<Candidacy>,
+    /// Notified after each poll of a relay.
+    polled: Notify,
+    /// Whether this router registers as a relay.
+    is_joining: Cell<bool>,
+}
+
+impl FollowerState {
+    /// Returns whether the store answers this router.
+    fn is_service_reachable(&self) -> bool {
+        self.is_joining.get() || self.candidacy.borrow().is_service_reachable()
+    }
+}
+
+/// Polls relays for updates forever.
+async fn poll_relays(gw: &Gateway, state: &FollowerState) {
     loop {
         let is_recent = poll_relay(gw).await;
-        if candidacy.is_service_reachable() {
-            catch_up_if_due(gw, &mut catch_up_at).await;
-        }
-        if let Some(known) = try_to_join(gw, &mut candidacy).await {
-            return known;
-        }
+        state.polled.notify_one();
         sleep(poll_pause(is_recent)).await;
     }
 }
 
-/// Follows relays, or the store if no relay answers, until `work` is complete. Joining the relays
-/// takes as long as other routers' writes come first.
-async fn follow_while<T>(gw: &Gateway, work: impl Future<Output = T>) -> T {
-    let mut work = pin!(work);
-    let mut catch_up_at = deadline_in(CATCH_UP_INTERVAL_MS);
+/// Fetches changes from the store while it answers and no relay does; never returns.
+async fn catch_up_without_relay(gw: &Gateway, state: &FollowerState) {
     loop {
-        let following = async {
-            let is_recent = poll_relay(gw).await;
-            if !is_recent {
-                catch_up_if_due(gw, &mut catch_up_at).await;
-            }
-            sleep(poll_pause(is_recent)).await;
-        };
-        tokio::select! {
-            biased;
-            done = &mut work => return done,
-            () = following => {}
+        sleep(Duration::from_millis(CATCH_UP_INTERVAL_MS)).await;
+        let is_following = gw.ledger.roster.borrow().is_following(gw.clock.now_ms());
+        if !is_following && state.is_service_reachable() {
+            tokio::join!(
+                catch_up(gw, Topic::Targets),
+                catch_up(gw, Topic::Configuration)
+            );
         }
     }
 }
 
-/// Fetches the changes since the known state from the store, at most once per interval.
-async fn catch_up_if_due(gw: &Gateway, due_at: &mut Instant) {
-    if Instant::now() < *due_at {
-        return;
-    }
-    *due_at = deadline_in(CATCH_UP_INTERVAL_MS);
-    catch_up(gw, Topic::Targets).await;
-    catch_up(gw, Topic::Configuration).await;
-}
-
 /// Returns the pause before the next update request.
 fn poll_pause(is_recent: bool) -> Duration {
     Duration::from_millis(if is_recent { POLL_MS } else { SEARCH_POLL_MS })
@@ -203,15 +211,31 @@
     gw.apply_target_changes(set.cursor, &changes, set.since.is_none());
 }
 
+/// Becomes a relay once there are too few and it is this router's turn.
+async fn become_relay(gw: &Gateway, state: &FollowerState) -> Vec<KnownRecord> {
+    loop {
+        // Only just after a poll does this router know which relays answer.
+        state.polled.notified().await;
+        if let Some(known) = try_to_join(gw, state).await {
+            return known;
+        }
+    }
+}
+
 /// Becomes a relay if there are too few and it is this router's turn.
-async fn try_to_join(gw: &Rc<Gateway>, candidacy: &mut Candidacy) -> Option<Vec<KnownRecord>> {
+async fn try_to_join(gw: &Gateway, state: &FollowerState) -> Option<Vec<KnownRecord>> {
     let now_ms = gw.clock.now_ms();
     let need = gw.ledger.roster.borrow().need(now_ms);
     let routers = gw.ledger.router_count();
-    match candidacy.next_action(now_ms, need, routers, rand::random()) {
+    let action = state
+        .candidacy
+        .borrow_mut()
+        .next_action(now_ms, need, routers, rand::random());
+    match action {
         CandidateAction::None => None,
         CandidateAction::QueryService => {
             let record = gw.ledger.read_relays(gw).await;
+            let mut candidacy = state.candidacy.borrow_mut();
             match record {
                 Some(record) => {
                     update_roster(gw, &record);
@@ -223,10 +247,12 @@
         }
         CandidateAction::Join => {
             log::info!(target: "relay", "Joining the relays. need={need:?}");
+            state.is_joining.set(true);
             let joining = gw.ledger.join_relays(gw, |record| is_wanted(gw, record));
-            let joined = follow_while(gw, joining).await;
+            let joined = joining.await;
+            state.is_joining.set(false);
             if joined.is_none() {
-                candidacy.withdraw();
+                state.candidacy.borrow_mut().withdraw();
             }
             joined
         }
