A router without processor time refuses what it cannot serve in time

Cause: a router whose event loop is late went on taking every request. Each one waits behind all others several times, so that all are late, time out and are sent again.

While its timers are late, a router now refuses a request at once that could not begin its answer within its route's latency goal (503 'overloaded', not run, back in 0.1 s), and closes the connection, so that the caller may reach another router. It is decided in wisteriapass_policy::loop_delay; a simulated load of twice the capacity keeps the queue under the goal and the CPU in use.

--- a/wisteriapass/src/commands/explain.rs
+++ b/wisteriapass/src/commands/explain.rs
@@ -121,6 +121,9 @@
             "refused: it resumes a stream that several software versions may have begun, and no \
              router remembered which"
         }
+        Some("overloaded") => {
+            "refused: its router had too little processor time to serve it in time"
+        }
         Some("resting") => "refused: the remaining targets turned requests away and asked for rest",
         Some("stopping") => "refused: its router was stopping, and the answer would come too late",
         Some("no_region") => "refused: no target is in a region that its route and account allow",
--- a/wisteriapass_daemon/tests/on_platform/starved.rs
+++ b/wisteriapass_daemon/tests/on_platform/starved.rs
@@ -6,7 +6,9 @@
 
 use nix::sys::signal::Signal;
 
-use crate::support::{KEY, RELAYS, RelayFleet, Request, Router, configuration, is_relay, wait_for};
+use crate::support::{
+    KEY, RELAYS, RelayFleet, Request, Router, TestPlatform, configuration, is_relay, wait_for,
+};
 
 /// Time for which a starved router runs, and time for which it is suspended after that.
 const RUN_TIME: Duration = Duration::from_millis(4);
@@ -18,6 +20,12 @@
 /// Number of configurations that are accepted one after the other.
 const VERSIONS: u64 = 8;
 
+/// Latency goal of urgent requests, in milliseconds.
+const LATENCY_GOAL_MS: u64 = 300;
+
+/// Number of refusals after which a router is known to refuse.
+const ENOUGH_REFUSED: usize = 10;
+
 /// Prepaid total that covers all requests of a test many times.
 const PREPAID: u64 = 1_000_000;
 
@@ -81,3 +89,41 @@
     assert!(!is_relay(&fleet.platform.store, &format!("r{RELAYS}")));
     assert!(!starved.log().contains("No answer of a relay."));
 }
+
+/// Guards against a router that takes more requests than it can serve, and holds all of them beyond
+/// their time.
+#[test]
+fn a_starved_router_holds_requests_that_it_cannot_serve_in_time() {
+    let platform = TestPlatform::new(PREPAID);
+    let mut urgent = configuration(2, &[KEY], PREPAID);
+    for route in urgent["routes"].as_array_mut().unwrap() {
+        route["target_latency_ms"] = LATENCY_GOAL_MS.into();
+    }
+    platform.configure(&urgent);
+    let router = Router::start("r", &platform.store);
+    let is_done = AtomicBool::new(false);
+    let mut refused = Vec::new();
+    scope(|threads| {
+        let _stop = StopOnDrop(&is_done);
+        threads.spawn(|| starve(&router, &is_done));
+        for caller in 0..CALLERS {
+            let (router, is_done) = (&router, &is_done);
+            threads.spawn(move || call_repeatedly(router, caller, is_done));
+        }
+        let mut n = 0;
+        wait_for("refused requests", || {
+            n += 1;
+            let id = format!("x{n}");
+            let answer = router.send(&Request::new(&id, "/once/x"));
+            if answer.is_some_and(|a| a.status == 503 && a.body.contains("overloaded")) {
+                refused.push(id);
+            }
+            refused.len() >= ENOUGH_REFUSED
+        });
+    });
+    let received = platform.plain.iter().flat_map(|t| t.received_requests());
+    let ids: Vec<String> = received
+        .map(|r| r.header("x-attempt-id").to_owned())
+        .collect();
+    assert!(refused.iter().all(|id| !ids.contains(id)));
+}
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -65,12 +65,14 @@
         Ok(response) if is_collected => reply::collect(&gw, response).await,
         result => result,
     };
+    // A caller that connects again may reach a router with more processor time.
+    let closes = matches!(result, Err(Refusal::Overloaded)) || gw.closes_connections();
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &metadata, Some(&plan), refusal, arrived),
     };
     gw.record_bytes(HEAD_BYTES, HEAD_BYTES + reply::full_length(&response));
-    if gw.closes_connections() {
+    if closes {
         reply::announce_close(&mut response);
     }
     Ok(response)
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -104,8 +104,13 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoTarget`], [`Refusal::NoRegion`] or [`Refusal::Stopping`].
+    /// [`Refusal::Overloaded`], [`Refusal::NoTarget`], [`Refusal::NoRegion`] or
+    /// [`Refusal::Stopping`].
     pub fn check_head(&self, gw: &Gateway, metadata: &RequestMetadata) -> Result<(), Refusal> {
+        let loop_delay = gw.loop_delay.get();
+        if loop_delay.is_too_late_for(self.route.latency_goal_ms) {
+            return Err(Refusal::Overloaded);
+        }
         // A stream that is resumed may go on at another service of its route.
         if metadata.resumes.is_none() {
             self.check_targets(gw)?;
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -18,6 +18,9 @@
     /// This router stops before the response would be complete.
     #[display("stopping")]
     Stopping,
+    /// This router has too little processor time to serve the request in time.
+    #[display("overloaded")]
+    Overloaded,
     /// The body is larger than permitted.
     #[display("too_large")]
     TooLarge,
@@ -102,6 +105,7 @@
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
             | Self::Stopping
+            | Self::Overloaded
             | Self::ShareShort { .. }
             | Self::Saved
             | Self::NoTarget
@@ -134,7 +138,7 @@
             // Another router may be permitted to send to them, and in a second this one is.
             Self::Cold | Self::Limited => Some(400),
             // Another router accepts the request at once.
-            Self::Stopping => Some(100),
+            Self::Stopping | Self::Overloaded => Some(100),
             // Duration of a few short requests at a full target.
             Self::Full | Self::NotTaken => Some(300),
             // The copy in flight may have ended, or a death of its target be known.
--- a/wisteriapass_policy/src/loop_delay.rs
+++ b/wisteriapass_policy/src/loop_delay.rs
@@ -5,6 +5,10 @@
 //! its peers are well. The delay is measured by a timer alone and says nothing about peers or links.
 //! The shortest of several consecutive delays counts, since a single long one may be a pause.
 
+/// How often the tasks of a request wait behind all others before its answer begins: those of a call,
+/// and when the connection, the request and its body are read.
+const WAITS_PER_REQUEST: u64 = 6;
+
 /// Number of measurements considered.
 const SAMPLES: usize = 3;
 
@@ -64,6 +68,16 @@
         self.samples.into_iter().min().unwrap_or_default()
     }
 
+    /// Returns whether a request that arrives now cannot begin its answer within its latency goal, in
+    /// milliseconds.
+    ///
+    /// While requests wait, they time out and are sent again, which costs more processor time than
+    /// answering them. Refusing new ones at once keeps the others in time, and another router can
+    /// serve them.
+    pub fn is_too_late_for(&self, latency_goal_ms: u64) -> bool {
+        self.is_late && self.delay_ms().saturating_mul(WAITS_PER_REQUEST) >= latency_goal_ms
+    }
+
     /// Returns whether the router gets too little processor time.
     pub fn is_late(&self) -> bool {
         self.is_late
--- a/wisteriapass_policy/tests/loop_delay.rs
+++ b/wisteriapass_policy/tests/loop_delay.rs
@@ -38,3 +38,42 @@
     }
     assert_eq!(waited_ms, 2_000);
 }
+
+/// Processor time of a request that is served and of one that is refused, in milliseconds.
+const SERVE_MS: u64 = 8;
+const REFUSE_MS: u64 = 1;
+
+/// Latency goal of all requests, in milliseconds.
+const GOAL_MS: u64 = 400;
+
+/// Simulates twice the load that a router can serve for half a minute; returns the number of served
+/// requests and the work that waits at the end, in milliseconds.
+fn overload(refuses: bool) -> (u64, u64) {
+    let mut delay = LoopDelay::default();
+    let (mut waiting_ms, mut served) = (0_u64, 0);
+    for now_ms in 0..30_000 {
+        waiting_ms = waiting_ms.saturating_sub(1);
+        if now_ms % 100 == 0 {
+            delay.record(waiting_ms);
+        }
+        if now_ms % (SERVE_MS / 2) != 0 {
+            continue;
+        }
+        if refuses && delay.is_too_late_for(GOAL_MS) {
+            waiting_ms += REFUSE_MS;
+        } else {
+            served += 1;
+            waiting_ms += SERVE_MS;
+        }
+    }
+    (served, waiting_ms)
+}
+
+#[test]
+fn requests_that_cannot_be_served_in_time_are_refused() {
+    let (_, waiting_ms) = overload(false);
+    assert!(waiting_ms > 10_000);
+    let (served, waiting_ms) = overload(true);
+    assert!(waiting_ms < GOAL_MS, "{waiting_ms}");
+    assert!(served * SERVE_MS > 20_000, "{served}");
+}
