A follower that catches up from the store undoes nothing that a relay sent meanwhile

What was read is now dropped if the position moved in the meantime; the next call goes on from there.

--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -61,7 +61,8 @@
 
 /// Fetches and applies the changes since the known state, once.
 pub async fn catch_up(gw: &Gateway, topic: Topic) {
-    let mut cursor = gw.cursor(topic);
+    let known = gw.cursor(topic);
+    let mut cursor = known;
     let watched = match cursor.revision {
         // Without a known state, the complete one is needed.
         0 => Err(StoreError::Compacted),
@@ -79,6 +80,10 @@
         return;
     };
     gw.store_liveness.record_topic_answer(topic, Instant::now());
+    // A relay may have sent later changes in the meantime, which these would undo.
+    if gw.cursor(topic) != known {
+        return;
+    }
     if is_snapshot {
         cursor = batch.cursor(batch.bytes);
     } else if !batch.changes.is_empty() {
