A late router waits for its relays also where a single timer fires on time

Its timer of 250 ms fired 5 ms late, between two long turns of the event loop, so no time was added although the loop was late all the while.

The delay that every recent timer had now counts as well as that of the timer itself. The test is as it was.

--- a/wisteriapass_gateway/src/loop_delay.rs
+++ b/wisteriapass_gateway/src/loop_delay.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::rpc::deadline_in;
+use crate::timeout::set_loop_delay;
 
 /// Interval between two measurements, in milliseconds.
 const INTERVAL_MS: u64 = 100;
@@ -25,4 +26,5 @@
         log::info!(target: "load", "Event loop. late={is_late} delay_ms={delay_ms}");
     }
     gw.loop_delay.set(loop_delay);
+    set_loop_delay(loop_delay.delay_ms());
 }
