Bodies of callers and of other routers fill the memory of a router together

A router is killed at the limit of its VM, and every request that it serves ends without an answer.

Cause: buffered answers of targets had a budget, all else that others make a router hold had a limit for each piece alone: bodies of requests, heads and calls of peers and of probes, answers that wait for their callers, connections. Class: bounds of parts without a bound of their sum.

Change: one account of memory, half of the VM's, that all of these draw on until their last byte is dropped, also in the HTTP library (memory_account.rs, held_memory.rs, held_buffer.rs). Each purpose has a limit, and large buffers leave a reserve for small ones. A body that states its length takes its memory before it is read. What does not fit is refused at once: 503 memory_short, not run, come back in 100 ms; a connection that does not fit closes unread. The rest of a refused body is read for 2 s, so that the answer is not lost to a reset. Calls of peers have time limits and 16 KiB for a head.

--- a/wisteriapass_daemon/tests/on_platform/main.rs
+++ b/wisteriapass_daemon/tests/on_platform/main.rs
@@ -10,6 +10,7 @@
 mod explain_placement;
 mod leaving;
 mod limits;
+mod memory;
 mod money;
 mod odd_entries;
 mod quarantine;
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod quarantine_check;
 mod reply;
+mod rest_of_body;
 mod resumption;
 mod selection;
 mod trial_check;
@@ -22,12 +23,13 @@
 
 use std::convert::Infallible;
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::time::timeout_at;
+use wisteriapass_policy::memory_account::Purpose;
 
 use crate::dispatch::outgoing_request;
+use crate::held_buffer::{ReadError, read_held};
 use crate::prelude::*;
 use crate::reservation::Reservation;
 use crate::rotation::HEAD_BYTES;
@@ -43,6 +45,10 @@
 pub use reply::{BodyStream, ResponseBody, streamed_response};
 pub(crate) use resumption::known_origin;
 
+/// Memory that a request holds besides its body and its answer, in bytes: its tasks, and the buffers
+/// of its connection to a target.
+const REQUEST_BYTES: u64 = 32 << 10;
+
 /// Serves one request.
 ///
 /// # Errors
@@ -53,20 +59,25 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let is_collected = reply::is_collected(parts.version);
     let metadata = gw.platform.request_metadata(&parts.headers);
     let plan = match Plan::new(&gw, &parts, &metadata, arrived) {
         Ok(plan) => plan,
-        Err(refusal) => return Ok(reply::refuse(&gw, &metadata, None, refusal, arrived)),
+        Err(refusal) => {
+            rest_of_body::discard(body);
+            return Ok(reply::refuse(&gw, &metadata, None, refusal, arrived));
+        }
     };
-    let result = forward(&gw, parts, body, &metadata, &plan).await;
+    let result = forward(&gw, parts, &mut body, &metadata, &plan).await;
+    rest_of_body::discard(body);
     let result = match result {
         Ok(response) if is_collected => reply::collect(&gw, response).await,
         result => result,
     };
-    // A caller that connects again may reach a router with more processor time.
-    let closes = matches!(result, Err(Refusal::Overloaded)) || gw.closes_connections();
+    // A caller that connects again may reach a router with more processor time or memory.
+    let is_short = matches!(result, Err(Refusal::Overloaded | Refusal::MemoryShort));
+    let closes = is_short || gw.closes_connections();
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => reply::refuse(&gw, &metadata, Some(&plan), refusal, arrived),
@@ -82,13 +93,15 @@
 async fn forward(
     gw: &Rc<Gateway>,
     parts: hyper::http::request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     metadata: &RequestMetadata,
     plan: &Plan,
 ) -> Result<Response<ResponseBody>, Refusal> {
     plan.check_head(gw, metadata)?;
     let is_collected = reply::is_collected(parts.version);
-    let body = gw.run_unless_aborted(read_body(body, plan)).await;
+    let memory = gw.memory.hold(Purpose::Request, REQUEST_BYTES);
+    let memory = memory.map_err(|_| memory_short(gw, Purpose::Request))?;
+    let body = gw.run_unless_aborted(read_body(gw, body, plan)).await;
     let body = body.ok_or(Refusal::Stopping)??;
     gw.record_bytes(body.len(), 0);
     let plan = &resumption::plan_resumption(gw, metadata, plan).await?;
@@ -97,7 +110,8 @@
         outgoing_request(parts, body),
         metadata.clone(),
         plan.clone(),
-    );
+    )
+    .with_memory(memory);
     request.check_quarantine(&AttemptHistory::default())?;
     request.check_trial(&AttemptHistory::default())?;
     let mut reservation = reserve(gw, metadata, plan).await?;
@@ -129,13 +143,19 @@
 }
 
 /// Reads the complete body, so that it can be sent again.
-async fn read_body(body: Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, plan.limits.body_bytes);
+async fn read_body(gw: &Gateway, body: &mut Incoming, plan: &Plan) -> Result<Bytes, Refusal> {
     let until = plan.deadline.min(plan.body_by);
-    match timeout_at(until, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::BodyBroken),
+    let reading = read_held(&gw.memory, Purpose::Body, body, plan.limits.body_bytes);
+    match timeout_at(until, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => Err(Refusal::TooLarge),
+        Ok(Err(ReadError::Broken)) => Err(Refusal::BodyBroken),
+        Ok(Err(ReadError::MemoryShort)) => Err(memory_short(gw, Purpose::Body)),
         Err(_) => Err(Refusal::LateNotRun),
     }
 }
+
+fn memory_short(gw: &Gateway, purpose: Purpose) -> Refusal {
+    gw.record_memory_short(purpose);
+    Refusal::MemoryShort
+}
--- a/wisteriapass_gateway/src/exchange/attempt.rs
+++ b/wisteriapass_gateway/src/exchange/attempt.rs
@@ -20,6 +20,7 @@
 use super::whole_body::read_whole_body;
 use crate::dispatch::{OutgoingRequest, SendOutcome, TargetResponse, send_request};
 use crate::gateway::WaitError;
+use crate::held_memory::HeldMemory;
 use crate::metrics::RetryReason;
 use crate::prelude::*;
 use crate::reservation::Reservation;
@@ -50,6 +51,8 @@
     pub(super) trials: Rc<TrialSlot>,
     /// Whether the current run shows that no part of the prompt crashes its target.
     pub(super) has_answer: Cell<bool>,
+    /// Memory for its state.
+    _memory: Option<HeldMemory>,
 }
 
 impl ProxiedRequest {
@@ -68,9 +71,16 @@
             fingerprints: OnceCell::new(),
             trials: Rc::default(),
             has_answer: Cell::new(false),
+            _memory: None,
         }
     }
 
+    /// Adds the memory that counts until the request has ended.
+    pub fn with_memory(mut self, memory: HeldMemory) -> Self {
+        self._memory = Some(memory);
+        self
+    }
+
     /// Runs the request; the reservation is settled when the response is complete or given up.
     pub async fn run(
         self,
--- a/wisteriapass_gateway/src/exchange/reply.rs
+++ b/wisteriapass_gateway/src/exchange/reply.rs
@@ -8,10 +8,11 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, Version};
 use serde_json::json;
+use wisteriapass_policy::memory_account::Purpose;
 
 use super::plan::Plan;
-use crate::answer_buffer::AnswerBuffer;
 use crate::dispatch::strip_hop_by_hop_headers;
+use crate::held_buffer::HeldBuffer;
 use crate::prelude::*;
 use crate::stream::StreamError;
 
@@ -75,7 +76,7 @@
 }
 
 async fn collect_stream(gw: &Gateway, mut body: StreamBody<BodyStream>) -> Result<Bytes, Refusal> {
-    let mut buffer = AnswerBuffer::new(gw);
+    let mut buffer = HeldBuffer::new(&gw.memory, Purpose::Answer);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(StreamError::refusal)?;
         let data = frame.data_ref().map_or(&[][..], |data| data);
--- a/wisteriapass_gateway/src/exchange/whole_body.rs
+++ b/wisteriapass_gateway/src/exchange/whole_body.rs
@@ -3,9 +3,11 @@
 use derive_more::From;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use wisteriapass_policy::memory_account::Purpose;
 
-use crate::answer_buffer::{AnswerBuffer, TooLarge};
 use crate::dispatch::{TargetConnection, is_connection_error};
+use crate::held_buffer::HeldBuffer;
+use crate::held_memory::MemoryShort;
 use crate::overrun::Overrun;
 use crate::prelude::*;
 
@@ -15,7 +17,7 @@
     /// It broke off, or is malformed.
     Broken(hyper::Error),
     /// It exceeds the memory for it.
-    TooLarge(TooLarge),
+    TooLarge(MemoryShort),
 }
 
 impl BodyError {
@@ -42,7 +44,7 @@
     mut body: Incoming,
     connection: &mut TargetConnection,
 ) -> Result<Bytes, BodyError> {
-    let mut buffer = AnswerBuffer::new(gw);
+    let mut buffer = HeldBuffer::new(&gw.memory, Purpose::Answer);
     while let Some(frame) = body.frame().await {
         let frame = frame?;
         connection.record_received();
--- a/wisteriapass_gateway/src/explain/serve.rs
+++ b/wisteriapass_gateway/src/explain/serve.rs
@@ -1,13 +1,15 @@
 //! Serves questions over HTTP.
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use tokio::time::timeout;
+use wisteriapass_policy::memory_account::Purpose;
 
 use super::{ExplainAnswer, ExplainCall, ExplainError, explain};
+use crate::held_buffer::{ReadError, read_held};
 use crate::prelude::*;
 
 /// Path of questions, on the readiness and metrics address.
@@ -35,24 +37,24 @@
     if request.method() != Method::POST {
         return Err(ExplainError::MethodNotAllowed);
     }
-    let body = read_body(request.into_body()).await?;
+    let body = read_body(gw, request.into_body()).await?;
     let call: ExplainCall = serde_json::from_slice(&body).map_err(|e| ExplainError::Malformed {
         cause: e.to_string(),
     })?;
     explain(gw, &call).await
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, ExplainError> {
+async fn read_body(gw: &Gateway, mut body: Incoming) -> Result<Bytes, ExplainError> {
     let incomplete = || ExplainError::Malformed {
         cause: "it did not arrive completely".into(),
     };
-    let reading = Limited::new(body, MAX_CALL_BYTES).collect();
+    let reading = read_held(&gw.memory, Purpose::Peer, &mut body, MAX_CALL_BYTES);
     match timeout(CALL_TIMEOUT, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ExplainError::TooLarge {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => Err(ExplainError::TooLarge {
             max_bytes: MAX_CALL_BYTES,
         }),
-        Ok(Err(_)) | Err(_) => Err(incomplete()),
+        Ok(Err(ReadError::Broken | ReadError::MemoryShort)) | Err(_) => Err(incomplete()),
     }
 }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one router share.
 
 mod exclusion;
+mod memory;
 mod statements;
 
 use std::collections::HashMap;
@@ -8,7 +9,6 @@
 
 use tokio::sync::watch;
 use tokio::time::sleep_until;
-use wisteriapass_policy::answer_budget::AnswerBudget;
 use wisteriapass_policy::drain::Drain;
 use wisteriapass_policy::loop_delay::LoopDelay;
 use wisteriapass_policy::rotation::Standing;
@@ -19,6 +19,7 @@
 use crate::change_log::{ConfigurationLog, Cursor, TargetLog};
 use crate::configuration_source::ConfigurationSource;
 use crate::evacuations::Evacuations;
+use crate::held_memory::SharedMemory;
 use crate::ledger::{Role, TokenLedger};
 use crate::metrics::Metrics;
 use crate::origins::SharedOrigins;
@@ -83,8 +84,10 @@
     pub(crate) origins: SharedOrigins,
     /// How slow targets are.
     pub(crate) speeds: SharedSpeeds,
-    /// Memory for answers that are buffered until they are whole.
-    pub(crate) answer_budget: RefCell<AnswerBudget>,
+    /// Memory that is held for callers, targets and other routers.
+    pub(crate) memory: SharedMemory,
+    /// When it was last logged that memory is short.
+    pub(crate) memory_logged_at: Cell<Option<Instant>>,
     /// Shutdown schedule, once this router was told to stop.
     pub(crate) drain: Cell<Option<Drain>>,
     /// When the last client connection was accepted.
@@ -119,7 +122,7 @@
         let rpc = Rc::new(RpcClient::new(clock));
         let ledger = Rc::new(TokenLedger::new(clock, &settings, rpc.clone()));
         let rotation = RotationState::new(clock, &settings);
-        let answer_budget = AnswerBudget::new(settings.vm_size.memory_bytes());
+        let memory = SharedMemory::new(settings.vm_size.memory_bytes());
         Self {
             settings,
             platform,
@@ -134,7 +137,8 @@
             trials: SharedTrials::new(clock),
             origins: SharedOrigins::new(clock),
             speeds: SharedSpeeds::default(),
-            answer_budget: RefCell::new(answer_budget),
+            memory,
+            memory_logged_at: Cell::new(None),
             drain: Cell::new(None),
             last_accepted_at: Cell::default(),
             latencies: RefCell::default(),
@@ -284,7 +288,8 @@
             Some(standing) => standing == Standing::Serving,
             None => !self.is_overloaded() && !self.rotation.awaits_first_answer(now),
         };
-        self.is_initialized() && !self.is_stopping() && accepts_callers
+        let has_memory = !self.memory.account().is_short();
+        self.is_initialized() && !self.is_stopping() && accepts_callers && has_memory
     }
 
     /// Returns whether this router knows its configuration and targets.
@@ -300,7 +305,7 @@
             Some(_) => self.rotation.closes_connections(now),
             None => self.is_overloaded(),
         };
-        self.is_stopping() || leaves_rotation
+        self.is_stopping() || leaves_rotation || self.memory.account().is_short()
     }
 
     /// Records bytes of callers' requests and answers that crossed this router's link.
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 #![warn(missing_docs)]
 
-mod answer_buffer;
 mod cached_parts;
 mod catalogue;
 mod change_log;
@@ -19,6 +18,8 @@
 pub mod explain;
 mod framing;
 mod gateway;
+mod held_buffer;
+mod held_memory;
 mod ledger;
 mod listener;
 mod loop_delay;
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -12,11 +12,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use wisteriapass_policy::memory_account::Purpose;
 
 use crate::catalogue::Limits;
 use crate::exchange;
 use crate::explain::{self, EXPLAIN_PATH};
 use crate::gateway::{ShutdownPhase, wait_for_phase};
+use crate::held_memory::{HeldMemory, MemoryShort};
 use crate::prelude::*;
 
 /// Length of the accept queue.
@@ -28,6 +30,20 @@
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Memory that an open connection holds, in bytes: the head of a request that is being read, and the
+/// state of the connection.
+const CONNECTION_BYTES: u64 = 20 << 10;
+
+/// The same for a connection of another router, a probe or an operator.
+pub(crate) const PEER_BYTES: u64 = 24 << 10;
+
+/// Size of the buffer for such a connection, in bytes.
+const PEER_BUFFER_BYTES: usize = 16 << 10;
+
+/// Maximum time that such a connection is idle or takes for a head: longer than routers keep
+/// connections for later calls.
+const PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Listens on an address, even just after a previous process released it.
 ///
 /// # Errors
@@ -57,7 +73,13 @@
         match accepted {
             Ok((stream, _)) => {
                 gw.last_accepted_at.set(gw.time());
-                spawn_local(serve_client(gw.clone(), stream, open.clone()));
+                // A caller whose connection closes before it is read can use another router at once.
+                match gw.memory.hold(Purpose::Connection, CONNECTION_BYTES) {
+                    Ok(memory) => {
+                        spawn_local(serve_client(gw.clone(), stream, open.clone(), memory));
+                    }
+                    Err(MemoryShort) => gw.record_memory_short(Purpose::Connection),
+                }
             }
             Err(e) => {
                 log::warn!(target: "listen", "Accept failed. cause={e}");
@@ -68,7 +90,12 @@
 }
 
 /// Serves one client connection until it ends.
-async fn serve_client(gw: Rc<Gateway>, stream: TcpStream, open: Rc<Cell<usize>>) {
+async fn serve_client(
+    gw: Rc<Gateway>,
+    stream: TcpStream,
+    open: Rc<Cell<usize>>,
+    _memory: HeldMemory,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -82,7 +109,8 @@
         ShutdownPhase::CloseExisting
     };
     let mut closing = gw.rotation.closing();
-    let service = service_fn(|request| exchange::serve(gw.clone(), request));
+    // In a box, the state of a request takes no memory while a connection is idle.
+    let service = service_fn(|request| Box::pin(exchange::serve(gw.clone(), request)));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -109,6 +137,16 @@
     open.set(open.get() - 1);
 }
 
+/// Returns the settings of connections of other routers, probes and operators.
+pub(crate) fn peer_http() -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(PEER_HEAD_TIMEOUT)
+        .max_buf_size(PEER_BUFFER_BYTES);
+    builder
+}
+
 /// Returns the size of the buffer for the head of a request, in bytes.
 pub(crate) fn header_buffer_bytes(limits: &Limits) -> usize {
     limits.header_bytes.max(MIN_BUFFER_BYTES)
@@ -121,12 +159,17 @@
             sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             continue;
         };
+        let Ok(memory) = gw.memory.hold(Purpose::Peer, PEER_BYTES) else {
+            gw.record_memory_short(Purpose::Peer);
+            continue;
+        };
         let gw = gw.clone();
         spawn_local(async move {
             let service = service_fn(|request| readiness(&gw, request));
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = peer_http().serve_connection(TokioIo::new(stream), service);
             // The peer may disconnect at any time.
             let _ = connection.await;
+            drop(memory);
         });
     }
 }
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use wisteriapass_coord::prepaid::Outstanding;
+use wisteriapass_policy::memory_account::Purpose;
 use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
 use crate::configuration_source::ConfigurationSource;
@@ -42,6 +43,9 @@
 /// Label for the part of an answer.
 const PART: &str = "part";
 
+/// Label for what memory is held for.
+const PURPOSE: &str = "purpose";
+
 /// Label for the band of slowness.
 const BAND: &str = "band";
 
@@ -166,6 +170,7 @@
     broken_streams: Counter<u64>,
     unproven_ends: Counter<u64>,
     overruns: Counter<u64>,
+    memory_short: Counter<u64>,
     resumed_streams: Counter<u64>,
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
@@ -205,6 +210,7 @@
             broken_streams: meter.u64_counter("wisteriapass_broken_streams").build(),
             unproven_ends: meter.u64_counter("wisteriapass_unproven_ends").build(),
             overruns: meter.u64_counter("wisteriapass_overruns").build(),
+            memory_short: meter.u64_counter("wisteriapass_memory_short").build(),
             resumed_streams: meter.u64_counter("wisteriapass_resumed_streams").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
@@ -283,6 +289,12 @@
         self.overruns.add(1, &[part]);
     }
 
+    /// Counts that there was no memory for a purpose.
+    pub fn count_memory_short(&self, purpose: Purpose) {
+        let purpose = KeyValue::new(PURPOSE, purpose.to_string());
+        self.memory_short.add(1, &[purpose]);
+    }
+
     /// Counts a stream that its client resumes, by the source of its origin.
     pub fn count_resumed_stream(&self, source: OriginSource) {
         let source = KeyValue::new(SOURCE, source.to_string());
--- a/wisteriapass_gateway/src/refusal.rs
+++ b/wisteriapass_gateway/src/refusal.rs
@@ -21,6 +21,9 @@
     /// This router has too little processor time to serve the request in time.
     #[display("overloaded")]
     Overloaded,
+    /// This router has too little memory to hold the request.
+    #[display("memory_short")]
+    MemoryShort,
     /// The body is larger than permitted.
     #[display("too_large")]
     TooLarge,
@@ -106,6 +109,7 @@
             Self::NotConfigured
             | Self::Stopping
             | Self::Overloaded
+            | Self::MemoryShort
             | Self::ShareShort { .. }
             | Self::Saved
             | Self::NoTarget
@@ -138,7 +142,7 @@
             // Another router may be permitted to send to them, and in a second this one is.
             Self::Cold | Self::Limited => Some(400),
             // Another router accepts the request at once.
-            Self::Stopping | Self::Overloaded => Some(100),
+            Self::Stopping | Self::Overloaded | Self::MemoryShort => Some(100),
             // Duration of a few short requests at a full target.
             Self::Full | Self::NotTaken => Some(300),
             // The copy in flight may have ended, or a death of its target be known.
--- a/wisteriapass_gateway/src/relays/peer_calls.rs
+++ b/wisteriapass_gateway/src/relays/peer_calls.rs
@@ -20,13 +20,14 @@
 
 /// Serves calls of other routers until the process ends.
 pub async fn serve_peers(gw: Rc<Gateway>, listener: TcpListener) {
+    let memory = gw.memory.clone();
     let answer = move |path: String, message: Bytes| {
         let gw = gw.clone();
         let answered: crate::platform::LocalFuture<'static, _> =
             Box::pin(async move { answer(&gw, &path, &message).await });
         answered
     };
-    serve_calls(listener, Rc::new(answer)).await;
+    serve_calls(listener, memory, Rc::new(answer)).await;
 }
 
 /// Answers one call; returns `None` for an unknown or malformed call, and for one that this
--- a/wisteriapass_gateway/src/rpc.rs
+++ b/wisteriapass_gateway/src/rpc.rs
@@ -5,11 +5,10 @@
 use std::net::SocketAddr;
 
 use bytes::BytesMut;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
 use hyper::header::HOST;
-use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -19,8 +18,12 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapass_policy::Time;
+use wisteriapass_policy::memory_account::Purpose;
 use wisteriapass_policy::overload::OverloadDetector;
 
+use crate::held_buffer::{hold, read_held};
+use crate::held_memory::SharedMemory;
+use crate::listener::{PEER_BYTES, peer_http};
 use crate::platform::LocalFuture;
 use crate::prelude::*;
 use crate::timeout::answer_by;
@@ -42,6 +45,9 @@
 /// Time after which an unused connection is dropped, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 5_000;
 
+/// Time within which a call has to arrive, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 5_000;
+
 /// Pause after `accept` failed, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 20;
 
@@ -207,7 +213,7 @@
 pub type CallHandler = dyn Fn(String, Bytes) -> LocalFuture<'static, Option<Vec<u8>>>;
 
 /// Serves calls until the process ends.
-pub async fn serve_calls(listener: TcpListener, answer: Rc<CallHandler>) {
+pub async fn serve_calls(listener: TcpListener, memory: SharedMemory, answer: Rc<CallHandler>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
@@ -216,33 +222,40 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let answer = answer.clone();
+        let Ok(held) = memory.hold(Purpose::Peer, PEER_BYTES) else {
+            log::debug!(target: "relay", "Memory short. purpose={}", Purpose::Peer);
+            continue;
+        };
+        let (answer, memory) = (answer.clone(), memory.clone());
         spawn_local(async move {
-            let service = service_fn(|request| respond(&*answer, request));
-            let connection = server::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let service = service_fn(|request| respond(&*answer, &memory, request));
+            let connection = peer_http().serve_connection(TokioIo::new(stream), service);
             // The peer may disconnect at any time.
             let _ = connection.await;
+            drop(held);
         });
     }
 }
 
 async fn respond(
     answer: &CallHandler,
+    memory: &SharedMemory,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let is_post = request.method() == Method::POST;
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_CALL_BYTES)
-        .collect()
-        .await;
-    let body = body.ok().filter(|_| is_post).map(|b| b.to_bytes());
+    let mut body = request.into_body();
+    let reading = read_held(memory, Purpose::Peer, &mut body, MAX_CALL_BYTES);
+    let body = answer_by(deadline_in(CALL_TIMEOUT_MS), reading).await;
+    let body = body.and_then(Result::ok).filter(|_| is_post);
     let bytes = match body {
         Some(body) => answer(path, body).await,
         None => None,
     };
+    let bytes = bytes.and_then(|bytes| hold(memory, Purpose::Peer, bytes).ok());
     let mut response = Response::default();
     match bytes {
-        Some(bytes) => *response.body_mut() = Full::new(Bytes::from(bytes)),
+        Some(bytes) => *response.body_mut() = Full::new(bytes),
         None => *response.status_mut() = StatusCode::BAD_REQUEST,
     }
     Ok(response)
