Blank lines of a stream that wait for its caller no longer fill the memory

Change: blank lines belong to the event before them; events of a frame wait in one buffer, which counts against the memory account.

--- a/wisteriapass_bench/src/standin/users_platform/target/endless.rs
+++ b/wisteriapass_bench/src/standin/users_platform/target/endless.rs
@@ -30,6 +30,8 @@
     Event,
     /// Events of a stream without length, with increasing ids.
     Events,
+    /// Blank lines after the first event of a stream.
+    BlankLines,
 }
 
 impl EndlessPart {
@@ -45,6 +47,7 @@
             Self::Unframed => format!("{head}\r\n"),
             Self::Event => format!("{head}{stream}{chunked}"),
             Self::Events => format!("{head}{stream}\r\n"),
+            Self::BlankLines => format!("{head}{stream}\r\nid: 1\ndata: x\n\n"),
         }
     }
 
@@ -56,6 +59,7 @@
             Self::Informational => "HTTP/1.1 102 Processing\r\n\r\n".repeat(PIECE_BYTES / 27),
             Self::Chunks | Self::Event => format!("{PIECE_BYTES:x}\r\n{filler}\r\n"),
             Self::Events => format!("id: {number}\ndata: {filler}\n\n"),
+            Self::BlankLines => "\n".repeat(PIECE_BYTES),
         }
     }
 
--- a/wisteriapass_daemon/tests/on_platform/endless_answers.rs
+++ b/wisteriapass_daemon/tests/on_platform/endless_answers.rs
@@ -77,7 +77,8 @@
         EndlessPart::Head => "head",
         EndlessPart::Informational | EndlessPart::ChunkSize => "framing",
         EndlessPart::Event => "event",
-        EndlessPart::Chunks | EndlessPart::Unframed | EndlessPart::Events => "body",
+        EndlessPart::Chunks | EndlessPart::Unframed => "body",
+        EndlessPart::Events | EndlessPart::BlankLines => "body",
     }
 }
 
--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -2,10 +2,12 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::thread::scope;
+use std::thread::{scope, sleep};
 use std::time::Duration;
 
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use wisteriapass_bench::standin::users_platform::{Behaviour, EndlessPart};
 
 use crate::support::{Answer, KEY, Request, Router, TestPlatform, VM_MEMORY_MB, configuration};
 
@@ -15,6 +17,9 @@
 /// Largest permitted body, in bytes.
 const BODY_BYTES: usize = 4 << 20;
 
+/// Number of callers that do not read their streams.
+const SILENT_CALLERS: usize = 120;
+
 /// Number of connections of peers with a head that does not end.
 const PEERS: usize = 600;
 
@@ -78,6 +83,16 @@
     Some(stream)
 }
 
+/// Sends a request and reads nothing of the answer.
+fn ask_without_reading(router: &Router, request: &Request) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], router.port()));
+    socket.connect(&address.into()).unwrap();
+    (&socket).write_all(request.text().as_bytes()).unwrap();
+    socket
+}
+
 /// Guards against bodies of callers that fill the memory together, and refusals of them that get lost.
 #[test]
 fn large_bodies_at_the_same_time_fill_the_memory() {
@@ -134,6 +149,23 @@
     assert_serves(&router, "after");
 }
 
+/// Guards against streams of blank lines, each of which takes many times its size while it waits for its
+/// caller.
+#[test]
+fn blank_lines_that_wait_for_their_callers_fill_the_memory() {
+    let (platform, router) = start();
+    let endless = [Behaviour::Endless(EndlessPart::BlankLines); SILENT_CALLERS];
+    for engine in &platform.engines {
+        engine.push_behaviours(&endless);
+    }
+    let stream = |n: usize| Request::new(&format!("s{n}"), "/draft/x").with_tokens(10, 10);
+    let callers = (0..SILENT_CALLERS).map(|n| ask_without_reading(&router, &stream(n)));
+    let _callers: Vec<Socket> = callers.collect();
+    sleep(FAULT_TIME);
+    assert_memory_suffices(&router);
+    assert_serves(&router, "after");
+}
+
 /// Guards against heads of peers and probes that fill the memory.
 #[test]
 fn heads_of_peers_fill_the_memory() {
--- a/wisteriapass_gateway/src/events.rs
+++ b/wisteriapass_gateway/src/events.rs
@@ -48,6 +48,16 @@
         self.buf.len() <= MAX_EVENT_BYTES
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Returns whether no bytes are buffered.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         self.skip_line_feed();
@@ -57,6 +67,7 @@
             self.line_start = line_end + 1;
             self.skip_line_feed();
             if length == 0 {
+                self.skip_blank_lines();
                 return Some(self.take_event());
             }
         }
@@ -71,6 +82,16 @@
         }
     }
 
+    /// Skips blank lines after the end of an event: they belong to no other one.
+    fn skip_blank_lines(&mut self) {
+        let rest = &self.buf[self.line_start..];
+        let blank = rest.iter().take_while(|byte| is_line_end(**byte)).count();
+        if let Some(last) = rest[..blank].last() {
+            self.is_after_cr = *last == b'\r';
+            self.line_start += blank;
+        }
+    }
+
     /// Returns whether the bytes after the last complete event are the beginning of another one,
     /// rather than blank lines and comments.
     pub fn is_inside_event(&self) -> bool {
--- a/wisteriapass_gateway/src/held_memory.rs
+++ b/wisteriapass_gateway/src/held_memory.rs
@@ -71,6 +71,21 @@
         self.bytes += more;
         Ok(())
     }
+
+    /// Grows or shrinks to a number of bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryShort`] if they are not available.
+    pub fn resize(&mut self, bytes: u64) -> Result<(), MemoryShort> {
+        if bytes >= self.bytes {
+            return self.grow_to(bytes);
+        }
+        let mut account = self.account.0.lock();
+        account.release(self.purpose, self.bytes - bytes);
+        self.bytes = bytes;
+        Ok(())
+    }
 }
 
 impl Drop for HeldMemory {
--- a/wisteriapass_gateway/src/stream.rs
+++ b/wisteriapass_gateway/src/stream.rs
@@ -1,13 +1,13 @@
 //! Forwarding of event streams, and resuming them at another target when they break off.
 
-use std::collections::VecDeque;
-
+use bytes::BytesMut;
 use derive_more::{Display, Error};
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
 use wisteriapass_policy::LatencyHistory;
+use wisteriapass_policy::memory_account::Purpose;
 use wisteriapass_policy::target_speed::OutputPause;
 
 use crate::dispatch::{TargetResponse, is_connection_error};
@@ -17,6 +17,7 @@
     ResponseBody, streamed_response,
 };
 use crate::gateway::WaitError;
+use crate::held_memory::HeldMemory;
 use crate::metrics::RetryReason;
 use crate::overrun::Overrun;
 use crate::prelude::*;
@@ -31,6 +32,10 @@
 /// target, in milliseconds: one that crashes may send events in the last moment.
 const PROOF_MS: u64 = 200;
 
+/// Size of the waiting events of a stream that goes on while memory is short, in bytes: what comes
+/// later is refused instead.
+const MAX_UNCOUNTED_BYTES: usize = 64 << 10;
+
 /// Why a stream ended early; the client's connection is closed with it.
 #[derive(Clone, Copy, Debug, Display, Error)]
 pub enum StreamError {
@@ -72,7 +77,10 @@
     history: AttemptHistory,
     reservation: Option<Reservation>,
     reader: EventReader,
-    pending: VecDeque<Bytes>,
+    /// Events for the client.
+    pending: BytesMut,
+    /// Memory for them, and for the beginning of the next one.
+    memory: HeldMemory,
     /// Id of the last event that was forwarded.
     last_event_id: Option<u64>,
     /// Whether an event was forwarded.
@@ -107,13 +115,15 @@
         let status = answer.status;
         let headers = answer.headers.clone();
         let last = request.metadata.last_event;
+        let memory = request.gw.memory.hold_nothing(Purpose::Request);
         let mut forwarder = Self {
             request,
             answer: Some(answer),
             history,
             reservation,
             reader: EventReader::default(),
-            pending: VecDeque::new(),
+            pending: BytesMut::new(),
+            memory,
             last_event_id: last,
             has_events: false,
             run_began_at: None,
@@ -123,18 +133,21 @@
             pauses: EventPauses::default(),
             break_check: None,
         };
-        match forwarder.next_chunk().await {
-            Ok(Some(first)) => forwarder.pending.push_front(first),
-            Ok(None) => {}
+        let first = match forwarder.next_chunk().await {
+            Ok(first) => first,
             Err(error) => {
                 forwarder.log_broken(error);
                 return Err(error.refusal());
             }
-        }
-        let body: BodyStream = Box::pin(unfold(Some(forwarder), |state| async move {
-            let mut state = state?;
-            match state.next_chunk().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(state))),
+        };
+        let body: BodyStream = Box::pin(unfold(Some((forwarder, first)), |state| async move {
+            let (mut state, first) = state?;
+            let next = match first {
+                Some(first) => Ok(Some(first)),
+                None => state.next_chunk().await,
+            };
+            match next {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((state, None)))),
                 Ok(None) => None,
                 Err(error) => {
                     state.log_broken(error);
@@ -148,8 +161,8 @@
     /// Returns the next bytes for the client; `None` at the end.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
-            if let Some(bytes) = self.pending.pop_front() {
-                return Ok(Some(bytes));
+            if !self.pending.is_empty() {
+                return Ok(Some(self.pending.split().freeze()));
             }
             let Some(answer) = &mut self.answer else {
                 return Ok(None);
@@ -187,7 +200,7 @@
             answer.connection.record_received();
         }
         self.request.gw.record_bytes(bytes.len(), bytes.len());
-        if !self.reader.push(&bytes) {
+        if !self.reader.push(&bytes) || !self.holds(bytes.len()) {
             self.record_overrun(Overrun::Event);
             return false;
         }
@@ -235,10 +248,21 @@
         if event.has_fields() {
             self.record_event();
         }
-        self.pending.push_back(event.bytes);
+        self.pending.extend_from_slice(&event.bytes);
         true
     }
 
+    /// Takes memory for the events that are being read, the last of which were in a frame of this many
+    /// bytes; returns `false` if there is none for so many.
+    fn holds(&mut self, frame_bytes: usize) -> bool {
+        let bytes = self.reader.len() + self.pending.len() + 2 * frame_bytes;
+        let is_held = self.memory.resize(bytes as u64).is_ok();
+        if !is_held {
+            self.request.gw.record_memory_short(Purpose::Request);
+        }
+        is_held || bytes <= MAX_UNCOUNTED_BYTES
+    }
+
     /// Records that an event is forwarded, and at the first one which software began the stream.
     fn record_event(&mut self) {
         let now = Instant::now();
@@ -350,7 +374,7 @@
     fn complete(&mut self, key: TargetKey) {
         let rest = self.reader.rest();
         if !rest.is_empty() {
-            self.pending.push_back(rest);
+            self.pending.extend_from_slice(&rest);
         }
         let Some(answer) = self.answer.take() else {
             return;
