A caller that does not read no longer holds its target and its answer for ever

What callers saw: nothing by itself; a slot of a target, and since the memory account a part of it, stay taken for as long as the connection lives. Cause: a stream is read only as its caller takes it, and its deadline is looked at when it is read. Change: a connection whose bytes wait for as long as one may be idle is closed. The test failed on the code before (the target still sent after 20 s).

--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -9,7 +9,9 @@
 use socket2::{Domain, Socket, Type};
 use wisteriapass_bench::standin::users_platform::{Behaviour, EndlessPart};
 
-use crate::support::{Answer, KEY, Request, Router, TestPlatform, VM_MEMORY_MB, configuration};
+use crate::support::{
+    Answer, KEY, Request, Router, TestPlatform, VM_MEMORY_MB, configuration, wait_for,
+};
 
 /// Number of callers at the same time.
 const CALLERS: usize = 60;
@@ -166,6 +168,23 @@
     assert_serves(&router, "after");
 }
 
+/// Guards against a caller that reads nothing of its stream, and holds its target for ever.
+#[test]
+fn a_caller_that_does_not_read_holds_its_target() {
+    let (platform, router) = start();
+    for engine in &platform.engines {
+        engine.push_behaviours(&[Behaviour::Endless(EndlessPart::Events)]);
+    }
+    let unfinished = || {
+        let engines = platform.engines.iter();
+        engines.map(|e| e.unfinished_answers()).sum::<usize>()
+    };
+    let request = Request::new("s", "/draft/x").with_tokens(10, 10);
+    let _caller = ask_without_reading(&router, &request);
+    wait_for("a stream", || unfinished() == 1);
+    wait_for("the end of the stream", || unfinished() == 0);
+}
+
 /// Guards against heads of peers and probes that fill the memory.
 #[test]
 fn heads_of_peers_fill_the_memory() {
--- a/wisteriapass_gateway/src/lib.rs
+++ b/wisteriapass_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod cached_parts;
+mod caller_stream;
 mod catalogue;
 mod change_log;
 mod clock;
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 use wisteriapass_policy::memory_account::Purpose;
 
+use crate::caller_stream::{CallerStream, WriteStall};
 use crate::catalogue::Limits;
 use crate::exchange;
 use crate::explain::{self, EXPLAIN_PATH};
@@ -111,6 +112,8 @@
     let mut closing = gw.rotation.closing();
     // In a box, the state of a request takes no memory while a connection is idle.
     let service = service_fn(|request| Box::pin(exchange::serve(gw.clone(), request)));
+    let stall = WriteStall::default();
+    let stream = CallerStream::new(stream, stall.clone());
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -125,14 +128,20 @@
             _ = closing.changed() => {}
         }
     };
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = closes => {
-            connection.as_mut().graceful_shutdown();
-            // An error here means that the client disconnected, which its requests notice
-            // themselves.
-            let _ = connection.await;
+    let serving = async {
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = closes => {
+                connection.as_mut().graceful_shutdown();
+                // An error here means that the client disconnected, which its requests notice
+                // themselves.
+                let _ = connection.await;
+            }
         }
+    };
+    tokio::select! {
+        () = serving => {}
+        () = stall.lasts(Duration::from_millis(limits.idle_ms)) => {}
     }
     open.set(open.get() - 1);
 }
