Informational responses count as part of the head of an answer

Cause: they had the limit of a body's framing, 256 KiB a connection, which are some ten thousand heads to parse. Change: they share the 64 KiB of the head.

--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -10,7 +10,7 @@
 use wisteriapass_bench::standin::users_platform::{Behaviour, EndlessPart};
 
 use crate::support::{
-    Answer, KEY, Request, Router, TestPlatform, VM_MEMORY_MB, configuration, wait_for,
+    Answer, KEY, RawTarget, Request, Router, TestPlatform, VM_MEMORY_MB, configuration, wait_for,
 };
 
 /// Number of callers at the same time.
@@ -202,3 +202,23 @@
     let metrics = router.metrics();
     assert!(!metrics.is_empty());
 }
+
+/// Guards against informational responses that are read without end, as they are no part of a head.
+#[test]
+fn informational_responses_do_not_count_as_part_of_the_head() {
+    let (platform, router) = start();
+    let target = RawTarget::start(&platform, "plain");
+    target.wait_until_only(&router, "/once/x");
+    let informational = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (count, status) in [(100, 200), (HEAD_BYTES / informational.len() / 2, 502)] {
+        let answer = format!(
+            "{}HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Server-Stamp: s\r\n\
+             Content-Length: 3\r\n\r\nraw",
+            informational.repeat(count)
+        );
+        target.set_answer(answer.as_bytes());
+        let request = Request::new(&format!("i{count}"), "/once/x");
+        assert_eq!(router.send(&request).map(|a| a.status), Some(status));
+    }
+    assert!(router.log().contains("part=framing"));
+}
--- a/wisteriapass_gateway/src/dispatch.rs
+++ b/wisteriapass_gateway/src/dispatch.rs
@@ -205,7 +205,7 @@
     let Some((mut open, is_new)) = take_or_open(gw, target).await else {
         return SendOutcome::NotSent;
     };
-    open.unparsed.reset();
+    open.unparsed.expect_head();
     connection.is_new = is_new;
     if !may_send() {
         return SendOutcome::Withheld;
--- a/wisteriapass_gateway/src/target_stream.rs
+++ b/wisteriapass_gateway/src/target_stream.rs
@@ -10,34 +10,61 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes after which a connection fails if they contained neither the head of an answer nor data of
-/// its body, such as informational responses or the size of a chunk. hyper does not limit these.
-const MAX_UNPARSED_BYTES: usize = 4 * MAX_BUFFER_BYTES;
-
-/// Size of the buffer for a connection, in bytes, and so of the head of an answer.
+/// Size of the buffer for a connection, in bytes, and so of the head of an answer, together with the
+/// informational responses before it.
 pub const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes after which a connection fails if they contained no data of the body of an answer, such as
+/// the size of a chunk. hyper limits neither these nor informational responses.
+const MAX_UNPARSED_BYTES: usize = 4 * MAX_BUFFER_BYTES;
+
 /// The target sent too much without an answer.
 #[derive(Clone, Copy, Debug, Display, Error)]
-#[display("{MAX_UNPARSED_BYTES} bytes without a head or data of an answer")]
+#[display("too many bytes without a head or data of an answer")]
 pub struct Unparsable;
 
-/// Number of bytes received since the last head or data of an answer.
+/// Number of bytes received since the last head or data of an answer, and their limit.
 #[derive(Clone, Debug, Default)]
-pub struct UnparsedBytes(Rc<Cell<usize>>);
+pub struct UnparsedBytes(Rc<Cell<Unparsed>>);
+
+#[derive(Clone, Copy, Debug)]
+struct Unparsed {
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl Default for Unparsed {
+    fn default() -> Self {
+        Self {
+            bytes: 0,
+            max_bytes: MAX_BUFFER_BYTES,
+        }
+    }
+}
 
 impl UnparsedBytes {
+    /// Records that a request is sent, whose answer begins with a head.
+    pub fn expect_head(&self) {
+        self.0.take();
+    }
+
     /// Records that a head or data of an answer was received.
     pub fn reset(&self) {
-        self.0.set(0);
+        self.0.set(Unparsed {
+            bytes: 0,
+            max_bytes: MAX_UNPARSED_BYTES,
+        });
     }
 
     fn add(&self, bytes: usize) {
-        self.0.set(self.0.get().saturating_add(bytes));
+        let mut unparsed = self.0.get();
+        unparsed.bytes = unparsed.bytes.saturating_add(bytes);
+        self.0.set(unparsed);
     }
 
     fn exceed_limit(&self) -> bool {
-        self.0.get() > MAX_UNPARSED_BYTES
+        let unparsed = self.0.get();
+        unparsed.bytes > unparsed.max_bytes
     }
 }
 
