A router waits for its addresses instead of ending

What callers saw: FAULT, and LOST at a fleet whose routers end at each start. Cause: an address that was not available ended the process with code 2, and so did each restart until it was. Change: it waits, logs that once, and ends on SIGTERM. Other errors of the system end it as before.

a_taken_port_ends_a_router failed on the code before. the_exit_of_a_router_whose_port_is_taken_is_noticed asserted that a router with a taken port ends; what it guards is that the harness notices an exit beside a port that does not answer. It kills the waiting router now and checks the same.

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -270,13 +270,33 @@
     );
 }
 
-// A router whose port is in use exits at once. A readiness probe that the other server left
-// unanswered used up the whole timeout, and the exit was not noticed.
+/// Guards against a router that ends because one of its ports is in use, and does so at each start.
+#[test]
+fn a_taken_port_ends_a_router() {
+    let platform = TestPlatform::new(10_000);
+    let mut router = Router::new("r", &platform.store);
+    let occupied = router.occupy_readiness_port();
+    router.spawn();
+    wait_for("a log line", || {
+        router.log().contains("Waiting for an address")
+    });
+    assert!(router.is_running());
+    assert_eq!(router.log().matches("Waiting for an address").count(), 1);
+    drop(occupied);
+    assert!(router.becomes_ready());
+}
+
+// A readiness probe that another server left unanswered used up the whole timeout, and the exit of
+// the router was not noticed.
 #[test]
 fn the_exit_of_a_router_whose_port_is_taken_is_noticed() {
     let platform = TestPlatform::new(10_000);
     let mut router = Router::new("r", &platform.store);
     let _occupied = router.occupy_readiness_port();
     router.spawn();
+    wait_for("a log line", || {
+        router.log().contains("Waiting for an address")
+    });
+    router.signal(Signal::SIGKILL);
     assert!(!router.becomes_ready());
 }
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listeners for clients and for readiness probes.
 
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use http_body_util::Full;
@@ -25,6 +26,9 @@
 /// Length of the accept queue.
 const BACKLOG: i32 = 1_024;
 
+/// Pause before an address that was not available is tried again, in milliseconds.
+const LISTEN_RETRY_MS: u64 = 100;
+
 /// Pause after `accept` failed, in milliseconds, so that file descriptors can be released.
 const ACCEPT_RETRY_MS: u64 = 20;
 
@@ -45,12 +49,38 @@
 /// connections for later calls.
 const PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Listens on an address, even just after a previous process released it.
+/// Listens on an address once it is available: a process that ends instead would be started again
+/// and again until then.
 ///
 /// # Errors
 ///
-/// Those of the operating system.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// Those of the operating system, except that the address is not available.
+pub async fn listen_when_free(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let mut is_waiting = false;
+    loop {
+        let error = match listen(address) {
+            Ok(listener) => return Ok(listener),
+            Err(e) => e,
+        };
+        if !matches!(
+            error.kind(),
+            ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable
+        ) {
+            return Err(error);
+        }
+        if !std::mem::replace(&mut is_waiting, true) {
+            log::warn!(
+                target: "start",
+                "Waiting for an address; free it, or configure another one. address={address} \
+                 cause={error}"
+            );
+        }
+        sleep(Duration::from_millis(LISTEN_RETRY_MS)).await;
+    }
+}
+
+/// Listens on an address, even just after a previous process released it.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
         socket2::Type::STREAM,
--- a/wisteriapass_gateway/src/run.rs
+++ b/wisteriapass_gateway/src/run.rs
@@ -8,7 +8,7 @@
 use wisteriapass_policy::drain::Drain;
 
 use crate::gateway::ShutdownPhase;
-use crate::listener::{listen, serve_clients, serve_readiness};
+use crate::listener::{listen_when_free, serve_clients, serve_readiness};
 use crate::loop_delay::measure_loop_delay;
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
@@ -60,9 +60,16 @@
 async fn serve(gw: Rc<Gateway>) -> Result<(), RunError> {
     let mut stop = signal(SignalKind::terminate())?;
     spawn_local(ignore_signal(signal(SignalKind::hangup())?));
-    let clients = listen(gw.settings.listen)?;
-    let ready = listen(gw.settings.readiness_listen)?;
-    let peers = listen(gw.settings.peer_listen)?;
+    let opening = async {
+        let clients = listen_when_free(gw.settings.listen).await?;
+        let ready = listen_when_free(gw.settings.readiness_listen).await?;
+        let peers = listen_when_free(gw.settings.peer_listen).await?;
+        std::io::Result::Ok((clients, ready, peers))
+    };
+    let (clients, ready, peers) = tokio::select! {
+        opened = opening => opened?,
+        _ = stop.recv() => return Ok(()),
+    };
     gw.ledger.note_listening();
     let open = Rc::new(Cell::new(0));
     spawn_local(serve_peers(gw.clone(), peers));
