A late stream of a stopping router is delivered whole, or not at all

What callers saw: LOST. A router in a planned stop took streams over 3 s behind SIGTERM and cut them with its own end, behind their first events.

Cause: such a stream is taken because it is expected to end in time, times 1.5, which is no bound; once events have been passed on, nothing can be said to the caller any more. Class: a promise on an estimate, without a way back.

Change: from the time at which callers of other routers no longer come (2.3 s), a stream is collected, as for HTTP/1.0, and delivered once it is whole. One that does not end is answered (502 cut_short) before the kill. It is taken only if it is expected to end while its caller still waits for a first event (2 s, or four times its goal).

--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -13,6 +13,15 @@
 /// Time from a stop to a pause that begins before the router aborts requests.
 const PAUSE_DELAY: Duration = Duration::from_millis(7_000);
 
+/// Time after a stop from which no stream may be cut any more.
+const LATE: Duration = Duration::from_millis(3_100);
+
+/// Number of streams that end quickly, and of late ones that do not.
+const QUICK_STREAMS: usize = 8;
+
+/// How much slower those are.
+const SLOWDOWN: u32 = 60;
+
 /// Length of that pause, which ends behind the router's exit time.
 const PAUSE: Duration = Duration::from_millis(1_200);
 
@@ -101,6 +110,55 @@
     assert_eq!(answer.map(|a| a.status), Some(502));
 }
 
+/// Guards against a late stream that takes longer than all before it, and is cut by the router's end
+/// behind its first events.
+#[test]
+fn a_late_stream_that_outlasts_its_estimate_is_cut() {
+    let platform = TestPlatform::new(1_000_000);
+    let mut router = Router::start("r", &platform.store);
+    let stream = |id: &str| Request::new(id, "/draft/x").with_tokens(100, 10);
+    for n in 0..QUICK_STREAMS {
+        let answer = router.send(&stream(&format!("quick{n}")));
+        assert_eq!(answer.map(|a| a.status), Some(200));
+    }
+    let port = router.port();
+    let send = |id: &str| {
+        let text = stream(id).with_remaining(60_000).text();
+        std::thread::spawn(move || exchange(port, &text))
+    };
+    let late = |n: usize| send(&format!("late{n}"));
+    // The router accepts callers for as long as it has work.
+    platform.engines[0].push_behaviours(&[Behaviour::SlowStream(SLOWDOWN)]);
+    platform.engines[1].push_behaviours(&[Behaviour::SlowStream(SLOWDOWN)]);
+    let long = send("long");
+    let runs = || platform.engines.iter().map(SimulatedTarget::run_count);
+    wait_for("a long stream", || runs().sum::<usize>() > QUICK_STREAMS);
+    for engine in &platform.engines {
+        engine.clear_behaviours();
+    }
+    router.signal(Signal::SIGTERM);
+    wait_for("the begin of the stop", || !router.is_ready());
+    std::thread::sleep(LATE);
+    let quick = late(0)
+        .join()
+        .unwrap()
+        .expect("an answer to a quick stream");
+    assert_eq!(quick.events(), [1, 2, 3, 4, 5]);
+    for engine in &platform.engines {
+        engine.replace_behaviours(&[Behaviour::SlowStream(SLOWDOWN); QUICK_STREAMS]);
+    }
+    let callers: Vec<_> = (1..=QUICK_STREAMS).map(late).collect();
+    let answers = callers.into_iter().map(|c| c.join().unwrap());
+    let answers: Vec<_> = answers.collect();
+    for (n, answer) in answers.iter().enumerate() {
+        let status = answer.as_ref().map(|a| a.status);
+        assert!(matches!(status, Some(502 | 503)), "{n}: {status:?}");
+    }
+    assert!(router.log().contains("reason=cut_short"), "none was taken");
+    assert_eq!(long.join().unwrap().unwrap().events(), [1, 2, 3, 4, 5]);
+    router.wait();
+}
+
 // A router that got no processor time from before its abort until behind its exit time exited at
 // once, which closed the connections to its callers.
 #[test]
--- a/wisteriapass_gateway/src/exchange.rs
+++ b/wisteriapass_gateway/src/exchange.rs
@@ -60,7 +60,7 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived = Instant::now();
     let (parts, mut body) = request.into_parts();
-    let is_collected = reply::is_collected(parts.version);
+    let is_collected = reply::is_collected(parts.version) || gw.delivers_whole_streams();
     let metadata = gw.platform.request_metadata(&parts.headers);
     let plan = match Plan::new(&gw, &parts, &metadata, arrived) {
         Ok(plan) => plan,
@@ -69,6 +69,7 @@
             return Ok(reply::refuse(&gw, &metadata, None, refusal, arrived));
         }
     };
+    let plan = plan.with_whole_delivery(is_collected);
     let result = forward(&gw, parts, &mut body, &metadata, &plan).await;
     rest_of_body::discard(body);
     let result = match result {
@@ -98,7 +99,6 @@
     plan: &Plan,
 ) -> Result<Response<ResponseBody>, Refusal> {
     plan.check_head(gw, metadata)?;
-    let is_collected = reply::is_collected(parts.version);
     let memory = gw.memory.hold(Purpose::Request, REQUEST_BYTES);
     let memory = memory.map_err(|_| memory_short(gw, Purpose::Request))?;
     let body = gw.run_unless_aborted(read_body(gw, body, plan)).await;
@@ -115,7 +115,7 @@
     request.check_quarantine(&AttemptHistory::default())?;
     request.check_trial(&AttemptHistory::default())?;
     let mut reservation = reserve(gw, metadata, plan).await?;
-    if is_collected {
+    if plan.is_delivered_whole {
         reservation = reservation.map(Reservation::with_whole_delivery);
     }
     gw.credit_retry(&plan.service);
--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -40,6 +40,8 @@
     pub cold_start: Option<ColdStart>,
     /// Software that began the stream, if the client resumes one.
     pub origin: Option<Software>,
+    /// Whether a stream is delivered once it is whole.
+    pub is_delivered_whole: bool,
 }
 
 impl Plan {
@@ -87,6 +89,7 @@
             tokens_per_event: 1,
             cold_start: None,
             origin: None,
+            is_delivered_whole: false,
             limits: catalogue.limits,
             arrived,
             // The queueing delay counts: the client's own timeout has been running since before the
@@ -131,6 +134,12 @@
         self
     }
 
+    /// Sets whether a stream is delivered once it is whole.
+    pub fn with_whole_delivery(mut self, is_delivered_whole: bool) -> Self {
+        self.is_delivered_whole = is_delivered_whole;
+        self
+    }
+
     /// Returns the account's name.
     pub fn account_name(&self) -> Option<&str> {
         self.account.as_ref().map(|a| a.name.as_str())
@@ -205,6 +214,10 @@
         };
         let most = metadata.work.map_or(0, |w| w.max_output);
         let expected_ms = gw.expected_ms(target, &self.route, most);
+        if self.route.kind.is_stream() {
+            let goal_ms = self.route.latency_goal_ms;
+            return drain.accepts_stream(gw.time(), expected_ms, goal_ms);
+        }
         drain.accepts_work(gw.time(), expected_ms)
     }
 
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -354,6 +354,14 @@
         }
     }
 
+    /// Returns whether streams that arrive now are delivered once they are whole, as this router may
+    /// stop before they end.
+    pub(crate) fn delivers_whole_streams(&self) -> bool {
+        let now = self.time();
+        let drain = self.drain.get();
+        drain.is_some_and(|drain| drain.delivers_whole_streams(now))
+    }
+
     /// Returns whether the deadline has passed that targets were given because of the shutdown.
     pub(crate) fn targets_stopped(&self) -> bool {
         let now = self.time();
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -6,7 +6,7 @@
 //! stopping as well, and for seconds no router accepts connections. A stopping router therefore
 //! accepts connections as long as callers arrive, but only takes work that is expected to end
 //! before it is killed. Since estimates may be wrong, targets and callers are told in time when the
-//! router ends.
+//! router ends, and streams are delivered whole: the rest of one that has begun could not be refused.
 
 use crate::Time;
 
@@ -38,6 +38,12 @@
 /// lost, while a refused one goes to another router.
 const DURATION_MARGIN: f64 = 1.5;
 
+/// Time for which callers wait for the first event of a stream, in milliseconds.
+const SILENCE_MS: u64 = 2_000;
+
+/// The same as a multiple of the latency goal, where that is longer.
+const SILENCE_GOALS: u64 = 4;
+
 /// Shutdown schedule of one router.
 #[derive(Clone, Copy, Debug)]
 pub struct Drain {
@@ -85,6 +91,19 @@
         now < self.accept_all_until || now.plus_millis(ms) <= self.expected_end
     }
 
+    /// Returns whether a stream that is expected to take `expected_ms` would finish in time, and
+    /// while its caller still waits for its first event, if it is delivered whole.
+    pub fn accepts_stream(&self, now: Time, expected_ms: u64, latency_goal_ms: u64) -> bool {
+        let silence_ms = SILENCE_MS.max(latency_goal_ms.saturating_mul(SILENCE_GOALS));
+        let is_patient = !self.delivers_whole_streams(now) || expected_ms <= silence_ms;
+        is_patient && self.accepts_work(now, expected_ms)
+    }
+
+    /// Returns whether streams that arrive now are delivered once they are whole.
+    pub fn delivers_whole_streams(&self, now: Time) -> bool {
+        now >= self.accept_all_until
+    }
+
     /// Returns the time by which work is expected to be done.
     pub fn expected_end(&self) -> Time {
         self.expected_end
--- a/wisteriapass_policy/tests/drain.rs
+++ b/wisteriapass_policy/tests/drain.rs
@@ -114,6 +114,19 @@
     assert!(!drain.accepts_work(at(7_500), 300));
 }
 
+/// Guards against late streams that are cut because their estimates were wrong.
+#[test]
+fn late_streams_are_delivered_whole_to_callers_that_still_wait() {
+    let drain = Drain::new(at(0), GRACE_MS);
+    assert!(!drain.delivers_whole_streams(at(2_200)));
+    assert!(drain.accepts_stream(at(2_200), 9_000, 400));
+    assert!(drain.delivers_whole_streams(at(2_900)));
+    assert!(drain.accepts_stream(at(2_900), 1_900, 400));
+    assert!(!drain.accepts_stream(at(2_900), 2_100, 400));
+    assert!(drain.accepts_stream(at(2_900), 2_900, 800));
+    assert!(!drain.accepts_stream(at(6_000), 1_900, 400));
+}
+
 #[test]
 fn busy_router_still_accepts_callers_of_routers_stopped_later() {
     let drain = Drain::new(at(0), GRACE_MS);
