A router confirms its list of targets before it takes a version for the only one

Cause: a stream that nobody remembers goes on at the only version that is known. Where some relays did not answer, one list that is at most 1.3 s old stood for all of them; a version can join, begin streams and lose its router within that time, and a VM that stands still does not count it. A router that knows no other relay did not even need that. Class: knowledge that was recent before the question, taken for an answer to it.

Change: all relays have to have answered, or the store has to confirm the list in a call that begins after the stream was asked for. No clock is involved. In an outage of the store such streams are refused as unknown_version, as they were 1.3 s into one.

--- a/wisteriapass_coord/src/origin/resolution.rs
+++ b/wisteriapass_coord/src/origin/resolution.rs
@@ -15,7 +15,8 @@
     pub possible: BTreeSet<Software>,
     /// Whether the router knows what served before it started.
     pub is_complete: bool,
-    /// Whether its list of targets is recent.
+    /// Whether its list of targets is recent. For the router that decides: whether the service
+    /// confirmed the list after the stream was asked for.
     pub is_fresh: bool,
 }
 
@@ -25,14 +26,15 @@
 /// answered. A router that remembers the stream decides. Without one, the stream began while its
 /// router knew a single version, or its router died before it could report it. It goes on if all
 /// routers know of the same single version. If some do not answer, the others may have missed a
-/// version together, unless one of them has a recent list of targets.
+/// version that joined a moment ago, however recent their lists are, unless the service confirmed
+/// the own list since. A router that knows no other one is not informed by its own list either.
 pub fn resolve(own: &Knowledge, asked: usize, answers: &[Knowledge]) -> Option<Software> {
     let all = || answers.iter().chain([own]);
     let origins: BTreeSet<&Software> = all().filter_map(|k| k.origin.as_ref()).collect();
     if !origins.is_empty() {
         return single(&origins);
     }
-    let is_informed = answers.len() >= asked || all().any(|k| k.is_fresh);
+    let is_informed = own.is_fresh || asked > 0 && answers.len() >= asked;
     if !is_informed || !all().any(|k| k.is_complete) {
         return None;
     }
--- a/wisteriapass_coord/tests/origin.rs
+++ b/wisteriapass_coord/tests/origin.rs
@@ -167,24 +167,23 @@
     assert_eq!(resolve(&restarted, 1, &[old]), None);
 }
 
-/// Guards against routers that are cut off together, and know old lists of targets.
+/// Guards against routers that are cut off, and miss a version that joined since.
 #[test]
 fn isolated_routers_rely_on_old_lists() {
     let isolated = Knowledge {
         is_fresh: false,
         ..knowledge(None, &[1])
     };
-    let recent = knowledge(None, &[1]);
+    let confirmed = knowledge(None, &[1]);
     assert_eq!(resolve(&isolated, 3, &[]), None);
+    assert_eq!(resolve(&isolated, 0, &[]), None);
     assert_eq!(
         resolve(&isolated, 3, &[isolated.clone(), isolated.clone()]),
         None
     );
-    assert_eq!(
-        resolve(&isolated, 3, slice::from_ref(&recent)),
-        Some(version(1))
-    );
-    assert_eq!(resolve(&recent, 3, &[]), Some(version(1)));
+    // The list of another router was recent before the stream was asked for.
+    assert_eq!(resolve(&isolated, 3, slice::from_ref(&confirmed)), None);
+    assert_eq!(resolve(&confirmed, 3, &[]), Some(version(1)));
     // In an outage of the store no list is recent, and none can differ.
     assert_eq!(
         resolve(&isolated, 1, slice::from_ref(&isolated)),
--- a/wisteriapass_daemon/tests/on_platform/versions.rs
+++ b/wisteriapass_daemon/tests/on_platform/versions.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
-use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget};
+use wisteriapass_bench::standin::users_platform::{Behaviour, SimulatedTarget, StoreFault};
 
 use crate::support::parts::{
     Part, SLOW_STREAMS, begin, begin_and_kill, leave, slow_down, stream, take_up_all,
@@ -18,6 +18,9 @@
 /// Number of streams that are begun together, of which each of two versions gets some.
 const STREAMS: usize = 12;
 
+/// Number of times that a version joins, as some routers hear of it at once.
+const JOINS: usize = 4;
+
 /// Begins a stream at a version, which its caller leaves.
 fn begin_at(router: &Router, version: &str) -> Part {
     let mut n = 0;
@@ -176,6 +179,57 @@
     }
 }
 
+/// Returns a stream that began at a router of which others know nothing.
+fn unknown_part(id: &str) -> Part {
+    let text = "id: 1\ndata: 1 v2\n\nid: 2\ndata: 2 v2\n\n";
+    Part {
+        id: id.into(),
+        pieces: pieces(text.as_bytes()),
+    }
+}
+
+fn assert_unknown_version(router: &Router, id: &str) {
+    let answer = router.send(&unknown_part(id).next_request(&format!("{id}-next")));
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(answer.body.contains("unknown_version"), "{}", answer.body);
+}
+
+/// Guards against a router that is cut off from all others, and takes a list that was recent when the cut
+/// began for complete: a version may have joined since.
+#[test]
+fn a_router_cut_off_from_all_takes_its_own_version_for_the_only_one() {
+    let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+    let joining = &platform.engines[1];
+    platform.store.remove(&joining.entry_key());
+    let [a, mut b] = ["a", "b"].map(|name| Router::start(name, &platform.store));
+    wait_for("the other relay", || a.log().contains("Role. role=relay"));
+    b.signal(Signal::SIGKILL);
+    b.wait();
+    platform.store.set_fault(StoreFault::Refusing);
+    platform
+        .store
+        .put(&joining.entry_key(), joining.entry("engines", "ready"));
+    assert_unknown_version(&a, "cut-off");
+    platform.store.set_fault(StoreFault::None);
+    assert_unknown_version(&a, "joined");
+}
+
+/// Guards against a router that has not heard of a version yet, and whose peers are dead.
+#[test]
+fn a_version_that_joins_between_two_watches_is_taken_for_none() {
+    for n in 0..JOINS {
+        let platform = TestPlatform::with_versions(PREPAID, &["v1", "v2"]);
+        let joining = &platform.engines[1];
+        platform.store.remove(&joining.entry_key());
+        let router = Router::start("r", &platform.store);
+        platform
+            .store
+            .put(&joining.entry_key(), joining.entry("engines", "ready"));
+        assert_unknown_version(&router, &format!("s{n}"));
+    }
+}
+
 /// Guards against routers that take the only version they know for the only one that served.
 #[test]
 fn a_version_that_ended_while_no_router_ran_is_forgotten() {
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::time::sleep_until;
 use wisteriapass_policy::drain::Drain;
 use wisteriapass_policy::loop_delay::LoopDelay;
@@ -111,6 +111,8 @@
     configuration_confirmed_at: Cell<Option<Instant>>,
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     targets_known: Cell<bool>,
+    /// When the list of targets was last asked to be confirmed, and whether it was.
+    pub(crate) last_confirmation: Mutex<Option<(Instant, bool)>>,
     /// Whether the streams of some route are distributed to several services.
     has_split_streams: Cell<bool>,
 }
@@ -152,6 +154,7 @@
             configuration_confirmed_at: Cell::new(None),
             retry_budgets: RefCell::default(),
             targets_known: Cell::new(false),
+            last_confirmation: Mutex::default(),
             has_split_streams: Cell::new(false),
         }
     }
--- a/wisteriapass_gateway/src/relays/found_origin.rs
+++ b/wisteriapass_gateway/src/relays/found_origin.rs
@@ -37,6 +37,7 @@
     pub fn without_attempt(own: Knowledge) -> Self {
         let known = Knowledge {
             is_complete: true,
+            is_fresh: true,
             ..own
         };
         Self::new(&known, 0, &[])
--- a/wisteriapass_gateway/src/relays/origin_queries.rs
+++ b/wisteriapass_gateway/src/relays/origin_queries.rs
@@ -10,6 +10,7 @@
 use crate::origins::OriginQuery;
 use crate::prelude::*;
 use crate::rpc::deadline_in;
+use crate::store_watch::confirm_targets;
 
 /// Path of a question about a stream.
 pub const ORIGIN_QUERY_PATH: &str = "/relay/origin";
@@ -27,6 +28,7 @@
     stream: StreamId,
     services: SmallVec<[String; 2]>,
 ) -> FoundOrigin {
+    let asked_at = Instant::now();
     let own = own_knowledge(gw, &stream, &services);
     if own.origin.is_some() {
         return FoundOrigin::new(&own, 0, &[]);
@@ -49,19 +51,28 @@
         }
     }
     // The stream may have been reported, or the versions read, since.
-    let own = own_knowledge(gw, &query.stream, &query.services);
+    let mut own = own_knowledge(gw, &query.stream, &query.services);
+    let has_all_answers = !relays.is_empty() && answers.len() >= relays.len();
+    let has_origin = answers.iter().chain([&own]).any(|k| k.origin.is_some());
+    if !has_all_answers && !has_origin && own.possible.len() == 1 {
+        let is_fresh = confirm_targets(gw, asked_at).await;
+        own = Knowledge {
+            is_fresh,
+            ..own_knowledge(gw, &query.stream, &query.services)
+        };
+    }
     FoundOrigin::new(&own, relays.len(), &answers)
 }
 
 fn own_knowledge(gw: &Gateway, stream: &StreamId, services: &[String]) -> Knowledge {
     let services = services.iter().map(String::as_str);
-    Knowledge {
-        is_fresh: gw.has_recent_targets(),
-        ..gw.origins.knowledge(Some(stream), services)
-    }
+    gw.origins.knowledge(Some(stream), services)
 }
 
 /// Answers another router's question.
 pub fn answer_query(gw: &Gateway, query: &OriginQuery) -> Knowledge {
-    own_knowledge(gw, &query.stream, &query.services)
+    Knowledge {
+        is_fresh: gw.has_recent_targets(),
+        ..own_knowledge(gw, &query.stream, &query.services)
+    }
 }
--- a/wisteriapass_gateway/src/store_watch.rs
+++ b/wisteriapass_gateway/src/store_watch.rs
@@ -20,6 +20,9 @@
 /// after a pause one answer carries many changes.
 const TARGETS_PAUSE_MS: u64 = 600;
 
+/// Maximum number of calls to confirm the list of targets, while other changes of it arrive.
+const MAX_CONFIRM_CALLS: usize = 3;
+
 /// Pause after a call without an answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 100;
 
@@ -59,8 +62,41 @@
     Some(first_watch(topic, apply_snapshot(gw, topic, &batch)))
 }
 
+/// Outcome of an attempt to catch up with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatchUp {
+    /// The known state is as recent as the beginning of the call.
+    Done,
+    /// The known state changed meanwhile, and the answer was dropped.
+    Overtaken,
+    /// The store did not answer.
+    Failed,
+}
+
+/// Confirms the list of targets with the store; returns whether it is at least as recent as the time
+/// `asked_at`, which has passed. Requests that wait at the same time share a call.
+pub async fn confirm_targets(gw: &Gateway, asked_at: Instant) -> bool {
+    let mut last = gw.last_confirmation.lock().await;
+    if let Some((started, is_confirmed)) = *last
+        && started >= asked_at
+    {
+        return is_confirmed;
+    }
+    let started = Instant::now();
+    let mut outcome = CatchUp::Overtaken;
+    for _ in 0..MAX_CONFIRM_CALLS {
+        outcome = catch_up(gw, Topic::Targets).await;
+        if outcome != CatchUp::Overtaken {
+            break;
+        }
+    }
+    let is_confirmed = outcome == CatchUp::Done;
+    *last = Some((started, is_confirmed));
+    is_confirmed
+}
+
 /// Fetches and applies the changes since the known state, once.
-pub async fn catch_up(gw: &Gateway, topic: Topic) {
+pub async fn catch_up(gw: &Gateway, topic: Topic) -> CatchUp {
     let known = gw.cursor(topic);
     let mut cursor = known;
     let watched = match cursor.revision {
@@ -77,12 +113,12 @@
         watched
     };
     let Ok(batch) = result else {
-        return;
+        return CatchUp::Failed;
     };
     gw.store_liveness.record_topic_answer(topic, Instant::now());
     // A relay may have sent later changes in the meantime, which these would undo.
     if gw.cursor(topic) != known {
-        return;
+        return CatchUp::Overtaken;
     }
     if is_snapshot {
         cursor = batch.cursor(batch.bytes);
@@ -90,6 +126,7 @@
         cursor.revision = batch.at;
     }
     apply_batch(gw, topic, &batch, cursor, is_snapshot);
+    CatchUp::Done
 }
 
 /// Returns the changes since a state that the store has by now.
