--- a/wisteriapass_gateway/src/exchange/plan.rs
+++ b/wisteriapass_gateway/src/exchange/plan.rs
@@ -4,6 +4,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use wisteriapass_coord::origin::Software;
+use wisteriapass_policy::drain::StreamGoals;
 
 use crate::catalogue::{Account, Catalogue, ColdStart, Limits};
 use crate::prelude::*;
@@ -215,8 +216,11 @@
         let most = metadata.work.map_or(0, |w| w.max_output);
         let expected_ms = gw.expected_ms(target, &self.route, most);
         if self.route.kind.is_stream() {
-            let goal_ms = self.route.latency_goal_ms;
-            return drain.accepts_stream(gw.time(), expected_ms, goal_ms);
+            let goals = StreamGoals {
+                latency_goal_ms: self.route.latency_goal_ms,
+                gap_goal_ms: self.route.gap_goal_ms,
+            };
+            return drain.accepts_stream(gw.time(), expected_ms, goals);
         }
         drain.accepts_work(gw.time(), expected_ms)
     }
--- a/wisteriapass_policy/src/drain.rs
+++ b/wisteriapass_policy/src/drain.rs
@@ -38,16 +38,43 @@
 /// lost, while a refused one goes to another router.
 const DURATION_MARGIN: f64 = 1.5;
 
-/// Time for which callers wait for the first event of a stream, in milliseconds.
+/// Time after the stop signal from which streams are delivered whole, in milliseconds: less than the
+/// time in which callers cannot know of the stop, as the signal may be noticed late.
+const WHOLE_STREAMS_MS: u64 = 2_700;
+
+/// Minimum time for which callers wait for the next event of a stream, in milliseconds.
 const SILENCE_MS: u64 = 2_000;
 
 /// The same as a multiple of the latency goal, where that is longer.
 const SILENCE_GOALS: u64 = 4;
 
+/// The same as a multiple of the longest pause between events, where that is longer.
+const SILENCE_PAUSES: u64 = 8;
+
+/// What callers of a stream expect.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamGoals {
+    /// Latency goal for the first event, in milliseconds.
+    pub latency_goal_ms: u64,
+    /// Goal for the longest pause between events, in milliseconds, if there is one.
+    pub gap_goal_ms: Option<u64>,
+}
+
+impl StreamGoals {
+    /// Returns the time for which callers wait for the next event, in milliseconds.
+    fn patience_ms(self) -> u64 {
+        let by_latency = self.latency_goal_ms.saturating_mul(SILENCE_GOALS);
+        let by_pause = self.gap_goal_ms.unwrap_or_default();
+        let by_pause = by_pause.saturating_mul(SILENCE_PAUSES);
+        SILENCE_MS.max(by_latency).max(by_pause)
+    }
+}
+
 /// Shutdown schedule of one router.
 #[derive(Clone, Copy, Debug)]
 pub struct Drain {
     accept_all_until: Time,
+    whole_streams_from: Time,
     last_accept: Time,
     expected_end: Time,
     targets_end: Time,
@@ -60,6 +87,7 @@
         let before_kill = |ms: u64| now.plus_millis(grace_ms.saturating_sub(ms));
         Self {
             accept_all_until: now.plus_millis(ACCEPT_ALL_MS),
+            whole_streams_from: now.plus_millis(WHOLE_STREAMS_MS),
             last_accept: before_kill(LAST_ACCEPT_MS),
             expected_end: before_kill(EXPECTED_END_MS),
             targets_end: before_kill(TARGETS_END_MS),
@@ -93,15 +121,15 @@
 
     /// Returns whether a stream that is expected to take `expected_ms` would finish in time, and
     /// while its caller still waits for its first event, if it is delivered whole.
-    pub fn accepts_stream(&self, now: Time, expected_ms: u64, latency_goal_ms: u64) -> bool {
-        let silence_ms = SILENCE_MS.max(latency_goal_ms.saturating_mul(SILENCE_GOALS));
-        let is_patient = !self.delivers_whole_streams(now) || expected_ms <= silence_ms;
-        is_patient && self.accepts_work(now, expected_ms)
+    pub fn accepts_stream(&self, now: Time, expected_ms: u64, goals: StreamGoals) -> bool {
+        let is_whole = self.delivers_whole_streams(now);
+        let waits = !is_whole || expected_ms <= goals.patience_ms();
+        waits && self.accepts_work(now, expected_ms)
     }
 
     /// Returns whether streams that arrive now are delivered once they are whole.
     pub fn delivers_whole_streams(&self, now: Time) -> bool {
-        now >= self.accept_all_until
+        now >= self.whole_streams_from
     }
 
     /// Returns the time by which work is expected to be done.
