Answers without end of services and engines no longer fill their side process

What callers saw: FAULT and LOST in the product's own deployment: a side process is killed with all its runs. Cause: the answer of a run, a line of an engine, and plain answers to load reports, orders, cancellations and lists of VMs were read whatever their size, up to 600 s. Change: 16 MiB for the answer of a run, which then ends with an unknown outcome, 256 KiB for a line, 64 KiB for plain answers, 16 MiB for a list of VMs.

The limit of a run's answer is by reading. There is no sum over runs: open.

--- a/wisteriapass_daemon/src/fleet/order_executor.rs
+++ b/wisteriapass_daemon/src/fleet/order_executor.rs
@@ -10,6 +10,7 @@
 };
 use wisteriapass_coord::store::HttpStore;
 
+use crate::http::send_limited;
 use crate::prelude::*;
 
 /// Maximum rate at which the fleet loads from the weight store, in bytes per second.
@@ -18,6 +19,9 @@
 /// Timeout for one order at the target, in seconds.
 const TARGET_TIMEOUT_S: u64 = 30;
 
+/// Maximum size of the target's answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 10;
+
 /// Executes orders at one target.
 pub struct OrderExecutor {
     target: SocketAddr,
@@ -92,19 +96,18 @@
     fn send(&self, permit: &Permit) -> Result<(), String> {
         let body = target_order(permit);
         let text = serde_json::to_string(&body).map_err(|e| e.to_string())?;
-        let answer = minreq::post(format!("http://{}/orders", self.target))
+        let request = minreq::post(format!("http://{}/orders", self.target))
             .with_header("content-type", "application/json")
             .with_body(text)
-            .with_timeout(TARGET_TIMEOUT_S)
-            .send()
-            .map_err(|e| e.to_string())?;
+            .with_timeout(TARGET_TIMEOUT_S);
+        let answer = send_limited(request, MAX_ANSWER_BYTES).map_err(|e| e.to_string())?;
         log::info!(
             target: "fleet",
             "Order sent. token={} status={}",
             permit.token,
-            answer.status_code
+            answer.status
         );
-        match answer.status_code {
+        match answer.status {
             200 => Ok(()),
             status => Err(format!("the target refused the order with status {status}")),
         }
--- a/wisteriapass_daemon/src/fleet/platform_follower.rs
+++ b/wisteriapass_daemon/src/fleet/platform_follower.rs
@@ -13,6 +13,7 @@
 use crate::fleet::document_sync::fetch;
 use crate::fleet::heartbeat::{exchange_heartbeats, run_heartbeats};
 use crate::fleet::{ConfigInForce, DocumentSync, Fleet};
+use crate::http::send_limited;
 use crate::prelude::*;
 use crate::rpc::{HeartbeatAnswer, RpcClient};
 
@@ -32,6 +33,9 @@
 /// Timeout for reading the VM list, in seconds.
 const VM_LIST_TIMEOUT_S: u64 = 2;
 
+/// Maximum size of the VM list, in bytes: some kilobytes for each of several thousand VMs.
+const MAX_VM_LIST_BYTES: u64 = 16 << 20;
+
 /// Delay after a failed call to the platform, in milliseconds.
 const RETRY_DELAY_MS: u64 = 250;
 
@@ -234,9 +238,7 @@
 }
 
 fn vm_list(address: SocketAddr) -> Result<Vec<ListedVm>, String> {
-    let answer = minreq::get(format!("http://{address}/vms"))
-        .with_timeout(VM_LIST_TIMEOUT_S)
-        .send()
-        .map_err(|e| e.to_string())?;
-    serde_json::from_slice(answer.as_bytes()).map_err(|e| e.to_string())
+    let request = minreq::get(format!("http://{address}/vms")).with_timeout(VM_LIST_TIMEOUT_S);
+    let answer = send_limited(request, MAX_VM_LIST_BYTES).map_err(|e| e.to_string())?;
+    serde_json::from_slice(&answer.body).map_err(|e| e.to_string())
 }
--- a/wisteriapass_daemon/src/http/line_stream.rs
+++ b/wisteriapass_daemon/src/http/line_stream.rs
@@ -3,12 +3,15 @@
 //! minreq doesn't tell a truncated body from a complete one, so this is only for answers whose last
 //! line marks them as complete.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 
 use flume::Sender;
 
 use crate::http::frames::{EXCHANGE_TIMEOUT_S, Frame, FrameReceiver, FrameResult, StreamError};
 
+/// Maximum size of a line, in bytes; far above the text of one token.
+const MAX_LINE_BYTES: u64 = 256 << 10;
+
 /// Sends a request and streams the lines of its answer.
 pub fn stream_lines(req: minreq::Request) -> FrameReceiver {
     FrameReceiver::new(move |tx| read_all(req, tx))
@@ -55,9 +58,12 @@
 fn read_lines(mut reader: impl BufRead, tx: &Sender<FrameResult>) -> std::io::Result<()> {
     loop {
         let mut line = String::new();
-        if reader.read_line(&mut line)? == 0 {
+        if reader.by_ref().take(MAX_LINE_BYTES).read_line(&mut line)? == 0 {
             return Ok(());
         }
+        if line.len() as u64 == MAX_LINE_BYTES {
+            return Err(std::io::Error::other("a line is too long"));
+        }
         let end = line.trim_end_matches(['\r', '\n']).len();
         line.truncate(end);
         if tx.send(Ok(Frame::Line(line))).is_err() {
--- a/wisteriapass_daemon/src/side/engine.rs
+++ b/wisteriapass_daemon/src/side/engine.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::http::{Frame, StreamError, stream_lines};
+use crate::http::{Frame, StreamError, send_limited, stream_lines};
 use crate::metrics::{DropReason, RetryReason};
 use crate::prelude::*;
 use crate::run_wire::{ChatRun, Finish, RunEvent};
@@ -15,6 +15,9 @@
 /// Timeout between two tokens, after which the connection counts as silent, in seconds.
 const TOKEN_TIMEOUT_S: u64 = 3;
 
+/// Maximum size of the answer to a cancellation, in bytes.
+const MAX_CANCEL_BYTES: u64 = 64 << 10;
+
 /// Interval at which a run is checked for cancellation, in milliseconds.
 const CANCEL_POLL_MS: u64 = 200;
 
@@ -125,10 +128,8 @@
         let body = Cancel {
             request_id: &self.run.dispatch().run,
         };
-        let _ = self
-            .request("/v1/cancel", &body)
-            .with_timeout(TOKEN_TIMEOUT_S)
-            .send();
+        let request = self.request("/v1/cancel", &body);
+        let _ = send_limited(request.with_timeout(TOKEN_TIMEOUT_S), MAX_CANCEL_BYTES);
     }
 
     fn request(&self, path: &str, body: &impl Serialize) -> minreq::Request {
@@ -180,6 +181,9 @@
         if reported == Some(self.received as u64) && self.finish.is_some() {
             return ExchangeOutcome::Complete;
         }
+        if self.run.is_too_large() {
+            return ExchangeOutcome::Failed;
+        }
         if self.saw_foreign_chunk {
             return ExchangeOutcome::Lost(RetryReason::Broken);
         }
@@ -204,7 +208,7 @@
             return false;
         }
         self.handle_chunk(chunk);
-        false
+        self.run.is_too_large()
     }
 
     fn handle_chunk(&mut self, chunk: Chunk) {
--- a/wisteriapass_daemon/src/side/load_monitor.rs
+++ b/wisteriapass_daemon/src/side/load_monitor.rs
@@ -7,6 +7,7 @@
 use wisteriapass_config::TargetKind;
 
 use crate::fleet::ConfigInForce;
+use crate::http::send_limited;
 use crate::prelude::*;
 use crate::rpc::TargetLoad;
 use crate::run_wire::RunRequest;
@@ -19,6 +20,9 @@
 /// Timeout for the target's load report, in seconds.
 const TIMEOUT_S: u64 = 1;
 
+/// Maximum size of that report, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 10;
+
 /// Priority of interactive runs.
 const INTERACTIVE_PRIORITY: u8 = 0;
 
@@ -122,11 +126,10 @@
         if target.kind != TargetKind::Engine {
             return None;
         }
-        let answer = minreq::get(format!("http://{}/load", self.side.target))
-            .with_timeout(TIMEOUT_S)
-            .send()
-            .ok()?;
-        serde_json::from_slice(answer.as_bytes()).ok()
+        let request =
+            minreq::get(format!("http://{}/load", self.side.target)).with_timeout(TIMEOUT_S);
+        let answer = send_limited(request, MAX_ANSWER_BYTES).ok()?;
+        serde_json::from_slice(&answer.body).ok()
     }
 }
 
--- a/wisteriapass_daemon/src/side/run.rs
+++ b/wisteriapass_daemon/src/side/run.rs
@@ -5,6 +5,9 @@
 use crate::prelude::*;
 use crate::run_wire::{Dispatch, Finish, RunBill, RunEvent};
 
+/// Maximum size of the answer of one run, in bytes. It is kept for routers that attach again.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// Result of waiting for an event of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextEvent {
@@ -19,6 +22,8 @@
 #[derive(Default)]
 struct State {
     events: Vec<RunEvent>,
+    /// Size of the answer so far, in bytes.
+    bytes: usize,
     ended_at: Option<Instant>,
     cancelled: bool,
     followers: usize,
@@ -47,12 +52,20 @@
         &self.dispatch
     }
 
-    /// Adds an event; events after the end are ignored.
+    /// Adds an event; events after the end are ignored, and so is output beyond the maximum size of an
+    /// answer, after which the executor ends the run.
     pub fn push(&self, event: RunEvent) {
         let mut state = self.state.lock();
         if state.ended_at.is_some() {
             return;
         }
+        let size = output_size(&event);
+        if size > 0 {
+            state.bytes = state.bytes.saturating_add(size);
+            if state.bytes > MAX_ANSWER_BYTES {
+                return;
+            }
+        }
         if matches!(event, RunEvent::End { .. } | RunEvent::Refused { .. }) {
             state.ended_at = Some(Instant::now());
         }
@@ -60,6 +73,11 @@
         self.changed.notify_all();
     }
 
+    /// Returns whether the answer exceeds the maximum size.
+    pub fn is_too_large(&self) -> bool {
+        self.state.lock().bytes > MAX_ANSWER_BYTES
+    }
+
     /// Waits for the event at `index` until `deadline`.
     pub fn wait_for_event(&self, index: usize, deadline: Instant) -> NextEvent {
         let mut state = self.state.lock();
@@ -155,3 +173,12 @@
         self.push(RunEvent::End { finish, bill });
     }
 }
+
+/// Returns the size of the output in an event, in bytes.
+fn output_size(event: &RunEvent) -> usize {
+    match event {
+        RunEvent::Text { text } => text.len(),
+        RunEvent::Bytes { data } => data.0.len(),
+        _ => 0,
+    }
+}
--- a/wisteriapass_daemon/src/side/service_call.rs
+++ b/wisteriapass_daemon/src/side/service_call.rs
@@ -42,7 +42,12 @@
                     headers: pass_through(headers),
                 });
             }
-            Ok(Frame::Bytes(data)) => run.push(RunEvent::Bytes { data: Blob(data) }),
+            Ok(Frame::Bytes(data)) => {
+                run.push(RunEvent::Bytes { data: Blob(data) });
+                if run.is_too_large() {
+                    return end_unknown(run, "the answer of the service is too large");
+                }
+            }
             Ok(Frame::Line(_)) => {}
             Ok(Frame::End) if has_head => return end(run, side, Finish::Stop),
             Ok(Frame::End) => return end_unknown(run, "the service gave no answer"),
