--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -200,7 +200,7 @@
     assert_memory_suffices(&router);
     assert!(router.is_ready());
     let metrics = router.metrics();
-    assert!(!metrics.is_empty());
+    assert!(metrics.contains("wisteriapass_held_memory_bytes{"));
 }
 
 /// Guards against informational responses that are read without end, as they are no part of a head.
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -232,6 +232,7 @@
         };
         (status, String::new())
     } else if path == "/metrics" {
+        gw.metrics.record_held_memory(&gw.memory.account());
         (StatusCode::OK, gw.metrics.encode())
     } else {
         (StatusCode::NOT_FOUND, String::new())
--- a/wisteriapass_gateway/src/metrics.rs
+++ b/wisteriapass_gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use wisteriapass_coord::prepaid::Outstanding;
-use wisteriapass_policy::memory_account::Purpose;
+use wisteriapass_policy::memory_account::{MemoryAccount, Purpose};
 use wisteriapass_policy::rotation::{ChangeReason, Crowding, ExitRefusal, Standing};
 
 use crate::configuration_source::ConfigurationSource;
@@ -171,6 +171,7 @@
     unproven_ends: Counter<u64>,
     overruns: Counter<u64>,
     memory_short: Counter<u64>,
+    held_memory: Gauge<u64>,
     resumed_streams: Counter<u64>,
     target_deaths: Counter<u64>,
     evacuations: Counter<u64>,
@@ -211,6 +212,7 @@
             unproven_ends: meter.u64_counter("wisteriapass_unproven_ends").build(),
             overruns: meter.u64_counter("wisteriapass_overruns").build(),
             memory_short: meter.u64_counter("wisteriapass_memory_short").build(),
+            held_memory: meter.u64_gauge("wisteriapass_held_memory_bytes").build(),
             resumed_streams: meter.u64_counter("wisteriapass_resumed_streams").build(),
             target_deaths: meter.u64_counter("wisteriapass_target_deaths").build(),
             evacuations: meter.u64_counter("wisteriapass_evacuations").build(),
@@ -289,6 +291,14 @@
         self.overruns.add(1, &[part]);
     }
 
+    /// Records the memory that is held for others.
+    pub fn record_held_memory(&self, account: &MemoryAccount) {
+        for purpose in Purpose::ALL {
+            let label = KeyValue::new(PURPOSE, purpose.to_string());
+            self.held_memory.record(account.held(purpose), &[label]);
+        }
+    }
+
     /// Counts that there was no memory for a purpose.
     pub fn count_memory_short(&self, purpose: Purpose) {
         let purpose = KeyValue::new(PURPOSE, purpose.to_string());
