Answers to other routers may take three eighths of the memory account

A relay sends a change of the configuration to each of its followers by itself, megabytes in a large fleet.

--- a/wisteriapass_gateway/src/held_buffer.rs
+++ b/wisteriapass_gateway/src/held_buffer.rs
@@ -76,7 +76,11 @@
 /// # Errors
 ///
 /// [`MemoryShort`] if there is no memory for them.
-pub fn hold(memory: &SharedMemory, purpose: Purpose, bytes: Vec<u8>) -> Result<Bytes, MemoryShort> {
+pub fn hold_bytes(
+    memory: &SharedMemory,
+    purpose: Purpose,
+    bytes: Vec<u8>,
+) -> Result<Bytes, MemoryShort> {
     let memory = memory.hold(purpose, bytes.len() as u64)?;
     Ok(Bytes::from_owner(HeldBytes {
         bytes: bytes.into(),
--- a/wisteriapass_gateway/src/rpc.rs
+++ b/wisteriapass_gateway/src/rpc.rs
@@ -21,7 +21,7 @@
 use wisteriapass_policy::memory_account::Purpose;
 use wisteriapass_policy::overload::OverloadDetector;
 
-use crate::held_buffer::{hold, read_held};
+use crate::held_buffer::{hold_bytes, read_held};
 use crate::held_memory::SharedMemory;
 use crate::listener::{PEER_BYTES, peer_http};
 use crate::platform::LocalFuture;
@@ -252,7 +252,7 @@
         Some(body) => answer(path, body).await,
         None => None,
     };
-    let bytes = bytes.and_then(|bytes| hold(memory, Purpose::Peer, bytes).ok());
+    let bytes = bytes.and_then(|bytes| hold_bytes(memory, Purpose::Peer, bytes).ok());
     let mut response = Response::default();
     match bytes {
         Some(bytes) => *response.body_mut() = Full::new(bytes),
--- a/wisteriapass_policy/src/memory_account.rs
+++ b/wisteriapass_policy/src/memory_account.rs
@@ -60,7 +60,7 @@
     fn eighths(self) -> u64 {
         match self {
             Self::Connection => 6,
-            Self::Peer => 2,
+            Self::Peer => 3,
             Self::Request => 8,
             Self::Body => 4,
             Self::Answer => 2,
