Callers' connections leave descriptors for targets and the store

What callers saw: a router with 4,300 idle callers and 4,100 descriptors accepted nobody (two of 5 requests beside them timed out, then none was sent) and had none for its targets. Cause: descriptors were counted by nobody. Change: three quarters of the settings' file_descriptors are for callers; what is beyond closes unread, and from seven eighths on the router sends new callers to others. idle_connections_take_all_descriptors failed on the code before.

--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -10,7 +10,8 @@
 use wisteriapass_bench::standin::users_platform::{Behaviour, EndlessPart};
 
 use crate::support::{
-    Answer, KEY, RawTarget, Request, Router, TestPlatform, VM_MEMORY_MB, configuration, wait_for,
+    Answer, DESCRIPTORS, KEY, RawTarget, Request, Router, TestPlatform, VM_MEMORY_MB,
+    configuration, wait_for,
 };
 
 /// Number of callers at the same time.
@@ -203,6 +204,29 @@
     assert!(metrics.contains("wisteriapass_held_memory_bytes{"));
 }
 
+/// Guards against callers whose connections take all descriptors, so that none are left for targets and
+/// the store.
+#[test]
+fn idle_connections_take_all_descriptors() {
+    let (_platform, router) = start();
+    let connect = || TcpStream::connect(("127.0.0.1", router.port())).unwrap();
+    let mut kept = connect();
+    let mut idle: Vec<TcpStream> = (0..DESCRIPTORS).map(|_| connect()).collect();
+    wait_for("no more callers", || !router.is_ready());
+    wait_for("connections that close unread", || {
+        let last = idle.last_mut().unwrap();
+        last.read(&mut [0]).is_ok_and(|n| n == 0)
+    });
+    let request = Request::new("kept", "/once/x").text();
+    kept.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    kept.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(idle);
+    wait_for("callers again", || router.is_ready());
+    assert_serves(&router, "after");
+}
+
 /// Guards against informational responses that are read without end, as they are no part of a head.
 #[test]
 fn informational_responses_do_not_count_as_part_of_the_head() {
--- a/wisteriapass_daemon/tests/on_platform/support.rs
+++ b/wisteriapass_daemon/tests/on_platform/support.rs
@@ -18,7 +18,7 @@
 pub use raw_target::RawTarget;
 pub use relay_fleet::{FOLLOWERS, RELAYS, RelayFleet};
 pub use request::{Answer, Received, Request, exchange, exchange_within, receive};
-pub use router::{Router, VM_MEMORY_MB, has_witness, is_relay, write_count};
+pub use router::{DESCRIPTORS, Router, VM_MEMORY_MB, has_witness, is_relay, write_count};
 pub use test_platform::{TestPlatform, configuration};
 
 /// Timeout of all waits in the tests; not a limit of the product.
--- a/wisteriapass_daemon/tests/on_platform/support/router.rs
+++ b/wisteriapass_daemon/tests/on_platform/support/router.rs
@@ -22,6 +22,9 @@
 /// Memory of a router's VM, in MB.
 pub const VM_MEMORY_MB: u64 = 160;
 
+/// Descriptors of a router's process.
+pub const DESCRIPTORS: u64 = 1_000;
+
 /// A router process.
 pub struct Router {
     name: String,
@@ -124,7 +127,8 @@
              [zones]\nz = \"here\"\nnorth = \"here\"\nfar = \"there\"\n\
              [bounds]\ngrace_period_s = 8\nretry_budget_ratio = 0.2\nretry_budget_slack = 100\n\
              cold_overshoot = 1.5\ncold_slack = 5\n\
-             [limits]\nmemory_mb = {VM_MEMORY_MB}\n{link}[platform]\naddress = \"{}\"\n",
+             [limits]\nmemory_mb = {VM_MEMORY_MB}\n\
+             file_descriptors = {DESCRIPTORS}\n{link}[platform]\naddress = \"{}\"\n",
             self.name, self.domain, self.store
         );
         fs::write(&self.settings, text).unwrap();
--- a/wisteriapass_gateway/src/gateway.rs
+++ b/wisteriapass_gateway/src/gateway.rs
@@ -124,7 +124,7 @@
         let rpc = Rc::new(RpcClient::new(clock));
         let ledger = Rc::new(TokenLedger::new(clock, &settings, rpc.clone()));
         let rotation = RotationState::new(clock, &settings);
-        let memory = SharedMemory::new(settings.vm_size.memory_bytes());
+        let memory = SharedMemory::new(&settings.vm_size);
         Self {
             settings,
             platform,
--- a/wisteriapass_gateway/src/held_memory.rs
+++ b/wisteriapass_gateway/src/held_memory.rs
@@ -6,6 +6,12 @@
 use parking_lot::Mutex;
 use wisteriapass_policy::memory_account::{MemoryAccount, Purpose};
 
+use crate::settings::VmSize;
+
+/// Memory that an open connection of a caller holds, in bytes: the head of a request that is being
+/// read, and the state of the connection.
+pub const CONNECTION_BYTES: u64 = 20 << 10;
+
 /// There is no memory left for a purpose.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("no memory left")]
@@ -17,9 +23,13 @@
 pub struct SharedMemory(Arc<Mutex<MemoryAccount>>);
 
 impl SharedMemory {
-    /// Creates the account of a router on a VM with this much memory, in bytes.
-    pub fn new(vm_bytes: u64) -> Self {
-        Self(Arc::new(Mutex::new(MemoryAccount::new(vm_bytes))))
+    /// Creates the account of a router on a VM of this size.
+    pub fn new(vm_size: &VmSize) -> Self {
+        let account = MemoryAccount::new(vm_size.memory_bytes());
+        let max_connections = vm_size.max_connections();
+        let max_bytes = max_connections.map(|count| count.saturating_mul(CONNECTION_BYTES));
+        let account = account.with_connection_limit(max_bytes.unwrap_or(u64::MAX));
+        Self(Arc::new(Mutex::new(account)))
     }
 
     /// Holds memory until the result is dropped.
--- a/wisteriapass_gateway/src/listener.rs
+++ b/wisteriapass_gateway/src/listener.rs
@@ -20,7 +20,7 @@
 use crate::exchange;
 use crate::explain::{self, EXPLAIN_PATH};
 use crate::gateway::{ShutdownPhase, wait_for_phase};
-use crate::held_memory::{HeldMemory, MemoryShort};
+use crate::held_memory::{CONNECTION_BYTES, HeldMemory, MemoryShort};
 use crate::prelude::*;
 
 /// Length of the accept queue.
@@ -35,11 +35,7 @@
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Memory that an open connection holds, in bytes: the head of a request that is being read, and the
-/// state of the connection.
-const CONNECTION_BYTES: u64 = 20 << 10;
-
-/// The same for a connection of another router, a probe or an operator.
+/// Memory that an open connection of another router, a probe or an operator holds, in bytes.
 pub(crate) const PEER_BYTES: u64 = 24 << 10;
 
 /// Size of the buffer for such a connection, in bytes.
--- a/wisteriapass_gateway/src/settings.rs
+++ b/wisteriapass_gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub link_mbps: Option<f64>,
     /// Memory for one process, in MB.
     pub memory_mb: Option<u64>,
+    /// Number of file descriptors for one process.
+    pub descriptors: Option<u64>,
 }
 
 impl VmSize {
@@ -64,6 +66,12 @@
             .saturating_mul(1_000_000)
     }
 
+    /// Returns the maximum number of callers' connections, if the number of descriptors is known: a
+    /// fourth of them is for targets, the store and other routers.
+    pub fn max_connections(&self) -> Option<u64> {
+        self.descriptors.map(|count| count / 4 * 3)
+    }
+
     /// Returns the bandwidth of the link, in Mbit/s, if it is known and in range.
     pub fn measurable_mbps(&self) -> Option<f64> {
         self.link_mbps
--- a/wisteriapass_policy/src/memory_account.rs
+++ b/wisteriapass_policy/src/memory_account.rs
@@ -78,6 +78,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct MemoryAccount {
     max_bytes: u64,
+    /// Limit of callers' connections, which need other resources as well.
+    max_connection_bytes: u64,
     held: [u64; Purpose::ALL.len()],
 }
 
@@ -86,10 +88,17 @@
     pub fn new(vm_bytes: u64) -> Self {
         Self {
             max_bytes: vm_bytes / MEMORY_DIVISOR,
+            max_connection_bytes: u64::MAX,
             held: [0; Purpose::ALL.len()],
         }
     }
 
+    /// Limits the memory for callers' connections, in bytes, below what the VM's memory permits.
+    pub fn with_connection_limit(mut self, bytes: u64) -> Self {
+        self.max_connection_bytes = bytes;
+        self
+    }
+
     /// Takes `more` bytes for a buffer that holds `held`; returns whether they are available.
     pub fn take(&mut self, purpose: Purpose, held: u64, more: u64) -> bool {
         let fits = self.fits(purpose, held.saturating_add(more), more);
@@ -117,7 +126,10 @@
 
     /// Returns whether so little is left that callers should use other routers.
     pub fn is_short(&self) -> bool {
+        let max_connections = self.limit(Purpose::Connection);
+        let connections = self.held(Purpose::Connection);
         self.total() >= self.eighths(SHORT_EIGHTHS)
+            || connections >= max_connections / 8 * SHORT_EIGHTHS
     }
 
     fn fits(&self, purpose: Purpose, size: u64, more: u64) -> bool {
@@ -137,8 +149,16 @@
         if purpose == Purpose::Answer && size > self.max_bytes / ANSWER_DIVISOR {
             return false;
         }
-        let held = self.held(purpose).saturating_add(more);
-        held <= self.eighths(purpose.eighths())
+        self.held(purpose).saturating_add(more) <= self.limit(purpose)
+    }
+
+    /// Returns the limit of all buffers for a purpose, in bytes.
+    fn limit(&self, purpose: Purpose) -> u64 {
+        let by_memory = self.eighths(purpose.eighths());
+        match purpose {
+            Purpose::Connection => by_memory.min(self.max_connection_bytes),
+            Purpose::Peer | Purpose::Request | Purpose::Body | Purpose::Answer => by_memory,
+        }
     }
 
     fn eighths(&self, count: u64) -> u64 {
--- a/wisteriapass_policy/tests/memory_account.rs
+++ b/wisteriapass_policy/tests/memory_account.rs
@@ -75,6 +75,17 @@
     assert!(account.take(Purpose::Peer, 0, 2_000_000));
 }
 
+/// Guards against connections of callers that take all descriptors.
+#[test]
+fn a_connection_limit_below_that_of_the_memory_holds() {
+    let mut account = MemoryAccount::new(VM_BYTES).with_connection_limit(1_000_000);
+    let taken = (0..1_000).filter(|_| account.take(Purpose::Connection, 0, 10_000));
+    assert_eq!(taken.count(), 100);
+    assert!(account.is_short());
+    account.release(Purpose::Connection, 200_000);
+    assert!(!account.is_short());
+}
+
 /// Guards against limits whose sum exceeds the memory.
 #[quickcheck]
 fn all_purposes_together_stay_below_half_of_the_memory(takes: Vec<(u8, u32, bool)>) -> bool {
