--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -286,6 +286,19 @@
     assert!(router.becomes_ready());
 }
 
+#[test]
+fn a_router_that_waits_for_its_address_ends_on_a_stop() {
+    let platform = TestPlatform::new(10_000);
+    let mut router = Router::new("r", &platform.store);
+    let _occupied = router.occupy_readiness_port();
+    router.spawn();
+    wait_for("a log line", || {
+        router.log().contains("Waiting for an address")
+    });
+    router.signal(Signal::SIGTERM);
+    router.wait();
+}
+
 // A readiness probe that another server left unanswered used up the whole timeout, and the exit of
 // the router was not noticed.
 #[test]
