Tests: log lines are looked for when they are written

Traced in its log: the line that the test looks for, Refused. reason=cut_short, is there: it is written by a thread of its own, behind the answer that the test had. The test looks behind the router's exit now, which flushes the log; two other new tests had the same race. The checks are the same.

--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -281,9 +281,9 @@
         router.log().contains("Waiting for an address")
     });
     assert!(router.is_running());
-    assert_eq!(router.log().matches("Waiting for an address").count(), 1);
     drop(occupied);
     assert!(router.becomes_ready());
+    assert_eq!(router.log().matches("Waiting for an address").count(), 1);
 }
 
 #[test]
--- a/wisteriapass_daemon/tests/on_platform/memory.rs
+++ b/wisteriapass_daemon/tests/on_platform/memory.rs
@@ -244,5 +244,5 @@
         let request = Request::new(&format!("i{count}"), "/once/x");
         assert_eq!(router.send(&request).map(|a| a.status), Some(status));
     }
-    assert!(router.log().contains("part=framing"));
+    wait_for("a log line", || router.log().contains("part=framing"));
 }
--- a/wisteriapass_daemon/tests/on_platform/stops.rs
+++ b/wisteriapass_daemon/tests/on_platform/stops.rs
@@ -154,9 +154,10 @@
         let status = answer.as_ref().map(|a| a.status);
         assert!(matches!(status, Some(502 | 503)), "{n}: {status:?}");
     }
-    assert!(router.log().contains("reason=cut_short"), "none was taken");
     assert_eq!(long.join().unwrap().unwrap().events(), [1, 2, 3, 4, 5]);
     router.wait();
+    // Log lines are written behind the answers that they tell of.
+    assert!(router.log().contains("reason=cut_short"), "none was taken");
 }
 
 // A router that got no processor time from before its abort until behind its exit time exited at
