--- a/wisteriapass_daemon/tests/on_platform/changes.rs
+++ b/wisteriapass_daemon/tests/on_platform/changes.rs
@@ -3,6 +3,7 @@
 
 mod late_history;
 
+use std::net::TcpListener;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -270,16 +271,22 @@
     );
 }
 
-/// Guards against a router that ends because one of its ports is in use, and does so at each start.
-#[test]
-fn a_taken_port_ends_a_router() {
-    let platform = TestPlatform::new(10_000);
+/// Starts a router one of whose ports is in use, until it waits for the port.
+fn start_without_address(platform: &TestPlatform) -> (Router, TcpListener) {
     let mut router = Router::new("r", &platform.store);
     let occupied = router.occupy_readiness_port();
     router.spawn();
     wait_for("a log line", || {
         router.log().contains("Waiting for an address")
     });
+    (router, occupied)
+}
+
+/// Guards against a router that ends because one of its ports is in use, and does so at each start.
+#[test]
+fn a_taken_port_ends_a_router() {
+    let platform = TestPlatform::new(10_000);
+    let (mut router, occupied) = start_without_address(&platform);
     assert!(router.is_running());
     drop(occupied);
     assert!(router.becomes_ready());
@@ -289,12 +296,7 @@
 #[test]
 fn a_router_that_waits_for_its_address_ends_on_a_stop() {
     let platform = TestPlatform::new(10_000);
-    let mut router = Router::new("r", &platform.store);
-    let _occupied = router.occupy_readiness_port();
-    router.spawn();
-    wait_for("a log line", || {
-        router.log().contains("Waiting for an address")
-    });
+    let (mut router, _occupied) = start_without_address(&platform);
     router.signal(Signal::SIGTERM);
     router.wait();
 }
@@ -304,12 +306,7 @@
 #[test]
 fn the_exit_of_a_router_whose_port_is_taken_is_noticed() {
     let platform = TestPlatform::new(10_000);
-    let mut router = Router::new("r", &platform.store);
-    let _occupied = router.occupy_readiness_port();
-    router.spawn();
-    wait_for("a log line", || {
-        router.log().contains("Waiting for an address")
-    });
+    let (mut router, _occupied) = start_without_address(&platform);
     router.signal(Signal::SIGKILL);
     assert!(!router.becomes_ready());
 }
